Agree on crate borders: model, wire, settings, events and the way of a request

Cause: an empty tree; every later part builds on these types. What: workspace with lints, messages between processes, settings, numbered events, architecture page. Ruled out: sidecars that dial back to routers (a second link per pair); a ticket sent per waiting request (control bytes grow with the queue); interests by customer and class do not. Not measured yet.

--- /dev/null
+++ b/crates/client/src/main.rs
@@ -0,0 +1,3 @@
+//! The client.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,5 @@
+//! The daemon's two roles: a router on an entry VM and a sidecar beside a
+//! backend server.
+
+pub mod router;
+pub mod sidecar;
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/router/mod.rs
@@ -0,0 +1,1 @@
+//! The router role.
--- /dev/null
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -0,0 +1,1 @@
+//! The sidecar role.
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/event/src/catalogue.rs
@@ -0,0 +1,132 @@
+//! The catalogue of events.
+
+macro_rules! catalogue {
+    ($($(#[doc = $doc:literal])+ $name:ident = $number:literal, $level:ident, $text:literal;)+) => {
+        /// An event: a fixed number, a level and a text. The fields are named at
+        /// the place that logs it and in `docs/EVENTS.md`.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Event {
+            $($(#[doc = $doc])+ $name,)+
+        }
+
+        impl Event {
+            /// Every event.
+            pub const ALL: &[Self] = &[$(Self::$name,)+];
+
+            /// Its number.
+            #[must_use]
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)+ }
+            }
+
+            /// Its level.
+            #[must_use]
+            pub const fn level(self) -> Level {
+                match self { $(Self::$name => Level::$level,)+ }
+            }
+
+            /// Its text.
+            #[must_use]
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)+ }
+            }
+        }
+    };
+}
+
+/// How grave an event is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Level {
+    /// Each decision.
+    Info,
+    /// Something an operator may want to know of.
+    Warning,
+    /// Something an operator has to act on.
+    Error,
+}
+
+catalogue! {
+    /// A router sent a request to a server.
+    Routed = 1001, Info, "request routed";
+    /// A router keeps a request until a server has a free slot.
+    Queued = 1002, Info, "request waits";
+    /// A router refused a request.
+    Refused = 1003, Info, "request refused";
+    /// A router finished a request.
+    Answered = 1004, Info, "request answered";
+    /// A router tries a request again on another server.
+    Retried = 1005, Info, "request retried";
+    /// A router cannot tell what became of a request.
+    Doubtful = 1006, Warning, "outcome unknown";
+    /// An answer was cut off before its end.
+    Truncated = 1007, Warning, "answer cut off";
+    /// A late or crossed answer was dropped.
+    Dropped = 1008, Warning, "late answer dropped";
+    /// A link to a sidecar is up.
+    LinkUp = 1010, Info, "sidecar connected";
+    /// A link to a sidecar is down.
+    LinkDown = 1011, Warning, "sidecar disconnected";
+    /// A peer router answered again.
+    PeerUp = 1012, Info, "peer connected";
+    /// A peer router does not answer.
+    PeerDown = 1013, Warning, "peer disconnected";
+    /// A sidecar reserved a slot for a customer's request at a router.
+    Granted = 2001, Info, "slot granted";
+    /// A sidecar started a request on its server.
+    Started = 2002, Info, "request started";
+    /// A request ended on the server.
+    Ended = 2003, Info, "request ended";
+    /// A sidecar turned a request away.
+    TurnedAway = 2004, Info, "request turned away";
+    /// A running request was cancelled because its caller is gone.
+    Cancelled = 2005, Info, "request cancelled";
+    /// An attempt was withdrawn before it started.
+    Withdrawn = 2006, Info, "attempt withdrawn";
+    /// The backend failed after a request was sent to it.
+    BackendFailed = 2007, Warning, "backend failed";
+    /// Idempotency keys are in doubt after a restart.
+    KeysDoubtful = 2008, Warning, "earlier keys unknown";
+    /// Earlier idempotency keys are known again.
+    KeysRecovered = 2009, Info, "earlier keys recovered";
+    /// An accepted configuration is in force on this node.
+    ConfigApplied = 3001, Info, "configuration applied";
+    /// The key-value service does not answer.
+    KvDown = 3002, Warning, "key-value service unreachable";
+    /// The key-value service answers again.
+    KvUp = 3003, Info, "key-value service reachable";
+    /// The key-value service came back with older contents, which are not followed.
+    KvBehind = 3004, Error, "key-value service has older contents";
+    /// The VM list does not answer.
+    VmsDown = 3005, Warning, "VM list unreachable";
+    /// A value in the key-value service cannot be read.
+    ConfigUnreadable = 3006, Error, "configuration value unreadable";
+    /// An operator's command was carried out or refused.
+    Commanded = 4001, Info, "operator command";
+    /// An operator's key was wrong.
+    OperatorDenied = 4002, Warning, "operator denied";
+    /// A process is ready.
+    Ready = 5001, Info, "ready";
+    /// A planned stop began.
+    Stopping = 5002, Info, "stopping";
+    /// A process has stopped.
+    Stopped = 5003, Info, "stopped";
+}
+
+/// Logs an event with fields: `log!(logger, Event::Ready, "role" => "router")`.
+#[macro_export]
+macro_rules! log {
+    ($logger:expr, $event:expr $(, $($fields:tt)*)?) => {{
+        let event = $event;
+        match event.level() {
+            $crate::Level::Info => $crate::slog::info!(
+                $logger, "{}", event.text(); "event" => event.number() $(, $($fields)*)?
+            ),
+            $crate::Level::Warning => $crate::slog::warn!(
+                $logger, "{}", event.text(); "event" => event.number() $(, $($fields)*)?
+            ),
+            $crate::Level::Error => $crate::slog::error!(
+                $logger, "{}", event.text(); "event" => event.number() $(, $($fields)*)?
+            ),
+        }
+    }};
+}
--- /dev/null
+++ b/crates/event/src/lib.rs
@@ -0,0 +1,13 @@
+//! Numbered log events. `docs/EVENTS.md` is their catalogue.
+//!
+//! Each source of events has an enum of its own whose variants carry a fixed
+//! number: routers 1000 to 1999, sidecars 2000 to 2999, the platform's edge 3000
+//! to 3999, operators 4000 to 4999, starting and stopping 5000 to 5999.
+
+pub use slog;
+
+mod catalogue;
+mod logger;
+
+pub use catalogue::{Event, Level};
+pub use logger::{Form, open};
--- /dev/null
+++ b/crates/event/src/logger.rs
@@ -0,0 +1,41 @@
+//! Opening the log.
+
+use std::io;
+
+use slog::{Drain, Logger, o};
+
+/// Lines kept while the output is slow; more are dropped and counted in the log.
+const BACKLOG: usize = 8192;
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// One JSON object a line.
+    Json,
+    /// Text for people.
+    Terminal,
+}
+
+/// Opens a log on standard error for a named node.
+pub fn open(form: Form, node: &str) -> Logger {
+    let node = node.to_owned();
+    match form {
+        Form::Json => {
+            let drain = slog_json::Json::default(io::stderr()).fuse();
+            let drain = slog_async::Async::new(drain)
+                .chan_size(BACKLOG)
+                .build()
+                .fuse();
+            Logger::root(drain, o!("node" => node))
+        }
+        Form::Terminal => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            let drain = slog_async::Async::new(drain)
+                .chan_size(BACKLOG)
+                .build()
+                .fuse();
+            Logger::root(drain, o!("node" => node))
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,25 @@
+//! The configured things and the identities that every other package speaks of.
+//!
+//! The words are those of the users' brief (`docs/GLOSSARY.md` maps them to
+//! standard terms): a *customer* shares capacity, a *server* is a backend
+//! server with a sidecar beside it, a *zone* is an availability zone.
+
+mod attempt;
+mod class;
+mod config;
+mod customer;
+mod id;
+mod outcome;
+mod pool;
+mod server;
+mod time;
+
+pub use attempt::Attempt;
+pub use class::Class;
+pub use config::{Change, Config, Entry, Object, Revision};
+pub use customer::{Customer, KeyHash};
+pub use id::{CustomerId, Incarnation, KeyId, PoolId, ServerId};
+pub use outcome::Outcome;
+pub use pool::{Kind, Pool, Route};
+pub use server::{Server, State};
+pub use time::Millis;
--- /dev/null
+++ b/crates/wire/src/count.rs
@@ -0,0 +1,80 @@
+//! Counting of bytes on control links.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes read and written, shared by every link that counts into it.
+#[derive(Debug, Default)]
+pub struct Bytes {
+    read: AtomicU64,
+    written: AtomicU64,
+}
+
+impl Bytes {
+    /// Bytes read so far.
+    pub fn read(&self) -> u64 {
+        self.read.load(Ordering::Relaxed)
+    }
+
+    /// Bytes written so far.
+    pub fn written(&self) -> u64 {
+        self.written.load(Ordering::Relaxed)
+    }
+}
+
+/// A stream whose bytes are counted.
+#[derive(Debug)]
+pub struct Counted<S> {
+    stream: S,
+    bytes: Arc<Bytes>,
+}
+
+impl<S> Counted<S> {
+    /// Counts what passes through `stream` into `bytes`.
+    pub fn new(stream: S, bytes: Arc<Bytes>) -> Self {
+        Self { stream, bytes }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let count = buf.filled().len() - before;
+        self.bytes.read.fetch_add(count as u64, Ordering::Relaxed);
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(cx, data);
+        if let Poll::Ready(Ok(count)) = polled {
+            self.bytes
+                .written
+                .fetch_add(count as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
