Move the data-only messages to the model package

Cause: the decisions must speak of interests, grants, usage and tickets without a runtime behind them; the wire package brings tokio. Conclusion: data in model, transport in wire.

--- a/crates/wire/src/grant.rs
+++ b/crates/model/src/grant.rs
@@ -1,6 +1,6 @@
 //! Reserved slots.
 
-use mulberryyoke_model::{CustomerId, Millis};
+use crate::{CustomerId, Millis};
 use serde::{Deserialize, Serialize};
 
 /// A slot reserved for one request of a customer that waits at the router.
--- a/crates/wire/src/interest.rs
+++ b/crates/model/src/interest.rs
@@ -1,6 +1,6 @@
 //! What waits at a router.
 
-use mulberryyoke_model::{CustomerId, Millis};
+use crate::{CustomerId, Millis};
 use serde::{Deserialize, Serialize};
 
 /// Requests of one customer that wait at one router and that the server may
@@ -9,7 +9,7 @@
 pub struct Interest {
     /// The customer.
     pub customer: CustomerId,
-    /// Waiting requests by [`mulberryyoke_model::Class::index`], at most 65,535 each.
+    /// Waiting requests by [`crate::Class::index`], at most 65,535 each.
     pub waiting: [u16; 3],
     /// Mean estimated cost of one of them, in tokens.
     pub cost: u32,
--- a/crates/wire/src/load.rs
+++ b/crates/model/src/load.rs
@@ -1,6 +1,6 @@
 //! What a sidecar tells of its server.
 
-use mulberryyoke_model::{Incarnation, Millis, Revision, ServerId};
+use crate::{Incarnation, Millis, Revision, ServerId};
 use serde::{Deserialize, Serialize};
 
 /// A server's load and standing.
--- a/crates/wire/src/usage.rs
+++ b/crates/model/src/usage.rs
@@ -1,6 +1,6 @@
 //! Service received by customers.
 
-use mulberryyoke_model::CustomerId;
+use crate::CustomerId;
 use serde::{Deserialize, Serialize};
 
 /// Service of one customer, in tokens.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,27 +7,19 @@
 
 mod count;
 mod error;
-mod grant;
-mod interest;
 mod link;
-mod load;
 mod router;
 mod sidecar;
 pub mod ticket;
-mod usage;
 pub mod verdict;
 
 pub use count::{Bytes, Counted};
 pub use error::Error;
-pub use grant::Grant;
-pub use interest::Interest;
 pub use link::{
     Listener, RouterChannel, SidecarChannel, connect_router, connect_sidecar, router_channel,
     sidecar_channel, spawn_calls,
 };
-pub use load::Load;
+pub use mulberryyoke_model::{Grant, Interest, Load, Report, Ticket, Usage};
 pub use router::{Member, Router, RouterClient, Summary};
 pub use sidecar::{Poll, Polled, Sidecar, SidecarClient, Withdrawal};
-pub use ticket::Ticket;
-pub use usage::{Report, Usage};
 pub use verdict::Verdict;
