--- a/crates/wire/src/sidecar.rs
+++ b/crates/wire/src/sidecar.rs
@@ -63,6 +63,12 @@
     /// Applies accepted configuration; returns the highest revision then held.
     async fn configure(changes: Vec<Change>) -> Revision;
 
+    /// Tells, first thing on every new link, which keys this router's life has
+    /// sent to the server within the retention time and that are not proved not
+    /// run; `complete` unless some had to be forgotten. After this call the
+    /// router sends keyed requests for the server to this life of the sidecar only.
+    async fn recall(origin: Incarnation, complete: bool, keys: Vec<KeyId>);
+
     /// Configuration newer than a revision, for a router that starts while the
     /// key-value service is down.
     async fn changes(since: Revision) -> Vec<Change>;
--- a/crates/wire/src/verdict.rs
+++ b/crates/wire/src/verdict.rs
@@ -27,11 +27,16 @@
     Broken,
     /// The ticket could not be read; not run.
     Malformed,
+    /// The ticket's deadline had passed on arrival; not run.
+    Late,
+    /// The idempotency key cannot be remembered safely now; not run.
+    /// `retry-after` says when it may be.
+    Full,
 }
 
 impl Verdict {
     /// Every verdict.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 12] = [
         Self::Busy,
         Self::Draining,
         Self::Tombstone,
@@ -42,6 +47,8 @@
         Self::Unreachable,
         Self::Broken,
         Self::Malformed,
+        Self::Late,
+        Self::Full,
     ];
 
     /// The word used in [`HEADER`].
@@ -58,6 +65,8 @@
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
             Self::Malformed => "malformed",
+            Self::Late => "late",
+            Self::Full => "full",
         }
     }
 
@@ -76,7 +85,9 @@
             | Self::Tombstone
             | Self::NotHome
             | Self::Unreachable
-            | Self::Malformed => true,
+            | Self::Malformed
+            | Self::Late
+            | Self::Full => true,
             Self::Doubtful | Self::Running | Self::Ran | Self::Broken => false,
         }
     }
