Keep who wrote a value before, and when a server took work

A lost answer of a compare-and-swap can only be resolved after later writes if the value names the commands before its own. A server that was drained and resumed has had several periods as a home; one span would hide former homes.

--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Customer, Pool, Server};
+use crate::{Customer, Millis, Pool, Server};
 
 /// Revision of the key-value service at which a value was written.
 pub type Revision = u64;
@@ -34,7 +34,7 @@
 }
 
 /// The value kept under one key of the key-value service, as JSON.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Entry {
     /// Identity of the command that wrote it, to recognise one's own write.
@@ -42,8 +42,33 @@
     /// Name of the operator.
     #[serde(default)]
     pub operator: String,
+    /// When it was written.
+    #[serde(default)]
+    pub at: Millis,
+    /// The command's words, without keys.
+    #[serde(default)]
+    pub words: String,
     /// What is configured; `None` once removed.
     pub object: Option<Object>,
+    /// Writes that this one followed, newest first, as far as kept.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub earlier: Vec<Write>,
+}
+
+/// An earlier write of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Write {
+    /// Revision of the write.
+    pub revision: Revision,
+    /// Identity of the command that wrote it.
+    pub command: u64,
+    /// Name of the operator.
+    pub operator: String,
+    /// When it was written.
+    pub at: Millis,
+    /// The command's words, without keys.
+    pub words: String,
 }
 
 /// One accepted write.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use attempt::Attempt;
 pub use class::Class;
-pub use config::{Change, Config, Entry, Object, Revision};
+pub use config::{Change, Config, Entry, Object, Revision, Write};
 pub use customer::{Customer, KeyHash};
 pub use grant::Grant;
 pub use id::{CustomerId, Incarnation, KeyId, PoolId, ServerId};
@@ -29,7 +29,7 @@
 pub use load::Load;
 pub use outcome::Outcome;
 pub use pool::{Kind, Pool, Route};
-pub use server::{Server, State};
+pub use server::{Period, Server, State};
 pub use ticket::Ticket;
 pub use time::Millis;
 pub use usage::{Report, Usage};
