--- /dev/null
+++ b/crates/command/src/command.rs
@@ -0,0 +1,141 @@
+//! The whole language.
+
+use gumdrop::Options;
+
+use crate::{
+    Config, ConfigAction, Customer, CustomerAction, Error, Pool, PoolAction, Server, ServerAction,
+    Status, Waiting,
+};
+
+/// Any command of an operator.
+#[derive(Clone, Debug, PartialEq, Eq, Options)]
+pub enum Command {
+    /// customers, their shares, classes and keys
+    Customer(Customer),
+    /// models and plain services
+    Pool(Pool),
+    /// backend servers
+    Server(Server),
+    /// nodes, the configuration in force on them, and load
+    Status(Status),
+    /// who is waiting, and why
+    Waiting(Waiting),
+    /// the accepted configuration and its latest writes
+    Config(Config),
+}
+
+/// Words of a command.
+#[derive(Options)]
+struct Words {
+    help: bool,
+    #[options(command, required)]
+    command: Option<Command>,
+}
+
+impl Command {
+    /// Reads a command from its words.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Help`] when the words ask for help, [`Error::Usage`] when they
+    /// are not a command.
+    pub fn parse<S: AsRef<str>>(words: &[S]) -> Result<Self, Error> {
+        let parsed =
+            Words::parse_args_default(words).map_err(|error| Error::Usage(error.to_string()))?;
+        if parsed.help_requested() {
+            return Err(Error::Help(help(words, &parsed)));
+        }
+        let command = parsed.command.ok_or_else(missing)?;
+        command.check()?;
+        Ok(command)
+    }
+
+    /// The list of commands, one a line.
+    #[must_use]
+    pub fn list() -> &'static str {
+        Self::usage()
+    }
+
+    /// Whether it changes the configuration.
+    #[must_use]
+    pub fn writes(&self) -> bool {
+        match self {
+            Self::Customer(customer) => {
+                customer.action.as_ref().is_some_and(CustomerAction::writes)
+            }
+            Self::Pool(pool) => pool.action.as_ref().is_some_and(PoolAction::writes),
+            Self::Server(server) => server.action.as_ref().is_some_and(ServerAction::writes),
+            Self::Status(_) | Self::Waiting(_) | Self::Config(_) => false,
+        }
+    }
+
+    /// Whether the answer is to be printed as JSON.
+    #[must_use]
+    pub fn json(&self) -> bool {
+        match self {
+            Self::Customer(customer) => customer.action.as_ref().is_some_and(CustomerAction::json),
+            Self::Pool(pool) => pool.action.as_ref().is_some_and(PoolAction::json),
+            Self::Server(server) => server.action.as_ref().is_some_and(ServerAction::json),
+            Self::Status(status) => status.json,
+            Self::Waiting(waiting) => waiting.json,
+            Self::Config(config) => config.action.as_ref().is_some_and(ConfigAction::json),
+        }
+    }
+
+    /// Whether to wait until the change is in force on every node.
+    #[must_use]
+    pub fn wait(&self) -> bool {
+        match self {
+            Self::Customer(customer) => customer.action.as_ref().is_some_and(CustomerAction::wait),
+            Self::Pool(pool) => pool.action.as_ref().is_some_and(PoolAction::wait),
+            Self::Server(server) => server.action.as_ref().is_some_and(ServerAction::wait),
+            Self::Status(_) | Self::Waiting(_) | Self::Config(_) => false,
+        }
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        match self {
+            Self::Customer(customer) => match &customer.action {
+                Some(action) => action.check().map_err(Error::Usage),
+                None => Err(missing()),
+            },
+            Self::Pool(pool) => match &pool.action {
+                Some(action) => action.check().map_err(Error::Usage),
+                None => Err(missing()),
+            },
+            Self::Server(server) => match &server.action {
+                Some(action) => action.check().map_err(Error::Usage),
+                None => Err(missing()),
+            },
+            Self::Waiting(waiting) => waiting.check().map_err(Error::Usage),
+            Self::Config(config) if config.action.is_none() => Err(missing()),
+            Self::Status(_) | Self::Config(_) => Ok(()),
+        }
+    }
+}
+
+fn missing() -> Error {
+    Error::Usage(format!(
+        "a word is missing; the commands are\n{}",
+        Command::list()
+    ))
+}
+
+fn help<S: AsRef<str>>(words: &[S], parsed: &Words) -> String {
+    let named: Vec<&str> = words
+        .iter()
+        .map(AsRef::as_ref)
+        .take_while(|word| !word.starts_with('-'))
+        .take(2)
+        .collect();
+    let usage = parsed.self_usage();
+    let mut text = format!(
+        "Usage: mulberryyoke {} [OPTIONS]\n\n{usage}",
+        named.join(" ")
+    );
+    if let Some(commands) = parsed.self_command_list() {
+        text.push_str("\n\nCommands:\n");
+        text.push_str(commands);
+    }
+    text
+}
--- /dev/null
+++ b/crates/command/src/config.rs
@@ -0,0 +1,67 @@
+//! Commands on the accepted configuration.
+
+use gumdrop::Options;
+
+/// The accepted configuration and its latest writes.
+#[derive(Clone, Debug, PartialEq, Eq, Options)]
+#[options(no_short)]
+pub struct Config {
+    /// print this help
+    pub help: bool,
+    /// what to do
+    #[options(command, required)]
+    pub action: Option<Action>,
+}
+
+/// What to tell of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Options)]
+pub enum Action {
+    /// who wrote what, newest first
+    History(History),
+    /// all that is configured, as JSON
+    Show(Show),
+}
+
+/// Lists writes, newest first, with revision, operator and command id. Each key
+/// keeps its latest write and the eight before it; what those eight had written
+/// is not kept, only who wrote when and by which words.
+///
+/// Example: mulberryyoke config history --key server/m-3
+#[derive(Clone, Debug, PartialEq, Eq, Options)]
+#[options(no_short)]
+pub struct History {
+    /// print this help
+    pub help: bool,
+    /// only keys that start so, for example customer/ or server/m-3
+    #[options(meta = "PREFIX")]
+    pub key: String,
+    /// most writes to list (default 50)
+    #[options(meta = "N", default = "50")]
+    pub limit: u32,
+    /// print JSON
+    pub json: bool,
+}
+
+/// Shows the configuration in force on the asked router.
+///
+/// Example: mulberryyoke config show --json
+#[derive(Clone, Debug, PartialEq, Eq, Options)]
+#[options(no_short)]
+pub struct Show {
+    /// print this help
+    pub help: bool,
+    /// only keys that start so, for example customer/
+    #[options(meta = "PREFIX")]
+    pub key: String,
+    /// print JSON
+    pub json: bool,
+}
+
+impl Action {
+    pub(crate) const fn json(&self) -> bool {
+        match self {
+            Self::History(history) => history.json,
+            Self::Show(show) => show.json,
+        }
+    }
+}
--- /dev/null
+++ b/crates/command/src/error.rs
@@ -0,0 +1,14 @@
+//! Errors of reading a command.
+
+use displaydoc::Display;
+
+/// Why words are not a command.
+#[derive(Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// {0}
+    Help(String),
+    /// could not read command: {0}
+    Usage(String),
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/command/src/server.rs
@@ -0,0 +1,141 @@
+//! Commands on servers.
+
+use std::net::SocketAddr;
+
+use gumdrop::Options;
+
+use crate::value;
+
+/// Backend servers, each with a sidecar beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Options)]
+#[options(no_short)]
+pub struct Server {
+    /// print this help
+    pub help: bool,
+    /// what to do
+    #[options(command, required)]
+    pub action: Option<Action>,
+}
+
+/// What to do with servers.
+#[derive(Clone, Debug, PartialEq, Eq, Options)]
+pub enum Action {
+    /// add a server
+    Add(Add),
+    /// give a server no new work; what it runs ends
+    Drain(Change),
+    /// give a drained server new work again
+    Resume(Change),
+    /// remove a server
+    Remove(Change),
+    /// list all servers
+    List(List),
+}
+
+/// Adds a server to a pool, or adds a removed one again. The addresses are those
+/// of its sidecar.
+///
+/// Example: mulberryyoke server add m-3 --pool falcon-7b --zone a --control 10.0.1.3:7100 --data 10.0.1.3:7101 --slots 8
+#[derive(Clone, Debug, PartialEq, Eq, Options)]
+#[options(no_short)]
+pub struct Add {
+    /// print this help
+    pub help: bool,
+    /// unique name, as in the sidecar's settings
+    #[options(free, required, parse(try_from_str = "value::name"))]
+    pub name: String,
+    /// pool it belongs to
+    #[options(required, meta = "POOL", parse(try_from_str = "value::name"))]
+    pub pool: String,
+    /// region it runs in
+    #[options(meta = "REGION")]
+    pub region: String,
+    /// availability zone it runs in
+    #[options(required, meta = "ZONE")]
+    pub zone: String,
+    /// control address of its sidecar
+    #[options(required, meta = "IP:PORT", default = "0.0.0.0:0")]
+    pub control: SocketAddr,
+    /// data address of its sidecar
+    #[options(required, meta = "IP:PORT", default = "0.0.0.0:0")]
+    pub data: SocketAddr,
+    /// requests that the backend runs at once
+    #[options(required, meta = "N", parse(try_from_str = "value::positive"))]
+    pub slots: u32,
+    /// wait until in force on every node
+    pub wait: bool,
+    /// print JSON
+    pub json: bool,
+}
+
+/// Changes whether a server takes new work: drain, resume or remove. A removed
+/// server stays on record for the key retention time.
+///
+/// Example: mulberryyoke server drain m-3 --wait
+#[derive(Clone, Debug, PartialEq, Eq, Options)]
+#[options(no_short)]
+pub struct Change {
+    /// print this help
+    pub help: bool,
+    /// its name
+    #[options(free, required, parse(try_from_str = "value::name"))]
+    pub name: String,
+    /// refuse unless this is the revision of its latest write
+    #[options(meta = "REVISION")]
+    pub at: Option<u64>,
+    /// wait until in force on every node
+    pub wait: bool,
+    /// print JSON
+    pub json: bool,
+}
+
+/// Lists servers with their state; removed ones only with --all.
+///
+/// Example: mulberryyoke server list --pool falcon-7b
+#[derive(Clone, Debug, PartialEq, Eq, Options)]
+#[options(no_short)]
+pub struct List {
+    /// print this help
+    pub help: bool,
+    /// only those of this pool
+    #[options(meta = "POOL")]
+    pub pool: Option<String>,
+    /// removed ones too
+    pub all: bool,
+    /// print JSON
+    pub json: bool,
+}
+
+impl Action {
+    pub(crate) const fn writes(&self) -> bool {
+        !matches!(self, Self::List(_))
+    }
+
+    pub(crate) const fn json(&self) -> bool {
+        match self {
+            Self::Add(add) => add.json,
+            Self::Drain(change) | Self::Resume(change) | Self::Remove(change) => change.json,
+            Self::List(list) => list.json,
+        }
+    }
+
+    pub(crate) const fn wait(&self) -> bool {
+        match self {
+            Self::Add(add) => add.wait,
+            Self::Drain(change) | Self::Resume(change) | Self::Remove(change) => change.wait,
+            Self::List(_) => false,
+        }
+    }
+
+    pub(crate) fn check(&self) -> Result<(), String> {
+        match self {
+            Self::Add(add) if add.control == add.data => {
+                Err("--control and --data: two different addresses are needed".to_owned())
+            }
+            Self::Add(add) if add.control.port() == 0 || add.data.port() == 0 => {
+                Err("--control and --data: ports from 1 to 65535 are allowed".to_owned())
+            }
+            _ => Ok(()),
+        }
+    }
+}
