Add the platform's edge: key-value service and VM list clients

Kv and Vms are the traits at the process's edge; Etcd speaks the JSON gateway of etcd v3 over hyper, vm::Http reads the VM list. A write that failed says whether it surely did not reach the service or may have taken effect.

--- /dev/null
+++ b/crates/platform/src/cause.rs
@@ -0,0 +1,25 @@
+//! What went wrong with a call over HTTP.
+
+use displaydoc::Display;
+
+/// What went wrong with a call over HTTP.
+#[derive(Debug, Display)]
+pub enum Cause {
+    /// could not connect: {0}
+    Connect(String),
+    /// connection was cut: {0}
+    Cut(String),
+    /// no answer before the deadline
+    Late,
+    /// status {status}: {message}
+    Status {
+        /// HTTP status code.
+        status: u16,
+        /// What the service said.
+        message: String,
+    },
+    /// unreadable answer: {0}
+    Unreadable(String),
+}
+
+impl std::error::Error for Cause {}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,152 @@
+//! HTTP calls with deadlines.
+
+use std::error::Error as _;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::time::timeout_at;
+
+use crate::Cause;
+
+/// Longest text of an error answer that is kept, in characters.
+const MESSAGE_CHARS: usize = 200;
+
+/// Time after which an unused connection is closed, in milliseconds.
+const IDLE_MS: u64 = 30_000;
+
+/// Time without traffic after which the system probes a connection, in milliseconds.
+const KEEPALIVE_MS: u64 = 10_000;
+
+/// Why a call failed.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    /// Whether the request may have reached the service.
+    pub sent: bool,
+    /// What went wrong.
+    pub cause: Cause,
+}
+
+impl Failure {
+    const fn before_sending(text: String) -> Self {
+        Self {
+            sent: false,
+            cause: Cause::Connect(text),
+        }
+    }
+
+    pub(crate) const fn after_sending(cause: Cause) -> Self {
+        Self { sent: true, cause }
+    }
+}
+
+/// An HTTP/1.1 client with a pool of connections.
+#[derive(Debug)]
+pub(crate) struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Http {
+    /// Opens a client that gives up connecting after `connect_ms` milliseconds.
+    pub(crate) fn open(connect_ms: u64) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(connect_ms)));
+        connector.set_keepalive(Some(Duration::from_millis(KEEPALIVE_MS)));
+        connector.set_keepalive_interval(Some(Duration::from_millis(KEEPALIVE_MS)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_millis(IDLE_MS))
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and returns the answer's head and unread body.
+    pub(crate) async fn send(
+        &self,
+        method: Method,
+        endpoint: SocketAddr,
+        path: &str,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, Failure> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{endpoint}{path}"))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| Failure::before_sending(error.to_string()))?;
+        let Ok(answer) = timeout_at(deadline.into(), self.client.request(request)).await else {
+            return Err(Failure::after_sending(Cause::Late));
+        };
+        answer.map_err(|error| {
+            let text = error.source().map_or(error.to_string(), chain);
+            if error.is_connect() {
+                return Failure::before_sending(text);
+            }
+            Failure::after_sending(Cause::Cut(text))
+        })
+    }
+
+    /// Sends a request and returns the whole body of a successful answer.
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        endpoint: SocketAddr,
+        path: &str,
+        body: Bytes,
+        limit: usize,
+        deadline: Instant,
+    ) -> Result<Bytes, Failure> {
+        let answer = self.send(method, endpoint, path, body, deadline).await?;
+        let status = answer.status();
+        let whole = read(answer, limit, deadline).await?;
+        if status == StatusCode::OK {
+            return Ok(whole);
+        }
+        Err(Failure::after_sending(refusal(status, &whole)))
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes.
+pub(crate) async fn read(
+    answer: Response<Incoming>,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, Failure> {
+    let body = Limited::new(answer.into_body(), limit);
+    let Ok(collected) = timeout_at(deadline.into(), body.collect()).await else {
+        return Err(Failure::after_sending(Cause::Late));
+    };
+    match collected {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) => Err(Failure::after_sending(Cause::Cut(chain(error.as_ref())))),
+    }
+}
+
+/// Describes an answer that is not a success.
+pub(crate) fn refusal(status: StatusCode, body: &[u8]) -> Cause {
+    let text = String::from_utf8_lossy(body);
+    Cause::Status {
+        status: status.as_u16(),
+        message: text.trim().chars().take(MESSAGE_CHARS).collect(),
+    }
+}
+
+/// An error with those that caused it.
+fn chain(error: &(dyn std::error::Error + 'static)) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(error) = source {
+        text = format!("{text}: {error}");
+        source = error.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/platform/src/kv.rs
@@ -0,0 +1,65 @@
+//! The key-value service: compare-and-swap, leases and watches.
+
+mod error;
+mod etcd;
+mod event;
+mod expect;
+mod lease;
+mod listing;
+mod options;
+mod pair;
+mod swap;
+mod watch;
+
+pub use self::error::Error;
+pub use self::etcd::Etcd;
+pub use self::event::Event;
+pub use self::expect::Expect;
+pub use self::lease::{Lease, LeaseId};
+pub use self::listing::Listing;
+pub use self::options::Options;
+pub use self::pair::Pair;
+pub use self::swap::Swap;
+pub use self::watch::Watch;
+
+/// Revision of the service; every write raises it.
+pub type Revision = u64;
+
+/// A call to the service.
+pub type Call<'a, T> = crate::Call<'a, T, Error>;
+
+/// Largest value that the service holds, in bytes.
+pub const VALUE_BYTES: usize = 1_000_000;
+
+/// The key-value service, usable as `Arc<dyn Kv>`.
+pub trait Kv: Send + Sync {
+    /// Reads all keys that start with `prefix`, as of one revision.
+    fn range<'a>(&'a self, prefix: &'a str) -> Call<'a, Listing>;
+
+    /// Reads one key.
+    fn get<'a>(&'a self, key: &'a str) -> Call<'a, Option<Pair>>;
+
+    /// Writes `value` under `key`, or deletes the key when `value` is `None`, if the
+    /// key is as expected. A key written with a lease goes when the lease lapses.
+    fn swap<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Expect,
+        value: Option<Vec<u8>>,
+        lease: Option<LeaseId>,
+    ) -> Call<'a, Swap>;
+
+    /// Opens a watch of all keys that start with `prefix`, beginning with the write
+    /// of revision `from` (0 for only new ones). A watch that was cut ends after an
+    /// error; the caller opens another, from the revision after the last one seen.
+    fn watch<'a>(&'a self, prefix: &'a str, from: Revision) -> Call<'a, Watch>;
+
+    /// Opens a lease of at least `ttl_ms` milliseconds, rounded up to whole seconds.
+    fn lease_grant(&self, ttl_ms: u64) -> Call<'_, Lease>;
+
+    /// Renews a lease.
+    fn lease_keep(&self, id: LeaseId) -> Call<'_, Lease>;
+
+    /// Ends a lease and deletes the keys written with it.
+    fn lease_revoke(&self, id: LeaseId) -> Call<'_, ()>;
+}
--- /dev/null
+++ b/crates/platform/src/kv/etcd/link.rs
@@ -0,0 +1,183 @@
+//! Calls to whichever endpoint of the service answers.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Response, StatusCode};
+use metrics::counter;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::Cause;
+use crate::http::{self, Failure, Http};
+use crate::kv::etcd::method::Method;
+use crate::kv::{Error, Options};
+
+/// Codes of gRPC with which the service says that it did not carry a call out.
+const REFUSED: [u32; 5] = [3, 5, 7, 9, 16];
+
+/// The code of gRPC for a revision outside of what is held.
+const OUT_OF_RANGE: u32 = 11;
+
+/// The service's endpoints; the one that last answered is asked first.
+#[derive(Debug)]
+pub(crate) struct Link {
+    http: Http,
+    endpoints: Vec<SocketAddr>,
+    preferred: AtomicUsize,
+    options: Options,
+}
+
+/// An error answer of the gateway.
+#[derive(Deserialize)]
+struct Fault {
+    #[serde(default)]
+    code: u32,
+    #[serde(default)]
+    message: String,
+}
+
+impl Link {
+    pub(crate) fn open(endpoints: Vec<SocketAddr>, options: Options) -> Self {
+        Self {
+            http: Http::open(options.connect_ms),
+            endpoints,
+            preferred: AtomicUsize::new(0),
+            options,
+        }
+    }
+
+    /// When a call that begins now has to have ended.
+    pub(crate) fn deadline(&self) -> Instant {
+        Instant::now() + Duration::from_millis(self.options.call_ms)
+    }
+
+    /// Makes a call and reads its whole answer.
+    pub(crate) async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Result<T, Error> {
+        let answered = self.send(method, body, deadline).await?;
+        let whole = http::read(answered, self.options.answer_bytes, deadline).await;
+        let whole = whole.map_err(|failure| fail(method, Error::Unknown(failure.cause)))?;
+        serde_json::from_slice(&whole).map_err(|error| {
+            let cause = Cause::Unreadable(error.to_string());
+            fail(method, Error::Unknown(cause))
+        })
+    }
+
+    /// Makes a call and returns its successful answer unread.
+    pub(crate) async fn send(
+        &self,
+        method: Method,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, Error> {
+        let first = self.preferred.load(Ordering::Relaxed);
+        let count = self.endpoints.len();
+        let mut last = Error::Unsent(Cause::Connect("no endpoint".to_owned()));
+        for tried in 0..count {
+            let index = (first + tried) % count;
+            let until = if method.is_idempotent() {
+                share(deadline, count - tried)
+            } else {
+                deadline
+            };
+            counter!("kv_calls_total", "method" => method.name()).increment(1);
+            let sent = self.attempt(method, index, body.clone(), until).await;
+            last = match sent {
+                Ok(answer) => {
+                    self.preferred.store(index, Ordering::Relaxed);
+                    return Ok(answer);
+                }
+                Err(error) => fail(method, error),
+            };
+            self.preferred.store((index + 1) % count, Ordering::Relaxed);
+            if !worth_another(method, &last) || Instant::now() >= deadline {
+                break;
+            }
+        }
+        Err(last)
+    }
+
+    async fn attempt(
+        &self,
+        method: Method,
+        index: usize,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, Error> {
+        let endpoint = self.endpoints[index];
+        let sent = self
+            .http
+            .send(hyper::Method::POST, endpoint, method.path(), body, deadline)
+            .await;
+        let answer = sent.map_err(classify)?;
+        let status = answer.status();
+        if status == StatusCode::OK {
+            return Ok(answer);
+        }
+        let body = http::read(answer, self.options.answer_bytes, deadline)
+            .await
+            .map_err(classify)?;
+        Err(refused(status, &body))
+    }
+}
+
+/// Whether another endpoint may be asked after an error.
+const fn worth_another(method: Method, error: &Error) -> bool {
+    match error {
+        Error::Unsent(_) => true,
+        Error::Unknown(_) => method.is_idempotent(),
+        _ => false,
+    }
+}
+
+/// An equal part of the time left, so that one silent endpoint leaves time for others.
+fn share(deadline: Instant, endpoints_left: usize) -> Instant {
+    let now = Instant::now();
+    let left = deadline.saturating_duration_since(now);
+    let parts = u32::try_from(endpoints_left).unwrap_or(u32::MAX);
+    now + left / parts.max(1)
+}
+
+fn classify(failure: Failure) -> Error {
+    if failure.sent {
+        return Error::Unknown(failure.cause);
+    }
+    Error::Unsent(failure.cause)
+}
+
+/// Reads an answer that is not a success.
+fn refused(status: StatusCode, body: &[u8]) -> Error {
+    let cause = http::refusal(status, body);
+    let Ok(fault) = serde_json::from_slice::<Fault>(body) else {
+        return Error::Unknown(cause);
+    };
+    if fault.code == OUT_OF_RANGE && fault.message.contains("compacted") {
+        return Error::Compacted(0);
+    }
+    if REFUSED.contains(&fault.code) {
+        return Error::Refused(cause);
+    }
+    Error::Unknown(cause)
+}
+
+/// Counts a failed call.
+fn fail(method: Method, error: Error) -> Error {
+    let kind = match &error {
+        Error::Unsent(_) => "unsent",
+        Error::Unknown(_) => "unknown",
+        Error::Refused(_) => "refused",
+        Error::Compacted(_) => "compacted",
+        Error::Lapsed => "lapsed",
+        Error::TooLarge { .. } => "too_large",
+    };
+    counter!("kv_failures_total", "method" => method.name(), "kind" => kind).increment(1);
+    error
+}
--- /dev/null
+++ b/crates/platform/src/kv/etcd/stream.rs
@@ -0,0 +1,126 @@
+//! Reading a watch.
+
+use std::collections::VecDeque;
+use std::io;
+use std::time::{Duration, Instant};
+
+use futures::{StreamExt, TryStreamExt, stream};
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+use tokio::time::timeout_at;
+use tokio_util::codec::{FramedRead, LinesCodec, LinesCodecError};
+use tokio_util::io::StreamReader;
+
+use crate::Cause;
+use crate::kv::etcd::answer::{self, Streamed, Watched};
+use crate::kv::{Error, Event, Options, Watch};
+
+type Lines = stream::BoxStream<'static, Result<String, LinesCodecError>>;
+
+/// A watch whose next message has not been read.
+struct Reader {
+    lines: Lines,
+    silence_ms: u64,
+    events: VecDeque<Event>,
+    ended: bool,
+}
+
+/// Reads the message that opens a watch.
+pub(crate) async fn open(
+    answer: Response<Incoming>,
+    deadline: Instant,
+    options: Options,
+) -> Result<Watch, Error> {
+    let mut reader = Reader {
+        lines: lines(answer, options.answer_bytes),
+        silence_ms: options.silence_ms,
+        events: VecDeque::new(),
+        ended: false,
+    };
+    let first = reader.message(deadline).await?;
+    if !first.created {
+        let cause = Cause::Unreadable("watch does not begin with its creation".to_owned());
+        return Err(Error::Unknown(cause));
+    }
+    reader.take(first.events);
+    let events = stream::unfold(reader, |mut reader| async move {
+        let event = reader.next().await?;
+        Some((event, reader))
+    });
+    Ok(Watch::new(first.header.revision, events.boxed()))
+}
+
+impl Reader {
+    async fn next(&mut self) -> Option<Result<Event, Error>> {
+        loop {
+            if let Some(event) = self.events.pop_front() {
+                return Some(Ok(event));
+            }
+            if self.ended {
+                return None;
+            }
+            let deadline = Instant::now() + Duration::from_millis(self.silence_ms);
+            match self.message(deadline).await {
+                Ok(message) => self.take(message.events),
+                Err(error) => {
+                    self.ended = true;
+                    return Some(Err(error));
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, events: Vec<answer::Event>) {
+        self.events.extend(events.into_iter().map(event));
+    }
+
+    async fn message(&mut self, deadline: Instant) -> Result<Watched, Error> {
+        let Ok(line) = timeout_at(deadline.into(), self.lines.next()).await else {
+            return Err(Error::Unknown(Cause::Late));
+        };
+        let line = match line {
+            Some(Ok(line)) => line,
+            Some(Err(error)) => return Err(Error::Unknown(Cause::Cut(error.to_string()))),
+            None => return Err(Error::Unknown(Cause::Cut("watch ended".to_owned()))),
+        };
+        parse(&line)
+    }
+}
+
+fn parse(line: &str) -> Result<Watched, Error> {
+    let unreadable = |text| Error::Unknown(Cause::Unreadable(text));
+    let message: Streamed<Watched> =
+        serde_json::from_str(line).map_err(|error| unreadable(error.to_string()))?;
+    if let Some(error) = message.error {
+        return Err(unreadable(error.to_string()));
+    }
+    let Some(watched) = message.result else {
+        return Err(unreadable("neither result nor error".to_owned()));
+    };
+    if watched.compact_revision > 0 {
+        return Err(Error::Compacted(watched.compact_revision));
+    }
+    if watched.canceled {
+        return Err(Error::Unknown(Cause::Cut(watched.cancel_reason)));
+    }
+    Ok(watched)
+}
+
+fn event(event: answer::Event) -> Event {
+    let is_put = event.kind == answer::EventKind::Put;
+    Event {
+        key: event.kv.key,
+        value: is_put.then_some(event.kv.value),
+        revision: event.kv.mod_revision,
+    }
+}
+
+fn lines(answer: Response<Incoming>, limit: usize) -> Lines {
+    let body = answer
+        .into_body()
+        .into_data_stream()
+        .map_err(io::Error::other);
+    let codec = LinesCodec::new_with_max_length(limit);
+    FramedRead::new(StreamReader::new(body), codec).boxed()
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! The platform's edge: the key-value service and the VM list, one trait each.
+
+mod backoff;
+mod cause;
+mod http;
+pub mod kv;
+pub mod vm;
+
+use std::pin::Pin;
+
+pub use self::backoff::Backoff;
+pub use self::cause::Cause;
+
+/// An asynchronous call that a trait object can return.
+pub type Call<'a, T, E> = Pin<Box<dyn Future<Output = Result<T, E>> + Send + 'a>>;
--- /dev/null
+++ b/crates/platform/src/vm/error.rs
@@ -0,0 +1,14 @@
+//! Errors of the VM list.
+
+use displaydoc::Display;
+
+use crate::Cause;
+
+/// Why the VM list could not be read.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// could not read VM list: {0}
+    Read(Cause),
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/platform/src/vm/http.rs
@@ -0,0 +1,73 @@
+//! The VM list over HTTP.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::Method;
+use metrics::counter;
+use serde::Deserialize;
+
+use crate::vm::{Call, Error, Vm, Vms};
+use crate::{Cause, http};
+
+/// Path of the list.
+const PATH: &str = "/vms";
+
+/// Longest time to connect, in milliseconds.
+const CONNECT_MS: u64 = 500;
+
+/// Longest time of a call, in milliseconds.
+const CALL_MS: u64 = 3_000;
+
+/// Largest list that is read, in bytes.
+const LIST_BYTES: usize = 16 << 20;
+
+/// A client of the VM list.
+#[derive(Debug)]
+pub struct Http {
+    http: http::Http,
+    endpoint: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct List {
+    vms: Vec<Vm>,
+}
+
+impl Http {
+    /// Opens a client. It connects when the first call is made.
+    #[must_use]
+    pub fn open(endpoint: SocketAddr) -> Self {
+        Self {
+            http: http::Http::open(CONNECT_MS),
+            endpoint,
+        }
+    }
+
+    async fn read(&self) -> Result<Vec<Vm>, Error> {
+        let deadline = Instant::now() + Duration::from_millis(CALL_MS);
+        counter!("vm_calls_total").increment(1);
+        let answered = self
+            .http
+            .call(
+                Method::GET,
+                self.endpoint,
+                PATH,
+                Bytes::new(),
+                LIST_BYTES,
+                deadline,
+            )
+            .await;
+        let body = answered.map_err(|failure| Error::Read(failure.cause))?;
+        let list: List = serde_json::from_slice(&body)
+            .map_err(|error| Error::Read(Cause::Unreadable(error.to_string())))?;
+        Ok(list.vms)
+    }
+}
+
+impl Vms for Http {
+    fn list(&self) -> Call<'_, Vec<Vm>> {
+        Box::pin(self.read())
+    }
+}
