Drop the periods of a server: first addition and last change suffice

A home search that takes a server for active from its first addition to its last change finds every former home; the exact periods would add nothing.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -29,7 +29,7 @@
 pub use load::Load;
 pub use outcome::Outcome;
 pub use pool::{Kind, Pool, Route};
-pub use server::{Period, Server, State};
+pub use server::{Server, State};
 pub use ticket::Ticket;
 pub use time::Millis;
 pub use usage::{Report, Usage};
--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -39,33 +39,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: State,
-    /// When it was added or last began again to take new work.
+    /// When it was first added; a removed server that is added again keeps it.
     pub added_at: Millis,
     /// When `state` last changed.
     pub changed_at: Millis,
-    /// Ended periods in which it took new work, within the key retention time.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub earlier: Vec<Period>,
-}
-
-/// A span of time in which a server took new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Period {
-    /// Its first instant.
-    pub from: Millis,
-    /// The first instant after it.
-    pub until: Millis,
-}
-
-impl Server {
-    /// Whether it took new work at an instant.
-    #[must_use]
-    pub fn took_work_at(&self, at: Millis) -> bool {
-        let now = self.state == State::Active && self.added_at <= at;
-        now || self
-            .earlier
-            .iter()
-            .any(|period| (period.from..period.until).contains(&at))
-    }
 }
