--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,6 @@
 //! Stand-ins for outside systems and a launcher of real processes, for tests only.
+
+pub mod engine;
+pub mod http;
+pub mod journal;
+pub mod service;
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,77 @@
+//! A plain service whose calls may not be repeated: it counts how often each ran.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Request, StatusCode};
+use serde_json::json;
+
+use crate::http::{self, Reply, Server};
+use crate::journal::{Journal, Stage};
+
+/// A running plain service.
+#[derive(Debug)]
+pub struct Service {
+    server: Server,
+    journal: Arc<Journal>,
+}
+
+impl Service {
+    /// Binds a service whose calls take `latency`.
+    ///
+    /// # Errors
+    ///
+    /// What the operating system says when the address cannot be bound.
+    pub async fn bind(address: SocketAddr, latency: Duration) -> io::Result<Self> {
+        let journal = Arc::new(Journal::default());
+        let shared = Arc::clone(&journal);
+        let handler = move |request| answer(request, Arc::clone(&shared), latency);
+        let server = Server::bind(address, handler).await?;
+        Ok(Self { server, journal })
+    }
+
+    /// The bound address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// What it ran.
+    #[must_use]
+    pub fn journal(&self) -> &Journal {
+        &self.journal
+    }
+}
+
+async fn answer(request: Request<Bytes>, journal: Arc<Journal>, latency: Duration) -> Reply {
+    match request.uri().path() {
+        "/runs" => return http::reply(StatusCode::OK, &journal.runs()),
+        "/stats" => return http::reply(StatusCode::OK, &json!({"calls": journal.runs().len()})),
+        _ => {}
+    }
+    let body = match http::parse(&request) {
+        Ok(body) => body,
+        Err(refusal) => return *refusal,
+    };
+    let Some(op) = body["op"].as_str() else {
+        return http::refuse(StatusCode::BAD_REQUEST, "field op is missing");
+    };
+    // Runs on a task of its own: a call has its effect though its caller is gone.
+    let run = tokio::spawn(run(journal, op.to_owned(), latency));
+    let ran = run.await.unwrap_or_default();
+    let path = request.uri().path();
+    http::reply(StatusCode::OK, &json!({"op": op, "path": path, "ran": ran}))
+}
+
+/// Runs a call; returns how often its identity has run, this time included.
+async fn run(journal: Arc<Journal>, op: String, latency: Duration) -> usize {
+    let index = journal.arrive(&op);
+    journal.start(index);
+    tokio::time::sleep(latency).await;
+    journal.token(index);
+    journal.end(index, Stage::Whole);
+    journal.runs().iter().filter(|run| run.op == op).count()
+}
