--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -115,7 +115,7 @@
 #[tokio::test]
 async fn cancels_on_order_and_breaks_the_stream_off() {
     let engine = bind(Settings {
-        token: Duration::from_secs(3600),
+        token: Duration::from_hours(1),
         ..quick()
     })
     .await;
@@ -134,7 +134,7 @@
 async fn cancels_when_the_last_reader_goes() {
     let settings = Settings {
         batch: 1,
-        token: Duration::from_secs(3600),
+        token: Duration::from_hours(1),
         keep: Duration::ZERO,
         ..quick()
     };
@@ -155,10 +155,10 @@
     for (fencing, expected) in [(true, StatusCode::CONFLICT), (false, StatusCode::OK)] {
         let engine = bind(Settings { fencing, ..quick() }).await;
         let order = |fence| json!({"order": "load", "name": "other", "fence": fence});
-        let newer = send(&engine, Method::POST, "/v1/orders", &order(2)).await;
-        assert_that!(newer.status(), eq(StatusCode::OK));
-        let older = send(&engine, Method::POST, "/v1/orders", &order(1)).await;
-        assert_that!(older.status(), eq(expected));
+        let new = send(&engine, Method::POST, "/v1/orders", &order(2)).await;
+        assert_that!(new.status(), eq(StatusCode::OK));
+        let old = send(&engine, Method::POST, "/v1/orders", &order(1)).await;
+        assert_that!(old.status(), eq(expected));
     }
 }
 
