--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use attempt::Attempt;
 pub use class::Class;
-pub use config::{Change, Config, Entry, Object, Revision};
+pub use config::{Change, Config, Entry, Object, Revision, Write};
 pub use customer::{Customer, KeyHash};
 pub use grant::Grant;
 pub use id::{CustomerId, Incarnation, KeyId, PoolId, ServerId};
--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -39,7 +39,7 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: State,
-    /// When it was added.
+    /// When it was first added; a removed server that is added again keeps it.
     pub added_at: Millis,
     /// When `state` last changed.
     pub changed_at: Millis,
