Add the operators' port: commands by compare-and-swap, health, metrics

A value names its command and the writes before it. So a lost answer is resolved by repeating the same compare-and-swap, and a lost race names what is there, since which revision and by whom.

--- /dev/null
+++ b/crates/daemon/src/operator/execute.rs
@@ -0,0 +1,157 @@
+//! Execution of commands.
+
+mod customer;
+mod pool;
+mod server;
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use mulberryyoke_command::answer::{Answer, Code, Refusal, Request, Written};
+use mulberryyoke_command::{Command, ConfigAction, Error, words};
+use mulberryyoke_decide::settle::{self, Settled};
+use mulberryyoke_model::{Millis, Object};
+
+use super::author::Author;
+use super::held::Held;
+use super::plan::Plan;
+use super::query;
+use super::source::Source;
+use super::store::{Store, conflict};
+
+/// Carries out commands.
+pub(crate) struct Execute {
+    store: Store,
+    source: Arc<dyn Source>,
+}
+
+impl Execute {
+    /// Carries out commands on `store` and `source`.
+    pub(crate) fn new(store: Store, source: Arc<dyn Source>) -> Self {
+        Self { store, source }
+    }
+
+    /// Carries out one command of an operator.
+    pub(crate) async fn run(&self, request: &Request, author: &Author) -> Result<Answer, Refusal> {
+        let command = match Command::parse(&request.words) {
+            Ok(command) => command,
+            Err(Error::Help(help)) => return Ok(Answer::Help(help)),
+            Err(Error::Usage(reason)) => return Err(Refusal::new(Code::Usage, reason)),
+        };
+        match &command {
+            Command::Customer(customer) => self.customer(customer.action.as_ref(), author).await,
+            Command::Pool(pool) => self.pool(pool.action.as_ref(), author).await,
+            Command::Server(server) => self.server(server.action.as_ref(), author).await,
+            Command::Status(status) => Ok(query::status(&*self.source, status)),
+            Command::Waiting(waiting) => Ok(Answer::Waiting(self.source.waiting(waiting))),
+            Command::Config(config) => self.config(config.action.as_ref()).await,
+        }
+    }
+
+    async fn config(&self, action: Option<&ConfigAction>) -> Result<Answer, Refusal> {
+        match action {
+            Some(ConfigAction::History(history)) => {
+                let held = self.store.list(&history.key).await?;
+                Ok(query::history(&held, history.limit))
+            }
+            Some(ConfigAction::Show(show)) => {
+                Ok(query::items(&self.source.config(), &show.key, |_| true))
+            }
+            None => Err(no_action()),
+        }
+    }
+
+    /// Carries out a change of `key`, read as `held`, that `plan` has decided.
+    async fn change(
+        &self,
+        key: &str,
+        held: &Held,
+        at: Option<u64>,
+        plan: impl FnOnce() -> Result<Plan, Refusal>,
+        author: &Author,
+    ) -> Result<Answer, Refusal> {
+        if held.is_unreadable() {
+            let message = format!("{key}: what is there cannot be read");
+            return Err(Refusal::new(Code::Refused, message));
+        }
+        if let Some(written) = repeated(key, held, author) {
+            return Ok(Answer::Written(written));
+        }
+        if at.is_some() && at != held.revision {
+            return Err(conflict(key, held, author));
+        }
+        let plan = plan().map_err(|refusal| explained(refusal, key, held, author))?;
+        let written = match plan {
+            Plan::Write(object) => self.store.swap(key, held, object, author).await?,
+            Plan::Keep => kept(key, held, author),
+        };
+        Ok(Answer::Written(written))
+    }
+}
+
+/// The words of a command as they are kept.
+pub(crate) fn kept_words(request: &Request) -> String {
+    words::kept(&request.words)
+}
+
+/// The time of day.
+pub(crate) fn now() -> Millis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
+/// The answer to a command that was accepted when it was sent before.
+fn repeated(key: &str, held: &Held, author: &Author) -> Option<Written> {
+    let (entry, revision) = held.found()?;
+    let Settled::Written { revision, replaced } = settle::find(author.command, entry, revision)?
+    else {
+        return None;
+    };
+    Some(Written {
+        revision,
+        repeated: true,
+        replaced,
+        ..kept(key, held, author)
+    })
+}
+
+fn kept(key: &str, held: &Held, author: &Author) -> Written {
+    Written {
+        command: author.command,
+        key: key.to_owned(),
+        revision: held.revision.unwrap_or_default(),
+        repeated: false,
+        unchanged: true,
+        replaced: None,
+        object: held.object().cloned(),
+    }
+}
+
+/// A conflict with what is there names it.
+fn explained(refusal: Refusal, key: &str, held: &Held, author: &Author) -> Refusal {
+    if refusal.code != Code::Conflict {
+        return refusal;
+    }
+    let there = conflict(key, held, author);
+    Refusal {
+        message: format!("{}; {}", refusal.message, there.message),
+        ..there
+    }
+}
+
+/// Finds a key among those of a listing.
+fn pick(listing: &[(String, Held)], key: &str) -> Held {
+    let found = listing.iter().find(|(listed, _)| listed == key);
+    found.map(|(_, held)| held.clone()).unwrap_or_default()
+}
+
+/// The objects of a listing.
+fn objects(listing: &[(String, Held)]) -> impl Iterator<Item = &Object> {
+    listing.iter().filter_map(|(_, held)| held.object())
+}
+
+fn no_action() -> Refusal {
+    Refusal::new(Code::Usage, "a word is missing")
+}
--- /dev/null
+++ b/crates/daemon/src/operator/execute/pool.rs
@@ -0,0 +1,54 @@
+//! Commands on pools.
+
+use mulberryyoke_command::PoolAction;
+use mulberryyoke_command::answer::{Answer, Refusal};
+use mulberryyoke_model::{Object, Pool};
+
+use super::server::servers;
+use super::{Execute, no_action, objects, pick};
+use crate::operator::author::Author;
+use crate::operator::plan::pool as plan;
+use crate::operator::query;
+
+impl Execute {
+    pub(super) async fn pool(
+        &self,
+        action: Option<&PoolAction>,
+        author: &Author,
+    ) -> Result<Answer, Refusal> {
+        match action {
+            Some(PoolAction::Add(add)) => {
+                let key = format!("pool/{}", add.name);
+                let listing = self.store.list("pool/").await?;
+                let (held, others) = (pick(&listing, &key), pools(objects(&listing)));
+                let plan = || plan::add(add, held.object(), &others);
+                self.change(&key, &held, None, plan, author).await
+            }
+            Some(PoolAction::Set(set)) => {
+                let key = format!("pool/{}", set.name);
+                let listing = self.store.list("pool/").await?;
+                let (held, others) = (pick(&listing, &key), pools(objects(&listing)));
+                let plan = || plan::set(set, held.object(), &others);
+                self.change(&key, &held, set.at, plan, author).await
+            }
+            Some(PoolAction::Remove(remove)) => {
+                let key = format!("pool/{}", remove.name);
+                let held = self.store.get(&key).await?;
+                let listing = self.store.list("server/").await?;
+                let left = servers(objects(&listing));
+                let plan = || plan::remove(&remove.name, held.object(), &left);
+                self.change(&key, &held, remove.at, plan, author).await
+            }
+            Some(PoolAction::List(_)) => Ok(query::items(&self.source.config(), "pool/", |_| true)),
+            None => Err(no_action()),
+        }
+    }
+}
+
+fn pools<'a>(objects: impl Iterator<Item = &'a Object>) -> Vec<Pool> {
+    let pools = objects.filter_map(|object| match object {
+        Object::Pool(pool) => Some(pool.clone()),
+        Object::Customer(_) | Object::Server(_) => None,
+    });
+    pools.collect()
+}
--- /dev/null
+++ b/crates/daemon/src/operator/execute/server.rs
@@ -0,0 +1,79 @@
+//! Commands on servers.
+
+use mulberryyoke_command::answer::{Answer, Code, Refusal};
+use mulberryyoke_command::{ServerAction, ServerAdd, ServerChange, ServerList};
+use mulberryyoke_model::{Object, Server, State};
+
+use super::{Execute, no_action, objects, pick};
+use crate::operator::author::Author;
+use crate::operator::plan::server as plan;
+use crate::operator::query;
+
+impl Execute {
+    pub(super) async fn server(
+        &self,
+        action: Option<&ServerAction>,
+        author: &Author,
+    ) -> Result<Answer, Refusal> {
+        match action {
+            Some(ServerAction::Add(add)) => self.add_server(add, author).await,
+            Some(ServerAction::Drain(change)) => {
+                self.move_server(change, State::Draining, author).await
+            }
+            Some(ServerAction::Resume(change)) => {
+                self.move_server(change, State::Active, author).await
+            }
+            Some(ServerAction::Remove(change)) => {
+                self.move_server(change, State::Removed, author).await
+            }
+            Some(ServerAction::List(list)) => {
+                let config = self.source.config();
+                Ok(query::items(&config, "server/", |object| {
+                    listed(object, list)
+                }))
+            }
+            None => Err(no_action()),
+        }
+    }
+
+    async fn add_server(&self, add: &ServerAdd, author: &Author) -> Result<Answer, Refusal> {
+        let key = format!("server/{}", add.name);
+        let pool = self.store.get(&format!("pool/{}", add.pool)).await?;
+        if pool.object().is_none() {
+            let message = format!("pool/{}: does not exist; add it first", add.pool);
+            return Err(Refusal::new(Code::Missing, message));
+        }
+        let listing = self.store.list("server/").await?;
+        let (held, others) = (pick(&listing, &key), servers(objects(&listing)));
+        let plan = || plan::add(add, held.object(), &others, author.at);
+        self.change(&key, &held, None, plan, author).await
+    }
+
+    async fn move_server(
+        &self,
+        change: &ServerChange,
+        state: State,
+        author: &Author,
+    ) -> Result<Answer, Refusal> {
+        let key = format!("server/{}", change.name);
+        let held = self.store.get(&key).await?;
+        let plan = || plan::change(&change.name, state, held.object(), author.at);
+        self.change(&key, &held, change.at, plan, author).await
+    }
+}
+
+pub(super) fn servers<'a>(objects: impl Iterator<Item = &'a Object>) -> Vec<Server> {
+    let servers = objects.filter_map(|object| match object {
+        Object::Server(server) => Some(server.clone()),
+        Object::Customer(_) | Object::Pool(_) => None,
+    });
+    servers.collect()
+}
+
+fn listed(object: &Object, list: &ServerList) -> bool {
+    let Object::Server(server) = object else {
+        return false;
+    };
+    let here = list.all || server.state != State::Removed;
+    here && list.pool.as_ref().is_none_or(|pool| *pool == server.pool)
+}
--- /dev/null
+++ b/crates/daemon/src/operator/respond.rs
@@ -0,0 +1,132 @@
+//! Requests on the operators' port and their responses.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use metrics_exporter_prometheus::PrometheusHandle;
+use mulberryyoke_command::answer::{self, Answer, Code, Refusal, Reply};
+use mulberryyoke_event::{Event, log};
+use slog::Logger;
+
+use super::access::Access;
+use super::author::Author;
+use super::execute::{self, Execute};
+use super::source::Source;
+
+/// Largest body of a command, in bytes.
+const COMMAND_BYTES: usize = 256 << 10;
+
+/// Answers the requests on the operators' port.
+pub(crate) struct Respond {
+    pub(crate) access: Access,
+    pub(crate) execute: Execute,
+    pub(crate) source: Arc<dyn Source>,
+    pub(crate) metrics: PrometheusHandle,
+    pub(crate) logger: Logger,
+}
+
+impl Respond {
+    /// Answers one request.
+    pub(crate) async fn respond(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let path = request.uri().path().to_owned();
+        let response = match (request.method(), path.as_str()) {
+            (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
+            (&Method::GET, "/readyz") if self.source.is_ready() => text(StatusCode::OK, "ready\n"),
+            (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            (&Method::GET, "/metrics") => text(StatusCode::OK, self.metrics.render()),
+            (&Method::POST, "/v1/command") => self.command(request).await,
+            (_, "/healthz" | "/readyz" | "/metrics" | "/v1/command") => {
+                text(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n")
+            }
+            _ => text(StatusCode::NOT_FOUND, "not found\n"),
+        };
+        Ok(response)
+    }
+
+    async fn command(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let Some(operator) = self.access.operator(request.headers()) else {
+            log!(self.logger, Event::OperatorDenied);
+            let refusal = Refusal::new(Code::Denied, "a known operator's bearer key is needed");
+            return reply(Err(refusal));
+        };
+        let operator = operator.to_owned();
+        let request = match read(request.into_body()).await {
+            Ok(request) => request,
+            Err(refusal) => return reply(Err(refusal)),
+        };
+        let author = Author {
+            command: request.command.unwrap_or_else(rand::random),
+            operator,
+            words: execute::kept_words(&request),
+            at: execute::now(),
+        };
+        let result = self.execute.run(&request, &author).await;
+        self.audit(&author, &result);
+        reply(result)
+    }
+
+    fn audit(&self, author: &Author, result: &Result<Answer, Refusal>) {
+        let outcome = match result {
+            Ok(_) => "ok",
+            Err(refusal) => refusal.code.word(),
+        };
+        let revision = match result {
+            Ok(Answer::Written(written)) => written.revision,
+            _ => 0,
+        };
+        metrics::counter!("operator_commands_total", "result" => outcome).increment(1);
+        log!(
+            self.logger, Event::Commanded,
+            "operator" => &author.operator,
+            "command" => format!("{:016x}", author.command),
+            "words" => &author.words,
+            "result" => outcome,
+            "revision" => revision
+        );
+    }
+}
+
+async fn read(body: Incoming) -> Result<answer::Request, Refusal> {
+    let usage = |reason: String| Refusal::new(Code::Usage, format!("body: {reason}"));
+    let body = Limited::new(body, COMMAND_BYTES).collect().await;
+    let bytes = body.map_err(|e| usage(e.to_string()))?.to_bytes();
+    serde_json::from_slice(&bytes).map_err(|e| usage(e.to_string()))
+}
+
+fn reply(result: Result<Answer, Refusal>) -> Response<Full<Bytes>> {
+    let status = match &result {
+        Ok(_) => StatusCode::OK,
+        Err(refusal) => status(refusal.code),
+    };
+    let mut body = serde_json::to_vec(&Reply::from(result)).unwrap_or_default();
+    body.push(b'\n');
+    respond(status, "application/json", Bytes::from(body))
+}
+
+fn status(code: Code) -> StatusCode {
+    StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn text(status: StatusCode, text: impl Into<String>) -> Response<Full<Bytes>> {
+    respond(
+        status,
+        "text/plain; charset=utf-8",
+        Bytes::from(text.into()),
+    )
+}
+
+fn respond(status: StatusCode, kind: &'static str, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/operator/source.rs
@@ -0,0 +1,31 @@
+//! What the operators' port needs to know of its router.
+
+use std::sync::Arc;
+
+use mulberryyoke_command::answer::{Node, Tally, Waiting};
+use mulberryyoke_command::{self as command};
+use mulberryyoke_model::Config;
+
+/// The router as the operators' port sees it.
+pub trait Source: Send + Sync {
+    /// Name of the router.
+    fn name(&self) -> &str;
+
+    /// Whether it takes callers' requests.
+    fn is_ready(&self) -> bool;
+
+    /// Whether the key-value service answered when it was last asked.
+    fn is_kv_up(&self) -> bool;
+
+    /// The configuration in force on it.
+    fn config(&self) -> Arc<Config>;
+
+    /// Every node it knows, itself included.
+    fn nodes(&self) -> Vec<Node>;
+
+    /// Counts of its requests.
+    fn tally(&self) -> Tally;
+
+    /// Its waiting requests.
+    fn waiting(&self, query: &command::Waiting) -> Waiting;
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod home;
 pub(crate) mod rank;
+pub mod settle;
 pub mod view;
--- /dev/null
+++ b/crates/decide/src/settle.rs
@@ -0,0 +1,89 @@
+//! What became of a write whose answer was lost, or which found another value.
+//!
+//! Every entry names its own command and the writes before it. So a later
+//! reading tells whether a command's compare-and-swap took effect, also after
+//! others have written, as long as the kept writes reach back far enough.
+
+use mulberryyoke_model::{Entry, Revision, Write};
+
+/// Earlier writes that an entry keeps.
+pub const KEPT: usize = 8;
+
+/// What is known of a command's write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Settled {
+    /// It took effect.
+    Written {
+        /// Its revision.
+        revision: Revision,
+        /// Revision of what stands there now, when that is a later write.
+        replaced: Option<Revision>,
+    },
+    /// It has not taken effect; the same compare-and-swap may be sent again.
+    Open,
+    /// Another write took its place; it did not take effect and never will.
+    Lost,
+    /// The kept writes do not reach back far enough.
+    Unclear,
+}
+
+/// Finds a command among the latest write of a key and those before it.
+#[must_use]
+pub fn find(command: u64, found: &Entry, revision: Revision) -> Option<Settled> {
+    if found.command == command {
+        let replaced = None;
+        return Some(Settled::Written { revision, replaced });
+    }
+    let mut earlier = found.earlier.iter();
+    let write = earlier.find(|write| write.command == command)?;
+    Some(Settled::Written {
+        revision: write.revision,
+        replaced: Some(revision),
+    })
+}
+
+/// Tells what became of a command's compare-and-swap that expected the key to
+/// be as of `expected` (`None`: absent), from what is there now.
+#[must_use]
+pub fn settle(
+    command: u64,
+    expected: Option<Revision>,
+    found: Option<(&Entry, Revision)>,
+) -> Settled {
+    let Some((entry, revision)) = found else {
+        // Keys are never deleted, so an expected one cannot be absent.
+        return match expected {
+            None => Settled::Open,
+            Some(_) => Settled::Unclear,
+        };
+    };
+    if expected == Some(revision) {
+        return Settled::Open;
+    }
+    if let Some(written) = find(command, entry, revision) {
+        return written;
+    }
+    let whole = match expected {
+        Some(expected) => entry.earlier.iter().any(|write| write.revision == expected),
+        None => entry.earlier.len() < KEPT,
+    };
+    if whole {
+        Settled::Lost
+    } else {
+        Settled::Unclear
+    }
+}
+
+/// The writes before a new one that follows `entry`, newest first.
+#[must_use]
+pub fn chain(entry: &Entry, revision: Revision) -> Vec<Write> {
+    let last = Write {
+        revision,
+        command: entry.command,
+        operator: entry.operator.clone(),
+        at: entry.at,
+        words: entry.words.clone(),
+    };
+    let earlier = entry.earlier.iter().take(KEPT - 1).cloned();
+    std::iter::once(last).chain(earlier).collect()
+}
