--- /dev/null
+++ b/crates/client/src/cmd/mod.rs
@@ -0,0 +1,116 @@
+//! What each word of the command line does.
+
+mod check;
+mod config;
+mod customer;
+mod pool;
+mod server;
+mod status;
+mod waiting;
+
+use gumdrop::{Options, ParsingStyle};
+use mulberryyoke_command::answer::{Answer, Reply};
+use mulberryyoke_command::{self as command, Command};
+use tokio::runtime::Builder;
+
+use crate::args::Args;
+use crate::error::Error;
+use crate::session::Session;
+use crate::{force, print};
+
+/// Runs what the command line says.
+///
+/// # Errors
+///
+/// See [`Error`].
+pub(crate) fn run(args: impl Iterator<Item = String>) -> Result<(), Error> {
+    let args: Vec<String> = args.collect();
+    let usage = |e: gumdrop::Error| Error::Usage(e.to_string());
+    let args = Args::parse_args(&args, ParsingStyle::StopAtFirstFree).map_err(usage)?;
+    if args.version {
+        println!("mulberryyoke {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    if args.help || args.words.is_empty() {
+        return Err(help(&args));
+    }
+    if args.words[0] == "check" {
+        return check::run(&args.words[1..]);
+    }
+    let command = Command::parse(&args.words).map_err(|error| match error {
+        command::Error::Help(text) => Error::Help(text),
+        command::Error::Usage(reason) => Error::Usage(reason),
+    })?;
+    let session = Session::open(&args)?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::Runtime)?;
+    let result = runtime.block_on(dispatch(&session, &command, args.words));
+    result.map_err(|error| told(error, command.json()))
+}
+
+async fn dispatch(session: &Session, command: &Command, words: Vec<String>) -> Result<(), Error> {
+    match command {
+        Command::Customer(_) => customer::run(session, command, words).await,
+        Command::Pool(_) => pool::run(session, command, words).await,
+        Command::Server(_) => server::run(session, command, words).await,
+        Command::Status(_) => status::run(session, command, words).await,
+        Command::Waiting(_) => waiting::run(session, command, words).await,
+        Command::Config(_) => config::run(session, command, words).await,
+    }
+}
+
+/// Reports an accepted change and waits until it is in force, if asked to.
+async fn report(session: &Session, command: &Command, answer: &Answer) -> Result<(), Error> {
+    let Answer::Written(written) = answer else {
+        return Err(unexpected());
+    };
+    if !command.json() {
+        print::written(written);
+    }
+    if !command.wait() {
+        if command.json() {
+            print::json(answer, &[]);
+        }
+        return Ok(());
+    }
+    let in_force = force::wait(session, written.revision).await;
+    if command.json() {
+        print::json(answer, &[("in_force", in_force.is_ok().into())]);
+    } else if in_force.is_ok() {
+        println!("{}: in force everywhere", written.key);
+    }
+    in_force
+}
+
+fn unexpected() -> Error {
+    Error::Answer("not what was asked for".to_owned())
+}
+
+fn help(args: &Args) -> Error {
+    let commands = Command::list();
+    let text = format!(
+        "Usage: mulberryyoke [OPTIONS] COMMAND...\n\n{}\n\nCommands (each has --help):\n{commands}\n  \
+         check     a settings file of the daemon",
+        args.self_usage()
+    );
+    if args.help {
+        Error::Help(text)
+    } else {
+        Error::Usage(format!("a command is missing\n\n{text}"))
+    }
+}
+
+/// A refusal in the form that was asked for.
+fn told(error: Error, json: bool) -> Error {
+    match error {
+        Error::Refused(refusal) if json => {
+            let code = refusal.code;
+            let reply = Reply::from(Err(refusal));
+            let text = serde_json::to_string_pretty(&reply).unwrap_or_default();
+            Error::RefusedJson(code, text)
+        }
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/client/src/cmd/waiting.rs
@@ -0,0 +1,90 @@
+//! `mulberryyoke waiting`.
+
+use mulberryyoke_command::Command;
+use mulberryyoke_command::answer::{Answer, Counter, Waiter};
+
+use crate::cmd::unexpected;
+use crate::error::Error;
+use crate::print::{self, Table, since};
+use crate::session::Session;
+
+/// Shows who is waiting, and why.
+pub(crate) async fn run(
+    session: &Session,
+    command: &Command,
+    words: Vec<String>,
+) -> Result<(), Error> {
+    let answer = session.send(&words).await?;
+    let Answer::Waiting(waiting) = &answer else {
+        return Err(unexpected());
+    };
+    if command.json() {
+        print::json(&answer, &[]);
+        return Ok(());
+    }
+    if waiting.requests.is_empty() {
+        println!("router {}: nothing waits", waiting.router);
+        return Ok(());
+    }
+    println!("{}", counters(&waiting.customers));
+    print!("{}", requests(&waiting.requests));
+    if waiting.more > 0 {
+        println!("and {} more", waiting.more);
+    }
+    Ok(())
+}
+
+fn counters(customers: &[Counter]) -> Table {
+    let mut table = Table::new(&[
+        "CUSTOMER",
+        "SHARE",
+        "URGENT",
+        "NORMAL",
+        "DEFERRABLE",
+        "OLDEST",
+        "TOKENS",
+        "PER SHARE",
+    ]);
+    for counter in customers {
+        let [urgent, normal, deferrable] = &counter.waiting;
+        let per_share = format!("{:.0}", counter.per_share);
+        let oldest = since(counter.since);
+        table.row([
+            &counter.customer,
+            &counter.share,
+            urgent,
+            normal,
+            deferrable,
+            &oldest,
+            &counter.service,
+            &per_share,
+        ]);
+    }
+    table
+}
+
+fn requests(requests: &[Waiter]) -> Table {
+    let mut table = Table::new(&[
+        "REQUEST",
+        "CUSTOMER",
+        "POOL",
+        "CLASS",
+        "POSITION",
+        "WAITS",
+        "WAITS FOR",
+    ]);
+    for waiter in requests {
+        let class = waiter.class.word();
+        let waits = since(waiter.since);
+        table.row([
+            &waiter.request,
+            &waiter.customer,
+            &waiter.pool,
+            &class,
+            &waiter.position,
+            &waits,
+            &waiter.reason,
+        ]);
+    }
+    table
+}
--- a/crates/client/src/main.rs
+++ b/crates/client/src/main.rs
@@ -1,3 +1,21 @@
-//! The client.
+//! The operators' client of mulberryyoke.
 
-fn main() {}
+mod args;
+mod cmd;
+mod error;
+mod force;
+mod http;
+mod print;
+mod session;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match cmd::run(std::env::args().skip(1)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error.print();
+            error.exit_code()
+        }
+    }
+}
--- a/crates/command/src/config.rs
+++ b/crates/command/src/config.rs
@@ -35,7 +35,7 @@
     /// only keys that start so, for example customer/ or server/m-3
     #[options(meta = "PREFIX")]
     pub key: String,
-    /// most writes to list (default 50)
+    /// most writes to list
     #[options(meta = "N", default = "50")]
     pub limit: u32,
     /// print JSON
--- a/crates/command/src/customer.rs
+++ b/crates/command/src/customer.rs
@@ -43,7 +43,7 @@
     /// unique name
     #[options(free, required, parse(try_from_str = "value::name"))]
     pub name: String,
-    /// weight of its portion, at least 1 (default 1)
+    /// weight of its portion, at least 1
     #[options(meta = "N", default = "1", parse(try_from_str = "value::positive"))]
     pub share: u32,
     /// class of requests that name none: urgent, normal or deferrable (default normal)
--- a/crates/command/src/pool.rs
+++ b/crates/command/src/pool.rs
@@ -46,7 +46,7 @@
     #[options(
         required,
         meta = "KIND",
-        default = "model",
+        default_expr = "Kind::Model",
         parse(try_from_str = "value::kind")
     )]
     pub kind: Kind,
--- a/crates/command/src/server.rs
+++ b/crates/command/src/server.rs
@@ -54,10 +54,10 @@
     #[options(required, meta = "ZONE")]
     pub zone: String,
     /// control address of its sidecar
-    #[options(required, meta = "IP:PORT", default = "0.0.0.0:0")]
+    #[options(required, meta = "IP:PORT", default_expr = "value::NO_ADDRESS")]
     pub control: SocketAddr,
     /// data address of its sidecar
-    #[options(required, meta = "IP:PORT", default = "0.0.0.0:0")]
+    #[options(required, meta = "IP:PORT", default_expr = "value::NO_ADDRESS")]
     pub data: SocketAddr,
     /// requests that the backend runs at once
     #[options(required, meta = "N", parse(try_from_str = "value::positive"))]
--- a/crates/command/src/value.rs
+++ b/crates/command/src/value.rs
@@ -1,7 +1,13 @@
 //! Values of options.
 
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
 use mulberryyoke_model::{Class, Kind, Route};
 
+/// Stands for an address until a required option has given it.
+pub(crate) const NO_ADDRESS: SocketAddr =
+    SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
+
 /// Longest name, in bytes.
 const MAX_NAME: usize = 128;
 
--- a/crates/command/src/waiting.rs
+++ b/crates/command/src/waiting.rs
@@ -21,7 +21,7 @@
     /// only the request with this id
     #[options(meta = "ID")]
     pub request: Option<String>,
-    /// most requests to list (default 50)
+    /// most requests to list
     #[options(meta = "N", default = "50")]
     pub limit: u32,
     /// print JSON
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -15,11 +15,13 @@
         /// What the operating system said.
         source: io::Error,
     },
-    /// could not parse settings: {path}: {source}
+    /// could not parse settings: {path}: {field}: {source}
     Parse {
         /// The file.
         path: PathBuf,
-        /// Field, place and allowed values.
+        /// The field; a dot for the whole file.
+        field: String,
+        /// Place and allowed values.
         source: serde_json::Error,
     },
     /// could not accept settings: {path}: {field}: {reason}
@@ -27,7 +29,7 @@
         /// The file.
         path: PathBuf,
         /// The field.
-        field: &'static str,
+        field: String,
         /// What is wrong and what is allowed.
         reason: String,
     },
