Follow the fleet: configuration, VM list, peers and usage

A first form: a flat exchange in which every router sends its whole state to every peer; configuration by list and watch, from peers, and by offer.

--- /dev/null
+++ b/crates/daemon/src/fleet.rs
@@ -0,0 +1,209 @@
+//! What a router knows of the fleet: accepted configuration, peer routers, VM
+//! list and the service that customers have received.
+
+mod clock;
+mod error;
+mod local;
+mod peer;
+mod peers;
+mod service;
+mod source;
+mod store;
+mod vms;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+
+use mulberryyoke_decide::exchange::{Cursor, Ledger};
+use mulberryyoke_decide::view::View;
+use mulberryyoke_model::{
+    Attempt, Change, Config, Incarnation, Outcome, Report, Revision, ServerId, Usage,
+};
+use mulberryyoke_platform::{kv, vm};
+use mulberryyoke_settings as settings;
+use mulberryyoke_wire::{Bytes, Listener, Member};
+use parking_lot::Mutex;
+use slog::Logger;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+pub use self::error::Error;
+pub use self::local::Local;
+
+use self::peers::Peers;
+use self::store::Store;
+use self::vms::Roster;
+
+/// A router's knowledge of the fleet, kept up to date until stopped.
+pub struct Fleet {
+    settings: Arc<settings::Router>,
+    logger: Logger,
+    member: Member,
+    control: SocketAddr,
+    bytes: Arc<Bytes>,
+    store: Store,
+    roster: Roster,
+    peers: Peers,
+    ledger: Mutex<Ledger>,
+    idle: Mutex<Vec<ServerId>>,
+    local: OnceLock<Arc<dyn Local>>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Fleet {
+    /// Binds the control port and begins to follow the key-value service, the VM
+    /// list and the peers. Nothing of them needs to answer yet.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Bind`] when the control port cannot be bound.
+    pub async fn spawn(
+        settings: Arc<settings::Router>,
+        logger: Logger,
+    ) -> Result<Arc<Self>, Error> {
+        let bytes = Arc::new(Bytes::default());
+        let bound = Listener::bind(settings.control, Arc::clone(&bytes)).await;
+        let listener = bound.map_err(Error::Bind)?;
+        let control = listener.address().map_err(Error::Bind)?;
+        let incarnation = Incarnation(rand::random());
+        let member = Member {
+            name: settings.name.clone(),
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            incarnation,
+            started_at: clock::now(),
+        };
+        let fleet = Arc::new(Self {
+            settings: Arc::clone(&settings),
+            logger,
+            member,
+            control,
+            store: Store::open(),
+            roster: Roster::default(),
+            peers: Peers::open(Arc::clone(&bytes)),
+            ledger: Mutex::new(Ledger::open(incarnation)),
+            idle: Mutex::default(),
+            bytes,
+            local: OnceLock::new(),
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+        });
+        let kv = kv::Etcd::open(settings.kv.clone(), kv::Options::default());
+        let vms = vm::Http::open(settings.vms);
+        fleet.run(service::accept(Arc::clone(&fleet), listener));
+        fleet.run(source::follow(Arc::clone(&fleet), Arc::new(kv)));
+        fleet.run(vms::follow(Arc::clone(&fleet), Arc::new(vms)));
+        fleet.run(peers::exchange(Arc::clone(&fleet)));
+        Ok(fleet)
+    }
+
+    /// Where peers connect.
+    #[must_use]
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// This router as its peers know it.
+    #[must_use]
+    pub fn member(&self) -> &Member {
+        &self.member
+    }
+
+    /// Routers that answered of late, this one included.
+    #[must_use]
+    pub fn members(&self) -> Vec<Member> {
+        let mut members = self.peers.members();
+        members.push(self.member.clone());
+        members
+    }
+
+    /// The index over the accepted configuration.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        self.store.view()
+    }
+
+    /// The accepted configuration.
+    #[must_use]
+    pub fn config(&self) -> Arc<Config> {
+        self.store.config()
+    }
+
+    /// Tells the highest applied revision whenever the configuration changes.
+    #[must_use]
+    pub fn watch(&self) -> watch::Receiver<Revision> {
+        self.store.watch()
+    }
+
+    /// Takes in accepted configuration that a sidecar or peer told. What is not
+    /// newer than the value held for its key is ignored.
+    pub fn offer(&self, changes: Vec<Change>) {
+        self.store.apply(changes);
+    }
+
+    /// Counts a sidecar's report; returns the sequence number of the last report
+    /// that the totals include.
+    pub fn collect(&self, sidecar: Incarnation, report: &Report) -> u64 {
+        self.ledger.lock().collect(sidecar, report)
+    }
+
+    /// Fleet totals that changed since the cursor, which is moved on. Totals never
+    /// go back within this router's life.
+    pub fn totals(&self, changed_since: &mut Cursor) -> Vec<Usage> {
+        self.ledger.lock().totals(changed_since)
+    }
+
+    /// Tells the peers which servers have free slots that this router can spare.
+    pub fn set_idle(&self, servers: Vec<ServerId>) {
+        *self.idle.lock() = servers;
+    }
+
+    /// Servers of which a peer said of late that they have free slots.
+    #[must_use]
+    pub fn idle(&self) -> Vec<ServerId> {
+        self.peers.idle()
+    }
+
+    /// Whether the VM list says that a VM is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, name: &str) -> bool {
+        self.roster.is_leaving(name)
+    }
+
+    /// What became of a request, asked of the router life that took it.
+    pub async fn outcome(&self, attempt: Attempt) -> Outcome {
+        if attempt.origin == self.member.incarnation {
+            let local = self.local.get();
+            return local.map_or(Outcome::Unknown, |local| local.outcome(attempt));
+        }
+        self.peers.outcome(attempt).await
+    }
+
+    /// Names what answers the peers' questions about this router's requests. Only
+    /// the first call counts.
+    pub fn serve(&self, local: Arc<dyn Local>) {
+        let _ = self.local.set(local);
+    }
+
+    /// Counter of the bytes of all control links, those to sidecars included.
+    #[must_use]
+    pub fn control_bytes(&self) -> Arc<Bytes> {
+        Arc::clone(&self.bytes)
+    }
+
+    /// Stops following and answering, and waits until that is done.
+    pub async fn stop(&self) {
+        self.stop.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
+    fn run(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            stop.run_until_cancelled(task).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/service.rs
@@ -0,0 +1,56 @@
+//! The calls that peers make.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+use mulberryyoke_model::{Attempt, Change, KeyId, Millis, Outcome, Revision, ServerId};
+use mulberryyoke_wire::{self as wire, Listener, Router, Summary};
+use tarpc::context::Context;
+use tarpc::server::Channel;
+use tokio::net::TcpStream;
+
+use super::Fleet;
+
+/// Accepts links for ever.
+pub(super) async fn accept(fleet: Arc<Fleet>, listener: Listener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        fleet.run(answer(Arc::clone(&fleet), stream));
+    }
+}
+
+async fn answer(fleet: Arc<Fleet>, stream: TcpStream) {
+    let channel = wire::router_channel(stream, Arc::clone(&fleet.bytes));
+    let calls = channel.execute(Service(fleet).serve());
+    wire::spawn_calls(calls.boxed()).await;
+}
+
+#[derive(Clone)]
+struct Service(Arc<Fleet>);
+
+impl Router for Service {
+    async fn exchange(self, _: Context, summary: Summary) -> Summary {
+        let fleet = self.0;
+        fleet.hear(summary);
+        fleet.summary()
+    }
+
+    async fn changes(self, _: Context, since: Revision) -> Vec<Change> {
+        self.0.store.config().since(since)
+    }
+
+    async fn outcome(self, _: Context, attempt: Attempt) -> Outcome {
+        let local = self.0.local.get();
+        local.map_or(Outcome::Unknown, |local| local.outcome(attempt))
+    }
+
+    async fn keys(self, _: Context, server: ServerId, since: Millis) -> (Millis, Vec<KeyId>) {
+        match self.0.local.get() {
+            Some(local) => local.keys(server, since),
+            None => (Millis::MAX, Vec::new()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/vms.rs
@@ -0,0 +1,60 @@
+//! The VM list.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_platform::vm::{Role, State, Vm, Vms};
+
+use super::Fleet;
+
+/// Time between two readings of the list, in milliseconds.
+const READ_MS: u64 = 1_000;
+
+/// The VM list as last read.
+#[derive(Default)]
+pub(super) struct Roster {
+    leaving: ArcSwap<HashSet<String>>,
+    routers: ArcSwap<Vec<Vm>>,
+}
+
+impl Roster {
+    pub(super) fn is_leaving(&self, name: &str) -> bool {
+        self.leaving.load().contains(name)
+    }
+
+    /// The routers in the list.
+    pub(super) fn routers(&self) -> Arc<Vec<Vm>> {
+        self.routers.load_full()
+    }
+
+    fn replace(&self, list: Vec<Vm>) {
+        let leaving = list.iter().filter(|vm| vm.state == State::Leaving);
+        let leaving = leaving.map(|vm| vm.name.clone()).collect();
+        let routers = list.into_iter().filter(|vm| vm.role == Role::Router);
+        self.routers.store(Arc::new(routers.collect()));
+        self.leaving.store(Arc::new(leaving));
+    }
+}
+
+/// Reads the list again and again. While it cannot be read, the last one holds.
+pub(super) async fn follow(fleet: Arc<Fleet>, vms: Arc<dyn Vms>) {
+    let mut down = false;
+    loop {
+        match vms.list().await {
+            Ok(list) => {
+                fleet.roster.replace(list);
+                fleet.peers.follow(&fleet.roster.routers(), &fleet.member);
+                down = false;
+            }
+            Err(error) if !down => {
+                log!(fleet.logger, Event::VmsDown, "error" => %error);
+                down = true;
+            }
+            Err(_) => {}
+        }
+        tokio::time::sleep(Duration::from_millis(READ_MS)).await;
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon's two roles: a router on an entry VM and a sidecar beside a
 //! backend server.
 
+pub mod fleet;
 pub mod router;
 pub mod sidecar;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,6 +3,7 @@
 //! Time comes in as [`mulberryyoke_model::Millis`]; randomness as a generator
 //! or a seed.
 
+pub mod exchange;
 pub mod home;
 pub(crate) mod rank;
 pub mod view;
