--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,5 +2,6 @@
 //! backend server.
 
 pub mod operator;
+pub mod fleet;
 pub mod router;
 pub mod sidecar;
