--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,7 +1,7 @@
 //! The daemon's two roles: a router on an entry VM and a sidecar beside a
 //! backend server.
 
-pub mod operator;
 pub mod fleet;
+pub mod operator;
 pub mod router;
 pub mod sidecar;
