--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder.
+//! Every decision of the fleet, without input, output, clock, threads or
+//! runtime: time comes in as [`mulberryyoke_model::Millis`], randomness as a
+//! generator.
+
+pub mod limit;
+pub mod place;
+pub mod queue;
+pub mod retry;
--- /dev/null
+++ b/crates/decide/src/queue.rs
@@ -0,0 +1,224 @@
+//! Requests that wait at a router, by customer.
+//!
+//! Within a customer the order is class, then deadline, then arrival. A
+//! deferrable request ranks as urgent once its deadline is [`RISE_MS`] away.
+//! Which customer goes first is not decided here but by the sidecars.
+
+mod line;
+mod waiting;
+
+use std::collections::{BTreeSet, HashMap};
+
+use mulberryyoke_model::{Class, CustomerId, Interest, Millis, ServerId};
+use slotmap::{SlotMap, new_key_type};
+
+use line::Line;
+pub use waiting::Waiting;
+
+/// How long before its deadline a deferrable request ranks as urgent, in milliseconds.
+pub const RISE_MS: Millis = 30_000;
+
+new_key_type! {
+    /// Key of a waiting request.
+    pub struct Key;
+}
+
+/// Where a request may run: at one server only, or at any of the pool.
+type Bound = Option<ServerId>;
+
+/// Requests of one pool that wait at one router; `T` is what the owner keeps
+/// with each.
+#[derive(Debug)]
+pub struct Queue<T> {
+    arena: SlotMap<Key, Waiting<T>>,
+    lines: HashMap<(CustomerId, Bound), Line>,
+    deadlines: BTreeSet<(Millis, Key)>,
+    rises: BTreeSet<(Millis, Key)>,
+    arrivals: u64,
+}
+
+impl<T> Default for Queue<T> {
+    fn default() -> Self {
+        Self {
+            arena: SlotMap::with_key(),
+            lines: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            rises: BTreeSet::new(),
+            arrivals: 0,
+        }
+    }
+}
+
+impl<T> Queue<T> {
+    /// Waiting requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.arena.len()
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.arena.is_empty()
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, mut waiting: Waiting<T>) -> Key {
+        waiting.arrival = self.arrivals;
+        waiting.rank = waiting.class;
+        self.arrivals += 1;
+        let deadline = waiting.deadline;
+        let deferrable = waiting.class == Class::Deferrable;
+        let key = self.arena.insert(waiting);
+        self.deadlines.insert((deadline, key));
+        if deferrable {
+            self.rises.insert((deadline.saturating_sub(RISE_MS), key));
+        }
+        let waiting = &self.arena[key];
+        let line = self.lines.entry((waiting.customer, waiting.bound));
+        line.or_default().insert(key, waiting);
+        key
+    }
+
+    /// Takes a request out, wherever it stands.
+    pub fn remove(&mut self, key: Key) -> Option<Waiting<T>> {
+        let waiting = self.arena.remove(key)?;
+        self.deadlines.remove(&(waiting.deadline, key));
+        self.rises
+            .remove(&(waiting.deadline.saturating_sub(RISE_MS), key));
+        let place = (waiting.customer, waiting.bound);
+        if let Some(line) = self.lines.get_mut(&place) {
+            line.remove(key, &waiting);
+            if line.is_empty() {
+                self.lines.remove(&place);
+            }
+        }
+        Some(waiting)
+    }
+
+    /// Takes the customer's next request that `server` may run. `warm` tells
+    /// whether the server is the preferred one of a request; it decides only
+    /// between requests of equal rank and deadline.
+    pub fn take(
+        &mut self,
+        customer: CustomerId,
+        server: ServerId,
+        warm: impl Fn(&T) -> bool,
+    ) -> Option<Waiting<T>> {
+        let key = self.head(customer, server, warm)?;
+        self.remove(key)
+    }
+
+    fn head(
+        &self,
+        customer: CustomerId,
+        server: ServerId,
+        warm: impl Fn(&T) -> bool,
+    ) -> Option<Key> {
+        let lines = [None, Some(server)]
+            .into_iter()
+            .filter_map(|bound| self.lines.get(&(customer, bound)));
+        let heads = lines.filter_map(Line::heads).flatten();
+        heads.min_by_key(|&key| {
+            let waiting = &self.arena[key];
+            let cold = !warm(&waiting.owned);
+            (waiting.rank, waiting.deadline, cold, waiting.arrival)
+        })
+    }
+
+    /// Raises deferrable requests whose deadline is near; returns their customers.
+    pub fn raise(&mut self, now: Millis) -> Vec<CustomerId> {
+        let mut raised = Vec::new();
+        while let Some(&(at, key)) = self.rises.first() {
+            if at > now {
+                break;
+            }
+            self.rises.pop_first();
+            let waiting = &mut self.arena[key];
+            let place = (waiting.customer, waiting.bound);
+            let Some(line) = self.lines.get_mut(&place) else {
+                continue;
+            };
+            line.remove(key, waiting);
+            waiting.rank = Class::Urgent;
+            line.insert(key, waiting);
+            raised.push(waiting.customer);
+        }
+        raised
+    }
+
+    /// Takes out every request whose deadline has passed.
+    pub fn expire(&mut self, now: Millis) -> Vec<Waiting<T>> {
+        let mut expired = Vec::new();
+        while let Some(&(deadline, key)) = self.deadlines.first() {
+            if deadline > now {
+                break;
+            }
+            expired.extend(self.remove(key));
+        }
+        expired
+    }
+
+    /// The next instant at which [`Queue::raise`] or [`Queue::expire`] has work.
+    #[must_use]
+    pub fn due(&self) -> Option<Millis> {
+        let rise = self.rises.first().map(|&(at, _)| at);
+        let deadline = self.deadlines.first().map(|&(at, _)| at);
+        rise.into_iter().chain(deadline).min()
+    }
+
+    /// The customer's request that would go last, for eviction.
+    #[must_use]
+    pub fn tail(&self, customer: CustomerId) -> Option<Key> {
+        let lines = self.lines.iter();
+        let own = lines.filter(|((owner, _), _)| *owner == customer);
+        let tails = own.filter_map(|(_, line)| line.tail());
+        tails.max_by_key(|&key| {
+            let waiting = &self.arena[key];
+            (waiting.rank, waiting.deadline, waiting.arrival)
+        })
+    }
+
+    /// What the customer has waiting that `server` may run; counts 0 for nothing.
+    #[must_use]
+    pub fn interest(&self, customer: CustomerId, server: ServerId) -> Interest {
+        let mut interest = Interest {
+            customer,
+            waiting: [0; 3],
+            cost: 0,
+            since: Millis::MAX,
+        };
+        let mut cost = 0;
+        let mut oldest = [Millis::MAX; 3];
+        for bound in [None, Some(server)] {
+            let Some(line) = self.lines.get(&(customer, bound)) else {
+                continue;
+            };
+            cost += line.cost();
+            for rank in Class::ALL {
+                let count = u16::try_from(line.count(rank)).unwrap_or(u16::MAX);
+                let total = &mut interest.waiting[rank.index()];
+                *total = total.saturating_add(count);
+                if let Some(key) = line.oldest(rank) {
+                    let since = self.arena[key].since;
+                    oldest[rank.index()] = oldest[rank.index()].min(since);
+                }
+            }
+        }
+        let best = oldest.into_iter().find(|since| *since != Millis::MAX);
+        interest.since = best.unwrap_or(0);
+        let mean = cost / u64::from(interest.total().max(1));
+        interest.cost = u32::try_from(mean).unwrap_or(u32::MAX);
+        interest
+    }
+
+    /// Customers with something waiting; one may stand in it more than once.
+    pub fn customers(&self) -> impl Iterator<Item = CustomerId> {
+        self.lines.keys().map(|&(customer, _)| customer)
+    }
+
+    /// Every waiting request.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Waiting<T>)> {
+        self.arena.iter()
+    }
+}
--- /dev/null
+++ b/crates/decide/src/retry.rs
@@ -0,0 +1,48 @@
+//! The budget of retries: a token bucket filled by first attempts.
+
+/// Retries that may be made at once after a quiet time.
+const BURST: u32 = 10;
+
+/// Hundredths of a retry.
+const WHOLE: u64 = 100;
+
+/// A budget of retries. Each first attempt adds a stated fraction of a retry,
+/// so that a fault costs at most that much extra load.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    percent: u64,
+    hundredths: u64,
+}
+
+impl Budget {
+    /// A full budget that allows `percent` retries per hundred first attempts.
+    #[must_use]
+    pub fn new(percent: u32) -> Self {
+        let burst = if percent == 0 { 0 } else { BURST };
+        Self {
+            percent: u64::from(percent),
+            hundredths: u64::from(burst) * WHOLE,
+        }
+    }
+
+    /// Counts a first attempt.
+    pub fn earn(&mut self) {
+        let full = u64::from(BURST) * WHOLE;
+        self.hundredths = (self.hundredths + self.percent).min(full);
+    }
+
+    /// Spends a retry; `false` when none is left.
+    pub fn spend(&mut self) -> bool {
+        let Some(rest) = self.hundredths.checked_sub(WHOLE) else {
+            return false;
+        };
+        self.hundredths = rest;
+        true
+    }
+
+    /// Whole retries that could be spent now.
+    #[must_use]
+    pub const fn left(&self) -> u64 {
+        self.hundredths / WHOLE
+    }
+}
