--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Counts a request that waits again after it was admitted before.
+    pub fn readmit(&mut self, customer: CustomerId, share: u32) {
+        self.accounts.entry(customer).or_default().share = share.max(1);
+        self.count(customer);
+    }
+
     fn count(&mut self, customer: CustomerId) {
         self.accounts.entry(customer).or_default().waiting += 1;
         self.total += 1;
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -4,6 +4,7 @@
 //! deferrable request ranks as urgent once its deadline is [`RISE_MS`] away.
 //! Which customer goes first is not decided here but by the sidecars.
 
+mod changes;
 mod line;
 mod waiting;
 
@@ -12,6 +13,7 @@
 use mulberryyoke_model::{Class, CustomerId, Interest, Millis, ServerId};
 use slotmap::{SlotMap, new_key_type};
 
+pub use changes::Changes;
 use line::Line;
 pub use waiting::Waiting;
 
@@ -32,7 +34,6 @@
 pub struct Queue<T> {
     arena: SlotMap<Key, Waiting<T>>,
     lines: HashMap<(CustomerId, Bound), Line>,
-    deadlines: BTreeSet<(Millis, Key)>,
     rises: BTreeSet<(Millis, Key)>,
     arrivals: u64,
 }
@@ -42,7 +43,6 @@
         Self {
             arena: SlotMap::with_key(),
             lines: HashMap::new(),
-            deadlines: BTreeSet::new(),
             rises: BTreeSet::new(),
             arrivals: 0,
         }
@@ -70,7 +70,6 @@
         let deadline = waiting.deadline;
         let deferrable = waiting.class == Class::Deferrable;
         let key = self.arena.insert(waiting);
-        self.deadlines.insert((deadline, key));
         if deferrable {
             self.rises.insert((deadline.saturating_sub(RISE_MS), key));
         }
@@ -83,7 +82,6 @@
     /// Takes a request out, wherever it stands.
     pub fn remove(&mut self, key: Key) -> Option<Waiting<T>> {
         let waiting = self.arena.remove(key)?;
-        self.deadlines.remove(&(waiting.deadline, key));
         self.rises
             .remove(&(waiting.deadline.saturating_sub(RISE_MS), key));
         let place = (waiting.customer, waiting.bound);
@@ -147,26 +145,6 @@
         raised
     }
 
-    /// Takes out every request whose deadline has passed.
-    pub fn expire(&mut self, now: Millis) -> Vec<Waiting<T>> {
-        let mut expired = Vec::new();
-        while let Some(&(deadline, key)) = self.deadlines.first() {
-            if deadline > now {
-                break;
-            }
-            expired.extend(self.remove(key));
-        }
-        expired
-    }
-
-    /// The next instant at which [`Queue::raise`] or [`Queue::expire`] has work.
-    #[must_use]
-    pub fn due(&self) -> Option<Millis> {
-        let rise = self.rises.first().map(|&(at, _)| at);
-        let deadline = self.deadlines.first().map(|&(at, _)| at);
-        rise.into_iter().chain(deadline).min()
-    }
-
     /// The customer's request that would go last, for eviction.
     #[must_use]
     pub fn tail(&self, customer: CustomerId) -> Option<Key> {
