--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,11 +1,12 @@
-//! Every decision of the fleet, without input, output, clock, threads or
-//! runtime: time comes in as [`mulberryyoke_model::Millis`], randomness as a
-//! generator.
+//! Decisions of the fleet, without input, output, clock, threads or runtime.
+//!
+//! Time comes in as [`mulberryyoke_model::Millis`]; randomness as a generator
+//! or a seed.
 
 pub mod home;
 pub mod limit;
 pub mod place;
 pub mod queue;
-mod rank;
+pub(crate) mod rank;
 pub mod retry;
 pub mod view;
