--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,8 @@
 //! The daemon's two roles: a router on an entry VM and a sidecar beside a
 //! backend server.
 
+mod clock;
+pub mod fleet;
+mod metric;
 pub mod router;
 pub mod sidecar;
--- /dev/null
+++ b/crates/daemon/src/router/attempt.rs
@@ -0,0 +1,143 @@
+//! Sending one attempt to a server.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::header::HeaderValue;
+use hyper::{Request, Response};
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_wire::{Verdict, ticket, verdict};
+
+use super::answer::Answer;
+use super::call::Call;
+use super::core::Core;
+use super::header;
+use super::late;
+use super::link::Link;
+use super::place::Place;
+use super::refusal::REQUEST_ID;
+use super::relay::Relay;
+use super::running::Running;
+use crate::clock;
+
+/// What came of an attempt.
+#[derive(Debug)]
+pub(crate) enum Sent {
+    /// The server answers.
+    Answer(Response<Answer>),
+    /// The sidecar turned it away. With its word on when to come back, in seconds.
+    Verdict(Verdict, Option<u32>),
+    /// It never left the router.
+    Unsent(String),
+    /// It may run or have run; nothing more is known.
+    Lost(String),
+    /// As [`Sent::Lost`], and its caller stopped waiting.
+    Late,
+}
+
+/// An answer that has not come yet.
+pub(crate) type Pending = Pin<
+    Box<dyn Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>> + Send>,
+>;
+
+/// Sends a request and waits for the head of its answer.
+pub(crate) async fn send(core: &Arc<Core>, call: &Call, mut place: Place) -> Sent {
+    let link = Arc::clone(&place.link);
+    let mut sender = match link.data.sender().await {
+        Ok(sender) => sender,
+        Err(error) => return Sent::Unsent(error.to_string()),
+    };
+    let grant = place.take();
+    let request = request(call, &link, grant);
+    let running = Running::begin(core, &link, call);
+    log!(core.logger, Event::Routed,
+        "request" => call.attempt.request_id(),
+        "attempt" => call.attempt.number,
+        "customer" => call.customer.0,
+        "class" => call.class.word(),
+        "server" => &link.server.name,
+        "granted" => grant.is_some(),
+        "waited_ms" => clock::now().saturating_sub(call.since));
+    let mut pending: Pending = Box::pin(sender.try_send_request(request));
+    tokio::select! {
+        biased;
+        result = &mut pending => read(call, running, result),
+        () = link.wait_silent() => {
+            running.lose();
+            late::watch(core, &link, call, pending);
+            Sent::Lost("server is silent".to_owned())
+        }
+        () = tokio::time::sleep_until(clock::instant(call.deadline)) => {
+            running.lose();
+            late::watch(core, &link, call, pending);
+            Sent::Late
+        }
+    }
+}
+
+fn request(call: &Call, link: &Link, grant: Option<u64>) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    let uri = format!("http://{}{}", link.server.data, call.path);
+    *request.uri_mut() = uri.parse().expect("an address and a parsed path are a URI");
+    *request.headers_mut() = call.headers.clone();
+    let packed = ticket::pack(&call.ticket(grant));
+    let packed = HeaderValue::from_str(&packed).expect("a packed ticket is a header value");
+    request.headers_mut().insert(ticket::HEADER, packed);
+    request
+}
+
+fn read(
+    call: &Call,
+    running: Running,
+    result: Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>,
+) -> Sent {
+    let response = match result {
+        Ok(response) => response,
+        Err(error) if error.message().is_some() => {
+            running.not_run();
+            return Sent::Unsent(error.error().to_string());
+        }
+        Err(error) => {
+            running.lose();
+            return Sent::Lost(error.error().to_string());
+        }
+    };
+    let Some(verdict) = verdict_of(&response) else {
+        return Sent::Answer(relay(call, running, response));
+    };
+    if verdict.is_not_run() {
+        running.not_run();
+    } else {
+        running.lose();
+    }
+    Sent::Verdict(verdict, retry_after(&response))
+}
+
+/// The sidecar's verdict on a response; one that cannot be read proves nothing.
+pub(crate) fn verdict_of(response: &Response<Incoming>) -> Option<Verdict> {
+    let word = response.headers().get(verdict::HEADER)?;
+    let verdict = word.to_str().ok().and_then(Verdict::parse);
+    Some(verdict.unwrap_or(Verdict::Broken))
+}
+
+fn retry_after(response: &Response<Incoming>) -> Option<u32> {
+    let value = response.headers().get(hyper::header::RETRY_AFTER)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+fn relay(call: &Call, running: Running, response: Response<Incoming>) -> Response<Answer> {
+    let (mut parts, body) = response.into_parts();
+    header::back(&mut parts.headers);
+    let mut response = Response::new(Answer::Relay(Relay::new(body, running)));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = parts.headers;
+    if let Ok(id) = HeaderValue::from_str(&call.attempt.request_id()) {
+        response.headers_mut().insert(REQUEST_ID, id);
+    }
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/router/core.rs
@@ -0,0 +1,97 @@
+//! What every task of a router shares.
+
+use std::fmt;
+use std::sync::Arc;
+
+use mulberryyoke_decide::limit::Limit;
+use mulberryyoke_decide::retry::Budget;
+use mulberryyoke_event::slog::Logger;
+use mulberryyoke_model::{Grant, Incarnation};
+use mulberryyoke_settings as settings;
+use parking_lot::Mutex;
+use tokio::sync::Semaphore;
+
+use super::counts::Counts;
+use super::keys::Keys;
+use super::link::Link;
+use super::links::Links;
+use super::memory::Memory;
+use super::place::Place;
+use super::room::Turn;
+use super::rooms::Rooms;
+use super::stop::Stop;
+use crate::clock;
+use crate::fleet::Fleet;
+
+/// Memory for callers' bodies, in KiB.
+const BODY_KIB: usize = 256 << 10;
+
+/// The state of a router.
+pub(crate) struct Core {
+    pub(crate) settings: Arc<settings::Router>,
+    pub(crate) logger: Logger,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) rooms: Rooms,
+    pub(crate) links: Links,
+    pub(crate) limit: Mutex<Limit>,
+    pub(crate) budget: Mutex<Budget>,
+    pub(crate) memory: Memory,
+    pub(crate) keys: Keys,
+    pub(crate) bodies: Arc<Semaphore>,
+    pub(crate) counts: Counts,
+    pub(crate) stop: Stop,
+}
+
+impl Core {
+    pub(crate) fn new(settings: Arc<settings::Router>, logger: Logger, fleet: Arc<Fleet>) -> Self {
+        let limits = &settings.limits;
+        let limit = Limit::new(limits.queue_per_customer, limits.queue_total);
+        let budget = Budget::new(limits.retry_percent);
+        let keys = Keys::new(fleet.member().started_at, settings.retention_ms);
+        Self {
+            settings,
+            logger,
+            fleet,
+            rooms: Rooms::default(),
+            links: Links::default(),
+            limit: Mutex::new(limit),
+            budget: Mutex::new(budget),
+            memory: Memory::default(),
+            keys,
+            bodies: Arc::new(Semaphore::new(BODY_KIB)),
+            counts: Counts::default(),
+            stop: Stop::default(),
+        }
+    }
+
+    /// This router's life.
+    pub(crate) fn origin(&self) -> Incarnation {
+        self.fleet.member().incarnation
+    }
+
+    /// Gives a reserved slot to the customer's next request; `false` if none waits.
+    pub(crate) fn grant(&self, link: &Arc<Link>, grant: &Grant) -> bool {
+        if link.standing.is_closed() {
+            return false;
+        }
+        let room = self.rooms.get(link.pool);
+        let open = self.links.open(link.pool);
+        while let Some(waiting) = room.take(grant.customer, link.id, &open) {
+            let now = clock::now();
+            self.limit.lock().leave(waiting.customer, true, now);
+            let turn = Turn::Go(Place::granted(link, grant.id));
+            let Err(Turn::Go(mut place)) = waiting.owned.turn.send(turn) else {
+                return true;
+            };
+            // The caller has just left: the slot goes to the next request.
+            place.take();
+        }
+        false
+    }
+}
+
+impl fmt::Debug for Core {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Core").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/router/dispatch.rs
@@ -0,0 +1,262 @@
+//! From a checked request to its answer: placing, waiting, sending, retrying.
+
+use std::sync::Arc;
+
+use hyper::{Response, StatusCode};
+use mulberryyoke_decide::place::{self as decide, Candidate};
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::{Outcome, PoolId, State};
+use mulberryyoke_settings::Policy;
+use mulberryyoke_wire::Verdict;
+
+use super::answer::Answer;
+use super::attempt::{self, Sent};
+use super::call::Call;
+use super::core::Core;
+use super::home;
+use super::link::Link;
+use super::place::Place;
+use super::refusal::Refusal;
+use super::wait;
+use crate::clock;
+
+/// Seconds named to callers where only a fault has to pass.
+const SOON_S: u32 = 1;
+
+/// Attempts after which a request is given up whatever the budget.
+const MOST_ATTEMPTS: u8 = 100;
+
+/// Answers a request, or refuses it truthfully.
+pub(crate) async fn answer(core: &Arc<Core>, call: Call) -> Result<Response<Answer>, Refusal> {
+    core.budget.lock().earn();
+    let mut dispatch = Dispatch {
+        core,
+        call,
+        doubtful: false,
+        waited: false,
+    };
+    let answer = dispatch.run().await;
+    answer.map_err(|refusal| dispatch.refuse(refusal))
+}
+
+struct Dispatch<'a> {
+    core: &'a Arc<Core>,
+    call: Call,
+    /// Whether an attempt may have run.
+    doubtful: bool,
+    /// Whether it was admitted to the queue before.
+    waited: bool,
+}
+
+impl Dispatch<'_> {
+    async fn run(&mut self) -> Result<Response<Answer>, Refusal> {
+        if self.call.is_late(clock::now()) {
+            return Err(wait::late(self.core, &self.call));
+        }
+        let mut at_once = true;
+        loop {
+            let place = self.place(at_once).await?;
+            at_once = false;
+            let link = Arc::clone(&place.link);
+            let sent = attempt::send(self.core, &self.call, place).await;
+            if self.call.attempt.number >= MOST_ATTEMPTS {
+                return Err(unreachable("too many attempts failed"));
+            }
+            match sent {
+                Sent::Answer(response) => return Ok(response),
+                Sent::Verdict(verdict, after) => self.judge(verdict, after, &link)?,
+                Sent::Unsent(cause) => {
+                    link.standing.exhaust();
+                    self.retry(&cause)?;
+                }
+                Sent::Lost(cause) => self.lost(&cause)?,
+                Sent::Late => {
+                    self.doubtful = true;
+                    return Err(too_late());
+                }
+            }
+            self.call.attempt = self.call.attempt.next();
+        }
+    }
+
+    /// Finds a server, at once if one should have a free slot.
+    async fn place(&mut self, at_once: bool) -> Result<Place, Refusal> {
+        if let Some(key) = self.call.key {
+            let place = home::place(self.core, &self.call, key, at_once, self.waited).await?;
+            self.waited = true;
+            return Ok(place);
+        }
+        if self.core.settings.policy == Policy::Baseline {
+            return self.baseline().ok_or_else(no_server);
+        }
+        if at_once && let Some(place) = self.direct() {
+            return Ok(place);
+        }
+        if !has_server(self.core, self.call.pool) {
+            return Err(no_server());
+        }
+        let waited = std::mem::replace(&mut self.waited, true);
+        if waited {
+            self.core.memory.wait(self.call.attempt.request);
+        }
+        wait::wait(self.core, &self.call, None, waited).await
+    }
+
+    /// A server that should have a free slot, if nothing else waits for one.
+    fn direct(&self) -> Option<Place> {
+        let room = self.core.rooms.get(self.call.pool);
+        if !room.is_empty() {
+            return None;
+        }
+        let candidates = candidates(self.core, self.call.pool);
+        let server = decide::choose(&candidates, self.call.prefix)?;
+        let link = self.core.links.get(server)?;
+        link.standing.take_free().then(|| Place::direct(&link))
+    }
+
+    fn baseline(&self) -> Option<Place> {
+        let candidates = candidates(self.core, self.call.pool);
+        let server = decide::least_of_two(&candidates, &mut rand::rng())?;
+        let link = self.core.links.get(server)?;
+        Some(Place::direct(&link))
+    }
+
+    /// Acts on a sidecar's verdict; `Err` when the request is given up.
+    fn judge(
+        &mut self,
+        verdict: Verdict,
+        after: Option<u32>,
+        link: &Arc<Link>,
+    ) -> Result<(), Refusal> {
+        match verdict {
+            // The queue at the sidecars decides: these cost no server anything.
+            Verdict::Busy | Verdict::Draining => {
+                link.standing.exhaust();
+                Ok(())
+            }
+            Verdict::Late => Err(wait::late(self.core, &self.call)),
+            Verdict::Malformed => Err(malformed()),
+            Verdict::Full => Err(keys_full(after)),
+            Verdict::Doubtful => Err(doubtful(after)),
+            Verdict::Running => Err(repeated(Outcome::Running)),
+            Verdict::Ran => Err(repeated(Outcome::Ran)),
+            Verdict::Broken => self.lost("the server failed"),
+            Verdict::NotHome | Verdict::Tombstone | Verdict::Unreachable => {
+                self.retry(verdict.word())
+            }
+        }
+    }
+
+    /// An attempt may have run: only idempotent requests are sent again.
+    fn lost(&mut self, cause: &str) -> Result<(), Refusal> {
+        self.doubtful = true;
+        if self.call.key.is_some() {
+            return Err(unknown(cause));
+        }
+        self.retry(cause)
+    }
+
+    /// Spends a retry.
+    fn retry(&self, cause: &str) -> Result<(), Refusal> {
+        if !self.core.budget.lock().spend() {
+            return Err(unreachable(cause));
+        }
+        metrics::counter!("retries_total").increment(1);
+        log!(self.core.logger, Event::Retried,
+            "request" => self.call.attempt.request_id(),
+            "attempt" => self.call.attempt.number,
+            "cause" => cause);
+        Ok(())
+    }
+
+    /// Makes a refusal truthful for the request as a whole, and records it.
+    fn refuse(&self, mut refusal: Refusal) -> Refusal {
+        let given = self.call.key.is_some_and(|key| key.given);
+        if refusal.outcome == Outcome::NotRun && (self.doubtful || given) {
+            refusal.outcome = Outcome::Unknown;
+        }
+        let event = match refusal.outcome {
+            Outcome::Unknown => Event::Doubtful,
+            _ => Event::Refused,
+        };
+        self.core
+            .memory
+            .settle(self.call.attempt.request, refusal.outcome);
+        metrics::counter!("refused_total", "code" => refusal.code).increment(1);
+        log!(self.core.logger, event,
+            "request" => self.call.attempt.request_id(),
+            "customer" => self.call.customer.0,
+            "code" => refusal.code,
+            "outcome" => refusal.outcome.word());
+        refusal
+    }
+}
+
+fn candidates(core: &Core, pool: PoolId) -> Vec<Candidate> {
+    core.links.of(pool, |links| {
+        let open = links.iter().filter(|link| link.standing.is_open());
+        open.map(|link| Candidate {
+            server: link.id,
+            near: link.near,
+            free: link.standing.free(),
+            slots: link.standing.slots(),
+            running: link.standing.running(),
+        })
+        .collect()
+    })
+}
+
+/// Whether the pool has a server that takes new work.
+fn has_server(core: &Core, pool: PoolId) -> bool {
+    let view = core.fleet.view();
+    let mut servers = view.servers(pool).iter();
+    servers.any(|server| server.state == State::Active && !core.fleet.is_leaving(&server.name))
+}
+
+fn unavailable(code: &'static str, message: impl Into<String>) -> Refusal {
+    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, code, message)
+}
+
+/// The pool has no server that takes new work.
+pub(crate) fn no_server() -> Refusal {
+    unavailable("no_server", "no server of this pool takes new work").retry_after(SOON_S)
+}
+
+fn unreachable(cause: &str) -> Refusal {
+    let message = format!("no attempt succeeded and no retry is left: {cause}");
+    unavailable("unreachable", message).retry_after(SOON_S)
+}
+
+fn unknown(cause: &str) -> Refusal {
+    let message = format!("the request may have run: {cause}; ask for its outcome by its id");
+    Refusal::new(StatusCode::BAD_GATEWAY, "outcome_unknown", message).outcome(Outcome::Unknown)
+}
+
+fn too_late() -> Refusal {
+    let message = "the deadline passed while a server held the request";
+    Refusal::new(StatusCode::GATEWAY_TIMEOUT, "deadline_passed", message).outcome(Outcome::Unknown)
+}
+
+fn malformed() -> Refusal {
+    let message = "the server's sidecar could not read the ticket";
+    Refusal::new(StatusCode::INTERNAL_SERVER_ERROR, "malformed", message)
+}
+
+fn keys_full(after: Option<u32>) -> Refusal {
+    let message = "the server cannot remember more idempotency keys";
+    unavailable("keys_full", message).retry_after(after.unwrap_or(SOON_S))
+}
+
+/// It cannot be proved whether a request with this key ran.
+pub(crate) fn doubtful(after: Option<u32>) -> Refusal {
+    let message = "a request with this key may have run before a restart or a change of servers";
+    unavailable("key_doubtful", message)
+        .outcome(Outcome::Unknown)
+        .retry_after(after.unwrap_or(SOON_S))
+}
+
+/// A request with this key came before.
+pub(crate) fn repeated(outcome: Outcome) -> Refusal {
+    let message = "a request with this key was started before";
+    Refusal::new(StatusCode::CONFLICT, "key_used", message).outcome(outcome)
+}
--- /dev/null
+++ b/crates/daemon/src/router/error.rs
@@ -0,0 +1,31 @@
+//! Errors of starting a router.
+
+use std::io;
+use std::net::SocketAddr;
+
+use displaydoc::Display;
+
+use crate::fleet;
+
+/// Why a router could not start.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// could not bind callers' port: {address}: {source}
+    Callers {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// could not bind operators' port: {address}: {source}
+    Operators {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// could not join fleet: {0}
+    Fleet(fleet::Error),
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/daemon/src/router/handle.rs
@@ -0,0 +1,116 @@
+//! The running router.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mulberryyoke_event::slog::Logger;
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::{Attempt, KeyId, Millis, Outcome, ServerId};
+use mulberryyoke_settings as settings;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use super::callers::Port;
+use super::core::Core;
+use super::error::Error;
+use super::inspect::Inspect;
+use super::links;
+use super::status::Status;
+use crate::fleet::{Fleet, Local};
+
+/// Part of the time for a planned stop in which waiting requests may still start.
+const WAITING_PART: u32 = 2;
+
+/// A running router.
+#[derive(Debug)]
+pub struct Router {
+    core: Arc<Core>,
+    address: SocketAddr,
+    callers: JoinHandle<()>,
+    links: JoinHandle<()>,
+    status: Status,
+}
+
+impl Router {
+    /// Starts a router: joins the fleet, connects to sidecars, takes callers.
+    ///
+    /// # Errors
+    ///
+    /// A port is taken, or the fleet could not be joined.
+    pub async fn spawn(settings: settings::Router, logger: Logger) -> Result<Self, Error> {
+        let settings = Arc::new(settings);
+        let fleet = Fleet::spawn(Arc::clone(&settings), logger.clone()).await;
+        let fleet = fleet.map_err(Error::Fleet)?;
+        let core = Arc::new(Core::new(settings, logger, fleet));
+        core.fleet.serve(Arc::new(Answers(Arc::clone(&core))));
+        let port = Port::bind(&core).await?;
+        let address = port.address()?;
+        let status = Status::bind(&core).await?;
+        let links = tokio::spawn(links::keep(Arc::clone(&core)));
+        let callers = tokio::spawn(port.run());
+        log!(core.logger, Event::Ready,
+            "role" => "router", "callers" => address.to_string());
+        Ok(Self {
+            core,
+            address,
+            callers,
+            links,
+            status,
+        })
+    }
+
+    /// The bound address of the callers' port.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// A handle for operators' questions.
+    #[must_use]
+    pub fn inspect(&self) -> Inspect {
+        Inspect::new(&self.core)
+    }
+
+    /// Stops: refuses new requests, lets waiting ones start for a part of the
+    /// time allowed and running answers end until it is over.
+    pub async fn stop(self) {
+        let core = self.core;
+        let drain = Duration::from_millis(core.settings.drain_ms);
+        let began = Instant::now();
+        log!(core.logger, Event::Stopping, "running" => core.counts.total());
+        core.stop.refuse.cancel();
+        let mut callers = self.callers;
+        let clear_at = began + drain / WAITING_PART;
+        let mut ended = timeout_at(clear_at, &mut callers).await.is_ok();
+        core.stop.clear.cancel();
+        if !ended {
+            ended = timeout_at(began + drain, &mut callers).await.is_ok();
+        }
+        core.stop.end.cancel();
+        if !ended {
+            // A task that ends on `end` at once; a panic in it changes nothing here.
+            let _ = callers.await;
+        }
+        let _ = self.links.await;
+        self.status.stop().await;
+        core.fleet.stop().await;
+        log!(core.logger, Event::Stopped, "cut" => core.counts.total());
+        sleep_until(Instant::now()).await;
+    }
+}
+
+/// Answers to other routers.
+#[derive(Debug)]
+struct Answers(Arc<Core>);
+
+impl Local for Answers {
+    fn outcome(&self, attempt: Attempt) -> Outcome {
+        let record = self.0.memory.get(attempt.request);
+        record.map_or(Outcome::Unknown, |record| record.outcome)
+    }
+
+    fn keys(&self, server: ServerId, since: Millis) -> (Millis, Vec<KeyId>) {
+        self.0.keys.since(server, since)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/router/inspect.rs
@@ -0,0 +1,198 @@
+//! What operators may ask a router.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use mulberryyoke_decide::exchange::Cursor;
+use mulberryyoke_model::{Class, CustomerId, Incarnation, Millis, PoolId, Revision};
+use serde::Serialize;
+
+use super::core::Core;
+use super::link::Link;
+
+/// A request that waits.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Waiting {
+    /// Its request id.
+    pub request: String,
+    /// Name of its customer.
+    pub customer: String,
+    /// Name of its pool.
+    pub pool: String,
+    /// The class it came with.
+    pub class: Class,
+    /// When its caller stops waiting.
+    pub deadline: Millis,
+    /// When it came.
+    pub since: Millis,
+    /// Requests of the same customer and pool that go before it at this router.
+    pub position: usize,
+    /// The server it is bound to, if it is.
+    pub server: Option<String>,
+    /// What it waits for.
+    pub waits_for: String,
+}
+
+/// A customer as seen by this router.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Customer {
+    /// Its name.
+    pub name: String,
+    /// Its weight.
+    pub share: u32,
+    /// Requests that wait here.
+    pub waiting: u32,
+    /// Requests that run and came through here.
+    pub running: u32,
+    /// Service over the whole fleet, as far as known, in tokens.
+    pub served: u64,
+    /// Service per share, by which customers are compared.
+    pub weighted: f64,
+}
+
+/// A sidecar as seen by this router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Server {
+    /// Its name.
+    pub name: String,
+    /// Name of its pool.
+    pub pool: String,
+    /// Whether its sidecar answers.
+    pub up: bool,
+    /// Whether it gets no new work: by configuration or VM list.
+    pub closed: bool,
+    /// Whether its sidecar refuses new work.
+    pub draining: bool,
+    /// Slots that should be free.
+    pub free: u32,
+    /// Slots in all.
+    pub slots: u32,
+    /// Requests of this router that run there.
+    pub running: u32,
+    /// Highest configuration revision applied there.
+    pub revision: Revision,
+    /// Its sidecar's life.
+    pub incarnation: Option<Incarnation>,
+    /// When it was last heard of.
+    pub heard_at: Millis,
+}
+
+/// A handle for questions to a running router.
+#[derive(Clone, Debug)]
+pub struct Inspect {
+    core: Arc<Core>,
+}
+
+impl Inspect {
+    pub(crate) fn new(core: &Arc<Core>) -> Self {
+        Self {
+            core: Arc::clone(core),
+        }
+    }
+
+    /// Whether the router takes requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let stopping = self.core.stop.refuse.is_cancelled();
+        !stopping && self.core.fleet.view().revision() > 0
+    }
+
+    /// Every request that waits here.
+    #[must_use]
+    pub fn waiting(&self) -> Vec<Waiting> {
+        let mut all = Vec::new();
+        for room in self.core.rooms.all() {
+            room.read(|queue| {
+                for (_, waiting) in queue.iter() {
+                    let bound = waiting.bound;
+                    let server = bound.and_then(|server| self.core.links.get(server));
+                    let server = server.map(|link| link.server.name.clone());
+                    all.push(Waiting {
+                        request: waiting.owned.attempt.request_id(),
+                        customer: self.customer_name(waiting.customer),
+                        pool: self.pool_name(room.pool),
+                        class: waiting.class,
+                        deadline: waiting.deadline,
+                        since: waiting.since,
+                        position: queue.position(waiting),
+                        waits_for: waits_for(server.as_deref()),
+                        server,
+                    });
+                }
+            });
+        }
+        all
+    }
+
+    /// Every configured customer.
+    #[must_use]
+    pub fn customers(&self) -> Vec<Customer> {
+        let view = self.core.fleet.view();
+        let mut served: BTreeMap<CustomerId, u64> = BTreeMap::new();
+        let totals = self.core.fleet.totals(&mut Cursor::default());
+        for usage in totals {
+            *served.entry(usage.customer).or_default() += usage.tokens;
+        }
+        let limit = self.core.limit.lock();
+        let customers = view.customers().map(|(id, customer)| {
+            let served = served.get(&id).copied().unwrap_or(0);
+            Customer {
+                name: customer.name.clone(),
+                share: customer.share,
+                waiting: limit.waiting(id),
+                running: self.core.counts.running(id),
+                served,
+                #[expect(clippy::cast_precision_loss, reason = "for people to compare")]
+                weighted: served as f64 / f64::from(customer.share.max(1)),
+            }
+        });
+        let mut customers: Vec<Customer> = customers.collect();
+        customers.sort_by(|one, other| one.name.cmp(&other.name));
+        customers
+    }
+
+    /// Every sidecar that this router is, or tries to be, connected to.
+    #[must_use]
+    pub fn servers(&self) -> Vec<Server> {
+        let links = self.core.links.all();
+        let mut servers: Vec<Server> = links.iter().map(|link| server(link)).collect();
+        servers.sort_by(|one, other| one.name.cmp(&other.name));
+        servers
+    }
+
+    fn customer_name(&self, id: CustomerId) -> String {
+        let view = self.core.fleet.view();
+        let customer = view.customer(id);
+        customer.map_or_else(|| id.0.to_string(), |customer| customer.name.clone())
+    }
+
+    fn pool_name(&self, id: PoolId) -> String {
+        let view = self.core.fleet.view();
+        let pool = view.pool(id);
+        pool.map_or_else(|| id.0.to_string(), |pool| pool.name.clone())
+    }
+}
+
+fn waits_for(server: Option<&str>) -> String {
+    match server {
+        Some(server) => format!("a free slot at {server}, home of its key"),
+        None => "a free slot at any server of the pool, at its customer's turn".to_owned(),
+    }
+}
+
+fn server(link: &Link) -> Server {
+    let load = link.standing.load();
+    Server {
+        name: link.server.name.clone(),
+        pool: link.server.pool.clone(),
+        up: link.standing.is_up(),
+        closed: link.standing.is_closed(),
+        draining: load.is_some_and(|load| load.draining),
+        free: link.standing.free(),
+        slots: link.standing.slots(),
+        running: link.standing.running(),
+        revision: load.map_or(0, |load| load.revision),
+        incarnation: load.map(|load| load.incarnation),
+        heard_at: link.standing.heard_at(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/router/link.rs
@@ -0,0 +1,99 @@
+//! One sidecar as a router knows it: control link, data connection, standing.
+
+mod control;
+mod data;
+mod error;
+mod session;
+mod standing;
+mod told;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use mulberryyoke_model::{PoolId, Server, ServerId};
+use mulberryyoke_wire::SidecarClient;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use super::core::Core;
+use crate::clock;
+use data::Data;
+pub(crate) use error::Error;
+use standing::Standing;
+
+/// Heartbeats without an answer after which a sidecar counts as silent.
+const SILENT_HEARTBEATS: u32 = 3;
+
+/// A sidecar that the router is, or tries to be, connected to.
+#[derive(Debug)]
+pub(crate) struct Link {
+    pub(crate) id: ServerId,
+    pub(crate) pool: PoolId,
+    pub(crate) server: Arc<Server>,
+    /// Whether it is in the router's availability zone.
+    pub(crate) near: bool,
+    pub(crate) standing: Standing,
+    pub(crate) data: Data,
+    heartbeat: Duration,
+    control: ArcSwapOption<SidecarClient>,
+    opened: Notify,
+    cancel: CancellationToken,
+}
+
+impl Link {
+    /// Starts to connect to a server's sidecar and stays connected until
+    /// [`Link::stop`].
+    pub(crate) fn spawn(core: &Arc<Core>, server: &Arc<Server>) -> Arc<Self> {
+        let heartbeat = Duration::from_millis(core.settings.heartbeat_ms);
+        let link = Arc::new(Self {
+            id: ServerId::of(&server.name),
+            pool: PoolId::of(&server.pool),
+            server: Arc::clone(server),
+            near: server.zone == core.settings.zone,
+            standing: Standing::default(),
+            data: Data::new(server.data, heartbeat),
+            heartbeat,
+            control: ArcSwapOption::empty(),
+            opened: Notify::new(),
+            cancel: CancellationToken::new(),
+        });
+        tokio::spawn(session::run(Arc::clone(core), Arc::clone(&link)));
+        link
+    }
+
+    /// Ends the link. Answers on its data connection go on.
+    pub(crate) fn stop(&self) {
+        self.cancel.cancel();
+    }
+
+    /// Allows or forbids new work, as configuration and VM list say.
+    pub(crate) fn set_closed(&self, closed: bool) {
+        if self.standing.closed.swap(closed, Ordering::Relaxed) != closed {
+            self.opened.notify_one();
+        }
+    }
+
+    /// Waits until the sidecar has been silent for so long that it may be
+    /// frozen or cut off. That proves nothing about what it runs.
+    pub(crate) async fn wait_silent(&self) {
+        let silence = self.heartbeat * (SILENT_HEARTBEATS + 1);
+        let silence = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
+        loop {
+            let heard_at = self.standing.heard_at();
+            let silent_at = heard_at.saturating_add(silence);
+            tokio::time::sleep_until(clock::instant(silent_at)).await;
+            // This process may have been stopped itself: give answers that have
+            // come meanwhile a moment to be read.
+            tokio::time::sleep(self.heartbeat / 4).await;
+            if self.standing.heard_at() == heard_at {
+                return;
+            }
+        }
+    }
+
+    fn set_up(&self, up: bool) {
+        self.standing.up.store(up, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/router/link/control.rs
@@ -0,0 +1,67 @@
+//! Single calls on a control link.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mulberryyoke_model::{Attempt, KeyId, Outcome};
+use mulberryyoke_wire::{SidecarClient, Withdrawal};
+use tarpc::client::RpcError;
+use tarpc::context::{self, Context};
+
+use super::{Error, Link, SILENT_HEARTBEATS};
+
+impl Link {
+    /// Makes sure that an attempt never starts unless it has.
+    pub(crate) async fn withdraw(
+        &self,
+        attempt: Attempt,
+        key: Option<KeyId>,
+    ) -> Result<Withdrawal, Error> {
+        let (client, context) = self.call()?;
+        client.withdraw(context, attempt, key).await.map_err(failed)
+    }
+
+    /// Asks what became of an attempt.
+    pub(crate) async fn outcome(
+        &self,
+        attempt: Attempt,
+        key: Option<KeyId>,
+    ) -> Result<Outcome, Error> {
+        let (client, context) = self.call()?;
+        client.outcome(context, attempt, key).await.map_err(failed)
+    }
+
+    /// Gives back reserved slots, without waiting for it.
+    pub(crate) fn decline(self: &Arc<Self>, grants: Vec<u64>) {
+        if grants.is_empty() {
+            return;
+        }
+        let Ok((client, context)) = self.call() else {
+            return;
+        };
+        metrics::counter!("grants_declined_total").increment(grants.len() as u64);
+        tokio::spawn(async move {
+            // A grant that cannot be given back lapses.
+            let _ = client.decline(context, grants).await;
+        });
+    }
+
+    fn call(&self) -> Result<(SidecarClient, Context), Error> {
+        let client = self.control.load();
+        let client = client.as_ref().ok_or(Error::Timeout)?;
+        let silence = self.heartbeat * SILENT_HEARTBEATS;
+        Ok((client.as_ref().clone(), within(silence)))
+    }
+}
+
+/// A call's context with a time limit.
+pub(super) fn within(limit: Duration) -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + limit;
+    context
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "used with map_err")]
+pub(super) fn failed(error: RpcError) -> Error {
+    Error::Call(error.to_string())
+}
--- /dev/null
+++ b/crates/daemon/src/router/link/data.rs
@@ -0,0 +1,93 @@
+//! The connection to a sidecar's data port.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http2::{Builder, SendRequest};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+use super::Error;
+
+/// Bytes of one answer that may be on the way while its caller reads slowly.
+const STREAM_WINDOW: u32 = 64 << 10;
+
+/// Slow callers at once that must not hold up the other answers of a connection.
+const SLOW_CALLERS: u32 = 256;
+
+/// Longest time to set up a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Unanswered keep-alive intervals after which a connection is given up.
+const SILENT_INTERVALS: u32 = 10;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// An HTTP/2 connection that is made again when it is lost.
+#[derive(Debug)]
+pub(crate) struct Data {
+    address: SocketAddr,
+    heartbeat: Duration,
+    sender: ArcSwapOption<Sender>,
+    connecting: Mutex<()>,
+}
+
+impl Data {
+    pub(super) fn new(address: SocketAddr, heartbeat: Duration) -> Self {
+        Self {
+            address,
+            heartbeat,
+            sender: ArcSwapOption::empty(),
+            connecting: Mutex::new(()),
+        }
+    }
+
+    /// The connection, made if there is none.
+    pub(crate) async fn sender(&self) -> Result<Sender, Error> {
+        if let Some(sender) = self.open_sender() {
+            return Ok(sender);
+        }
+        let _connecting = self.connecting.lock().await;
+        if let Some(sender) = self.open_sender() {
+            return Ok(sender);
+        }
+        let connect = timeout(CONNECT, self.connect()).await;
+        let sender = connect.map_err(|_| Error::Timeout)??;
+        self.sender.store(Some(sender.clone().into()));
+        Ok(sender)
+    }
+
+    /// Forgets the connection; answers that still come on it are not affected.
+    pub(super) fn reset(&self) {
+        self.sender.store(None);
+    }
+
+    fn open_sender(&self) -> Option<Sender> {
+        let sender = self.sender.load();
+        let sender = sender.as_ref()?;
+        (!sender.is_closed()).then(|| sender.as_ref().clone())
+    }
+
+    async fn connect(&self) -> Result<Sender, Error> {
+        let stream = TcpStream::connect(self.address).await;
+        let stream = stream.map_err(Error::Connect)?;
+        stream.set_nodelay(true).map_err(Error::Connect)?;
+        let (sender, connection) = Builder::new(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .initial_stream_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(STREAM_WINDOW * SLOW_CALLERS)
+            .keep_alive_interval(self.heartbeat)
+            .keep_alive_timeout(self.heartbeat * SILENT_INTERVALS)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(Error::Handshake)?;
+        // Its end shows in the sender and in every answer that was on the way.
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/router/link/session.rs
@@ -0,0 +1,235 @@
+//! The life of a control link, from one connection to the next.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mulberryyoke_decide::exchange::Cursor;
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::{Load, Millis, Revision};
+use mulberryyoke_wire::{self as wire, Poll, Polled, SidecarClient};
+use parking_lot::Mutex;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::control::{failed, within};
+use super::told::Told;
+use super::{Error, Link, SILENT_HEARTBEATS};
+use crate::clock;
+use crate::router::core::Core;
+
+/// Pause after the first failure to connect; it doubles up to a heartbeat.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Least time between two declarations, so that changes are told together.
+const DECLARE_PAUSE: Duration = Duration::from_millis(2);
+
+/// Time limit of a poll on the wire. Silence is noticed long before.
+const POLL_LIMIT: Duration = Duration::from_hours(1);
+
+/// Keeps a link until it is stopped.
+pub(super) async fn run(core: Arc<Core>, link: Arc<Link>) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let error = tokio::select! {
+            () = link.cancel.cancelled() => break,
+            error = Session::run(&core, &link) => error,
+        };
+        if link.standing.is_up() {
+            pause = FIRST_PAUSE;
+            log!(core.logger, Event::LinkDown,
+                "server" => &link.server.name, "cause" => error.to_string());
+        }
+        close(&link);
+        tokio::select! {
+            () = link.cancel.cancelled() => break,
+            () = sleep(pause) => {}
+        }
+        pause = (pause * 2).min(link.heartbeat).max(FIRST_PAUSE);
+    }
+    close(&link);
+}
+
+fn close(link: &Link) {
+    link.set_up(false);
+    link.control.store(None);
+    link.data.reset();
+}
+
+/// One connection of a control link.
+struct Session<'a> {
+    core: &'a Arc<Core>,
+    link: &'a Arc<Link>,
+    client: SidecarClient,
+    told: Mutex<Told>,
+}
+
+impl<'a> Session<'a> {
+    async fn run(core: &'a Arc<Core>, link: &'a Arc<Link>) -> Error {
+        let connect = wire::connect_sidecar(link.server.control, core.fleet.control_bytes());
+        let client = match timeout(link.heartbeat, connect).await {
+            Ok(Ok(client)) => client,
+            Ok(Err(error)) => return Error::Control(error),
+            Err(_) => return Error::Timeout,
+        };
+        link.control.store(Some(Arc::new(client.clone())));
+        let session = Self {
+            core,
+            link,
+            client,
+            told: Mutex::default(),
+        };
+        if let Err(error) = session.recall().await {
+            return error;
+        }
+        let ended = tokio::select! {
+            ended = session.declare() => ended,
+            ended = session.poll() => ended,
+        };
+        match ended {
+            Ok(never) => match never {},
+            Err(error) => error,
+        }
+    }
+
+    /// Tells the sidecar the keys that it, or its earlier life, was sent.
+    async fn recall(&self) -> Result<(), Error> {
+        let since = clock::now().saturating_sub(self.core.settings.retention_ms);
+        let (complete, keys) = self.core.keys.recall(self.link.id, since);
+        let context = within(self.link.heartbeat * SILENT_HEARTBEATS);
+        let call = self
+            .client
+            .recall(context, self.core.origin(), complete, keys);
+        call.await.map_err(failed)
+    }
+
+    /// Tells the sidecar what waits, first all of it, then each change.
+    async fn declare(&self) -> Result<std::convert::Infallible, Error> {
+        let room = self.core.rooms.get(self.link.pool);
+        let mut changed = room.subscribe();
+        let mut seen = 0;
+        let mut full = true;
+        loop {
+            changed.mark_unchanged();
+            let interest = if self.link.standing.is_closed() {
+                Vec::new()
+            } else if full {
+                room.all_interest(&mut seen, self.link.id)
+            } else {
+                room.new_interest(&mut seen, self.link.id)
+            };
+            let news = self.news(full, interest);
+            if full || !news.is_empty() {
+                let context = within(POLL_LIMIT);
+                let origin = self.core.origin();
+                let call = self.client.declare(context, origin, full, news);
+                call.await.map_err(failed)?;
+                sleep(DECLARE_PAUSE).await;
+            }
+            full = tokio::select! {
+                _ = changed.changed() => false,
+                () = self.link.opened.notified() => true,
+            };
+        }
+    }
+
+    fn news(&self, full: bool, interest: Vec<wire::Interest>) -> Vec<wire::Interest> {
+        let mut told = self.told.lock();
+        if full {
+            told.clear();
+        }
+        told.news(interest)
+    }
+
+    /// Polls for grants and load.
+    async fn poll(&self) -> Result<std::convert::Infallible, Error> {
+        let mut cursor = Cursor::default();
+        let mut poll = Poll {
+            origin: self.core.origin(),
+            revision: 0,
+            until: 0,
+            counted: 0,
+            fleet: Vec::new(),
+        };
+        let mut configured = 0;
+        loop {
+            poll.revision = self.core.fleet.view().revision();
+            let asked_at = Instant::now();
+            let polled = self.ask(&poll).await?;
+            self.learn(polled.load);
+            self.configure(polled.load, &mut configured);
+            self.grant(&polled);
+            if let Some(report) = &polled.report {
+                poll.counted = self.core.fleet.collect(polled.load.incarnation, report);
+                poll.fleet = self.core.fleet.totals(&mut cursor);
+            } else {
+                poll.fleet = Vec::new();
+            }
+            if polled.grants.is_empty() {
+                self.pace(asked_at, poll.until).await;
+            }
+            poll.until = clock::now() + self.core.settings.heartbeat_ms;
+        }
+    }
+
+    /// Calls the sidecar and watches for its silence.
+    async fn ask(&self, poll: &Poll) -> Result<Polled, Error> {
+        let silence = self.link.heartbeat * (SILENT_HEARTBEATS + 1);
+        let call = self.client.poll(within(POLL_LIMIT), poll.clone());
+        let mut call = std::pin::pin!(call);
+        if let Ok(polled) = timeout(silence, &mut call).await {
+            return polled.map_err(failed);
+        }
+        if self.link.standing.is_up() {
+            log!(self.core.logger, Event::LinkDown,
+                "server" => &self.link.server.name, "cause" => "silent");
+        }
+        self.link.set_up(false);
+        let polled = timeout(silence, call).await;
+        polled.map_err(|_| Error::Timeout)?.map_err(failed)
+    }
+
+    fn learn(&self, load: Load) {
+        self.link.standing.learn(load, clock::now());
+        if !self.link.standing.is_up() {
+            self.link.set_up(true);
+            log!(self.core.logger, Event::LinkUp,
+                "server" => &self.link.server.name,
+                "incarnation" => load.incarnation.0,
+                "free" => load.free);
+        }
+    }
+
+    /// Sends configuration that the sidecar lacks, once per revision.
+    fn configure(&self, load: Load, configured: &mut Revision) {
+        let config = self.core.fleet.config();
+        if load.revision >= config.revision || *configured >= config.revision {
+            return;
+        }
+        *configured = config.revision;
+        let changes = config.since(load.revision);
+        let client = self.client.clone();
+        tokio::spawn(async move {
+            // What is lost shows in the next load and is sent on the next link.
+            let _ = client.configure(within(POLL_LIMIT), changes).await;
+        });
+    }
+
+    fn grant(&self, polled: &Polled) {
+        let mut declined = Vec::new();
+        for grant in &polled.grants {
+            self.told.lock().granted(grant);
+            if !self.core.grant(self.link, grant) {
+                declined.push(grant.id);
+            }
+        }
+        self.link.decline(declined);
+    }
+
+    /// Keeps a sidecar whose clock is off from being polled without a pause.
+    async fn pace(&self, asked_at: Instant, until: Millis) {
+        let early = until > clock::now();
+        let least = self.link.heartbeat / 100;
+        if !early || asked_at.elapsed() < least {
+            sleep(least).await;
+        }
+    }
+}
--- a/crates/daemon/src/router/mod.rs
+++ b/crates/daemon/src/router/mod.rs
@@ -1,1 +1,37 @@
-//! The router role.
+//! The router role: takes callers' requests, lets them wait in order, sends each
+//! to a server when it has a slot, and passes the answer back.
+
+mod answer;
+mod attempt;
+mod body;
+mod call;
+mod callers;
+mod core;
+mod counts;
+mod dispatch;
+mod error;
+mod handle;
+mod header;
+mod home;
+pub mod inspect;
+mod keys;
+mod late;
+mod link;
+mod links;
+mod memory;
+mod outcome;
+mod place;
+mod refusal;
+mod relay;
+mod request;
+mod room;
+mod rooms;
+mod running;
+mod service;
+mod status;
+mod stop;
+mod wait;
+
+pub use error::Error;
+pub use handle::Router;
+pub use inspect::Inspect;
--- /dev/null
+++ b/crates/daemon/src/router/refusal.rs
@@ -0,0 +1,94 @@
+//! Refusals: errors in the form of the `OpenAI` interface, with the request's outcome.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use mulberryyoke_model::Outcome;
+use serde_json::json;
+
+use super::answer::Answer;
+
+/// Response header that tells whether a refused request ran.
+pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("x-outcome");
+
+/// Response header with the request id.
+pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Why a request gets no answer from a server.
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    /// HTTP status.
+    pub(crate) status: StatusCode,
+    /// What is known of the request.
+    pub(crate) outcome: Outcome,
+    /// Word for programs.
+    pub(crate) code: &'static str,
+    /// Text for people.
+    pub(crate) message: String,
+    /// Whole seconds after which to come back, where that makes sense.
+    pub(crate) retry_after: Option<u32>,
+}
+
+impl Refusal {
+    /// A refusal of a request that never left the router.
+    pub(crate) fn new(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            outcome: Outcome::NotRun,
+            code,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Names the time after which to come back.
+    pub(crate) fn retry_after(mut self, seconds: u32) -> Self {
+        self.retry_after = Some(seconds);
+        self
+    }
+
+    /// States another outcome than "not run".
+    pub(crate) fn outcome(mut self, outcome: Outcome) -> Self {
+        self.outcome = outcome;
+        self
+    }
+
+    /// The response, which names the request id if there is one.
+    pub(crate) fn into_response(self, id: Option<&str>) -> Response<Answer> {
+        let body = json!({"error": {
+            "message": self.message,
+            "type": kind(self.status),
+            "param": null,
+            "code": self.code,
+        }});
+        let mut response = json(self.status, body.to_string());
+        let headers = response.headers_mut();
+        headers.insert(OUTCOME, HeaderValue::from_static(self.outcome.word()));
+        if let Some(seconds) = self.retry_after {
+            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        if let Some(id) = id.and_then(|id| HeaderValue::from_str(id).ok()) {
+            headers.insert(REQUEST_ID, id);
+        }
+        response
+    }
+}
+
+fn kind(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED => "authentication_error",
+        StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+        status if status.is_client_error() => "invalid_request_error",
+        _ => "server_error",
+    }
+}
+
+/// A JSON response.
+pub(crate) fn json(status: StatusCode, body: String) -> Response<Answer> {
+    let mut response = Response::new(Answer::Whole(Full::new(Bytes::from(body))));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/router/request.rs
@@ -0,0 +1,215 @@
+//! Reading a caller's request: customer, pool, class, deadline, hint and key.
+
+use std::borrow::Cow;
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Request, StatusCode};
+use mulberryyoke_decide::place::Prefix;
+use mulberryyoke_decide::view::View;
+use mulberryyoke_model::{Attempt, Class, Customer, CustomerId, KeyHash, KeyId, Millis, PoolId};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use super::body;
+use super::call::{Call, Key};
+use super::core::Core;
+use super::header;
+use super::refusal::Refusal;
+use crate::clock;
+
+/// Cost of a model's request that tells nothing of it, in tokens.
+const DEFAULT_COST: u32 = 256;
+
+/// Bytes at the start of a prompt by which requests are thought alike.
+const PREFIX_BYTES: usize = 512;
+
+/// Longest idempotency key, in bytes.
+const KEY_BYTES: usize = 255;
+
+/// What the router reads of a model's request.
+#[derive(Deserialize)]
+struct Model<'a> {
+    #[serde(borrow)]
+    model: Cow<'a, str>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(borrow)]
+    messages: Option<&'a RawValue>,
+    #[serde(borrow)]
+    prompt: Option<&'a RawValue>,
+}
+
+/// What decides where a request goes and what it costs.
+struct Target {
+    pool: PoolId,
+    idempotent: bool,
+    cost: u32,
+    prefix: Option<Prefix>,
+}
+
+/// The customer that a request's bearer key names.
+pub(crate) fn customer<'a>(view: &'a View, headers: &HeaderMap) -> Result<&'a Customer, Refusal> {
+    let value = headers.get(AUTHORIZATION).ok_or_else(denied)?;
+    let value = value.to_str().map_err(|_| denied())?;
+    let (scheme, key) = value.split_once(' ').ok_or_else(denied)?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return Err(denied());
+    }
+    let customer = view.customer_by_key(&KeyHash::of(key.trim()));
+    customer.ok_or_else(denied)
+}
+
+/// Reads a request to the end of its body.
+pub(crate) async fn read(
+    core: &Arc<Core>,
+    attempt: Attempt,
+    request: Request<Incoming>,
+) -> Result<Call, Refusal> {
+    let since = clock::now();
+    let view = core.fleet.view();
+    let (mut parts, incoming) = request.into_parts();
+    let customer = customer(&view, &parts.headers)?;
+    let id = CustomerId::of(&customer.name);
+    let route = view.route(parts.method.as_str(), parts.uri.path());
+    let is_model = is_model(parts.uri.path());
+    if route.is_none() && !is_model {
+        return Err(no_route());
+    }
+    let body = body::read(core, incoming).await?;
+    let target = match route {
+        Some((pool, route)) if !is_model => Target {
+            pool: PoolId::of(&pool.name),
+            idempotent: route.idempotent,
+            cost: route.cost,
+            prefix: None,
+        },
+        _ => target(&view, id, &body.bytes)?,
+    };
+    let hint = number(&parts.headers, header::COST_HINT)?;
+    let deadline = deadline(core, &parts.headers, since)?;
+    let class = class(&parts.headers, customer.class)?;
+    let key = key(&parts, id, attempt, target.idempotent)?;
+    let path = parts.uri.path_and_query();
+    let path = path.map_or("/", |path| path.as_str()).to_owned();
+    header::forward(&mut parts.headers);
+    Ok(Call {
+        attempt,
+        customer: id,
+        share: customer.share,
+        queue: customer.queue,
+        pool: target.pool,
+        class,
+        deadline,
+        since,
+        hint: hint.unwrap_or(0),
+        cost: hint.unwrap_or(target.cost).max(1),
+        key,
+        prefix: target.prefix,
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        body: body.bytes,
+        _memory: body.memory,
+    })
+}
+
+fn is_model(path: &str) -> bool {
+    matches!(path, "/v1/chat/completions" | "/v1/completions")
+}
+
+fn target(view: &View, customer: CustomerId, body: &[u8]) -> Result<Target, Refusal> {
+    let read: Model = serde_json::from_slice(body).map_err(|error| unreadable(&error))?;
+    let pool = view.model(&read.model);
+    let pool = pool.ok_or_else(|| no_model(&read.model))?;
+    let hint = read.max_completion_tokens.or(read.max_tokens);
+    let start = read.messages.or(read.prompt).map(|raw| {
+        let bytes = raw.get().as_bytes();
+        &bytes[..bytes.len().min(PREFIX_BYTES)]
+    });
+    Ok(Target {
+        pool: PoolId::of(&pool.name),
+        idempotent: true,
+        cost: hint.unwrap_or(DEFAULT_COST),
+        prefix: start.map(|start| Prefix::of(customer, start)),
+    })
+}
+
+fn key(
+    parts: &Parts,
+    customer: CustomerId,
+    attempt: Attempt,
+    idempotent: bool,
+) -> Result<Option<Key>, Refusal> {
+    let Some(value) = parts.headers.get(header::IDEMPOTENCY_KEY) else {
+        let own = KeyId::of(customer, &attempt.request_id());
+        return Ok((!idempotent).then_some(Key {
+            id: own,
+            given: false,
+        }));
+    };
+    let text = text(header::IDEMPOTENCY_KEY, value)?;
+    if text.is_empty() || text.len() > KEY_BYTES {
+        return Err(bad_header(header::IDEMPOTENCY_KEY));
+    }
+    Ok(Some(Key {
+        id: KeyId::of(customer, text),
+        given: true,
+    }))
+}
+
+fn class(headers: &HeaderMap, usual: Class) -> Result<Class, Refusal> {
+    let Some(value) = headers.get(header::URGENCY) else {
+        return Ok(usual);
+    };
+    let class = Class::parse(text(header::URGENCY, value)?);
+    class.ok_or_else(|| bad_header(header::URGENCY))
+}
+
+fn deadline(core: &Core, headers: &HeaderMap, now: Millis) -> Result<Millis, Refusal> {
+    let usual = now.saturating_add(core.settings.limits.deadline_ms);
+    let Some(value) = headers.get(header::DEADLINE) else {
+        return Ok(usual);
+    };
+    let deadline = text(header::DEADLINE, value)?.parse();
+    deadline.map_err(|_| bad_header(header::DEADLINE))
+}
+
+fn number(headers: &HeaderMap, name: &'static str) -> Result<Option<u32>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let number = text(name, value)?.parse();
+    number.map(Some).map_err(|_| bad_header(name))
+}
+
+fn text<'a>(name: &'static str, value: &'a HeaderValue) -> Result<&'a str, Refusal> {
+    value.to_str().map_err(|_| bad_header(name))
+}
+
+fn denied() -> Refusal {
+    let message = "the bearer key names no customer";
+    Refusal::new(StatusCode::UNAUTHORIZED, "invalid_api_key", message)
+}
+
+fn no_route() -> Refusal {
+    let message = "no such method and path; see /v1/models and the configured services";
+    Refusal::new(StatusCode::NOT_FOUND, "route_not_found", message)
+}
+
+fn no_model(name: &str) -> Refusal {
+    let message = format!("no such model: {name}");
+    Refusal::new(StatusCode::NOT_FOUND, "model_not_found", message)
+}
+
+fn unreadable(error: &serde_json::Error) -> Refusal {
+    let message = format!("could not read body: {error}");
+    Refusal::new(StatusCode::BAD_REQUEST, "invalid_json", message)
+}
+
+fn bad_header(name: &'static str) -> Refusal {
+    let message = format!("could not read header: {name}");
+    Refusal::new(StatusCode::BAD_REQUEST, "invalid_header", message)
+}
--- /dev/null
+++ b/crates/daemon/src/router/room.rs
@@ -0,0 +1,147 @@
+//! The waiting requests of one pool.
+
+use std::sync::Arc;
+
+use mulberryyoke_decide::place::Prefix;
+use mulberryyoke_decide::queue::{Changes, Key, Queue, Waiting};
+use mulberryyoke_model::{Attempt, CustomerId, Interest, Millis, PoolId, ServerId};
+use parking_lot::Mutex;
+use tokio::sync::{oneshot, watch};
+
+use super::place::Place;
+
+/// What ends a request's wait.
+#[derive(Debug)]
+pub(crate) enum Turn {
+    /// A server has a slot for it.
+    Go(Place),
+    /// It has to go because too much waits here.
+    Displaced,
+}
+
+/// What is kept with a waiting request.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    pub(crate) attempt: Attempt,
+    pub(crate) prefix: Option<Prefix>,
+    pub(crate) turn: oneshot::Sender<Turn>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    queue: Queue<Waiter>,
+    changes: Changes,
+}
+
+/// The waiting requests of one pool, with a log of changes for the links.
+#[derive(Debug)]
+pub(crate) struct Room {
+    pub(crate) pool: PoolId,
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+impl Room {
+    pub(crate) fn new(pool: PoolId) -> Arc<Self> {
+        Arc::new(Self {
+            pool,
+            state: Mutex::default(),
+            changed: watch::Sender::new(0),
+        })
+    }
+
+    /// Tells when something has changed.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.state.lock().queue.is_empty()
+    }
+
+    pub(crate) fn push(&self, waiting: Waiting<Waiter>) -> Key {
+        let customer = waiting.customer;
+        let mut state = self.state.lock();
+        let key = state.queue.push(waiting);
+        let number = state.changes.mark(customer);
+        drop(state);
+        self.changed.send_replace(number);
+        key
+    }
+
+    pub(crate) fn remove(&self, key: Key) -> Option<Waiting<Waiter>> {
+        let mut state = self.state.lock();
+        let waiting = state.queue.remove(key)?;
+        let number = state.changes.mark(waiting.customer);
+        drop(state);
+        self.changed.send_replace(number);
+        Some(waiting)
+    }
+
+    /// Takes the customer's next request for a server out of all that are open.
+    pub(crate) fn take(
+        &self,
+        customer: CustomerId,
+        server: ServerId,
+        open: &[ServerId],
+    ) -> Option<Waiting<Waiter>> {
+        let warm = |waiter: &Waiter| {
+            let prefix = waiter.prefix;
+            let warmest = prefix.and_then(|prefix| prefix.warmest(open.iter().copied()));
+            warmest == Some(server)
+        };
+        let mut state = self.state.lock();
+        let waiting = state.queue.take(customer, server, warm)?;
+        let number = state.changes.mark(customer);
+        drop(state);
+        self.changed.send_replace(number);
+        Some(waiting)
+    }
+
+    /// Takes out the customer's request that would go last.
+    pub(crate) fn displace(&self, customer: CustomerId) -> Option<Waiting<Waiter>> {
+        let key = self.state.lock().queue.tail(customer)?;
+        self.remove(key)
+    }
+
+    /// Raises deferrable requests whose deadline is near.
+    pub(crate) fn raise(&self, now: Millis) {
+        let mut state = self.state.lock();
+        let raised = state.queue.raise(now);
+        let numbers = raised
+            .into_iter()
+            .map(|customer| state.changes.mark(customer));
+        let Some(number) = numbers.last() else {
+            return;
+        };
+        drop(state);
+        self.changed.send_replace(number);
+    }
+
+    /// Everything that waits for a server; `seen` becomes the latest change.
+    pub(crate) fn all_interest(&self, seen: &mut u64, server: ServerId) -> Vec<Interest> {
+        let state = self.state.lock();
+        *seen = state.changes.last();
+        let mut customers: Vec<CustomerId> = state.queue.customers().collect();
+        customers.sort_unstable();
+        customers.dedup();
+        let all = customers.into_iter();
+        all.map(|customer| state.queue.interest(customer, server))
+            .collect()
+    }
+
+    /// What has changed since `seen`, which becomes the latest change.
+    pub(crate) fn new_interest(&self, seen: &mut u64, server: ServerId) -> Vec<Interest> {
+        let state = self.state.lock();
+        let since = std::mem::replace(seen, state.changes.last());
+        let changed = state.changes.since(since);
+        changed
+            .map(|customer| state.queue.interest(customer, server))
+            .collect()
+    }
+
+    /// Reads the queue for introspection.
+    pub(crate) fn read<T>(&self, read: impl FnOnce(&Queue<Waiter>) -> T) -> T {
+        read(&self.state.lock().queue)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/router/running.rs
@@ -0,0 +1,120 @@
+//! A request that was sent to a server.
+
+use std::sync::Arc;
+
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::{Attempt, CustomerId, KeyId, Millis, Outcome};
+
+use super::call::Call;
+use super::core::Core;
+use super::link::Link;
+use crate::clock;
+
+/// How an answer ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    /// The caller has all of it.
+    Whole,
+    /// The server or the way to it failed.
+    Cut(String),
+    /// The caller left.
+    HungUp,
+}
+
+/// An attempt on its way, from just before it is sent to the end of its
+/// answer. One that is dropped has lost its caller.
+#[derive(Debug)]
+pub(crate) struct Running {
+    core: Arc<Core>,
+    link: Arc<Link>,
+    attempt: Attempt,
+    customer: CustomerId,
+    key: Option<KeyId>,
+    since: Millis,
+    ended: bool,
+}
+
+impl Running {
+    /// Records that an attempt is about to be sent.
+    pub(crate) fn begin(core: &Arc<Core>, link: &Arc<Link>, call: &Call) -> Self {
+        let key = call.key.map(|key| key.id);
+        let attempt = call.attempt;
+        core.memory
+            .send(attempt.request, attempt.number, link.id, key);
+        if let Some(key) = key {
+            core.keys.remember(link.id, key, clock::now());
+        }
+        link.standing.begin();
+        core.counts.begin(call.customer);
+        Self {
+            core: Arc::clone(core),
+            link: Arc::clone(link),
+            attempt,
+            customer: call.customer,
+            key,
+            since: call.since,
+            ended: false,
+        }
+    }
+
+    /// Records that the attempt is proved not to have run.
+    pub(crate) fn not_run(mut self) {
+        self.ended = true;
+        self.core.memory.prove(self.attempt.request);
+        if let Some(key) = self.key {
+            self.core.keys.forget(self.link.id, key);
+        }
+    }
+
+    /// Records that nothing is known of the attempt.
+    pub(crate) fn lose(mut self) {
+        self.ended = true;
+    }
+
+    /// Records the end of the answer.
+    pub(crate) fn finish(mut self, end: &End) {
+        self.end(end);
+    }
+
+    fn end(&mut self, end: &End) {
+        self.ended = true;
+        match end {
+            End::Whole => self.answered(),
+            End::Cut(cause) => self.cut("server", cause),
+            End::HungUp => self.cut("caller", "caller left"),
+        }
+    }
+
+    fn answered(&self) {
+        self.core.memory.settle(self.attempt.request, Outcome::Ran);
+        metrics::counter!("answers_total").increment(1);
+        log!(self.core.logger, Event::Answered,
+            "request" => self.attempt.request_id(),
+            "customer" => self.customer.0,
+            "server" => &self.link.server.name,
+            "elapsed_ms" => clock::now().saturating_sub(self.since));
+    }
+
+    fn cut(&self, side: &'static str, cause: &str) {
+        self.core
+            .memory
+            .settle(self.attempt.request, Outcome::Unknown);
+        metrics::counter!("answers_cut_total", "side" => side).increment(1);
+        log!(self.core.logger, Event::Truncated,
+            "request" => self.attempt.request_id(),
+            "customer" => self.customer.0,
+            "server" => &self.link.server.name,
+            "side" => side,
+            "cause" => cause);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(&End::HungUp);
+        }
+        self.link.standing.end();
+        self.core.counts.end(self.customer);
+    }
+}
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -12,6 +12,7 @@
 
 use mulberryyoke_model::{Class, CustomerId, Interest, Millis, ServerId};
 use slotmap::{SlotMap, new_key_type};
+use smallvec::SmallVec;
 
 pub use changes::Changes;
 use line::Line;
@@ -20,6 +21,13 @@
 /// How long before its deadline a deferrable request ranks as urgent, in milliseconds.
 pub const RISE_MS: Millis = 30_000;
 
+/// How far apart the deadlines of requests may be that change places for a warm
+/// prefix, in milliseconds.
+pub const SLACK_MS: Millis = 250;
+
+/// How many requests of a line are weighed for a warm prefix.
+const WEIGHED: usize = 8;
+
 new_key_type! {
     /// Key of a waiting request.
     pub struct Key;
@@ -96,7 +104,7 @@
 
     /// Takes the customer's next request that `server` may run. `warm` tells
     /// whether the server is the preferred one of a request; it decides only
-    /// between requests of equal rank and deadline.
+    /// among the first few of equal rank whose deadlines are [`SLACK_MS`] apart.
     pub fn take(
         &mut self,
         customer: CustomerId,
@@ -116,12 +124,19 @@
         let lines = [None, Some(server)]
             .into_iter()
             .filter_map(|bound| self.lines.get(&(customer, bound)));
-        let heads = lines.filter_map(Line::heads).flatten();
-        heads.min_by_key(|&key| {
-            let waiting = &self.arena[key];
-            let cold = !warm(&waiting.owned);
-            (waiting.rank, waiting.deadline, cold, waiting.arrival)
-        })
+        let heads: SmallVec<[Key; 2 * WEIGHED]> = lines.filter_map(Line::heads).flatten().collect();
+        let place = |key: &Key| {
+            let waiting = &self.arena[*key];
+            (waiting.rank, waiting.deadline, waiting.arrival)
+        };
+        let first = heads.iter().copied().min_by_key(place)?;
+        let (rank, deadline, _) = place(&first);
+        let last = deadline.saturating_add(SLACK_MS);
+        let near = heads.iter().filter(|&key| {
+            let waiting = &self.arena[*key];
+            waiting.rank == rank && waiting.deadline <= last && warm(&waiting.owned)
+        });
+        near.copied().min_by_key(place).or(Some(first))
     }
 
     /// Raises deferrable requests whose deadline is near; returns their customers.
@@ -190,6 +205,13 @@
         interest
     }
 
+    /// Requests of the same customer and standing that go before one.
+    #[must_use]
+    pub fn position(&self, waiting: &Waiting<T>) -> usize {
+        let line = self.lines.get(&(waiting.customer, waiting.bound));
+        line.map_or(0, |line| line.position(waiting))
+    }
+
     /// Customers with something waiting; one may stand in it more than once.
     pub fn customers(&self) -> impl Iterator<Item = CustomerId> {
         self.lines.keys().map(|&(customer, _)| customer)
--- a/crates/decide/src/queue/line.rs
+++ b/crates/decide/src/queue/line.rs
@@ -4,10 +4,7 @@
 
 use mulberryyoke_model::{Class, Millis};
 
-use super::{Key, Waiting};
-
-/// How many requests of equal rank and deadline are weighed for a warm prefix.
-const WEIGHED: usize = 8;
+use super::{Key, WEIGHED, Waiting};
 
 #[derive(Debug, Default)]
 struct Rank {
@@ -56,18 +53,21 @@
         first.map(|&(_, key)| key)
     }
 
-    /// The first few of the best rank that have the same deadline.
+    /// The first few of the best rank.
     pub(super) fn heads(&self) -> Option<impl Iterator<Item = Key>> {
-        let best = self
-            .ranks
-            .iter()
-            .find(|rank| !rank.by_deadline.is_empty())?;
-        let &(deadline, ..) = best.by_deadline.first()?;
-        let equal = best
-            .by_deadline
-            .iter()
-            .take_while(move |(at, ..)| *at == deadline);
-        Some(equal.take(WEIGHED).map(|&(_, _, key)| key))
+        let mut ranks = self.ranks.iter();
+        let best = ranks.find(|rank| !rank.by_deadline.is_empty())?;
+        let first = best.by_deadline.iter().take(WEIGHED);
+        Some(first.map(|&(_, _, key)| key))
+    }
+
+    /// How many go before one.
+    pub(super) fn position<T>(&self, waiting: &Waiting<T>) -> usize {
+        let better = &self.ranks[..waiting.rank.index()];
+        let better: usize = better.iter().map(|rank| rank.by_arrival.len()).sum();
+        let place = (waiting.deadline, waiting.arrival, Key::default());
+        let own = &self.ranks[waiting.rank.index()].by_deadline;
+        better + own.range(..place).count()
     }
 
     pub(super) fn tail(&self) -> Option<Key> {
