--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -1,7 +1,6 @@
 //! What a router knows of the fleet: accepted configuration, peer routers, VM
 //! list and the service that customers have received.
 
-mod clock;
 mod error;
 mod local;
 mod peer;
@@ -34,6 +33,7 @@
 use self::peers::Peers;
 use self::store::Store;
 use self::vms::Roster;
+use crate::clock;
 
 /// A router's knowledge of the fleet, kept up to date until stopped.
 pub struct Fleet {
--- a/crates/daemon/src/router/request.rs
+++ b/crates/daemon/src/router/request.rs
@@ -31,7 +31,7 @@
 
 /// What the router reads of a model's request.
 #[derive(Deserialize)]
-struct Model<'a> {
+struct Body<'a> {
     #[serde(borrow)]
     model: Cow<'a, str>,
     max_tokens: Option<u32>,
@@ -121,7 +121,7 @@
 }
 
 fn target(view: &View, customer: CustomerId, body: &[u8]) -> Result<Target, Refusal> {
-    let read: Model = serde_json::from_slice(body).map_err(|error| unreadable(&error))?;
+    let read: Body = serde_json::from_slice(body).map_err(|error| unreadable(&error))?;
     let pool = view.model(&read.model);
     let pool = pool.ok_or_else(|| no_model(&read.model))?;
     let hint = read.max_completion_tokens.or(read.max_tokens);
