--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,10 @@
 
 pub mod exchange;
 pub mod home;
+pub mod limit;
+pub mod place;
+pub mod queue;
 pub(crate) mod rank;
+pub mod retry;
 pub mod settle;
 pub mod view;
