--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod queue;
 pub(crate) mod rank;
 pub mod retry;
+pub mod settle;
 pub mod view;
