Serve operators' commands and questions at the router

The operators' port tells nodes and their revisions, who waits and for what. Commands are refused while the key-value service has older contents than are in force: what it accepted then would never be applied.

--- a/crates/command/src/answer/status.rs
+++ b/crates/command/src/answer/status.rs
@@ -16,6 +16,9 @@
     pub kv: bool,
     /// Every node, routers first.
     pub nodes: Vec<Node>,
+    /// Servers that the asked router is not meant to be connected to, so that it
+    /// knows nothing of their sidecars.
+    pub unseen: usize,
     /// Counts at the asked router.
     pub tally: Tally,
 }
--- a/crates/command/src/answer/waiting.rs
+++ b/crates/command/src/answer/waiting.rs
@@ -1,6 +1,6 @@
 //! Who is waiting, and why.
 
-use mulberryyoke_model::{Class, Millis};
+use mulberryyoke_model::{Class, Millis, Outcome};
 use serde::{Deserialize, Serialize};
 
 /// Waiting requests at the asked router.
@@ -14,6 +14,9 @@
     pub requests: Vec<Waiter>,
     /// Requests left out by the limit.
     pub more: u64,
+    /// What became of the request that was asked for by its id.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<Outcome>,
 }
 
 /// A customer's standing beside the others'.
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -7,10 +7,12 @@
 mod peers;
 mod service;
 mod source;
+mod standing;
 mod store;
 mod vms;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 
 use mulberryyoke_decide::exchange::{Cursor, Ledger};
@@ -29,6 +31,7 @@
 
 pub use self::error::Error;
 pub use self::local::Local;
+pub use self::standing::{Hearing, Standing};
 
 use self::peers::Peers;
 use self::store::Store;
@@ -43,6 +46,7 @@
     control: SocketAddr,
     bytes: Arc<Bytes>,
     store: Store,
+    kv_up: AtomicBool,
     roster: Roster,
     peers: Peers,
     ledger: Mutex<Ledger>,
@@ -81,6 +85,7 @@
             member,
             control,
             store: Store::open(),
+            kv_up: AtomicBool::new(false),
             roster: Roster::default(),
             peers: Peers::open(Arc::clone(&bytes)),
             ledger: Mutex::new(Ledger::open(incarnation)),
@@ -119,6 +124,18 @@
         members
     }
 
+    /// Every other router of the VM list, whether it answered or not.
+    #[must_use]
+    pub fn standings(&self) -> Vec<Standing> {
+        self.peers.standings()
+    }
+
+    /// Whether the key-value service is being followed.
+    #[must_use]
+    pub fn is_kv_up(&self) -> bool {
+        self.kv_up.load(Ordering::Relaxed)
+    }
+
     /// The index over the accepted configuration.
     #[must_use]
     pub fn view(&self) -> Arc<View> {
--- a/crates/daemon/src/fleet/peer.rs
+++ b/crates/daemon/src/fleet/peer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use mulberryyoke_model::ServerId;
+use mulberryyoke_model::{Revision, ServerId};
 use mulberryyoke_wire::{self as wire, Bytes, Member, RouterClient};
 use parking_lot::Mutex;
 use tarpc::context::Context;
@@ -25,6 +25,7 @@
 pub(super) struct Heard {
     pub(super) member: Member,
     pub(super) at: Instant,
+    pub(super) revision: Revision,
     pub(super) idle: Vec<ServerId>,
 }
 
--- a/crates/daemon/src/fleet/peers.rs
+++ b/crates/daemon/src/fleet/peers.rs
@@ -13,6 +13,7 @@
 
 use super::Fleet;
 use super::peer::{Heard, Peer, context};
+use super::standing::{Hearing, Standing};
 
 /// A peer unheard for this many exchanges is suspect.
 const SUSPECT_EXCHANGES: u32 = 5;
@@ -64,6 +65,21 @@
         live.map(|heard| heard.member).collect()
     }
 
+    /// Every peer in the VM list, whether it answered or not.
+    pub(super) fn standings(&self) -> Vec<Standing> {
+        let fresh_for = *self.fresh_for.read();
+        let peers = self.all();
+        let standings = peers.iter().map(|peer| Standing {
+            name: peer.name.clone(),
+            heard: peer.heard().map(|heard| Hearing {
+                member: heard.member,
+                revision: heard.revision,
+                fresh: heard.at.elapsed() < fresh_for,
+            }),
+        });
+        standings.collect()
+    }
+
     pub(super) fn idle(&self) -> Vec<ServerId> {
         let live = self.live().into_iter();
         let idle: BTreeSet<ServerId> = live.flat_map(|heard| heard.idle).collect();
@@ -147,6 +163,7 @@
             peer.set_heard(Heard {
                 member: summary.from,
                 at: Instant::now(),
+                revision: summary.revision,
                 idle: summary.idle,
             });
         }
--- a/crates/daemon/src/fleet/source.rs
+++ b/crates/daemon/src/fleet/source.rs
@@ -1,6 +1,7 @@
 //! Configuration from the key-value service.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use futures::StreamExt;
@@ -109,10 +110,13 @@
             log!(self.fleet.logger, Event::KvUp);
         }
         self.up = Some(true);
+        self.fleet.kv_up.store(true, Ordering::Relaxed);
         self.behind = false;
     }
 
     fn note(&mut self, end: Result<(), End>) {
+        let up = end.is_ok();
+        self.fleet.kv_up.store(up, Ordering::Relaxed);
         match end {
             Ok(()) => {}
             Err(End::Failed(error)) => {
--- a/crates/daemon/src/operator/execute.rs
+++ b/crates/daemon/src/operator/execute.rs
@@ -5,12 +5,11 @@
 mod server;
 
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use mulberryyoke_command::answer::{Answer, Code, Refusal, Request, Written};
-use mulberryyoke_command::{Command, ConfigAction, Error, words};
+use mulberryyoke_command::{Command, ConfigAction, Error, Waiting, words};
 use mulberryyoke_decide::settle::{self, Settled};
-use mulberryyoke_model::{Millis, Object};
+use mulberryyoke_model::{Attempt, Object};
 
 use super::author::Author;
 use super::held::Held;
@@ -43,15 +42,34 @@
             Command::Pool(pool) => self.pool(pool.action.as_ref(), author).await,
             Command::Server(server) => self.server(server.action.as_ref(), author).await,
             Command::Status(status) => Ok(query::status(&*self.source, status)),
-            Command::Waiting(waiting) => Ok(Answer::Waiting(self.source.waiting(waiting))),
+            Command::Waiting(waiting) => Ok(self.waiting(waiting).await),
             Command::Config(config) => self.config(config.action.as_ref()).await,
         }
     }
 
+    async fn waiting(&self, query: &Waiting) -> Answer {
+        let mut waiting = self.source.waiting(query);
+        let attempt = query.request.as_deref().and_then(Attempt::parse_request_id);
+        if let Some(attempt) = attempt {
+            waiting.outcome = Some(self.source.outcome(attempt).await);
+        }
+        Answer::Waiting(waiting)
+    }
+
+    async fn list(&self, start: &str) -> Result<Vec<(String, Held)>, Refusal> {
+        let accepted = self.source.config().revision;
+        self.store.list(start, accepted).await
+    }
+
+    async fn get(&self, key: &str) -> Result<Held, Refusal> {
+        let accepted = self.source.config().revision;
+        self.store.get(key, accepted).await
+    }
+
     async fn config(&self, action: Option<&ConfigAction>) -> Result<Answer, Refusal> {
         match action {
             Some(ConfigAction::History(history)) => {
-                let held = self.store.list(&history.key).await?;
+                let held = self.list(&history.key).await?;
                 Ok(query::history(&held, history.limit))
             }
             Some(ConfigAction::Show(show)) => {
@@ -94,14 +112,6 @@
     words::kept(&request.words)
 }
 
-/// The time of day.
-pub(crate) fn now() -> Millis {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
-}
-
 /// The answer to a command that was accepted when it was sent before.
 fn repeated(key: &str, held: &Held, author: &Author) -> Option<Written> {
     let (entry, revision) = held.found()?;
@@ -141,12 +151,6 @@
     }
 }
 
-/// Finds a key among those of a listing.
-fn pick(listing: &[(String, Held)], key: &str) -> Held {
-    let found = listing.iter().find(|(listed, _)| listed == key);
-    found.map(|(_, held)| held.clone()).unwrap_or_default()
-}
-
 /// The objects of a listing.
 fn objects(listing: &[(String, Held)]) -> impl Iterator<Item = &Object> {
     listing.iter().filter_map(|(_, held)| held.object())
--- a/crates/daemon/src/operator/execute/customer.rs
+++ b/crates/daemon/src/operator/execute/customer.rs
@@ -4,10 +4,11 @@
 use mulberryyoke_command::answer::{Answer, Refusal};
 use mulberryyoke_model::{Customer, Object};
 
-use super::{Execute, no_action, objects, pick};
+use super::{Execute, no_action, objects};
 use crate::operator::author::Author;
 use crate::operator::plan::customer as plan;
 use crate::operator::query;
+use crate::operator::store::pick;
 
 impl Execute {
     pub(super) async fn customer(
@@ -18,21 +19,21 @@
         match action {
             Some(CustomerAction::Add(add)) => {
                 let key = format!("customer/{}", add.name);
-                let listing = self.store.list("customer/").await?;
+                let listing = self.list("customer/").await?;
                 let (held, others) = (pick(&listing, &key), customers(objects(&listing)));
                 let plan = || plan::add(add, held.object(), &others);
                 self.change(&key, &held, None, plan, author).await
             }
             Some(CustomerAction::Set(set)) => {
                 let key = format!("customer/{}", set.name);
-                let listing = self.store.list("customer/").await?;
+                let listing = self.list("customer/").await?;
                 let (held, others) = (pick(&listing, &key), customers(objects(&listing)));
                 let plan = || plan::set(set, held.object(), &others);
                 self.change(&key, &held, set.at, plan, author).await
             }
             Some(CustomerAction::Remove(remove)) => {
                 let key = format!("customer/{}", remove.name);
-                let held = self.store.get(&key).await?;
+                let held = self.get(&key).await?;
                 let plan = || plan::remove(&remove.name, held.object());
                 self.change(&key, &held, remove.at, plan, author).await
             }
--- a/crates/daemon/src/operator/execute/pool.rs
+++ b/crates/daemon/src/operator/execute/pool.rs
@@ -5,10 +5,11 @@
 use mulberryyoke_model::{Object, Pool};
 
 use super::server::servers;
-use super::{Execute, no_action, objects, pick};
+use super::{Execute, no_action, objects};
 use crate::operator::author::Author;
 use crate::operator::plan::pool as plan;
 use crate::operator::query;
+use crate::operator::store::pick;
 
 impl Execute {
     pub(super) async fn pool(
@@ -19,22 +20,22 @@
         match action {
             Some(PoolAction::Add(add)) => {
                 let key = format!("pool/{}", add.name);
-                let listing = self.store.list("pool/").await?;
+                let listing = self.list("pool/").await?;
                 let (held, others) = (pick(&listing, &key), pools(objects(&listing)));
                 let plan = || plan::add(add, held.object(), &others);
                 self.change(&key, &held, None, plan, author).await
             }
             Some(PoolAction::Set(set)) => {
                 let key = format!("pool/{}", set.name);
-                let listing = self.store.list("pool/").await?;
+                let listing = self.list("pool/").await?;
                 let (held, others) = (pick(&listing, &key), pools(objects(&listing)));
                 let plan = || plan::set(set, held.object(), &others);
                 self.change(&key, &held, set.at, plan, author).await
             }
             Some(PoolAction::Remove(remove)) => {
                 let key = format!("pool/{}", remove.name);
-                let held = self.store.get(&key).await?;
-                let listing = self.store.list("server/").await?;
+                let held = self.get(&key).await?;
+                let listing = self.list("server/").await?;
                 let left = servers(objects(&listing));
                 let plan = || plan::remove(&remove.name, held.object(), &left);
                 self.change(&key, &held, remove.at, plan, author).await
--- a/crates/daemon/src/operator/execute/server.rs
+++ b/crates/daemon/src/operator/execute/server.rs
@@ -4,10 +4,11 @@
 use mulberryyoke_command::{ServerAction, ServerAdd, ServerChange, ServerList};
 use mulberryyoke_model::{Object, Server, State};
 
-use super::{Execute, no_action, objects, pick};
+use super::{Execute, no_action, objects};
 use crate::operator::author::Author;
 use crate::operator::plan::server as plan;
 use crate::operator::query;
+use crate::operator::store::pick;
 
 impl Execute {
     pub(super) async fn server(
@@ -38,12 +39,12 @@
 
     async fn add_server(&self, add: &ServerAdd, author: &Author) -> Result<Answer, Refusal> {
         let key = format!("server/{}", add.name);
-        let pool = self.store.get(&format!("pool/{}", add.pool)).await?;
+        let pool = self.get(&format!("pool/{}", add.pool)).await?;
         if pool.object().is_none() {
             let message = format!("pool/{}: does not exist; add it first", add.pool);
             return Err(Refusal::new(Code::Missing, message));
         }
-        let listing = self.store.list("server/").await?;
+        let listing = self.list("server/").await?;
         let (held, others) = (pick(&listing, &key), servers(objects(&listing)));
         let plan = || plan::add(add, held.object(), &others, author.at);
         self.change(&key, &held, None, plan, author).await
@@ -56,7 +57,7 @@
         author: &Author,
     ) -> Result<Answer, Refusal> {
         let key = format!("server/{}", change.name);
-        let held = self.store.get(&key).await?;
+        let held = self.get(&key).await?;
         let plan = || plan::change(&change.name, state, held.object(), author.at);
         self.change(&key, &held, change.at, plan, author).await
     }
--- a/crates/daemon/src/operator/port.rs
+++ b/crates/daemon/src/operator/port.rs
@@ -8,7 +8,6 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
-use metrics_exporter_prometheus::PrometheusHandle;
 use mulberryyoke_platform::kv::Kv;
 use slog::Logger;
 use tokio::net::{TcpListener, TcpStream};
@@ -21,6 +20,7 @@
 use super::respond::Respond;
 use super::source::Source;
 use super::store::Store;
+use crate::metric;
 
 /// Longest time a client may take to send its head.
 const HEAD: Duration = Duration::from_secs(5);
@@ -43,8 +43,6 @@
     pub kv: Arc<dyn Kv>,
     /// The router.
     pub source: Arc<dyn Source>,
-    /// The process's metrics.
-    pub metrics: PrometheusHandle,
     /// The log.
     pub logger: Logger,
 }
@@ -64,6 +62,7 @@
     ///
     /// [`Error::Bind`] when the address is taken or not ours.
     pub async fn bind(setup: Setup) -> Result<Self, Error> {
+        metric::install();
         let address = setup.address;
         let bind = |source| Error::Bind { address, source };
         let listener = TcpListener::bind(address).await.map_err(bind)?;
@@ -73,7 +72,6 @@
             access: Access::new(&setup.operators),
             execute: Execute::new(store, Arc::clone(&setup.source)),
             source: setup.source,
-            metrics: setup.metrics,
             logger: setup.logger,
         });
         let stop = CancellationToken::new();
--- a/crates/daemon/src/operator/query.rs
+++ b/crates/daemon/src/operator/query.rs
@@ -19,6 +19,7 @@
         revision: source.config().revision,
         kv: source.is_kv_up(),
         nodes,
+        unseen: source.unseen(),
         tally: source.tally(),
     })
 }
--- a/crates/daemon/src/operator/respond.rs
+++ b/crates/daemon/src/operator/respond.rs
@@ -8,7 +8,6 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use metrics_exporter_prometheus::PrometheusHandle;
 use mulberryyoke_command::answer::{self, Answer, Code, Refusal, Reply};
 use mulberryyoke_event::{Event, log};
 use slog::Logger;
@@ -17,6 +16,7 @@
 use super::author::Author;
 use super::execute::{self, Execute};
 use super::source::Source;
+use crate::{clock, metric};
 
 /// Largest body of a command, in bytes.
 const COMMAND_BYTES: usize = 256 << 10;
@@ -26,7 +26,6 @@
     pub(crate) access: Access,
     pub(crate) execute: Execute,
     pub(crate) source: Arc<dyn Source>,
-    pub(crate) metrics: PrometheusHandle,
     pub(crate) logger: Logger,
 }
 
@@ -41,7 +40,7 @@
             (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
             (&Method::GET, "/readyz") if self.source.is_ready() => text(StatusCode::OK, "ready\n"),
             (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-            (&Method::GET, "/metrics") => text(StatusCode::OK, self.metrics.render()),
+            (&Method::GET, "/metrics") => text(StatusCode::OK, metric::render()),
             (&Method::POST, "/v1/command") => self.command(request).await,
             (_, "/healthz" | "/readyz" | "/metrics" | "/v1/command") => {
                 text(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n")
@@ -66,7 +65,7 @@
             command: request.command.unwrap_or_else(rand::random),
             operator,
             words: execute::kept_words(&request),
-            at: execute::now(),
+            at: clock::now(),
         };
         let result = self.execute.run(&request, &author).await;
         self.audit(&author, &result);
--- a/crates/daemon/src/operator/source.rs
+++ b/crates/daemon/src/operator/source.rs
@@ -1,10 +1,11 @@
 //! What the operators' port needs to know of its router.
 
+use std::pin::Pin;
 use std::sync::Arc;
 
+use mulberryyoke_command as command;
 use mulberryyoke_command::answer::{Node, Tally, Waiting};
-use mulberryyoke_command::{self as command};
-use mulberryyoke_model::Config;
+use mulberryyoke_model::{Attempt, Config, Outcome};
 
 /// The router as the operators' port sees it.
 pub trait Source: Send + Sync {
@@ -23,9 +24,15 @@
     /// Every node it knows, itself included.
     fn nodes(&self) -> Vec<Node>;
 
+    /// Servers that it is not meant to be connected to.
+    fn unseen(&self) -> usize;
+
     /// Counts of its requests.
     fn tally(&self) -> Tally;
 
     /// Its waiting requests.
     fn waiting(&self, query: &command::Waiting) -> Waiting;
+
+    /// What became of a request of any router.
+    fn outcome(&self, attempt: Attempt) -> Pin<Box<dyn Future<Output = Outcome> + Send + '_>>;
 }
--- a/crates/daemon/src/operator/store.rs
+++ b/crates/daemon/src/operator/store.rs
@@ -34,19 +34,26 @@
         Self { kv, prefix }
     }
 
-    /// Reads all keys that start with `start`, each without the prefix.
-    pub(crate) async fn list(&self, start: &str) -> Result<Vec<(String, Held)>, Refusal> {
+    /// Reads all keys that start with `start`, each without the prefix. A service
+    /// whose revision is below `accepted` has older contents and is not used.
+    pub(crate) async fn list(
+        &self,
+        start: &str,
+        accepted: Revision,
+    ) -> Result<Vec<(String, Held)>, Refusal> {
         let prefix = format!("{}{start}", self.prefix);
         let listing = self.kv.range(&prefix).await.map_err(|e| unread(&e))?;
+        if listing.revision < accepted {
+            return Err(behind(listing.revision, accepted));
+        }
         let entries = listing.entries.into_iter();
         Ok(entries.map(|pair| self.held(&pair)).collect())
     }
 
     /// Reads one key.
-    pub(crate) async fn get(&self, key: &str) -> Result<Held, Refusal> {
-        let full = format!("{}{key}", self.prefix);
-        let pair = self.kv.get(&full).await.map_err(|e| unread(&e))?;
-        Ok(pair.map_or_else(Held::default, |pair| self.held(&pair).1))
+    pub(crate) async fn get(&self, key: &str, accepted: Revision) -> Result<Held, Refusal> {
+        let listing = self.list(key, accepted).await?;
+        Ok(pick(&listing, key))
     }
 
     /// Writes `object` under `key` if the key is still as `held` says. An answer
@@ -120,6 +127,12 @@
     }
 }
 
+/// Finds a key among those of a listing.
+pub(crate) fn pick(listing: &[(String, Held)], key: &str) -> Held {
+    let found = listing.iter().find(|(listed, _)| listed == key);
+    found.map(|(_, held)| held.clone()).unwrap_or_default()
+}
+
 /// A refusal that names what is there now.
 pub(crate) fn conflict(key: &str, now: &Held, author: &Author) -> Refusal {
     let entry = now.entry.clone().unwrap_or_default();
@@ -174,6 +187,14 @@
     serde_json::to_vec(&entry).map_err(|e| Refusal::new(Code::Refused, e.to_string()))
 }
 
+fn behind(revision: Revision, accepted: Revision) -> Refusal {
+    let message = format!(
+        "the key-value service has older contents (revision {revision}) than are in force \
+         (revision {accepted}); nothing was changed"
+    );
+    Refusal::new(Code::Unavailable, message)
+}
+
 fn unread(error: &Error) -> Refusal {
     Refusal::new(Code::Unavailable, error.to_string())
 }
--- a/crates/daemon/src/router/error.rs
+++ b/crates/daemon/src/router/error.rs
@@ -5,7 +5,7 @@
 
 use displaydoc::Display;
 
-use crate::fleet;
+use crate::{fleet, operator};
 
 /// Why a router could not start.
 #[derive(Debug, Display)]
@@ -17,13 +17,8 @@
         /// What the operating system said.
         source: io::Error,
     },
-    /// could not bind operators' port: {address}: {source}
-    Operators {
-        /// The address.
-        address: SocketAddr,
-        /// What the operating system said.
-        source: io::Error,
-    },
+    /// {0}
+    Operators(operator::Error),
     /// could not join fleet: {0}
     Fleet(fleet::Error),
 }
--- a/crates/daemon/src/router/handle.rs
+++ b/crates/daemon/src/router/handle.rs
@@ -15,9 +15,9 @@
 use super::core::Core;
 use super::error::Error;
 use super::inspect::Inspect;
-use super::links;
-use super::status::Status;
+use super::{links, operators};
 use crate::fleet::{Fleet, Local};
+use crate::operator::Operator;
 
 /// Part of the time for a planned stop in which waiting requests may still start.
 const WAITING_PART: u32 = 2;
@@ -29,7 +29,7 @@
     address: SocketAddr,
     callers: JoinHandle<()>,
     links: JoinHandle<()>,
-    status: Status,
+    operators: Operator,
 }
 
 impl Router {
@@ -46,7 +46,7 @@
         core.fleet.serve(Arc::new(Answers(Arc::clone(&core))));
         let port = Port::bind(&core).await?;
         let address = port.address()?;
-        let status = Status::bind(&core).await?;
+        let operators = operators::bind(&core).await?;
         let links = tokio::spawn(links::keep(Arc::clone(&core)));
         let callers = tokio::spawn(port.run());
         log!(core.logger, Event::Ready,
@@ -56,7 +56,7 @@
             address,
             callers,
             links,
-            status,
+            operators,
         })
     }
 
@@ -66,6 +66,12 @@
         self.address
     }
 
+    /// The bound address of the operators' port.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
     /// A handle for operators' questions.
     #[must_use]
     pub fn inspect(&self) -> Inspect {
@@ -93,7 +99,7 @@
             let _ = callers.await;
         }
         let _ = self.links.await;
-        self.status.stop().await;
+        self.operators.stop().await;
         core.fleet.stop().await;
         log!(core.logger, Event::Stopped, "cut" => core.counts.total());
         sleep_until(Instant::now()).await;
--- a/crates/daemon/src/router/mod.rs
+++ b/crates/daemon/src/router/mod.rs
@@ -19,6 +19,7 @@
 mod link;
 mod links;
 mod memory;
+mod operators;
 mod outcome;
 mod place;
 mod refusal;
@@ -28,7 +29,6 @@
 mod rooms;
 mod running;
 mod service;
-mod status;
 mod stop;
 mod wait;
 
--- /dev/null
+++ b/crates/daemon/src/router/operators.rs
@@ -0,0 +1,89 @@
+//! The operators' port of a router.
+
+mod nodes;
+mod waiting;
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use mulberryyoke_command as command;
+use mulberryyoke_command::answer::{Node, Tally, Waiting};
+use mulberryyoke_model::{Attempt, Config, Outcome};
+use mulberryyoke_platform::kv;
+
+use super::core::Core;
+use super::error::Error;
+use super::inspect::Inspect;
+use crate::operator::{Operator, Setup, Source};
+
+/// Binds the operators' port.
+pub(crate) async fn bind(core: &Arc<Core>) -> Result<Operator, Error> {
+    let settings = &core.settings;
+    let kv = kv::Etcd::open(settings.kv.clone(), kv::Options::default());
+    let setup = Setup {
+        address: settings.operators,
+        operators: settings.operator_keys.clone(),
+        prefix: settings.prefix.clone(),
+        kv: Arc::new(kv),
+        source: Arc::new(Standing {
+            core: Arc::clone(core),
+            inspect: Inspect::new(core),
+        }),
+        logger: core.logger.clone(),
+    };
+    Operator::bind(setup).await.map_err(Error::Operators)
+}
+
+/// The router as its operators' port sees it.
+struct Standing {
+    core: Arc<Core>,
+    inspect: Inspect,
+}
+
+impl Source for Standing {
+    fn name(&self) -> &str {
+        &self.core.settings.name
+    }
+
+    fn is_ready(&self) -> bool {
+        self.inspect.is_ready()
+    }
+
+    fn is_kv_up(&self) -> bool {
+        self.core.fleet.is_kv_up()
+    }
+
+    fn config(&self) -> Arc<Config> {
+        self.core.fleet.config()
+    }
+
+    fn nodes(&self) -> Vec<Node> {
+        let mut nodes = nodes::routers(&self.core);
+        nodes.extend(nodes::sidecars(&self.core, &self.inspect.servers()));
+        nodes
+    }
+
+    fn unseen(&self) -> usize {
+        nodes::unseen(&self.core)
+    }
+
+    fn tally(&self) -> Tally {
+        let customers = self.inspect.customers();
+        Tally {
+            customers: customers.len(),
+            waiting: customers
+                .iter()
+                .map(|customer| u64::from(customer.waiting))
+                .sum(),
+            running: u64::from(self.core.counts.total()),
+        }
+    }
+
+    fn waiting(&self, query: &command::Waiting) -> Waiting {
+        waiting::answer(self.name(), &self.inspect, query)
+    }
+
+    fn outcome(&self, attempt: Attempt) -> Pin<Box<dyn Future<Output = Outcome> + Send + '_>> {
+        Box::pin(self.core.fleet.outcome(attempt))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/router/operators/waiting.rs
@@ -0,0 +1,153 @@
+//! Who is waiting at a router, and why.
+
+use std::collections::BTreeMap;
+
+use mulberryyoke_command as command;
+use mulberryyoke_command::answer::{Counter, Waiter, Waiting};
+use mulberryyoke_model::Class;
+
+use crate::router::inspect::{self, Customer, Inspect, Server};
+
+/// Customers named as those to be served earlier.
+const NAMED: usize = 3;
+
+/// Answers a query on waiting requests.
+pub(crate) fn answer(router: &str, inspect: &Inspect, query: &command::Waiting) -> Waiting {
+    let requests = inspect.waiting();
+    let servers = inspect.servers();
+    let counters = counters(&inspect.customers(), &requests);
+    let mut found: Vec<&inspect::Waiting> = requests
+        .iter()
+        .filter(|request| is_asked(request, query, &servers))
+        .collect();
+    found.sort_by_key(|request| (&request.customer, &request.pool, request.position));
+    let limit = usize::try_from(query.limit).unwrap_or(usize::MAX);
+    let more = found.len().saturating_sub(limit);
+    let listed = found.iter().take(limit);
+    Waiting {
+        router: router.to_owned(),
+        requests: listed
+            .map(|request| waiter(request, &counters, &servers))
+            .collect(),
+        customers: counters,
+        more: u64::try_from(more).unwrap_or(u64::MAX),
+        outcome: None,
+    }
+}
+
+fn is_asked(request: &inspect::Waiting, query: &command::Waiting, servers: &[Server]) -> bool {
+    let customer = query.customer.as_ref();
+    let id = query.request.as_ref();
+    let of_customer = customer.is_none_or(|name| *name == request.customer);
+    let of_id = id.is_none_or(|id| *id == request.request);
+    let of_server = query.server.as_ref().is_none_or(|name| {
+        let server = servers.iter().find(|server| server.name == *name);
+        let bound = request.server.as_ref();
+        server.is_some_and(|server| server.pool == request.pool)
+            && bound.is_none_or(|bound| bound == name)
+    });
+    of_customer && of_id && of_server
+}
+
+/// Customers with waiting requests, the next to be served first.
+fn counters(customers: &[Customer], requests: &[inspect::Waiting]) -> Vec<Counter> {
+    let mut waiting: BTreeMap<&str, ([u64; 3], u64)> = BTreeMap::new();
+    for request in requests {
+        let (classes, since) = waiting
+            .entry(&request.customer)
+            .or_insert(([0; Class::ALL.len()], request.since));
+        classes[request.class.index()] += 1;
+        *since = request.since.min(*since);
+    }
+    let with_requests = customers.iter().filter_map(|customer| {
+        let (classes, since) = waiting.get(customer.name.as_str())?;
+        Some(Counter {
+            customer: customer.name.clone(),
+            share: customer.share,
+            waiting: *classes,
+            service: customer.served,
+            per_share: customer.weighted,
+            since: *since,
+        })
+    });
+    let mut counters: Vec<Counter> = with_requests.collect();
+    counters.sort_by(|a, b| a.per_share.total_cmp(&b.per_share));
+    counters
+}
+
+fn waiter(request: &inspect::Waiting, counters: &[Counter], servers: &[Server]) -> Waiter {
+    Waiter {
+        request: request.request.clone(),
+        customer: request.customer.clone(),
+        pool: request.pool.clone(),
+        class: request.class,
+        position: u64::try_from(request.position).unwrap_or(u64::MAX) + 1,
+        since: request.since,
+        deadline: request.deadline,
+        reason: reason(request, counters, servers),
+    }
+}
+
+fn reason(request: &inspect::Waiting, counters: &[Counter], servers: &[Server]) -> String {
+    let pool = servers.iter().filter(|server| server.pool == request.pool);
+    let pool: Vec<&Server> = pool.collect();
+    if let Some(home) = &request.server {
+        return match pool.iter().find(|server| server.name == *home) {
+            Some(server) if server.up && !server.closed => {
+                format!(
+                    "a free slot at {home}, the home of its key ({})",
+                    slots(&[*server])
+                )
+            }
+            _ => format!("{home}, the home of its key, to take work again"),
+        };
+    }
+    let open = pool
+        .into_iter()
+        .filter(|server| server.up && !server.closed);
+    let open: Vec<&Server> = open.collect();
+    if open.is_empty() {
+        return format!("a server of pool {} to take work", request.pool);
+    }
+    format!(
+        "a free slot ({}); {}",
+        slots(&open),
+        turn(request, counters)
+    )
+}
+
+fn slots(servers: &[&Server]) -> String {
+    let all: u32 = servers.iter().map(|server| server.slots).sum();
+    let free: u32 = servers.iter().map(|server| server.free).sum();
+    format!("{} of {all} busy", all.saturating_sub(free))
+}
+
+/// Who is before the request: of its own customer, and other customers.
+fn turn(request: &inspect::Waiting, counters: &[Counter]) -> String {
+    let own = counters
+        .iter()
+        .position(|counter| counter.customer == request.customer);
+    let before = &counters[..own.unwrap_or(0)];
+    let first = match request.position {
+        0 => "it is its customer's next".to_owned(),
+        count => format!("{count} of its customer's are before it"),
+    };
+    if before.is_empty() {
+        return format!("{first}; its customer has the least service per share");
+    }
+    let names: Vec<&str> = before
+        .iter()
+        .take(NAMED)
+        .map(|counter| counter.customer.as_str())
+        .collect();
+    let more = before.len() - names.len();
+    let more = if more > 0 {
+        format!(" and {more} more")
+    } else {
+        String::new()
+    };
+    format!(
+        "{first}; less service per share have {}{more}",
+        names.join(", ")
+    )
+}
