Add the sidecar role and its admission decisions

One state under one lock decides starts, grants, withdrawals and keys; the role serves control, data and status ports.

--- /dev/null
+++ b/crates/daemon/src/sidecar/backend.rs
@@ -0,0 +1,79 @@
+//! The backend server beside the sidecar.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{Either, Empty};
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::uri::Scheme;
+use hyper::{Request, Response, Uri, Version};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client, Error};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use mulberryyoke_wire::ticket;
+
+use super::header;
+
+/// How long an idle connection is kept. Shorter than servers usually wait
+/// before they close one.
+const IDLE: Duration = Duration::from_secs(4);
+
+/// How long a connection may take to be set up.
+const CONNECT: Duration = Duration::from_secs(2);
+
+/// Body of a request to the backend.
+pub(crate) type Outgoing = Either<Incoming, Empty<Bytes>>;
+
+/// The backend server, reached over HTTP/1.1.
+#[derive(Clone, Debug)]
+pub(crate) struct Backend {
+    address: SocketAddr,
+    /// Reuses connections.
+    pooled: Client<HttpConnector, Outgoing>,
+    /// Opens a connection for each request, so that none is sent on a
+    /// connection which the backend is just closing.
+    single: Client<HttpConnector, Outgoing>,
+}
+
+impl Backend {
+    pub(crate) fn open(address: SocketAddr) -> Self {
+        Self {
+            address,
+            pooled: client(usize::MAX),
+            single: client(0),
+        }
+    }
+
+    /// Sends a request. `once` opens a connection for it.
+    pub(crate) async fn send(
+        &self,
+        request: Request<Incoming>,
+        once: bool,
+    ) -> Result<Response<Incoming>, Error> {
+        let (mut parts, body) = request.into_parts();
+        let mut uri = parts.uri.into_parts();
+        uri.scheme = Some(Scheme::HTTP);
+        uri.authority = self.address.to_string().parse().ok();
+        parts.uri = Uri::from_parts(uri).unwrap_or_default();
+        parts.version = Version::HTTP_11;
+        parts.headers.remove(HOST);
+        parts.headers.remove(ticket::HEADER);
+        header::strip(&mut parts.headers);
+        let request = Request::from_parts(parts, Either::Left(body));
+        let client = if once { &self.single } else { &self.pooled };
+        client.request(request).await
+    }
+}
+
+fn client(idle: usize) -> Client<HttpConnector, Outgoing> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE)
+        .pool_max_idle_per_host(idle)
+        .build(connector)
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/control.rs
@@ -0,0 +1,136 @@
+//! The control port: routers' links.
+
+use std::sync::Arc;
+
+use mulberryyoke_decide::admission::{Due, LinkKey};
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::{Attempt, Change, Incarnation, KeyId, Outcome, Revision};
+use mulberryyoke_wire::{self as wire, Interest, Poll, Polled, Sidecar, Withdrawal};
+use tarpc::context::Context;
+use tarpc::server::Channel;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use super::shared::Shared;
+use crate::clock;
+
+/// Accepts routers' links, until dropped.
+pub(crate) async fn run(listener: wire::Listener, shared: Arc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, listener.bytes(), Arc::clone(&shared)));
+            }
+            Err(_) => tokio::task::yield_now().await,
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, bytes: Arc<wire::Bytes>, shared: Arc<Shared>) {
+    let (key, poll) = shared.connect();
+    let link = Link {
+        shared: Arc::clone(&shared),
+        key,
+        poll,
+    };
+    let calls = wire::sidecar_channel(stream, bytes).execute(link.serve());
+    tokio::select! {
+        () = wire::spawn_calls(calls) => {}
+        () = shared.closed.cancelled() => {}
+    }
+    shared.disconnect(key);
+}
+
+/// One router's link.
+#[derive(Clone, Debug)]
+struct Link {
+    shared: Arc<Shared>,
+    key: LinkKey,
+    poll: Arc<Notify>,
+}
+
+impl Link {
+    /// Waits until the poll is to be answered.
+    async fn wait(&self, until: mulberryyoke_model::Millis) {
+        loop {
+            let due = self
+                .shared
+                .decide(|admission, now| admission.due(self.key, now));
+            let at = match due {
+                Due::Now => return,
+                Due::At(at) => at.min(until),
+                Due::Idle => until,
+            };
+            if until <= clock::now() {
+                return;
+            }
+            tokio::select! {
+                () = self.poll.notified() => {}
+                () = tokio::time::sleep_until(clock::instant(at)) => {}
+            }
+        }
+    }
+
+    fn answer(&self) -> Polled {
+        let (load, (grants, report)) = self
+            .shared
+            .decide(|admission, now| (admission.load(), admission.answer(self.key, now)));
+        for grant in &grants {
+            log!(self.shared.logger, Event::Granted,
+                "grant" => grant.id, "customer" => grant.customer.0, "until" => grant.until);
+        }
+        Polled {
+            load,
+            grants,
+            report,
+        }
+    }
+}
+
+impl Sidecar for Link {
+    async fn declare(self, _: Context, origin: Incarnation, full: bool, interest: Vec<Interest>) {
+        self.shared.decide(|admission, now| {
+            admission.introduce(self.key, origin);
+            admission.declare(self.key, full, &interest, now);
+        });
+    }
+
+    async fn poll(self, _: Context, poll: Poll) -> Polled {
+        self.shared.decide(|admission, now| {
+            admission.introduce(self.key, poll.origin);
+            admission.poll(self.key, poll.counted, &poll.fleet, now);
+        });
+        self.wait(poll.until).await;
+        self.answer()
+    }
+
+    async fn decline(self, _: Context, grants: Vec<u64>) {
+        self.shared
+            .decide(|admission, now| admission.decline(self.key, &grants, now));
+    }
+
+    async fn withdraw(self, _: Context, attempt: Attempt, key: Option<KeyId>) -> Withdrawal {
+        let (outcome, doubtful) = self
+            .shared
+            .decide(|admission, now| admission.withdraw(attempt, key, now));
+        log!(self.shared.logger, Event::Withdrawn,
+            "request" => attempt.request_id(), "attempt" => attempt.number,
+            "outcome" => outcome.word(), "doubtful" => doubtful);
+        Withdrawal { outcome, doubtful }
+    }
+
+    async fn outcome(self, _: Context, attempt: Attempt, key: Option<KeyId>) -> Outcome {
+        self.shared
+            .decide(|admission, now| admission.outcome(attempt, key, now))
+    }
+
+    async fn configure(self, _: Context, changes: Vec<Change>) -> Revision {
+        self.shared.configure(changes)
+    }
+
+    async fn recall(self, _: Context, _origin: Incarnation, _complete: bool, _keys: Vec<KeyId>) {}
+
+    async fn changes(self, _: Context, since: Revision) -> Vec<Change> {
+        self.shared.changes(since)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/data.rs
@@ -0,0 +1,103 @@
+//! The data port: bodies from routers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use mulberryyoke_decide::admission::Arrival;
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::Ticket;
+use mulberryyoke_wire::{Verdict, ticket};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::answer::{self, Body};
+use super::exchange;
+use super::shared::Shared;
+use super::slot::Slot;
+
+/// Most requests at once on one connection.
+const MAX_STREAMS: u32 = 16_384;
+
+/// Accepts routers' connections until the sidecar closes, then waits for the
+/// answers under way to be written.
+pub(crate) async fn run(listener: TcpListener, shared: Arc<Shared>) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.closed.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve(stream, &graceful, &shared),
+            Err(_) => tokio::task::yield_now().await,
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn serve(stream: TcpStream, graceful: &GracefulShutdown, shared: &Arc<Shared>) {
+    let _ = stream.set_nodelay(true);
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder.http2().max_concurrent_streams(MAX_STREAMS);
+    let shared = Arc::clone(shared);
+    let service = service_fn(move |request| {
+        let shared = Arc::clone(&shared);
+        async move { Ok::<_, Infallible>(handle(&shared, request).await) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection.into_owned());
+    tokio::spawn(async move {
+        // A connection that fails ends its requests by itself.
+        let _ = connection.await;
+    });
+}
+
+async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let header = request.headers().get(ticket::HEADER);
+    let header = header.and_then(|value| value.to_str().ok());
+    let Some(ticket) = header.and_then(|text| ticket::unpack(text).ok()) else {
+        return answer::refuse(Verdict::Malformed, None);
+    };
+    let arrival = shared.decide(|admission, now| admission.arrive(&ticket, now));
+    match arrival {
+        Arrival::Started => start(shared, ticket, request).await,
+        arrival => turn_away(shared, &ticket, &arrival),
+    }
+}
+
+async fn start(shared: &Arc<Shared>, ticket: Ticket, request: Request<Incoming>) -> Response<Body> {
+    log!(shared.logger, Event::Started,
+        "request" => ticket.attempt.request_id(), "attempt" => ticket.attempt.number,
+        "customer" => ticket.customer.0, "class" => ticket.class.word(), "cost" => ticket.cost,
+        "grant" => ticket.grant);
+    let slot = Slot::open(Arc::clone(shared), ticket);
+    exchange::spawn(slot, request).await
+}
+
+fn turn_away(shared: &Shared, ticket: &Ticket, arrival: &Arrival) -> Response<Body> {
+    let (verdict, retry_at) = match arrival {
+        Arrival::Replay(answer) => return answer::replay(answer),
+        Arrival::Full(at) => (Verdict::Full, Some(*at)),
+        Arrival::Started | Arrival::Busy => (Verdict::Busy, None),
+        Arrival::Draining => (Verdict::Draining, None),
+        Arrival::Tombstone => (Verdict::Tombstone, None),
+        Arrival::Late => (Verdict::Late, None),
+        Arrival::Doubtful => (Verdict::Doubtful, None),
+        Arrival::Running => (Verdict::Running, None),
+        Arrival::Ran => (Verdict::Ran, None),
+        Arrival::Cut => (Verdict::Broken, None),
+    };
+    log!(shared.logger, Event::TurnedAway,
+        "request" => ticket.attempt.request_id(), "attempt" => ticket.attempt.number,
+        "customer" => ticket.customer.0, "verdict" => verdict.word());
+    metrics::counter!("sidecar_refusals_total",
+        "server" => shared.settings.name.clone(), "verdict" => verdict.word())
+    .increment(1);
+    answer::refuse(verdict, retry_at)
+}
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -1,1 +1,23 @@
-//! The sidecar role.
+//! The sidecar role: one process beside each backend server. It alone starts
+//! requests on the server, in the order that [`mulberryyoke_decide::admission`]
+//! decides.
+
+mod answer;
+mod backend;
+mod control;
+mod data;
+mod error;
+mod exchange;
+mod header;
+mod meter;
+mod pump;
+mod relay;
+mod role;
+mod shared;
+mod slot;
+mod sse;
+mod status;
+mod timer;
+
+pub use error::Error;
+pub use role::Sidecar;
--- /dev/null
+++ b/crates/daemon/src/sidecar/role.rs
@@ -0,0 +1,144 @@
+//! The running sidecar.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use mulberryyoke_event::slog::Logger;
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::Millis;
+use mulberryyoke_settings as settings;
+use mulberryyoke_wire as wire;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use super::shared::Shared;
+use super::{Error, control, data, status, timer};
+use crate::{clock, recorder};
+
+/// Longest time for the last answers to be written out after the last request
+/// has ended, in milliseconds.
+const FLUSH: Millis = 5_000;
+
+/// A running sidecar.
+#[derive(Debug)]
+pub struct Sidecar {
+    shared: Arc<Shared>,
+    control: SocketAddr,
+    data: SocketAddr,
+    status: SocketAddr,
+    data_task: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Sidecar {
+    /// Binds the ports and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn spawn(settings: settings::Sidecar, logger: Logger) -> Result<Self, Error> {
+        recorder::install();
+        let shared = Shared::open(settings, logger);
+        let settings = &shared.settings;
+        let control_port = bind_control(&shared).await?;
+        let data_port = bind(settings.data).await?;
+        let status_port = bind(settings.status).await?;
+        let control = control_port
+            .address()
+            .map_err(control_error(settings.control))?;
+        let data = local(&data_port, settings.data)?;
+        let status = local(&status_port, settings.status)?;
+        let data_task = tokio::spawn(data::run(data_port, Arc::clone(&shared)));
+        let tasks = vec![
+            tokio::spawn(control::run(control_port, Arc::clone(&shared))),
+            tokio::spawn(status::run(status_port, Arc::clone(&shared))),
+            tokio::spawn(timer::run(Arc::clone(&shared))),
+        ];
+        log!(shared.logger, Event::Ready, "role" => "sidecar",
+            "control" => control.to_string(), "data" => data.to_string(),
+            "status" => status.to_string());
+        Ok(Self {
+            shared,
+            control,
+            data,
+            status,
+            data_task,
+            tasks,
+        })
+    }
+
+    /// Where routers connect for control.
+    #[must_use]
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Where routers send bodies.
+    #[must_use]
+    pub fn data(&self) -> SocketAddr {
+        self.data
+    }
+
+    /// Where metrics and health are served.
+    #[must_use]
+    pub fn status(&self) -> SocketAddr {
+        self.status
+    }
+
+    /// Refuses new work, lets running answers end until the drain deadline, cuts
+    /// off what remains, and closes.
+    pub async fn stop(self) {
+        let shared = &self.shared;
+        let deadline = clock::now() + shared.settings.drain_ms;
+        log!(shared.logger, Event::Stopping, "deadline" => deadline);
+        shared.decide(|admission, _| admission.stop());
+        let idle = wait_idle(shared);
+        if tokio::time::timeout_at(clock::instant(deadline), idle)
+            .await
+            .is_err()
+        {
+            shared.cut.cancel();
+        }
+        shared.tasks.close();
+        shared.tasks.wait().await;
+        shared.closed.cancel();
+        let flushed = clock::instant(clock::now() + FLUSH);
+        // Routers that do not read by then find their connection closed.
+        let _ = tokio::time::timeout_at(flushed, self.data_task).await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        log!(shared.logger, Event::Stopped, "role" => "sidecar");
+    }
+}
+
+async fn wait_idle(shared: &Shared) {
+    loop {
+        let ended = shared.ended.notified();
+        if shared.decide(|admission, _| admission.running()) == 0 {
+            return;
+        }
+        ended.await;
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| Error::Bind { address, source })
+}
+
+fn local(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, Error> {
+    let local = listener.local_addr();
+    local.map_err(|source| Error::Bind { address, source })
+}
+
+async fn bind_control(shared: &Shared) -> Result<wire::Listener, Error> {
+    let address = shared.settings.control;
+    let bytes = Arc::clone(&shared.control_bytes);
+    let bound = wire::Listener::bind(address, bytes).await;
+    bound.map_err(control_error(address))
+}
+
+fn control_error(address: SocketAddr) -> impl Fn(wire::Error) -> Error {
+    move |source| Error::Control { address, source }
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/timer.rs
@@ -0,0 +1,20 @@
+//! Lapse of reserved slots.
+
+use std::sync::Arc;
+
+use super::shared::Shared;
+use crate::clock;
+
+/// Frees reserved slots that were not used in time, until dropped.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    loop {
+        let next = shared.decide(|admission, now| {
+            admission.tick(now);
+            admission.next_lapse()
+        });
+        match next {
+            Some(at) => tokio::time::sleep_until(clock::instant(at)).await,
+            None => shared.reserved.notified().await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/sidecar/node.rs
@@ -0,0 +1,153 @@
+//! A sidecar under test and a router's side of it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use mulberryyoke_event::slog::{Discard, Logger, o};
+use mulberryyoke_model::{Attempt, Class, CustomerId, Incarnation, Interest, Kind, Millis, Ticket};
+use mulberryyoke_settings as settings;
+use mulberryyoke_wire::{self as wire, Poll, Polled, SidecarClient, ticket};
+use mulberryyoked::sidecar::Sidecar;
+use tarpc::context::Context;
+
+pub const ROUTER: Incarnation = Incarnation(7);
+
+/// Longest time that a test waits for an event; reached only by a fault.
+const PATIENCE: Millis = 60_000;
+
+pub fn now() -> Millis {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    Millis::try_from(elapsed.expect("after 1970").as_millis()).expect("before year 500 million")
+}
+
+pub fn settings(backend: SocketAddr, kind: Kind, slots: u32) -> settings::Sidecar {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    settings::Sidecar {
+        name: "m1".to_owned(),
+        region: "r".to_owned(),
+        zone: "z".to_owned(),
+        pool: "llama".to_owned(),
+        kind,
+        control: any,
+        data: any,
+        status: any,
+        backend,
+        slots,
+        kv: Vec::new(),
+        prefix: "/mulberryyoke/".to_owned(),
+        drain_ms: PATIENCE,
+        retention_ms: 600_000,
+        policy: settings::Policy::Fair,
+        log: settings::Log::Json,
+    }
+}
+
+/// A sidecar and one router's link and data connection to it.
+pub struct Node {
+    pub sidecar: Sidecar,
+    pub link: SidecarClient,
+    http: Client<HttpConnector, Full<Bytes>>,
+    data: SocketAddr,
+}
+
+impl Node {
+    pub async fn spawn(settings: settings::Sidecar) -> Self {
+        let logger = Logger::root(Discard, o!());
+        let sidecar = Sidecar::spawn(settings, logger).await.expect("starts");
+        let link = wire::connect_sidecar(sidecar.control(), Arc::default())
+            .await
+            .expect("control port answers");
+        let http = Client::builder(TokioExecutor::new())
+            .http2_only(true)
+            .build_http();
+        let data = sidecar.data();
+        Self {
+            sidecar,
+            link,
+            http,
+            data,
+        }
+    }
+
+    pub async fn send(&self, ticket: &Ticket) -> Response<Incoming> {
+        self.try_send(ticket).await.expect("data port answers")
+    }
+
+    pub fn try_send(
+        &self,
+        ticket: &Ticket,
+    ) -> impl Future<Output = Result<Response<Incoming>, hyper_util::client::legacy::Error>> + use<>
+    {
+        let request = Request::post(format!("http://{}/v1/chat/completions?x=1", self.data))
+            .header(ticket::HEADER, ticket::pack(ticket))
+            .header("x-extra", "kept")
+            .body(Full::from("{}"))
+            .expect("valid request");
+        self.http.request(request)
+    }
+
+    pub async fn declare(&self, customer: CustomerId, waiting: u16) {
+        let interest = Interest {
+            customer,
+            waiting: [0, waiting, 0],
+            cost: 10,
+            since: 1,
+        };
+        self.link
+            .declare(context(), ROUTER, true, vec![interest])
+            .await
+            .expect("link is up");
+    }
+
+    pub async fn poll(&self, until: Millis) -> Polled {
+        let poll = Poll {
+            origin: ROUTER,
+            revision: 0,
+            until,
+            counted: 0,
+            fleet: Vec::new(),
+        };
+        self.link.poll(context(), poll).await.expect("link is up")
+    }
+
+    /// Polls until slots are reserved.
+    pub async fn grants(&self) -> Vec<mulberryyoke_model::Grant> {
+        loop {
+            let polled = self.poll(now() + PATIENCE).await;
+            if !polled.grants.is_empty() {
+                return polled.grants;
+            }
+        }
+    }
+}
+
+pub fn context() -> Context {
+    let mut context = Context::current();
+    context.deadline = std::time::Instant::now() + Duration::from_millis(PATIENCE);
+    context
+}
+
+pub fn ticket(request: u64) -> Ticket {
+    Ticket {
+        attempt: Attempt {
+            origin: ROUTER,
+            request,
+            number: 0,
+        },
+        customer: CustomerId::of("acme"),
+        class: Class::Normal,
+        deadline: now() + PATIENCE,
+        hint: 0,
+        cost: 10,
+        grant: None,
+        key: None,
+    }
+}
--- /dev/null
+++ b/crates/decide/src/account/account.rs
@@ -0,0 +1,120 @@
+//! One customer's service.
+
+use mulberryyoke_model::CustomerId;
+use smallvec::SmallVec;
+
+use super::order::Rank;
+use super::{Demand, Hint};
+
+/// Virtual service, in 1/256 tokens for each unit of share.
+pub type Virtual = i64;
+
+/// Parts of a token that [`Virtual`] resolves.
+pub(crate) const SCALE: i64 = 256;
+
+/// Service and demand of one customer at one sidecar.
+#[derive(Clone, Debug)]
+pub struct Account {
+    /// The customer.
+    pub customer: CustomerId,
+    pub(crate) share: u32,
+    /// Tokens charged here, estimates of running requests included; never falls.
+    pub(crate) charged: u64,
+    /// `charged` as of the last report that the fleet has counted.
+    pub(crate) counted: u64,
+    /// `charged` as of the report on its way.
+    pub(crate) reported: u64,
+    /// Tokens charged by estimates above the true cost, used up by later charges.
+    pub(crate) credit: u64,
+    /// Tokens expected of requests that have a slot reserved.
+    pub(crate) reserved: u64,
+    /// Fleet-wide service told by the present collector, in tokens.
+    pub(crate) told: Option<u64>,
+    /// Fleet-wide service since this sidecar's life began, in tokens.
+    pub(crate) fleet: u64,
+    /// Lifts less forgiven debts, in [`SCALE`] parts of a token, not divided by share.
+    pub(crate) offset: i64,
+    /// Place in the order of those that have runnable requests.
+    pub(crate) rank: Option<Rank>,
+    pub(crate) running: u32,
+    pub(crate) demands: SmallVec<[Demand; 2]>,
+    pub(crate) hint: Hint,
+}
+
+impl Account {
+    pub(crate) fn open(customer: CustomerId, share: u32) -> Self {
+        Self {
+            customer,
+            share: share.max(1),
+            charged: 0,
+            counted: 0,
+            reported: 0,
+            credit: 0,
+            reserved: 0,
+            told: None,
+            fleet: 0,
+            offset: 0,
+            rank: None,
+            running: 0,
+            demands: SmallVec::new(),
+            hint: Hint::default(),
+        }
+    }
+
+    /// Tokens charged here since the last report that the fleet has counted.
+    #[must_use]
+    pub fn uncounted(&self) -> u64 {
+        self.charged - self.counted
+    }
+
+    /// Virtual service with `reach` servers in the pool.
+    #[must_use]
+    pub fn virtual_service(&self, reach: u32) -> Virtual {
+        let uncounted = self.uncounted() + self.reserved;
+        let uncounted = uncounted.saturating_mul(u64::from(reach));
+        let tokens = self.fleet.saturating_add(uncounted);
+        let tokens = to_signed(tokens) - to_signed(self.credit);
+        (self.offset + tokens.saturating_mul(SCALE)).div_euclid(i64::from(self.share))
+    }
+
+    /// Moves the virtual service by `by`, up or down.
+    pub(crate) fn shift(&mut self, by: Virtual) {
+        self.offset += by * i64::from(self.share);
+    }
+
+    /// Adds tokens, using up credit first.
+    pub(crate) fn charge(&mut self, tokens: u64) {
+        let from_credit = self.credit.min(tokens);
+        self.credit -= from_credit;
+        self.charged += tokens - from_credit;
+    }
+
+    /// Gives back tokens that an estimate charged too much.
+    pub(crate) fn refund(&mut self, tokens: u64) {
+        self.credit += tokens;
+    }
+
+    /// Requests that wait at live links and have no slot reserved.
+    #[must_use]
+    pub fn runnable(&self) -> u32 {
+        self.demands.iter().map(Demand::runnable).sum()
+    }
+
+    /// Whether one of the runnable requests is urgent.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        self.demands.iter().any(Demand::is_urgent)
+    }
+
+    /// Whether nothing is lost by forgetting the account.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.running == 0 && self.demands.is_empty() && self.uncounted() == 0
+    }
+}
+
+/// Tokens as a signed number; counts beyond 2^54 tokens saturate.
+fn to_signed(tokens: u64) -> i64 {
+    i64::try_from(tokens)
+        .unwrap_or(i64::MAX)
+        .min(i64::MAX / SCALE / 2)
+}
--- /dev/null
+++ b/crates/decide/src/account/ledger.rs
@@ -0,0 +1,259 @@
+//! All accounts of a sidecar.
+
+use std::collections::HashMap;
+
+use mulberryyoke_model::{CustomerId, Usage};
+use slotmap::{SlotMap, new_key_type};
+
+use super::order::{Order, Rank};
+use super::{Account, MAX_DEBT, SCALE, URGENT_LEAD, Virtual};
+
+new_key_type! {
+    /// Key of an [`Account`].
+    pub struct AccountKey;
+}
+
+/// Accounts by customer, and the order of those with runnable requests.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    accounts: SlotMap<AccountKey, Account>,
+    by_customer: HashMap<CustomerId, AccountKey>,
+    shares: HashMap<CustomerId, u32>,
+    order: Order,
+    reach: u32,
+    /// Virtual service of the customer served last; newcomers start no lower.
+    last: Virtual,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self {
+            accounts: SlotMap::with_key(),
+            by_customer: HashMap::new(),
+            shares: HashMap::new(),
+            order: Order::default(),
+            reach: 1,
+            last: 0,
+        }
+    }
+}
+
+impl Ledger {
+    /// The account of a customer, opened when new.
+    pub fn open(&mut self, customer: CustomerId) -> AccountKey {
+        if let Some(key) = self.by_customer.get(&customer) {
+            return *key;
+        }
+        let share = self.shares.get(&customer).copied().unwrap_or(1);
+        let key = self.accounts.insert(Account::open(customer, share));
+        self.by_customer.insert(customer, key);
+        key
+    }
+
+    /// The account of a customer, if there is one.
+    #[must_use]
+    pub fn find(&self, customer: CustomerId) -> Option<AccountKey> {
+        self.by_customer.get(&customer).copied()
+    }
+
+    /// An account.
+    ///
+    /// # Panics
+    ///
+    /// When the account is closed.
+    #[must_use]
+    pub fn account(&self, key: AccountKey) -> &Account {
+        &self.accounts[key]
+    }
+
+    /// Every account.
+    pub fn accounts(&self) -> impl Iterator<Item = (AccountKey, &Account)> {
+        self.accounts.iter()
+    }
+
+    /// Customers with runnable requests.
+    #[must_use]
+    pub fn backlogged(&self) -> usize {
+        self.order.len()
+    }
+
+    pub(crate) fn is_backlogged(&self) -> bool {
+        !self.order.is_empty()
+    }
+
+    /// Virtual service of a customer now.
+    #[must_use]
+    pub fn virtual_service(&self, key: AccountKey) -> Virtual {
+        self.accounts[key].virtual_service(self.reach)
+    }
+
+    /// Changes an account and puts it at its place in the order. Becoming
+    /// backlogged lifts it, so that no idle time is banked.
+    pub(crate) fn update<T>(
+        &mut self,
+        key: AccountKey,
+        change: impl FnOnce(&mut Account) -> T,
+    ) -> T {
+        let account = &mut self.accounts[key];
+        let result = change(account);
+        let old = account.rank;
+        let runnable = account.runnable() > 0;
+        if runnable && old.is_none() {
+            self.lift(key);
+        }
+        let account = &mut self.accounts[key];
+        let new = runnable.then(|| Rank {
+            virtual_service: account.virtual_service(self.reach),
+            urgent: account.is_urgent(),
+        });
+        account.rank = new;
+        self.order.replace(key, old, new);
+        result
+    }
+
+    /// Lifts an account to the least virtual service of those backlogged, or,
+    /// with none, to that of the customer served last.
+    fn lift(&mut self, key: AccountKey) {
+        let floor = self.floor();
+        let account = &mut self.accounts[key];
+        let behind = floor - account.virtual_service(self.reach);
+        if behind > 0 {
+            account.shift(behind);
+        }
+    }
+
+    fn floor(&self) -> Virtual {
+        self.order.floor().unwrap_or(self.last)
+    }
+
+    /// Notes that a customer is served next.
+    pub(crate) fn serve(&mut self, key: AccountKey) {
+        self.last = self.last.max(self.virtual_service(key));
+    }
+
+    /// Counts the expected cost of a request that has a slot reserved.
+    pub(crate) fn reserve(&mut self, key: AccountKey, tokens: u64) {
+        self.update(key, |account| account.reserved += tokens);
+    }
+
+    /// Takes back what [`Self::reserve`] counted.
+    pub(crate) fn unreserve(&mut self, key: AccountKey, tokens: u64) {
+        self.update(key, |account| account.reserved -= tokens);
+    }
+
+    /// Whether any service is not counted by the fleet.
+    pub(crate) fn has_uncounted(&self) -> bool {
+        self.accounts
+            .values()
+            .any(|account| account.uncounted() > 0)
+    }
+
+    /// Charges the start of a request.
+    pub(crate) fn start(&mut self, key: AccountKey, tokens: u64) {
+        if self.accounts[key].rank.is_none() {
+            self.lift(key);
+        }
+        self.serve(key);
+        self.update(key, |account| {
+            account.running += 1;
+            account.charge(tokens);
+        });
+    }
+
+    /// The customer to serve next.
+    #[must_use]
+    pub fn first(&self) -> Option<AccountKey> {
+        self.order.first(URGENT_LEAD * SCALE)
+    }
+
+    /// Takes over the shares of configured customers.
+    pub fn set_shares(&mut self, shares: HashMap<CustomerId, u32>) {
+        self.shares = shares;
+        let keys: Vec<AccountKey> = self.accounts.keys().collect();
+        for key in keys {
+            self.set_share(key);
+        }
+    }
+
+    fn set_share(&mut self, key: AccountKey) {
+        let customer = self.accounts[key].customer;
+        let share = self.shares.get(&customer).copied().unwrap_or(1).max(1);
+        let before = self.virtual_service(key);
+        self.update(key, |account| account.share = share);
+        let moved = before - self.virtual_service(key);
+        self.update(key, |account| account.shift(moved));
+    }
+
+    /// Sets the number of servers that serve the pool.
+    pub fn set_reach(&mut self, reach: u32) {
+        if self.reach == reach.max(1) {
+            return;
+        }
+        self.reach = reach.max(1);
+        let keys: Vec<AccountKey> = self.order.keys().collect();
+        for key in keys {
+            self.update(key, |_| ());
+        }
+    }
+
+    /// Takes over a fleet-wide count from the collector. Its first one for a
+    /// customer only sets where later ones count from.
+    pub(crate) fn tell(&mut self, usage: &Usage) {
+        let key = self.open(usage.customer);
+        self.update(key, |account| {
+            let before = account.told.replace(usage.tokens);
+            let grown = usage.tokens.saturating_sub(before.unwrap_or(usage.tokens));
+            account.fleet += grown;
+        });
+        self.forgive(key);
+    }
+
+    /// Notes that an account's charge goes into a report. Returns the charge.
+    pub(crate) fn mark_reported(&mut self, key: AccountKey) -> u64 {
+        let account = &mut self.accounts[key];
+        account.reported = account.charged;
+        account.charged
+    }
+
+    /// Another collector counts from elsewhere. What is not counted yet is
+    /// taken as counted with the peers' assumed part, so that no order changes.
+    pub(crate) fn change_collector(&mut self) {
+        for account in self.accounts.values_mut() {
+            account.told = None;
+            let assumed = account.uncounted().saturating_mul(u64::from(self.reach));
+            account.fleet = account.fleet.saturating_add(assumed);
+            account.counted = account.charged;
+            account.reported = account.charged;
+        }
+    }
+
+    /// Bounds how far a fleet-wide count learnt late sets a customer behind.
+    fn forgive(&mut self, key: AccountKey) {
+        let Some(least) = self.order.first(0) else {
+            return;
+        };
+        if self.accounts[key].rank.is_none() {
+            return;
+        }
+        let debt = self.accounts[key].virtual_service(1) - self.accounts[least].virtual_service(1);
+        let excess = debt - MAX_DEBT * SCALE;
+        if excess > 0 {
+            self.update(key, |account| account.shift(-excess));
+        }
+    }
+
+    /// Closes accounts of customers that are no longer configured and have
+    /// neither requests nor uncounted service.
+    pub(crate) fn prune(&mut self) {
+        let shares = &self.shares;
+        let idle = |account: &Account| account.is_idle() && !shares.contains_key(&account.customer);
+        let by_customer = &mut self.by_customer;
+        self.accounts.retain(|_, account| {
+            let keep = !idle(account);
+            if !keep {
+                by_customer.remove(&account.customer);
+            }
+            keep
+        });
+    }
+}
--- /dev/null
+++ b/crates/decide/src/admission/admission.rs
@@ -0,0 +1,141 @@
+//! The state of one sidecar.
+
+use std::collections::{BTreeMap, HashMap};
+
+use mulberryyoke_model::{Attempt, Load, Millis, Outcome, Revision};
+use slotmap::SlotMap;
+
+use super::attempts::Attempts;
+use super::grants::Reservation;
+use super::link::{Link, LinkKey};
+use super::running::Running;
+use super::{Setup, Sharing};
+use crate::account::{Ledger, Reporter};
+use crate::key::Memory;
+
+/// The state of one sidecar: what waits at the routers linked to it, what is
+/// reserved, what runs, and what became of each attempt.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    pub(crate) setup: Setup,
+    pub(crate) slots: u32,
+    pub(crate) ledger: Ledger,
+    pub(crate) reporter: Reporter,
+    pub(crate) links: SlotMap<LinkKey, Link>,
+    pub(crate) collector: Option<LinkKey>,
+    /// By identity, so by the instant at which they lapse.
+    pub(crate) reservations: BTreeMap<u64, Reservation>,
+    pub(crate) next_grant: u64,
+    pub(crate) running: HashMap<Attempt, Running>,
+    pub(crate) attempts: Attempts,
+    pub(crate) keys: Memory,
+    pub(crate) stopping: bool,
+    pub(crate) leaving: bool,
+    pub(crate) revision: Revision,
+    /// Links whose poll may have something to tell.
+    pub(crate) woken: Vec<LinkKey>,
+}
+
+impl Admission {
+    /// A sidecar without links. Keys are doubtful before `doubtful_until`.
+    #[must_use]
+    pub fn open(setup: Setup, doubtful_until: Millis) -> Self {
+        Self {
+            setup,
+            slots: setup.slots,
+            ledger: Ledger::default(),
+            reporter: Reporter::open(setup.pool),
+            links: SlotMap::with_key(),
+            collector: None,
+            reservations: BTreeMap::new(),
+            next_grant: 1,
+            running: HashMap::new(),
+            attempts: Attempts::open(setup.retention_ms),
+            keys: Memory::open(setup.retention_ms, doubtful_until),
+            stopping: false,
+            leaving: false,
+            revision: 0,
+            woken: Vec::new(),
+        }
+    }
+
+    /// Accounts of the customers.
+    #[must_use]
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Memory of idempotency keys.
+    pub fn keys_mut(&mut self) -> &mut Memory {
+        &mut self.keys
+    }
+
+    /// Requests that run now.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Slots reserved now.
+    #[must_use]
+    pub fn reserved(&self) -> usize {
+        self.reservations.len()
+    }
+
+    /// Slots neither running nor reserved.
+    #[must_use]
+    pub fn free(&self) -> u32 {
+        let used = self.running.len() + self.reservations.len();
+        self.slots
+            .saturating_sub(u32::try_from(used).unwrap_or(u32::MAX))
+    }
+
+    /// Whether new work is refused.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.stopping || self.leaving
+    }
+
+    /// The server's load and standing.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            server: self.setup.server,
+            incarnation: self.setup.incarnation,
+            started_at: self.setup.started_at,
+            revision: self.revision,
+            slots: self.slots,
+            free: self.free(),
+            draining: self.is_draining(),
+        }
+    }
+
+    /// Links whose poll may have something to tell since the last call.
+    pub fn take_woken(&mut self) -> Vec<LinkKey> {
+        std::mem::take(&mut self.woken)
+    }
+
+    /// Refuses new work from now on: a planned stop.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+        self.take_back_untold();
+        self.woken.extend(self.links.keys());
+    }
+
+    /// What became of an attempt or its key.
+    pub fn outcome(
+        &mut self,
+        attempt: Attempt,
+        key: Option<mulberryyoke_model::KeyId>,
+        now: Millis,
+    ) -> Outcome {
+        if let Some(outcome) = self.attempts.outcome(attempt) {
+            return outcome;
+        }
+        key.map_or(Outcome::Unknown, |key| self.keys.outcome(key, now))
+    }
+
+    pub(crate) fn is_fair(&self) -> bool {
+        self.setup.sharing == Sharing::Fair
+    }
+}
--- /dev/null
+++ b/crates/decide/src/admission/grants.rs
@@ -0,0 +1,186 @@
+//! Giving out free slots.
+
+use mulberryyoke_model::{Grant, Interest, Millis};
+
+use super::Admission;
+use super::link::LinkKey;
+use crate::account::{AccountKey, Demand};
+
+/// How long a slot stays reserved for a request, in milliseconds.
+pub const GRANT_TTL: Millis = 1_000;
+
+/// A slot reserved for one customer's request at one link.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reservation {
+    pub(crate) account: AccountKey,
+    pub(crate) link: LinkKey,
+    pub(crate) until: Millis,
+    /// Expected cost, in tokens.
+    pub(crate) estimate: u64,
+}
+
+impl Admission {
+    /// Takes over what waits at a link's router; `full` replaces all that it
+    /// declared before.
+    pub fn declare(&mut self, link: LinkKey, full: bool, interest: &[Interest], now: Millis) {
+        self.expire(now);
+        self.show_life(link);
+        if full {
+            self.clear_demands(link);
+        }
+        for interest in interest {
+            self.declare_one(link, interest);
+        }
+        self.fill(now);
+    }
+
+    fn declare_one(&mut self, link: LinkKey, interest: &Interest) {
+        let Some(entry) = self.links.get_mut(link) else {
+            return;
+        };
+        let account = self.ledger.open(interest.customer);
+        entry.accounts.insert(account);
+        self.change_demand(account, link, |demand| demand.declare(interest));
+    }
+
+    /// Gives back reserved slots that found no request.
+    pub fn decline(&mut self, link: LinkKey, grants: &[u64], now: Millis) {
+        self.expire(now);
+        self.show_life(link);
+        for grant in grants {
+            let is_own = self.reservations.get(grant).is_some_and(|r| r.link == link);
+            if is_own {
+                self.release(*grant);
+            }
+        }
+        self.fill(now);
+    }
+
+    /// Time passes: reserved slots that were not used lapse.
+    pub fn tick(&mut self, now: Millis) {
+        self.expire(now);
+        self.fill(now);
+    }
+
+    /// When the next reserved slot lapses.
+    #[must_use]
+    pub fn next_lapse(&self) -> Option<Millis> {
+        let first = self.reservations.first_key_value();
+        first.map(|(_, reservation)| reservation.until)
+    }
+
+    pub(crate) fn expire(&mut self, now: Millis) {
+        while let Some((grant, reservation)) = self.reservations.first_key_value() {
+            if reservation.until > now {
+                return;
+            }
+            let (grant, link) = (*grant, reservation.link);
+            self.release(grant);
+            self.suspend(link, true);
+        }
+    }
+
+    /// Frees a reserved slot.
+    pub(crate) fn release(&mut self, grant: u64) -> Option<Reservation> {
+        let reservation = self.reservations.remove(&grant)?;
+        if let Some(link) = self.links.get_mut(reservation.link) {
+            link.grants.retain(|told| told.id != grant);
+        }
+        self.ledger
+            .unreserve(reservation.account, reservation.estimate);
+        self.change_demand(reservation.account, reservation.link, |demand| {
+            demand.reserved -= 1;
+        });
+        Some(reservation)
+    }
+
+    /// Takes back reserved slots that no router knows of.
+    pub(crate) fn take_back_untold(&mut self) {
+        let untold = self.links.values().flat_map(|link| &link.grants);
+        let untold: Vec<u64> = untold.map(|grant| grant.id).collect();
+        for grant in untold {
+            self.release(grant);
+        }
+    }
+
+    /// Reserves free slots while any request is runnable.
+    pub(crate) fn fill(&mut self, now: Millis) {
+        if self.is_fair() && !self.is_draining() {
+            while self.free() > 0 && self.reserve(now) {}
+        }
+        self.check();
+    }
+
+    fn reserve(&mut self, now: Millis) -> bool {
+        let Some(account) = self.ledger.first() else {
+            return false;
+        };
+        self.ledger.serve(account);
+        let holder = self.ledger.account(account);
+        let best = holder.demands.iter().filter(|demand| demand.runnable() > 0);
+        let best = best.min_by_key(|demand| (demand.class(), demand.since, demand.link));
+        let Some((link, cost)) = best.map(|demand| (demand.link, demand.cost)) else {
+            return false;
+        };
+        let estimate = self.estimate(account, cost);
+        let grant = Grant {
+            id: self.next_grant,
+            customer: holder.customer,
+            until: now + GRANT_TTL,
+        };
+        self.next_grant += 1;
+        let reservation = Reservation {
+            account,
+            link,
+            until: grant.until,
+            estimate,
+        };
+        self.reservations.insert(grant.id, reservation);
+        self.ledger.reserve(account, estimate);
+        self.change_demand(account, link, |demand| demand.reserved += 1);
+        self.links[link].grants.push(grant);
+        self.woken.push(link);
+        true
+    }
+
+    /// Changes what waits for a customer at a link.
+    pub(crate) fn change_demand(
+        &mut self,
+        account: AccountKey,
+        link: LinkKey,
+        change: impl FnOnce(&mut Demand),
+    ) {
+        let suspended = self.links.get(link).is_none_or(|link| link.suspended);
+        let is_empty = self.ledger.update(account, |account| {
+            let found = account
+                .demands
+                .iter()
+                .position(|demand| demand.link == link);
+            let index = found.unwrap_or_else(|| {
+                account.demands.push(Demand::open(link));
+                account.demands.len() - 1
+            });
+            let demand = &mut account.demands[index];
+            demand.suspended = suspended;
+            change(demand);
+            let is_empty = demand.is_empty();
+            if is_empty {
+                account.demands.swap_remove(index);
+            }
+            is_empty
+        });
+        if is_empty && let Some(link) = self.links.get_mut(link) {
+            link.accounts.remove(&account);
+        }
+    }
+
+    fn clear_demands(&mut self, link: LinkKey) {
+        let Some(entry) = self.links.get(link) else {
+            return;
+        };
+        let accounts: Vec<AccountKey> = entry.accounts.iter().copied().collect();
+        for account in accounts {
+            self.change_demand(account, link, |demand| demand.waiting = [0; 3]);
+        }
+    }
+}
