--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! backend server.
 
 mod clock;
-mod recorder;
+pub mod fleet;
+mod metric;
 pub mod router;
 pub mod sidecar;
--- a/crates/daemon/src/sidecar/role.rs
+++ b/crates/daemon/src/sidecar/role.rs
@@ -13,7 +13,7 @@
 
 use super::shared::Shared;
 use super::{Error, control, data, status, timer};
-use crate::{clock, recorder};
+use crate::{clock, metric};
 
 /// Longest time for the last answers to be written out after the last request
 /// has ended, in milliseconds.
@@ -37,7 +37,7 @@
     ///
     /// See [`Error`].
     pub async fn spawn(settings: settings::Sidecar, logger: Logger) -> Result<Self, Error> {
-        recorder::install();
+        metric::install();
         let shared = Shared::open(settings, logger);
         let settings = &shared.settings;
         let control_port = bind_control(&shared).await?;
--- a/crates/daemon/src/sidecar/status.rs
+++ b/crates/daemon/src/sidecar/status.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::shared::Shared;
-use crate::recorder;
+use crate::metric;
 
 /// Answers until dropped.
 pub(crate) async fn run(listener: TcpListener, shared: Arc<Shared>) {
@@ -77,5 +77,5 @@
         .absolute(bytes.read());
     metrics::counter!("sidecar_control_bytes_total", "server" => server, "way" => "out")
         .absolute(bytes.written());
-    recorder::render()
+    metric::render()
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,6 +1,16 @@
-//! Every decision of the fleet, as pure logic: time comes in as
-//! [`mulberryyoke_model::Millis`], there is no input, output, thread or runtime.
+//! Decisions of the fleet, without input, output, clock, threads or runtime.
+//!
+//! Time comes in as [`mulberryyoke_model::Millis`]; randomness as a generator
+//! or a seed.
 
 pub mod account;
 pub mod admission;
+pub mod exchange;
+pub mod home;
 pub mod key;
+pub mod limit;
+pub mod place;
+pub mod queue;
+pub(crate) mod rank;
+pub mod retry;
+pub mod view;
