--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,8 +3,11 @@
 //! Time comes in as [`mulberryyoke_model::Millis`]; randomness as a generator
 //! or a seed.
 
+pub mod account;
+pub mod admission;
 pub mod exchange;
 pub mod home;
+pub mod key;
 pub mod limit;
 pub mod place;
 pub mod queue;
