--- a/crates/daemon/src/operator/store.rs
+++ b/crates/daemon/src/operator/store.rs
@@ -77,7 +77,8 @@
             match swap {
                 Ok(Swap::Done(revision)) => return Ok(written(key, author, revision, object)),
                 Ok(Swap::Conflict(pair)) => {
-                    return self.contest(key, held, pair.as_ref(), author);
+                    let found = pair.map_or_else(Held::default, |pair| self.held(&pair).1);
+                    return contest(key, held, &found, author, doubt);
                 }
                 Err(error) if error.may_have_taken_effect() => doubt = true,
                 Err(error) if !doubt => return Err(unwritten(&error, author)),
@@ -92,31 +93,6 @@
         }
     }
 
-    /// Tells apart one's own earlier write from another's.
-    fn contest(
-        &self,
-        key: &str,
-        held: &Held,
-        pair: Option<&Pair>,
-        author: &Author,
-    ) -> Result<Written, Refusal> {
-        let now = pair.map_or_else(Held::default, |pair| self.held(pair).1);
-        match settle::settle(author.command, held.revision, now.found()) {
-            Settled::Written { revision, replaced } => {
-                let object = now.object().cloned();
-                let mut written = written(key, author, revision, object);
-                written.replaced = replaced;
-                Ok(written)
-            }
-            Settled::Lost | Settled::Open => Err(conflict(key, &now, author)),
-            Settled::Unclear => {
-                let mut refusal = conflict(key, &now, author);
-                refusal.code = Code::Unknown;
-                Err(refusal)
-            }
-        }
-    }
-
     fn held(&self, pair: &Pair) -> (String, Held) {
         let key = pair.key.strip_prefix(&self.prefix).unwrap_or(&pair.key);
         let held = Held {
@@ -127,6 +103,31 @@
     }
 }
 
+/// Tells apart a write of the same command, by this or another router, from
+/// another command's. Without `doubt` every answer was heard.
+fn contest(
+    key: &str,
+    held: &Held,
+    found: &Held,
+    author: &Author,
+    doubt: bool,
+) -> Result<Written, Refusal> {
+    let mut refusal = conflict(key, found, author);
+    match settle::settle(author.command, held.revision, found.found()) {
+        Settled::Written { revision, replaced } => {
+            let object = found.object().cloned();
+            let written = written(key, author, revision, object);
+            return Ok(Written {
+                replaced,
+                ..written
+            });
+        }
+        Settled::Unclear if doubt => refusal.code = Code::Unknown,
+        Settled::Lost | Settled::Open | Settled::Unclear => {}
+    }
+    Err(refusal)
+}
+
 /// Finds a key among those of a listing.
 pub(crate) fn pick(listing: &[(String, Held)], key: &str) -> Held {
     let found = listing.iter().find(|(listed, _)| listed == key);
--- /dev/null
+++ b/crates/daemon/tests/operator/changes.rs
@@ -0,0 +1,202 @@
+//! What changes write and refuse.
+
+use googletest::prelude::*;
+use mulberryyoke_command::answer::Code;
+use mulberryyoke_model::{Class, KeyHash, Object, State};
+
+use crate::port::Port;
+
+const ADD: &str = "server add m-1 --pool chat --zone a --slots 8 \
+                   --control 10.0.0.1:7100 --data 10.0.0.1:7101";
+
+/// Carries out commands in order, the identity of each being its place.
+async fn port_after(lines: &[&str]) -> Port {
+    let port = Port::open().await;
+    for (command, line) in (100..).zip(lines) {
+        if let Err(refusal) = port.change(command, line).await {
+            panic!("{line}: {refusal}");
+        }
+    }
+    port
+}
+
+async fn refused(port: &Port, line: &str) -> (Code, String) {
+    let refusal = port.change(1, line).await.expect_err(line);
+    (refusal.code, refusal.message)
+}
+
+#[tokio::test]
+async fn keys_are_stored_hashed() {
+    let line = "customer add scouts --share 4 --class urgent \
+                --key sesame-sesame-01 --key=sesame-sesame-02";
+    let port = port_after(&[line]).await;
+    let (entry, _) = port.kv.entry("customer/scouts").expect("it is there");
+    let Some(Object::Customer(customer)) = &entry.object else {
+        panic!("not a customer: {entry:?}");
+    };
+    assert_that!(customer.share, eq(4));
+    assert_that!(customer.class, eq(Class::Urgent));
+    let hashes = [
+        KeyHash::of("sesame-sesame-01"),
+        KeyHash::of("sesame-sesame-02"),
+    ];
+    assert_that!(customer.keys, container_eq(hashes));
+    assert_that!(entry.operator, eq("noor"));
+    assert_that!(entry.command, eq(100));
+    assert_that!(entry.words, not(contains_substring("sesame")));
+}
+
+#[tokio::test]
+async fn customers_change_and_go() {
+    let port = port_after(&[
+        "customer add scouts --key first-key-of-scouts",
+        "customer set scouts --share 3 --queue 9 --key second-key-of-scouts",
+    ])
+    .await;
+    let hash = KeyHash::of("first-key-of-scouts").0;
+    let drop_key = format!("customer set scouts --drop-key {}", &hash[..8]);
+    let written = port.change(9, &drop_key).await.expect("the key is dropped");
+    let Some(Object::Customer(customer)) = written.object else {
+        panic!("not a customer");
+    };
+    assert_that!(customer.share, eq(3));
+    assert_that!(customer.queue, some(eq(9)));
+    assert_that!(
+        customer.keys,
+        elements_are![eq(&KeyHash::of("second-key-of-scouts"))]
+    );
+    let unchanged = port.change(10, "customer set scouts --share 3").await;
+    assert_that!(unchanged.map(|written| written.unchanged), ok(eq(&true)));
+    let removed = port.change(11, "customer remove scouts").await;
+    assert_that!(removed.map(|written| written.object), ok(none()));
+    assert_that!(
+        refused(&port, "customer remove scouts").await.0,
+        eq(Code::Missing)
+    );
+    let again = port.change(12, "customer add scouts").await;
+    assert_that!(again.map(|written| written.unchanged), ok(eq(&false)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn contradictions_are_refused() {
+    let port = port_after(&[
+        "customer add scouts --key the-key-of-scouts",
+        "pool add chat --kind model",
+        ADD,
+    ])
+    .await;
+    let table = [
+        (
+            "customer add scouts --share 2",
+            Code::Conflict,
+            "exists already",
+        ),
+        (
+            "customer add other --key the-key-of-scouts",
+            Code::Refused,
+            "belongs to customer scouts",
+        ),
+        (
+            "customer set none --share 2",
+            Code::Missing,
+            "customer/none: does not exist",
+        ),
+        (
+            "customer set scouts --drop-key 00",
+            Code::Refused,
+            "no key's hash starts with 00",
+        ),
+        (
+            "customer set scouts --share 2 --at 99",
+            Code::Conflict,
+            "changed at revision 1",
+        ),
+        (
+            "pool remove chat",
+            Code::Refused,
+            "it has servers, m-1 for one",
+        ),
+        (
+            "pool remove none",
+            Code::Missing,
+            "pool/none: does not exist",
+        ),
+        (
+            "server add m-2 --pool none --zone a --slots 8 --control 10.0.0.2:1 --data 10.0.0.2:2",
+            Code::Missing,
+            "pool/none: does not exist; add it first",
+        ),
+        (
+            "server add m-2 --pool chat --zone a --slots 8 --control 10.0.0.2:1 --data 10.0.0.1:7101",
+            Code::Refused,
+            "server m-1 has one of its addresses",
+        ),
+        (
+            "server add m-1 --pool chat --zone b --slots 8 --control 10.0.0.1:7100 --data 10.0.0.1:7101",
+            Code::Conflict,
+            "exists already",
+        ),
+        (
+            "server drain m-9",
+            Code::Missing,
+            "server/m-9: does not exist",
+        ),
+    ];
+    for (line, code, reason) in table {
+        let (found, message) = refused(&port, line).await;
+        expect_that!(found, eq(code), "{line}");
+        expect_that!(message, contains_substring(reason), "{line}");
+    }
+    let same = port.change(2, "pool add chat --kind model").await;
+    assert_that!(same.map(|written| written.unchanged), ok(eq(&true)));
+    assert_that!(port.kv.writes(), eq(3));
+}
+
+#[tokio::test]
+async fn servers_drain_resume_leave_and_return() {
+    let port = port_after(&["pool add chat --kind model", ADD]).await;
+    let mut first = None;
+    for (command, (line, state)) in (10..).zip([
+        ("server drain m-1", State::Draining),
+        ("server resume m-1", State::Active),
+        ("server remove m-1", State::Removed),
+        (ADD, State::Active),
+    ]) {
+        let written = port.change(command, line).await.expect(line);
+        let Some(Object::Server(server)) = written.object else {
+            panic!("{line}: not a server");
+        };
+        assert_that!(server.state, eq(state), "{line}");
+        let added_at = *first.get_or_insert(server.added_at);
+        assert_that!(server.added_at, eq(added_at), "{line}");
+    }
+    port.change(20, "server remove m-1").await.expect("it goes");
+    assert_that!(
+        refused(&port, "server resume m-1").await.0,
+        eq(Code::Refused)
+    );
+    port.change(21, "pool remove chat")
+        .await
+        .expect("it is empty");
+}
+
+#[tokio::test]
+async fn routes_belong_to_one_pool() {
+    let port = Port::open().await;
+    let add = |name: &str, route: &str| {
+        let words = ["pool", "add", name, "--kind", "service", "--route", route];
+        serde_json::json!({ "words": words }).to_string()
+    };
+    let key = crate::port::KEY;
+    let route = "POST /bookings once 40";
+    assert_that!(port.ask(key, add("booking", route)).await.1.ok, eq(true));
+    let (_, reply) = port.ask(key, add("other", route)).await;
+    let message = reply.error.expect("the route is taken").message;
+    assert_that!(
+        message,
+        contains_substring("belongs to pool booking already")
+    );
+    let other = add("other", "GET /bookings repeatable 4");
+    assert_that!(port.ask(key, other).await.1.ok, eq(true));
+}
