Count a granted request as taken; report while work waits; stop at a backend that is down

A grant takes one declared request, as routers count it. The collector's report comes once a second while requests wait, since its answer brings the fleet-wide counts. A backend that refuses connections gets nothing until it accepts one, else a dead server would draw all work.

--- a/crates/daemon/src/sidecar/backend.rs
+++ b/crates/daemon/src/sidecar/backend.rs
@@ -13,6 +13,8 @@
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use mulberryyoke_wire::ticket;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use super::header;
 
@@ -46,6 +48,12 @@
         }
     }
 
+    /// Whether a connection can be set up.
+    pub(crate) async fn answers(&self) -> bool {
+        let connect = TcpStream::connect(self.address);
+        matches!(timeout(CONNECT, connect).await, Ok(Ok(_)))
+    }
+
     /// Sends a request. `once` opens a connection for it.
     pub(crate) async fn send(
         &self,
--- a/crates/daemon/src/sidecar/exchange.rs
+++ b/crates/daemon/src/sidecar/exchange.rs
@@ -58,6 +58,7 @@
     if sent {
         return answer::refuse(Verdict::Broken, None);
     }
+    slot.shared.found_down();
     slot.end(Ending::Unsent);
     answer::refuse(Verdict::Unreachable, None)
 }
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod header;
 mod meter;
+mod probe;
 mod pump;
 mod relay;
 mod role;
--- a/crates/daemon/src/sidecar/role.rs
+++ b/crates/daemon/src/sidecar/role.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinHandle;
 
 use super::shared::Shared;
-use super::{Error, control, data, status, timer};
+use super::{Error, control, data, probe, status, timer};
 use crate::{clock, metric};
 
 /// Longest time for the last answers to be written out after the last request
@@ -53,6 +53,7 @@
             tokio::spawn(control::run(control_port, Arc::clone(&shared))),
             tokio::spawn(status::run(status_port, Arc::clone(&shared))),
             tokio::spawn(timer::run(Arc::clone(&shared))),
+            tokio::spawn(probe::run(Arc::clone(&shared))),
         ];
         log!(shared.logger, Event::Ready, "role" => "sidecar",
             "control" => control.to_string(), "data" => data.to_string(),
--- a/crates/daemon/src/sidecar/shared.rs
+++ b/crates/daemon/src/sidecar/shared.rs
@@ -35,6 +35,8 @@
     pub(crate) control_bytes: Arc<wire::Bytes>,
     /// Fires when slots were reserved, for the timer of lapses.
     pub(crate) reserved: Notify,
+    /// Fires when the backend was found down.
+    pub(crate) down: Notify,
     /// Fires when a request ended.
     pub(crate) ended: Notify,
     /// Cancelled when a planned stop's deadline has passed.
@@ -73,6 +75,7 @@
             logger,
             control_bytes: Arc::default(),
             reserved: Notify::new(),
+            down: Notify::new(),
             ended: Notify::new(),
             cut: CancellationToken::new(),
             closed: CancellationToken::new(),
@@ -98,6 +101,18 @@
         result
     }
 
+    /// Notes that the backend cannot be reached.
+    pub(crate) fn found_down(&self) {
+        let was_down = self.decide(|admission, now| {
+            let was_down = admission.is_down();
+            admission.set_down(true, now);
+            was_down
+        });
+        if !was_down {
+            self.down.notify_one();
+        }
+    }
+
     /// A control link came up; the notification wakes its poll.
     pub(crate) fn connect(&self) -> (LinkKey, Arc<Notify>) {
         let poll = Arc::new(Notify::new());
--- a/crates/daemon/src/sidecar/status.rs
+++ b/crates/daemon/src/sidecar/status.rs
@@ -56,6 +56,9 @@
     if shared.decide(|admission, _| admission.is_draining()) {
         return (StatusCode::SERVICE_UNAVAILABLE, "draining\n".to_owned());
     }
+    if shared.decide(|admission, _| admission.is_down()) {
+        return (StatusCode::SERVICE_UNAVAILABLE, "backend down\n".to_owned());
+    }
     (StatusCode::OK, "ready\n".to_owned())
 }
 
--- a/crates/daemon/tests/sidecar/pass.rs
+++ b/crates/daemon/tests/sidecar/pass.rs
@@ -155,15 +155,18 @@
 
 #[gtest]
 #[tokio::test]
-async fn unreachable_backend_is_told_as_not_run() -> Result<()> {
+async fn unreachable_backend_is_told_as_not_run_and_gets_nothing_until_it_is_back() -> Result<()> {
     let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
     let address = closed.local_addr()?;
     drop(closed);
     let node = Node::spawn(settings(address, Kind::Service, 1)).await;
-    expect_that!(
-        verdict(&node.send(&ticket(1)).await),
-        some(eq("unreachable"))
-    );
+    let first = node.send(&ticket(1)).await;
+    expect_that!(verdict(&first), some(eq("unreachable")));
+    expect_that!(verdict(&node.send(&ticket(2)).await), some(eq("busy")));
+    node.declare(CustomerId::of("acme"), 1).await;
+    expect_that!(node.poll(0).await.grants.len(), eq(0));
+    let _back = tokio::net::TcpListener::bind(address).await?;
+    expect_that!(node.grants().await.len(), eq(1));
     Ok(())
 }
 
--- a/crates/decide/src/account/demand.rs
+++ b/crates/decide/src/account/demand.rs
@@ -4,17 +4,17 @@
 
 use crate::admission::LinkKey;
 
-/// Requests of one customer that wait at one link's router.
+/// Requests of one customer that wait at one link's router, less those that a
+/// slot was reserved for since it declared them.
 #[derive(Clone, Debug)]
 pub struct Demand {
     /// The link.
     pub link: LinkKey,
-    pub(crate) waiting: [u32; 3],
+    waiting: [u16; 3],
+    /// When the oldest of the best class began to wait.
     pub(crate) since: Millis,
     /// Mean estimated cost of one, in tokens.
     pub(crate) cost: u32,
-    /// Slots reserved for some of them.
-    pub(crate) reserved: u32,
     /// Whether the link shows no sign of life.
     pub(crate) suspended: bool,
 }
@@ -26,46 +26,56 @@
             waiting: [0; 3],
             since: 0,
             cost: 0,
-            reserved: 0,
             suspended: false,
         }
     }
 
     pub(crate) fn declare(&mut self, interest: &Interest) {
-        self.waiting = interest.waiting.map(u32::from);
+        self.waiting = interest.waiting;
         self.since = interest.since;
         self.cost = interest.cost;
     }
 
-    /// Waiting requests without a reserved slot.
+    pub(crate) fn clear(&mut self) {
+        self.waiting = [0; 3];
+    }
+
+    /// Counts one request of the best class less; a slot is reserved for it.
+    pub(crate) fn take(&mut self) {
+        let class = self.class();
+        if let Some(waiting) = self.waiting.get_mut(class) {
+            *waiting -= 1;
+        }
+    }
+
+    /// Counts a request again whose router never learnt of its slot.
+    pub(crate) fn give_back(&mut self, class: usize) {
+        if let Some(waiting) = self.waiting.get_mut(class) {
+            *waiting = waiting.saturating_add(1);
+        }
+    }
+
+    /// Requests that wait for a slot.
     #[must_use]
     pub fn runnable(&self) -> u32 {
         if self.suspended {
             return 0;
         }
-        let waiting: u32 = self.waiting.iter().sum();
-        waiting.saturating_sub(self.reserved)
+        self.waiting.iter().copied().map(u32::from).sum()
     }
 
-    /// Rank of the best class that has a runnable request; the router uses
-    /// reserved slots for the best classes first.
+    /// Rank of the best class that has a waiting request.
     #[must_use]
     pub fn class(&self) -> usize {
-        let mut reserved = self.reserved;
-        for (class, waiting) in self.waiting.into_iter().enumerate() {
-            if waiting > reserved {
-                return class;
-            }
-            reserved -= waiting;
-        }
-        self.waiting.len()
+        let best = self.waiting.iter().position(|waiting| *waiting > 0);
+        best.unwrap_or(self.waiting.len())
     }
 
     pub(crate) fn is_urgent(&self) -> bool {
-        self.runnable() > 0 && self.class() == 0
+        !self.suspended && self.waiting[0] > 0
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.waiting == [0; 3] && self.reserved == 0
+        self.waiting == [0; 3]
     }
 }
--- a/crates/decide/src/account/ledger.rs
+++ b/crates/decide/src/account/ledger.rs
@@ -21,6 +21,8 @@
     shares: HashMap<CustomerId, u32>,
     order: Order,
     reach: u32,
+    /// Whether anything was charged since the last report.
+    has_charged: bool,
     /// Virtual service of the customer served last; newcomers start no lower.
     last: Virtual,
 }
@@ -33,6 +35,7 @@
             shares: HashMap::new(),
             order: Order::default(),
             reach: 1,
+            has_charged: false,
             last: 0,
         }
     }
@@ -141,11 +144,15 @@
         self.update(key, |account| account.reserved -= tokens);
     }
 
-    /// Whether any service is not counted by the fleet.
-    pub(crate) fn has_uncounted(&self) -> bool {
-        self.accounts
-            .values()
-            .any(|account| account.uncounted() > 0)
+    /// Whether a report has something to tell or to ask for.
+    pub(crate) fn has_news(&self) -> bool {
+        self.has_charged || self.is_backlogged()
+    }
+
+    /// Charges tokens beyond the estimate.
+    pub(crate) fn charge(&mut self, key: AccountKey, tokens: u64) {
+        self.has_charged = true;
+        self.update(key, |account| account.charge(tokens));
     }
 
     /// Charges the start of a request.
@@ -154,6 +161,7 @@
             self.lift(key);
         }
         self.serve(key);
+        self.has_charged = true;
         self.update(key, |account| {
             account.running += 1;
             account.charge(tokens);
@@ -210,14 +218,23 @@
 
     /// Notes that an account's charge goes into a report. Returns the charge.
     pub(crate) fn mark_reported(&mut self, key: AccountKey) -> u64 {
+        self.has_charged = false;
         let account = &mut self.accounts[key];
         account.reported = account.charged;
         account.charged
     }
 
+    /// Takes over that the reported charge of an account is counted.
+    pub(crate) fn count_reported(&mut self, key: AccountKey) {
+        if self.accounts.contains_key(key) {
+            self.update(key, |account| account.counted = account.reported);
+        }
+    }
+
     /// Another collector counts from elsewhere. What is not counted yet is
     /// taken as counted with the peers' assumed part, so that no order changes.
     pub(crate) fn change_collector(&mut self) {
+        self.has_charged = true;
         for account in self.accounts.values_mut() {
             account.told = None;
             let assumed = account.uncounted().saturating_mul(u64::from(self.reach));
@@ -242,6 +259,16 @@
         }
     }
 
+    /// Asserts that the customer served next is behind the least served one by no
+    /// more than the lead of urgent work.
+    pub(crate) fn check(&self) {
+        let (Some(first), Some(floor)) = (self.first(), self.order.floor()) else {
+            return;
+        };
+        let ahead = self.virtual_service(first) - floor;
+        assert!(ahead <= URGENT_LEAD * SCALE, "urgent work leads too far");
+    }
+
     /// Closes accounts of customers that are no longer configured and have
     /// neither requests nor uncounted service.
     pub(crate) fn prune(&mut self) {
--- a/crates/decide/src/account/report.rs
+++ b/crates/decide/src/account/report.rs
@@ -52,11 +52,12 @@
             return;
         }
         for key in std::mem::take(&mut self.sent) {
-            ledger.update(key, |account| account.counted = account.reported);
+            ledger.count_reported(key);
         }
     }
 
-    /// The report that is due, if any.
+    /// The report that is due, if any. While requests wait there is one even with
+    /// nothing to tell, since its answer brings the fleet-wide counts.
     pub(crate) fn report(&mut self, ledger: &mut Ledger, now: Millis) -> Option<Report> {
         if now < self.next_at {
             return None;
@@ -67,7 +68,7 @@
             .accounts()
             .filter(|(_, account)| account.uncounted() > 0 || fresh && account.charged > 0);
         self.sent = due.map(|(key, _)| key).collect();
-        if self.sent.is_empty() {
+        if self.sent.is_empty() && !ledger.is_backlogged() {
             return None;
         }
         self.sequence += 1;
--- a/crates/decide/src/admission/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -1,17 +1,36 @@
-//! The state of one sidecar.
+//! Which waiting request a server runs next, and the truth about each attempt.
+//!
+//! [`Admission`] is the state of one sidecar. The role keeps it under one lock,
+//! so a start and a withdrawal exclude each other.
+
+mod arrival;
+mod arrive;
+mod attempts;
+mod check;
+mod configure;
+mod grants;
+mod link;
+mod poll;
+mod running;
+mod setup;
+mod withdraw;
+
+pub use arrival::{Arrival, Ending};
+pub use attempts::Attempts;
+pub use grants::GRANT_TTL;
+pub use link::{Link, LinkKey};
+pub use poll::Due;
+pub use setup::{Setup, Sharing};
 
 use std::collections::{BTreeMap, HashMap};
 
 use mulberryyoke_model::{Attempt, Load, Millis, Outcome, Revision};
 use slotmap::SlotMap;
 
-use super::attempts::Attempts;
-use super::grants::Reservation;
-use super::link::{Link, LinkKey};
-use super::running::Running;
-use super::{Setup, Sharing};
 use crate::account::{Ledger, Reporter};
 use crate::key::Memory;
+use grants::Reservation;
+use running::Running;
 
 /// The state of one sidecar: what waits at the routers linked to it, what is
 /// reserved, what runs, and what became of each attempt.
@@ -31,6 +50,8 @@
     pub(crate) keys: Memory,
     pub(crate) stopping: bool,
     pub(crate) leaving: bool,
+    /// Whether the backend cannot be reached.
+    pub(crate) down: bool,
     pub(crate) revision: Revision,
     /// Links whose poll may have something to tell.
     pub(crate) woken: Vec<LinkKey>,
@@ -54,6 +75,7 @@
             keys: Memory::open(setup.retention_ms, doubtful_until),
             stopping: false,
             leaving: false,
+            down: false,
             revision: 0,
             woken: Vec::new(),
         }
@@ -82,9 +104,12 @@
         self.reservations.len()
     }
 
-    /// Slots neither running nor reserved.
+    /// Slots neither running nor reserved; none while the backend is down.
     #[must_use]
     pub fn free(&self) -> u32 {
+        if self.down {
+            return 0;
+        }
         let used = self.running.len() + self.reservations.len();
         self.slots
             .saturating_sub(u32::try_from(used).unwrap_or(u32::MAX))
@@ -122,6 +147,20 @@
         self.woken.extend(self.links.keys());
     }
 
+    /// Notes whether the backend can be reached. Nothing is started while it
+    /// cannot.
+    pub fn set_down(&mut self, down: bool, now: Millis) {
+        self.down = down;
+        self.expire(now);
+        self.fill(now);
+    }
+
+    /// Whether the backend cannot be reached.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        self.down
+    }
+
     /// What became of an attempt or its key.
     pub fn outcome(
         &mut self,
--- a/crates/decide/src/admission/arrive.rs
+++ b/crates/decide/src/admission/arrive.rs
@@ -106,8 +106,7 @@
         };
         let more = running.charge.meter(tokens);
         if more > 0 {
-            self.ledger
-                .update(running.account, |account| account.charge(more));
+            self.ledger.charge(running.account, more);
         }
     }
 
@@ -118,11 +117,12 @@
         };
         let surplus = running.charge.settle();
         let tokens = running.charge.metered();
-        let is_whole = matches!(ending, Ending::Whole(_));
+        let is_model = self.setup.kind == Kind::Model;
+        let teaches = is_model && tokens > 0 && matches!(ending, Ending::Whole(_));
         self.ledger.update(running.account, |account| {
             account.running -= 1;
             account.refund(surplus);
-            if is_whole {
+            if teaches {
                 account.hint.learn(running.cost, tokens);
             }
         });
--- a/crates/decide/src/admission/attempts.rs
+++ b/crates/decide/src/admission/attempts.rs
@@ -18,6 +18,7 @@
     records: HashMap<Attempt, Outcome>,
     ended: VecDeque<(Millis, Attempt)>,
     tombstones: VecDeque<(Millis, Attempt)>,
+    running: usize,
     /// Highest request forgotten of each origin.
     forgotten: HashMap<Incarnation, u64>,
     retention_ms: Millis,
@@ -31,6 +32,7 @@
             records: HashMap::new(),
             ended: VecDeque::new(),
             tombstones: VecDeque::new(),
+            running: 0,
             forgotten: HashMap::new(),
             retention_ms,
         }
@@ -53,14 +55,21 @@
         self.records.get(&attempt).copied()
     }
 
+    /// Attempts that run now.
+    pub(crate) fn running(&self) -> usize {
+        self.running
+    }
+
     /// Notes that an attempt has started.
     pub fn start(&mut self, attempt: Attempt) {
+        self.running += 1;
         self.records.insert(attempt, Outcome::Running);
     }
 
     /// Notes how a started attempt ended.
     pub fn end(&mut self, attempt: Attempt, outcome: Outcome, now: Millis) {
         let until = now + self.retention_ms;
+        self.running -= 1;
         self.records.insert(attempt, outcome);
         self.ended.push_back((until, attempt));
         while self.ended.len() > MAX_ATTEMPTS {
--- a/crates/decide/src/admission/check.rs
+++ b/crates/decide/src/admission/check.rs
@@ -4,7 +4,9 @@
 
 impl Admission {
     /// Asserts what must hold after every event: no free slot beside a runnable
-    /// request, and slots and requests counted exactly once.
+    /// request, no more slots used than there are, every running request known
+    /// as such, and the customer served next behind no other by more than the
+    /// lead of urgent work.
     ///
     /// # Panics
     ///
@@ -18,5 +20,16 @@
             !(may_grant && self.ledger.is_backlogged()),
             "a slot is free beside a runnable request"
         );
+        let used = self.running.len() + self.reservations.len();
+        assert!(
+            used <= self.setup.slots as usize,
+            "more slots are used than there are"
+        );
+        assert_eq!(
+            self.running.len(),
+            self.attempts.running(),
+            "a running request is not remembered as such"
+        );
+        self.ledger.check();
     }
 }
--- a/crates/decide/src/admission/grants.rs
+++ b/crates/decide/src/admission/grants.rs
@@ -17,6 +17,8 @@
     pub(crate) until: Millis,
     /// Expected cost, in tokens.
     pub(crate) estimate: u64,
+    /// Rank of the class that it was reserved for.
+    pub(crate) class: usize,
 }
 
 impl Admission {
@@ -80,17 +82,23 @@
         }
     }
 
-    /// Frees a reserved slot.
+    /// Frees a reserved slot. A router that never learnt of it still has the
+    /// request waiting.
     pub(crate) fn release(&mut self, grant: u64) -> Option<Reservation> {
         let reservation = self.reservations.remove(&grant)?;
-        if let Some(link) = self.links.get_mut(reservation.link) {
-            link.grants.retain(|told| told.id != grant);
-        }
-        self.ledger
-            .unreserve(reservation.account, reservation.estimate);
-        self.change_demand(reservation.account, reservation.link, |demand| {
-            demand.reserved -= 1;
+        let account = reservation.account;
+        self.ledger.unreserve(account, reservation.estimate);
+        let link = self.links.get_mut(reservation.link);
+        let untold = link.and_then(|link| {
+            let index = link.grants.iter().position(|untold| untold.id == grant)?;
+            link.accounts.insert(account);
+            Some(link.grants.swap_remove(index))
         });
+        if untold.is_some() {
+            self.change_demand(account, reservation.link, |demand| {
+                demand.give_back(reservation.class);
+            });
+        }
         Some(reservation)
     }
 
@@ -119,9 +127,10 @@
         let holder = self.ledger.account(account);
         let best = holder.demands.iter().filter(|demand| demand.runnable() > 0);
         let best = best.min_by_key(|demand| (demand.class(), demand.since, demand.link));
-        let Some((link, cost)) = best.map(|demand| (demand.link, demand.cost)) else {
+        let Some(best) = best else {
             return false;
         };
+        let (link, cost, class) = (best.link, best.cost, best.class());
         let estimate = self.estimate(account, cost);
         let grant = Grant {
             id: self.next_grant,
@@ -134,10 +143,11 @@
             link,
             until: grant.until,
             estimate,
+            class,
         };
         self.reservations.insert(grant.id, reservation);
         self.ledger.reserve(account, estimate);
-        self.change_demand(account, link, |demand| demand.reserved += 1);
+        self.change_demand(account, link, Demand::take);
         self.links[link].grants.push(grant);
         self.woken.push(link);
         true
@@ -180,7 +190,7 @@
         };
         let accounts: Vec<AccountKey> = entry.accounts.iter().copied().collect();
         for account in accounts {
-            self.change_demand(account, link, |demand| demand.waiting = [0; 3]);
+            self.change_demand(account, link, Demand::clear);
         }
     }
 }
--- a/crates/decide/src/admission/poll.rs
+++ b/crates/decide/src/admission/poll.rs
@@ -99,7 +99,7 @@
         if told.is_idle != self.is_idle() {
             due = told.at + LOAD_INTERVAL;
         }
-        if self.collector == Some(link) && self.ledger.has_uncounted() {
+        if self.collector == Some(link) && self.ledger.has_news() {
             due = due.min(self.reporter.next_at());
         }
         match due {
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -88,6 +88,14 @@
     KeysDoubtful = 2008, Warning, "earlier keys unknown";
     /// Earlier idempotency keys are known again.
     KeysRecovered = 2009, Info, "earlier keys recovered";
+    /// The backend cannot be reached; nothing is started on it.
+    BackendDown = 2010, Warning, "backend unreachable";
+    /// The backend can be reached again.
+    BackendUp = 2011, Info, "backend reachable";
+    /// A stream that broke off goes on where it stopped.
+    Resumed = 2012, Info, "stream resumed";
+    /// Another life of the sidecar has taken over the server's home record.
+    Superseded = 2013, Error, "home record taken over";
     /// An accepted configuration is in force on this node.
     ConfigApplied = 3001, Info, "configuration applied";
     /// The key-value service does not answer.
