--- /dev/null
+++ b/crates/daemon/src/args.rs
@@ -0,0 +1,54 @@
+//! The command line of the daemon; the doc comments are its help.
+
+use std::path::PathBuf;
+
+use gumdrop::Options;
+
+/// Routes language model traffic.
+///
+/// Example: mulberryyoked router --settings router.json
+#[derive(Debug, Options)]
+pub(crate) struct Args {
+    /// print this help
+    pub(crate) help: bool,
+    /// print the version
+    #[options(no_short)]
+    pub(crate) version: bool,
+    /// what to run
+    #[options(command)]
+    pub(crate) role: Option<Role>,
+}
+
+/// What the process does.
+#[derive(Debug, Options)]
+pub(crate) enum Role {
+    /// take callers' requests on an entry VM
+    Router(Settings),
+    /// start requests on the backend server beside it
+    Sidecar(Settings),
+    /// check a settings file without starting
+    Check(Check),
+}
+
+/// Example: mulberryyoked router --settings router.json
+#[derive(Debug, Options)]
+pub(crate) struct Settings {
+    /// print this help
+    pub(crate) help: bool,
+    /// the settings file, in JSON
+    #[options(required, meta = "FILE")]
+    pub(crate) settings: PathBuf,
+}
+
+/// Example: mulberryyoked check --role router router.json
+#[derive(Debug, Options)]
+pub(crate) struct Check {
+    /// print this help
+    pub(crate) help: bool,
+    /// router or sidecar
+    #[options(required, meta = "ROLE")]
+    pub(crate) role: String,
+    /// the settings file, in JSON
+    #[options(free, required)]
+    pub(crate) file: PathBuf,
+}
--- /dev/null
+++ b/crates/daemon/src/cmd/mod.rs
@@ -0,0 +1,52 @@
+//! What each word of the command line does.
+
+mod check;
+mod router;
+mod sidecar;
+mod signal;
+
+use std::future::Future;
+
+use mulberryyoke_event::Form;
+use mulberryyoke_settings::Log;
+use tokio::runtime::Builder;
+
+use crate::args::{Args, Role};
+use crate::error::Error;
+
+/// Runs what the command line says.
+///
+/// # Errors
+///
+/// See [`Error`].
+pub(crate) fn run(args: &Args) -> Result<(), Error> {
+    if args.version {
+        println!("mulberryyoked {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    match &args.role {
+        Some(Role::Router(options)) => router::run(options),
+        Some(Role::Sidecar(options)) => sidecar::run(options),
+        Some(Role::Check(options)) => check::run(options),
+        None => Err(Error::Usage(
+            "a role is missing; allowed are router, sidecar and check".to_owned(),
+        )),
+    }
+}
+
+/// Runs a role on a runtime of several threads until it ends.
+fn block_on(role: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
+    let runtime = Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::Runtime)?;
+    runtime.block_on(role)
+}
+
+/// The log form that settings ask for.
+const fn form(log: Log) -> Form {
+    match log {
+        Log::Json => Form::Json,
+        Log::Terminal => Form::Terminal,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/error.rs
@@ -0,0 +1,42 @@
+//! Errors that end the daemon.
+
+use std::io;
+use std::process::ExitCode;
+
+use displaydoc::Display;
+use mulberryyoke_settings as settings;
+use mulberryyoked::{router, sidecar};
+
+/// Exit code of a wrong command line or wrong settings.
+const USAGE: u8 = 2;
+
+/// Why the daemon ended.
+#[derive(Debug, Display)]
+pub(crate) enum Error {
+    /// could not read command line: {0}
+    Usage(String),
+    /// {0}
+    Settings(settings::Error),
+    /// could not start runtime: {0}
+    Runtime(io::Error),
+    /// could not wait for signals: {0}
+    Signal(io::Error),
+    /// could not run router: {0}
+    Router(router::Error),
+    /// could not run sidecar: {0}
+    Sidecar(sidecar::Error),
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    /// The process's exit code.
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Usage(_) | Self::Settings(_) => ExitCode::from(USAGE),
+            Self::Runtime(_) | Self::Signal(_) | Self::Router(_) | Self::Sidecar(_) => {
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
