--- a/crates/daemon/src/operator/port.rs
+++ b/crates/daemon/src/operator/port.rs
@@ -102,7 +102,7 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => spawn(stream, &respond, &graceful),
+                Ok((stream, peer)) => spawn(stream, peer, &respond, &graceful),
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
             () = stop.cancelled() => break,
@@ -113,11 +113,11 @@
     let _ = tokio::time::timeout(STOP, graceful.shutdown()).await;
 }
 
-fn spawn(stream: TcpStream, respond: &Arc<Respond>, graceful: &GracefulShutdown) {
+fn spawn(stream: TcpStream, peer: SocketAddr, respond: &Arc<Respond>, graceful: &GracefulShutdown) {
     let respond = Arc::clone(respond);
     let service = service_fn(move |request| {
         let respond = Arc::clone(&respond);
-        async move { respond.respond(request).await }
+        async move { respond.respond(request, peer).await }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
--- a/crates/daemon/src/operator/respond.rs
+++ b/crates/daemon/src/operator/respond.rs
@@ -1,6 +1,7 @@
 //! Requests on the operators' port and their responses.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -34,6 +35,7 @@
     pub(crate) async fn respond(
         &self,
         request: Request<Incoming>,
+        peer: SocketAddr,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let path = request.uri().path().to_owned();
         let response = match (request.method(), path.as_str()) {
@@ -41,7 +43,7 @@
             (&Method::GET, "/readyz") if self.source.is_ready() => text(StatusCode::OK, "ready\n"),
             (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             (&Method::GET, "/metrics") => text(StatusCode::OK, metric::render()),
-            (&Method::POST, "/v1/command") => self.command(request).await,
+            (&Method::POST, "/v1/command") => self.command(request, peer).await,
             (_, "/healthz" | "/readyz" | "/metrics" | "/v1/command") => {
                 text(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n")
             }
@@ -50,9 +52,9 @@
         Ok(response)
     }
 
-    async fn command(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn command(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<Full<Bytes>> {
         let Some(operator) = self.access.operator(request.headers()) else {
-            log!(self.logger, Event::OperatorDenied);
+            log!(self.logger, Event::OperatorDenied, "peer" => peer.to_string());
             let refusal = Refusal::new(Code::Denied, "a known operator's bearer key is needed");
             return reply(Err(refusal));
         };
