--- a/crates/command/src/lib.rs
+++ b/crates/command/src/lib.rs
@@ -30,7 +30,8 @@
     Set as PoolSet,
 };
 pub use server::{
-    Action as ServerAction, Add as ServerAdd, Change as ServerChange, List as ServerList, Server,
+    Action as ServerAction, Add as ServerAdd, Drain as ServerDrain, List as ServerList,
+    Remove as ServerRemove, Resume as ServerResume, Server,
 };
 pub use status::Status;
 pub use waiting::Waiting;
--- a/crates/command/src/server.rs
+++ b/crates/command/src/server.rs
@@ -23,11 +23,11 @@
     /// add a server
     Add(Add),
     /// give a server no new work; what it runs ends
-    Drain(Change),
+    Drain(Drain),
     /// give a drained server new work again
-    Resume(Change),
+    Resume(Resume),
     /// remove a server
-    Remove(Change),
+    Remove(Remove),
     /// list all servers
     List(List),
 }
@@ -68,13 +68,54 @@
     pub json: bool,
 }
 
-/// Changes whether a server takes new work: drain, resume or remove. A removed
-/// server stays on record for the key retention time.
+/// Gives a server no new work. What it runs ends; its sidecar stays connected.
 ///
 /// Example: mulberryyoke server drain m-3 --wait
 #[derive(Clone, Debug, PartialEq, Eq, Options)]
 #[options(no_short)]
-pub struct Change {
+pub struct Drain {
+    /// print this help
+    pub help: bool,
+    /// its name
+    #[options(free, required, parse(try_from_str = "value::name"))]
+    pub name: String,
+    /// refuse unless this is the revision of its latest write
+    #[options(meta = "REVISION")]
+    pub at: Option<u64>,
+    /// wait until in force on every node
+    pub wait: bool,
+    /// print JSON
+    pub json: bool,
+}
+
+/// Gives a drained server new work again.
+///
+/// Example: mulberryyoke server resume m-3
+#[derive(Clone, Debug, PartialEq, Eq, Options)]
+#[options(no_short)]
+pub struct Resume {
+    /// print this help
+    pub help: bool,
+    /// its name
+    #[options(free, required, parse(try_from_str = "value::name"))]
+    pub name: String,
+    /// refuse unless this is the revision of its latest write
+    #[options(meta = "REVISION")]
+    pub at: Option<u64>,
+    /// wait until in force on every node
+    pub wait: bool,
+    /// print JSON
+    pub json: bool,
+}
+
+/// Removes a server: no new work, and no links to its sidecar. Its record stays, so
+/// that calls which may run once only still know where they may have run. Drain it
+/// first to let its work end.
+///
+/// Example: mulberryyoke server remove m-3 --wait
+#[derive(Clone, Debug, PartialEq, Eq, Options)]
+#[options(no_short)]
+pub struct Remove {
     /// print this help
     pub help: bool,
     /// its name
@@ -114,7 +155,9 @@
     pub(crate) const fn json(&self) -> bool {
         match self {
             Self::Add(add) => add.json,
-            Self::Drain(change) | Self::Resume(change) | Self::Remove(change) => change.json,
+            Self::Drain(drain) => drain.json,
+            Self::Resume(resume) => resume.json,
+            Self::Remove(remove) => remove.json,
             Self::List(list) => list.json,
         }
     }
@@ -122,7 +165,9 @@
     pub(crate) const fn wait(&self) -> bool {
         match self {
             Self::Add(add) => add.wait,
-            Self::Drain(change) | Self::Resume(change) | Self::Remove(change) => change.wait,
+            Self::Drain(drain) => drain.wait,
+            Self::Resume(resume) => resume.wait,
+            Self::Remove(remove) => remove.wait,
             Self::List(_) => false,
         }
     }
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -23,16 +23,18 @@
 #[derive(Debug, Options)]
 pub(crate) enum Role {
     /// take callers' requests on an entry VM
-    Router(Settings),
+    Router(Router),
     /// start requests on the backend server beside it
-    Sidecar(Settings),
+    Sidecar(Sidecar),
     /// check a settings file without starting
     Check(Check),
 }
 
+/// Takes callers' requests on an entry VM.
+///
 /// Example: mulberryyoked router --settings router.json
 #[derive(Debug, Options)]
-pub(crate) struct Settings {
+pub(crate) struct Router {
     /// print this help
     pub(crate) help: bool,
     /// the settings file, in JSON
@@ -40,14 +42,28 @@
     pub(crate) settings: PathBuf,
 }
 
+/// Starts requests on the backend server beside it.
+///
+/// Example: mulberryyoked sidecar --settings sidecar.json
+#[derive(Debug, Options)]
+pub(crate) struct Sidecar {
+    /// print this help
+    pub(crate) help: bool,
+    /// the settings file, in JSON
+    #[options(required, meta = "FILE")]
+    pub(crate) settings: PathBuf,
+}
+
+/// Checks a settings file without starting.
+///
 /// Example: mulberryyoked check --role router router.json
 #[derive(Debug, Options)]
 pub(crate) struct Check {
     /// print this help
     pub(crate) help: bool,
-    /// router or sidecar
-    #[options(required, meta = "ROLE")]
-    pub(crate) role: String,
+    /// router or sidecar; found out from the file when absent
+    #[options(meta = "ROLE")]
+    pub(crate) role: Option<mulberryyoke_settings::Role>,
     /// the settings file, in JSON
     #[options(free, required)]
     pub(crate) file: PathBuf,
--- a/crates/daemon/src/operator/execute/server.rs
+++ b/crates/daemon/src/operator/execute/server.rs
@@ -1,8 +1,8 @@
 //! Commands on servers.
 
 use mulberryyoke_command::answer::{Answer, Code, Refusal};
-use mulberryyoke_command::{ServerAction, ServerAdd, ServerChange, ServerList};
-use mulberryyoke_model::{Object, Server, State};
+use mulberryyoke_command::{ServerAction, ServerAdd, ServerList};
+use mulberryyoke_model::{Object, Revision, Server, State};
 
 use super::{Execute, no_action, objects};
 use crate::operator::author::Author;
@@ -18,14 +18,17 @@
     ) -> Result<Answer, Refusal> {
         match action {
             Some(ServerAction::Add(add)) => self.add_server(add, author).await,
-            Some(ServerAction::Drain(change)) => {
-                self.move_server(change, State::Draining, author).await
+            Some(ServerAction::Drain(drain)) => {
+                let (name, at) = (&drain.name, drain.at);
+                self.move_server(name, State::Draining, at, author).await
             }
-            Some(ServerAction::Resume(change)) => {
-                self.move_server(change, State::Active, author).await
+            Some(ServerAction::Resume(resume)) => {
+                let (name, at) = (&resume.name, resume.at);
+                self.move_server(name, State::Active, at, author).await
             }
-            Some(ServerAction::Remove(change)) => {
-                self.move_server(change, State::Removed, author).await
+            Some(ServerAction::Remove(remove)) => {
+                let (name, at) = (&remove.name, remove.at);
+                self.move_server(name, State::Removed, at, author).await
             }
             Some(ServerAction::List(list)) => {
                 let config = self.source.config();
@@ -52,14 +55,15 @@
 
     async fn move_server(
         &self,
-        change: &ServerChange,
+        name: &str,
         state: State,
+        at: Option<Revision>,
         author: &Author,
     ) -> Result<Answer, Refusal> {
-        let key = format!("server/{}", change.name);
+        let key = format!("server/{name}");
         let held = self.get(&key).await?;
-        let plan = || plan::change(&change.name, state, held.object(), author.at);
-        self.change(&key, &held, change.at, plan, author).await
+        let plan = || plan::change(name, state, held.object(), author.at);
+        self.change(&key, &held, at, plan, author).await
     }
 }
 
