Remember keys over restarts: home record, recall by routers, doubt

A planned stop leaves the keys in the home record; after a crash the record names the routers that must tell what they sent. A router that the record does not name gets no key started, so the next life always knows whom to ask.

--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -110,6 +110,9 @@
     }
 
     async fn withdraw(self, _: Context, attempt: Attempt, key: Option<KeyId>) -> Withdrawal {
+        if key.is_some() {
+            self.shared.home.name(&self.shared, attempt.origin).await;
+        }
         let (outcome, doubtful) = self
             .shared
             .decide(|admission, now| admission.withdraw(attempt, key, now));
@@ -128,7 +131,17 @@
         self.shared.configure(changes)
     }
 
-    async fn recall(self, _: Context, _origin: Incarnation, _complete: bool, _keys: Vec<KeyId>) {}
+    async fn recall(self, _: Context, origin: Incarnation, complete: bool, keys: Vec<KeyId>) {
+        let recovered = self.shared.decide(|admission, now| {
+            let before = admission.is_doubtful(now);
+            admission.introduce(self.key, origin);
+            admission.recall(origin, complete, &keys, now);
+            before && !admission.is_doubtful(now)
+        });
+        if recovered {
+            log!(self.shared.logger, Event::KeysRecovered, "from" => "routers");
+        }
+    }
 
     async fn changes(self, _: Context, since: Revision) -> Vec<Change> {
         self.shared.changes(since)
--- a/crates/daemon/src/sidecar/data.rs
+++ b/crates/daemon/src/sidecar/data.rs
@@ -64,6 +64,9 @@
     let Some(ticket) = header.and_then(|text| ticket::unpack(text).ok()) else {
         return answer::refuse(Verdict::Malformed, None);
     };
+    if ticket.key.is_some() {
+        shared.home.name(shared, ticket.attempt.origin).await;
+    }
     let arrival = shared.decide(|admission, now| admission.arrive(&ticket, now));
     match arrival {
         Arrival::Started => start(shared, ticket, request).await,
--- a/crates/daemon/src/sidecar/role.rs
+++ b/crates/daemon/src/sidecar/role.rs
@@ -6,11 +6,13 @@
 use mulberryyoke_event::slog::Logger;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::Millis;
+use mulberryyoke_platform::kv::{self, Kv};
 use mulberryyoke_settings as settings;
 use mulberryyoke_wire as wire;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use super::keeper::Keeper;
 use super::shared::Shared;
 use super::{Error, control, data, probe, status, timer};
 use crate::{clock, metric};
@@ -26,6 +28,7 @@
     control: SocketAddr,
     data: SocketAddr,
     status: SocketAddr,
+    keeper: JoinHandle<()>,
     data_task: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -37,6 +40,20 @@
     ///
     /// See [`Error`].
     pub async fn spawn(settings: settings::Sidecar, logger: Logger) -> Result<Self, Error> {
+        let kv = kv::Etcd::open(settings.kv.clone(), kv::Options::default());
+        Self::spawn_on(settings, Arc::new(kv), logger).await
+    }
+
+    /// As [`Self::spawn`], with another client of the key-value service.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn spawn_on(
+        settings: settings::Sidecar,
+        kv: Arc<dyn Kv>,
+        logger: Logger,
+    ) -> Result<Self, Error> {
         metric::install();
         let shared = Shared::open(settings, logger);
         let settings = &shared.settings;
@@ -48,6 +65,7 @@
             .map_err(control_error(settings.control))?;
         let data = local(&data_port, settings.data)?;
         let status = local(&status_port, settings.status)?;
+        let keeper = tokio::spawn(Keeper::open(Arc::clone(&shared), kv).run());
         let data_task = tokio::spawn(data::run(data_port, Arc::clone(&shared)));
         let tasks = vec![
             tokio::spawn(control::run(control_port, Arc::clone(&shared))),
@@ -63,6 +81,7 @@
             control,
             data,
             status,
+            keeper,
             data_task,
             tasks,
         })
@@ -86,14 +105,35 @@
         self.status
     }
 
+    /// Waits until no request runs.
+    pub async fn idle(&self) {
+        wait_idle(&self.shared).await;
+    }
+
+    /// Waits until a request runs.
+    pub async fn busy(&self) {
+        while self.running() == 0 {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn running(&self) -> usize {
+        self.shared.decide(|admission, _| admission.running())
+    }
+
+    /// Waits until the home record is this life's.
+    pub async fn home_written(&self) {
+        self.shared.home.wait_written().await;
+    }
+
     /// Refuses new work, lets running answers end until the drain deadline, cuts
     /// off what remains, and closes.
-    pub async fn stop(self) {
-        let shared = &self.shared;
+    pub async fn stop(mut self) {
+        let shared = Arc::clone(&self.shared);
         let deadline = clock::now() + shared.settings.drain_ms;
         log!(shared.logger, Event::Stopping, "deadline" => deadline);
         shared.decide(|admission, _| admission.stop());
-        let idle = wait_idle(shared);
+        let idle = wait_idle(&shared);
         if tokio::time::timeout_at(clock::instant(deadline), idle)
             .await
             .is_err()
@@ -102,14 +142,26 @@
         }
         shared.tasks.close();
         shared.tasks.wait().await;
+        shared.idle.cancel();
+        // A keeper that failed has left the record open.
+        let _ = (&mut self.keeper).await;
         shared.closed.cancel();
         let flushed = clock::instant(clock::now() + FLUSH);
         // Routers that do not read by then find their connection closed.
-        let _ = tokio::time::timeout_at(flushed, self.data_task).await;
-        for task in &self.tasks {
+        let _ = tokio::time::timeout_at(flushed, &mut self.data_task).await;
+        log!(shared.logger, Event::Stopped, "role" => "sidecar");
+    }
+}
+
+impl Drop for Sidecar {
+    /// Ends at once what [`Sidecar::stop`] has not ended.
+    fn drop(&mut self) {
+        self.shared.cut.cancel();
+        self.shared.closed.cancel();
+        let tasks = self.tasks.iter();
+        for task in tasks.chain([&self.keeper, &self.data_task]) {
             task.abort();
         }
-        log!(shared.logger, Event::Stopped, "role" => "sidecar");
     }
 }
 
--- a/crates/daemon/src/sidecar/shared.rs
+++ b/crates/daemon/src/sidecar/shared.rs
@@ -14,6 +14,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::backend::Backend;
+use super::home::Home;
 use crate::clock;
 
 /// What the one lock guards: a start and a withdrawal exclude each other.
@@ -28,9 +29,14 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     state: Mutex<State>,
+    pub(crate) setup: Setup,
     pub(crate) settings: settings::Sidecar,
     pub(crate) logger: Logger,
     pub(crate) backend: Backend,
+    /// Requests' side of the home record.
+    pub(crate) home: Home,
+    /// Cancelled at a planned stop once nothing runs any more.
+    pub(crate) idle: CancellationToken,
     /// Bytes on the control links.
     pub(crate) control_bytes: Arc<wire::Bytes>,
     /// Fires when slots were reserved, for the timer of lapses.
@@ -64,15 +70,18 @@
             retention_ms: settings.retention_ms,
         };
         let state = State {
-            admission: Admission::open(setup, now),
+            admission: Admission::open(setup),
             config: Config::default(),
             polls: SecondaryMap::new(),
         };
         Arc::new(Self {
             state: Mutex::new(state),
             backend: Backend::open(settings.backend),
+            setup,
             settings,
             logger,
+            home: Home::open(),
+            idle: CancellationToken::new(),
             control_bytes: Arc::default(),
             reserved: Notify::new(),
             down: Notify::new(),
--- a/crates/daemon/tests/sidecar/backend.rs
+++ b/crates/daemon/tests/sidecar/backend.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 /// One request that reached the backend; the test answers it.
 pub struct Call {
@@ -94,16 +94,30 @@
 
 impl Backend {
     pub async fn spawn() -> Self {
+        let (backend, resume) = Self::spawn_paused().await;
+        resume.notify_one();
+        backend
+    }
+
+    /// A backend that reads nothing before it is told to go on.
+    pub async fn spawn_paused() -> (Self, Arc<Notify>) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
         let address = listener.local_addr().expect("address");
         let (sender, calls) = mpsc::unbounded_channel();
         let count = Arc::new(AtomicUsize::new(0));
-        tokio::spawn(accept(listener, sender, Arc::clone(&count)));
-        Self {
+        let resume = Arc::new(Notify::new());
+        let resumed = Arc::clone(&resume);
+        let counted = Arc::clone(&count);
+        tokio::spawn(async move {
+            resumed.notified().await;
+            accept(listener, sender, counted).await;
+        });
+        let backend = Self {
             address,
             calls,
             count,
-        }
+        };
+        (backend, resume)
     }
 
     /// The next request that reaches the backend.
--- a/crates/daemon/tests/sidecar/main.rs
+++ b/crates/daemon/tests/sidecar/main.rs
@@ -1,5 +1,7 @@
 //! The sidecar role against a small backend in this process.
 
 mod backend;
+mod keys;
+mod kv;
 mod node;
 mod pass;
--- a/crates/daemon/tests/sidecar/node.rs
+++ b/crates/daemon/tests/sidecar/node.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use hyper_util::client::legacy::Client;
@@ -18,6 +18,8 @@
 use mulberryyoked::sidecar::Sidecar;
 use tarpc::context::Context;
 
+use crate::kv::Memory;
+
 pub const ROUTER: Incarnation = Incarnation(7);
 
 /// Longest time that a test waits for an event; reached only by a fault.
@@ -60,8 +62,13 @@
 
 impl Node {
     pub async fn spawn(settings: settings::Sidecar) -> Self {
+        Self::spawn_on(settings, Memory::default()).await
+    }
+
+    pub async fn spawn_on(settings: settings::Sidecar, kv: Memory) -> Self {
         let logger = Logger::root(Discard, o!());
-        let sidecar = Sidecar::spawn(settings, logger).await.expect("starts");
+        let sidecar = Sidecar::spawn_on(settings, Arc::new(kv), logger).await;
+        let sidecar = sidecar.expect("starts");
         let link = wire::connect_sidecar(sidecar.control(), Arc::default())
             .await
             .expect("control port answers");
@@ -151,3 +158,15 @@
         key: None,
     }
 }
+
+/// The sidecar's own verdict on a request.
+pub fn verdict(response: &Response<Incoming>) -> Option<&str> {
+    let value = response.headers().get("verdict")?;
+    value.to_str().ok()
+}
+
+/// The body of an answer; `None` when it broke off.
+pub async fn text(response: Response<Incoming>) -> Option<String> {
+    let body = response.into_body().collect().await.ok()?;
+    String::from_utf8(body.to_bytes().to_vec()).ok()
+}
--- a/crates/daemon/tests/sidecar/pass.rs
+++ b/crates/daemon/tests/sidecar/pass.rs
@@ -2,22 +2,10 @@
 
 use googletest::prelude::*;
 use http_body_util::BodyExt;
-use hyper::Response;
-use hyper::body::Incoming;
-use mulberryyoke_model::{Attempt, CustomerId, KeyId, Kind, Outcome};
+use mulberryyoke_model::{CustomerId, Kind, Outcome};
 
 use crate::backend::Backend;
-use crate::node::{Node, context, settings, ticket};
-
-fn verdict(response: &Response<Incoming>) -> Option<&str> {
-    let value = response.headers().get("verdict")?;
-    value.to_str().ok()
-}
-
-async fn text(response: Response<Incoming>) -> Option<String> {
-    let body = response.into_body().collect().await.ok()?;
-    String::from_utf8(body.to_bytes().to_vec()).ok()
-}
+use crate::node::{Node, context, settings, text, ticket, verdict};
 
 #[gtest]
 #[tokio::test]
@@ -125,34 +113,6 @@
     Ok(())
 }
 
-#[gtest]
-#[tokio::test]
-async fn key_runs_once_and_its_answer_is_given_again() -> Result<()> {
-    let mut backend = Backend::spawn().await;
-    let node = Node::spawn(settings(backend.address, Kind::Service, 2)).await;
-    let mut first = ticket(1);
-    first.key = Some(KeyId(5));
-    let mut repeat = ticket(2);
-    repeat.key = Some(KeyId(5));
-    let sent = tokio::spawn(node.try_send(&first));
-    let call = backend.call().await;
-    let running = node.send(&repeat).await;
-    expect_that!(verdict(&running), some(eq("running")));
-    let stream = call.answer("text/plain");
-    stream.send("booked").await;
-    drop(stream);
-    expect_that!(text(sent.await??).await, some(eq("booked")));
-    repeat.attempt = Attempt {
-        request: 3,
-        ..repeat.attempt
-    };
-    let replay = node.send(&repeat).await;
-    expect_that!(replay.headers().contains_key("idempotent-replay"), eq(true));
-    expect_that!(text(replay).await, some(eq("booked")));
-    expect_that!(backend.count(), eq(1));
-    Ok(())
-}
-
 #[gtest]
 #[tokio::test]
 async fn unreachable_backend_is_told_as_not_run_and_gets_nothing_until_it_is_back() -> Result<()> {
--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -9,6 +9,7 @@
 mod check;
 mod configure;
 mod grants;
+mod home;
 mod link;
 mod poll;
 mod running;
@@ -28,7 +29,7 @@
 use slotmap::SlotMap;
 
 use crate::account::{Ledger, Reporter};
-use crate::key::Memory;
+use crate::key::{Memory, Routers};
 use grants::Reservation;
 use running::Running;
 
@@ -48,6 +49,7 @@
     pub(crate) running: HashMap<Attempt, Running>,
     pub(crate) attempts: Attempts,
     pub(crate) keys: Memory,
+    pub(crate) routers: Routers,
     pub(crate) stopping: bool,
     pub(crate) leaving: bool,
     /// Whether the backend cannot be reached.
@@ -58,9 +60,9 @@
 }
 
 impl Admission {
-    /// A sidecar without links. Keys are doubtful before `doubtful_until`.
+    /// A sidecar without links, at the start of its life.
     #[must_use]
-    pub fn open(setup: Setup, doubtful_until: Millis) -> Self {
+    pub fn open(setup: Setup) -> Self {
         Self {
             setup,
             slots: setup.slots,
@@ -72,7 +74,8 @@
             next_grant: 1,
             running: HashMap::new(),
             attempts: Attempts::open(setup.retention_ms),
-            keys: Memory::open(setup.retention_ms, doubtful_until),
+            keys: Memory::open(setup.retention_ms, setup.started_at),
+            routers: Routers::default(),
             stopping: false,
             leaving: false,
             down: false,
@@ -87,11 +90,6 @@
         &self.ledger
     }
 
-    /// Memory of idempotency keys.
-    pub fn keys_mut(&mut self) -> &mut Memory {
-        &mut self.keys
-    }
-
     /// Requests that run now.
     #[must_use]
     pub fn running(&self) -> usize {
--- a/crates/decide/src/admission/arrive.rs
+++ b/crates/decide/src/admission/arrive.rs
@@ -1,12 +1,16 @@
 //! Requests arriving, streaming and ending.
 
-use mulberryyoke_model::{Attempt, Kind, Millis, Outcome, Ticket};
+use mulberryyoke_model::{Attempt, Incarnation, KeyId, Kind, Millis, Outcome, Ticket};
 
 use super::running::Running;
 use super::{Admission, Arrival, Ending};
 use crate::account::{AccountKey, Charge};
 use crate::key::Seen;
 
+/// When to come back if the home record does not name the router yet, in
+/// milliseconds.
+const NAME_RETRY: Millis = 1_000;
+
 impl Admission {
     /// A request arrived. Unless the answer is [`Arrival::Started`] it never runs
     /// here under this attempt.
@@ -50,8 +54,12 @@
     }
 
     fn recall_key(&mut self, ticket: &Ticket, now: Millis) -> Option<Arrival> {
-        match self.keys.seen(ticket.key?, now) {
-            Seen::Unknown => self.keys.room_at(now).map(Arrival::Full),
+        let key = ticket.key?;
+        let origin = ticket.attempt.origin;
+        self.routers.see(origin, now);
+        match self.keys.seen(key, now) {
+            Seen::Unknown => self.refuse_key(origin, now),
+            Seen::Doubtful if self.is_proved_new(ticket, now) => self.refuse_key(origin, now),
             Seen::Doubtful => Some(Arrival::Doubtful),
             Seen::Barred => Some(Arrival::Tombstone),
             Seen::Running => Some(Arrival::Running),
@@ -61,6 +69,24 @@
         }
     }
 
+    /// Whether a key that an earlier life may have seen is surely new: its router
+    /// made it for this one request and has told all keys that it sent before.
+    fn is_proved_new(&self, ticket: &Ticket, now: Millis) -> bool {
+        let own = KeyId::of(ticket.customer, &ticket.attempt.request_id());
+        let origin = ticket.attempt.origin;
+        ticket.key == Some(own)
+            && !self.keys.is_known(own)
+            && !self.keys.is_doubtful_for(origin, now)
+    }
+
+    /// Refuses a new key that could not be remembered, by this life or the next.
+    fn refuse_key(&mut self, origin: Incarnation, now: Millis) -> Option<Arrival> {
+        if !self.routers.contains(origin) {
+            return Some(Arrival::Full(now + NAME_RETRY));
+        }
+        self.keys.room_at(now).map(Arrival::Full)
+    }
+
     /// The reserved slot that a ticket may use.
     fn own_grant(&self, ticket: &Ticket) -> Option<u64> {
         let grant = ticket.grant?;
@@ -142,6 +168,7 @@
         let Some(key) = running.key else {
             return;
         };
+        self.routers.see(attempt.origin, now);
         match ending {
             Ending::Whole(answer) => self.keys.note(key, Seen::Ran(answer.map(Into::into)), now),
             Ending::Cut => self.keys.note(key, Seen::Cut, now),
--- /dev/null
+++ b/crates/decide/src/key/doubt.rs
@@ -0,0 +1,125 @@
+//! Whether an earlier life may have started keys that this one has not seen.
+
+use std::collections::BTreeSet;
+
+use mulberryyoke_model::{Incarnation, KeyId, Millis};
+
+use super::Mark;
+
+/// Keys told by routers that are kept until the earlier life's record is read.
+const MAX_TOLD: usize = 65_536;
+
+/// What the record of an earlier life tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Past {
+    /// There was no earlier life.
+    None,
+    /// It stopped as planned and left its keys.
+    Closed(Vec<(KeyId, Mark)>),
+    /// It ended without a word; these routers may have sent it keys.
+    Open(Vec<Incarnation>),
+    /// The record cannot be read.
+    Unreadable,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum State {
+    /// The earlier life's record is not read yet.
+    Unread,
+    /// These routers have not told yet which keys they sent.
+    Missing(BTreeSet<Incarnation>),
+    /// Nobody can tell.
+    Lasting,
+    /// Every key that an earlier life may have started is known.
+    Clear,
+}
+
+/// Whether an earlier life may have started keys that this one has not seen.
+/// After the retention time it no longer matters.
+#[derive(Clone, Debug)]
+pub struct Doubt {
+    state: State,
+    until: Millis,
+    /// Routers that told all keys they sent to earlier lives.
+    told: BTreeSet<Incarnation>,
+    /// Routers that told only a part.
+    partly: BTreeSet<Incarnation>,
+    keys: Vec<KeyId>,
+}
+
+impl Doubt {
+    /// Doubt that lasts at most until `until`.
+    #[must_use]
+    pub fn open(until: Millis) -> Self {
+        Self {
+            state: State::Unread,
+            until,
+            told: BTreeSet::new(),
+            partly: BTreeSet::new(),
+            keys: Vec::new(),
+        }
+    }
+
+    /// Whether a key that this life has not seen may have been started before.
+    #[must_use]
+    pub fn is_open(&self, now: Millis) -> bool {
+        self.state != State::Clear && now < self.until
+    }
+
+    /// Whether a router's own key, which no other router can have sent, may have
+    /// been started before.
+    #[must_use]
+    pub fn is_open_for(&self, origin: Incarnation, now: Millis) -> bool {
+        self.is_open(now) && !self.told.contains(&origin)
+    }
+
+    /// A router told the keys it sent to earlier lives; only its first word counts,
+    /// later ones are about this life. Returns those now known as doubtful.
+    pub fn recall(&mut self, origin: Incarnation, complete: bool, keys: &[KeyId]) -> Vec<KeyId> {
+        let is_known = self.told.contains(&origin) || self.partly.contains(&origin);
+        if is_known || self.state == State::Clear {
+            return Vec::new();
+        }
+        let complete = complete && self.keys.len() + keys.len() <= MAX_TOLD;
+        if complete {
+            self.told.insert(origin);
+            self.keys.extend_from_slice(keys);
+        } else {
+            self.partly.insert(origin);
+        }
+        self.settle()
+    }
+
+    /// The earlier life's record was read. Returns keys now known as doubtful.
+    pub fn read(&mut self, past: &Past) -> Vec<KeyId> {
+        self.state = match past {
+            Past::None | Past::Closed(_) => State::Clear,
+            Past::Open(routers) => State::Missing(routers.iter().copied().collect()),
+            Past::Unreadable => State::Lasting,
+        };
+        if self.state == State::Clear {
+            self.keys.clear();
+        }
+        self.settle()
+    }
+
+    fn settle(&mut self) -> Vec<KeyId> {
+        let State::Missing(missing) = &mut self.state else {
+            return Vec::new();
+        };
+        missing.retain(|origin| !self.told.contains(origin));
+        if missing.is_empty() {
+            self.state = State::Clear;
+        }
+        std::mem::take(&mut self.keys)
+    }
+
+    /// Routers that have not told yet.
+    #[must_use]
+    pub fn missing(&self) -> usize {
+        match &self.state {
+            State::Missing(missing) => missing.len(),
+            State::Unread | State::Lasting | State::Clear => 0,
+        }
+    }
+}
--- a/crates/decide/src/key/memory.rs
+++ b/crates/decide/src/key/memory.rs
@@ -3,9 +3,9 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use mulberryyoke_model::{KeyId, Millis, Outcome};
+use mulberryyoke_model::{Incarnation, KeyId, Millis, Outcome};
 
-use super::Answer;
+use super::{Answer, Doubt, Mark, Past};
 
 /// Most keys remembered.
 const MAX_KEYS: usize = 65_536;
@@ -30,6 +30,17 @@
     Cut,
 }
 
+impl Seen {
+    fn mark(&self) -> Mark {
+        match self {
+            Self::Ran(_) => Mark::Ran,
+            Self::Cut => Mark::Cut,
+            Self::Barred => Mark::Barred,
+            Self::Unknown | Self::Doubtful | Self::Running => Mark::Doubtful,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     seen: Seen,
@@ -45,19 +56,19 @@
     expiry: VecDeque<(Millis, KeyId)>,
     answers: usize,
     retention_ms: Millis,
-    doubtful_until: Millis,
+    doubt: Doubt,
 }
 
 impl Memory {
-    /// An empty memory. Keys unknown to it are doubtful before `doubtful_until`.
+    /// The empty memory of a life that began at an instant.
     #[must_use]
-    pub fn open(retention_ms: Millis, doubtful_until: Millis) -> Self {
+    pub fn open(retention_ms: Millis, started_at: Millis) -> Self {
         Self {
             entries: HashMap::new(),
             expiry: VecDeque::new(),
             answers: 0,
             retention_ms,
-            doubtful_until,
+            doubt: Doubt::open(started_at + retention_ms),
         }
     }
 
@@ -71,10 +82,77 @@
         }
     }
 
+    /// Whether this life has seen a key or was told of it.
+    #[must_use]
+    pub fn is_known(&self, key: KeyId) -> bool {
+        self.entries.contains_key(&key)
+    }
+
     /// Whether keys that this life has not seen may have run in an earlier one.
     #[must_use]
     pub fn is_doubtful(&self, now: Millis) -> bool {
-        now < self.doubtful_until
+        self.doubt.is_open(now)
+    }
+
+    /// Whether a router's own key, which no other router can have sent, may have
+    /// been started in an earlier life.
+    #[must_use]
+    pub fn is_doubtful_for(&self, origin: Incarnation, now: Millis) -> bool {
+        self.doubt.is_open_for(origin, now)
+    }
+
+    /// Routers that have not told yet which keys they sent to earlier lives.
+    #[must_use]
+    pub fn missing(&self) -> usize {
+        self.doubt.missing()
+    }
+
+    /// The earlier life's record was read.
+    pub fn read(&mut self, past: &Past, now: Millis) {
+        if let Past::Closed(marks) = past {
+            for (key, mark) in marks {
+                self.take_over(*key, *mark, now);
+            }
+        }
+        let doubtful = self.doubt.read(past);
+        self.suspect(&doubtful, now);
+    }
+
+    /// A router told the keys that it sent to earlier lives.
+    pub fn recall(&mut self, origin: Incarnation, complete: bool, keys: &[KeyId], now: Millis) {
+        let room = MAX_KEYS.saturating_sub(self.entries.len());
+        let complete = complete && keys.len() <= room;
+        let doubtful = self.doubt.recall(origin, complete, keys);
+        self.suspect(&doubtful, now);
+    }
+
+    fn suspect(&mut self, keys: &[KeyId], now: Millis) {
+        for key in keys {
+            self.take_over(*key, Mark::Doubtful, now);
+        }
+    }
+
+    fn take_over(&mut self, key: KeyId, mark: Mark, now: Millis) {
+        let seen = match mark {
+            Mark::Ran => Seen::Ran(None),
+            Mark::Cut => Seen::Cut,
+            Mark::Barred => Seen::Barred,
+            Mark::Doubtful => Seen::Doubtful,
+        };
+        if !self.entries.contains_key(&key) {
+            self.note(key, seen, now);
+        }
+    }
+
+    /// What the next life has to know; `None` while it is not all known here.
+    #[must_use]
+    pub fn marks(&self, now: Millis) -> Option<Vec<(KeyId, Mark)>> {
+        if self.is_doubtful(now) {
+            return None;
+        }
+        let live = self.entries.iter().filter(|(_, entry)| entry.until > now);
+        let marks = live.map(|(key, entry)| (*key, entry.seen.mark()));
+        Some(marks.collect())
     }
 
     /// When there is room for another key: `None` for now.
@@ -89,9 +167,12 @@
 
     /// Notes what became of a key.
     pub fn note(&mut self, key: KeyId, seen: Seen, now: Millis) {
-        let until = now + self.retention_ms;
         let seen = self.bounded(seen);
-        if !matches!(seen, Seen::Running) {
+        let until = match seen {
+            Seen::Running => Millis::MAX,
+            _ => now + self.retention_ms,
+        };
+        if until < Millis::MAX {
             self.expiry.push_back((until, key));
         }
         let entry = Entry { seen, until };
