--- a/completions/mulberryyoke.fish
+++ b/completions/mulberryyoke.fish
@@ -136,7 +136,7 @@
 complete -c mulberryyoke -n '__mulberryyoke_words check' -F
 
 complete -c mulberryyoked -f
-complete -c mulberryyoked -n __fish_use_subcommand -a router -d 'take callers' requests on an entry VM'
+complete -c mulberryyoked -n __fish_use_subcommand -a router -d 'take callers\' requests on an entry VM'
 complete -c mulberryyoked -n __fish_use_subcommand -a sidecar -d 'start requests on the backend server beside it'
 complete -c mulberryyoked -n __fish_use_subcommand -a check -d 'check a settings file without starting'
 complete -c mulberryyoked -n '__fish_use_subcommand' -s h -l help -d 'print this help'
