Resume a stream that broke off, once, after its last whole event

Only whole events are passed on, so the engine can go on after their number. A hang-up also cancels by the stream's name, since an engine that can resume may generate without a reader.

--- a/crates/daemon/src/sidecar/backend.rs
+++ b/crates/daemon/src/sidecar/backend.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::uri::Scheme;
-use hyper::{Request, Response, Uri, Version};
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -25,6 +25,12 @@
 /// How long a connection may take to be set up.
 const CONNECT: Duration = Duration::from_secs(2);
 
+/// How long a resume or a cancel may take to be answered.
+const RESUME: Duration = Duration::from_secs(2);
+
+/// Response header by which an engine names a stream for resume and cancel.
+pub(crate) const STREAM_ID: &str = "x-stream-id";
+
 /// Body of a request to the backend.
 pub(crate) type Outgoing = Either<Incoming, Empty<Bytes>>;
 
@@ -73,6 +79,30 @@
         let client = if once { &self.single } else { &self.pooled };
         client.request(request).await
     }
+
+    /// Goes on with a stream after a number of events; `None` when the engine
+    /// cannot.
+    pub(crate) async fn resume(&self, id: &str, after: u64) -> Option<Incoming> {
+        let request = self.stream(Method::GET, &format!("{id}?from={after}"))?;
+        let sent = timeout(RESUME, self.single.request(request)).await;
+        let response = sent.ok()?.ok()?;
+        let resumed = response.status() == StatusCode::OK;
+        resumed.then(|| response.into_body())
+    }
+
+    /// Cancels a stream.
+    pub(crate) async fn cancel(&self, id: &str) {
+        if let Some(request) = self.stream(Method::DELETE, id) {
+            // An engine that cannot be told finds out by itself.
+            let _ = timeout(RESUME, self.pooled.request(request)).await;
+        }
+    }
+
+    fn stream(&self, method: Method, name: &str) -> Option<Request<Outgoing>> {
+        let uri = format!("http://{}/v1/streams/{name}", self.address);
+        let request = Request::builder().method(method).uri(uri);
+        request.body(Either::Right(Empty::new())).ok()
+    }
 }
 
 fn client(idle: usize) -> Client<HttpConnector, Outgoing> {
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -4,6 +4,7 @@
 
 mod answer;
 mod backend;
+mod chunk;
 mod control;
 mod data;
 mod error;
--- a/crates/daemon/src/sidecar/sse.rs
+++ b/crates/daemon/src/sidecar/sse.rs
@@ -1,35 +1,62 @@
-//! Lines of an event stream.
+//! Events of an event stream.
 
-/// Longest line kept, in bytes; a longer one is passed on but cut here.
-const MAX_LINE: usize = 64 << 10;
+use bytes::{Bytes, BytesMut};
 
-/// Splits a stream into lines.
+/// Longest event kept until its end has come, in bytes.
+const MAX_EVENT: usize = 64 << 10;
+
+/// Cuts a stream at the ends of its events, so that what was passed on is always
+/// a number of whole events and the stream can be resumed there.
 #[derive(Debug, Default)]
-pub(crate) struct Lines {
-    partial: Vec<u8>,
+pub(crate) struct Events {
+    partial: BytesMut,
+    torn: bool,
 }
 
-impl Lines {
-    /// Reads a part of the stream and calls `each` for each line that ends in it.
-    pub(crate) fn read(&mut self, data: &[u8], mut each: impl FnMut(&[u8])) {
-        let mut rest = data;
-        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
-            let line = &rest[..end];
-            rest = &rest[end + 1..];
-            if self.partial.is_empty() {
-                each(line);
-                continue;
-            }
-            self.keep(line);
-            each(&self.partial);
-            self.partial.clear();
+impl Events {
+    /// Reads a part of the stream. Returns the whole events that end in it.
+    pub(crate) fn read(&mut self, data: Bytes) -> Bytes {
+        if self.partial.is_empty() && data.ends_with(b"\n\n") {
+            return data;
+        }
+        self.partial.extend_from_slice(&data);
+        if let Some(end) = last_end(&self.partial) {
+            return self.partial.split_to(end).freeze();
+        }
+        if self.partial.len() <= MAX_EVENT {
+            return Bytes::new();
         }
-        self.keep(rest);
+        self.torn = true;
+        self.flush()
     }
 
-    fn keep(&mut self, data: &[u8]) {
-        let room = MAX_LINE.saturating_sub(self.partial.len());
-        self.partial
-            .extend_from_slice(&data[..data.len().min(room)]);
+    /// Returns what came after the last whole event.
+    pub(crate) fn flush(&mut self) -> Bytes {
+        self.partial.split().freeze()
     }
+
+    /// Drops what came after the last whole event.
+    pub(crate) fn rewind(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Whether part of an event was passed on before its end had come.
+    pub(crate) const fn is_torn(&self) -> bool {
+        self.torn
+    }
+}
+
+/// Where the last whole event ends: after an empty line.
+fn last_end(text: &[u8]) -> Option<usize> {
+    (1..=text.len()).rev().find(|end| {
+        let head = &text[..*end];
+        head.ends_with(b"\n\n") || head.ends_with(b"\n\r\n")
+    })
+}
+
+/// The data of each event in a part of a stream.
+pub(crate) fn data(events: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = events.split(|byte| *byte == b'\n');
+    let data = lines.filter_map(|line| line.strip_prefix(b"data:"));
+    data.map(<[u8]>::trim_ascii)
 }
--- a/crates/daemon/tests/sidecar/backend.rs
+++ b/crates/daemon/tests/sidecar/backend.rs
@@ -36,6 +36,10 @@
 impl Call {
     /// Sends a head and returns the stream of its body.
     pub fn answer(self, content_type: &str) -> Stream {
+        self.answer_with(content_type, &[])
+    }
+
+    pub fn answer_with(self, content_type: &str, headers: &[(&str, &str)]) -> Stream {
         let (pieces, mut received) = mpsc::channel(1);
         let mut ended = false;
         let body = futures::stream::poll_fn(move |cx| {
@@ -51,8 +55,11 @@
                 None => None,
             })
         });
-        let response = Response::builder()
-            .header("content-type", content_type)
+        let mut response = Response::builder().header("content-type", content_type);
+        for (name, value) in headers {
+            response = response.header(*name, *value);
+        }
+        let response = response
             .body(BoxBody::new(StreamBody::new(body)))
             .expect("valid head");
         // A sidecar that hung up needs no answer.
--- a/crates/daemon/tests/sidecar/main.rs
+++ b/crates/daemon/tests/sidecar/main.rs
@@ -5,3 +5,4 @@
 mod kv;
 mod node;
 mod pass;
+mod resume;
