--- a/crates/daemon/src/operator/mod.rs
+++ b/crates/daemon/src/operator/mod.rs
@@ -8,6 +8,7 @@
 mod author;
 mod error;
 mod execute;
+mod gauge;
 mod held;
 mod plan;
 mod port;
--- a/crates/daemon/src/operator/respond.rs
+++ b/crates/daemon/src/operator/respond.rs
@@ -16,6 +16,7 @@
 use super::access::Access;
 use super::author::Author;
 use super::execute::{self, Execute};
+use super::gauge;
 use super::source::Source;
 use crate::{clock, metric};
 
@@ -42,7 +43,10 @@
             (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
             (&Method::GET, "/readyz") if self.source.is_ready() => text(StatusCode::OK, "ready\n"),
             (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-            (&Method::GET, "/metrics") => text(StatusCode::OK, metric::render()),
+            (&Method::GET, "/metrics") => {
+                gauge::set(&*self.source);
+                text(StatusCode::OK, metric::render())
+            }
             (&Method::POST, "/v1/command") => self.command(request, peer).await,
             (_, "/healthz" | "/readyz" | "/metrics" | "/v1/command") => {
                 text(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n")
--- a/crates/daemon/src/operator/source.rs
+++ b/crates/daemon/src/operator/source.rs
@@ -27,6 +27,9 @@
     /// Servers that it is not meant to be connected to.
     fn unseen(&self) -> usize;
 
+    /// Bytes read and written on control links.
+    fn control_bytes(&self) -> (u64, u64);
+
     /// Counts of its requests.
     fn tally(&self) -> Tally;
 
--- a/crates/daemon/src/router/operators.rs
+++ b/crates/daemon/src/router/operators.rs
@@ -67,6 +67,11 @@
         nodes::unseen(&self.core)
     }
 
+    fn control_bytes(&self) -> (u64, u64) {
+        let bytes = self.core.fleet.control_bytes();
+        (bytes.read(), bytes.written())
+    }
+
     fn tally(&self) -> Tally {
         let customers = self.inspect.customers();
         Tally {
--- a/crates/daemon/tests/operator/access.rs
+++ b/crates/daemon/tests/operator/access.rs
@@ -65,7 +65,13 @@
     let (status, metrics) = port.get("/metrics").await;
     assert_that!(status, eq(StatusCode::OK));
     let metrics = String::from_utf8_lossy(&metrics).into_owned();
-    assert_that!(metrics, contains_substring("operator_commands_total"));
+    for metric in [
+        "operator_commands_total",
+        "router_config_revision",
+        "router_nodes_behind",
+    ] {
+        assert_that!(metrics, contains_substring(metric));
+    }
     assert_that!(
         port.get("/v1/command").await.0,
         eq(StatusCode::METHOD_NOT_ALLOWED)
--- a/crates/daemon/tests/operator/port.rs
+++ b/crates/daemon/tests/operator/port.rs
@@ -69,6 +69,10 @@
         0
     }
 
+    fn control_bytes(&self) -> (u64, u64) {
+        (11, 12)
+    }
+
     fn tally(&self) -> Tally {
         Tally::default()
     }
