--- a/crates/client/src/args.rs
+++ b/crates/client/src/args.rs
@@ -21,10 +21,10 @@
     /// print the version
     #[options(short = "V")]
     pub(crate) version: bool,
-    /// operator port of a router; several are tried in turn (default 127.0.0.1:7003)
+    /// operator port of a router; several are tried in turn (else `MULBERRYYOKE_ROUTER`, else 127.0.0.1:7003)
     #[options(meta = "IP:PORT")]
     pub(crate) router: Vec<SocketAddr>,
-    /// file with the operator's bearer key; else the variable `MULBERRYYOKE_KEY` has it
+    /// file with the operator's bearer key (else `MULBERRYYOKE_KEY` is the key)
     #[options(meta = "FILE")]
     pub(crate) key_file: Option<PathBuf>,
     /// longest time for the command and its --wait
--- a/crates/client/src/session.rs
+++ b/crates/client/src/session.rs
@@ -18,6 +18,9 @@
 /// Variable with the operator's key.
 const KEY: &str = "MULBERRYYOKE_KEY";
 
+/// Variable with operator ports, separated by commas.
+const ROUTER: &str = "MULBERRYYOKE_ROUTER";
+
 /// Pause after all routers have failed.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -35,14 +38,11 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Key`] and [`Error::NoKey`] without an operator's key.
+    /// [`Error::Key`] and [`Error::NoKey`] without an operator's key,
+    /// [`Error::Usage`] with addresses that are none.
     pub(crate) fn open(args: &Args) -> Result<Self, Error> {
-        let mut routers = args.router.clone();
-        if routers.is_empty() {
-            routers.push(SocketAddr::from(DEFAULT));
-        }
         Ok(Self {
-            routers,
+            routers: routers(args)?,
             key: key(args)?,
             command: args.command.unwrap_or_else(rand::random),
             deadline: Instant::now() + Duration::from_secs(args.timeout),
@@ -120,6 +120,18 @@
     }
 }
 
+fn routers(args: &Args) -> Result<Vec<SocketAddr>, Error> {
+    if !args.router.is_empty() {
+        return Ok(args.router.clone());
+    }
+    let Ok(text) = env::var(ROUTER) else {
+        return Ok(vec![SocketAddr::from(DEFAULT)]);
+    };
+    let routers = text.split(',').map(|address| address.trim().parse());
+    let routers = routers.collect::<Result<Vec<SocketAddr>, _>>();
+    routers.map_err(|e| Error::Usage(format!("{ROUTER}: {text}: {e}; allowed is IP:PORT,...")))
+}
+
 fn key(args: &Args) -> Result<String, Error> {
     let Some(path) = &args.key_file else {
         return env::var(KEY).map_err(|_| Error::NoKey);
