--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -11,6 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
+use parking_lot::Mutex;
 use serde::Serialize;
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
@@ -26,9 +28,17 @@
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
-    _stop: DropGuard,
+    connections: Connections,
+    stop: DropGuard,
 }
 
+/// Ends every connection there is when cancelled.
+type Connections = Arc<Mutex<CancellationToken>>;
+
+/// Marks an answer that is not to be given: the connection is cut instead.
+#[derive(Clone, Copy, Debug)]
+struct Cut;
+
 impl Server {
     /// Binds a port and answers each request, read whole, by `handler`.
     ///
@@ -43,14 +53,23 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let stop = CancellationToken::new();
-        let accepting = accept(listener, handler, stop.clone());
+        let connections = Arc::new(Mutex::new(stop.child_token()));
+        let accepting = accept(listener, handler, Arc::clone(&connections));
         tokio::spawn(stop.clone().run_until_cancelled_owned(accepting));
         Ok(Self {
             address,
-            _stop: stop.drop_guard(),
+            connections,
+            stop: stop.drop_guard(),
         })
     }
 
+    /// Cuts every connection there is.
+    pub fn cut(&self) {
+        let mut connections = self.connections.lock();
+        connections.cancel();
+        *connections = self.stop.token().child_token();
+    }
+
     /// The bound address.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -58,7 +77,7 @@
     }
 }
 
-async fn accept<H, F>(listener: TcpListener, handler: H, stop: CancellationToken)
+async fn accept<H, F>(listener: TcpListener, handler: H, connections: Connections)
 where
     H: Fn(Request<Bytes>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Reply> + Send + 'static,
@@ -68,7 +87,8 @@
             continue;
         };
         let serving = serve(stream, handler.clone());
-        tokio::spawn(stop.clone().run_until_cancelled_owned(serving));
+        let cut = connections.lock().clone();
+        tokio::spawn(cut.run_until_cancelled_owned(serving));
     }
 }
 
@@ -92,7 +112,19 @@
 {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
-    Ok(handler(Request::from_parts(head, body)).await)
+    let reply = handler(Request::from_parts(head, body)).await;
+    if reply.extensions().get::<Cut>().is_some() {
+        return Err(io::ErrorKind::ConnectionAborted.into());
+    }
+    Ok(reply)
+}
+
+/// Has the connection cut instead of an answer.
+#[must_use]
+pub fn cut() -> Reply {
+    let mut reply = Response::new(full(Bytes::new()));
+    reply.extensions_mut().insert(Cut);
+    reply
 }
 
 /// A body held in memory.
--- /dev/null
+++ b/crates/standin/src/kv/store.rs
@@ -0,0 +1,185 @@
+//! The key-value service's state and switches.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Weak};
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::http::Server;
+use crate::kv::data::Data;
+use crate::kv::{Failure, Handle, Order, Stats, Switch};
+
+/// Time between looks for lapsed leases, in milliseconds.
+const TICK_MS: u64 = 50;
+
+/// Time between signs of life on a watch, in milliseconds, as the real service has it.
+const PROGRESS_MS: u64 = 600_000;
+
+/// A key-value service in memory.
+#[derive(Debug)]
+pub struct Store {
+    pub(crate) data: Mutex<Data>,
+    pub(crate) faults: Mutex<Faults>,
+    /// The newest revision, to wake watches.
+    pub(crate) revision: watch::Sender<u64>,
+    /// Watches that wait now.
+    pub(crate) waiting: watch::Sender<u64>,
+    snapshot: Mutex<Data>,
+    counts: Mutex<Counts>,
+    server: Mutex<Weak<Server>>,
+}
+
+/// Faults that are switched on.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Faults {
+    pub outage: bool,
+    pub delay_ms: u64,
+    pub lose_answers: u64,
+    pub fail: Failure,
+    pub progress_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    calls: BTreeMap<String, u64>,
+    lost_answers: u64,
+}
+
+impl Store {
+    /// Starts an empty service.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound.
+    pub async fn bind(address: SocketAddr) -> io::Result<Handle> {
+        let data = Data::default();
+        let store = Self {
+            snapshot: Mutex::new(data.clone()),
+            faults: Mutex::new(Faults {
+                progress_ms: PROGRESS_MS,
+                ..Faults::default()
+            }),
+            revision: watch::Sender::new(data.revision),
+            waiting: watch::Sender::new(0),
+            data: Mutex::new(data),
+            counts: Mutex::default(),
+            server: Mutex::default(),
+        };
+        Arc::new(store).bind_again(address).await
+    }
+
+    /// Serves contents that were served before.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound.
+    pub async fn bind_again(self: Arc<Self>, address: SocketAddr) -> io::Result<Handle> {
+        let store = Arc::clone(&self);
+        let answer = move |request| Arc::clone(&store).answer(request);
+        let server = Arc::new(Server::bind(address, answer).await?);
+        *self.server.lock() = Arc::downgrade(&server);
+        tokio::spawn(tick(Arc::downgrade(&self)));
+        Ok(Handle::new(self, server))
+    }
+
+    /// Switches faults on or off.
+    pub(crate) fn switch(&self, switch: &Switch) {
+        self.set(switch);
+        for order in &switch.once {
+            self.carry_out_order(*order);
+        }
+        if switch.outage == Some(true) {
+            self.cut();
+        }
+    }
+
+    fn carry_out_order(&self, order: Order) {
+        match order {
+            Order::Snapshot => *self.snapshot.lock() = self.data.lock().clone(),
+            Order::Restore => self.restore(),
+            Order::LapseLeases => self.lapse_all(),
+            Order::Compact => self.data.lock().compact(),
+            Order::Cut => self.cut(),
+        }
+    }
+
+    fn set(&self, switch: &Switch) {
+        let mut faults = self.faults.lock();
+        faults.outage = switch.outage.unwrap_or(faults.outage);
+        faults.delay_ms = switch.delay_ms.unwrap_or(faults.delay_ms);
+        faults.lose_answers = switch.lose_answers.unwrap_or(faults.lose_answers);
+        faults.progress_ms = switch.progress_ms.unwrap_or(faults.progress_ms).max(1);
+        if let Some(fail) = &switch.fail {
+            faults.fail = fail.clone();
+        }
+    }
+
+    fn restore(&self) {
+        let mut older = self.snapshot.lock().clone();
+        older.renew(Instant::now());
+        let mut data = self.data.lock();
+        *data = older;
+        self.cut();
+    }
+
+    fn lapse_all(&self) {
+        let mut data = self.data.lock();
+        let ids: Vec<u64> = data.leases.keys().copied().collect();
+        for id in ids {
+            data.revoke(id);
+        }
+        self.revision.send_replace(data.revision);
+    }
+
+    fn cut(&self) {
+        if let Some(server) = self.server.lock().upgrade() {
+            server.cut();
+        }
+    }
+
+    pub(crate) fn count(&self, method: &str) {
+        let mut counts = self.counts.lock();
+        *counts.calls.entry(method.to_owned()).or_default() += 1;
+    }
+
+    pub(crate) fn count_lost(&self) {
+        self.counts.lock().lost_answers += 1;
+    }
+
+    pub(crate) fn stats(&self) -> Stats {
+        let counts = self.counts.lock();
+        let data = self.data.lock();
+        Stats {
+            total: counts.calls.values().sum(),
+            calls: counts.calls.clone(),
+            watching: *self.waiting.borrow(),
+            lost_answers: counts.lost_answers,
+            revision: data.revision,
+            keys: data.len(),
+        }
+    }
+
+    pub(crate) async fn watching(&self, count: u64) {
+        let mut waiting = self.waiting.subscribe();
+        // The sender lives as long as the store, so this cannot fail.
+        let _ = waiting.wait_for(|waiting| *waiting == count).await;
+    }
+}
+
+/// Lets leases lapse for as long as the store is there.
+async fn tick(store: Weak<Store>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+        let Some(store) = store.upgrade() else {
+            return;
+        };
+        let mut data = store.data.lock();
+        if data.lapse(Instant::now()) {
+            store.revision.send_replace(data.revision);
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,4 +3,6 @@
 pub mod engine;
 pub mod http;
 pub mod journal;
+pub mod kv;
 pub mod service;
+pub mod vms;
--- /dev/null
+++ b/crates/standin/src/vms.rs
@@ -0,0 +1,8 @@
+//! The platform's VM list, whose changes show after a lag.
+
+mod handle;
+mod service;
+mod switch;
+
+pub use self::handle::{Handle, Registry};
+pub use self::switch::{Stats, Switch};
