--- a/crates/daemon/src/router/link/session.rs
+++ b/crates/daemon/src/router/link/session.rs
@@ -5,7 +5,7 @@
 
 use mulberryyoke_decide::exchange::Cursor;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{Load, Millis, Revision};
+use mulberryyoke_model::{Load, Revision};
 use mulberryyoke_wire::{self as wire, Poll, Polled, SidecarClient};
 use parking_lot::Mutex;
 use tokio::time::{Instant, sleep, timeout};
@@ -150,6 +150,7 @@
             fleet: Vec::new(),
         };
         let mut configured = 0;
+        let mut known = None;
         loop {
             poll.revision = self.core.fleet.view().revision();
             let asked_at = Instant::now();
@@ -163,9 +164,7 @@
             } else {
                 poll.fleet = Vec::new();
             }
-            if polled.grants.is_empty() {
-                self.pace(asked_at, poll.until).await;
-            }
+            self.pace(asked_at, &polled, &mut known).await;
             poll.until = clock::now() + self.core.settings.heartbeat_ms;
         }
     }
@@ -216,7 +215,6 @@
     fn grant(&self, polled: &Polled) {
         let mut declined = Vec::new();
         for grant in &polled.grants {
-            self.told.lock().granted(grant);
             if !self.core.grant(self.link, grant) {
                 declined.push(grant.id);
             }
@@ -224,12 +222,13 @@
         self.link.decline(declined);
     }
 
-    /// Keeps a sidecar whose clock is off from being polled without a pause.
-    async fn pace(&self, asked_at: Instant, until: Millis) {
-        let early = until > clock::now();
-        let least = self.link.heartbeat / 100;
-        if !early || asked_at.elapsed() < least {
-            sleep(least).await;
+    /// Keeps a sidecar whose clock is ahead, and that therefore answers each
+    /// poll at once with nothing new, from being polled without a pause.
+    async fn pace(&self, asked_at: Instant, polled: &Polled, known: &mut Option<Load>) {
+        let is_news = known.replace(polled.load) != Some(polled.load);
+        let has_news = is_news || !polled.grants.is_empty() || polled.report.is_some();
+        if !has_news && asked_at.elapsed() < self.link.heartbeat / 2 {
+            sleep(self.link.heartbeat / 4).await;
         }
     }
 }
--- a/crates/daemon/src/router/link/told.rs
+++ b/crates/daemon/src/router/link/told.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashMap;
 
-use mulberryyoke_model::{Class, CustomerId, Grant, Interest};
+use mulberryyoke_model::{CustomerId, Interest};
 
-/// Counts of waiting requests as the sidecar should hold them now.
+/// Counts of waiting requests as last declared.
 #[derive(Debug, Default)]
 pub(super) struct Told {
     waiting: HashMap<CustomerId, [u16; 3]>,
@@ -24,17 +24,6 @@
         news
     }
 
-    /// Notes a grant, for which the sidecar counts one request less.
-    pub(super) fn granted(&mut self, grant: &Grant) {
-        let Some(waiting) = self.waiting.get_mut(&grant.customer) else {
-            return;
-        };
-        let first = Class::ALL.iter().find(|class| waiting[class.index()] > 0);
-        if let Some(class) = first {
-            waiting[class.index()] -= 1;
-        }
-    }
-
     /// Forgets everything, as the sidecar does on a full declaration.
     pub(super) fn clear(&mut self) {
         self.waiting.clear();
