--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,5 +4,6 @@
 mod clock;
 pub mod fleet;
 mod metric;
+pub mod operator;
 pub mod router;
 pub mod sidecar;
