Keep links until sidecars know that their servers are gone; retry elsewhere at once

A link of a draining server was dropped once nothing ran there, so the sidecar could not learn of later changes. A retry after a fault now prefers a free server other than the one that failed.

--- a/crates/daemon/src/router/dispatch.rs
+++ b/crates/daemon/src/router/dispatch.rs
@@ -5,7 +5,7 @@
 use hyper::{Response, StatusCode};
 use mulberryyoke_decide::place::{self as decide, Candidate};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{Outcome, PoolId, State};
+use mulberryyoke_model::{Outcome, PoolId, ServerId, State};
 use mulberryyoke_settings::Policy;
 use mulberryyoke_wire::Verdict;
 
@@ -34,6 +34,7 @@
         call,
         doubtful: false,
         waited: false,
+        avoid: None,
     };
     let answer = dispatch.run().await;
     answer.map_err(|refusal| dispatch.refuse(refusal))
@@ -46,6 +47,8 @@
     doubtful: bool,
     /// Whether it was admitted to the queue before.
     waited: bool,
+    /// The server that the last attempt failed at.
+    avoid: Option<ServerId>,
 }
 
 impl Dispatch<'_> {
@@ -56,12 +59,14 @@
         let mut at_once = true;
         loop {
             let place = self.place(at_once).await?;
-            at_once = false;
             let link = Arc::clone(&place.link);
             let sent = attempt::send(self.core, &self.call, place).await;
             if self.call.attempt.number >= MOST_ATTEMPTS {
                 return Err(unreachable("too many attempts failed"));
             }
+            self.avoid = Some(link.id);
+            // Where a server had no slot after all, the sidecars' order decides.
+            at_once = !matches!(sent, Sent::Verdict(Verdict::Busy | Verdict::Draining, _));
             match sent {
                 Sent::Answer(response) => return Ok(response),
                 Sent::Verdict(verdict, after) => self.judge(verdict, after, &link)?,
@@ -108,7 +113,8 @@
         if !room.is_empty() {
             return None;
         }
-        let candidates = candidates(self.core, self.call.pool);
+        let mut candidates = candidates(self.core, self.call.pool);
+        candidates.retain(|candidate| Some(candidate.server) != self.avoid);
         let server = decide::choose(&candidates, self.call.prefix)?;
         let link = self.core.links.get(server)?;
         link.standing.take_free().then(|| Place::direct(&link))
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -119,9 +119,18 @@
     }
 }
 
+/// A link is kept while its server is configured, and after that until the
+/// sidecar has learnt that it is not.
 fn is_wanted(view: &View, link: &Link) -> bool {
-    view.server(link.id)
-        .is_some_and(|server| server.state == State::Active)
+    let state = view.server(link.id).map(|server| server.state);
+    match state {
+        Some(State::Active | State::Draining) => true,
+        Some(State::Removed) | None => {
+            let load = link.standing.load();
+            let behind = load.is_some_and(|load| load.revision < view.revision());
+            link.standing.is_up() && behind
+        }
+    }
 }
 
 fn has_moved(server: &Server, link: &Link) -> bool {
