--- /dev/null
+++ b/crates/daemon/src/cmd/check.rs
@@ -0,0 +1,16 @@
+//! `mulberryyoked check`.
+
+use mulberryyoke_settings as settings;
+
+use crate::args::Check;
+use crate::error::Error;
+
+/// Checks a settings file without starting.
+pub(crate) fn run(options: &Check) -> Result<(), Error> {
+    let role = settings::check(&options.file, options.role).map_err(Error::Settings)?;
+    println!(
+        "{}: accepted as settings of a {role}",
+        options.file.display()
+    );
+    Ok(())
+}
--- a/crates/daemon/src/sidecar/shared.rs
+++ b/crates/daemon/src/sidecar/shared.rs
@@ -14,6 +14,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::backend::Backend;
+use super::home::Home;
 use crate::clock;
 
 /// What the one lock guards: a start and a withdrawal exclude each other.
@@ -28,13 +29,20 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     state: Mutex<State>,
+    pub(crate) setup: Setup,
     pub(crate) settings: settings::Sidecar,
     pub(crate) logger: Logger,
     pub(crate) backend: Backend,
+    /// Requests' side of the home record.
+    pub(crate) home: Home,
+    /// Cancelled at a planned stop once nothing runs any more.
+    pub(crate) idle: CancellationToken,
     /// Bytes on the control links.
     pub(crate) control_bytes: Arc<wire::Bytes>,
     /// Fires when slots were reserved, for the timer of lapses.
     pub(crate) reserved: Notify,
+    /// Fires when the backend was found down.
+    pub(crate) down: Notify,
     /// Fires when a request ended.
     pub(crate) ended: Notify,
     /// Cancelled when a planned stop's deadline has passed.
@@ -62,17 +70,21 @@
             retention_ms: settings.retention_ms,
         };
         let state = State {
-            admission: Admission::open(setup, now),
+            admission: Admission::open(setup),
             config: Config::default(),
             polls: SecondaryMap::new(),
         };
         Arc::new(Self {
             state: Mutex::new(state),
             backend: Backend::open(settings.backend),
+            setup,
             settings,
             logger,
+            home: Home::open(),
+            idle: CancellationToken::new(),
             control_bytes: Arc::default(),
             reserved: Notify::new(),
+            down: Notify::new(),
             ended: Notify::new(),
             cut: CancellationToken::new(),
             closed: CancellationToken::new(),
@@ -98,6 +110,18 @@
         result
     }
 
+    /// Notes that the backend cannot be reached.
+    pub(crate) fn found_down(&self) {
+        let was_down = self.decide(|admission, now| {
+            let was_down = admission.is_down();
+            admission.set_down(true, now);
+            was_down
+        });
+        if !was_down {
+            self.down.notify_one();
+        }
+    }
+
     /// A control link came up; the notification wakes its poll.
     pub(crate) fn connect(&self) -> (LinkKey, Arc<Notify>) {
         let poll = Arc::new(Notify::new());
