--- /dev/null
+++ b/crates/daemon/src/sidecar/sse.rs
@@ -0,0 +1,62 @@
+//! Events of an event stream.
+
+use bytes::{Bytes, BytesMut};
+
+/// Longest event kept until its end has come, in bytes.
+const MAX_EVENT: usize = 64 << 10;
+
+/// Cuts a stream at the ends of its events, so that what was passed on is always
+/// a number of whole events and the stream can be resumed there.
+#[derive(Debug, Default)]
+pub(crate) struct Events {
+    partial: BytesMut,
+    torn: bool,
+}
+
+impl Events {
+    /// Reads a part of the stream. Returns the whole events that end in it.
+    pub(crate) fn read(&mut self, data: Bytes) -> Bytes {
+        if self.partial.is_empty() && data.ends_with(b"\n\n") {
+            return data;
+        }
+        self.partial.extend_from_slice(&data);
+        if let Some(end) = last_end(&self.partial) {
+            return self.partial.split_to(end).freeze();
+        }
+        if self.partial.len() <= MAX_EVENT {
+            return Bytes::new();
+        }
+        self.torn = true;
+        self.flush()
+    }
+
+    /// Returns what came after the last whole event.
+    pub(crate) fn flush(&mut self) -> Bytes {
+        self.partial.split().freeze()
+    }
+
+    /// Drops what came after the last whole event.
+    pub(crate) fn rewind(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Whether part of an event was passed on before its end had come.
+    pub(crate) const fn is_torn(&self) -> bool {
+        self.torn
+    }
+}
+
+/// Where the last whole event ends: after an empty line.
+fn last_end(text: &[u8]) -> Option<usize> {
+    (1..=text.len()).rev().find(|end| {
+        let head = &text[..*end];
+        head.ends_with(b"\n\n") || head.ends_with(b"\n\r\n")
+    })
+}
+
+/// The data of each event in a part of a stream.
+pub(crate) fn data(events: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = events.split(|byte| *byte == b'\n');
+    let data = lines.filter_map(|line| line.strip_prefix(b"data:"));
+    data.map(<[u8]>::trim_ascii)
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,6 +3,15 @@
 //! Time comes in as [`mulberryyoke_model::Millis`]; randomness as a generator
 //! or a seed.
 
+pub mod account;
+pub mod admission;
+pub mod exchange;
 pub mod home;
+pub mod key;
+pub mod limit;
+pub mod place;
+pub mod queue;
 pub(crate) mod rank;
+pub mod retry;
+pub mod settle;
 pub mod view;
