Count service exactly once over loss, repeats, restarts and a tree

Counters are attributed to one receiver each, sent with sequence numbers and acknowledged; what exceeds a message's bound is predicted within an error. Membership plans a flat exchange or a shallow tree; subsets of servers by rendezvous with certain holders.

--- /dev/null
+++ b/crates/decide/src/exchange/account.rs
@@ -0,0 +1,64 @@
+//! What is counted.
+
+use std::collections::BTreeMap;
+
+use mulberryyoke_model::{CustomerId, Flow, PoolId, Tally, Usage};
+
+/// Service is counted for each customer in each pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Account {
+    /// The pool that gives the service.
+    pub pool: PoolId,
+    /// The customer that receives it.
+    pub customer: CustomerId,
+}
+
+impl Account {
+    /// The account of a usage.
+    pub(super) fn of(usage: &Usage) -> Self {
+        Self {
+            pool: usage.pool,
+            customer: usage.customer,
+        }
+    }
+
+    pub(super) fn usage(self, tokens: u64) -> Usage {
+        Usage {
+            pool: self.pool,
+            customer: self.customer,
+            tokens,
+        }
+    }
+
+    pub(super) fn flow(self, tokens: u64, rate: u32) -> (PoolId, Flow) {
+        let flow = Flow {
+            customer: self.customer,
+            tokens,
+            rate,
+        };
+        (self.pool, flow)
+    }
+}
+
+/// Groups flows by pool.
+pub(super) fn group(flows: impl IntoIterator<Item = (PoolId, Flow)>) -> Vec<Tally> {
+    let mut pools: BTreeMap<PoolId, Vec<Flow>> = BTreeMap::new();
+    for (pool, flow) in flows {
+        pools.entry(pool).or_default().push(flow);
+    }
+    let tallies = pools.into_iter();
+    tallies.map(|(pool, flows)| Tally { pool, flows }).collect()
+}
+
+/// The accounts and flows of tallies.
+pub(super) fn flatten(tallies: &[Tally]) -> impl Iterator<Item = (Account, &Flow)> {
+    tallies.iter().flat_map(|tally| {
+        tally.flows.iter().map(|flow| {
+            let account = Account {
+                pool: tally.pool,
+                customer: flow.customer,
+            };
+            (account, flow)
+        })
+    })
+}
--- a/crates/decide/src/exchange/cursor.rs
+++ b/crates/decide/src/exchange/cursor.rs
@@ -1,5 +1,13 @@
 //! Position of a reader of totals.
 
-/// How far a reader has read; the default has read nothing.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Cursor(pub(super) u64);
+use std::collections::HashMap;
+
+use super::Account;
+
+/// What a reader of totals has been told; the default has been told nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Cursor {
+    pub(super) version: u64,
+    pub(super) tick: Option<u64>,
+    pub(super) told: HashMap<Account, u64>,
+}
--- a/crates/decide/src/exchange/ledger.rs
+++ b/crates/decide/src/exchange/ledger.rs
@@ -1,132 +1,201 @@
-//! A router's view of the service given by the fleet.
+//! A router's share in the exchange.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
-use mulberryyoke_model::{CustomerId, Incarnation, PoolId, Report, Usage};
+use mulberryyoke_model::{Incarnation, Millis, Relation, Report, Statement, Usage};
 
-use super::Cursor;
+use super::account::group;
+use super::attribution::{Attribution, Target};
+use super::collector::Collector;
+use super::edge::Edge;
+use super::graveyard::Graveyard;
+use super::inbound::Inbound;
+use super::repair;
+use super::told::Told;
+use super::totals::Totals;
+use super::{Bounds, Cursor, Life};
 
-type Account = (PoolId, CustomerId);
-type Counters = HashMap<Account, u64>;
-
-#[derive(Debug, Default)]
-struct Origin {
-    sequence: u64,
-    counters: Counters,
-}
-
-impl Origin {
-    /// Raises a counter; returns by how much.
-    fn raise(&mut self, account: Account, tokens: u64) -> u64 {
-        let held = self.counters.entry(account).or_default();
-        let grown = tokens.saturating_sub(*held);
-        *held += grown;
-        grown
-    }
-}
-
-/// Cumulative service by origin, and the totals over all origins.
+/// A router's share in the exchange: what its sidecars and children report, what it
+/// hears from others, and the fleet's totals.
 #[derive(Debug)]
 pub struct Ledger {
-    own: Incarnation,
-    sidecars: HashMap<Incarnation, Origin>,
-    origins: HashMap<Incarnation, Origin>,
-    totals: HashMap<Account, (u64, u64)>,
-    changes: BTreeMap<u64, Account>,
-    version: u64,
+    pub(super) own: Life,
+    pub(super) bounds: Bounds,
+    pub(super) ticked_at: Millis,
+    pub(super) ticks: u64,
+    /// Sequence number of the last statement to anyone.
+    pub(super) sequence: u64,
+    /// Lives that began earlier are counted from the values first heard.
+    pub(super) counts_since: Millis,
+    pub(super) collector: Collector,
+    pub(super) attribution: Attribution,
+    pub(super) children: HashMap<Incarnation, Inbound>,
+    pub(super) origins: HashMap<Incarnation, Inbound>,
+    pub(super) told: Option<Told>,
+    pub(super) edges: HashMap<Incarnation, Edge>,
+    pub(super) graveyard: Graveyard,
+    pub(super) totals: Totals,
 }
 
 impl Ledger {
-    /// Opens an empty ledger for a router's life.
+    /// Opens the ledger of a router's life with nothing remembered.
     #[must_use]
-    pub fn open(own: Incarnation) -> Self {
+    pub fn open(own: Life, bounds: Bounds) -> Self {
         Self {
             own,
-            sidecars: HashMap::new(),
+            bounds,
+            ticked_at: own.started_at,
+            ticks: 0,
+            sequence: 0,
+            counts_since: own.started_at,
+            collector: Collector::default(),
+            attribution: Attribution::default(),
+            children: HashMap::new(),
             origins: HashMap::new(),
-            totals: HashMap::new(),
-            changes: BTreeMap::new(),
-            version: 0,
+            told: None,
+            edges: HashMap::new(),
+            graveyard: Graveyard::default(),
+            totals: Totals::default(),
         }
     }
 
-    /// Counts a sidecar's report. Returns the sequence number now counted.
-    pub fn collect(&mut self, sidecar: Incarnation, report: &Report) -> u64 {
-        let held = self.sidecars.entry(sidecar).or_default();
-        held.sequence = held.sequence.max(report.sequence);
-        let sequence = held.sequence;
+    /// Sets the bounds.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
+    /// Counts a sidecar's report in the totals at once. Returns the sequence number of
+    /// the last report counted.
+    ///
+    /// A sidecar reports to one collector at a time, with sequence numbers that go up
+    /// by one over its life, and all its counters to a new collector or over a new link.
+    /// What it had charged after the last report counted by the one before is lost to
+    /// the totals: the service of one server between two reports.
+    pub fn collect(&mut self, sidecar: Incarnation, report: &Report, now: Millis) -> u64 {
         let mut grown = Vec::new();
-        for usage in &report.usage {
-            let account = (usage.pool, usage.customer);
-            grown.push((account, held.raise(account, usage.tokens)));
-        }
-        let own = self.origins.entry(self.own).or_default();
-        own.sequence += 1;
-        for (account, tokens) in &grown {
-            *own.counters.entry(*account).or_default() += tokens;
-        }
-        for (account, tokens) in grown {
-            self.raise(account, tokens);
-        }
-        sequence
+        let note = |account, tokens| grown.push((account, tokens));
+        let counted = self.collector.collect(sidecar, report, now, note);
+        self.credit(grown);
+        counted
     }
 
-    /// Counts what a peer knows of an origin.
-    pub fn merge(&mut self, origin: Incarnation, report: &Report) {
-        if origin == self.own {
+    /// Names the parent, or none for a router that exchanges with peers.
+    pub fn follow(&mut self, parent: Option<Life>, now: Millis) {
+        let target = parent.map_or(Target::Peers, |life| Target::Parent(life.incarnation));
+        let held = self.attribution.target();
+        if target == held {
             return;
         }
-        let held = self.origins.entry(origin).or_default();
-        held.sequence = held.sequence.max(report.sequence);
-        let mut grown = Vec::new();
-        for usage in &report.usage {
-            let account = (usage.pool, usage.customer);
-            grown.push((account, held.raise(account, usage.tokens)));
-        }
-        for (account, tokens) in grown {
-            self.raise(account, tokens);
+        let edges = &self.edges;
+        let confirmed = |account| match held {
+            Target::Peers => {
+                let sent = edges.values().map(|edge| edge.peer.confirmed(account));
+                sent.max().unwrap_or(0)
+            }
+            Target::Parent(life) => edges
+                .get(&life)
+                .map_or(0, |edge| edge.parent.confirmed(account)),
+        };
+        let left = self.attribution.switch(target, confirmed);
+        self.told = parent.map(|life| Told::open(life, now, left));
+        if parent.is_none() {
+            // What was heard of the peers meanwhile has been told by the parent.
+            self.counts_since = now;
+            let horizon_ms = self.bounds.horizon_ms;
+            for origin in self.origins.values_mut() {
+                origin.settle(now, horizon_ms, |_, _| ());
+            }
         }
     }
 
-    /// Everything known, by origin.
-    #[must_use]
-    pub fn reports(&self) -> Vec<(Incarnation, Report)> {
-        let report = |(incarnation, origin): (&Incarnation, &Origin)| {
-            let usage = origin.counters.iter();
-            let usage = usage.map(|(account, tokens)| usage_of(*account, *tokens));
-            let report = Report {
-                sequence: origin.sequence,
-                usage: usage.collect(),
-            };
-            (*incarnation, report)
+    /// Makes the next statement for a receiver's life. `relation` is what this router
+    /// is to the receiver.
+    pub fn state(&mut self, to: Incarnation, relation: Relation, now: Millis) -> Statement {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let edge = self.edges.entry(to).or_default();
+        edge.used_at = now;
+        let (outbound, counters) = match relation {
+            Relation::Peer => (&mut edge.peer, self.attribution.counters(Target::Peers)),
+            Relation::Child => (
+                &mut edge.parent,
+                self.attribution.counters(Target::Parent(to)),
+            ),
+            Relation::Parent => (&mut edge.child, self.totals.counters()),
+        };
+        let flows = outbound.compose(sequence, counters, now, &self.bounds);
+        let counted = match relation {
+            Relation::Peer => self.origins.get(&to).map_or(0, Inbound::sequence),
+            Relation::Child => self.told_by(to).map_or(0, Told::sequence),
+            Relation::Parent => self.children.get(&to).map_or(0, Inbound::sequence),
         };
-        self.origins.iter().map(report).collect()
+        let mut statement = Statement {
+            relation,
+            to,
+            sequence,
+            counted,
+            tallies: group(flows),
+            known: Vec::new(),
+            extracts: Vec::new(),
+        };
+        if relation == Relation::Peer {
+            self.compare(&mut statement, now);
+        }
+        statement
     }
 
-    /// Fleet totals that changed since the cursor, which is moved on.
-    pub fn totals(&self, cursor: &mut Cursor) -> Vec<Usage> {
-        let changed = self.changes.range(cursor.0 + 1..);
-        let changed = changed.map(|(_, account)| usage_of(*account, self.totals[account].0));
-        cursor.0 = self.version;
-        changed.collect()
+    /// Takes in a statement of another router.
+    pub fn hear(&mut self, from: Life, statement: &Statement, now: Millis) {
+        if statement.to != self.own.incarnation || from.incarnation == self.own.incarnation {
+            return;
+        }
+        let edge = self.edges.entry(from.incarnation).or_default();
+        edge.used_at = now;
+        match statement.relation {
+            Relation::Peer => {
+                edge.peer.acknowledge(statement.counted);
+                if !statement.known.is_empty() {
+                    edge.known = Some(statement.known.clone());
+                }
+                self.hear_peer(from, statement, now);
+            }
+            Relation::Child => {
+                edge.child.acknowledge(statement.counted);
+                self.hear_child(from, statement, now);
+            }
+            Relation::Parent => {
+                edge.parent.acknowledge(statement.counted);
+                self.hear_parent(from, statement, now);
+            }
+        }
     }
 
-    fn raise(&mut self, account: Account, tokens: u64) {
-        if tokens == 0 {
-            return;
+    /// Brings the totals up to date; once each exchange.
+    pub fn tick(&mut self, now: Millis) {
+        let elapsed_ms = now.saturating_sub(self.ticked_at);
+        self.ticked_at = now;
+        self.ticks += 1;
+        self.settle_children(now);
+        self.settle_origins(now);
+        self.settle_told(now);
+        self.attribution.pace(elapsed_ms);
+        self.totals.tick(elapsed_ms);
+        if self.ticks.is_multiple_of(repair::INTERVAL) {
+            self.origins.values_mut().for_each(Inbound::compare);
+            self.forget(now);
         }
-        self.version += 1;
-        let total = self.totals.entry(account).or_default();
-        self.changes.remove(&total.1);
-        *total = (total.0 + tokens, self.version);
-        self.changes.insert(self.version, account);
     }
-}
 
-fn usage_of((pool, customer): Account, tokens: u64) -> Usage {
-    Usage {
-        pool,
-        customer,
-        tokens,
+    /// Totals that changed since the cursor, which is moved on.
+    pub fn totals(&self, cursor: &mut Cursor) -> Vec<Usage> {
+        self.totals.since(cursor)
+    }
+
+    /// Totals that a sidecar needs to be told: once each tick up to the bound on entries,
+    /// between two ticks only those that its own last report raised. A cursor belongs to
+    /// one link.
+    pub fn tell(&self, sidecar: Incarnation, cursor: &mut Cursor) -> Vec<Usage> {
+        let named = self.collector.latest(sidecar);
+        self.totals.tell(named, self.bounds.entries, cursor)
     }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,5 +5,7 @@
 
 pub mod exchange;
 pub mod home;
+pub mod member;
 pub(crate) mod rank;
+pub mod subset;
 pub mod view;
--- /dev/null
+++ b/crates/decide/src/member/table.rs
@@ -0,0 +1,159 @@
+//! The known routers.
+
+use std::collections::BTreeMap;
+
+use mulberryyoke_model::Millis;
+
+use super::tree::{self, Position};
+use super::{Bounds, Place, Plan};
+
+#[derive(Debug)]
+struct Entry {
+    place: Place,
+    listed: bool,
+    heard_at: Option<Millis>,
+    /// Since when every call has failed.
+    failing_since: Option<Millis>,
+}
+
+/// The known routers, this one excluded.
+#[derive(Debug)]
+pub struct Table {
+    own: Place,
+    bounds: Bounds,
+    entries: BTreeMap<String, Entry>,
+}
+
+impl Table {
+    /// Opens a table that knows of no other router.
+    #[must_use]
+    pub fn open(own: Place, bounds: Bounds) -> Self {
+        Self {
+            own,
+            bounds,
+            entries: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in the routers of the VM list. One that is no longer listed stays as long
+    /// as it is heard.
+    pub fn list(&mut self, places: Vec<Place>, now: Millis) {
+        for entry in self.entries.values_mut() {
+            entry.listed = false;
+        }
+        for place in places {
+            if place.name == self.own.name {
+                continue;
+            }
+            let entry = self.entries.entry(place.name.clone());
+            let entry = entry.or_insert_with(|| Entry {
+                place: place.clone(),
+                listed: true,
+                heard_at: None,
+                failing_since: None,
+            });
+            entry.place = place;
+            entry.listed = true;
+        }
+        let bounds = self.bounds;
+        self.entries
+            .retain(|_, entry| entry.listed || entry.is_fresh(now, &bounds));
+    }
+
+    /// A router called, or answered a call.
+    pub fn hear(&mut self, name: &str, now: Millis) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.heard_at = Some(now);
+            entry.failing_since = None;
+        }
+    }
+
+    /// A call to a router failed.
+    pub fn fail(&mut self, name: &str, now: Millis) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.failing_since.get_or_insert(now);
+        }
+    }
+
+    /// When a router was heard last.
+    #[must_use]
+    pub fn heard_at(&self, name: &str) -> Option<Millis> {
+        self.entries.get(name)?.heard_at
+    }
+
+    /// Whether calls to a router have failed for too long.
+    #[must_use]
+    pub fn is_suspect(&self, name: &str, now: Millis) -> bool {
+        let entry = self.entries.get(name);
+        entry.is_none_or(|entry| entry.is_suspect(now, &self.bounds))
+    }
+
+    /// Every known router that is not suspect, this one included.
+    #[must_use]
+    pub fn names(&self, now: Millis) -> Vec<String> {
+        let trusted = self.trusted(now);
+        trusted.iter().map(|place| place.name.clone()).collect()
+    }
+
+    /// With whom to exchange.
+    #[must_use]
+    pub fn plan(&self, now: Millis) -> Plan {
+        let trusted = tree::position(&self.own, &self.trusted(now), &self.bounds);
+        let wanted = tree::position(&self.own, &self.all(), &self.bounds);
+        let wanted = match wanted {
+            Position::Root(peers) => peers,
+            Position::Child(parent) => vec![parent],
+        };
+        let suspect = wanted
+            .iter()
+            .filter(|place| self.is_suspect(&place.name, now));
+        let probe = suspect.map(|place| place.name.clone()).collect();
+        match trusted {
+            Position::Root(peers) => Plan {
+                peers: peers.iter().map(|place| place.name.clone()).collect(),
+                parent: None,
+                probe,
+            },
+            Position::Child(parent) => Plan {
+                peers: Vec::new(),
+                parent: Some(parent.name.clone()),
+                probe,
+            },
+        }
+    }
+
+    /// Whether this router is one of those that watch the key-value service: every
+    /// one of a small fleet, else the first few of each zone.
+    #[must_use]
+    pub fn is_watcher(&self, now: Millis) -> bool {
+        let trusted = self.trusted(now);
+        trusted.len() <= self.bounds.watching
+            || tree::is_among(&self.own, trusted.into_iter(), self.bounds.watchers)
+    }
+
+    fn all(&self) -> Vec<&Place> {
+        let others = self.entries.values().map(|entry| &entry.place);
+        others.chain([&self.own]).collect()
+    }
+
+    fn trusted(&self, now: Millis) -> Vec<&Place> {
+        let trusted = self
+            .entries
+            .values()
+            .filter(|entry| !entry.is_suspect(now, &self.bounds));
+        let trusted = trusted.map(|entry| &entry.place);
+        trusted.chain([&self.own]).collect()
+    }
+}
+
+impl Entry {
+    fn is_suspect(&self, now: Millis, bounds: &Bounds) -> bool {
+        let since = self.failing_since;
+        since.is_some_and(|since| now.saturating_sub(since) >= bounds.suspect_ms)
+    }
+
+    fn is_fresh(&self, now: Millis, bounds: &Bounds) -> bool {
+        let heard = self.heard_at;
+        heard.is_some_and(|heard| now.saturating_sub(heard) < bounds.suspect_ms)
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/exchange/main.rs
@@ -0,0 +1,5 @@
+//! The usage exchange: totals never go back, and agree once all is quiet.
+
+mod flat;
+mod net;
+mod tree;
--- /dev/null
+++ b/crates/decide/tests/exchange/tree.rs
@@ -0,0 +1,1 @@
+//! Many routers, in a tree.
--- a/crates/wire/src/router.rs
+++ b/crates/wire/src/router.rs
@@ -1,12 +1,10 @@
 //! Control calls that routers make to each other.
 
 use mulberryyoke_model::{
-    Attempt, Change, Incarnation, KeyId, Millis, Outcome, Revision, ServerId,
+    Attempt, Change, Incarnation, KeyId, Millis, Outcome, Relation, Revision, ServerId, Statement,
 };
 use serde::{Deserialize, Serialize};
 
-use crate::Report;
-
 /// A router as its peers know it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -29,8 +27,12 @@
     pub from: Member,
     /// Highest configuration revision applied.
     pub revision: Revision,
-    /// Service collected by origin, cumulative since that origin's life began.
-    pub reports: Vec<(Incarnation, Report)>,
+    /// Hash of what is accepted; nodes of one revision that differ compare all of it.
+    pub digest: u64,
+    /// What the caller takes the callee for, or the callee's view of the caller.
+    pub relation: Relation,
+    /// Service counted, unless the receiver's life is not known yet.
+    pub statement: Option<Statement>,
     /// Servers with free slots that the sender can spare, at most a few.
     pub idle: Vec<ServerId>,
 }
