--- a/crates/decide/src/exchange/cursor.rs
+++ b/crates/decide/src/exchange/cursor.rs
@@ -8,6 +8,5 @@
 #[derive(Clone, Debug, Default)]
 pub struct Cursor {
     pub(super) version: u64,
-    pub(super) tick: Option<u64>,
     pub(super) told: HashMap<Account, u64>,
 }
--- a/crates/decide/src/exchange/ledger.rs
+++ b/crates/decide/src/exchange/ledger.rs
@@ -179,7 +179,7 @@
         self.settle_origins(now);
         self.settle_told(now);
         self.attribution.pace(elapsed_ms);
-        self.totals.tick(elapsed_ms);
+        self.totals.pace(elapsed_ms);
         if self.ticks.is_multiple_of(repair::INTERVAL) {
             self.origins.values_mut().for_each(Inbound::compare);
             self.forget(now);
@@ -191,9 +191,10 @@
         self.totals.since(cursor)
     }
 
-    /// Totals that a sidecar needs to be told: once each tick up to the bound on entries,
-    /// between two ticks only those that its own last report raised. A cursor belongs to
-    /// one link.
+    /// Totals to tell a sidecar after its report: those that the report raised, and of
+    /// the others up to the bound on entries, those that grew most since they were told
+    /// (all the first time). What is left out is told short by no more than the least
+    /// growth that is told. A cursor belongs to one link.
     pub fn tell(&self, sidecar: Incarnation, cursor: &mut Cursor) -> Vec<Usage> {
         let named = self.collector.latest(sidecar);
         self.totals.tell(named, self.bounds.entries, cursor)
--- a/crates/decide/src/exchange/totals.rs
+++ b/crates/decide/src/exchange/totals.rs
@@ -13,7 +13,6 @@
 pub(super) struct Totals {
     counters: Counters,
     version: u64,
-    tick: u64,
     changed: BTreeMap<u64, Account>,
     versions: HashMap<Account, u64>,
 }
@@ -35,8 +34,7 @@
         &self.counters
     }
 
-    pub(super) fn tick(&mut self, elapsed_ms: Millis) {
-        self.tick += 1;
+    pub(super) fn pace(&mut self, elapsed_ms: Millis) {
         self.counters.pace(elapsed_ms);
     }
 
@@ -48,20 +46,17 @@
         usage.collect()
     }
 
-    /// What a reader needs to be told: after a tick up to `most` totals that grew, those
-    /// that grew most first; before it only those `named`. The first time all.
+    /// The totals of `named` accounts, and up to `most` others, those that grew most
+    /// since the reader was told. The first time all.
     pub(super) fn tell(&self, named: &[Account], most: usize, cursor: &mut Cursor) -> Vec<Usage> {
-        let first = cursor.tick.is_none();
-        let ticked = cursor.tick != Some(self.tick);
-        cursor.tick = Some(self.tick);
-        let due = if ticked {
-            let most = if first { usize::MAX } else { most };
-            self.grown(most, cursor)
+        let most = if cursor.told.is_empty() {
+            usize::MAX
         } else {
-            named.to_vec()
+            most
         };
-        let mut usage = Vec::with_capacity(due.len());
-        for account in due {
+        let others = self.grown(most, cursor);
+        let mut usage = Vec::with_capacity(named.len() + others.len());
+        for account in named.iter().copied().chain(others) {
             let tokens = self.counters.get(account);
             if cursor.told.insert(account, tokens) != Some(tokens) {
                 usage.push(account.usage(tokens));
--- /dev/null
+++ b/crates/decide/src/queue/line.rs
@@ -0,0 +1,81 @@
+//! The waiting requests of one customer that may run at the same servers.
+
+use std::collections::BTreeSet;
+
+use mulberryyoke_model::{Class, Millis};
+
+use super::{Key, WEIGHED, Waiting};
+
+#[derive(Debug, Default)]
+struct Rank {
+    by_deadline: BTreeSet<(Millis, u64, Key)>,
+    by_arrival: BTreeSet<(u64, Key)>,
+}
+
+/// Keys ordered by rank, deadline and arrival.
+#[derive(Debug, Default)]
+pub(super) struct Line {
+    ranks: [Rank; 3],
+    cost: u64,
+}
+
+impl Line {
+    pub(super) fn insert<T>(&mut self, key: Key, waiting: &Waiting<T>) {
+        let rank = &mut self.ranks[waiting.rank.index()];
+        rank.by_deadline
+            .insert((waiting.deadline, waiting.arrival, key));
+        rank.by_arrival.insert((waiting.arrival, key));
+        self.cost += u64::from(waiting.cost);
+    }
+
+    pub(super) fn remove<T>(&mut self, key: Key, waiting: &Waiting<T>) {
+        let rank = &mut self.ranks[waiting.rank.index()];
+        rank.by_deadline
+            .remove(&(waiting.deadline, waiting.arrival, key));
+        rank.by_arrival.remove(&(waiting.arrival, key));
+        self.cost -= u64::from(waiting.cost);
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.ranks.iter().all(|rank| rank.by_arrival.is_empty())
+    }
+
+    pub(super) fn count(&self, rank: Class) -> usize {
+        self.ranks[rank.index()].by_arrival.len()
+    }
+
+    pub(super) const fn cost(&self) -> u64 {
+        self.cost
+    }
+
+    pub(super) fn oldest(&self, rank: Class) -> Option<Key> {
+        let first = self.ranks[rank.index()].by_arrival.first();
+        first.map(|&(_, key)| key)
+    }
+
+    /// The first few of the best rank.
+    pub(super) fn heads(&self) -> Option<impl Iterator<Item = Key>> {
+        let mut ranks = self.ranks.iter();
+        let best = ranks.find(|rank| !rank.by_deadline.is_empty())?;
+        let first = best.by_deadline.iter().take(WEIGHED);
+        Some(first.map(|&(_, _, key)| key))
+    }
+
+    /// How many go before one.
+    pub(super) fn position<T>(&self, waiting: &Waiting<T>) -> usize {
+        let better = &self.ranks[..waiting.rank.index()];
+        let better: usize = better.iter().map(|rank| rank.by_arrival.len()).sum();
+        let place = (waiting.deadline, waiting.arrival, Key::default());
+        let own = &self.ranks[waiting.rank.index()].by_deadline;
+        better + own.range(..place).count()
+    }
+
+    pub(super) fn tail(&self) -> Option<Key> {
+        let worst = self
+            .ranks
+            .iter()
+            .rev()
+            .find(|rank| !rank.by_deadline.is_empty())?;
+        worst.by_deadline.last().map(|&(_, _, key)| key)
+    }
+}
