--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -1,10 +1,13 @@
 //! What a router knows of the fleet: accepted configuration, peer routers, VM
 //! list and the service that customers have received.
 
+mod catch_up;
 mod error;
+mod exchange;
 mod local;
 mod peer;
 mod peers;
+mod reader;
 mod service;
 mod source;
 mod standing;
@@ -15,10 +18,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 
-use mulberryyoke_decide::exchange::{Cursor, Ledger};
+use mulberryyoke_decide::exchange::{self as decide_exchange, Cursor, Ledger, Life};
+use mulberryyoke_decide::member::{self as decide_member, Place};
+use mulberryyoke_decide::subset::{self, Chooser};
 use mulberryyoke_decide::view::View;
 use mulberryyoke_model::{
-    Attempt, Change, Config, Incarnation, Outcome, Report, Revision, ServerId, Usage,
+    Attempt, Change, Config, Incarnation, Outcome, PoolId, Report, Revision, ServerId, Usage,
 };
 use mulberryyoke_platform::{kv, vm};
 use mulberryyoke_settings as settings;
@@ -38,6 +43,16 @@
 use self::vms::Roster;
 use crate::clock;
 
+/// A router whose calls fail for this many exchanges is suspect.
+const SUSPECT_INTERVALS: u64 = 3;
+
+/// Least time for which calls to a router fail before it is suspect, in milliseconds.
+const LEAST_SUSPECT_MS: u64 = 1_000;
+
+/// Longest silence of a watch, in milliseconds: after a partition that cut it without
+/// a trace, new configuration is in force this much later.
+const SILENCE_MS: u64 = 10_000;
+
 /// A router's knowledge of the fleet, kept up to date until stopped.
 pub struct Fleet {
     settings: Arc<settings::Router>,
@@ -52,6 +67,10 @@
     ledger: Mutex<Ledger>,
     idle: Mutex<Vec<ServerId>>,
     local: OnceLock<Arc<dyn Local>>,
+    /// The VM list has been asked for once.
+    listed: CancellationToken,
+    /// The other routers have been asked once.
+    asked: CancellationToken,
     stop: CancellationToken,
     tasks: TaskTracker,
 }
@@ -79,6 +98,23 @@
             incarnation,
             started_at: clock::now(),
         };
+        let place = Place {
+            name: settings.name.clone(),
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+        };
+        let life = Life {
+            incarnation,
+            started_at: member.started_at,
+        };
+        let bounds = decide_member::Bounds {
+            suspect_ms: (SUSPECT_INTERVALS * settings.exchange_ms).max(LEAST_SUSPECT_MS),
+            ..decide_member::Bounds::default()
+        };
+        let options = kv::Options {
+            silence_ms: SILENCE_MS,
+            ..kv::Options::default()
+        };
         let fleet = Arc::new(Self {
             settings: Arc::clone(&settings),
             logger,
@@ -87,20 +123,22 @@
             store: Store::open(),
             kv_up: AtomicBool::new(false),
             roster: Roster::default(),
-            peers: Peers::open(Arc::clone(&bytes)),
-            ledger: Mutex::new(Ledger::open(incarnation)),
+            peers: Peers::open(place, bounds, Arc::clone(&bytes)),
+            ledger: Mutex::new(Ledger::open(life, decide_exchange::Bounds::default())),
             idle: Mutex::default(),
             bytes,
             local: OnceLock::new(),
+            listed: CancellationToken::new(),
+            asked: CancellationToken::new(),
             stop: CancellationToken::new(),
             tasks: TaskTracker::new(),
         });
-        let kv = kv::Etcd::open(settings.kv.clone(), kv::Options::default());
+        let kv = kv::Etcd::open(settings.kv.clone(), options);
         let vms = vm::Http::open(settings.vms);
         fleet.run(service::accept(Arc::clone(&fleet), listener));
         fleet.run(source::follow(Arc::clone(&fleet), Arc::new(kv)));
         fleet.run(vms::follow(Arc::clone(&fleet), Arc::new(vms)));
-        fleet.run(peers::exchange(Arc::clone(&fleet)));
+        fleet.run(exchange::run(Arc::clone(&fleet)));
         Ok(fleet)
     }
 
@@ -157,13 +195,14 @@
     /// Takes in accepted configuration that a sidecar or peer told. What is not
     /// newer than the value held for its key is ignored.
     pub fn offer(&self, changes: Vec<Change>) {
-        self.store.apply(changes);
+        self.accept(changes, "offer");
     }
 
     /// Counts a sidecar's report; returns the sequence number of the last report
     /// that the totals include.
     pub fn collect(&self, sidecar: Incarnation, report: &Report) -> u64 {
-        self.ledger.lock().collect(sidecar, report)
+        let now = clock::now();
+        self.ledger.lock().collect(sidecar, report, now)
     }
 
     /// Fleet totals that changed since the cursor, which is moved on. Totals never
@@ -172,6 +211,34 @@
         self.ledger.lock().totals(changed_since)
     }
 
+    /// Totals to tell a sidecar after its report was collected: those that the report
+    /// raised, and of the others a bounded number that grew most since they were told. A
+    /// cursor belongs to one link.
+    pub fn tell(&self, sidecar: Incarnation, cursor: &mut Cursor) -> Vec<Usage> {
+        self.ledger.lock().tell(sidecar, cursor)
+    }
+
+    /// Servers of a pool to stay connected to.
+    #[must_use]
+    pub fn subset(&self, pool: PoolId) -> Vec<ServerId> {
+        let routers = self.peers.names();
+        subset::choose(&self.chooser(&routers), self.view().servers(pool))
+    }
+
+    /// Servers of a pool beyond those held to connect to while work waits, at most
+    /// `most`: other routers said that they have free slots.
+    #[must_use]
+    pub fn widen(&self, pool: PoolId, held: &[ServerId], most: usize) -> Vec<ServerId> {
+        let view = self.view();
+        subset::widen(
+            &self.chooser(&[]),
+            view.servers(pool),
+            held,
+            &self.idle(),
+            most,
+        )
+    }
+
     /// Tells the peers which servers have free slots that this router can spare.
     pub fn set_idle(&self, servers: Vec<ServerId>) {
         *self.idle.lock() = servers;
@@ -217,6 +284,15 @@
         self.tasks.wait().await;
     }
 
+    fn chooser<'a>(&'a self, routers: &'a [String]) -> Chooser<'a> {
+        Chooser {
+            router: &self.member.name,
+            zone: &self.member.zone,
+            routers,
+            size: usize::try_from(self.settings.limits.subset).unwrap_or(usize::MAX),
+        }
+    }
+
     fn run(&self, task: impl Future<Output = ()> + Send + 'static) {
         let stop = self.stop.clone();
         self.tasks.spawn(async move {
--- a/crates/daemon/src/fleet/peers.rs
+++ b/crates/daemon/src/fleet/peers.rs
@@ -1,63 +1,121 @@
-//! The peer routers, and the exchange with them.
+//! The other routers.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use futures::future::join_all;
-use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{Attempt, Outcome, Revision, ServerId};
-use mulberryyoke_platform::vm::Vm;
+use futures::StreamExt;
+use futures::stream;
+use mulberryyoke_decide::member::{Bounds, Place, Plan, Table};
+use mulberryyoke_model::{Attempt, Outcome, Relation, ServerId};
+use mulberryyoke_platform::vm::{Role, Vm};
 use mulberryyoke_wire::{Bytes, Member, Summary};
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 
-use super::Fleet;
 use super::peer::{Heard, Peer, context};
 use super::standing::{Hearing, Standing};
+use crate::clock;
 
-/// A peer unheard for this many exchanges is suspect.
-const SUSPECT_EXCHANGES: u32 = 5;
+/// Routers asked at once about a request whose origin is not known.
+const ASKED_AT_ONCE: usize = 16;
 
-/// The peer routers by name.
-#[derive(Default)]
+/// The other routers, by name.
 pub(super) struct Peers {
     by_name: RwLock<BTreeMap<String, Arc<Peer>>>,
+    table: Mutex<Table>,
     bytes: Arc<Bytes>,
-    fresh_for: RwLock<Duration>,
+    fresh_for: Duration,
 }
 
 impl Peers {
-    pub(super) fn open(bytes: Arc<Bytes>) -> Self {
+    pub(super) fn open(own: Place, bounds: Bounds, bytes: Arc<Bytes>) -> Self {
         Self {
+            by_name: RwLock::default(),
+            table: Mutex::new(Table::open(own, bounds)),
             bytes,
-            ..Self::default()
+            fresh_for: Duration::from_millis(bounds.suspect_ms),
         }
     }
 
-    /// Takes in the routers of the VM list.
-    pub(super) fn follow(&self, routers: &[Vm], own: &Member) {
-        let mut peers = self.by_name.write();
-        let listed = routers.iter().filter(|vm| vm.name != own.name);
-        let mut kept = BTreeMap::new();
-        for vm in listed {
-            let held = peers.remove(&vm.name);
-            let held = held.filter(|peer| peer.address == vm.control);
-            let peer = held.unwrap_or_else(|| Arc::new(Peer::new(vm.name.clone(), vm.control)));
-            kept.insert(vm.name.clone(), peer);
+    /// Takes in the VM list.
+    pub(super) fn list(&self, vms: Vec<Vm>) {
+        let routers: Vec<Vm> = vms.into_iter().filter(|v| v.role == Role::Router).collect();
+        let places = routers.iter().map(|vm| Place {
+            name: vm.name.clone(),
+            region: vm.region.clone(),
+            zone: vm.zone.clone(),
+        });
+        let now = clock::now();
+        let mut table = self.table.lock();
+        table.list(places.collect(), now);
+        let known: BTreeSet<String> = table.names(now).into_iter().collect();
+        drop(table);
+        let mut by_name = self.by_name.write();
+        let listed: BTreeSet<&String> = routers.iter().map(|vm| &vm.name).collect();
+        by_name.retain(|name, _| listed.contains(name) || known.contains(name));
+        for vm in &routers {
+            let held = by_name.get(&vm.name);
+            if held.is_none_or(|peer| peer.address != vm.control) {
+                let peer = Peer::new(vm.name.clone(), vm.control);
+                by_name.insert(vm.name.clone(), Arc::new(peer));
+            }
         }
-        *peers = kept;
+    }
+
+    pub(super) fn get(&self, name: &str) -> Option<Arc<Peer>> {
+        self.by_name.read().get(name).cloned()
     }
 
     pub(super) fn all(&self) -> Vec<Arc<Peer>> {
         self.by_name.read().values().cloned().collect()
     }
 
-    fn live(&self) -> Vec<Heard> {
-        let fresh_for = *self.fresh_for.read();
-        let heard = self.all().into_iter().filter_map(|peer| peer.heard());
-        heard
-            .filter(|heard| heard.at.elapsed() < fresh_for)
-            .collect()
+    /// Other routers that are children of this one.
+    pub(super) fn children(&self) -> Vec<Arc<Peer>> {
+        let is_child = |peer: &Arc<Peer>| {
+            let heard = peer.heard().filter(|heard| self.is_fresh(heard));
+            heard.is_some_and(|heard| heard.relation == Some(Relation::Child))
+        };
+        self.all().into_iter().filter(is_child).collect()
+    }
+
+    /// With whom to exchange.
+    pub(super) fn plan(&self) -> Plan {
+        self.table.lock().plan(clock::now())
+    }
+
+    pub(super) fn is_watcher(&self) -> bool {
+        self.table.lock().is_watcher(clock::now())
+    }
+
+    /// Names of all routers that are not suspect.
+    pub(super) fn names(&self) -> Vec<String> {
+        self.table.lock().names(clock::now())
+    }
+
+    pub(super) fn fail(&self, name: &str) -> bool {
+        let now = clock::now();
+        let mut table = self.table.lock();
+        let before = table.is_suspect(name, now);
+        table.fail(name, now);
+        !before && table.is_suspect(name, now)
+    }
+
+    /// Notes what a router says. Returns it, and whether it is heard anew.
+    pub(super) fn hear(&self, summary: &Summary) -> Option<(Arc<Peer>, bool)> {
+        let peer = self.get(&summary.from.name)?;
+        self.table.lock().hear(&peer.name, clock::now());
+        let earlier = peer.replace_heard(Heard {
+            member: summary.from.clone(),
+            at: std::time::Instant::now(),
+            revision: summary.revision,
+            idle: summary.idle.clone(),
+            relation: summary.statement.as_ref().map(|s| s.relation),
+        });
+        let is_known = earlier.is_some_and(|earlier| {
+            earlier.member.incarnation == summary.from.incarnation && self.is_fresh(&earlier)
+        });
+        Some((peer, !is_known))
     }
 
     pub(super) fn members(&self) -> Vec<Member> {
@@ -65,16 +123,15 @@
         live.map(|heard| heard.member).collect()
     }
 
-    /// Every peer in the VM list, whether it answered or not.
+    /// Every other router in the VM list, whether it answered or not.
     pub(super) fn standings(&self) -> Vec<Standing> {
-        let fresh_for = *self.fresh_for.read();
         let peers = self.all();
         let standings = peers.iter().map(|peer| Standing {
             name: peer.name.clone(),
             heard: peer.heard().map(|heard| Hearing {
+                fresh: self.is_fresh(&heard),
                 member: heard.member,
                 revision: heard.revision,
-                fresh: heard.at.elapsed() < fresh_for,
             }),
         });
         standings.collect()
@@ -86,90 +143,50 @@
         idle.into_iter().collect()
     }
 
+    /// What became of a request, asked of the life that took it, or, if that life is
+    /// not known, of all routers not heard yet.
     pub(super) async fn outcome(&self, attempt: Attempt) -> Outcome {
-        let of_origin = |peer: &Arc<Peer>| {
-            let heard = peer.heard();
-            heard.is_some_and(|heard| heard.member.incarnation == attempt.origin)
-        };
-        let Some(peer) = self.all().into_iter().find(of_origin) else {
-            return Outcome::Unknown;
-        };
-        let Some(client) = peer.client(&self.bytes).await else {
-            return Outcome::Unknown;
-        };
-        let answer = client.outcome(context(), attempt).await;
-        answer.unwrap_or(Outcome::Unknown)
-    }
-}
-
-/// Exchanges with every peer again and again.
-pub(super) async fn exchange(fleet: Arc<Fleet>) {
-    let interval = Duration::from_millis(fleet.settings.exchange_ms.max(1));
-    *fleet.peers.fresh_for.write() = interval * SUSPECT_EXCHANGES;
-    loop {
-        let peers = fleet.peers.all();
-        join_all(peers.iter().map(|peer| fleet.call(peer))).await;
-        tokio::time::sleep(interval).await;
+        let mut unheard = Vec::new();
+        for peer in self.all() {
+            match peer.heard() {
+                Some(heard) if heard.member.incarnation == attempt.origin => {
+                    return self.ask(&peer, attempt).await;
+                }
+                Some(_) => {}
+                None => unheard.push(peer),
+            }
+        }
+        self.ask_all(unheard, attempt).await
     }
-}
 
-impl Fleet {
-    async fn call(&self, peer: &Peer) {
-        let Some(client) = peer.client(&self.bytes).await else {
-            return;
-        };
-        match client.exchange(context(), self.summary()).await {
-            Ok(summary) => {
-                let revision = summary.revision;
-                self.hear(summary);
-                self.catch_up(peer, revision).await;
+    async fn ask_all(&self, peers: Vec<Arc<Peer>>, attempt: Attempt) -> Outcome {
+        let asked = peers
+            .into_iter()
+            .map(|peer| async move { self.ask(&peer, attempt).await });
+        let mut answers = stream::iter(asked).buffer_unordered(ASKED_AT_ONCE);
+        while let Some(outcome) = answers.next().await {
+            if outcome != Outcome::Unknown {
+                return outcome;
             }
-            Err(_) => peer.disconnect().await,
         }
+        Outcome::Unknown
     }
 
-    /// Fetches what a peer has accepted and this router has not.
-    async fn catch_up(&self, peer: &Peer, revision: Revision) {
-        let held = self.store.config().revision;
-        if revision <= held {
-            return;
-        }
+    async fn ask(&self, peer: &Peer, attempt: Attempt) -> Outcome {
         let Some(client) = peer.client(&self.bytes).await else {
-            return;
+            return Outcome::Unknown;
         };
-        if let Ok(changes) = client.changes(context(), held).await {
-            self.store.apply(changes);
-        }
+        let answer = client.outcome(context(), attempt).await;
+        answer.unwrap_or(Outcome::Unknown)
     }
 
-    pub(super) fn summary(&self) -> Summary {
-        Summary {
-            from: self.member.clone(),
-            revision: self.store.config().revision,
-            reports: self.ledger.lock().reports(),
-            idle: self.idle.lock().clone(),
-        }
+    fn live(&self) -> Vec<Heard> {
+        let peers = self.all().into_iter();
+        let heard = peers.filter_map(|peer| peer.heard());
+        heard.filter(|heard| self.is_fresh(heard)).collect()
     }
 
-    pub(super) fn hear(&self, summary: Summary) {
-        let peers = self.peers.all();
-        let peer = peers.iter().find(|peer| peer.name == summary.from.name);
-        if let Some(peer) = peer {
-            let earlier = peer.heard();
-            let life = earlier.map(|heard| heard.member.incarnation);
-            if life != Some(summary.from.incarnation) {
-                log!(self.logger, Event::PeerUp, "peer" => &peer.name);
-            }
-            peer.set_heard(Heard {
-                member: summary.from,
-                at: Instant::now(),
-                revision: summary.revision,
-                idle: summary.idle,
-            });
-        }
-        let mut ledger = self.ledger.lock();
-        for (origin, report) in &summary.reports {
-            ledger.merge(*origin, report);
-        }
+    fn is_fresh(&self, heard: &Heard) -> bool {
+        heard.at.elapsed() < self.fresh_for
     }
 }
--- a/crates/daemon/src/fleet/service.rs
+++ b/crates/daemon/src/fleet/service.rs
@@ -1,21 +1,29 @@
-//! The calls that peers make.
+//! The calls that other routers make.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::StreamExt;
-use mulberryyoke_model::{Attempt, Change, KeyId, Millis, Outcome, Revision, ServerId};
+use mulberryyoke_model::{Attempt, Change, KeyId, Millis, Outcome, Relation, Revision, ServerId};
 use mulberryyoke_wire::{self as wire, Listener, Router, Summary};
 use tarpc::context::Context;
 use tarpc::server::Channel;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use super::Fleet;
+use super::exchange::inverse;
+use super::peer::life;
 
-/// Accepts links for ever.
+/// Pause after a link could not be accepted, in milliseconds: the process may be
+/// out of descriptors.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+/// Accepts links until stopped.
 pub(super) async fn accept(fleet: Arc<Fleet>, listener: Listener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
+            sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             continue;
         };
         fleet.run(answer(Arc::clone(&fleet), stream));
@@ -34,8 +42,15 @@
 impl Router for Service {
     async fn exchange(self, _: Context, summary: Summary) -> Summary {
         let fleet = self.0;
+        let from = life(&summary.from);
+        let asked = summary.statement.as_ref().map(|s| s.relation);
         fleet.hear(summary);
-        fleet.summary()
+        let Some(asked) = asked else {
+            return fleet.summary(None, Relation::Peer);
+        };
+        let relation = inverse(asked);
+        let statement = fleet.answer(from, relation);
+        fleet.summary(statement, relation)
     }
 
     async fn changes(self, _: Context, since: Revision) -> Vec<Change> {
--- a/crates/daemon/src/fleet/vms.rs
+++ b/crates/daemon/src/fleet/vms.rs
@@ -1,6 +1,7 @@
 //! The VM list.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 #[derive(Default)]
 pub(super) struct Roster {
     leaving: ArcSwap<HashSet<String>>,
-    routers: ArcSwap<Vec<Vm>>,
+    sidecars: ArcSwap<Vec<SocketAddr>>,
 }
 
 impl Roster {
@@ -25,17 +26,18 @@
         self.leaving.load().contains(name)
     }
 
-    /// The routers in the list.
-    pub(super) fn routers(&self) -> Arc<Vec<Vm>> {
-        self.routers.load_full()
+    /// Control ports of the sidecars in the list.
+    pub(super) fn sidecars(&self) -> Arc<Vec<SocketAddr>> {
+        self.sidecars.load_full()
     }
 
-    fn replace(&self, list: Vec<Vm>) {
+    fn replace(&self, list: &[Vm]) {
         let leaving = list.iter().filter(|vm| vm.state == State::Leaving);
         let leaving = leaving.map(|vm| vm.name.clone()).collect();
-        let routers = list.into_iter().filter(|vm| vm.role == Role::Router);
-        self.routers.store(Arc::new(routers.collect()));
+        let sidecars = list.iter().filter(|vm| vm.role == Role::Sidecar);
+        let sidecars = sidecars.map(|vm| vm.control).collect();
         self.leaving.store(Arc::new(leaving));
+        self.sidecars.store(Arc::new(sidecars));
     }
 }
 
@@ -45,8 +47,8 @@
     loop {
         match vms.list().await {
             Ok(list) => {
-                fleet.roster.replace(list);
-                fleet.peers.follow(&fleet.roster.routers(), &fleet.member);
+                fleet.roster.replace(&list);
+                fleet.peers.list(list);
                 down = false;
             }
             Err(error) if !down => {
@@ -55,6 +57,7 @@
             }
             Err(_) => {}
         }
+        fleet.listed.cancel();
         tokio::time::sleep(Duration::from_millis(READ_MS)).await;
     }
 }
--- a/crates/decide/src/exchange/ledger.rs
+++ b/crates/decide/src/exchange/ledger.rs
@@ -108,6 +108,15 @@
         }
     }
 
+    /// The parent, if there is one.
+    #[must_use]
+    pub fn parent(&self) -> Option<Incarnation> {
+        match self.attribution.target() {
+            Target::Peers => None,
+            Target::Parent(life) => Some(life),
+        }
+    }
+
     /// Makes the next statement for a receiver's life. `relation` is what this router
     /// is to the receiver.
     pub fn state(&mut self, to: Incarnation, relation: Relation, now: Millis) -> Statement {
--- a/crates/decide/tests/exchange/flat.rs
+++ b/crates/decide/tests/exchange/flat.rs
@@ -48,7 +48,7 @@
 fn take(net: &mut Net, step: Step) {
     match step {
         Step::Credit(node, customer, tokens) => net.credit(node, customer, tokens),
-        Step::Exchange(caller, callee, fate) => net.exchange(caller, callee, fate),
+        Step::Exchange(caller, other, fate) => net.exchange(caller, other, fate),
         Step::DeliverLate => net.deliver_late(),
         Step::Tick => net.tick(),
         Step::Restart(node) => net.restart(node),
@@ -198,6 +198,9 @@
     expect_that!(net.nodes[2].totals[&0], eq(100));
 }
 
+/// Sequence number and tokens of a report, and the total after it.
+type Row = (u64, u64, u64);
+
 #[googletest::test]
 fn a_report_counts_only_if_it_follows_the_one_before() {
     let usage = |tokens| Usage {
@@ -205,8 +208,7 @@
         customer: CustomerId(1),
         tokens,
     };
-    // Sequence number and tokens of each report, and the total after it.
-    let rows: [(&str, &[(u64, u64, u64)]); 4] = [
+    let rows: [(&str, &[Row]); 4] = [
         ("a whole life", &[(1, 10, 10), (2, 25, 25), (3, 25, 25)]),
         (
             "repeats",
--- a/crates/decide/tests/exchange/net.rs
+++ b/crates/decide/tests/exchange/net.rs
@@ -129,17 +129,17 @@
     }
 
     /// One calls the other as a peer.
-    pub fn exchange(&mut self, caller: usize, callee: usize, fate: Fate) {
-        self.call(caller, callee, Relation::Peer, fate);
+    pub fn exchange(&mut self, caller: usize, other: usize, fate: Fate) {
+        self.call(caller, other, Relation::Peer, fate);
     }
 
-    pub fn call(&mut self, caller: usize, callee: usize, relation: Relation, fate: Fate) {
+    pub fn call(&mut self, caller: usize, other: usize, relation: Relation, fate: Fate) {
         let answer_relation = match relation {
             Relation::Peer => Relation::Peer,
             Relation::Child => Relation::Parent,
             Relation::Parent => Relation::Child,
         };
-        let (from, to) = (self.nodes[caller].life, self.nodes[callee].life);
+        let (from, to) = (self.nodes[caller].life, self.nodes[other].life);
         let now = self.now;
         let ledger = &mut self.nodes[caller].ledger;
         let request = ledger.state(to.incarnation, relation, now);
@@ -147,27 +147,27 @@
             return;
         }
         if fate == Fate::Delayed {
-            self.late.push((callee, from, request));
+            self.late.push((other, from, request));
             return;
         }
         if fate == Fate::Repeated {
-            self.late.push((callee, from, request.clone()));
+            self.late.push((other, from, request.clone()));
         }
-        let ledger = &mut self.nodes[callee].ledger;
+        let ledger = &mut self.nodes[other].ledger;
         ledger.hear(from, &request, now);
         let answer = ledger.state(from.incarnation, answer_relation, now);
         if fate != Fate::AnswerLost {
             self.nodes[caller].ledger.hear(to, &answer, now);
         }
         self.observe(caller);
-        self.observe(callee);
+        self.observe(other);
     }
 
     /// Delivers what was delayed or repeated, the latest first.
     pub fn deliver_late(&mut self) {
-        while let Some((callee, from, request)) = self.late.pop() {
-            self.nodes[callee].ledger.hear(from, &request, self.now);
-            self.observe(callee);
+        while let Some((other, from, request)) = self.late.pop() {
+            self.nodes[other].ledger.hear(from, &request, self.now);
+            self.observe(other);
         }
     }
 
@@ -183,8 +183,8 @@
     pub fn quiet(&mut self, rounds: usize) {
         for _ in 0..rounds {
             for caller in 0..self.nodes.len() {
-                for callee in 0..caller {
-                    self.exchange(caller, callee, Fate::Whole);
+                for other in 0..caller {
+                    self.exchange(caller, other, Fate::Whole);
                 }
             }
             self.tick();
--- a/crates/wire/src/router.rs
+++ b/crates/wire/src/router.rs
@@ -1,7 +1,7 @@
 //! Control calls that routers make to each other.
 
 use mulberryyoke_model::{
-    Attempt, Change, Incarnation, KeyId, Millis, Outcome, Relation, Revision, ServerId, Statement,
+    Attempt, Change, Incarnation, KeyId, Millis, Outcome, Revision, ServerId, Statement,
 };
 use serde::{Deserialize, Serialize};
 
@@ -29,8 +29,6 @@
     pub revision: Revision,
     /// Hash of what is accepted; nodes of one revision that differ compare all of it.
     pub digest: u64,
-    /// What the caller takes the callee for, or the callee's view of the caller.
-    pub relation: Relation,
     /// Service counted, unless the receiver's life is not known yet.
     pub statement: Option<Statement>,
     /// Servers with free slots that the sender can spare, at most a few.
