--- a/crates/daemon/src/fleet/exchange.rs
+++ b/crates/daemon/src/fleet/exchange.rs
@@ -155,7 +155,7 @@
                 return self.note_failure(peer).await;
             };
             let is_known = known == Some(life(&answer.from));
-            self.hear(answer);
+            self.hear(&answer);
             if is_known || relation.is_none() {
                 return;
             }
@@ -222,12 +222,12 @@
     }
 
     /// Takes in what another router says.
-    pub(super) fn hear(self: &Arc<Self>, summary: Summary) {
+    pub(super) fn hear(self: &Arc<Self>, summary: &Summary) {
         if let Some(statement) = &summary.statement {
             let mut ledger = self.ledger.lock();
             ledger.hear(life(&summary.from), statement, clock::now());
         }
-        let Some((peer, is_new)) = self.peers.hear(&summary) else {
+        let Some((peer, is_new)) = self.peers.hear(summary) else {
             return;
         };
         if is_new {
--- a/crates/daemon/src/fleet/peer.rs
+++ b/crates/daemon/src/fleet/peer.rs
@@ -13,10 +13,10 @@
 use tokio::time::timeout;
 
 /// Longest time that another router may take to answer.
-pub(super) const ANSWER: Duration = Duration::from_millis(2_000);
+pub(super) const ANSWER: Duration = Duration::from_secs(2);
 
 /// Least time between two comparisons of the whole configuration with one router.
-const COMPARE: Duration = Duration::from_millis(10_000);
+const COMPARE: Duration = Duration::from_secs(10);
 
 /// One other router.
 pub(super) struct Peer {
--- a/crates/daemon/src/fleet/service.rs
+++ b/crates/daemon/src/fleet/service.rs
@@ -44,7 +44,7 @@
         let fleet = self.0;
         let from = life(&summary.from);
         let asked = summary.statement.as_ref().map(|s| s.relation);
-        fleet.hear(summary);
+        fleet.hear(&summary);
         let Some(asked) = asked else {
             return fleet.summary(None, Relation::Peer);
         };
--- a/crates/decide/tests/exchange/tree.rs
+++ b/crates/decide/tests/exchange/tree.rs
@@ -1,1 +1,197 @@
-//! Many routers, in a tree.
+//! Many routers, in a tree by region and zone.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use googletest::prelude::*;
+use mulberryyoke_decide::exchange::Bounds as ExchangeBounds;
+use mulberryyoke_decide::member::{Bounds, Place, Plan, Table};
+use mulberryyoke_model::Relation;
+
+use crate::net::{Fate, Net, TICK_MS};
+
+const ROUTERS: usize = 40;
+const CUSTOMER: u32 = 7;
+
+/// Rounds in which a dead router becomes suspect and the tree is mended.
+const MENDING: usize = 8;
+
+/// Rounds in which a token passes from any router to any other.
+const PASSING: usize = 8;
+
+fn place(index: usize) -> Place {
+    Place {
+        name: format!("r{index}"),
+        region: format!("region{}", index % 2),
+        zone: format!("zone{}", index % 6),
+    }
+}
+
+struct Fleet {
+    net: Net,
+    tables: Vec<Table>,
+    dead: BTreeSet<usize>,
+}
+
+impl Fleet {
+    fn open() -> Self {
+        let bounds = Bounds {
+            flat: 4,
+            fanout: 3,
+            suspect_ms: 2 * TICK_MS,
+            ..Bounds::default()
+        };
+        let net = Net::open(ROUTERS, ExchangeBounds::default());
+        let places: Vec<Place> = (0..ROUTERS).map(place).collect();
+        let table = |index| {
+            let mut table = Table::open(place(index), bounds);
+            table.list(places.clone(), net.now);
+            table
+        };
+        Self {
+            tables: (0..ROUTERS).map(table).collect(),
+            net,
+            dead: BTreeSet::new(),
+        }
+    }
+
+    fn plan(&self, index: usize) -> Plan {
+        self.tables[index].plan(self.net.now)
+    }
+
+    fn index(name: &str) -> usize {
+        name[1..].parse().unwrap()
+    }
+
+    fn round(&mut self) {
+        for index in 0..ROUTERS {
+            if self.dead.contains(&index) {
+                continue;
+            }
+            let plan = self.plan(index);
+            if let Some(parent) = plan.parent {
+                self.call(index, Self::index(&parent), Relation::Child);
+                continue;
+            }
+            let now = self.net.now;
+            self.net.nodes[index].ledger.follow(None, now);
+            for peer in plan.peers {
+                self.call(index, Self::index(&peer), Relation::Peer);
+            }
+        }
+        self.net.tick();
+    }
+
+    fn call(&mut self, caller: usize, other: usize, relation: Relation) {
+        let now = self.net.now;
+        let name = place(other).name;
+        if self.dead.contains(&other) {
+            self.tables[caller].fail(&name, now);
+            return;
+        }
+        self.tables[caller].hear(&name, now);
+        if relation == Relation::Child {
+            let life = self.net.nodes[other].life;
+            self.net.nodes[caller].ledger.follow(Some(life), now);
+        }
+        self.net.call(caller, other, relation, Fate::Whole);
+    }
+
+    fn rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            self.round();
+        }
+    }
+
+    fn credit_all(&mut self) -> u64 {
+        let mut credited = 0;
+        for index in 0..ROUTERS {
+            if !self.dead.contains(&index) {
+                self.net.credit(index, CUSTOMER, 10 + index as u64);
+                credited += 10 + index as u64;
+            }
+        }
+        credited
+    }
+
+    fn totals(&self) -> BTreeMap<usize, u64> {
+        let living = (0..ROUTERS).filter(|index| !self.dead.contains(index));
+        living
+            .map(|index| {
+                let total = self.net.nodes[index].totals.get(&CUSTOMER);
+                (index, total.copied().unwrap_or(0))
+            })
+            .collect()
+    }
+
+    fn expect_growth(&self, before: &BTreeMap<usize, u64>, expected: u64) {
+        for (index, total) in self.totals() {
+            let grown = total - before.get(&index).copied().unwrap_or(0);
+            expect_that!(grown, eq(expected), "router {index}");
+        }
+    }
+}
+
+#[googletest::test]
+fn positions_agree_and_lead_to_few_roots() {
+    let fleet = Fleet::open();
+    let plans: Vec<Plan> = (0..ROUTERS).map(|index| fleet.plan(index)).collect();
+    let roots: Vec<&Plan> = plans.iter().filter(|plan| plan.parent.is_none()).collect();
+    expect_that!(roots.len(), eq(2));
+    expect_true!(roots.iter().all(|plan| plan.peers.len() == 1));
+    let mut children = BTreeMap::new();
+    for parent in plans.iter().filter_map(|plan| plan.parent.as_ref()) {
+        *children.entry(parent).or_insert(0) += 1;
+    }
+    // Three of its zone, and three roots of other zones.
+    expect_true!(children.values().all(|count| *count <= 6));
+}
+
+#[googletest::test]
+fn every_router_learns_every_total() {
+    let mut fleet = Fleet::open();
+    fleet.rounds(PASSING);
+    let credited = fleet.credit_all();
+    fleet.rounds(PASSING);
+    fleet.expect_growth(&BTreeMap::new(), credited);
+}
+
+#[googletest::test]
+fn nothing_is_counted_twice_when_a_root_dies() {
+    let mut fleet = Fleet::open();
+    fleet.credit_all();
+    fleet.rounds(PASSING);
+    let root = (0..ROUTERS).find(|index| fleet.plan(*index).parent.is_none());
+    let before = fleet.totals();
+    fleet.dead.insert(root.unwrap());
+    let mut credited = 0;
+    for _ in 0..3 {
+        credited += fleet.credit_all();
+        fleet.round();
+    }
+    fleet.rounds(MENDING + PASSING);
+    // What was served before a new parent's first word is not counted.
+    for (index, total) in fleet.totals() {
+        expect_that!(total - before[&index], le(credited));
+    }
+    let before = fleet.totals();
+    let credited = fleet.credit_all();
+    fleet.rounds(PASSING);
+    fleet.expect_growth(&before, credited);
+}
+
+#[googletest::test]
+fn totals_grow_alike_after_a_parent_restarted() {
+    let mut fleet = Fleet::open();
+    fleet.credit_all();
+    fleet.rounds(PASSING);
+    let parents = (0..ROUTERS).filter_map(|index| fleet.plan(index).parent);
+    let parents: BTreeSet<usize> = parents.map(|name| Fleet::index(&name)).collect();
+    for parent in parents {
+        fleet.net.restart(parent);
+        fleet.rounds(PASSING);
+        let before = fleet.totals();
+        let credited = fleet.credit_all();
+        fleet.rounds(PASSING);
+        fleet.expect_growth(&before, credited);
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/member.rs
@@ -0,0 +1,80 @@
+//! Membership of routers.
+
+use googletest::prelude::*;
+use mulberryyoke_decide::member::{Bounds, Place, Plan, Table};
+
+const SUSPECT_MS: u64 = 3_000;
+
+fn place(name: &str) -> Place {
+    Place {
+        name: name.to_owned(),
+        region: "north".to_owned(),
+        zone: "a".to_owned(),
+    }
+}
+
+fn bounds() -> Bounds {
+    Bounds {
+        suspect_ms: SUSPECT_MS,
+        ..Bounds::default()
+    }
+}
+
+fn table(names: &[&str]) -> Table {
+    let mut table = Table::open(place("r1"), bounds());
+    table.list(names.iter().copied().map(place).collect(), 0);
+    table
+}
+
+#[googletest::test]
+fn a_small_fleet_is_flat() {
+    let plan = table(&["r1", "r2", "r3"]).plan(0);
+    let expected = Plan {
+        peers: vec!["r2".to_owned(), "r3".to_owned()],
+        ..Plan::default()
+    };
+    expect_that!(plan, eq(&expected));
+}
+
+#[googletest::test]
+fn a_router_is_suspect_once_calls_have_failed_for_long() {
+    let mut table = table(&["r1", "r2", "r3"]);
+    table.fail("r2", 1_000);
+    table.fail("r2", 2_000);
+    expect_false!(table.is_suspect("r2", 1_000 + SUSPECT_MS - 1));
+    let at = 1_000 + SUSPECT_MS;
+    expect_true!(table.is_suspect("r2", at));
+    let plan = table.plan(at);
+    expect_that!(plan.peers, elements_are![eq("r3")]);
+    expect_that!(plan.probe, elements_are![eq("r2")]);
+    expect_that!(table.names(at), unordered_elements_are![eq("r1"), eq("r3")]);
+    table.hear("r2", at);
+    expect_false!(table.is_suspect("r2", at));
+    expect_that!(table.plan(at).probe, is_empty());
+}
+
+#[googletest::test]
+fn a_router_that_is_heard_outlives_its_entry_in_the_list() {
+    let mut table = table(&["r1", "r2", "r3"]);
+    table.hear("r2", 5_000);
+    table.list(vec![place("r1")], 5_000);
+    expect_that!(
+        table.names(5_000),
+        unordered_elements_are![eq("r1"), eq("r2")]
+    );
+    table.list(vec![place("r1")], 5_000 + SUSPECT_MS);
+    expect_that!(table.names(5_000 + SUSPECT_MS), elements_are![eq("r1")]);
+}
+
+#[googletest::test]
+fn a_large_zone_has_few_watchers() {
+    let names: Vec<String> = (1..=20).map(|index| format!("r{index}")).collect();
+    let tables = names.iter().map(|own| {
+        let mut table = Table::open(place(own), bounds());
+        table.list(names.iter().map(|name| place(name)).collect(), 0);
+        table
+    });
+    let watchers = tables.filter(|table| table.is_watcher(0)).count();
+    expect_that!(watchers, eq(Bounds::default().watchers));
+    expect_true!(table(&["r1", "r2"]).is_watcher(0));
+}
