--- a/crates/daemon/src/fleet/peers.rs
+++ b/crates/daemon/src/fleet/peers.rs
@@ -93,12 +93,9 @@
         self.table.lock().names(clock::now())
     }
 
+    /// Notes a failed call; returns whether that made the router suspect.
     pub(super) fn fail(&self, name: &str) -> bool {
-        let now = clock::now();
-        let mut table = self.table.lock();
-        let before = table.is_suspect(name, now);
-        table.fail(name, now);
-        !before && table.is_suspect(name, now)
+        self.table.lock().fail(name, clock::now())
     }
 
     /// Notes what a router says. Returns it, and whether it is heard anew.
--- a/crates/decide/src/member/table.rs
+++ b/crates/decide/src/member/table.rs
@@ -14,6 +14,8 @@
     heard_at: Option<Millis>,
     /// Since when every call has failed.
     failing_since: Option<Millis>,
+    /// Whether it has been told that this router is suspect.
+    told: bool,
 }
 
 /// The known routers, this one excluded.
@@ -51,6 +53,7 @@
                 listed: true,
                 heard_at: None,
                 failing_since: None,
+                told: false,
             });
             entry.place = place;
             entry.listed = true;
@@ -65,14 +68,18 @@
         if let Some(entry) = self.entries.get_mut(name) {
             entry.heard_at = Some(now);
             entry.failing_since = None;
+            entry.told = false;
         }
     }
 
-    /// A call to a router failed.
-    pub fn fail(&mut self, name: &str, now: Millis) {
-        if let Some(entry) = self.entries.get_mut(name) {
-            entry.failing_since.get_or_insert(now);
-        }
+    /// A call to a router failed. Returns whether that made it suspect.
+    pub fn fail(&mut self, name: &str, now: Millis) -> bool {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return false;
+        };
+        entry.failing_since.get_or_insert(now);
+        let suspect = entry.is_suspect(now, &self.bounds);
+        suspect && !std::mem::replace(&mut entry.told, true)
     }
 
     /// When a router was heard last.
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -39,8 +39,8 @@
 #[googletest::test]
 fn a_router_is_suspect_once_calls_have_failed_for_long() {
     let mut table = table(&["r1", "r2", "r3"]);
-    table.fail("r2", 1_000);
-    table.fail("r2", 2_000);
+    expect_false!(table.fail("r2", 1_000));
+    expect_false!(table.fail("r2", 2_000));
     expect_false!(table.is_suspect("r2", 1_000 + SUSPECT_MS - 1));
     let at = 1_000 + SUSPECT_MS;
     expect_true!(table.is_suspect("r2", at));
@@ -48,6 +48,8 @@
     expect_that!(plan.peers, elements_are![eq("r3")]);
     expect_that!(plan.probe, elements_are![eq("r2")]);
     expect_that!(table.names(at), unordered_elements_are![eq("r1"), eq("r3")]);
+    expect_true!(table.fail("r2", at));
+    expect_false!(table.fail("r2", at + 1));
     table.hear("r2", at);
     expect_false!(table.is_suspect("r2", at));
     expect_that!(table.plan(at).probe, is_empty());
