--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -4,14 +4,18 @@
 
 mod answer;
 mod backend;
+mod chunk;
 mod control;
 mod data;
 mod error;
 mod exchange;
 mod header;
+mod home;
+mod keeper;
 mod meter;
 mod probe;
 mod pump;
+mod record;
 mod relay;
 mod role;
 mod shared;
