--- a/completions/mulberryyoke.fish
+++ b/completions/mulberryyoke.fish
@@ -23,8 +23,8 @@
 complete -c mulberryyoke -f
 complete -c mulberryyoke -n '__mulberryyoke_words' -s h -l help -d 'print this help'
 complete -c mulberryyoke -n '__mulberryyoke_words' -s V -l version -d 'print the version'
-complete -c mulberryyoke -n '__mulberryyoke_words' -l router -x -d 'operator port of a router; several are tried in turn (default 127.0.0.1:7003)'
-complete -c mulberryyoke -n '__mulberryyoke_words' -l key-file -r -F -d 'file with the operator\'s bearer key; else the variable `MULBERRYYOKE_KEY` has it'
+complete -c mulberryyoke -n '__mulberryyoke_words' -l router -x -d 'operator port of a router; several are tried in turn (else `MULBERRYYOKE_ROUTER`, else 127.0.0.1:7003)'
+complete -c mulberryyoke -n '__mulberryyoke_words' -l key-file -r -F -d 'file with the operator\'s bearer key (else `MULBERRYYOKE_KEY` is the key)'
 complete -c mulberryyoke -n '__mulberryyoke_words' -l timeout -x -d 'longest time for the command and its --wait (default: 30)'
 complete -c mulberryyoke -n '__mulberryyoke_words' -l command -x -d 'identity of an earlier command, in hex, to send it again'
 complete -c mulberryyoke -n '__mulberryyoke_words' -a customer -d 'customers, their shares, classes and keys'
--- a/crates/client/src/force.rs
+++ b/crates/client/src/force.rs
@@ -10,7 +10,7 @@
 use crate::session::Session;
 
 /// Pause between two looks.
-const PAUSE: Duration = Duration::from_millis(200);
+const PAUSE: Duration = Duration::from_millis(500);
 
 /// Waits until a revision is in force on every node.
 ///
--- a/crates/command/src/answer.rs
+++ b/crates/command/src/answer.rs
@@ -1,6 +1,7 @@
 //! What a router's operator port answers.
 
 mod conflict;
+mod hex;
 mod item;
 mod node;
 mod refusal;
--- a/crates/command/src/answer/conflict.rs
+++ b/crates/command/src/answer/conflict.rs
@@ -13,6 +13,7 @@
     /// Operator who wrote it.
     pub operator: String,
     /// Identity of the command that wrote it.
+    #[serde(with = "super::hex")]
     pub command: u64,
     /// When it was written.
     pub at: Millis,
--- a/crates/command/src/answer/refusal.rs
+++ b/crates/command/src/answer/refusal.rs
@@ -64,7 +64,11 @@
     /// For people.
     pub message: String,
     /// Identity of the command, to send it again.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(
+        default,
+        with = "super::hex::option",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub command: Option<u64>,
     /// What stands in the way.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/command/src/answer/request.rs
+++ b/crates/command/src/answer/request.rs
@@ -10,6 +10,6 @@
     pub words: Vec<String>,
     /// Identity of the command, chosen by the sender, so that the same command
     /// can be sent again when its answer was lost; the router draws one when absent.
-    #[serde(default)]
+    #[serde(default, with = "super::hex::option")]
     pub command: Option<u64>,
 }
--- a/crates/command/src/answer/write.rs
+++ b/crates/command/src/answer/write.rs
@@ -13,6 +13,7 @@
     /// Who wrote it.
     pub operator: String,
     /// Identity of the command.
+    #[serde(with = "super::hex")]
     pub command: u64,
     /// When.
     pub at: Millis,
--- a/crates/command/src/answer/written.rs
+++ b/crates/command/src/answer/written.rs
@@ -7,6 +7,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Written {
     /// Identity of the command.
+    #[serde(with = "super::hex")]
     pub command: u64,
     /// Key below the configuration prefix.
     pub key: String,
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -95,7 +95,7 @@
         for pool in view.pools() {
             for server in view.servers(PoolId::of(&pool.name)) {
                 let id = ServerId::of(&server.name);
-                if server.state == State::Active && links.iter().all(|link| link.id != id) {
+                if server.state != State::Removed && links.iter().all(|link| link.id != id) {
                     links.push(Link::spawn(core, server));
                 }
             }
