Bound callers that do not read; test the router against fake sidecars

A caller that leaves an answer unread for limits.stall_ms loses it, and its server is free again. Requests bound to a key's home give up when the home is silent or has moved. One router after the other sends configuration to a sidecar.

--- a/crates/daemon/src/router/answer.rs
+++ b/crates/daemon/src/router/answer.rs
@@ -20,9 +20,14 @@
     Relay(Relay),
 }
 
-/// answer broke off: {0}
+/// Why an answer is not whole.
 #[derive(Debug, Display)]
-pub(crate) struct Broken(pub(crate) hyper::Error);
+pub(crate) enum Broken {
+    /// answer broke off: {0}
+    Server(hyper::Error),
+    /// answer was not read for too long
+    Unread,
+}
 
 impl std::error::Error for Broken {}
 
--- a/crates/daemon/src/router/attempt.rs
+++ b/crates/daemon/src/router/attempt.rs
@@ -65,7 +65,7 @@
     let mut pending: Pending = Box::pin(sender.try_send_request(request));
     tokio::select! {
         biased;
-        result = &mut pending => read(call, running, result),
+        result = &mut pending => read(core, call, running, result),
         () = link.wait_silent() => {
             running.lose();
             late::watch(core, &link, call, pending);
@@ -92,6 +92,7 @@
 }
 
 fn read(
+    core: &Core,
     call: &Call,
     running: Running,
     result: Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>,
@@ -108,7 +109,7 @@
         }
     };
     let Some(verdict) = verdict_of(&response) else {
-        return Sent::Answer(relay(call, running, response));
+        return Sent::Answer(relay(core, call, running, response));
     };
     if verdict.is_not_run() {
         running.not_run();
@@ -130,10 +131,16 @@
     value.to_str().ok()?.parse().ok()
 }
 
-fn relay(call: &Call, running: Running, response: Response<Incoming>) -> Response<Answer> {
+fn relay(
+    core: &Core,
+    call: &Call,
+    running: Running,
+    response: Response<Incoming>,
+) -> Response<Answer> {
     let (mut parts, body) = response.into_parts();
     header::back(&mut parts.headers);
-    let mut response = Response::new(Answer::Relay(Relay::new(body, running)));
+    let relay = Relay::new(core.stalls.watch(body), running);
+    let mut response = Response::new(Answer::Relay(relay));
     *response.status_mut() = parts.status;
     *response.headers_mut() = parts.headers;
     if let Ok(id) = HeaderValue::from_str(&call.attempt.request_id()) {
--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -14,6 +14,7 @@
 
 use super::core::Core;
 use super::error::Error;
+use super::paced::Paced;
 use super::service;
 
 /// Largest head of a request over HTTP/1.1, in bytes; more is answered 431.
@@ -102,6 +103,8 @@
         };
         let head = Duration::from_millis(self.core.settings.limits.head_ms);
         let builder = builder(head);
+        let stall = Duration::from_millis(self.core.settings.limits.stall_ms);
+        let stream = Paced::new(stream, stall);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let connection = self.shutdown.watch(connection.into_owned());
         let end = self.core.stop.end.clone();
--- a/crates/daemon/src/router/core.rs
+++ b/crates/daemon/src/router/core.rs
@@ -19,6 +19,7 @@
 use super::place::Place;
 use super::room::Turn;
 use super::rooms::Rooms;
+use super::stalls::Stalls;
 use super::stop::Stop;
 use crate::clock;
 use crate::fleet::Fleet;
@@ -39,6 +40,7 @@
     pub(crate) keys: Keys,
     pub(crate) bodies: Arc<Semaphore>,
     pub(crate) counts: Counts,
+    pub(crate) stalls: Stalls,
     pub(crate) stop: Stop,
 }
 
@@ -60,6 +62,7 @@
             keys,
             bodies: Arc::new(Semaphore::new(BODY_KIB)),
             counts: Counts::default(),
+            stalls: Stalls::default(),
             stop: Stop::default(),
         }
     }
--- a/crates/daemon/src/router/dispatch.rs
+++ b/crates/daemon/src/router/dispatch.rs
@@ -17,11 +17,11 @@
 use super::link::Link;
 use super::place::Place;
 use super::refusal::Refusal;
-use super::wait;
+use super::wait::{self, Waited};
 use crate::clock;
 
 /// Seconds named to callers where only a fault has to pass.
-const SOON_S: u32 = 1;
+pub(crate) const SOON_S: u32 = 1;
 
 /// Attempts after which a request is given up whatever the budget.
 const MOST_ATTEMPTS: u8 = 100;
@@ -104,7 +104,11 @@
         if waited {
             self.core.memory.wait(self.call.attempt.request);
         }
-        wait::wait(self.core, &self.call, None, waited).await
+        let never = std::future::pending();
+        match wait::wait(self.core, &self.call, None, waited, never).await? {
+            Waited::Place(place) => Ok(place),
+            Waited::Moved => Err(no_server()),
+        }
     }
 
     /// A server that should have a free slot, if nothing else waits for one.
--- a/crates/daemon/src/router/home.rs
+++ b/crates/daemon/src/router/home.rs
@@ -2,16 +2,17 @@
 
 use std::sync::Arc;
 
+use hyper::StatusCode;
 use mulberryyoke_decide::home::{self, Homes};
 use mulberryyoke_model::{Outcome, ServerId};
 
 use super::call::{Call, Key};
 use super::core::Core;
-use super::dispatch::{doubtful, no_server, repeated};
+use super::dispatch::{SOON_S, doubtful, no_server, repeated};
 use super::link::Link;
 use super::place::Place;
 use super::refusal::Refusal;
-use super::wait;
+use super::wait::{self, Waited};
 use crate::clock;
 
 /// Finds a slot at the key's home. Former homes have to give a withdrawal first.
@@ -19,25 +20,61 @@
     core: &Arc<Core>,
     call: &Call,
     key: Key,
-    at_once: bool,
-    again: bool,
+    mut at_once: bool,
+    mut again: bool,
 ) -> Result<Place, Refusal> {
-    let homes = homes(core, call, key);
-    if key.given {
-        for former in &homes.former {
-            withdraw(core, call, key, *former).await?;
+    loop {
+        let homes = homes(core, call, key);
+        if key.given {
+            for former in &homes.former {
+                withdraw(core, call, key, *former).await?;
+            }
+        }
+        let current = homes.current.ok_or_else(no_server)?;
+        let link = link(core, current).ok_or_else(no_server)?;
+        if at_once && take_free(core, call, &link) {
+            return Ok(Place::direct(&link));
+        }
+        let gone = gone(core, call, key, &link);
+        match wait::wait(core, call, Some(current), again, gone).await? {
+            Waited::Place(place) => return Ok(place),
+            Waited::Moved => (at_once, again) = (true, true),
         }
     }
-    let current = homes.current.ok_or_else(no_server)?;
-    let link = link(core, current).ok_or_else(no_server)?;
-    if at_once
-        && link.standing.is_open()
-        && core.rooms.get(call.pool).is_empty()
-        && link.standing.take_free()
-    {
-        return Ok(Place::direct(&link));
+}
+
+/// Takes a slot that should be free, if nothing else waits.
+fn take_free(core: &Core, call: &Call, link: &Link) -> bool {
+    let none_waits = core.rooms.get(call.pool).is_empty();
+    none_waits && link.standing.is_open() && link.standing.take_free()
+}
+
+/// Resolves when waiting for a home has become pointless: when the key has
+/// another one, or when its sidecar does not answer.
+async fn gone(
+    core: &Arc<Core>,
+    call: &Call,
+    key: Key,
+    link: &Arc<Link>,
+) -> Result<Waited, Refusal> {
+    let mut revision = core.fleet.watch();
+    loop {
+        tokio::select! {
+            () = link.wait_silent() => return Err(silent()),
+            changed = revision.changed() => if changed.is_err() {
+                return Err(silent());
+            }
+        }
+        if homes(core, call, key).current != Some(link.id) {
+            return Ok(Waited::Moved);
+        }
     }
-    wait::wait(core, call, Some(current), again).await
+}
+
+/// The only server that may run the request does not answer.
+fn silent() -> Refusal {
+    let message = "the only server that may run this request does not answer";
+    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "home_silent", message).retry_after(SOON_S)
 }
 
 fn homes(core: &Core, call: &Call, key: Key) -> Homes {
@@ -60,6 +97,7 @@
     former: ServerId,
 ) -> Result<(), Refusal> {
     let link = link(core, former).ok_or_else(|| doubtful(None))?;
+    link.wait_control().await;
     let withdrawal = link.withdraw(call.attempt, Some(key.id)).await;
     let withdrawal = withdrawal.map_err(|_| doubtful(None))?;
     match withdrawal.outcome {
--- a/crates/daemon/src/router/link.rs
+++ b/crates/daemon/src/router/link.rs
@@ -5,6 +5,7 @@
 mod error;
 mod session;
 mod standing;
+mod teacher;
 mod told;
 
 use std::sync::Arc;
@@ -14,7 +15,7 @@
 use arc_swap::ArcSwapOption;
 use mulberryyoke_model::{PoolId, Server, ServerId};
 use mulberryyoke_wire::SidecarClient;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::core::Core;
@@ -38,6 +39,7 @@
     pub(crate) data: Data,
     heartbeat: Duration,
     control: ArcSwapOption<SidecarClient>,
+    linked: watch::Sender<bool>,
     opened: Notify,
     cancel: CancellationToken,
 }
@@ -56,9 +58,11 @@
             data: Data::new(server.data, heartbeat),
             heartbeat,
             control: ArcSwapOption::empty(),
+            linked: watch::Sender::new(false),
             opened: Notify::new(),
             cancel: CancellationToken::new(),
         });
+        link.standing.begin_at(clock::now());
         tokio::spawn(session::run(Arc::clone(core), Arc::clone(&link)));
         link
     }
@@ -75,6 +79,15 @@
         }
     }
 
+    /// Waits until there is a control link, or the sidecar is silent.
+    pub(crate) async fn wait_control(&self) {
+        let mut linked = self.linked.subscribe();
+        tokio::select! {
+            _ = linked.wait_for(|linked| *linked) => {}
+            () = self.wait_silent() => {}
+        }
+    }
+
     /// Waits until the sidecar has been silent for so long that it may be
     /// frozen or cut off. That proves nothing about what it runs.
     pub(crate) async fn wait_silent(&self) {
@@ -93,6 +106,12 @@
         }
     }
 
+    fn set_control(&self, client: Option<SidecarClient>) {
+        let is_linked = client.is_some();
+        self.control.store(client.map(Arc::new));
+        self.linked.send_replace(is_linked);
+    }
+
     fn set_up(&self, up: bool) {
         self.standing.up.store(up, Ordering::Relaxed);
     }
--- a/crates/daemon/src/router/link/session.rs
+++ b/crates/daemon/src/router/link/session.rs
@@ -5,12 +5,13 @@
 
 use mulberryyoke_decide::exchange::Cursor;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{Load, Revision};
+use mulberryyoke_model::Load;
 use mulberryyoke_wire::{self as wire, Poll, Polled, SidecarClient};
 use parking_lot::Mutex;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::control::{failed, within};
+use super::teacher::Teacher;
 use super::told::Told;
 use super::{Error, Link, SILENT_HEARTBEATS};
 use crate::clock;
@@ -23,7 +24,7 @@
 const DECLARE_PAUSE: Duration = Duration::from_millis(2);
 
 /// Time limit of a poll on the wire. Silence is noticed long before.
-const POLL_LIMIT: Duration = Duration::from_hours(1);
+pub(super) const POLL_LIMIT: Duration = Duration::from_hours(1);
 
 /// Keeps a link until it is stopped.
 pub(super) async fn run(core: Arc<Core>, link: Arc<Link>) {
@@ -50,7 +51,7 @@
 
 fn close(link: &Link) {
     link.set_up(false);
-    link.control.store(None);
+    link.set_control(None);
     link.data.reset();
 }
 
@@ -70,7 +71,7 @@
             Ok(Err(error)) => return Error::Control(error),
             Err(_) => return Error::Timeout,
         };
-        link.control.store(Some(Arc::new(client.clone())));
+        link.set_control(Some(client.clone()));
         let session = Self {
             core,
             link,
@@ -149,14 +150,14 @@
             counted: 0,
             fleet: Vec::new(),
         };
-        let mut configured = 0;
+        let mut teacher = Teacher::new(self.core, self.link, &self.client);
         let mut known = None;
         loop {
             poll.revision = self.core.fleet.view().revision();
             let asked_at = Instant::now();
             let polled = self.ask(&poll).await?;
             self.learn(polled.load);
-            self.configure(polled.load, &mut configured);
+            teacher.compare(polled.load);
             self.grant(&polled);
             if let Some(report) = &polled.report {
                 poll.counted = self.core.fleet.collect(polled.load.incarnation, report);
@@ -197,21 +198,6 @@
         }
     }
 
-    /// Sends configuration that the sidecar lacks, once per revision.
-    fn configure(&self, load: Load, configured: &mut Revision) {
-        let config = self.core.fleet.config();
-        if load.revision >= config.revision || *configured >= config.revision {
-            return;
-        }
-        *configured = config.revision;
-        let changes = config.since(load.revision);
-        let client = self.client.clone();
-        tokio::spawn(async move {
-            // What is lost shows in the next load and is sent on the next link.
-            let _ = client.configure(within(POLL_LIMIT), changes).await;
-        });
-    }
-
     fn grant(&self, polled: &Polled) {
         let mut declined = Vec::new();
         for grant in &polled.grants {
--- a/crates/daemon/src/router/link/standing.rs
+++ b/crates/daemon/src/router/link/standing.rs
@@ -20,6 +20,11 @@
 }
 
 impl Standing {
+    /// Silence counts from here on.
+    pub(super) fn begin_at(&self, now: Millis) {
+        self.heard_at.store(now, Ordering::Relaxed);
+    }
+
     /// Takes in what the sidecar told.
     pub(super) fn learn(&self, load: Load, now: Millis) {
         self.free.store(load.free, Ordering::Relaxed);
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -146,6 +146,8 @@
         for room in core.rooms.all() {
             room.raise(now);
         }
+        let stall_ms = core.settings.limits.stall_ms;
+        core.stalls.release(now.saturating_sub(stall_ms));
         tokio::select! {
             () = core.stop.end.cancelled() => break,
             changed = revision.changed() => {
--- a/crates/daemon/src/router/mod.rs
+++ b/crates/daemon/src/router/mod.rs
@@ -21,6 +21,7 @@
 mod memory;
 mod operators;
 mod outcome;
+mod paced;
 mod place;
 mod refusal;
 mod relay;
@@ -29,6 +30,7 @@
 mod rooms;
 mod running;
 mod service;
+mod stalls;
 mod stop;
 mod wait;
 
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -1,28 +1,31 @@
 //! Passing a server's answer on to its caller.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 
 use super::answer::Broken;
 use super::running::{End, Running};
+use super::stalls::Flow;
+use crate::clock;
 
 /// A server's answer on its way to the caller. A frame is asked of the server
 /// only when the caller's connection has room for it. An answer that is not
 /// whole ends with an error, so that the caller's connection is broken off.
 #[derive(Debug)]
 pub(crate) struct Relay {
-    body: Incoming,
+    flow: Arc<Flow>,
     running: Option<Running>,
 }
 
 impl Relay {
-    /// Passes on `body`, the answer to a request that runs.
-    pub(crate) fn new(body: Incoming, running: Running) -> Self {
+    /// Passes on the answer to a request that runs.
+    pub(crate) fn new(flow: Arc<Flow>, running: Running) -> Self {
         Self {
-            body,
+            flow,
             running: Some(running),
         }
     }
@@ -31,21 +34,27 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        self.flow.asked();
+        let polled = self.flow.with(|body| Pin::new(body).poll_frame(cx));
+        let Some(polled) = polled else {
+            self.finish(&End::HungUp);
+            return Poll::Ready(Some(Err(Broken::Unread)));
+        };
+        let frame = ready!(polled);
         match &frame {
-            Some(Ok(_)) => {}
+            Some(Ok(_)) => self.flow.handed(clock::now()),
             Some(Err(error)) => self.finish(&End::Cut(error.to_string())),
             None => self.finish(&End::Whole),
         }
-        Poll::Ready(frame.map(|frame| frame.map_err(Broken)))
+        Poll::Ready(frame.map(|frame| frame.map_err(Broken::Server)))
     }
 
     pub(super) fn is_end(&self) -> bool {
-        self.body.is_end_stream()
+        self.flow.with(|body| body.is_end_stream()).unwrap_or(false)
     }
 
     pub(super) fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        self.flow.with(|body| body.size_hint()).unwrap_or_default()
     }
 
     fn finish(&mut self, end: &End) {
@@ -57,7 +66,7 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let end = if self.body.is_end_stream() {
+        let end = if self.is_end() {
             End::Whole
         } else {
             End::HungUp
--- a/crates/daemon/src/router/wait.rs
+++ b/crates/daemon/src/router/wait.rs
@@ -33,14 +33,25 @@
     }
 }
 
+/// What ended a wait without a refusal.
+#[derive(Debug)]
+pub(crate) enum Waited {
+    /// A server has a slot.
+    Place(Place),
+    /// The only server that may run it has changed.
+    Moved,
+}
+
 /// Waits until a server has a slot for the request. `again` tells whether it
-/// has waited before, and then is not refused for want of room.
+/// has waited before, and then is not refused for want of room. A request
+/// that only one server may run gives up when `gone` says why.
 pub(crate) async fn wait(
     core: &Arc<Core>,
     call: &Call,
     bound: Option<ServerId>,
     again: bool,
-) -> Result<Place, Refusal> {
+    gone: impl Future<Output = Result<Waited, Refusal>>,
+) -> Result<Waited, Refusal> {
     enter(core, call, again)?;
     let room = core.rooms.get(call.pool);
     let (turn, mut taken) = oneshot::channel();
@@ -66,11 +77,12 @@
     tokio::select! {
         biased;
         turn = &mut taken => match turn {
-            Ok(Turn::Go(place)) => Ok(place),
+            Ok(Turn::Go(place)) => Ok(Waited::Place(place)),
             Ok(Turn::Displaced) | Err(_) => Err(displaced(core, call)),
         },
         () = tokio::time::sleep_until(clock::instant(call.deadline)) => Err(late(core, call)),
         () = core.stop.clear.cancelled() => Err(stopping()),
+        gone = gone => gone,
     }
 }
 
--- /dev/null
+++ b/crates/daemon/tests/router/main.rs
@@ -0,0 +1,12 @@
+//! The router role against sidecars that do as a test tells them.
+
+mod caller;
+mod fake;
+mod fleet;
+
+mod input;
+mod key;
+mod limit;
+mod outcome;
+mod stop;
+mod waiting;
--- /dev/null
+++ b/crates/daemon/tests/router/outcome.rs
@@ -0,0 +1,156 @@
+//! Truthful outcomes when servers fail.
+
+use googletest::prelude::*;
+use hyper::Method;
+use mulberryyoke_model::Outcome;
+use mulberryyoke_wire::Verdict;
+use serde_json::{Value, json};
+
+use crate::caller::{Reply, completion, open, post, read, send, spawn};
+use crate::fake::{Act, Fake};
+use crate::fleet::{Fleet, MODEL, SERVICE};
+
+async fn two(pool: &str, changes: &Value) -> (Fake, Fake, Fleet) {
+    let first = Fake::bind("s1", pool, 4).await;
+    let second = Fake::bind("s2", pool, 4).await;
+    let fleet = Fleet::spawn(&[&first, &second], changes).await;
+    (first, second, fleet)
+}
+
+/// What the router says became of an answered request.
+async fn outcome(fleet: &Fleet, reply: &Reply) -> String {
+    outcome_of(fleet, reply.header("x-request-id")).await
+}
+
+async fn outcome_of(fleet: &Fleet, id: &str) -> String {
+    let mut request = post(&format!("/v1/outcomes/{id}"), "");
+    *request.method_mut() = Method::GET;
+    let told = send(fleet.address(), request).await;
+    let body: Value = serde_json::from_str(told.text.as_deref().unwrap()).unwrap();
+    body["outcome"].as_str().unwrap_or_default().to_owned()
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_that_breaks_off_never_looks_whole() {
+    let fake = Fake::bind("s1", MODEL, 4).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({})).await;
+    fake.then(Act::Break("data: 1\n\n"));
+    let response = open(fleet.address(), completion()).await;
+    fake.release();
+    let reply = read(response).await;
+    expect_that!(reply.status.as_u16(), eq(200));
+    expect_that!(reply.text, err(anything()));
+    fake.set_withdrawal(Outcome::Cut, false);
+    expect_that!(outcome(&fleet, &reply).await, eq("cut"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn idempotent_requests_are_retried_elsewhere() {
+    let rows = [
+        Act::Verdict(Verdict::Unreachable),
+        Act::Verdict(Verdict::Tombstone),
+        Act::Verdict(Verdict::Broken),
+    ];
+    for act in rows {
+        let fake = Fake::bind("s1", MODEL, 4).await;
+        let fleet = Fleet::spawn(&[&fake], &json!({})).await;
+        fake.then(act.clone());
+        let caller = spawn(fleet.address(), completion());
+        fake.declared(crate::fleet::customer(), [0, 1, 0]).await;
+        fake.grant(1, crate::fleet::customer());
+        let reply = caller.await.unwrap();
+        expect_that!(reply.status.as_u16(), eq(200), "{act:?}");
+        expect_that!(outcome(&fleet, &reply).await, eq("ran"), "{act:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn without_a_budget_the_refusal_tells_the_truth() {
+    let rows = [
+        (Verdict::Unreachable, "not-run"),
+        (Verdict::Tombstone, "not-run"),
+        (Verdict::Broken, "unknown"),
+    ];
+    let fake = Fake::bind("s1", MODEL, 4).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({"limits": {"retry_percent": 0}})).await;
+    for (verdict, expected) in rows {
+        fake.then(Act::Verdict(verdict));
+        let reply = send(fleet.address(), completion()).await;
+        let refusal = (503, "unreachable".to_owned(), expected);
+        expect_that!(reply.refusal(), eq(&refusal), "{verdict:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_frozen_server_costs_an_idempotent_request_a_retry() {
+    let (mut first, mut second, fleet) = two(MODEL, &json!({})).await;
+    first.then(Act::Silence);
+    second.then(Act::Silence);
+    let caller = spawn(fleet.address(), completion());
+    let (frozen, other, ticket) = tokio::select! {
+        arrival = first.arrival() => (&first, &mut second, arrival.ticket),
+        arrival = second.arrival() => (&second, &mut first, arrival.ticket),
+    };
+    other.clear();
+    frozen.freeze(true);
+    let reply = caller.await.unwrap();
+    expect_that!(reply.text, ok(eq("ok")));
+    let again = other.arrival().await.ticket;
+    expect_that!(again.attempt, eq(ticket.attempt.next()));
+    // The first attempt is withdrawn once its server answers.
+    frozen.freeze(false);
+    expect_that!(frozen.withdrawn().await, eq((ticket.attempt, None)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_must_run_once_is_unknown_at_once_when_its_server_is_silent() {
+    let mut fake = Fake::bind("b1", SERVICE, 4).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({})).await;
+    fake.then(Act::Silence);
+    let caller = spawn(fleet.address(), post("/slots", "book"));
+    fake.arrival().await;
+    fake.freeze(true);
+    let reply = caller.await.unwrap();
+    let refusal = (502, "outcome_unknown".to_owned(), "unknown");
+    expect_that!(reply.refusal(), eq(&refusal));
+    expect_that!(fake.unread(), eq(0));
+    // Once the server answers again, its withdrawal proves what became of it.
+    fake.set_withdrawal(Outcome::NotRun, false);
+    fake.freeze(false);
+    fake.withdrawn().await;
+    fleet.connected(1).await;
+    expect_that!(outcome(&fleet, &reply).await, eq("not-run"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_server_that_cannot_be_reached_has_not_run_anything() {
+    let fake = Fake::bind("s1", MODEL, 4).await;
+    fake.close_data();
+    let fleet = Fleet::spawn(&[&fake], &json!({"limits": {"retry_percent": 0}})).await;
+    let reply = send(fleet.address(), completion()).await;
+    let refusal = (503, "unreachable".to_owned(), "not-run");
+    expect_that!(reply.refusal(), eq(&refusal));
+}
+
+#[gtest]
+#[tokio::test]
+async fn outcomes_of_strange_ids_are_unknown() {
+    let fake = Fake::bind("s1", MODEL, 4).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({})).await;
+    let reply = send(fleet.address(), completion()).await;
+    let id = reply.header("x-request-id").to_owned();
+    expect_that!(outcome_of(&fleet, &id).await, eq("ran"));
+    let (origin, _) = id.split_once('-').unwrap();
+    expect_that!(
+        outcome_of(&fleet, &format!("{origin}-ffff")).await,
+        eq("unknown")
+    );
+    expect_that!(outcome_of(&fleet, "1-1").await, eq("unknown"));
+    expect_that!(outcome_of(&fleet, "nonsense").await, eq(""));
+}
--- /dev/null
+++ b/crates/daemon/tests/router/stop.rs
@@ -0,0 +1,48 @@
+//! A planned stop.
+
+use googletest::prelude::*;
+use serde_json::json;
+
+use crate::caller::{completion, spawn};
+use crate::fake::{Act, Fake};
+use crate::fleet::{Fleet, MODEL, customer};
+
+#[gtest]
+#[tokio::test]
+async fn a_stop_refuses_what_waits_and_lets_answers_end() {
+    let mut fake = Fake::bind("s1", MODEL, 1).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({"drain_ms": 1000})).await;
+    fake.then(Act::Hold("whole"));
+    let running = spawn(fleet.address(), completion());
+    fake.arrival().await;
+    let waiting = spawn(fleet.address(), completion());
+    fake.declared(customer(), [0, 1, 0]).await;
+    let address = fleet.address();
+    let stopped = tokio::spawn(fleet.router.stop());
+    let refused = waiting.await.unwrap();
+    let refusal = (503, "stopping".to_owned(), "not-run");
+    expect_that!(refused.refusal(), eq(&refusal));
+    expect_that!(refused.header("retry-after"), eq("1"));
+    expect_that!(
+        tokio::net::TcpStream::connect(address).await,
+        err(anything())
+    );
+    fake.release();
+    let reply = running.await.unwrap();
+    expect_that!(reply.text, ok(eq("whole")));
+    stopped.await.unwrap();
+}
+
+#[gtest]
+#[tokio::test]
+async fn waiting_requests_may_still_start_while_it_stops() {
+    let mut fake = Fake::bind("s1", MODEL, 0).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({"drain_ms": 60_000})).await;
+    let waiting = spawn(fleet.address(), completion());
+    fake.declared(customer(), [0, 1, 0]).await;
+    let stopped = tokio::spawn(fleet.router.stop());
+    fake.grant(1, customer());
+    fake.arrival().await;
+    expect_that!(waiting.await.unwrap().status.as_u16(), eq(200));
+    stopped.await.unwrap();
+}
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -16,6 +16,8 @@
     pub connections: u32,
     /// Longest time a caller may take to send its head, in milliseconds.
     pub head_ms: u64,
+    /// Longest time a caller may leave an answer unread, in milliseconds.
+    pub stall_ms: u64,
     /// Deadline of requests that name none, in milliseconds after arrival.
     pub deadline_ms: u64,
     /// Retries allowed per hundred first attempts.
@@ -32,6 +34,7 @@
             queue_total: 4096,
             connections: 4096,
             head_ms: 5_000,
+            stall_ms: 30_000,
             deadline_ms: 120_000,
             retry_percent: 10,
             subset: 20,
