--- a/crates/decide/src/queue/line.rs
+++ b/crates/decide/src/queue/line.rs
@@ -65,9 +65,10 @@
     pub(super) fn position<T>(&self, waiting: &Waiting<T>) -> usize {
         let better = &self.ranks[..waiting.rank.index()];
         let better: usize = better.iter().map(|rank| rank.by_arrival.len()).sum();
-        let place = (waiting.deadline, waiting.arrival, Key::default());
-        let own = &self.ranks[waiting.rank.index()].by_deadline;
-        better + own.range(..place).count()
+        let place = (waiting.deadline, waiting.arrival);
+        let own = self.ranks[waiting.rank.index()].by_deadline.iter();
+        let before = own.take_while(|(deadline, arrival, _)| (*deadline, *arrival) < place);
+        better + before.count()
     }
 
     pub(super) fn tail(&self) -> Option<Key> {
