--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -165,7 +165,9 @@
     /// Every other router of the VM list, whether it answered or not.
     #[must_use]
     pub fn standings(&self) -> Vec<Standing> {
-        self.peers.standings()
+        let mut standings = self.peers.standings();
+        standings.retain(|standing| standing.name != self.member.name);
+        standings
     }
 
     /// Whether the key-value service is being followed.
--- a/crates/daemon/src/router/operators/waiting.rs
+++ b/crates/daemon/src/router/operators/waiting.rs
@@ -27,7 +27,13 @@
     Waiting {
         router: router.to_owned(),
         requests: listed
-            .map(|request| waiter(request, &counters, &servers))
+            .map(|request| {
+                waiter(
+                    request,
+                    &rivals(&request.pool, &counters, &requests),
+                    &servers,
+                )
+            })
             .collect(),
         customers: counters,
         more: u64::try_from(more).unwrap_or(u64::MAX),
@@ -75,7 +81,17 @@
     counters
 }
 
-fn waiter(request: &inspect::Waiting, counters: &[Counter], servers: &[Server]) -> Waiter {
+/// Names of the customers that wait for a pool, the next to be served first.
+fn rivals<'a>(pool: &str, counters: &'a [Counter], requests: &[inspect::Waiting]) -> Vec<&'a str> {
+    let names = counters.iter().map(|counter| counter.customer.as_str());
+    let waits = |name: &&str| {
+        let mut of_pool = requests.iter().filter(|request| request.pool == pool);
+        of_pool.any(|request| request.customer == *name)
+    };
+    names.filter(waits).collect()
+}
+
+fn waiter(request: &inspect::Waiting, rivals: &[&str], servers: &[Server]) -> Waiter {
     Waiter {
         request: request.request.clone(),
         customer: request.customer.clone(),
@@ -84,11 +100,11 @@
         position: u64::try_from(request.position).unwrap_or(u64::MAX) + 1,
         since: request.since,
         deadline: request.deadline,
-        reason: reason(request, counters, servers),
+        reason: reason(request, rivals, servers),
     }
 }
 
-fn reason(request: &inspect::Waiting, counters: &[Counter], servers: &[Server]) -> String {
+fn reason(request: &inspect::Waiting, rivals: &[&str], servers: &[Server]) -> String {
     let pool = servers.iter().filter(|server| server.pool == request.pool);
     let pool: Vec<&Server> = pool.collect();
     if let Some(home) = &request.server {
@@ -109,11 +125,7 @@
     if open.is_empty() {
         return format!("a server of pool {} to take work", request.pool);
     }
-    format!(
-        "a free slot ({}); {}",
-        slots(&open),
-        turn(request, counters)
-    )
+    format!("a free slot ({}); {}", slots(&open), turn(request, rivals))
 }
 
 fn slots(servers: &[&Server]) -> String {
@@ -123,31 +135,23 @@
 }
 
 /// Who is before the request: of its own customer, and other customers.
-fn turn(request: &inspect::Waiting, counters: &[Counter]) -> String {
-    let own = counters
-        .iter()
-        .position(|counter| counter.customer == request.customer);
-    let before = &counters[..own.unwrap_or(0)];
+fn turn(request: &inspect::Waiting, rivals: &[&str]) -> String {
     let first = match request.position {
         0 => "it is its customer's next".to_owned(),
         count => format!("{count} of its customer's are before it"),
     };
+    if rivals.len() < 2 {
+        return format!("{first}; no other customer waits");
+    }
+    let own = rivals.iter().position(|name| *name == request.customer);
+    let before = &rivals[..own.unwrap_or(0)];
     if before.is_empty() {
         return format!("{first}; its customer has the least service per share");
     }
-    let names: Vec<&str> = before
-        .iter()
-        .take(NAMED)
-        .map(|counter| counter.customer.as_str())
-        .collect();
-    let more = before.len() - names.len();
-    let more = if more > 0 {
-        format!(" and {more} more")
-    } else {
-        String::new()
-    };
-    format!(
-        "{first}; less service per share have {}{more}",
-        names.join(", ")
-    )
+    let count = before.len().min(NAMED);
+    let names = before[..count].join(", ");
+    match before.len() - count {
+        0 => format!("{first}; less service per share have {names}"),
+        more => format!("{first}; less service per share have {names} and {more} more"),
+    }
 }
