--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -71,18 +71,9 @@
     /// Sends a request and returns the answer's head and unread body.
     pub(crate) async fn send(
         &self,
-        method: Method,
-        endpoint: SocketAddr,
-        path: &str,
-        body: Bytes,
+        request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, Failure> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{endpoint}{path}"))
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
-            .map_err(|error| Failure::before_sending(error.to_string()))?;
         let Ok(answer) = timeout_at(deadline.into(), self.client.request(request)).await else {
             return Err(Failure::after_sending(Cause::Late));
         };
@@ -98,14 +89,11 @@
     /// Sends a request and returns the whole body of a successful answer.
     pub(crate) async fn call(
         &self,
-        method: Method,
-        endpoint: SocketAddr,
-        path: &str,
-        body: Bytes,
+        request: Request<Full<Bytes>>,
         limit: usize,
         deadline: Instant,
     ) -> Result<Bytes, Failure> {
-        let answer = self.send(method, endpoint, path, body, deadline).await?;
+        let answer = self.send(request, deadline).await?;
         let status = answer.status();
         let whole = read(answer, limit, deadline).await?;
         if status == StatusCode::OK {
@@ -115,6 +103,22 @@
     }
 }
 
+/// A request to an endpoint; `path` is one of this crate's.
+pub(crate) fn request(
+    method: Method,
+    endpoint: SocketAddr,
+    path: &'static str,
+    body: Bytes,
+) -> Request<Full<Bytes>> {
+    let uri = format!("http://{endpoint}{path}");
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = uri.parse().expect("an address and a path make a URI");
+    let json = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(CONTENT_TYPE, json);
+    request
+}
+
 /// Reads a whole body of at most `limit` bytes.
 pub(crate) async fn read(
     answer: Response<Incoming>,
--- a/crates/platform/src/kv/etcd.rs
+++ b/crates/platform/src/kv/etcd.rs
@@ -42,7 +42,8 @@
         let mut listing = Listing::default();
         let mut first = prefix.to_owned();
         loop {
-            let body = request::range(&first, prefix, listing.revision);
+            let limit = self.options.page_keys;
+            let body = request::range(&first, prefix, listing.revision, limit);
             let page: answer::Range = self.link.call(Method::Range, body, deadline).await?;
             if listing.revision == 0 {
                 listing.revision = page.header.revision;
@@ -94,7 +95,8 @@
         let deadline = self.link.deadline();
         let body = request::watch(prefix, from);
         let answer = self.link.send(Method::Watch, body, deadline).await?;
-        stream::open(answer, deadline, self.options).await
+        let opened = stream::open(answer, deadline, self.options).await;
+        opened.map_err(|error| link::fail(Method::Watch, error))
     }
 
     async fn grant(&self, ttl_ms: u64) -> Result<Lease, Error> {
--- a/crates/platform/src/kv/etcd/link.rs
+++ b/crates/platform/src/kv/etcd/link.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
 use metrics::counter;
 use serde::Deserialize;
@@ -17,7 +18,10 @@
 use crate::kv::{Error, Options};
 
 /// Codes of gRPC with which the service says that it did not carry a call out.
-const REFUSED: [u32; 5] = [3, 5, 7, 9, 16];
+const REFUSED: [u32; 6] = [3, 5, 7, 8, 9, 16];
+
+/// Has an endpoint that lost its cluster end the call instead of staying silent.
+const NEEDS_LEADER: HeaderName = HeaderName::from_static("grpc-metadata-hasleader");
 
 /// The code of gRPC for a revision outside of what is held.
 const OUT_OF_RANGE: u32 = 11;
@@ -113,10 +117,11 @@
         deadline: Instant,
     ) -> Result<Response<Incoming>, Error> {
         let endpoint = self.endpoints[index];
-        let sent = self
-            .http
-            .send(hyper::Method::POST, endpoint, method.path(), body, deadline)
-            .await;
+        let mut request = http::request(hyper::Method::POST, endpoint, method.path(), body);
+        if method.needs_leader() {
+            request.headers_mut().insert(NEEDS_LEADER, HeaderValue::from_static("true"));
+        }
+        let sent = self.http.send(request, deadline).await;
         let answer = sent.map_err(classify)?;
         let status = answer.status();
         if status == StatusCode::OK {
@@ -169,7 +174,7 @@
 }
 
 /// Counts a failed call.
-fn fail(method: Method, error: Error) -> Error {
+pub(crate) fn fail(method: Method, error: Error) -> Error {
     let kind = match &error {
         Error::Unsent(_) => "unsent",
         Error::Unknown(_) => "unknown",
--- a/crates/platform/src/kv/etcd/method.rs
+++ b/crates/platform/src/kv/etcd/method.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Whether the answer streams, so that only the service can end it.
+    pub(crate) const fn needs_leader(self) -> bool {
+        matches!(self, Self::Watch | Self::LeaseKeep)
+    }
+
     /// Whether a second endpoint may be tried although the first may have carried it out.
     pub(crate) const fn is_idempotent(self) -> bool {
         matches!(self, Self::Range | Self::Watch | Self::LeaseKeep)
--- a/crates/platform/src/kv/etcd/request.rs
+++ b/crates/platform/src/kv/etcd/request.rs
@@ -6,21 +6,18 @@
 use crate::kv::etcd::text;
 use crate::kv::{Expect, LeaseId, Revision};
 
-/// Most keys in the answer to one range call; a longer listing takes several.
-const PAGE_KEYS: u32 = 10_000;
-
 /// Reads one key.
 pub(crate) fn get(key: &str) -> Bytes {
     body(&json!({ "key": text::encode(key.as_bytes()) }))
 }
 
-/// Reads the keys from `first` up to the last one that starts with `prefix`, as of
-/// a revision (0 for the newest).
-pub(crate) fn range(first: &str, prefix: &str, revision: Revision) -> Bytes {
+/// Reads at most `limit` keys, from `first` up to the last one that starts with
+/// `prefix`, as of a revision (0 for the newest).
+pub(crate) fn range(first: &str, prefix: &str, revision: Revision, limit: u32) -> Bytes {
     body(&json!({
-        "key": text::encode(first.as_bytes()),
+        "key": text::encode(begin(first)),
         "range_end": text::encode(&end(prefix)),
-        "limit": PAGE_KEYS.to_string(),
+        "limit": limit.to_string(),
         "revision": revision.to_string(),
     }))
 }
@@ -44,7 +41,7 @@
 pub(crate) fn watch(prefix: &str, from: Revision) -> Bytes {
     body(&json!({
         "create_request": {
-            "key": text::encode(prefix.as_bytes()),
+            "key": text::encode(begin(prefix)),
             "range_end": text::encode(&end(prefix)),
             "start_revision": from.to_string(),
             "progress_notify": true,
@@ -84,6 +81,14 @@
     })
 }
 
+/// First key of a range; the service takes no empty one.
+const fn begin(first: &str) -> &[u8] {
+    if first.is_empty() {
+        return &[0];
+    }
+    first.as_bytes()
+}
+
 /// First key after all that start with `prefix`. A single zero byte means no end.
 fn end(prefix: &str) -> Vec<u8> {
     let mut end = prefix.as_bytes().to_vec();
--- a/crates/platform/src/kv/options.rs
+++ b/crates/platform/src/kv/options.rs
@@ -13,6 +13,8 @@
     pub silence_ms: u64,
     /// Largest answer that is read, in bytes.
     pub answer_bytes: usize,
+    /// Most keys in the answer to one call; a longer listing takes several calls.
+    pub page_keys: u32,
 }
 
 impl Default for Options {
@@ -22,6 +24,7 @@
             call_ms: 3_000,
             silence_ms: 900_000,
             answer_bytes: 64 << 20,
+            page_keys: 10_000,
         }
     }
 }
--- a/crates/platform/src/kv/watch.rs
+++ b/crates/platform/src/kv/watch.rs
@@ -1,5 +1,6 @@
 //! A stream of watched writes.
 
+use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -29,6 +30,14 @@
     }
 }
 
+impl fmt::Debug for Watch {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut text = formatter.debug_struct("Watch");
+        text.field("revision", &self.revision)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Stream for Watch {
     type Item = Result<Event, Error>;
 
--- a/crates/platform/src/vm/http.rs
+++ b/crates/platform/src/vm/http.rs
@@ -48,17 +48,8 @@
     async fn read(&self) -> Result<Vec<Vm>, Error> {
         let deadline = Instant::now() + Duration::from_millis(CALL_MS);
         counter!("vm_calls_total").increment(1);
-        let answered = self
-            .http
-            .call(
-                Method::GET,
-                self.endpoint,
-                PATH,
-                Bytes::new(),
-                LIST_BYTES,
-                deadline,
-            )
-            .await;
+        let request = http::request(Method::GET, self.endpoint, PATH, Bytes::new());
+        let answered = self.http.call(request, LIST_BYTES, deadline).await;
         let body = answered.map_err(|failure| Error::Read(failure.cause))?;
         let list: List = serde_json::from_slice(&body)
             .map_err(|error| Error::Read(Cause::Unreadable(error.to_string())))?;
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -1,6 +1,7 @@
 //! A key-value service in memory behind the JSON gateway of etcd v3, with switches
 //! for faults.
 
+mod answer;
 mod compare;
 mod data;
 mod fault;
--- a/crates/standin/src/kv/data.rs
+++ b/crates/standin/src/kv/data.rs
@@ -65,10 +65,10 @@
     /// Keys of a span, as of a revision (0 for now).
     pub(crate) fn range(&self, span: &Span, revision: u64) -> Result<Vec<(Vec<u8>, Value)>, Fault> {
         if revision > self.revision {
-            return Err(Fault::Future);
+            return Err(Fault::FUTURE);
         }
         if revision != 0 && revision < self.compacted {
-            return Err(Fault::Compacted);
+            return Err(Fault::COMPACTED);
         }
         if revision == 0 || revision == self.revision {
             return Ok(self.now(span));
@@ -87,15 +87,8 @@
 
     fn now(&self, span: &Span) -> Vec<(Vec<u8>, Value)> {
         let first = Bound::Included(span.0.as_slice());
-        let last = span.1.as_deref().map_or(Bound::Unbounded, Bound::Excluded);
-        if span
-            .1
-            .as_deref()
-            .is_some_and(|end| end <= span.0.as_slice())
-        {
-            return Vec::new();
-        }
-        let held = self.values.range::<[u8], _>((first, last));
+        let later = self.values.range::<[u8], _>((first, Bound::Unbounded));
+        let held = later.take_while(|(key, _)| contains(span, key));
         held.map(|(key, value)| (key.clone(), value.clone()))
             .collect()
     }
@@ -111,12 +104,15 @@
     }
 
     /// Whether a write would be taken.
-    pub(crate) fn check(&self, bytes: &[u8], lease: u64) -> Result<(), Fault> {
+    pub(crate) fn check(&self, key: &[u8], bytes: &[u8], lease: u64) -> Result<(), Fault> {
+        if key.is_empty() {
+            return Err(Fault::NO_KEY);
+        }
         if bytes.len() > VALUE_BYTES {
-            return Err(Fault::TooLarge);
+            return Err(Fault::TOO_LARGE);
         }
         if lease != 0 && !self.leases.contains_key(&lease) {
-            return Err(Fault::NoLease);
+            return Err(Fault::NO_LEASE);
         }
         Ok(())
     }
@@ -154,12 +150,11 @@
         });
     }
 
-    /// Opens a lease; 0 has an identity chosen.
-    pub(crate) fn grant(&mut self, id: u64, ttl_s: u64, now: Instant) -> u64 {
+    /// Opens a lease.
+    pub(crate) fn grant(&mut self, ttl_s: u64, now: Instant) -> u64 {
         self.last_lease += 1;
-        let id = if id == 0 { self.last_lease } else { id };
-        self.leases.insert(id, Lease::open(ttl_s, now));
-        id
+        self.leases.insert(self.last_lease, Lease::open(ttl_s, now));
+        self.last_lease
     }
 
     /// Ends a lease and deletes its keys. Returns whether there was one.
--- a/crates/standin/src/kv/fault.rs
+++ b/crates/standin/src/kv/fault.rs
@@ -5,55 +5,43 @@
 
 use crate::http::{self, Reply};
 
-/// An error answer of the gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fault {
-    /// The request cannot be read.
-    Malformed,
-    /// No such path.
-    NoPath,
-    /// The value is over the limit.
-    TooLarge,
-    /// The lease does not exist.
-    NoLease,
-    /// The revision is gone.
-    Compacted,
-    /// The revision is yet to come.
-    Future,
-}
+/// An error answer of the gateway: HTTP status, code of gRPC and text.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Fault(StatusCode, u32, &'static str);
 
 impl Fault {
-    const fn parts(self) -> (StatusCode, u32, &'static str) {
-        match self {
-            Self::Malformed => (StatusCode::BAD_REQUEST, 3, "malformed request"),
-            Self::NoPath => (StatusCode::NOT_FOUND, 5, "Not Found"),
-            Self::TooLarge => (
-                StatusCode::BAD_REQUEST,
-                3,
-                "etcdserver: request is too large",
-            ),
-            Self::NoLease => (
-                StatusCode::NOT_FOUND,
-                5,
-                "etcdserver: requested lease not found",
-            ),
-            Self::Compacted => (
-                StatusCode::BAD_REQUEST,
-                11,
-                "etcdserver: mvcc: required revision has been compacted",
-            ),
-            Self::Future => (
-                StatusCode::BAD_REQUEST,
-                11,
-                "etcdserver: mvcc: required revision is a future revision",
-            ),
-        }
-    }
+    pub(crate) const MALFORMED: Self = Self(StatusCode::BAD_REQUEST, 3, "malformed request");
+    pub(crate) const NO_PATH: Self = Self(StatusCode::NOT_FOUND, 5, "Not Found");
+    pub(crate) const NO_KEY: Self = Self(
+        StatusCode::BAD_REQUEST,
+        3,
+        "etcdserver: key is not provided",
+    );
+    pub(crate) const TOO_LARGE: Self = Self(
+        StatusCode::BAD_REQUEST,
+        3,
+        "etcdserver: request is too large",
+    );
+    pub(crate) const NO_LEASE: Self = Self(
+        StatusCode::NOT_FOUND,
+        5,
+        "etcdserver: requested lease not found",
+    );
+    pub(crate) const COMPACTED: Self = Self(
+        StatusCode::BAD_REQUEST,
+        11,
+        "etcdserver: mvcc: required revision has been compacted",
+    );
+    pub(crate) const FUTURE: Self = Self(
+        StatusCode::BAD_REQUEST,
+        11,
+        "etcdserver: mvcc: required revision is a future revision",
+    );
 
     /// The whole answer.
     pub(crate) fn answer(self) -> Reply {
-        let (status, code, message) = self.parts();
-        let body = json!({ "error": message, "code": code, "message": message });
+        let Self(status, code, message) = self;
+        let body = json!({ "error": message, "message": message, "code": code });
         http::reply(status, &body)
     }
 }
--- a/crates/standin/src/kv/handle.rs
+++ b/crates/standin/src/kv/handle.rs
@@ -40,6 +40,11 @@
         self.store.watching(count).await;
     }
 
+    /// Waits until a number of calls of a method have arrived.
+    pub async fn called(&self, method: &str, count: u64) {
+        self.store.called(method, count).await;
+    }
+
     /// Closes the port, so that connections are refused. Returns the contents, which
     /// `Store::bind_again` serves again.
     #[must_use]
--- a/crates/standin/src/kv/number.rs
+++ b/crates/standin/src/kv/number.rs
@@ -27,15 +27,3 @@
         Number::Plain(number) => Ok(number),
     }
 }
-
-pub(crate) fn optional<'de, D: Deserializer<'de>>(
-    deserializer: D,
-) -> Result<Option<u64>, D::Error> {
-    number(deserializer).map(Some)
-}
-
-pub(crate) fn optional_bytes<'de, D: Deserializer<'de>>(
-    deserializer: D,
-) -> Result<Option<Vec<u8>>, D::Error> {
-    bytes(deserializer).map(Some)
-}
--- a/crates/standin/src/kv/request.rs
+++ b/crates/standin/src/kv/request.rs
@@ -22,9 +22,6 @@
     pub limit: u64,
     #[serde(deserialize_with = "number::number")]
     pub revision: u64,
-    pub serializable: bool,
-    #[serde(alias = "countOnly")]
-    pub count_only: bool,
 }
 
 /// Writes a key.
@@ -39,20 +36,6 @@
     pub lease: u64,
 }
 
-/// Deletes keys.
-#[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub(crate) struct Delete {
-    #[serde(deserialize_with = "number::bytes")]
-    pub key: Vec<u8>,
-    #[serde(
-        rename = "range_end",
-        alias = "rangeEnd",
-        deserialize_with = "number::bytes"
-    )]
-    pub end: Vec<u8>,
-}
-
 /// A transaction.
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -70,7 +53,7 @@
     #[serde(rename = "request_put", alias = "requestPut")]
     Put(Put),
     #[serde(rename = "request_delete_range", alias = "requestDeleteRange")]
-    Delete(Delete),
+    Delete(Range),
 }
 
 /// Opens a watch.
@@ -108,12 +91,3 @@
     #[serde(rename = "TTL", deserialize_with = "number::number")]
     pub ttl_s: u64,
 }
-
-/// Forgets history.
-#[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub(crate) struct Compaction {
-    #[serde(deserialize_with = "number::number")]
-    pub revision: u64,
-    pub physical: bool,
-}
--- a/crates/standin/src/kv/store.rs
+++ b/crates/standin/src/kv/store.rs
@@ -23,13 +23,13 @@
 #[derive(Debug)]
 pub struct Store {
     pub(crate) data: Mutex<Data>,
-    pub(crate) faults: Mutex<Faults>,
+    pub(crate) faults: watch::Sender<Faults>,
     /// The newest revision, to wake watches.
     pub(crate) revision: watch::Sender<u64>,
     /// Watches that wait now.
     pub(crate) waiting: watch::Sender<u64>,
     snapshot: Mutex<Data>,
-    counts: Mutex<Counts>,
+    counts: watch::Sender<Counts>,
     server: Mutex<Weak<Server>>,
 }
 
@@ -43,7 +43,7 @@
     pub progress_ms: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Counts {
     calls: BTreeMap<String, u64>,
     lost_answers: u64,
@@ -59,14 +59,14 @@
         let data = Data::default();
         let store = Self {
             snapshot: Mutex::new(data.clone()),
-            faults: Mutex::new(Faults {
+            faults: watch::Sender::new(Faults {
                 progress_ms: PROGRESS_MS,
                 ..Faults::default()
             }),
             revision: watch::Sender::new(data.revision),
             waiting: watch::Sender::new(0),
             data: Mutex::new(data),
-            counts: Mutex::default(),
+            counts: watch::Sender::default(),
             server: Mutex::default(),
         };
         Arc::new(store).bind_again(address).await
@@ -108,14 +108,15 @@
     }
 
     fn set(&self, switch: &Switch) {
-        let mut faults = self.faults.lock();
-        faults.outage = switch.outage.unwrap_or(faults.outage);
-        faults.delay_ms = switch.delay_ms.unwrap_or(faults.delay_ms);
-        faults.lose_answers = switch.lose_answers.unwrap_or(faults.lose_answers);
-        faults.progress_ms = switch.progress_ms.unwrap_or(faults.progress_ms).max(1);
-        if let Some(fail) = &switch.fail {
-            faults.fail = fail.clone();
-        }
+        self.faults.send_modify(|faults| {
+            faults.outage = switch.outage.unwrap_or(faults.outage);
+            faults.delay_ms = switch.delay_ms.unwrap_or(faults.delay_ms);
+            faults.lose_answers = switch.lose_answers.unwrap_or(faults.lose_answers);
+            faults.progress_ms = switch.progress_ms.unwrap_or(faults.progress_ms).max(1);
+            if let Some(fail) = &switch.fail {
+                faults.fail = fail.clone();
+            }
+        });
     }
 
     fn restore(&self) {
@@ -142,20 +143,21 @@
     }
 
     pub(crate) fn count(&self, method: &str) {
-        let mut counts = self.counts.lock();
-        *counts.calls.entry(method.to_owned()).or_default() += 1;
+        self.counts.send_modify(|counts| {
+            *counts.calls.entry(method.to_owned()).or_default() += 1;
+        });
     }
 
     pub(crate) fn count_lost(&self) {
-        self.counts.lock().lost_answers += 1;
+        self.counts.send_modify(|counts| counts.lost_answers += 1);
     }
 
     pub(crate) fn stats(&self) -> Stats {
-        let counts = self.counts.lock();
+        let counts = self.counts.borrow().clone();
         let data = self.data.lock();
         Stats {
             total: counts.calls.values().sum(),
-            calls: counts.calls.clone(),
+            calls: counts.calls,
             watching: *self.waiting.borrow(),
             lost_answers: counts.lost_answers,
             revision: data.revision,
@@ -168,6 +170,23 @@
         // The sender lives as long as the store, so this cannot fail.
         let _ = waiting.wait_for(|waiting| *waiting == count).await;
     }
+
+    pub(crate) async fn called(&self, method: &str, count: u64) {
+        let mut counts = self.counts.subscribe();
+        let is_reached = |counts: &Counts| counts.calls.get(method) >= Some(&count);
+        // The sender lives as long as the store, so this cannot fail.
+        let _ = counts.wait_for(is_reached).await;
+    }
+}
+
+/// Waits for a delayed call's turn, or until there is no delay any more.
+pub(crate) async fn pause(store: &Store) {
+    let mut faults = store.faults.subscribe();
+    let delay_ms = faults.borrow_and_update().delay_ms;
+    let delay = Duration::from_millis(delay_ms);
+    let ended = faults.wait_for(|faults| faults.delay_ms == 0);
+    // Both ends of the wait mean the same: the call goes on.
+    let _ = tokio::time::timeout(delay, ended).await;
 }
 
 /// Lets leases lapse for as long as the store is there.
--- a/crates/standin/src/kv/watcher.rs
+++ b/crates/standin/src/kv/watcher.rs
@@ -5,16 +5,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::channel::mpsc::{Receiver, Sender, channel};
-use futures::{SinkExt, StreamExt};
+use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
 use serde_json::{Value, json};
+use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::watch;
 
 use crate::http::{Body, Reply};
 use crate::kv::Store;
+use crate::kv::answer::header;
 use crate::kv::data::{Span, span};
 use crate::kv::request::Create;
 
@@ -66,7 +67,10 @@
 }
 
 fn body(messages: Receiver<Bytes>) -> Body {
-    let frames = messages.map(|message| Ok::<_, io::Error>(Frame::data(message)));
+    let frames = stream::unfold(messages, |mut messages| async {
+        let message = messages.recv().await?;
+        Some((Ok::<_, io::Error>(Frame::data(message)), messages))
+    });
     StreamBody::new(frames).boxed_unsync()
 }
 
@@ -109,11 +113,10 @@
 
     /// Waits for a write. Returns whether the watch goes on.
     async fn wait(&mut self, revision: &mut watch::Receiver<u64>) -> bool {
-        let progress = Duration::from_millis(self.store.faults.lock().progress_ms);
-        let mut gone = self.messages.clone();
+        let progress = Duration::from_millis(self.store.faults.borrow().progress_ms);
         tokio::select! {
             changed = revision.changed() => changed.is_ok(),
-            () = closed(&mut gone) => false,
+            () = self.messages.closed() => false,
             () = tokio::time::sleep(progress), if self.with_progress => {
                 let now = self.store.data.lock().revision;
                 self.send(json!({ "header": header(now) })).await
@@ -121,26 +124,8 @@
         }
     }
 
-    async fn send(&mut self, result: Value) -> bool {
+    async fn send(&self, result: Value) -> bool {
         let line = format!("{}\n", json!({ "result": result }));
         self.messages.send(Bytes::from(line)).await.is_ok()
     }
 }
-
-/// Waits until the receiver is gone.
-async fn closed(messages: &mut Sender<Bytes>) {
-    std::future::poll_fn(|context| match messages.poll_ready(context) {
-        std::task::Poll::Ready(Err(_)) => std::task::Poll::Ready(()),
-        _ => std::task::Poll::Pending,
-    })
-    .await;
-}
-
-pub(crate) fn header(revision: u64) -> Value {
-    json!({
-        "cluster_id": "1",
-        "member_id": "1",
-        "revision": revision.to_string(),
-        "raft_term": "1",
-    })
-}
--- /dev/null
+++ b/crates/standin/tests/kv.rs
@@ -0,0 +1,423 @@
+//! The client of the key-value service against the stand-in.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use futures::StreamExt;
+use googletest::prelude::*;
+use mulberryyoke_platform::Cause;
+use mulberryyoke_platform::kv::{
+    Error, Etcd, Event, Expect, Kv, LeaseId, Options, Pair, Swap, VALUE_BYTES, Watch,
+};
+use mulberryyoke_standin::kv::{Failure, Handle, Order, Store, Switch};
+
+const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+async fn open() -> (Handle, Etcd) {
+    let handle = Store::bind(LOOPBACK).await.expect("port");
+    let client = client(&handle);
+    (handle, client)
+}
+
+fn client(handle: &Handle) -> Etcd {
+    Etcd::open(vec![handle.address()], Options::default())
+}
+
+fn once(handle: &Handle, order: Order) {
+    handle.switch(&Switch {
+        once: vec![order],
+        ..Switch::default()
+    });
+}
+
+fn outage(handle: &Handle, outage: bool) {
+    handle.switch(&Switch {
+        outage: Some(outage),
+        ..Switch::default()
+    });
+}
+
+async fn put(client: &Etcd, key: &str, value: &str) -> u64 {
+    let swap = client
+        .swap(key, Expect::Any, Some(value.into()), None)
+        .await;
+    match swap.expect("put") {
+        Swap::Done(revision) => revision,
+        Swap::Conflict(_) => panic!("conflict without a condition"),
+    }
+}
+
+fn pair(key: &str, value: &str, revision: u64) -> Pair {
+    Pair {
+        key: key.to_owned(),
+        value: value.into(),
+        revision,
+        lease: None,
+    }
+}
+
+fn event(key: &str, value: Option<&str>, revision: u64) -> Event {
+    Event {
+        key: key.to_owned(),
+        value: value.map(Into::into),
+        revision,
+    }
+}
+
+async fn next(watch: &mut Watch) -> Event {
+    watch.next().await.expect("event").expect("no error")
+}
+
+#[gtest]
+#[tokio::test]
+async fn swaps_only_what_is_as_expected() {
+    let (_handle, client) = open().await;
+    let done = Swap::Done;
+    let held = |value, revision| Swap::Conflict(Some(pair("a", value, revision)));
+    let cases = [
+        (Expect::Revision(7), Some("0"), Swap::Conflict(None)),
+        (Expect::Absent, Some("1"), done(2)),
+        (Expect::Absent, Some("2"), held("1", 2)),
+        (Expect::Revision(1), Some("2"), held("1", 2)),
+        (Expect::Revision(2), Some("2"), done(3)),
+        (Expect::Any, Some("3"), done(4)),
+        (Expect::Revision(3), None, held("3", 4)),
+        (Expect::Revision(4), None, done(5)),
+        (Expect::Absent, Some(""), done(6)),
+        (Expect::Absent, Some("4"), held("", 6)),
+    ];
+    for (expected, value, result) in cases {
+        let value = value.map(Into::into);
+        let swap = client.swap("a", expected, value, None).await;
+        expect_that!(swap, ok(eq(&result)), "{expected:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn lists_a_prefix_as_of_one_revision() {
+    let (_handle, client) = open().await;
+    for (key, value) in [("a/1", "x"), ("a/2", "y"), ("b/1", "z"), ("a", "w")] {
+        put(&client, key, value).await;
+    }
+    let cases = [
+        ("a/", vec![pair("a/1", "x", 2), pair("a/2", "y", 3)]),
+        ("b", vec![pair("b/1", "z", 4)]),
+        ("c", vec![]),
+    ];
+    for (prefix, entries) in cases {
+        let listing = client.range(prefix).await.expect("listing");
+        expect_that!(listing.revision, eq(5));
+        expect_that!(listing.entries, eq(&entries));
+    }
+    expect_that!(client.get("a/2").await, ok(some(eq(&pair("a/2", "y", 3)))));
+    expect_that!(client.get("a/").await, ok(none()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn one_of_many_racing_writers_wins() {
+    let (handle, client) = open().await;
+    let racers = (0..32).map(|racer: u32| {
+        let client = client.clone();
+        tokio::spawn(async move {
+            let value = racer.to_string().into_bytes();
+            client.swap("k", Expect::Absent, Some(value), None).await
+        })
+    });
+    let mut won = 0;
+    let mut told = Vec::new();
+    for racer in racers.collect::<Vec<_>>() {
+        match racer.await.expect("task").expect("swap") {
+            Swap::Done(revision) => {
+                won += 1;
+                expect_that!(revision, eq(2));
+            }
+            Swap::Conflict(pair) => told.push(pair.expect("winner").value),
+        }
+    }
+    let held = client.get("k").await.expect("read").expect("there").value;
+    expect_that!(won, eq(1));
+    expect_that!(told, each(eq(&held)));
+    expect_that!(handle.stats().revision, eq(2));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_lost_answer_is_unknown_and_the_write_is_there() {
+    let (handle, client) = open().await;
+    handle.switch(&Switch {
+        lose_answers: Some(1),
+        ..Switch::default()
+    });
+    let lost = client
+        .swap("k", Expect::Absent, Some("v".into()), None)
+        .await;
+    expect_that!(lost, err(pat!(Error::Unknown(pat!(Cause::Cut(_))))));
+    expect_that!(client.get("k").await, ok(some(eq(&pair("k", "v", 2)))));
+    let again = client
+        .swap("k", Expect::Absent, Some("v".into()), None)
+        .await;
+    expect_that!(again, ok(eq(&Swap::Conflict(Some(pair("k", "v", 2))))));
+    expect_that!(handle.stats().lost_answers, eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_outage_is_unknown_until_connections_are_refused() {
+    let (handle, client) = open().await;
+    put(&client, "k", "1").await;
+    outage(&handle, true);
+    let cut = client.swap("k", Expect::Any, Some("2".into()), None).await;
+    expect_that!(cut, err(pat!(Error::Unknown(_))));
+    outage(&handle, false);
+    expect_that!(client.get("k").await, ok(some(eq(&pair("k", "1", 2)))));
+    let address = handle.address();
+    let store = handle.stop();
+    let refused = client.swap("k", Expect::Any, Some("3".into()), None).await;
+    expect_that!(refused, err(anything()));
+    let refused = client.swap("k", Expect::Any, Some("3".into()), None).await;
+    expect_that!(refused, err(pat!(Error::Unsent(pat!(Cause::Connect(_))))));
+    let handle = store.bind_again(address).await.expect("port");
+    expect_that!(client.get("k").await, ok(some(eq(&pair("k", "1", 2)))));
+    drop(handle);
+}
+
+#[gtest]
+#[tokio::test]
+async fn asks_the_next_endpoint_when_one_is_down() {
+    let (handle, _) = open().await;
+    let (down, _) = open().await;
+    let endpoints = vec![down.address(), handle.address()];
+    drop(down);
+    let client = Etcd::open(endpoints, Options::default());
+    expect_that!(put(&client, "k", "v").await, eq(2));
+    expect_that!(client.get("k").await, ok(some(eq(&pair("k", "v", 2)))));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_slow_answer_is_unknown_and_takes_effect_later() {
+    let (handle, client) = open().await;
+    let mut watch = client.watch("", 0).await.expect("watch");
+    let options = Options {
+        call_ms: 1_000,
+        ..Options::default()
+    };
+    let hasty = Etcd::open(vec![handle.address()], options);
+    handle.switch(&Switch {
+        delay_ms: Some(3_600_000),
+        ..Switch::default()
+    });
+    let late = hasty
+        .swap("k", Expect::Absent, Some("v".into()), None)
+        .await;
+    expect_that!(late, err(pat!(Error::Unknown(pat!(Cause::Late)))));
+    expect_that!(client.range("").await, err(pat!(Error::Unknown(_))));
+    handle.switch(&Switch {
+        delay_ms: Some(0),
+        ..Switch::default()
+    });
+    expect_that!(next(&mut watch).await, eq(&event("k", Some("v"), 2)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn watches_from_an_old_revision_on() {
+    let (handle, client) = open().await;
+    put(&client, "a/1", "x").await;
+    put(&client, "b/1", "y").await;
+    put(&client, "a/1", "z").await;
+    let mut watch = client.watch("a/", 2).await.expect("watch");
+    expect_that!(watch.revision(), eq(4));
+    expect_that!(next(&mut watch).await, eq(&event("a/1", Some("x"), 2)));
+    expect_that!(next(&mut watch).await, eq(&event("a/1", Some("z"), 4)));
+    client
+        .swap("a/1", Expect::Any, None, None)
+        .await
+        .expect("delete");
+    expect_that!(next(&mut watch).await, eq(&event("a/1", None, 5)));
+    put(&client, "b/1", "").await;
+    put(&client, "a/2", "").await;
+    expect_that!(next(&mut watch).await, eq(&event("a/2", Some(""), 7)));
+    expect_that!(handle.stats().calls["watch"], eq(1));
+    expect_that!(handle.stats().watching, eq(1));
+    drop(watch);
+    handle.watching(0).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_cut_watch_ends_and_another_misses_nothing() {
+    let (handle, client) = open().await;
+    let mut watch = client.watch("", 0).await.expect("watch");
+    put(&client, "k", "1").await;
+    expect_that!(next(&mut watch).await, eq(&event("k", Some("1"), 2)));
+    outage(&handle, true);
+    expect_that!(watch.next().await, some(err(pat!(Error::Unknown(_)))));
+    expect_that!(watch.next().await, none());
+    expect_that!(
+        client.watch("", 3).await.err(),
+        some(pat!(Error::Unknown(_)))
+    );
+    outage(&handle, false);
+    put(&client, "k", "2").await;
+    let mut watch = client.watch("", 3).await.expect("watch");
+    expect_that!(next(&mut watch).await, eq(&event("k", Some("2"), 3)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_compacted_revision_is_told() {
+    let (handle, client) = open().await;
+    for value in ["1", "2", "3"] {
+        put(&client, "k", value).await;
+    }
+    once(&handle, Order::Compact);
+    let mut watch = client.watch("", 2).await.expect("watch");
+    expect_that!(
+        watch.next().await,
+        some(err(pat!(Error::Compacted(eq(&4)))))
+    );
+    expect_that!(watch.next().await, none());
+    let mut watch = client.watch("", 5).await.expect("watch");
+    put(&client, "k", "4").await;
+    expect_that!(next(&mut watch).await, eq(&event("k", Some("4"), 5)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn older_contents_show_in_every_revision() {
+    let (handle, client) = open().await;
+    put(&client, "k", "1").await;
+    once(&handle, Order::Snapshot);
+    put(&client, "k", "2").await;
+    let mut watch = client.watch("", 0).await.expect("watch");
+    once(&handle, Order::Restore);
+    expect_that!(watch.next().await, some(err(pat!(Error::Unknown(_)))));
+    let listing = client.range("").await.expect("listing");
+    expect_that!(listing.revision, eq(2));
+    expect_that!(listing.entries, eq(&vec![pair("k", "1", 2)]));
+    let watch = client.watch("", 4).await.expect("watch");
+    expect_that!(watch.revision(), eq(2));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_lapsed_lease_takes_its_keys_along() {
+    let (handle, client) = open().await;
+    let begun = Instant::now();
+    let lease = client.lease_grant(60_000).await.expect("lease");
+    expect_that!(lease.deadline, gt(begun));
+    let swap = client
+        .swap("k", Expect::Absent, Some("v".into()), Some(lease.id))
+        .await;
+    expect_that!(swap, ok(eq(&Swap::Done(2))));
+    let held = client.get("k").await.expect("read").expect("there");
+    expect_that!(held.lease, some(eq(lease.id)));
+    let kept = client.lease_keep(lease.id).await.expect("kept");
+    expect_that!(kept.deadline, ge(lease.deadline));
+    let mut watch = client.watch("", 0).await.expect("watch");
+    once(&handle, Order::LapseLeases);
+    expect_that!(next(&mut watch).await, eq(&event("k", None, 3)));
+    expect_that!(client.lease_keep(lease.id).await, err(pat!(Error::Lapsed)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_lease_lapses_by_itself_or_is_ended() {
+    let (_handle, client) = open().await;
+    let mut watch = client.watch("", 0).await.expect("watch");
+    for (ttl_ms, end) in [(1_000, false), (60_000, true)] {
+        let lease = client.lease_grant(ttl_ms).await.expect("lease");
+        let swap = client
+            .swap("k", Expect::Absent, Some("v".into()), Some(lease.id))
+            .await;
+        expect_that!(swap, ok(pat!(Swap::Done(_))));
+        if end {
+            expect_that!(client.lease_revoke(lease.id).await, ok(anything()));
+        }
+        expect_that!(next(&mut watch).await.value, some(anything()));
+        expect_that!(next(&mut watch).await.value, none());
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_was_refused_had_no_effect() {
+    let (handle, client) = open().await;
+    let gone = Some(LeaseId(77));
+    let refused = client.swap("k", Expect::Any, Some("v".into()), gone).await;
+    expect_that!(refused, err(pat!(Error::Refused(_))));
+    let large = vec![0; VALUE_BYTES + 1];
+    let refused = client.swap("k", Expect::Any, Some(large), None).await;
+    let limit = pat!(Error::TooLarge {
+        bytes: eq(&(VALUE_BYTES + 1)),
+        limit: eq(&VALUE_BYTES)
+    });
+    expect_that!(refused, err(limit));
+    expect_that!(handle.stats().calls["txn"], eq(1));
+    let largest = vec![0; VALUE_BYTES];
+    let done = client.swap("k", Expect::Absent, Some(largest), None).await;
+    expect_that!(done, ok(eq(&Swap::Done(2))));
+}
+
+#[gtest]
+#[tokio::test]
+async fn unreadable_answers_are_errors() {
+    let (handle, client) = open().await;
+    let cases = [
+        (200, "{"),
+        (200, ""),
+        (200, "[]"),
+        (200, r#"{"header":{"revision":"x"}}"#),
+        (
+            200,
+            r#"{"header":{"revision":"2"},"kvs":[{"key":"?","mod_revision":"2"}]}"#,
+        ),
+        (
+            200,
+            r#"{"header":{"revision":"2"},"kvs":[{"key":"/w==","mod_revision":"2"}]}"#,
+        ),
+        (500, "oops"),
+        (503, r#"{"error":"etcdserver: no leader","code":14}"#),
+    ];
+    for (status, body) in cases {
+        for is_write in [false, true] {
+            let fail = Failure {
+                times: 1,
+                status,
+                body: body.to_owned(),
+            };
+            handle.switch(&Switch {
+                fail: Some(fail),
+                ..Switch::default()
+            });
+            let failed = if is_write {
+                client.swap("k", Expect::Any, None, None).await.err()
+            } else {
+                client.range("").await.err()
+            };
+            expect_that!(failed, some(pat!(Error::Unknown(_))), "{status} {body}");
+        }
+    }
+    expect_that!(put(&client, "k", "v").await, eq(2));
+}
+
+#[gtest]
+#[tokio::test]
+async fn counts_each_call_and_a_watch_as_one() {
+    let (handle, client) = open().await;
+    put(&client, "k", "1").await;
+    client.range("").await.expect("listing");
+    let mut watch = client.watch("", 2).await.expect("watch");
+    next(&mut watch).await;
+    let stats = handle.stats();
+    expect_that!(stats.total, eq(3));
+    expect_that!(stats.watching, eq(1));
+    expect_that!(
+        stats.calls.into_iter().collect::<Vec<_>>(),
+        eq(&["range", "txn", "watch"].map(|name| (name.to_owned(), 1)))
+    );
+}
