--- a/crates/standin/examples/service.rs
+++ b/crates/standin/examples/service.rs
@@ -14,13 +14,15 @@
     listen: SocketAddr,
     #[options(help = "time of one call, in milliseconds", default = "20")]
     latency_ms: u64,
+    #[options(help = "tokens that a call counts as", default = "10")]
+    cost: u32,
 }
 
 #[tokio::main]
 async fn main() -> std::io::Result<()> {
     let flags = Flags::parse_args_default_or_exit();
     let latency = Duration::from_millis(flags.latency_ms);
-    let service = Service::bind(flags.listen, latency).await?;
+    let service = Service::bind(flags.listen, latency, flags.cost).await?;
     println!("listening {}", service.address());
     tokio::signal::ctrl_c().await
 }
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -32,7 +32,7 @@
         (&Method::GET, "/v1/models") => http::reply(StatusCode::OK, &models(&core)),
         (&Method::GET, "/load") => http::reply(StatusCode::OK, &*core.load.lock()),
         (&Method::GET, "/runs") => http::reply(StatusCode::OK, &core.journal().runs()),
-        (&Method::GET, "/stats") => http::reply(StatusCode::OK, &core.journal().tokens()),
+        (&Method::GET, "/stats") => http::reply(StatusCode::OK, &core.journal().tallies()),
         _ => http::refuse(StatusCode::NOT_FOUND, "no such path"),
     }
 }
--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -20,8 +20,8 @@
 /// A load report, as old as the settings say.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub(crate) struct Load {
-    running: usize,
-    waiting: usize,
+    running: u32,
+    waiting: u32,
     batch: usize,
 }
 
@@ -87,7 +87,7 @@
         for produced in 1..=stream.prompt.tokens {
             due += self.settings.token;
             sleep_until(due).await;
-            self.journal.token(stream.run);
+            self.journal.add(stream.run, 1);
             stream.produced.send_replace(produced);
         }
     }
@@ -98,11 +98,10 @@
     }
 
     fn measure(&self) {
-        let stages = self.journal.runs();
-        let count = |stage| stages.iter().filter(|run| run.stage == stage).count();
+        let tallies = self.journal.tallies();
         *self.load.lock() = Load {
-            running: count(Stage::Running),
-            waiting: count(Stage::Waiting),
+            running: tallies.values().map(|tally| tally.running).sum(),
+            waiting: tallies.values().map(|tally| tally.waiting).sum(),
             batch: self.settings.batch,
         };
     }
--- /dev/null
+++ b/crates/standin/src/fleet/setup.rs
@@ -0,0 +1,300 @@
+//! Starting of stand-ins and processes.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use mulberryyoke_model::KeyHash;
+use mulberryyoke_platform::vm::{Role, State, Vm};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::engine::{self, Engine};
+use crate::service::Service;
+use crate::{kv, vms};
+
+use super::call::{self, Client};
+use super::error::Error;
+use super::operator;
+use super::plan::Plan;
+use super::process::{Ports, Process};
+use super::relay::Relay;
+use super::scrape;
+
+/// Time of a call of the plain service.
+const SERVICE_LATENCY: Duration = Duration::from_millis(20);
+/// Cost of such a call, in tokens.
+pub(crate) const SERVICE_COST: u32 = 10;
+/// Calls that a plain service runs at once.
+const SERVICE_SLOTS: usize = 8;
+/// Longest time that a process may take to become ready.
+const READY: Duration = Duration::from_secs(20);
+/// Pause between two looks whether it is.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Everything that runs.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) plan: Arc<Plan>,
+    pub(crate) client: Client,
+    pub(crate) kv: kv::Handle,
+    /// The VM list, once for each half of the routers; a half reaches the other
+    /// through relays.
+    _vms: [vms::Handle; 2],
+    pub(crate) relays: Vec<Relay>,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) services: Vec<Service>,
+    /// Engines whose sidecar a fault has taken away.
+    pub(crate) down: Vec<AtomicBool>,
+    pub(crate) routers: Vec<Process>,
+    /// Sidecars of engines, then of services.
+    pub(crate) sidecars: Vec<Process>,
+    /// Where callers connect, by router.
+    pub(crate) callers: Vec<SocketAddr>,
+    /// Where settings and logs are.
+    pub(crate) directory: PathBuf,
+}
+
+/// Ports of one process.
+struct Node {
+    name: String,
+    zone: &'static str,
+    control: SocketAddr,
+    data: SocketAddr,
+    status: SocketAddr,
+}
+
+impl Node {
+    fn new(name: String, zone: &'static str, ports: &mut Ports) -> Self {
+        Self {
+            name,
+            zone,
+            control: ports.take(),
+            data: ports.take(),
+            status: ports.take(),
+        }
+    }
+
+    fn vm(&self, role: Role, control: SocketAddr) -> Vm {
+        Vm {
+            name: self.name.clone(),
+            role,
+            region: String::new(),
+            zone: self.zone.to_owned(),
+            control,
+            state: State::Live,
+        }
+    }
+}
+
+fn stand_in(source: io::Error) -> Error {
+    let name = "stand-in".to_owned();
+    Error::Start { name, source }
+}
+
+impl Fleet {
+    /// Starts everything and declares the plan through the operators' port.
+    pub(crate) async fn spawn(plan: Arc<Plan>, daemon: PathBuf) -> Result<Self, Error> {
+        let directory =
+            std::env::temp_dir().join(format!("mulberryyoke-fleet-{}", std::process::id()));
+        std::fs::create_dir_all(&directory).map_err(Error::Settings)?;
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let mut ports = Ports::open();
+        let kv = kv::Store::bind(any).await.map_err(stand_in)?;
+        let (engines, services) = backends(&plan, any).await.map_err(stand_in)?;
+        let routers: Vec<Node> = (0..plan.flags.routers)
+            .map(|index| Node::new(format!("router-{index}"), plan.zone(index), &mut ports))
+            .collect();
+        let servers: Vec<Node> = (0..plan.models + plan.services)
+            .map(|index| Node::new(plan.server(index), plan.zone(index), &mut ports))
+            .collect();
+        let mut relays = Vec::new();
+        for router in &routers {
+            relays.push(Relay::bind(router.control).await.map_err(stand_in)?);
+        }
+        let mut lists = Vec::new();
+        for half in 0..2 {
+            let list = list(&routers, &servers, &relays, half);
+            lists.push(vms::Registry::bind(any, list).await.map_err(stand_in)?);
+        }
+        let [first, second] = lists.try_into().expect("there are two lists");
+        let vms: [vms::Handle; 2] = [first, second];
+        let mut sidecars = Vec::new();
+        let backends = engines.iter().map(Engine::address);
+        let backends = backends.chain(services.iter().map(Service::address));
+        for (index, (node, backend)) in servers.iter().zip(backends).enumerate() {
+            let settings = sidecar(&plan, node, index, backend, kv.address());
+            let process = Process::spawn(&daemon, &directory, "sidecar", node.status, &settings)?;
+            sidecars.push(process);
+        }
+        let mut processes = Vec::new();
+        for (index, node) in routers.iter().enumerate() {
+            let settings = router(&plan, node, kv.address(), vms[index % 2].address());
+            let process = Process::spawn(&daemon, &directory, "router", node.status, &settings)?;
+            processes.push(process);
+        }
+        let fleet = Self {
+            client: call::client(),
+            kv,
+            _vms: vms,
+            relays,
+            down: engines.iter().map(|_| AtomicBool::new(false)).collect(),
+            engines,
+            services,
+            routers: processes,
+            sidecars,
+            callers: routers.iter().map(|node| node.data).collect(),
+            directory,
+            plan,
+        };
+        fleet.declare(&servers).await?;
+        for process in fleet.sidecars.iter().chain(&fleet.routers) {
+            fleet.ready(process).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Waits until a process says that it is ready.
+    pub(crate) async fn ready(&self, process: &Process) -> Result<(), Error> {
+        let until = Instant::now() + READY;
+        while Instant::now() < until && !process.has_ended() {
+            if scrape::get(&self.client, process.status, "/readyz")
+                .await
+                .is_some()
+            {
+                return Ok(());
+            }
+            sleep(LOOK).await;
+        }
+        Err(Error::Ready {
+            name: process.name.clone(),
+            log: process.tail(),
+        })
+    }
+
+    /// Carries out an operators' command through a router.
+    pub(crate) async fn command(&self, router: usize, words: &[String]) -> Result<(), Error> {
+        let address = self.routers[router].status;
+        let id = rand::random();
+        let reply = operator::settle(&self.client, address, words, id).await?;
+        match reply.error {
+            None => Ok(()),
+            Some(refusal) => Err(Error::Command {
+                words: words.join(" "),
+                reason: refusal.to_string(),
+            }),
+        }
+    }
+
+    async fn declare(&self, servers: &[Node]) -> Result<(), Error> {
+        let plan = &self.plan;
+        let mut commands = vec![operator::words(&format!(
+            "pool add {} --kind model",
+            plan.model
+        ))];
+        let mut pool =
+            operator::words(&format!("pool add {} --kind service --route", plan.service));
+        pool.push(format!("POST {} once {SERVICE_COST}", plan.path));
+        commands.push(pool);
+        for customer in &plan.customers {
+            let (name, share, key) = (&customer.name, customer.share, &customer.key);
+            let text = format!("customer add {name} --share {share} --key {key}");
+            commands.push(operator::words(&text));
+        }
+        for (index, node) in servers.iter().enumerate() {
+            let (pool, slots) = plan.pool(index);
+            let (name, zone, control, data) = (&node.name, node.zone, node.control, node.data);
+            let text = format!(
+                "server add {name} --pool {pool} --zone {zone} --control {control} --data {data} --slots {slots}"
+            );
+            commands.push(operator::words(&text));
+        }
+        for words in commands {
+            self.command(0, &words).await?;
+        }
+        Ok(())
+    }
+}
+
+impl Plan {
+    fn server(&self, index: usize) -> String {
+        let (pool, _) = self.pool(index);
+        format!("{pool}-{index}")
+    }
+
+    /// Pool and slots of a server.
+    fn pool(&self, index: usize) -> (&'static str, usize) {
+        if index < self.models {
+            (self.model, self.flags.slots)
+        } else {
+            (self.service, SERVICE_SLOTS)
+        }
+    }
+}
+
+async fn backends(plan: &Plan, any: SocketAddr) -> io::Result<(Vec<Engine>, Vec<Service>)> {
+    let settings = engine::Settings {
+        models: vec![plan.model.to_owned()],
+        batch: plan.flags.slots,
+        token: Duration::from_millis(plan.flags.token_ms),
+        ..engine::Settings::default()
+    };
+    let mut engines = Vec::new();
+    for _ in 0..plan.models {
+        engines.push(Engine::bind(any, settings.clone()).await?);
+    }
+    let mut services = Vec::new();
+    for _ in 0..plan.services {
+        services.push(Service::bind(any, SERVICE_LATENCY, SERVICE_COST).await?);
+    }
+    Ok((engines, services))
+}
+
+/// The VM list as one half of the routers sees it.
+fn list(routers: &[Node], servers: &[Node], relays: &[Relay], half: usize) -> Vec<Vm> {
+    let routers = routers.iter().zip(relays).enumerate();
+    let routers = routers.map(|(index, (node, relay))| {
+        let own = index % 2 == half;
+        node.vm(Role::Router, if own { node.control } else { relay.address })
+    });
+    let servers = servers
+        .iter()
+        .map(|node| node.vm(Role::Sidecar, node.control));
+    routers.chain(servers).collect()
+}
+
+fn router(plan: &Plan, node: &Node, kv: SocketAddr, vms: SocketAddr) -> Value {
+    json!({
+        "name": node.name,
+        "zone": node.zone,
+        "callers": node.data,
+        "operators": node.status,
+        "control": node.control,
+        "kv": [kv],
+        "vms": vms,
+        "operator_keys": [{"name": "launcher", "key": KeyHash::of(operator::KEY)}],
+        "limits": {"subset": plan.flags.subset},
+        "exchange_ms": plan.flags.exchange_ms,
+        "policy": plan.flags.policy.word(),
+    })
+}
+
+fn sidecar(plan: &Plan, node: &Node, index: usize, backend: SocketAddr, kv: SocketAddr) -> Value {
+    let (pool, slots) = plan.pool(index);
+    json!({
+        "name": node.name,
+        "zone": node.zone,
+        "pool": pool,
+        "kind": if index < plan.models { "model" } else { "service" },
+        "control": node.control,
+        "data": node.data,
+        "status": node.status,
+        "backend": backend,
+        "slots": slots,
+        "kv": [kv],
+        "policy": plan.flags.policy.word(),
+    })
+}
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -38,17 +38,50 @@
     pub stage: Stage,
 }
 
+/// Counts of one customer at one stand-in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Tally {
+    /// Runs admitted and not started.
+    pub waiting: u32,
+    /// Runs started and not ended.
+    pub running: u32,
+    /// Tokens produced so far.
+    pub tokens: u64,
+}
+
+/// Tallies by customer, the part of an identity before `/`.
+pub type Tallies = BTreeMap<String, Tally>;
+
 /// Runs in order of arrival.
 #[derive(Debug, Default)]
 pub struct Journal {
-    runs: Mutex<Vec<Run>>,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    runs: Vec<Run>,
+    tallies: Tallies,
+}
+
+impl Inner {
+    /// A run and its customer's tally.
+    fn run(&mut self, index: usize) -> (&mut Run, &mut Tally) {
+        let run = &mut self.runs[index];
+        let customer = run.op.split('/').next().unwrap_or_default();
+        let tally = self.tallies.get_mut(customer);
+        (run, tally.expect("every arrival has a tally"))
+    }
 }
 
 impl Journal {
     /// Notes an arrival; returns the run's index.
     pub(crate) fn arrive(&self, op: &str) -> usize {
-        let mut runs = self.runs.lock();
-        runs.push(Run {
+        let mut inner = self.inner.lock();
+        let customer = op.split('/').next().unwrap_or_default();
+        let tally = inner.tallies.entry(customer.to_owned()).or_default();
+        tally.waiting += 1;
+        inner.runs.push(Run {
             op: op.to_owned(),
             arrived: now(),
             started: 0,
@@ -56,49 +89,47 @@
             tokens: 0,
             stage: Stage::Waiting,
         });
-        runs.len() - 1
+        inner.runs.len() - 1
     }
 
     /// Notes a start.
     pub(crate) fn start(&self, index: usize) {
-        let mut runs = self.runs.lock();
-        runs[index].started = now();
-        runs[index].stage = Stage::Running;
+        let mut inner = self.inner.lock();
+        let (run, tally) = inner.run(index);
+        run.started = now();
+        run.stage = Stage::Running;
+        tally.waiting -= 1;
+        tally.running += 1;
     }
 
-    /// Notes one more token.
-    pub(crate) fn token(&self, index: usize) {
-        self.runs.lock()[index].tokens += 1;
+    /// Notes more tokens.
+    pub(crate) fn add(&self, index: usize, tokens: u32) {
+        let mut inner = self.inner.lock();
+        let (run, tally) = inner.run(index);
+        run.tokens += tokens;
+        tally.tokens += u64::from(tokens);
     }
 
     /// Notes an end.
     pub(crate) fn end(&self, index: usize, stage: Stage) {
-        let mut runs = self.runs.lock();
-        runs[index].ended = now();
-        runs[index].stage = stage;
+        let mut inner = self.inner.lock();
+        let (run, tally) = inner.run(index);
+        match run.stage {
+            Stage::Running => tally.running -= 1,
+            _ => tally.waiting -= 1,
+        }
+        run.ended = now();
+        run.stage = stage;
     }
 
     /// Every run so far.
     pub fn runs(&self) -> Vec<Run> {
-        self.runs.lock().clone()
+        self.inner.lock().runs.clone()
     }
 
-    /// Runs that are running now.
-    pub fn running(&self) -> usize {
-        let runs = self.runs.lock();
-        runs.iter()
-            .filter(|run| run.stage == Stage::Running)
-            .count()
-    }
-
-    /// Tokens produced so far by customer, the part of an identity before `/`.
-    pub fn tokens(&self) -> BTreeMap<String, u64> {
-        let mut tokens = BTreeMap::new();
-        for run in self.runs.lock().iter() {
-            let customer = run.op.split('/').next().unwrap_or_default();
-            *tokens.entry(customer.to_owned()).or_default() += u64::from(run.tokens);
-        }
-        tokens
+    /// Every customer's tally.
+    pub fn tallies(&self) -> Tallies {
+        self.inner.lock().tallies.clone()
     }
 }
 
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -20,15 +20,15 @@
 }
 
 impl Service {
-    /// Binds a service whose calls take `latency`.
+    /// Binds a service whose calls take `latency` and count as `cost` tokens.
     ///
     /// # Errors
     ///
     /// What the operating system says when the address cannot be bound.
-    pub async fn bind(address: SocketAddr, latency: Duration) -> io::Result<Self> {
+    pub async fn bind(address: SocketAddr, latency: Duration, cost: u32) -> io::Result<Self> {
         let journal = Arc::new(Journal::default());
         let shared = Arc::clone(&journal);
-        let handler = move |request| answer(request, Arc::clone(&shared), latency);
+        let handler = move |request| answer(request, Arc::clone(&shared), latency, cost);
         let server = Server::bind(address, handler).await?;
         Ok(Self { server, journal })
     }
@@ -46,10 +46,15 @@
     }
 }
 
-async fn answer(request: Request<Bytes>, journal: Arc<Journal>, latency: Duration) -> Reply {
+async fn answer(
+    request: Request<Bytes>,
+    journal: Arc<Journal>,
+    latency: Duration,
+    cost: u32,
+) -> Reply {
     match request.uri().path() {
         "/runs" => return http::reply(StatusCode::OK, &journal.runs()),
-        "/stats" => return http::reply(StatusCode::OK, &json!({"calls": journal.runs().len()})),
+        "/stats" => return http::reply(StatusCode::OK, &journal.tallies()),
         _ => {}
     }
     let body = match http::parse(&request) {
@@ -60,18 +65,18 @@
         return http::refuse(StatusCode::BAD_REQUEST, "field op is missing");
     };
     // Runs on a task of its own: a call has its effect though its caller is gone.
-    let run = tokio::spawn(run(journal, op.to_owned(), latency));
+    let run = tokio::spawn(run(journal, op.to_owned(), latency, cost));
     let ran = run.await.unwrap_or_default();
     let path = request.uri().path();
     http::reply(StatusCode::OK, &json!({"op": op, "path": path, "ran": ran}))
 }
 
 /// Runs a call; returns how often its identity has run, this time included.
-async fn run(journal: Arc<Journal>, op: String, latency: Duration) -> usize {
+async fn run(journal: Arc<Journal>, op: String, latency: Duration, cost: u32) -> usize {
     let index = journal.arrive(&op);
     journal.start(index);
     tokio::time::sleep(latency).await;
-    journal.token(index);
+    journal.add(index, cost);
     journal.end(index, Stage::Whole);
     journal.runs().iter().filter(|run| run.op == op).count()
 }
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -15,7 +15,7 @@
 #[tokio::test]
 async fn counts_each_run_of_an_operation() {
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let service = Service::bind(address, Duration::ZERO)
+    let service = Service::bind(address, Duration::ZERO, 1)
         .await
         .expect("port 0");
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
