--- a/crates/daemon/src/router/handle.rs
+++ b/crates/daemon/src/router/handle.rs
@@ -72,6 +72,12 @@
         self.operators.address()
     }
 
+    /// The bound address of the control port for other routers.
+    #[must_use]
+    pub fn control(&self) -> SocketAddr {
+        self.core.fleet.control()
+    }
+
     /// A handle for operators' questions.
     #[must_use]
     pub fn inspect(&self) -> Inspect {
--- a/crates/daemon/src/router/operators.rs
+++ b/crates/daemon/src/router/operators.rs
@@ -64,7 +64,7 @@
     }
 
     fn unseen(&self) -> usize {
-        nodes::unseen(&self.core)
+        nodes::unseen(&self.core, &self.inspect.servers())
     }
 
     fn control_bytes(&self) -> (u64, u64) {
--- a/crates/daemon/src/router/operators/nodes.rs
+++ b/crates/daemon/src/router/operators/nodes.rs
@@ -1,10 +1,10 @@
 //! The nodes that a router knows of.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use mulberryyoke_command::answer::{Node, Role};
 use mulberryyoke_model as model;
-use mulberryyoke_model::State;
+use mulberryyoke_model::{Config, PoolId, ServerId, State};
 
 use crate::fleet::Standing;
 use crate::router::core::Core;
@@ -46,47 +46,44 @@
     }
 }
 
-/// Every configured server that this router is meant to be connected to.
+/// Every configured server that this router is, or is meant to be, connected to.
 pub(crate) fn sidecars(core: &Core, linked: &[Server]) -> Vec<Node> {
     let config = core.fleet.config();
-    let subset = subset(core);
-    let pools = pools(&config);
-    let present = config
-        .servers()
-        .filter(|server| server.state != State::Removed);
-    let nodes = present.filter_map(|server| {
+    let expected = expected(core, &config);
+    let nodes = present(&config).filter_map(|server| {
         let link = linked.iter().find(|link| link.name == server.name);
-        let whole = pools
-            .get(server.pool.as_str())
-            .is_none_or(|count| *count <= subset);
-        (link.is_some() || whole).then(|| sidecar(core, server, link))
+        let expected = expected.contains(&ServerId::of(&server.name));
+        (link.is_some() || expected).then(|| sidecar(core, server, link))
     });
     nodes.collect()
 }
 
-/// Servers that this router is not meant to be connected to.
-pub(crate) fn unseen(core: &Core) -> usize {
-    let config = core.fleet.config();
-    let subset = subset(core);
-    pools(&config)
-        .values()
-        .map(|count| count.saturating_sub(subset))
-        .sum()
+/// Configured servers that this router is not meant to be connected to.
+pub(crate) fn unseen(core: &Core, linked: &[Server]) -> usize {
+    let all = present(&core.fleet.config()).count();
+    all.saturating_sub(sidecars(core, linked).len())
 }
 
-fn subset(core: &Core) -> usize {
-    usize::try_from(core.settings.limits.subset).unwrap_or(usize::MAX)
+fn present(config: &Config) -> impl Iterator<Item = &model::Server> {
+    let servers = config.servers();
+    servers.filter(|server| server.state != State::Removed)
 }
 
-/// Servers by pool.
-fn pools(config: &model::Config) -> BTreeMap<&str, usize> {
-    let mut pools = BTreeMap::new();
-    for server in config.servers() {
-        if server.state != State::Removed {
-            *pools.entry(server.pool.as_str()).or_default() += 1;
-        }
+/// Servers of the router's subset, and all of a pool that is no larger.
+fn expected(core: &Core, config: &Config) -> HashSet<ServerId> {
+    let subset = usize::try_from(core.settings.limits.subset).unwrap_or(usize::MAX);
+    let mut pools: BTreeMap<&str, Vec<ServerId>> = BTreeMap::new();
+    for server in present(config) {
+        let pool = pools.entry(server.pool.as_str()).or_default();
+        pool.push(ServerId::of(&server.name));
     }
-    pools
+    let expected = pools.into_iter().flat_map(|(pool, servers)| {
+        if servers.len() <= subset {
+            return servers;
+        }
+        core.fleet.subset(PoolId::of(pool))
+    });
+    expected.collect()
 }
 
 fn sidecar(core: &Core, server: &model::Server, link: Option<&Server>) -> Node {
