--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -90,14 +90,14 @@
 impl Sidecar for Link {
     async fn declare(self, _: Context, origin: Incarnation, full: bool, interest: Vec<Interest>) {
         self.shared.decide(|admission, now| {
-            admission.introduce(self.key, origin);
+            admission.introduce(self.key, origin, now);
             admission.declare(self.key, full, &interest, now);
         });
     }
 
     async fn poll(self, _: Context, poll: Poll) -> Polled {
         self.shared.decide(|admission, now| {
-            admission.introduce(self.key, poll.origin);
+            admission.introduce(self.key, poll.origin, now);
             admission.poll(self.key, poll.counted, &poll.fleet, now);
         });
         self.wait(poll.until).await;
@@ -134,7 +134,7 @@
     async fn recall(self, _: Context, origin: Incarnation, complete: bool, keys: Vec<KeyId>) {
         let recovered = self.shared.decide(|admission, now| {
             let before = admission.is_doubtful(now);
-            admission.introduce(self.key, origin);
+            admission.introduce(self.key, origin, now);
             admission.recall(origin, complete, &keys, now);
             before && !admission.is_doubtful(now)
         });
--- a/crates/decide/src/account.rs
+++ b/crates/decide/src/account.rs
@@ -114,6 +114,14 @@
         self.offset += by * i64::from(self.share);
     }
 
+    /// Takes over the collector's fleet-wide count.
+    pub(crate) fn tell(&mut self, tokens: u64, settling: bool) {
+        let before = self.told.replace(tokens).unwrap_or(tokens);
+        if !settling {
+            self.fleet += tokens.saturating_sub(before);
+        }
+    }
+
     /// Adds tokens, using up credit first.
     pub(crate) fn charge(&mut self, tokens: u64) {
         let from_credit = self.credit.min(tokens);
--- a/crates/decide/src/account/ledger.rs
+++ b/crates/decide/src/account/ledger.rs
@@ -204,43 +204,58 @@
         }
     }
 
-    /// Takes over a fleet-wide count from the collector. Its first one for a
-    /// customer only sets where later ones count from.
-    pub(crate) fn tell(&mut self, usage: &Usage) {
-        let key = self.open(usage.customer);
-        self.update(key, |account| {
-            let before = account.told.replace(usage.tokens);
-            let grown = usage.tokens.saturating_sub(before.unwrap_or(usage.tokens));
-            account.fleet += grown;
-        });
-        self.forgive(key);
+    /// Takes over fleet-wide counts from the collector. With `settling` set they
+    /// only set where later ones count from.
+    pub(crate) fn tell(&mut self, fleet: impl Iterator<Item = (CustomerId, u64)>, settling: bool) {
+        let mut told = Vec::new();
+        for (customer, tokens) in fleet {
+            let key = self.open(customer);
+            self.update(key, |account| account.tell(tokens, settling));
+            told.push(key);
+        }
+        for key in told {
+            self.forgive(key);
+        }
     }
 
-    /// Notes that an account's charge goes into a report. Returns the charge.
-    pub(crate) fn mark_reported(&mut self, key: AccountKey) -> u64 {
+    /// Notes that all uncounted service goes into a report. Returns its accounts.
+    pub(crate) fn mark_reported(&mut self) -> Vec<AccountKey> {
         self.has_charged = false;
-        let account = &mut self.accounts[key];
-        account.reported = account.charged;
-        account.charged
+        let uncounted = self.accounts.iter_mut();
+        let uncounted = uncounted.filter(|(_, account)| account.uncounted() > 0);
+        let reported = uncounted.map(|(key, account)| {
+            account.reported = account.charged;
+            key
+        });
+        reported.collect()
     }
 
-    /// Takes over that the reported charge of an account is counted.
-    pub(crate) fn count_reported(&mut self, key: AccountKey) {
-        if self.accounts.contains_key(key) {
-            self.update(key, |account| account.counted = account.reported);
-        }
+    /// The reported service of an account is counted. Returns it, in tokens.
+    /// While the collector settles, the peers are assumed to have given as much.
+    pub(crate) fn count_reported(
+        &mut self,
+        key: AccountKey,
+        settling: bool,
+    ) -> Option<(CustomerId, u64)> {
+        let customer = self.accounts.get(key)?.customer;
+        let reach = u64::from(self.reach);
+        let tokens = self.update(key, |account| {
+            let tokens = account.reported - account.counted;
+            account.counted = account.reported;
+            if settling || account.told.is_none() {
+                account.fleet += tokens.saturating_mul(reach);
+            }
+            tokens
+        });
+        Some((customer, tokens))
     }
 
-    /// Another collector counts from elsewhere. What is not counted yet is
-    /// taken as counted with the peers' assumed part, so that no order changes.
+    /// Another collector counts from elsewhere.
     pub(crate) fn change_collector(&mut self) {
         self.has_charged = true;
         for account in self.accounts.values_mut() {
             account.told = None;
-            let assumed = account.uncounted().saturating_mul(u64::from(self.reach));
-            account.fleet = account.fleet.saturating_add(assumed);
-            account.counted = account.charged;
-            account.reported = account.charged;
+            account.reported = account.counted;
         }
     }
 
--- a/crates/decide/src/account/report.rs
+++ b/crates/decide/src/account/report.rs
@@ -1,13 +1,31 @@
 //! Reports of service to the collector.
 
-use mulberryyoke_model::{Millis, PoolId, Report, Usage};
+use std::collections::HashMap;
+
+use mulberryyoke_model::{CustomerId, Incarnation, Millis, PoolId, Report, Usage};
 
 use super::{AccountKey, Ledger};
 
 /// Least time between two reports, in milliseconds.
 pub const REPORT_INTERVAL: Millis = 1_000;
 
-/// Sends what was charged, one report at a time, until it is counted.
+/// How long the counts of a new collector only set where later ones count from,
+/// in milliseconds: a router that has just started still learns the past.
+pub const SETTLING: Millis = 3_000;
+
+/// Collectors whose counts are remembered, in case they become it again.
+const MAX_COLLECTORS: usize = 8;
+
+/// What one collector has counted of this sidecar's service, in tokens.
+#[derive(Clone, Debug)]
+struct Counted {
+    collector: Incarnation,
+    tokens: HashMap<CustomerId, u64>,
+}
+
+/// Sends what was charged, one report at a time, until it is counted. A report
+/// tells cumulative counts of what its collector alone has counted and is to
+/// count, so that no service is counted by two of them.
 #[derive(Clone, Debug)]
 pub struct Reporter {
     pool: PoolId,
@@ -16,8 +34,10 @@
     sent: Vec<AccountKey>,
     /// When the next report is due.
     next_at: Millis,
-    /// Whether the collector knows nothing of this life yet.
-    fresh: bool,
+    /// Until when the present collector settles.
+    settled_at: Millis,
+    /// The present collector last.
+    collectors: Vec<Counted>,
 }
 
 impl Reporter {
@@ -29,15 +49,29 @@
             sequence: 0,
             sent: Vec::new(),
             next_at: 0,
-            fresh: true,
+            settled_at: 0,
+            collectors: Vec::new(),
         }
     }
 
-    /// A new collector starts from the beginning.
-    pub(crate) fn restart(&mut self) {
+    /// Another router, or another link to the same one, is the collector.
+    pub(crate) fn change_collector(&mut self, collector: Incarnation, now: Millis) {
         self.sent.clear();
-        self.fresh = true;
         self.next_at = 0;
+        self.settled_at = now + SETTLING;
+        let mut held = self.collectors.iter();
+        let held = held.position(|counted| counted.collector == collector);
+        let counted = held.map_or_else(
+            || Counted {
+                collector,
+                tokens: HashMap::new(),
+            },
+            |index| self.collectors.remove(index),
+        );
+        self.collectors.push(counted);
+        if self.collectors.len() > MAX_COLLECTORS {
+            self.collectors.remove(0);
+        }
     }
 
     /// When the next report is due.
@@ -46,38 +80,44 @@
         self.next_at
     }
 
+    /// Whether the collector settles.
+    pub(crate) fn is_settling(&self, now: Millis) -> bool {
+        now < self.settled_at
+    }
+
     /// The collector has counted a report.
-    pub(crate) fn count(&mut self, ledger: &mut Ledger, counted: u64) {
-        if counted != self.sequence {
+    pub(crate) fn count(&mut self, ledger: &mut Ledger, sequence: u64, now: Millis) {
+        let settling = self.is_settling(now);
+        let Some(counted) = self.collectors.last_mut() else {
+            return;
+        };
+        if sequence != self.sequence {
             return;
         }
         for key in std::mem::take(&mut self.sent) {
-            ledger.count_reported(key);
+            if let Some((customer, tokens)) = ledger.count_reported(key, settling) {
+                *counted.tokens.entry(customer).or_default() += tokens;
+            }
         }
     }
 
     /// The report that is due, if any. While requests wait there is one even with
     /// nothing to tell, since its answer brings the fleet-wide counts.
     pub(crate) fn report(&mut self, ledger: &mut Ledger, now: Millis) -> Option<Report> {
-        if now < self.next_at {
+        let counted = self.collectors.last()?;
+        if now < self.next_at || !ledger.has_news() {
             return None;
         }
         self.next_at = now + REPORT_INTERVAL;
-        let fresh = std::mem::take(&mut self.fresh);
-        let due = ledger
-            .accounts()
-            .filter(|(_, account)| account.uncounted() > 0 || fresh && account.charged > 0);
-        self.sent = due.map(|(key, _)| key).collect();
-        if self.sent.is_empty() && !ledger.is_backlogged() {
-            return None;
-        }
         self.sequence += 1;
+        self.sent = ledger.mark_reported();
         let usage = self.sent.iter().map(|key| {
-            let charged = ledger.mark_reported(*key);
+            let account = ledger.account(*key);
+            let before = counted.tokens.get(&account.customer);
             Usage {
                 pool: self.pool,
-                customer: ledger.account(*key).customer,
-                tokens: charged,
+                customer: account.customer,
+                tokens: before.copied().unwrap_or_default() + account.uncounted(),
             }
         });
         Some(Report {
--- a/crates/decide/src/admission/poll.rs
+++ b/crates/decide/src/admission/poll.rs
@@ -37,11 +37,11 @@
         }
         self.declare(link, true, &[], now);
         self.links.remove(link);
-        self.elect_collector();
+        self.elect_collector(now);
     }
 
     /// Learns whose link it is.
-    pub fn introduce(&mut self, link: LinkKey, origin: Incarnation) {
+    pub fn introduce(&mut self, link: LinkKey, origin: Incarnation, now: Millis) {
         let Some(entry) = self.links.get_mut(link) else {
             return;
         };
@@ -49,10 +49,10 @@
             return;
         }
         entry.origin = Some(origin);
-        self.elect_collector();
+        self.elect_collector(now);
     }
 
-    fn elect_collector(&mut self) {
+    fn elect_collector(&mut self, now: Millis) {
         let sidecar = self.setup.incarnation;
         let known = self
             .links
@@ -62,8 +62,11 @@
         let collector = best.map(|(key, _)| key);
         if collector != self.collector {
             self.collector = collector;
-            self.ledger.change_collector();
-            self.reporter.restart();
+            let origin = collector.and_then(|key| self.links[key].origin);
+            if let Some(origin) = origin {
+                self.ledger.change_collector();
+                self.reporter.change_collector(origin, now);
+            }
             self.woken.extend(collector);
         }
     }
@@ -74,11 +77,11 @@
         self.expire(now);
         self.show_life(link);
         if self.collector == Some(link) {
-            self.reporter.count(&mut self.ledger, counted);
+            self.reporter.count(&mut self.ledger, counted, now);
             let own = fleet.iter().filter(|usage| usage.pool == self.setup.pool);
-            for usage in own {
-                self.ledger.tell(usage);
-            }
+            let own = own.map(|usage| (usage.customer, usage.tokens));
+            let settling = self.reporter.is_settling(now);
+            self.ledger.tell(own, settling);
         }
         self.fill(now);
     }
