--- a/crates/decide/examples/long.rs
+++ b/crates/decide/examples/long.rs
@@ -24,6 +24,7 @@
         customers: flag("customers", 16) as u32,
         subset: flag("subset", 20) as usize,
         reach: flag("reach", flag("servers", 12)) as usize,
+        assumed: flag("assumed", flag("lag", 1_000)),
         lag: flag("lag", 1_000),
         faults: flag("faults", 0) as f64 / 1_000.0,
         only: u32::try_from(flag("only", u64::MAX)).ok(),
--- a/crates/decide/src/account.rs
+++ b/crates/decide/src/account.rs
@@ -56,6 +56,8 @@
     pub(crate) counted: u64,
     /// `charged` as of the report on its way.
     pub(crate) reported: u64,
+    /// Tokens counted of late, before peers' service of the same time.
+    pub(crate) recent: u64,
     /// Tokens charged by estimates above the true cost, used up by later charges.
     pub(crate) credit: u64,
     /// Tokens expected of requests that have a slot reserved.
@@ -81,6 +83,7 @@
             charged: 0,
             counted: 0,
             reported: 0,
+            recent: 0,
             credit: 0,
             reserved: 0,
             told: None,
@@ -104,7 +107,8 @@
     pub fn virtual_service(&self, reach: u32) -> Virtual {
         let uncounted = self.uncounted() + self.reserved;
         let uncounted = uncounted.saturating_mul(u64::from(reach));
-        let tokens = self.fleet.saturating_add(uncounted);
+        let peers = self.recent.saturating_mul(u64::from(reach) - 1);
+        let tokens = self.fleet.saturating_add(uncounted).saturating_add(peers);
         let tokens = to_signed(tokens) - to_signed(self.credit);
         (self.offset + tokens.saturating_mul(SCALE)).div_euclid(i64::from(self.share))
     }
--- a/crates/decide/src/account/ledger.rs
+++ b/crates/decide/src/account/ledger.rs
@@ -218,36 +218,45 @@
         }
     }
 
-    /// Notes that all uncounted service goes into a report. Returns its accounts.
-    pub(crate) fn mark_reported(&mut self) -> Vec<AccountKey> {
+    /// Notes that uncounted service goes into a report, with `all` every account
+    /// that ever had service. Returns the accounts.
+    pub(crate) fn mark_reported(&mut self, all: bool) -> Vec<AccountKey> {
         self.has_charged = false;
-        let uncounted = self.accounts.iter_mut();
-        let uncounted = uncounted.filter(|(_, account)| account.uncounted() > 0);
-        let reported = uncounted.map(|(key, account)| {
+        let accounts = self.accounts.iter_mut();
+        let told =
+            accounts.filter(|(_, account)| account.uncounted() > 0 || all && account.charged > 0);
+        let reported = told.map(|(key, account)| {
             account.reported = account.charged;
             key
         });
         reported.collect()
     }
 
-    /// The reported service of an account is counted. Returns it, in tokens.
-    /// While the collector settles, the peers are assumed to have given as much.
-    pub(crate) fn count_reported(
-        &mut self,
-        key: AccountKey,
-        settling: bool,
-    ) -> Option<(CustomerId, u64)> {
-        let customer = self.accounts.get(key)?.customer;
+    /// The reported service of an account is counted. Returns it, in tokens. While
+    /// the collector settles, the peers are taken to have given as much; else that
+    /// is assumed until [`Self::catch_up`].
+    pub(crate) fn count_reported(&mut self, key: AccountKey, settling: bool) -> Option<u64> {
+        if !self.accounts.contains_key(key) {
+            return None;
+        }
         let reach = u64::from(self.reach);
-        let tokens = self.update(key, |account| {
+        Some(self.update(key, |account| {
             let tokens = account.reported - account.counted;
             account.counted = account.reported;
-            if settling || account.told.is_none() {
+            if settling {
                 account.fleet += tokens.saturating_mul(reach);
+            } else {
+                account.recent += tokens;
             }
             tokens
-        });
-        Some((customer, tokens))
+        }))
+    }
+
+    /// Peers' service of the same time is in the fleet-wide counts by now.
+    pub(crate) fn catch_up(&mut self, key: AccountKey, tokens: u64) {
+        if self.accounts.contains_key(key) {
+            self.update(key, |account| account.recent -= tokens);
+        }
     }
 
     /// Another collector counts from elsewhere.
--- a/crates/decide/src/account/report.rs
+++ b/crates/decide/src/account/report.rs
@@ -1,8 +1,8 @@
 //! Reports of service to the collector.
 
-use std::collections::HashMap;
+use std::collections::VecDeque;
 
-use mulberryyoke_model::{CustomerId, Incarnation, Millis, PoolId, Report, Usage};
+use mulberryyoke_model::{Millis, PoolId, Report, Usage};
 
 use super::{AccountKey, Ledger};
 
@@ -13,19 +13,14 @@
 /// in milliseconds: a router that has just started still learns the past.
 pub const SETTLING: Millis = 3_000;
 
-/// Collectors whose counts are remembered, in case they become it again.
-const MAX_COLLECTORS: usize = 8;
-
-/// What one collector has counted of this sidecar's service, in tokens.
+/// Counted service that peers' equal service has not caught up with.
 #[derive(Clone, Debug)]
-struct Counted {
-    collector: Incarnation,
-    tokens: HashMap<CustomerId, u64>,
+struct Recent {
+    until: Millis,
+    accounts: Vec<(AccountKey, u64)>,
 }
 
-/// Sends what was charged, one report at a time, until it is counted. A report
-/// tells cumulative counts of what its collector alone has counted and is to
-/// count, so that no service is counted by two of them.
+/// Sends what was charged, one report at a time, until it is counted.
 #[derive(Clone, Debug)]
 pub struct Reporter {
     pool: PoolId,
@@ -34,10 +29,13 @@
     sent: Vec<AccountKey>,
     /// When the next report is due.
     next_at: Millis,
+    /// Whether the collector has to be told every account.
+    fresh: bool,
     /// Until when the present collector settles.
     settled_at: Millis,
-    /// The present collector last.
-    collectors: Vec<Counted>,
+    /// How late peers' service comes in the fleet-wide counts, in milliseconds.
+    lag: Millis,
+    recent: VecDeque<Recent>,
 }
 
 impl Reporter {
@@ -49,29 +47,24 @@
             sequence: 0,
             sent: Vec::new(),
             next_at: 0,
+            fresh: true,
             settled_at: 0,
-            collectors: Vec::new(),
+            lag: 0,
+            recent: VecDeque::new(),
         }
     }
 
     /// Another router, or another link to the same one, is the collector.
-    pub(crate) fn change_collector(&mut self, collector: Incarnation, now: Millis) {
+    pub(crate) fn change_collector(&mut self, now: Millis) {
         self.sent.clear();
         self.next_at = 0;
+        self.fresh = true;
         self.settled_at = now + SETTLING;
-        let mut held = self.collectors.iter();
-        let held = held.position(|counted| counted.collector == collector);
-        let counted = held.map_or_else(
-            || Counted {
-                collector,
-                tokens: HashMap::new(),
-            },
-            |index| self.collectors.remove(index),
-        );
-        self.collectors.push(counted);
-        if self.collectors.len() > MAX_COLLECTORS {
-            self.collectors.remove(0);
-        }
+    }
+
+    /// Sets how late peers' service comes in the fleet-wide counts.
+    pub(crate) fn set_lag(&mut self, lag: Millis) {
+        self.lag = lag;
     }
 
     /// When the next report is due.
@@ -87,16 +80,28 @@
 
     /// The collector has counted a report.
     pub(crate) fn count(&mut self, ledger: &mut Ledger, sequence: u64, now: Millis) {
-        let settling = self.is_settling(now);
-        let Some(counted) = self.collectors.last_mut() else {
-            return;
-        };
         if sequence != self.sequence {
             return;
         }
-        for key in std::mem::take(&mut self.sent) {
-            if let Some((customer, tokens)) = ledger.count_reported(key, settling) {
-                *counted.tokens.entry(customer).or_default() += tokens;
+        let settling = self.is_settling(now);
+        let sent = std::mem::take(&mut self.sent);
+        let counted = sent.into_iter().filter_map(|key| {
+            let tokens = ledger.count_reported(key, settling)?;
+            Some((key, tokens))
+        });
+        let accounts = counted.collect();
+        if settling {
+            return;
+        }
+        let until = now + self.lag;
+        self.recent.push_back(Recent { until, accounts });
+    }
+
+    /// Lets go of counted service that peers' has caught up with.
+    pub(crate) fn pass(&mut self, ledger: &mut Ledger, now: Millis) {
+        while let Some(recent) = self.recent.pop_front_if(|recent| recent.until <= now) {
+            for (key, tokens) in recent.accounts {
+                ledger.catch_up(key, tokens);
             }
         }
     }
@@ -104,20 +109,19 @@
     /// The report that is due, if any. While requests wait there is one even with
     /// nothing to tell, since its answer brings the fleet-wide counts.
     pub(crate) fn report(&mut self, ledger: &mut Ledger, now: Millis) -> Option<Report> {
-        let counted = self.collectors.last()?;
         if now < self.next_at || !ledger.has_news() {
             return None;
         }
         self.next_at = now + REPORT_INTERVAL;
         self.sequence += 1;
-        self.sent = ledger.mark_reported();
+        let fresh = std::mem::take(&mut self.fresh);
+        self.sent = ledger.mark_reported(fresh);
         let usage = self.sent.iter().map(|key| {
             let account = ledger.account(*key);
-            let before = counted.tokens.get(&account.customer);
             Usage {
                 pool: self.pool,
                 customer: account.customer,
-                tokens: before.copied().unwrap_or_default() + account.uncounted(),
+                tokens: account.charged,
             }
         });
         Some(Report {
--- a/crates/decide/src/admission/poll.rs
+++ b/crates/decide/src/admission/poll.rs
@@ -62,10 +62,9 @@
         let collector = best.map(|(key, _)| key);
         if collector != self.collector {
             self.collector = collector;
-            let origin = collector.and_then(|key| self.links[key].origin);
-            if let Some(origin) = origin {
+            if collector.is_some() {
                 self.ledger.change_collector();
-                self.reporter.change_collector(origin, now);
+                self.reporter.change_collector(now);
             }
             self.woken.extend(collector);
         }
@@ -77,6 +76,7 @@
         self.expire(now);
         self.show_life(link);
         if self.collector == Some(link) {
+            self.reporter.pass(&mut self.ledger, now);
             self.reporter.count(&mut self.ledger, counted, now);
             let own = fleet.iter().filter(|usage| usage.pool == self.setup.pool);
             let own = own.map(|usage| (usage.customer, usage.tokens));
--- a/crates/decide/tests/admission/world.rs
+++ b/crates/decide/tests/admission/world.rs
@@ -36,6 +36,8 @@
     pub subset: usize,
     /// Servers that the sidecars take for the pool's.
     pub reach: usize,
+    /// How late the sidecars take peers' counts to be, in milliseconds.
+    pub assumed: Millis,
     /// Time between two exchanges of the routers, in milliseconds.
     pub lag: Millis,
     /// Faults in each thousand events.
@@ -167,6 +169,7 @@
             retention_ms: 600_000,
         };
         let mut admission = Admission::open(setup);
+        admission.set_lag(self.shape.assumed);
         admission.configure(&config(self.shape), POOL, self.now);
         Node {
             admission,
