--- a/crates/daemon/src/router/link/session.rs
+++ b/crates/daemon/src/router/link/session.rs
@@ -148,6 +148,7 @@
             until: 0,
             counted: 0,
             fleet: Vec::new(),
+            heard: 0,
         };
         let mut configured = 0;
         let mut known = None;
@@ -165,7 +166,9 @@
                 poll.fleet = Vec::new();
             }
             self.pace(asked_at, &polled, &mut known).await;
-            poll.until = clock::now() + self.core.settings.heartbeat_ms;
+            let now = clock::now();
+            poll.until = now + self.core.settings.heartbeat_ms;
+            poll.heard = now.saturating_sub(self.core.settings.exchange_ms);
         }
     }
 
--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -98,7 +98,7 @@
     async fn poll(self, _: Context, poll: Poll) -> Polled {
         self.shared.decide(|admission, now| {
             admission.introduce(self.key, poll.origin, now);
-            admission.poll(self.key, poll.counted, &poll.fleet, now);
+            admission.poll(self.key, poll.counted, &poll.fleet, poll.heard, now);
         });
         self.wait(poll.until).await;
         self.answer()
--- a/crates/daemon/tests/sidecar/node.rs
+++ b/crates/daemon/tests/sidecar/node.rs
@@ -121,6 +121,7 @@
             until,
             counted: 0,
             fleet: Vec::new(),
+            heard: 0,
         };
         self.link.poll(context(), poll).await.expect("link is up")
     }
--- a/crates/daemon/tests/sidecar/pass.rs
+++ b/crates/daemon/tests/sidecar/pass.rs
@@ -157,6 +157,7 @@
         until: crate::node::now() + 1_000,
         counted: 0,
         fleet: Vec::new(),
+        heard: 0,
     };
     link.poll(context(), poll).await.expect("link is up")
 }
--- a/crates/decide/src/account.rs
+++ b/crates/decide/src/account.rs
@@ -14,6 +14,7 @@
 
 mod charge;
 mod demand;
+mod fleet;
 mod hint;
 mod ledger;
 mod order;
--- a/crates/decide/src/account/ledger.rs
+++ b/crates/decide/src/account/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use mulberryyoke_model::{CustomerId, Usage};
+use mulberryyoke_model::CustomerId;
 use slotmap::{SlotMap, new_key_type};
 
 use super::order::{Order, Rank};
@@ -16,13 +16,13 @@
 /// Accounts by customer, and the order of those with runnable requests.
 #[derive(Clone, Debug)]
 pub struct Ledger {
-    accounts: SlotMap<AccountKey, Account>,
+    pub(super) accounts: SlotMap<AccountKey, Account>,
     by_customer: HashMap<CustomerId, AccountKey>,
     shares: HashMap<CustomerId, u32>,
-    order: Order,
-    reach: u32,
+    pub(super) order: Order,
+    pub(super) reach: u32,
     /// Whether anything was charged since the last report.
-    has_charged: bool,
+    pub(super) has_charged: bool,
     /// Virtual service of the customer served last; newcomers start no lower.
     last: Virtual,
 }
@@ -115,13 +115,18 @@
     }
 
     /// Lifts an account to the least virtual service of those backlogged, or,
-    /// with none, to that of the customer served last.
+    /// with none, to that of the customer served last. What it is ahead of them by
+    /// more than the largest debt is forgiven.
     fn lift(&mut self, key: AccountKey) {
         let floor = self.floor();
         let account = &mut self.accounts[key];
-        let behind = floor - account.virtual_service(self.reach);
-        if behind > 0 {
-            account.shift(behind);
+        let ahead = account.virtual_service(self.reach) - floor;
+        if ahead < 0 {
+            account.shift(-ahead);
+        }
+        let debt = account.virtual_service(1) - floor;
+        if debt > MAX_DEBT * SCALE {
+            account.shift(MAX_DEBT * SCALE - debt);
         }
     }
 
@@ -204,85 +209,6 @@
         }
     }
 
-    /// Takes over fleet-wide counts from the collector. With `settling` set they
-    /// only set where later ones count from.
-    pub(crate) fn tell(&mut self, fleet: impl Iterator<Item = (CustomerId, u64)>, settling: bool) {
-        let mut told = Vec::new();
-        for (customer, tokens) in fleet {
-            let key = self.open(customer);
-            self.update(key, |account| account.tell(tokens, settling));
-            told.push(key);
-        }
-        for key in told {
-            self.forgive(key);
-        }
-    }
-
-    /// Notes that uncounted service goes into a report, with `all` every account
-    /// that ever had service. Returns the accounts.
-    pub(crate) fn mark_reported(&mut self, all: bool) -> Vec<AccountKey> {
-        self.has_charged = false;
-        let accounts = self.accounts.iter_mut();
-        let told =
-            accounts.filter(|(_, account)| account.uncounted() > 0 || all && account.charged > 0);
-        let reported = told.map(|(key, account)| {
-            account.reported = account.charged;
-            key
-        });
-        reported.collect()
-    }
-
-    /// The reported service of an account is counted. Returns it, in tokens. While
-    /// the collector settles, the peers are taken to have given as much; else that
-    /// is assumed until [`Self::catch_up`].
-    pub(crate) fn count_reported(&mut self, key: AccountKey, settling: bool) -> Option<u64> {
-        if !self.accounts.contains_key(key) {
-            return None;
-        }
-        let reach = u64::from(self.reach);
-        Some(self.update(key, |account| {
-            let tokens = account.reported - account.counted;
-            account.counted = account.reported;
-            if settling {
-                account.fleet += tokens.saturating_mul(reach);
-            } else {
-                account.recent += tokens;
-            }
-            tokens
-        }))
-    }
-
-    /// Peers' service of the same time is in the fleet-wide counts by now.
-    pub(crate) fn catch_up(&mut self, key: AccountKey, tokens: u64) {
-        if self.accounts.contains_key(key) {
-            self.update(key, |account| account.recent -= tokens);
-        }
-    }
-
-    /// Another collector counts from elsewhere.
-    pub(crate) fn change_collector(&mut self) {
-        self.has_charged = true;
-        for account in self.accounts.values_mut() {
-            account.told = None;
-            account.reported = account.counted;
-        }
-    }
-
-    /// Bounds how far a fleet-wide count learnt late sets a customer behind.
-    fn forgive(&mut self, key: AccountKey) {
-        let Some(least) = self.order.first(0) else {
-            return;
-        };
-        if self.accounts[key].rank.is_none() {
-            return;
-        }
-        let debt = self.accounts[key].virtual_service(1) - self.accounts[least].virtual_service(1);
-        let excess = debt - MAX_DEBT * SCALE;
-        if excess > 0 {
-            self.update(key, |account| account.shift(-excess));
-        }
-    }
-
     /// Asserts that the customer served next is behind the least served one by no
     /// more than the lead of urgent work.
     pub(crate) fn check(&self) {
--- a/crates/decide/src/account/report.rs
+++ b/crates/decide/src/account/report.rs
@@ -13,6 +13,9 @@
 /// in milliseconds: a router that has just started still learns the past.
 pub const SETTLING: Millis = 3_000;
 
+/// Longest lag that is made up for, in milliseconds.
+pub const MAX_LAG: Millis = 60_000;
+
 /// Counted service that peers' equal service has not caught up with.
 #[derive(Clone, Debug)]
 struct Recent {
@@ -64,7 +67,7 @@
 
     /// Sets how late peers' service comes in the fleet-wide counts.
     pub(crate) fn set_lag(&mut self, lag: Millis) {
-        self.lag = lag;
+        self.lag = lag.min(MAX_LAG);
     }
 
     /// When the next report is due.
--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -145,11 +145,6 @@
         self.woken.extend(self.links.keys());
     }
 
-    /// Sets how late peers' service comes in the fleet-wide counts, in milliseconds.
-    pub fn set_lag(&mut self, lag: Millis) {
-        self.reporter.set_lag(lag);
-    }
-
     /// Notes whether the backend can be reached. Nothing is started while it
     /// cannot.
     pub fn set_down(&mut self, down: bool, now: Millis) {
--- a/crates/decide/src/admission/poll.rs
+++ b/crates/decide/src/admission/poll.rs
@@ -71,11 +71,19 @@
     }
 
     /// A poll came in: takes over what it tells. Only the collector's counts are
-    /// used.
-    pub fn poll(&mut self, link: LinkKey, counted: u64, fleet: &[Usage], now: Millis) {
+    /// used; `heard` is the instant up to which they have peers' service.
+    pub fn poll(
+        &mut self,
+        link: LinkKey,
+        counted: u64,
+        fleet: &[Usage],
+        heard: Millis,
+        now: Millis,
+    ) {
         self.expire(now);
         self.show_life(link);
         if self.collector == Some(link) {
+            self.reporter.set_lag(now.saturating_sub(heard));
             self.reporter.pass(&mut self.ledger, now);
             self.reporter.count(&mut self.ledger, counted, now);
             let own = fleet.iter().filter(|usage| usage.pool == self.setup.pool);
--- /dev/null
+++ b/crates/decide/tests/admission/random.rs
@@ -0,0 +1,303 @@
+//! Random sessions of one sidecar against what must hold of every attempt and key.
+
+use std::collections::{HashMap, HashSet};
+
+use mulberryyoke_decide::admission::{Admission, Arrival, Ending, LinkKey, Setup, Sharing};
+use mulberryyoke_decide::key::Past;
+use mulberryyoke_model::{
+    Attempt, Class, CustomerId, Grant, Incarnation, Interest, KeyId, Kind, Millis, Outcome, PoolId,
+    ServerId, Ticket,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const LINKS: usize = 3;
+const CUSTOMERS: u32 = 4;
+const SLOTS: u32 = 3;
+const RETENTION: Millis = 5_000;
+
+#[derive(Clone, Debug)]
+enum Op {
+    Wait(u16),
+    Declare {
+        link: usize,
+        customer: u32,
+        waiting: [u16; 3],
+    },
+    /// Sends a request, under the link's oldest grant if there is one.
+    Send {
+        link: usize,
+        customer: u32,
+        key: Option<u64>,
+        repeat: bool,
+    },
+    Decline {
+        link: usize,
+    },
+    Reconnect {
+        link: usize,
+    },
+    Meter {
+        index: usize,
+        tokens: u8,
+    },
+    End {
+        index: usize,
+        how: u8,
+    },
+    Withdraw {
+        link: usize,
+        ahead: u64,
+        key: Option<u64>,
+    },
+    Down(bool),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let key = || prop_oneof![3 => Just(None), 1 => (0..6_u64).prop_map(Some)];
+    prop_oneof![
+        2 => (0..400_u16).prop_map(Op::Wait),
+        3 => (0..LINKS, 0..CUSTOMERS, prop::array::uniform3(0..3_u16))
+            .prop_map(|(link, customer, waiting)| Op::Declare { link, customer, waiting }),
+        8 => (0..LINKS, 0..CUSTOMERS, key(), prop::bool::weighted(0.1))
+            .prop_map(|(link, customer, key, repeat)| Op::Send { link, customer, key, repeat }),
+        1 => (0..LINKS).prop_map(|link| Op::Decline { link }),
+        1 => (0..LINKS).prop_map(|link| Op::Reconnect { link }),
+        4 => (any::<usize>(), any::<u8>()).prop_map(|(index, tokens)| Op::Meter { index, tokens }),
+        6 => (any::<usize>(), 0..4_u8).prop_map(|(index, how)| Op::End { index, how }),
+        2 => (0..LINKS, 0..4_u64, key())
+            .prop_map(|(link, ahead, key)| Op::Withdraw { link, ahead, key }),
+        1 => any::<bool>().prop_map(Op::Down),
+    ]
+}
+
+struct Model {
+    admission: Admission,
+    now: Millis,
+    links: Vec<LinkKey>,
+    grants: Vec<Vec<Grant>>,
+    next: Vec<u64>,
+    running: Vec<(Attempt, Option<KeyId>)>,
+    started: HashSet<Attempt>,
+    barred: HashSet<Attempt>,
+    /// Keys that reached the backend, by when they may be forgotten.
+    keys: HashMap<KeyId, Millis>,
+    /// Keys told as not run, by until when they must not start.
+    bars: HashMap<KeyId, Millis>,
+}
+
+impl Model {
+    fn open() -> Self {
+        let setup = Setup {
+            server: ServerId(1),
+            pool: PoolId(1),
+            kind: Kind::Model,
+            incarnation: Incarnation(1),
+            started_at: 0,
+            slots: SLOTS,
+            sharing: Sharing::Fair,
+            retention_ms: RETENTION,
+        };
+        let mut admission = Admission::open(setup);
+        let routers: Vec<Incarnation> = (0..LINKS).map(origin).collect();
+        admission.open_home(&Past::None, &routers, 0);
+        let mut model = Self {
+            admission,
+            now: 1,
+            links: Vec::new(),
+            grants: vec![Vec::new(); LINKS],
+            next: vec![0; LINKS],
+            running: Vec::new(),
+            started: HashSet::new(),
+            barred: HashSet::new(),
+            keys: HashMap::new(),
+            bars: HashMap::new(),
+        };
+        for link in 0..LINKS {
+            let key = model.connect(link);
+            model.links.push(key);
+        }
+        model
+    }
+
+    fn connect(&mut self, link: usize) -> LinkKey {
+        let key = self.admission.connect();
+        self.admission.introduce(key, origin(link), self.now);
+        self.grants[link].clear();
+        key
+    }
+
+    fn apply(&mut self, op: &Op) {
+        match *op {
+            Op::Wait(time) => {
+                self.now += Millis::from(time);
+                self.admission.tick(self.now);
+            }
+            Op::Declare {
+                link,
+                customer,
+                waiting,
+            } => {
+                let interest = Interest {
+                    customer: CustomerId(customer),
+                    waiting,
+                    cost: 90,
+                    since: 1,
+                };
+                self.admission
+                    .declare(self.links[link], false, &[interest], self.now);
+            }
+            Op::Send {
+                link,
+                customer,
+                key,
+                repeat,
+            } => self.send(link, customer, key, repeat),
+            Op::Decline { link } => {
+                let grants: Vec<u64> = self.grants[link].drain(..).map(|grant| grant.id).collect();
+                self.admission.decline(self.links[link], &grants, self.now);
+            }
+            Op::Reconnect { link } => {
+                self.admission.disconnect(self.links[link], self.now);
+                self.links[link] = self.connect(link);
+            }
+            Op::Meter { index, tokens } => {
+                if let Some((attempt, _)) = pick(&self.running, index) {
+                    self.admission.meter(attempt, u64::from(tokens));
+                }
+            }
+            Op::End { index, how } => self.end(index, how),
+            Op::Withdraw { link, ahead, key } => self.withdraw(link, ahead, key),
+            Op::Down(down) => self.admission.set_down(down, self.now),
+        }
+        self.collect();
+        assert_eq!(self.admission.running(), self.running.len());
+        let used = self.admission.running() + self.admission.reserved();
+        assert!(used <= SLOTS as usize);
+    }
+
+    fn collect(&mut self) {
+        self.admission.take_woken();
+        for (link, key) in self.links.iter().enumerate() {
+            let (grants, _) = self.admission.answer(*key, self.now);
+            self.grants[link].extend(grants);
+        }
+    }
+
+    fn send(&mut self, link: usize, customer: u32, key: Option<u64>, repeat: bool) {
+        if !repeat {
+            self.next[link] += 1;
+        }
+        let request = self.next[link];
+        let attempt = Attempt {
+            origin: origin(link),
+            request,
+            number: 0,
+        };
+        let grant = (!self.grants[link].is_empty()).then(|| self.grants[link].remove(0));
+        let customer = grant.map_or(CustomerId(customer), |grant| grant.customer);
+        let ticket = Ticket {
+            attempt,
+            customer,
+            class: Class::Normal,
+            deadline: self.now + 1,
+            hint: 0,
+            cost: 100,
+            grant: grant.map(|grant| grant.id),
+            key: key.map(KeyId),
+        };
+        if self.admission.arrive(&ticket, self.now) != Arrival::Started {
+            return;
+        }
+        assert!(self.started.insert(attempt), "{attempt:?} started twice");
+        assert!(
+            !self.barred.contains(&attempt),
+            "{attempt:?} started after its withdrawal"
+        );
+        if let Some(key) = ticket.key {
+            assert!(!is_held(&self.keys, key, self.now), "{key:?} started twice");
+            assert!(
+                !is_held(&self.bars, key, self.now),
+                "{key:?} started after all"
+            );
+            self.keys.insert(key, Millis::MAX);
+        }
+        self.running.push((attempt, ticket.key));
+    }
+
+    fn end(&mut self, index: usize, how: u8) {
+        let Some((attempt, key)) = pick(&self.running, index) else {
+            return;
+        };
+        self.running.retain(|(running, _)| *running != attempt);
+        let ending = match how {
+            0 => Ending::Unsent,
+            1 => Ending::Cut,
+            _ => Ending::Whole(None),
+        };
+        if let Some(key) = key {
+            let until = if how == 0 { 0 } else { self.now + RETENTION };
+            self.keys.insert(key, until);
+        }
+        self.admission.end(attempt, ending, self.now);
+    }
+
+    fn withdraw(&mut self, link: usize, ahead: u64, key: Option<u64>) {
+        let request = (self.next[link] + 1).saturating_sub(ahead);
+        let attempt = Attempt {
+            origin: origin(link),
+            request,
+            number: 0,
+        };
+        let key = key.map(KeyId);
+        let (outcome, doubtful) = self.admission.withdraw(attempt, key, self.now);
+        assert!(!doubtful, "nothing is in doubt in this life");
+        if outcome != Outcome::NotRun {
+            return;
+        }
+        self.barred.insert(attempt);
+        let Some(key) = key else {
+            return;
+        };
+        assert!(
+            !is_held(&self.keys, key, self.now),
+            "{key:?} told as not run"
+        );
+        if !is_held(&self.bars, key, self.now) {
+            self.bars.insert(key, self.now + RETENTION);
+        }
+    }
+}
+
+fn is_held(until: &HashMap<KeyId, Millis>, key: KeyId, now: Millis) -> bool {
+    until.get(&key).is_some_and(|until| *until > now)
+}
+
+fn origin(link: usize) -> Incarnation {
+    Incarnation(10 + link as u64)
+}
+
+fn pick<T: Copy>(items: &[T], index: usize) -> Option<T> {
+    let index = index.checked_rem(items.len())?;
+    items.get(index).copied()
+}
+
+#[test]
+fn random_sessions_keep_their_word() {
+    let config = Config {
+        cases: 60,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let sessions = prop::collection::vec(op(), 1..1_500);
+    let result = runner.run(&sessions, |ops| {
+        let mut model = Model::open();
+        for op in &ops {
+            model.apply(op);
+        }
+        Ok(())
+    });
+    result.expect("every session keeps its word");
+}
--- /dev/null
+++ b/crates/decide/tests/admission/session.rs
@@ -0,0 +1,311 @@
+//! Whole sessions of one sidecar as text: a line for each event, then what came
+//! of it.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use mulberryyoke_decide::admission::{Admission, Due, Ending, LinkKey, Setup, Sharing};
+use mulberryyoke_decide::key::{Answer, Past};
+use mulberryyoke_model::{
+    Attempt, Class, Config, Customer, CustomerId, Incarnation, Interest, KeyId, Kind, Millis,
+    Object, PoolId, Server, ServerId, State, Ticket, Usage,
+};
+
+/// Runs a session and returns it with what comes of each event.
+pub fn run(text: &str) -> String {
+    let mut session = Session::open();
+    let mut log = String::new();
+    let events = text.lines().filter(|line| !line.starts_with('>'));
+    for line in events {
+        writeln!(log, "{line}").expect("text grows");
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        for outcome in session.event(line) {
+            writeln!(log, "> {outcome}").expect("text grows");
+        }
+    }
+    log
+}
+
+struct Session {
+    admission: Admission,
+    links: BTreeMap<String, LinkKey>,
+    config: Config,
+    now: Millis,
+}
+
+/// The words of a line; `name=value` words by name.
+struct Words<'a> {
+    plain: Vec<&'a str>,
+    named: BTreeMap<&'a str, &'a str>,
+}
+
+impl<'a> Words<'a> {
+    fn read(line: &'a str) -> Self {
+        let (named, plain): (Vec<&str>, Vec<&str>) =
+            line.split_whitespace().partition(|word| word.contains('='));
+        let named = named.into_iter().filter_map(|word| word.split_once('='));
+        Self {
+            plain,
+            named: named.collect(),
+        }
+    }
+
+    fn number<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
+        self.named.get(name)?.parse().ok()
+    }
+}
+
+fn origin(router: &str) -> Incarnation {
+    Incarnation(router.bytes().map(u64::from).sum())
+}
+
+fn attempt(text: &str) -> Attempt {
+    let (router, request) = text.split_once('/').expect("router/request");
+    let request = request.parse().expect("number");
+    Attempt {
+        origin: origin(router),
+        request,
+        number: 0,
+    }
+}
+
+impl Session {
+    fn open() -> Self {
+        let setup = Setup {
+            server: ServerId::of("m1"),
+            pool: PoolId::of("llama"),
+            kind: Kind::Model,
+            incarnation: Incarnation(1),
+            started_at: 0,
+            slots: 2,
+            sharing: Sharing::Fair,
+            retention_ms: 10_000,
+        };
+        Self {
+            admission: Admission::open(setup),
+            links: BTreeMap::new(),
+            config: Config::default(),
+            now: 0,
+        }
+    }
+
+    /// Takes one event: time, word, arguments.
+    fn event(&mut self, line: &str) -> Vec<String> {
+        let words = Words::read(line);
+        self.now = words.plain[0].parse().expect("time");
+        let mut outcomes = self.act(&words);
+        outcomes.extend(self.grants());
+        outcomes
+    }
+
+    fn act(&mut self, words: &Words) -> Vec<String> {
+        let now = self.now;
+        let name = words.plain.get(2).copied().unwrap_or_default();
+        let admission = &mut self.admission;
+        match words.plain[1] {
+            "customer" | "server" => self.configure(words),
+            "connect" => {
+                let link = admission.connect();
+                admission.introduce(link, origin(name), now);
+                self.links.insert(name.to_owned(), link);
+            }
+            "disconnect" => {
+                let link = self.links.remove(name).expect("linked");
+                admission.disconnect(link, now);
+            }
+            "declare" => {
+                let interest: Vec<Interest> = words.named.iter().map(interest).collect();
+                admission.declare(self.links[name], false, &interest, now);
+            }
+            "decline" => {
+                let grant = words.number("grant").expect("grant");
+                admission.decline(self.links[name], &[grant], now);
+            }
+            "arrive" => return vec![format!("{:?}", admission.arrive(&ticket(words), now))],
+            "meter" => admission.meter(attempt(name), words.number("tokens").expect("tokens")),
+            "end" => {
+                let ending = ending(words);
+                return vec![format!(
+                    "{} tokens",
+                    admission.end(attempt(name), ending, now)
+                )];
+            }
+            "withdraw" => {
+                let key = words.number("key").map(KeyId);
+                return vec![format!("{:?}", admission.withdraw(attempt(name), key, now))];
+            }
+            "outcome" => {
+                let key = words.number("key").map(KeyId);
+                return vec![format!("{:?}", admission.outcome(attempt(name), key, now))];
+            }
+            "poll" => return self.poll(name, words),
+            "home" => admission.open_home(&Past::Open(vec![origin(name)]), &[origin(name)], now),
+            "first" => admission.open_home(&Past::None, &[], now),
+            "name" => admission.name_routers(&[origin(name)], now),
+            "recall" => {
+                let keys: Vec<KeyId> = words.number("key").map(KeyId).into_iter().collect();
+                admission.recall(origin(name), true, &keys, now);
+            }
+            "show" => {
+                let ledger = admission.ledger();
+                let account = ledger.find(CustomerId::of(name)).expect("known");
+                let service = ledger.virtual_service(account) / 256;
+                return vec![format!("{service} tokens for each unit of share")];
+            }
+            "tick" => admission.tick(now),
+            "down" => admission.set_down(true, now),
+            "up" => admission.set_down(false, now),
+            "stop" => admission.stop(),
+            other => panic!("no such event: {other}"),
+        }
+        Vec::new()
+    }
+
+    fn poll(&mut self, name: &str, words: &Words) -> Vec<String> {
+        let counted = words.number("counted").unwrap_or(0);
+        let fleet = words
+            .named
+            .iter()
+            .filter(|(name, _)| !matches!(**name, "counted"));
+        let fleet = fleet.map(|(name, tokens)| Usage {
+            pool: PoolId::of("llama"),
+            customer: CustomerId::of(name),
+            tokens: tokens.parse().expect("tokens"),
+        });
+        let fleet: Vec<Usage> = fleet.collect();
+        let link = self.links[name];
+        self.admission
+            .poll(link, counted, &fleet, self.now, self.now);
+        let due = self.admission.due(link, self.now);
+        let load = self.admission.load();
+        let mut lines = vec![format!(
+            "due {due:?} free {} draining {}",
+            load.free, load.draining
+        )];
+        if due == Due::Now {
+            lines.extend(self.answer(name));
+        }
+        lines
+    }
+
+    /// Answers the polls of links that have grants.
+    fn grants(&mut self) -> Vec<String> {
+        self.admission.take_woken();
+        let names: Vec<String> = self.links.keys().cloned().collect();
+        names.iter().flat_map(|name| self.answer(name)).collect()
+    }
+
+    fn answer(&mut self, name: &str) -> Vec<String> {
+        let (grants, report) = self.admission.answer(self.links[name], self.now);
+        let grants = grants.iter().map(|grant| {
+            let customer = self.customer(grant.customer);
+            format!(
+                "grant {} to {name} for {customer} until {}",
+                grant.id, grant.until
+            )
+        });
+        let mut lines: Vec<String> = grants.collect();
+        if let Some(report) = report {
+            let usage = report.usage.iter();
+            let usage = usage.map(|u| format!(" {}={}", self.customer(u.customer), u.tokens));
+            let mut usage: Vec<String> = usage.collect();
+            usage.sort();
+            lines.push(format!(
+                "report {} to {name}{}",
+                report.sequence,
+                usage.concat()
+            ));
+        }
+        lines
+    }
+
+    fn customer(&self, id: CustomerId) -> &str {
+        let mut customers = self.config.customers();
+        let found = customers.find(|customer| CustomerId::of(&customer.name) == id);
+        found.map_or("unknown", |customer| &customer.name)
+    }
+
+    fn configure(&mut self, words: &Words) {
+        let name = words.plain[2].to_owned();
+        let object = match words.plain[1] {
+            "customer" => Object::Customer(Customer {
+                name,
+                share: words.number("share").unwrap_or(1),
+                class: Class::Normal,
+                keys: Vec::new(),
+                queue: None,
+            }),
+            _ => Object::Server(server(name, words)),
+        };
+        let revision = self.config.revision + 1;
+        self.config.apply(mulberryyoke_model::Change {
+            key: object.key(),
+            revision,
+            object: Some(object),
+        });
+        self.admission.configure(&self.config, "llama", self.now);
+    }
+}
+
+fn server(name: String, words: &Words) -> Server {
+    let any = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    let draining = words.plain.contains(&"draining");
+    Server {
+        name,
+        pool: "llama".to_owned(),
+        region: String::new(),
+        zone: "z".to_owned(),
+        control: any,
+        data: any,
+        slots: words.number("slots").unwrap_or(2),
+        state: if draining {
+            State::Draining
+        } else {
+            State::Active
+        },
+        added_at: 0,
+        changed_at: 0,
+    }
+}
+
+/// `name=urgent,normal,deferrable[,cost]`
+fn interest((name, counts): (&&str, &&str)) -> Interest {
+    let numbers = counts
+        .split(',')
+        .map(|count| count.parse().expect("number"));
+    let numbers: Vec<u32> = numbers.collect();
+    let waiting = [0, 1, 2].map(|class| u16::try_from(numbers[class]).expect("small"));
+    Interest {
+        customer: CustomerId::of(name),
+        waiting,
+        cost: numbers.get(3).copied().unwrap_or(100),
+        since: 0,
+    }
+}
+
+fn ticket(words: &Words) -> Ticket {
+    Ticket {
+        attempt: attempt(words.plain[2]),
+        customer: CustomerId::of(words.plain[3]),
+        class: Class::Normal,
+        deadline: words.number("deadline").unwrap_or(1_000_000),
+        hint: 0,
+        cost: words.number("cost").unwrap_or(100),
+        grant: words.number("grant"),
+        key: words.number("key").map(KeyId),
+    }
+}
+
+fn ending(words: &Words) -> Ending {
+    match words.plain.get(3).copied().unwrap_or("whole") {
+        "cut" => Ending::Cut,
+        "unsent" => Ending::Unsent,
+        _ => Ending::Whole(words.named.get("answer").map(|text| Answer {
+            status: 200,
+            headers: Vec::new(),
+            body: text.as_bytes().to_vec(),
+        })),
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/admission/table.rs
@@ -0,0 +1,109 @@
+//! Small decisions in tables.
+
+use googletest::prelude::*;
+use mulberryyoke_decide::account::{Charge, Hint};
+use mulberryyoke_decide::key::{Answer, Mark, Memory, Past, Seen};
+use mulberryyoke_model::{Incarnation, KeyId};
+
+#[gtest]
+fn charge_follows_the_larger_of_estimate_and_stream() {
+    // Estimate, streamed parts, charged on top in all, given back at the end.
+    let cases: [(u64, &[u64], u64, u64); 4] = [
+        (100, &[], 0, 100),
+        (100, &[40, 60], 0, 0),
+        (100, &[90, 20], 10, 0),
+        (1, &[5, 5], 9, 0),
+    ];
+    for (estimate, parts, more, back) in cases {
+        let mut charge = Charge::open(estimate);
+        let charged: u64 = parts.iter().map(|part| charge.meter(*part)).sum();
+        expect_that!(charged, eq(more), "{estimate} {parts:?}");
+        expect_that!(charge.settle(), eq(back), "{estimate} {parts:?}");
+    }
+}
+
+#[gtest]
+fn hints_that_are_always_off_are_corrected() {
+    for (hint, cost) in [(43, 430), (4_300, 430), (430, 430)] {
+        let mut learnt = Hint::default();
+        for _ in 0..100 {
+            learnt.learn(hint, cost);
+        }
+        expect_that!(learnt.correct(hint), eq(cost), "{hint}");
+    }
+}
+
+#[gtest]
+fn what_is_known_of_a_key_by_what_the_earlier_life_left() {
+    let router = Incarnation(7);
+    let key = KeyId(1);
+    let closed = Past::Closed(vec![(key, Mark::Ran), (KeyId(2), Mark::Barred)]);
+    // What was left, whether the router has told, what is known of the key.
+    let cases = [
+        (None, false, Seen::Doubtful),
+        (Some(Past::None), false, Seen::Unknown),
+        (Some(closed), false, Seen::Ran(None)),
+        (Some(Past::Open(vec![])), false, Seen::Unknown),
+        (Some(Past::Open(vec![router])), false, Seen::Doubtful),
+        (Some(Past::Open(vec![router])), true, Seen::Unknown),
+        (
+            Some(Past::Open(vec![router, Incarnation(8)])),
+            true,
+            Seen::Doubtful,
+        ),
+        (Some(Past::Unreadable), true, Seen::Doubtful),
+    ];
+    for (past, told, seen) in cases {
+        let mut memory = Memory::open(1_000, 0);
+        if let Some(past) = &past {
+            memory.read(past, 1);
+        }
+        if told {
+            memory.recall(router, true, &[KeyId(3)], 2);
+        }
+        expect_that!(memory.seen(key, 3), eq(&seen), "{past:?} {told}");
+        expect_that!(
+            memory.seen(KeyId(9), 1_002),
+            eq(&Seen::Unknown),
+            "{past:?} {told}"
+        );
+    }
+}
+
+#[gtest]
+fn router_that_cannot_tell_all_leaves_doubt() {
+    let mut memory = Memory::open(1_000, 0);
+    memory.recall(Incarnation(7), false, &[], 1);
+    memory.read(&Past::Open(vec![Incarnation(7)]), 2);
+    expect_that!(memory.seen(KeyId(1), 3), eq(&Seen::Doubtful));
+    expect_that!(memory.marks(3), none());
+}
+
+#[gtest]
+fn memory_of_keys_is_bounded() {
+    let mut memory = Memory::open(1_000, 0);
+    memory.read(&Past::None, 0);
+    let mut count = 0;
+    while memory.room_at(5).is_none() {
+        count += 1;
+        memory.note(KeyId(count), Seen::Cut, 5);
+    }
+    expect_that!(count, eq(65_536));
+    expect_that!(memory.room_at(5), some(eq(1_005)));
+    expect_that!(memory.room_at(1_005), none());
+}
+
+#[gtest]
+fn memory_of_answers_is_bounded() {
+    let mut memory = Memory::open(1_000, 0);
+    memory.read(&Past::None, 0);
+    let answer = Answer {
+        body: vec![0; 60_000],
+        ..Answer::default()
+    };
+    for key in 0..1_000 {
+        memory.note(KeyId(key), Seen::Ran(Some(answer.clone().into())), 5);
+    }
+    let kept = (0..1_000).filter(|key| memory.seen(KeyId(*key), 6) != Seen::Ran(None));
+    expect_that!(kept.count(), all![gt(200), lt(300)]);
+}
--- a/crates/wire/src/sidecar.rs
+++ b/crates/wire/src/sidecar.rs
@@ -19,6 +19,9 @@
     /// Fleet-wide service of customers, cumulative in tokens, as far as changed.
     /// Includes this sidecar's own service up to report `counted`.
     pub fleet: Vec<Usage>,
+    /// About the instant up to which `fleet` includes the service of other
+    /// collectors' sidecars.
+    pub heard: Millis,
 }
 
 /// Answer to a long poll.
