--- /dev/null
+++ b/crates/decide/benches/decision.rs
@@ -0,0 +1,149 @@
+//! Cost of the sidecar's decisions by number of backlogged customers.
+
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use mulberryyoke_decide::admission::{Admission, Arrival, Ending, LinkKey, Setup, Sharing};
+use mulberryyoke_decide::key::Past;
+use mulberryyoke_model::{
+    Attempt, Class, CustomerId, Grant, Incarnation, Interest, Kind, PoolId, ServerId, Ticket, Usage,
+};
+
+/// Customers of today, those backlogged at the aim, and all at the aim.
+const CUSTOMERS: [u32; 3] = [16, 620, 6_200];
+
+const ROUTER: Incarnation = Incarnation(7);
+
+const SLOTS: u32 = 8;
+
+struct Bench {
+    admission: Admission,
+    link: LinkKey,
+    grants: Vec<Grant>,
+    running: Vec<Attempt>,
+    request: u64,
+}
+
+fn interest(customer: u32) -> Interest {
+    Interest {
+        customer: CustomerId(customer),
+        waiting: [1, 8, 1],
+        cost: 430,
+        since: 1,
+    }
+}
+
+impl Bench {
+    fn open(customers: u32) -> Self {
+        let setup = Setup {
+            server: ServerId(1),
+            pool: PoolId(1),
+            kind: Kind::Model,
+            incarnation: Incarnation(1),
+            started_at: 0,
+            slots: SLOTS,
+            sharing: Sharing::Fair,
+            retention_ms: 600_000,
+        };
+        let mut admission = Admission::open(setup);
+        admission.open_home(&Past::None, &[ROUTER], 0);
+        let link = admission.connect();
+        admission.introduce(link, ROUTER, 0);
+        let all: Vec<Interest> = (0..customers).map(interest).collect();
+        admission.declare(link, true, &all, 1);
+        let mut bench = Self {
+            admission,
+            link,
+            grants: Vec::new(),
+            running: Vec::new(),
+            request: 0,
+        };
+        bench.start();
+        bench
+    }
+
+    /// Starts a request under each grant and declares what waits then.
+    fn start(&mut self) {
+        self.admission.take_woken();
+        let (grants, _) = self.admission.answer(self.link, 2);
+        self.grants.extend(grants);
+        while let Some(grant) = self.grants.pop() {
+            self.request += 1;
+            let attempt = Attempt {
+                origin: ROUTER,
+                request: self.request,
+                number: 0,
+            };
+            let ticket = Ticket {
+                attempt,
+                customer: grant.customer,
+                class: Class::Normal,
+                deadline: 1_000_000,
+                hint: 0,
+                cost: 430,
+                grant: Some(grant.id),
+                key: None,
+            };
+            assert_eq!(self.admission.arrive(&ticket, 2), Arrival::Started);
+            self.running.push(attempt);
+            let interest = [interest(grant.customer.0)];
+            self.admission.declare(self.link, false, &interest, 2);
+        }
+    }
+
+    /// One request ends, the next is chosen, granted, and starts.
+    fn turn(&mut self) {
+        let attempt = self.running.remove(0);
+        self.admission.meter(attempt, 430);
+        self.admission.end(attempt, Ending::Whole(None), 2);
+        self.start();
+    }
+}
+
+fn turns(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("turn");
+    for customers in CUSTOMERS {
+        let mut bench = Bench::open(customers);
+        let id = BenchmarkId::from_parameter(customers);
+        group.bench_function(id, |bencher| bencher.iter(|| bench.turn()));
+    }
+    group.finish();
+}
+
+fn meters(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("meter");
+    for customers in CUSTOMERS {
+        let mut bench = Bench::open(customers);
+        let attempt = bench.running[0];
+        let id = BenchmarkId::from_parameter(customers);
+        group.bench_function(id, |bencher| {
+            bencher.iter(|| bench.admission.meter(black_box(attempt), 1));
+        });
+    }
+    group.finish();
+}
+
+fn polls(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("poll");
+    for customers in CUSTOMERS {
+        let mut bench = Bench::open(customers);
+        let mut tokens = 0;
+        let id = BenchmarkId::from_parameter(customers);
+        group.bench_function(id, |bencher| {
+            bencher.iter(|| {
+                tokens += 1;
+                let fleet = (0..customers).map(|customer| Usage {
+                    pool: PoolId(1),
+                    customer: CustomerId(customer),
+                    tokens,
+                });
+                let fleet: Vec<Usage> = fleet.collect();
+                bench.admission.poll(bench.link, 0, &fleet, 2, 2);
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, turns, meters, polls);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/decide/examples/memory.rs
@@ -0,0 +1,87 @@
+//! Memory of a sidecar's decisions: resident bytes for each customer, each
+//! declaration of a link, and each remembered key. Prints one JSON object.
+//!
+//! `cargo run --release -p mulberryyoke-decide --example memory`
+
+use mulberryyoke_decide::admission::{Admission, LinkKey, Setup, Sharing};
+use mulberryyoke_decide::key::{Memory, Past, Seen};
+use mulberryyoke_model::{CustomerId, Incarnation, Interest, KeyId, Kind, PoolId, ServerId};
+use serde_json::json;
+
+const CUSTOMERS: u32 = 6_200;
+
+const LINKS: u64 = 20;
+
+/// Sidecars measured together, so that pages do not matter.
+const SIDECARS: usize = 20;
+
+const KEYS: u64 = 60_000;
+
+fn main() {
+    let empty = resident();
+    let mut sidecars: Vec<Admission> = (0..SIDECARS).map(|_| open()).collect();
+    for sidecar in &mut sidecars {
+        declare(sidecar, 1);
+    }
+    let one = resident();
+    for sidecar in &mut sidecars {
+        for link in 2..=LINKS {
+            declare(sidecar, link);
+        }
+    }
+    let all = resident();
+    let mut keys = Memory::open(600_000, 0);
+    keys.read(&Past::None, 0);
+    for key in 0..KEYS {
+        keys.note(KeyId(key), Seen::Ran(None), 1);
+    }
+    let kept = resident();
+    let customers = u64::from(CUSTOMERS) * SIDECARS as u64;
+    println!(
+        "{}",
+        json!({
+            "bytes_per_customer_with_one_declaration": (one - empty) / customers,
+            "bytes_per_further_declaration": (all - one) / (customers * (LINKS - 1)),
+            "bytes_per_key": (kept - all) / KEYS,
+            "bytes_of_a_sidecar_with_6200_customers_and_20_links": (all - empty) / SIDECARS as u64,
+        })
+    );
+}
+
+fn open() -> Admission {
+    Admission::open(Setup {
+        server: ServerId(1),
+        pool: PoolId(1),
+        kind: Kind::Model,
+        incarnation: Incarnation(1),
+        started_at: 0,
+        slots: 0,
+        sharing: Sharing::Fair,
+        retention_ms: 600_000,
+    })
+}
+
+fn declare(sidecar: &mut Admission, origin: u64) -> LinkKey {
+    let link = sidecar.connect();
+    sidecar.introduce(link, Incarnation(origin), 0);
+    let interest = (0..CUSTOMERS).map(|customer| Interest {
+        customer: CustomerId(customer),
+        waiting: [1, 1, 1],
+        cost: 430,
+        since: 1,
+    });
+    let interest: Vec<Interest> = interest.collect();
+    sidecar.declare(link, true, &interest, 1);
+    link
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("a Linux system");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+    kilobytes
+        .and_then(|text| text.parse::<u64>().ok())
+        .expect("a number")
+        * 1_024
+}
--- a/crates/decide/src/account.rs
+++ b/crates/decide/src/account.rs
@@ -51,6 +51,8 @@
     /// The customer.
     pub customer: CustomerId,
     pub(crate) share: u32,
+    /// Orders it among customers served alike.
+    pub(crate) tie: u32,
     /// Tokens charged here, estimates of running requests included; never falls.
     pub(crate) charged: u64,
     /// `charged` as of the last report that the fleet has counted.
@@ -77,10 +79,11 @@
 }
 
 impl Account {
-    pub(crate) fn open(customer: CustomerId, share: u32) -> Self {
+    pub(crate) fn open(customer: CustomerId, share: u32, tie: u32) -> Self {
         Self {
             customer,
             share: share.max(1),
+            tie,
             charged: 0,
             counted: 0,
             reported: 0,
--- a/crates/decide/src/account/ledger.rs
+++ b/crates/decide/src/account/ledger.rs
@@ -4,6 +4,7 @@
 
 use mulberryyoke_model::CustomerId;
 use slotmap::{SlotMap, new_key_type};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::order::{Order, Rank};
 use super::{Account, MAX_DEBT, SCALE, URGENT_LEAD, Virtual};
@@ -16,6 +17,7 @@
 /// Accounts by customer, and the order of those with runnable requests.
 #[derive(Clone, Debug)]
 pub struct Ledger {
+    seed: u64,
     pub(super) accounts: SlotMap<AccountKey, Account>,
     by_customer: HashMap<CustomerId, AccountKey>,
     shares: HashMap<CustomerId, u32>,
@@ -27,9 +29,12 @@
     last: Virtual,
 }
 
-impl Default for Ledger {
-    fn default() -> Self {
+impl Ledger {
+    /// An empty ledger. The seed orders customers that are served alike.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
         Self {
+            seed,
             accounts: SlotMap::with_key(),
             by_customer: HashMap::new(),
             shares: HashMap::new(),
@@ -39,16 +44,15 @@
             last: 0,
         }
     }
-}
 
-impl Ledger {
     /// The account of a customer, opened when new.
     pub fn open(&mut self, customer: CustomerId) -> AccountKey {
         if let Some(key) = self.by_customer.get(&customer) {
             return *key;
         }
         let share = self.shares.get(&customer).copied().unwrap_or(1);
-        let key = self.accounts.insert(Account::open(customer, share));
+        let account = Account::open(customer, share, tie(self.seed, customer));
+        let key = self.accounts.insert(account);
         self.by_customer.insert(customer, key);
         key
     }
@@ -90,8 +94,7 @@
         self.accounts[key].virtual_service(self.reach)
     }
 
-    /// Changes an account and puts it at its place in the order. Becoming
-    /// backlogged lifts it, so that no idle time is banked.
+    /// Changes an account and puts it at its place in the order.
     pub(crate) fn update<T>(
         &mut self,
         key: AccountKey,
@@ -101,12 +104,9 @@
         let result = change(account);
         let old = account.rank;
         let runnable = account.runnable() > 0;
-        if runnable && old.is_none() {
-            self.lift(key);
-        }
-        let account = &mut self.accounts[key];
         let new = runnable.then(|| Rank {
             virtual_service: account.virtual_service(self.reach),
+            tie: account.tie,
             urgent: account.is_urgent(),
         });
         account.rank = new;
@@ -114,12 +114,19 @@
         result
     }
 
-    /// Lifts an account to the least virtual service of those backlogged, or,
-    /// with none, to that of the customer served last. What it is ahead of them by
-    /// more than the largest debt is forgiven.
-    fn lift(&mut self, key: AccountKey) {
-        let floor = self.floor();
+    /// The least virtual service of the customers backlogged, or, with none, that
+    /// of the customer served last.
+    pub(crate) fn floor(&self) -> Virtual {
+        self.order.floor().unwrap_or(self.last)
+    }
+
+    /// Lifts a customer that was not backlogged to a floor, so that no idle time is
+    /// banked. What it is ahead of it by more than the largest debt is forgiven.
+    pub(crate) fn lift(&mut self, key: AccountKey, floor: Virtual) {
         let account = &mut self.accounts[key];
+        if account.rank.is_some() {
+            return;
+        }
         let ahead = account.virtual_service(self.reach) - floor;
         if ahead < 0 {
             account.shift(-ahead);
@@ -130,10 +137,6 @@
         }
     }
 
-    fn floor(&self) -> Virtual {
-        self.order.floor().unwrap_or(self.last)
-    }
-
     /// Notes that a customer is served next.
     pub(crate) fn serve(&mut self, key: AccountKey) {
         self.last = self.last.max(self.virtual_service(key));
@@ -162,9 +165,7 @@
 
     /// Charges the start of a request.
     pub(crate) fn start(&mut self, key: AccountKey, tokens: u64) {
-        if self.accounts[key].rank.is_none() {
-            self.lift(key);
-        }
+        self.lift(key, self.floor());
         self.serve(key);
         self.has_charged = true;
         self.update(key, |account| {
@@ -234,3 +235,11 @@
         });
     }
 }
+
+/// The low half of a hash of both.
+fn tie(seed: u64, customer: CustomerId) -> u32 {
+    let hash = xxh3_64_with_seed(&customer.0.to_le_bytes(), seed);
+    #[expect(clippy::cast_possible_truncation, reason = "the low half is meant")]
+    let low = hash as u32;
+    low
+}
--- a/crates/decide/src/account/order.rs
+++ b/crates/decide/src/account/order.rs
@@ -8,14 +8,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Rank {
     pub(crate) virtual_service: Virtual,
+    /// Orders customers served alike: differently in each life of a sidecar, so
+    /// that none is ahead after every restart.
+    pub(crate) tie: u32,
     pub(crate) urgent: bool,
 }
 
+type Place = (Virtual, u32, AccountKey);
+
 /// Customers that have runnable requests, by virtual service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Order {
-    urgent: BTreeSet<(Virtual, AccountKey)>,
-    other: BTreeSet<(Virtual, AccountKey)>,
+    urgent: BTreeSet<Place>,
+    other: BTreeSet<Place>,
 }
 
 impl Order {
@@ -24,14 +29,14 @@
             return;
         }
         if let Some(old) = old {
-            self.set(old).remove(&(old.virtual_service, key));
+            self.set(old).remove(&(old.virtual_service, old.tie, key));
         }
         if let Some(new) = new {
-            self.set(new).insert((new.virtual_service, key));
+            self.set(new).insert((new.virtual_service, new.tie, key));
         }
     }
 
-    fn set(&mut self, rank: Rank) -> &mut BTreeSet<(Virtual, AccountKey)> {
+    fn set(&mut self, rank: Rank) -> &mut BTreeSet<Place> {
         if rank.urgent {
             &mut self.urgent
         } else {
@@ -45,16 +50,16 @@
         let urgent = self.urgent.first();
         let other = self.other.first();
         match (urgent, other) {
-            (Some(urgent), Some(other)) if urgent.0 - lead > other.0 => Some(other.1),
-            (Some(urgent), _) => Some(urgent.1),
-            (None, other) => other.map(|(_, key)| *key),
+            (Some(urgent), Some(other)) if urgent.0 - lead > other.0 => Some(other.2),
+            (Some(urgent), _) => Some(urgent.2),
+            (None, other) => other.map(|(_, _, key)| *key),
         }
     }
 
     /// Least virtual service of all.
     pub(crate) fn floor(&self) -> Option<Virtual> {
-        let urgent = self.urgent.first().map(|(service, _)| *service);
-        let other = self.other.first().map(|(service, _)| *service);
+        let urgent = self.urgent.first().map(|(service, _, _)| *service);
+        let other = self.other.first().map(|(service, _, _)| *service);
         match (urgent, other) {
             (Some(urgent), Some(other)) => Some(urgent.min(other)),
             (urgent, other) => urgent.or(other),
@@ -70,6 +75,9 @@
     }
 
     pub(crate) fn keys(&self) -> impl Iterator<Item = AccountKey> {
-        self.urgent.iter().chain(&self.other).map(|(_, key)| *key)
+        self.urgent
+            .iter()
+            .chain(&self.other)
+            .map(|(_, _, key)| *key)
     }
 }
--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -66,7 +66,7 @@
         Self {
             setup,
             slots: setup.slots,
-            ledger: Ledger::default(),
+            ledger: Ledger::new(setup.incarnation.0),
             reporter: Reporter::open(setup.pool),
             links: SlotMap::with_key(),
             collector: None,
--- a/crates/decide/src/admission/grants.rs
+++ b/crates/decide/src/admission/grants.rs
@@ -4,7 +4,7 @@
 
 use super::Admission;
 use super::link::LinkKey;
-use crate::account::{AccountKey, Demand};
+use crate::account::{AccountKey, Demand, Virtual};
 
 /// How long a slot stays reserved for a request, in milliseconds.
 pub const GRANT_TTL: Millis = 1_000;
@@ -30,18 +30,23 @@
         if full {
             self.clear_demands(link);
         }
+        // The order in which a router names its customers must not matter.
+        let floor = self.ledger.floor();
         for interest in interest {
-            self.declare_one(link, interest);
+            self.declare_one(link, interest, floor);
         }
         self.fill(now);
     }
 
-    fn declare_one(&mut self, link: LinkKey, interest: &Interest) {
+    fn declare_one(&mut self, link: LinkKey, interest: &Interest, floor: Virtual) {
         let Some(entry) = self.links.get_mut(link) else {
             return;
         };
         let account = self.ledger.open(interest.customer);
         entry.accounts.insert(account);
+        if interest.total() > 0 {
+            self.ledger.lift(account, floor);
+        }
         self.change_demand(account, link, |demand| demand.declare(interest));
     }
 
--- a/crates/decide/tests/admission/world/mod.rs
+++ b/crates/decide/tests/admission/world/mod.rs
@@ -51,7 +51,7 @@
 
 struct Node {
     admission: Admission,
-    links: HashMap<usize, LinkKey>,
+    links: BTreeMap<usize, LinkKey>,
     counted: HashMap<usize, u64>,
     incarnation: Incarnation,
     /// Customer and tokens left of each running request.
@@ -153,7 +153,7 @@
         admission.configure(&config(self.shape), POOL, self.now);
         Node {
             admission,
-            links: HashMap::new(),
+            links: BTreeMap::new(),
             counted: HashMap::new(),
             incarnation,
             left: HashMap::new(),
