--- a/crates/daemon/src/sidecar/meter.rs
+++ b/crates/daemon/src/sidecar/meter.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Whether the last event has come.
+    pub(crate) const fn is_done(&self) -> bool {
+        matches!(self, Self::Stream(Stream { done: true, .. }))
+    }
+
     /// Whether an answer that has ended is whole.
     pub(crate) const fn is_whole(&self) -> bool {
         match self {
--- a/crates/daemon/src/sidecar/pump.rs
+++ b/crates/daemon/src/sidecar/pump.rs
@@ -1,5 +1,7 @@
 //! An answer on its way from the backend to the router.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
@@ -17,6 +19,9 @@
 /// Largest answer kept for repeats of a key, in bytes.
 const MAX_KEPT: usize = 64 << 10;
 
+/// How long the end of the backend's answer is waited for after its last event.
+const REST: Duration = Duration::from_secs(1);
+
 /// Passes an answer on, frame by frame, as fast as the router takes it.
 #[derive(Debug)]
 pub(crate) struct Pump {
@@ -71,10 +76,15 @@
         }
     }
 
-    async fn finish(self) {
+    /// Ends the answer towards the router at once, then reads to the end of the
+    /// backend's, so that its connection can be used again.
+    async fn finish(mut self) {
         self.slot.end(Ending::Whole(self.kept));
         // A router that has hung up needs no end.
         let _ = self.frames.send(Piece::End).await;
+        let rest = async { while let Some(Ok(_)) = self.body.frame().await {} };
+        // A backend that says more than an end loses its connection.
+        let _ = tokio::time::timeout(REST, rest).await;
     }
 
     async fn relay(&mut self) -> End {
@@ -108,7 +118,11 @@
         };
         let (ready, tokens) = self.meter.read(data);
         self.slot.meter(tokens);
-        self.pass_data(ready).await
+        self.pass_data(ready).await?;
+        if self.meter.is_done() {
+            return self.end().await;
+        }
+        Ok(())
     }
 
     async fn pass_data(&mut self, data: Bytes) -> Result<(), End> {
--- a/crates/decide/src/admission/arrive.rs
+++ b/crates/decide/src/admission/arrive.rs
@@ -36,7 +36,7 @@
         if self.is_draining() {
             return Arrival::Draining;
         }
-        if self.is_fair() && self.own_grant(ticket).is_none() && self.free() == 0 {
+        if self.own_grant(ticket).is_none() && !self.may_start() {
             return Arrival::Busy;
         }
         Arrival::Started
--- a/crates/decide/src/admission/grants.rs
+++ b/crates/decide/src/admission/grants.rs
@@ -2,8 +2,8 @@
 
 use mulberryyoke_model::{Grant, Interest, Millis};
 
-use super::Admission;
 use super::link::LinkKey;
+use super::{Admission, Sharing};
 use crate::account::{AccountKey, Demand, Virtual};
 
 /// How long a slot stays reserved for a request, in milliseconds.
@@ -116,14 +116,23 @@
         }
     }
 
-    /// Reserves free slots while any request is runnable.
+    /// Reserves free slots while any request is runnable; without order, a slot for
+    /// each.
     pub(crate) fn fill(&mut self, now: Millis) {
-        if self.is_fair() && !self.is_draining() {
-            while self.free() > 0 && self.reserve(now) {}
+        if !self.is_draining() {
+            while self.may_start() && self.reserve(now) {}
         }
         self.check();
     }
 
+    /// Whether the backend can be given another request.
+    pub(crate) fn may_start(&self) -> bool {
+        match self.setup.sharing {
+            Sharing::Fair => self.free() > 0,
+            Sharing::Open => !self.down,
+        }
+    }
+
     fn reserve(&mut self, now: Millis) -> bool {
         let Some(account) = self.ledger.first() else {
             return false;
--- a/crates/decide/tests/admission/table.rs
+++ b/crates/decide/tests/admission/table.rs
@@ -2,8 +2,9 @@
 
 use googletest::prelude::*;
 use mulberryyoke_decide::account::{Charge, Hint};
+use mulberryyoke_decide::admission::{Admission, Setup, Sharing};
 use mulberryyoke_decide::key::{Answer, Mark, Memory, Past, Seen};
-use mulberryyoke_model::{Incarnation, KeyId};
+use mulberryyoke_model::{CustomerId, Incarnation, Interest, KeyId, Kind, PoolId, ServerId};
 
 #[gtest]
 fn charge_follows_the_larger_of_estimate_and_stream() {
@@ -107,3 +108,26 @@
     let kept = (0..1_000).filter(|key| memory.seen(KeyId(*key), 6) != Seen::Ran(None));
     expect_that!(kept.count(), all![gt(200), lt(300)]);
 }
+
+#[gtest]
+fn without_order_all_that_waits_starts_at_once() {
+    let mut admission = Admission::open(Setup {
+        server: ServerId(1),
+        pool: PoolId(1),
+        kind: Kind::Service,
+        incarnation: Incarnation(1),
+        started_at: 0,
+        slots: 1,
+        sharing: Sharing::Open,
+        retention_ms: 1_000,
+    });
+    let link = admission.connect();
+    let interest = Interest {
+        customer: CustomerId(1),
+        waiting: [0, 5, 0],
+        cost: 1,
+        since: 0,
+    };
+    admission.declare(link, true, &[interest], 1);
+    expect_that!(admission.answer(link, 1).0.len(), eq(5));
+}
