Scatter the sidecars' order so that not all turn to one customer at once

All sidecars that see the same counts served the same customer and overshot by the number of servers. Each now holds a customer back by its own constant.

--- a/crates/decide/examples/long.rs
+++ b/crates/decide/examples/long.rs
@@ -60,6 +60,8 @@
             "wall_ms": from.elapsed().as_secs_f64() * 1_000.0,
             "gap_tokens_per_share": tokens,
             "gap_part": part,
+            "mean_part_5s": gap.mean_part(5),
+            "mean_part_20s": gap.mean_part(20),
             "utilisation": ratio(busy),
         })
     );
--- a/crates/decide/src/account.rs
+++ b/crates/decide/src/account.rs
@@ -3,12 +3,16 @@
 //! Each customer has an [`Account`]; its virtual service `V` orders customers
 //! that have waiting requests, the least first:
 //!
-//! `V = (offset + fleet + (uncounted + reserved) * reach - credit) / share`
+//! `V = (offset + fleet + (recent + scatter) * (reach - 1)
+//!     + (uncounted + reserved) * reach - credit) / share`
 //!
 //! `fleet` is service counted fleet-wide by the routers, `uncounted` what this
 //! sidecar charged since the report that they counted last, `reserved` what
 //! requests with a reserved slot are expected to cost, `reach` the number
 //! of servers that serve the pool (their sidecars are assumed to act alike),
+//! `recent` what was counted before the peers' service of the same time,
+//! `scatter` a constant drawn by sidecar and customer, so that not all sidecars
+//! turn to the same customer at once,
 //! `credit` what was charged by estimate and turned out too much, and `offset`
 //! carries lifts and forgiven debts.
 
@@ -35,6 +39,10 @@
 /// for each unit of share. Repaid, since all service counts.
 pub const URGENT_LEAD: i64 = 1_024;
 
+/// Largest holding back of a customer by one sidecar, in tokens for each other
+/// server of the pool.
+pub const SCATTER: u32 = 512;
+
 /// Most that a fleet-wide count learnt late (after a partition) sets a customer
 /// behind the least served one, in tokens for each unit of share.
 pub const MAX_DEBT: i64 = 16_384;
@@ -53,6 +61,8 @@
     pub(crate) share: u32,
     /// Orders it among customers served alike.
     pub(crate) tie: u32,
+    /// Tokens that this sidecar holds the customer back for each other server.
+    scatter: u32,
     /// Tokens charged here, estimates of running requests included; never falls.
     pub(crate) charged: u64,
     /// `charged` as of the last report that the fleet has counted.
@@ -84,6 +94,7 @@
             customer,
             share: share.max(1),
             tie,
+            scatter: scatter(tie),
             charged: 0,
             counted: 0,
             reported: 0,
@@ -113,7 +124,8 @@
         let uncounted = uncounted.saturating_mul(u64::from(reach));
         let peers = self.recent.saturating_mul(u64::from(reach) - 1);
         let tokens = self.fleet.saturating_add(uncounted).saturating_add(peers);
-        let tokens = to_signed(tokens) - to_signed(self.credit);
+        let scatter = u64::from(self.scatter) * (u64::from(reach) - 1);
+        let tokens = to_signed(tokens + scatter) - to_signed(self.credit);
         (self.offset + tokens.saturating_mul(SCALE)).div_euclid(i64::from(self.share))
     }
 
@@ -160,6 +172,11 @@
     }
 }
 
+/// A part of [`SCATTER`] between none and all of it, by the upper bits of a hash.
+fn scatter(hash: u32) -> u32 {
+    hash / (u32::MAX / SCATTER + 1)
+}
+
 /// Tokens as a signed number; counts beyond 2^54 tokens saturate.
 fn to_signed(tokens: u64) -> i64 {
     i64::try_from(tokens)
--- a/crates/decide/tests/admission/world/gap.rs
+++ b/crates/decide/tests/admission/world/gap.rs
@@ -11,6 +11,8 @@
 pub struct Gap {
     first: Vec<f64>,
     last: Vec<f64>,
+    /// All samples.
+    all: Vec<Vec<f64>>,
     /// Of each pair, the lowest and highest difference.
     pairs: Vec<(f64, f64)>,
 }
@@ -21,6 +23,7 @@
         Self {
             first: Vec::new(),
             last: Vec::new(),
+            all: Vec::new(),
             pairs: vec![(f64::MAX, f64::MIN); customers * customers],
         }
     }
@@ -40,6 +43,7 @@
         if self.first.is_empty() {
             self.first = now.clone();
         }
+        self.all.push(now.clone());
         self.last = now;
     }
 
@@ -56,4 +60,18 @@
         let mean = given.sum::<f64>() / real(self.last.len() as u64);
         (widest, widest / mean)
     }
+
+    /// The mean over all windows of a number of samples of the largest difference
+    /// as a part of the mean service in that window.
+    pub fn mean_part(&self, samples: usize) -> f64 {
+        let windows = self.all.iter().zip(self.all.iter().skip(samples));
+        let parts = windows.map(|(from, to)| {
+            let given = to.iter().zip(from).map(|(to, from)| to - from);
+            let most = given.clone().fold(f64::MIN, f64::max);
+            let least = given.clone().fold(f64::MAX, f64::min);
+            (most - least) * real(from.len() as u64) / given.sum::<f64>()
+        });
+        let parts: Vec<f64> = parts.collect();
+        parts.iter().sum::<f64>() / real(parts.len().max(1) as u64)
+    }
 }
