Launcher: count control bytes sent, answers cut off, recovery of the gap

Unknown outcomes are listed; they are a fault when no fault of the run may cut answers off. A flood's own times do not count. Samples and findings are kept beside the logs.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -47,8 +47,11 @@
 const FAULT_BEGIN: f64 = 0.3;
 const FAULT_END: f64 = 0.6;
 
-/// File beside the logs that keeps the samples.
+/// Files beside the logs that keep samples and findings.
 const SAMPLES: &str = "samples.json";
+const FINDINGS: &str = "findings.txt";
+/// Findings shown, at most.
+const MOST_SHOWN: usize = 20;
 
 /// Makes a run; a signal that ends the launcher ends the run and all it started.
 ///
@@ -100,9 +103,16 @@
     }
     [report.added_ms_p50, report.added_ms_p95] = added;
     report.broken_promises = faults.len();
-    for finding in report.audit.findings.iter().chain(&faults) {
+    let findings = report.audit.findings.iter().chain(&faults);
+    for finding in findings.clone().take(MOST_SHOWN) {
         eprintln!("{finding}");
     }
+    let findings = findings.map(|finding| format!("{finding}\n"));
+    std::fs::write(
+        fleet.directory.join(FINDINGS),
+        findings.collect::<Vec<_>>().concat(),
+    )
+    .ok();
     let kept = serde_json::to_vec(&samples).expect("samples have a JSON form");
     std::fs::write(fleet.directory.join(SAMPLES), kept).ok();
     if report.is_clean() && !plan.flags.keep {
@@ -165,14 +175,18 @@
         .collect();
     let gap = gap::gap(samples, &shares);
     let faults = plan.flags.fault.iter();
+    let audit = audit::audit(records, runs);
+    let may_cut = faults.clone().any(|fault| fault.cuts());
     Report {
-        audit: audit::audit(records, runs),
+        cut_off: if may_cut { 0 } else { audit.unknown },
+        audit,
         broken_promises: 0,
         fairness_gap: gap.fraction,
         fairness_gap_tokens: gap.tokens,
         fairness_gap_5s: gap.fraction_5s,
         fairness_gap_window_s: gap.seconds,
         backlogged: gap.backlogged,
+        recovery_s: recovery(plan, samples, &shares),
         utilisation: gap::utilisation(samples),
         control_bytes_per_node_s: 0.0,
         control_bytes_per_request: 0.0,
@@ -182,7 +196,19 @@
         added_ms_p50: 0.0,
         added_ms_p95: 0.0,
         policy: plan.flags.policy.word(),
-        faults: faults.map(|fault| format!("{fault:?}")).collect(),
+        faults: faults.map(|fault| fault.word()).collect(),
         seed: plan.flags.seed,
     }
 }
+
+/// Seconds after the faults until the gap is as before.
+fn recovery(plan: &Plan, samples: &[Sample], shares: &[u32]) -> Option<usize> {
+    if plan.flags.fault.is_empty() {
+        return None;
+    }
+    let second = |part: f64| {
+        let length = Duration::from_secs(plan.flags.seconds);
+        usize::try_from(length.mul_f64(part).as_secs()).ok()
+    };
+    gap::recovery(samples, shares, second(FAULT_BEGIN)?, second(FAULT_END)?)
+}
--- a/crates/standin/src/fleet/audit.rs
+++ b/crates/standin/src/fleet/audit.rs
@@ -9,8 +9,8 @@
 use super::call::{Call, End};
 use super::load::Record;
 
-/// Findings shown one by one, at most.
-const MOST_SHOWN: usize = 20;
+/// Findings kept one by one, at most.
+const MOST_KEPT: usize = 200;
 
 /// Counts of a run; all after `unknown` should be 0 but `reruns`.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -72,7 +72,7 @@
             End::NotRun => self.refused += 1,
             End::Ran if started(last) > 0 => self.told_ran += 1,
             End::Ran => self.find(|audit| &mut audit.lost, "told ran without a run", record),
-            End::Unknown => self.unknown += 1,
+            End::Unknown => self.find(|audit| &mut audit.unknown, "unknown", record),
             End::Lost => self.find(|audit| &mut audit.lost, "never ended", record),
             End::Truncated => self.find(|audit| &mut audit.truncated, "truncated", record),
             End::Crossed => self.find(|audit| &mut audit.crossed, "crossed", record),
@@ -116,7 +116,7 @@
 
     fn find(&mut self, count: fn(&mut Self) -> &mut usize, what: &str, record: &Record) {
         *count(self) += 1;
-        if self.findings.len() >= MOST_SHOWN {
+        if self.findings.len() >= MOST_KEPT {
             return;
         }
         let calls = record.calls.iter();
--- a/crates/standin/src/fleet/fault.rs
+++ b/crates/standin/src/fleet/fault.rs
@@ -50,6 +50,30 @@
     (Fault::ExchangeLoss, "exchange-loss"),
 ];
 
+impl Fault {
+    /// The word of the flag.
+    pub(crate) fn word(self) -> &'static str {
+        let known = WORDS.iter().find(|(fault, _)| *fault == self);
+        known.map_or("", |(_, word)| word)
+    }
+
+    /// Whether it may cut answers off; other faults must not.
+    pub(crate) const fn cuts(self) -> bool {
+        match self {
+            Self::RouterKill | Self::SidecarKill | Self::SidecarFreeze | Self::LeaseLapse => true,
+            Self::RouterPartition
+            | Self::KvOutage
+            | Self::KvLostAnswer
+            | Self::OperatorRace
+            | Self::Flood
+            | Self::ServerDrain
+            | Self::RouterStop
+            | Self::SidecarRestart
+            | Self::ExchangeLoss => false,
+        }
+    }
+}
+
 impl FromStr for Fault {
     type Err = String;
 
--- a/crates/standin/src/fleet/gap.rs
+++ b/crates/standin/src/fleet/gap.rs
@@ -6,6 +6,8 @@
 const GRID: usize = 1000 / STEP.as_millis() as usize;
 /// Shortest window of [`Gap::fraction_5s`], in grid steps.
 const SHORTEST: usize = 5;
+/// Part of the samples in which a customer counted by [`Gap::backlogged`] waits.
+const STEADY: (usize, usize) = (9, 10);
 
 /// The largest difference in service by share between two customers who were
 /// both backlogged throughout a window, over all windows on a grid of a second.
@@ -20,31 +22,52 @@
     pub(crate) fraction_5s: f64,
     /// Length of the window of `tokens`, in seconds.
     pub(crate) seconds: usize,
-    /// Least customers backlogged throughout the whole run.
+    /// Customers backlogged in nearly every sample.
     pub(crate) backlogged: usize,
 }
 
 /// Measures the gap.
 pub(crate) fn gap(samples: &[Sample], shares: &[u32]) -> Gap {
-    let mut gap = Gap::default();
+    let steady = |customer: &usize| is_steady(samples, *customer);
+    let mut gap = Gap {
+        backlogged: (0..shares.len()).filter(steady).count(),
+        ..Gap::default()
+    };
     let marks: Vec<usize> = (0..samples.len()).step_by(GRID).collect();
     let ends = backlog_ends(samples, shares.len());
     for (place, &from) in marks.iter().enumerate() {
         for &to in &marks[place + 1..] {
-            let seconds = (to - from) / GRID;
             let backlogged = (0..shares.len()).filter(|&c| ends[from][c] > to);
             let services: Vec<(f64, f64)> = backlogged
                 .map(|c| (tokens(samples, c, from, to), f64::from(shares[c])))
                 .collect();
-            gap.take(&services, seconds);
-            if place == 0 {
-                gap.backlogged = services.len();
-            }
+            gap.take(&services, (to - from) / GRID);
         }
     }
     gap
 }
 
+/// Seconds from the end of a fault until the gap over [`SHORTEST`] seconds is
+/// again no larger than before the fault; both instants in seconds of the run.
+pub(crate) fn recovery(
+    samples: &[Sample],
+    shares: &[u32],
+    begin: usize,
+    end: usize,
+) -> Option<usize> {
+    let over = |second: usize| {
+        let from = second * GRID;
+        let window = samples.get(from..=from + SHORTEST * GRID)?;
+        Some(gap(window, shares).fraction_5s)
+    };
+    let before = (0..begin.saturating_sub(SHORTEST)).filter_map(over);
+    let usual = before.fold(0.0, f64::max);
+    (end..)
+        .map_while(|second| Some((second, over(second)?)))
+        .find(|(_, gap)| *gap <= usual)
+        .map(|(second, _)| second - end)
+}
+
 impl Gap {
     /// Takes one window into account.
     fn take(&mut self, services: &[(f64, f64)], seconds: usize) {
@@ -79,6 +102,11 @@
     ends
 }
 
+fn is_steady(samples: &[Sample], customer: usize) -> bool {
+    let waiting = samples.iter().filter(|sample| sample.waiting[customer]);
+    waiting.count() * STEADY.1 > samples.len() * STEADY.0
+}
+
 #[expect(clippy::cast_precision_loss, reason = "tokens of a run are few")]
 fn tokens(samples: &[Sample], customer: usize, from: usize, to: usize) -> f64 {
     (samples[to].service[customer] - samples[from].service[customer]) as f64
--- a/crates/standin/src/fleet/load.rs
+++ b/crates/standin/src/fleet/load.rs
@@ -17,7 +17,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::call::{self, Call, Client, End};
-use super::op::{Op, Work};
+use super::op::{self, Op, Work};
 use super::plan::{Demand, LIGHT_DEMAND, Plan};
 
 /// Most attempts at one thing.
@@ -111,7 +111,7 @@
             Demand::Backlog(_) => None,
         });
         if let Some((customer, rate)) = rates.next() {
-            self.arrive(customer, factor * rate, Op::chat, "f", until);
+            self.arrive(customer, factor * rate, Op::chat, op::FLOOD, until);
         }
     }
 
--- a/crates/standin/src/fleet/op.rs
+++ b/crates/standin/src/fleet/op.rs
@@ -21,6 +21,8 @@
 /// Spread of lengths and of hints, as standard deviations of the logarithm.
 const SPREAD: f64 = 0.8;
 const HINT_SPREAD: f64 = 0.5;
+/// First letter of the numbers of a flood's requests.
+pub(crate) const FLOOD: &str = "f";
 /// Deadline of deferrable work, in milliseconds after it is asked for.
 const DEFERRABLE_MS: u64 = 60_000;
 
@@ -42,6 +44,8 @@
     pub(crate) work: Work,
     /// Whether every attempt carries the same `Idempotency-Key`.
     pub(crate) keyed: bool,
+    /// Whether it is part of a flood.
+    pub(crate) flood: bool,
     hint: u32,
     deadline: Option<u64>,
 }
@@ -86,6 +90,7 @@
             class,
             work,
             keyed,
+            flood: number.starts_with(FLOOD),
             hint,
             deadline: (class == Class::Deferrable).then(|| now() + DEFERRABLE_MS),
         }
--- a/crates/standin/src/fleet/report.rs
+++ b/crates/standin/src/fleet/report.rs
@@ -16,6 +16,8 @@
 pub struct Report {
     #[serde(flatten)]
     pub(crate) audit: Audit,
+    /// Answers cut off although no fault of the run may do so.
+    pub(crate) cut_off: usize,
     /// Promises of faults that were not kept.
     pub(crate) broken_promises: usize,
     /// Largest gap over the service by share in the same window.
@@ -26,8 +28,11 @@
     pub(crate) fairness_gap_5s: f64,
     /// Length of the window of the largest gap, in seconds.
     pub(crate) fairness_gap_window_s: usize,
-    /// Customers backlogged throughout the run.
+    /// Customers backlogged in nearly every sample.
     pub(crate) backlogged: usize,
+    /// Seconds after the faults until the gap is again as before them; absent
+    /// when it is not by the end.
+    pub(crate) recovery_s: Option<usize>,
     /// Busy slots over slots while work waits.
     pub(crate) utilisation: f64,
     /// Bytes between the system's processes, bodies and answers excepted.
@@ -43,7 +48,7 @@
     pub(crate) added_ms_p50: f64,
     pub(crate) added_ms_p95: f64,
     pub(crate) policy: &'static str,
-    pub(crate) faults: Vec<String>,
+    pub(crate) faults: Vec<&'static str>,
     pub(crate) seed: u64,
 }
 
@@ -59,19 +64,21 @@
             audit.crossed,
             audit.truncated,
             audit.false_not_run,
+            self.cut_off,
             self.broken_promises,
         ];
         bad.iter().all(|count| *count == 0)
     }
 }
 
-/// Time to the first token of whole streamed answers, by class.
+/// Time to the first token of whole streamed answers, by class; those of a flood
+/// do not count.
 pub(crate) fn first_token(records: &[Record], part: f64) -> BTreeMap<&'static str, f64> {
     let mut times: BTreeMap<&'static str, Vec<f64>> = BTreeMap::new();
     for class in Class::ALL {
         times.insert(class.word(), Vec::new());
     }
-    for record in records {
+    for record in records.iter().filter(|record| !record.op.flood) {
         let streamed = matches!(record.op.work, Work::Chat { streamed: true, .. });
         let first = record.calls.last().and_then(|call| call.first);
         if let (true, End::Whole, Some(first)) = (streamed, record.end(), first) {
--- a/crates/standin/src/fleet/scene.rs
+++ b/crates/standin/src/fleet/scene.rs
@@ -59,7 +59,7 @@
             Fault::RouterStop => self.stop_router(&mut found).await,
         };
         found.extend(played.err().map(|error| error.to_string()));
-        let told = |found: String| format!("{fault:?}: {found}");
+        let told = |found: String| format!("{}: {found}", fault.word());
         found.into_iter().map(told).collect()
     }
 
--- a/crates/standin/src/fleet/scrape.rs
+++ b/crates/standin/src/fleet/scrape.rs
@@ -17,8 +17,10 @@
 const STEP: Duration = Duration::from_secs(1);
 /// Longest time of a reading.
 const LONGEST: Duration = Duration::from_millis(800);
-/// Counters whose sum is the control traffic, in bytes sent.
-const CONTROL: [&str; 1] = ["control_bytes_total"];
+/// Counters of control traffic, and the label of bytes sent: what one process
+/// sends another receives.
+const CONTROL: &str = "control_bytes_total";
+const SENT: &str = "way=\"out\"";
 
 /// Reads a path; `None` unless the answer is OK.
 pub(crate) async fn get(client: &Client, address: SocketAddr, path: &str) -> Option<String> {
@@ -58,22 +60,10 @@
     total
 }
 
-/// Control bytes that a process has sent. Without directions, half of all bytes.
+/// Control bytes that a process has sent.
 fn sent(metrics: &str) -> f64 {
-    let mut sum = 0.0;
-    for line in metrics.lines() {
-        let Some((name, value)) = line.rsplit_once(' ') else {
-            continue;
-        };
-        if !CONTROL.iter().any(|counter| name.starts_with(counter)) {
-            continue;
-        }
-        let value: f64 = value.parse().unwrap_or(0.0);
-        sum += match name {
-            _ if name.contains("read") || name.contains("received") => 0.0,
-            _ if name.contains("writ") || name.contains("sent") => value,
-            _ => value / 2.0,
-        };
-    }
-    sum
+    let lines = metrics.lines().filter(|line| !line.starts_with('#'));
+    let sent = lines.filter(|line| line.contains(CONTROL) && line.contains(SENT));
+    let values = sent.filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok());
+    values.sum()
 }
