--- a/crates/daemon/src/fleet/source.rs
+++ b/crates/daemon/src/fleet/source.rs
@@ -14,7 +14,7 @@
 use mulberryyoke_model::{Change, Revision};
 use mulberryyoke_platform::Backoff;
 use mulberryyoke_platform::kv::{self, Kv, Listing, Watch};
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{interval, sleep, sleep_until, timeout};
 
 use super::Fleet;
 use super::reader::Reader;
@@ -114,13 +114,18 @@
         self.note_up();
         backoff.reset();
         let mut events = (&mut watch).ready_chunks(BATCH);
+        let mut review = interval(Duration::from_millis(REVIEW_MS));
         loop {
-            let review = Duration::from_millis(REVIEW_MS);
-            match timeout(review, events.next()).await {
-                Ok(Some(batch)) => self.take_events(batch)?,
-                Ok(None) => return Ok(()),
-                Err(_) if self.is_on_duty() => {}
-                Err(_) => return Err(End::Relieved),
+            tokio::select! {
+                batch = events.next() => match batch {
+                    Some(batch) => self.take_events(batch)?,
+                    None => return Ok(()),
+                },
+                _ = review.tick() => {
+                    if !self.is_on_duty() {
+                        return Err(End::Relieved);
+                    }
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/standin/tests/fleet/sidecar.rs
@@ -0,0 +1,60 @@
+//! A sidecar that only remembers configuration.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::StreamExt;
+use mulberryyoke_model::{Attempt, Change, Incarnation, KeyId, Outcome, Revision};
+use mulberryyoke_wire::{self as wire, Bytes, Interest, Listener, Poll, Polled, Withdrawal};
+use tarpc::context::Context;
+use tarpc::server::Channel;
+
+use crate::world::LOOPBACK;
+
+#[derive(Clone)]
+struct Memory(Arc<Vec<Change>>);
+
+/// Serves some configuration; returns the control port.
+pub async fn serve(changes: Vec<Change>) -> SocketAddr {
+    let bytes = Arc::new(Bytes::default());
+    let listener = Listener::bind(LOOPBACK, bytes).await.unwrap();
+    let address = listener.address().unwrap();
+    let memory = Memory(Arc::new(changes));
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let channel = wire::sidecar_channel(stream, listener.bytes());
+            let calls = channel.execute(wire::Sidecar::serve(memory.clone()));
+            tokio::spawn(wire::spawn_calls(calls.boxed()));
+        }
+    });
+    address
+}
+
+impl wire::Sidecar for Memory {
+    async fn declare(self, _: Context, _: Incarnation, _: bool, _: Vec<Interest>) {}
+
+    async fn poll(self, _: Context, _: Poll) -> Polled {
+        unreachable!("nobody polls")
+    }
+
+    async fn decline(self, _: Context, _: Vec<u64>) {}
+
+    async fn withdraw(self, _: Context, _: Attempt, _: Option<KeyId>) -> Withdrawal {
+        unreachable!("nobody withdraws")
+    }
+
+    async fn outcome(self, _: Context, _: Attempt, _: Option<KeyId>) -> Outcome {
+        Outcome::Unknown
+    }
+
+    async fn configure(self, _: Context, _: Vec<Change>) -> Revision {
+        0
+    }
+
+    async fn recall(self, _: Context, _: Incarnation, _: bool, _: Vec<KeyId>) {}
+
+    async fn changes(self, _: Context, since: Revision) -> Vec<Change> {
+        let changes = self.0.iter().filter(|change| change.revision > since);
+        changes.cloned().collect()
+    }
+}
