--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -95,7 +95,7 @@
         for pool in view.pools() {
             for server in view.servers(PoolId::of(&pool.name)) {
                 let id = ServerId::of(&server.name);
-                if server.state == State::Active && links.iter().all(|link| link.id != id) {
+                if server.state != State::Removed && links.iter().all(|link| link.id != id) {
                     links.push(Link::spawn(core, server));
                 }
             }
@@ -146,6 +146,8 @@
         for room in core.rooms.all() {
             room.raise(now);
         }
+        let stall_ms = core.settings.limits.stall_ms;
+        core.stalls.release(now.saturating_sub(stall_ms));
         tokio::select! {
             () = core.stop.end.cancelled() => break,
             changed = revision.changed() => {
