Name lagging nodes in the test whatever else lags

The test took the one sidecar that never answers for the only one behind; another learns a change with its next poll, which the 2 s of the command need not span.

--- a/crates/client/tests/session/faults.rs
+++ b/crates/client/tests/session/faults.rs
@@ -149,10 +149,9 @@
         .await;
     assert_that!(said.code, eq(Some(3)));
     assert_that!(said.out, contains_substring("accepted at revision"));
-    assert_that!(
-        said.err,
-        contains_substring("lagging: sidecar m-2 (not heard of)")
-    );
+    // The other sidecar may have been about to learn of it.
+    assert_that!(said.err, contains_substring("lagging: "));
+    assert_that!(said.err, contains_substring("sidecar m-2 (not heard of)"));
     fleet.done("server remove m-2 --wait").await;
     fleet.stop().await;
 }
