--- a/crates/decide/src/account.rs
+++ b/crates/decide/src/account.rs
@@ -14,6 +14,7 @@
 
 mod charge;
 mod demand;
+mod fleet;
 mod hint;
 mod ledger;
 mod order;
@@ -50,12 +51,16 @@
     /// The customer.
     pub customer: CustomerId,
     pub(crate) share: u32,
+    /// Orders it among customers served alike.
+    pub(crate) tie: u32,
     /// Tokens charged here, estimates of running requests included; never falls.
     pub(crate) charged: u64,
     /// `charged` as of the last report that the fleet has counted.
     pub(crate) counted: u64,
     /// `charged` as of the report on its way.
     pub(crate) reported: u64,
+    /// Tokens counted of late, before peers' service of the same time.
+    pub(crate) recent: u64,
     /// Tokens charged by estimates above the true cost, used up by later charges.
     pub(crate) credit: u64,
     /// Tokens expected of requests that have a slot reserved.
@@ -74,13 +79,15 @@
 }
 
 impl Account {
-    pub(crate) fn open(customer: CustomerId, share: u32) -> Self {
+    pub(crate) fn open(customer: CustomerId, share: u32, tie: u32) -> Self {
         Self {
             customer,
             share: share.max(1),
+            tie,
             charged: 0,
             counted: 0,
             reported: 0,
+            recent: 0,
             credit: 0,
             reserved: 0,
             told: None,
@@ -104,7 +111,8 @@
     pub fn virtual_service(&self, reach: u32) -> Virtual {
         let uncounted = self.uncounted() + self.reserved;
         let uncounted = uncounted.saturating_mul(u64::from(reach));
-        let tokens = self.fleet.saturating_add(uncounted);
+        let peers = self.recent.saturating_mul(u64::from(reach) - 1);
+        let tokens = self.fleet.saturating_add(uncounted).saturating_add(peers);
         let tokens = to_signed(tokens) - to_signed(self.credit);
         (self.offset + tokens.saturating_mul(SCALE)).div_euclid(i64::from(self.share))
     }
@@ -114,6 +122,14 @@
         self.offset += by * i64::from(self.share);
     }
 
+    /// Takes over the collector's fleet-wide count.
+    pub(crate) fn tell(&mut self, tokens: u64, settling: bool) {
+        let before = self.told.replace(tokens).unwrap_or(tokens);
+        if !settling {
+            self.fleet += tokens.saturating_sub(before);
+        }
+    }
+
     /// Adds tokens, using up credit first.
     pub(crate) fn charge(&mut self, tokens: u64) {
         let from_credit = self.credit.min(tokens);
--- a/crates/decide/src/account/ledger.rs
+++ b/crates/decide/src/account/ledger.rs
@@ -2,8 +2,9 @@
 
 use std::collections::HashMap;
 
-use mulberryyoke_model::{CustomerId, Usage};
+use mulberryyoke_model::CustomerId;
 use slotmap::{SlotMap, new_key_type};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::order::{Order, Rank};
 use super::{Account, MAX_DEBT, SCALE, URGENT_LEAD, Virtual};
@@ -16,20 +17,24 @@
 /// Accounts by customer, and the order of those with runnable requests.
 #[derive(Clone, Debug)]
 pub struct Ledger {
-    accounts: SlotMap<AccountKey, Account>,
+    seed: u64,
+    pub(super) accounts: SlotMap<AccountKey, Account>,
     by_customer: HashMap<CustomerId, AccountKey>,
     shares: HashMap<CustomerId, u32>,
-    order: Order,
-    reach: u32,
+    pub(super) order: Order,
+    pub(super) reach: u32,
     /// Whether anything was charged since the last report.
-    has_charged: bool,
+    pub(super) has_charged: bool,
     /// Virtual service of the customer served last; newcomers start no lower.
     last: Virtual,
 }
 
-impl Default for Ledger {
-    fn default() -> Self {
+impl Ledger {
+    /// An empty ledger. The seed orders customers that are served alike.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
         Self {
+            seed,
             accounts: SlotMap::with_key(),
             by_customer: HashMap::new(),
             shares: HashMap::new(),
@@ -39,16 +44,15 @@
             last: 0,
         }
     }
-}
 
-impl Ledger {
     /// The account of a customer, opened when new.
     pub fn open(&mut self, customer: CustomerId) -> AccountKey {
         if let Some(key) = self.by_customer.get(&customer) {
             return *key;
         }
         let share = self.shares.get(&customer).copied().unwrap_or(1);
-        let key = self.accounts.insert(Account::open(customer, share));
+        let account = Account::open(customer, share, tie(self.seed, customer));
+        let key = self.accounts.insert(account);
         self.by_customer.insert(customer, key);
         key
     }
@@ -90,8 +94,7 @@
         self.accounts[key].virtual_service(self.reach)
     }
 
-    /// Changes an account and puts it at its place in the order. Becoming
-    /// backlogged lifts it, so that no idle time is banked.
+    /// Changes an account and puts it at its place in the order.
     pub(crate) fn update<T>(
         &mut self,
         key: AccountKey,
@@ -101,12 +104,9 @@
         let result = change(account);
         let old = account.rank;
         let runnable = account.runnable() > 0;
-        if runnable && old.is_none() {
-            self.lift(key);
-        }
-        let account = &mut self.accounts[key];
         let new = runnable.then(|| Rank {
             virtual_service: account.virtual_service(self.reach),
+            tie: account.tie,
             urgent: account.is_urgent(),
         });
         account.rank = new;
@@ -114,19 +114,27 @@
         result
     }
 
-    /// Lifts an account to the least virtual service of those backlogged, or,
-    /// with none, to that of the customer served last.
-    fn lift(&mut self, key: AccountKey) {
-        let floor = self.floor();
-        let account = &mut self.accounts[key];
-        let behind = floor - account.virtual_service(self.reach);
-        if behind > 0 {
-            account.shift(behind);
-        }
+    /// The least virtual service of the customers backlogged, or, with none, that
+    /// of the customer served last.
+    pub(crate) fn floor(&self) -> Virtual {
+        self.order.floor().unwrap_or(self.last)
     }
 
-    fn floor(&self) -> Virtual {
-        self.order.floor().unwrap_or(self.last)
+    /// Lifts a customer that was not backlogged to a floor, so that no idle time is
+    /// banked. What it is ahead of it by more than the largest debt is forgiven.
+    pub(crate) fn lift(&mut self, key: AccountKey, floor: Virtual) {
+        let account = &mut self.accounts[key];
+        if account.rank.is_some() {
+            return;
+        }
+        let ahead = account.virtual_service(self.reach) - floor;
+        if ahead < 0 {
+            account.shift(-ahead);
+        }
+        let debt = account.virtual_service(1) - floor;
+        if debt > MAX_DEBT * SCALE {
+            account.shift(MAX_DEBT * SCALE - debt);
+        }
     }
 
     /// Notes that a customer is served next.
@@ -157,9 +165,7 @@
 
     /// Charges the start of a request.
     pub(crate) fn start(&mut self, key: AccountKey, tokens: u64) {
-        if self.accounts[key].rank.is_none() {
-            self.lift(key);
-        }
+        self.lift(key, self.floor());
         self.serve(key);
         self.has_charged = true;
         self.update(key, |account| {
@@ -204,61 +210,6 @@
         }
     }
 
-    /// Takes over a fleet-wide count from the collector. Its first one for a
-    /// customer only sets where later ones count from.
-    pub(crate) fn tell(&mut self, usage: &Usage) {
-        let key = self.open(usage.customer);
-        self.update(key, |account| {
-            let before = account.told.replace(usage.tokens);
-            let grown = usage.tokens.saturating_sub(before.unwrap_or(usage.tokens));
-            account.fleet += grown;
-        });
-        self.forgive(key);
-    }
-
-    /// Notes that an account's charge goes into a report. Returns the charge.
-    pub(crate) fn mark_reported(&mut self, key: AccountKey) -> u64 {
-        self.has_charged = false;
-        let account = &mut self.accounts[key];
-        account.reported = account.charged;
-        account.charged
-    }
-
-    /// Takes over that the reported charge of an account is counted.
-    pub(crate) fn count_reported(&mut self, key: AccountKey) {
-        if self.accounts.contains_key(key) {
-            self.update(key, |account| account.counted = account.reported);
-        }
-    }
-
-    /// Another collector counts from elsewhere. What is not counted yet is
-    /// taken as counted with the peers' assumed part, so that no order changes.
-    pub(crate) fn change_collector(&mut self) {
-        self.has_charged = true;
-        for account in self.accounts.values_mut() {
-            account.told = None;
-            let assumed = account.uncounted().saturating_mul(u64::from(self.reach));
-            account.fleet = account.fleet.saturating_add(assumed);
-            account.counted = account.charged;
-            account.reported = account.charged;
-        }
-    }
-
-    /// Bounds how far a fleet-wide count learnt late sets a customer behind.
-    fn forgive(&mut self, key: AccountKey) {
-        let Some(least) = self.order.first(0) else {
-            return;
-        };
-        if self.accounts[key].rank.is_none() {
-            return;
-        }
-        let debt = self.accounts[key].virtual_service(1) - self.accounts[least].virtual_service(1);
-        let excess = debt - MAX_DEBT * SCALE;
-        if excess > 0 {
-            self.update(key, |account| account.shift(-excess));
-        }
-    }
-
     /// Asserts that the customer served next is behind the least served one by no
     /// more than the lead of urgent work.
     pub(crate) fn check(&self) {
@@ -284,3 +235,11 @@
         });
     }
 }
+
+/// The low half of a hash of both.
+fn tie(seed: u64, customer: CustomerId) -> u32 {
+    let hash = xxh3_64_with_seed(&customer.0.to_le_bytes(), seed);
+    #[expect(clippy::cast_possible_truncation, reason = "the low half is meant")]
+    let low = hash as u32;
+    low
+}
