--- a/crates/daemon/src/router/home.rs
+++ b/crates/daemon/src/router/home.rs
@@ -5,6 +5,7 @@
 use hyper::StatusCode;
 use mulberryyoke_decide::home::{self, Homes};
 use mulberryyoke_model::{Outcome, ServerId};
+use mulberryyoke_settings::Policy;
 
 use super::call::{Call, Key};
 use super::core::Core;
@@ -32,7 +33,7 @@
         }
         let current = homes.current.ok_or_else(no_server)?;
         let link = link(core, current).ok_or_else(no_server)?;
-        if at_once && take_free(core, call, &link) {
+        if (at_once && take_free(core, call, &link)) || admits_all(core, &link) {
             return Ok(Place::direct(&link));
         }
         let gone = gone(core, call, key, &link);
@@ -49,6 +50,11 @@
     none_waits && link.standing.is_open() && link.standing.take_free()
 }
 
+/// Whether the server takes any request at once, to queue inside its backend.
+fn admits_all(core: &Core, link: &Link) -> bool {
+    core.settings.policy == Policy::Baseline && link.standing.is_open()
+}
+
 /// Resolves when waiting for a home has become pointless: when the key has
 /// another one, or when its sidecar does not answer.
 async fn gone(
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -11,6 +11,7 @@
 mod gap;
 mod load;
 mod meter;
+mod node;
 mod op;
 mod operator;
 mod overhead;
@@ -33,7 +34,6 @@
 use crate::journal::Run;
 
 use self::load::{Load, Record};
-use self::meter::Sample;
 use self::plan::Plan;
 use self::scene::Scene;
 use self::setup::Fleet;
@@ -41,6 +41,8 @@
 pub use self::error::Error;
 pub use self::fault::Fault;
 pub use self::flags::{Deployment, Flags, Policy};
+pub use self::gap::{Gap, gap, utilisation};
+pub use self::meter::Sample;
 pub use self::report::Report;
 
 /// Faults begin and end after these parts of the load.
--- a/crates/standin/src/fleet/audit.rs
+++ b/crates/standin/src/fleet/audit.rs
@@ -19,6 +19,8 @@
     pub(crate) answered: usize,
     /// Given up after every attempt was told not to have run.
     pub(crate) refused: usize,
+    /// Attempts that were told not to have run.
+    pub(crate) refusals: usize,
     /// Told to have run, without the answer.
     pub(crate) told_ran: usize,
     /// Ended without knowledge.
@@ -77,6 +79,8 @@
             End::Truncated => self.find(|audit| &mut audit.truncated, "truncated", record),
             End::Crossed => self.find(|audit| &mut audit.crossed, "crossed", record),
         }
+        let refusals = record.calls.iter().filter(|call| call.end == End::NotRun);
+        self.refusals += refusals.count();
         self.count_runs(record, started);
     }
 
--- a/crates/standin/src/fleet/gap.rs
+++ b/crates/standin/src/fleet/gap.rs
@@ -12,22 +12,23 @@
 /// The largest difference in service by share between two customers who were
 /// both backlogged throughout a window, over all windows on a grid of a second.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Gap {
+pub struct Gap {
     /// In tokens per share.
-    pub(crate) tokens: f64,
+    pub tokens: f64,
     /// The same over the service by share of all customers backlogged
     /// throughout that window.
-    pub(crate) fraction: f64,
+    pub fraction: f64,
     /// The largest such fraction over windows of at least five seconds.
-    pub(crate) fraction_5s: f64,
+    pub fraction_5s: f64,
     /// Length of the window of `tokens`, in seconds.
-    pub(crate) seconds: usize,
+    pub seconds: usize,
     /// Customers backlogged in nearly every sample.
-    pub(crate) backlogged: usize,
+    pub backlogged: usize,
 }
 
-/// Measures the gap.
-pub(crate) fn gap(samples: &[Sample], shares: &[u32]) -> Gap {
+/// Measures the gap of customers with `shares` over evenly spaced samples.
+#[must_use]
+pub fn gap(samples: &[Sample], shares: &[u32]) -> Gap {
     let steady = |customer: &usize| is_steady(samples, *customer);
     let mut gap = Gap {
         backlogged: (0..shares.len()).filter(steady).count(),
@@ -113,7 +114,8 @@
 }
 
 /// Busy slots over slots while work waits.
-pub(crate) fn utilisation(samples: &[Sample]) -> f64 {
+#[must_use]
+pub fn utilisation(samples: &[Sample]) -> f64 {
     let waiting = samples
         .iter()
         .filter(|sample| sample.waiting.contains(&true));
--- a/crates/standin/src/fleet/meter.rs
+++ b/crates/standin/src/fleet/meter.rs
@@ -15,15 +15,15 @@
 
 /// The state at one instant.
 #[derive(Clone, Debug, Serialize)]
-pub(crate) struct Sample {
+pub struct Sample {
     /// Tokens of model answers so far, by customer.
-    pub(crate) service: Vec<u64>,
+    pub service: Vec<u64>,
     /// Whether model work waits, by customer.
-    pub(crate) waiting: Vec<bool>,
+    pub waiting: Vec<bool>,
     /// Busy slots of the usable engines.
-    pub(crate) busy: u32,
+    pub busy: u32,
     /// Slots of the usable engines.
-    pub(crate) slots: u32,
+    pub slots: u32,
 }
 
 /// Samples until an instant.
--- a/crates/standin/src/fleet/setup.rs
+++ b/crates/standin/src/fleet/setup.rs
@@ -7,9 +7,6 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use mulberryyoke_model::KeyHash;
-use mulberryyoke_platform::vm::{Role, State, Vm};
-use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 use crate::engine::{self, Engine};
@@ -18,6 +15,7 @@
 
 use super::call::{self, Client};
 use super::error::Error;
+use super::node::{self, Node};
 use super::operator;
 use super::plan::Plan;
 use super::process::{Ports, Process};
@@ -28,8 +26,6 @@
 const SERVICE_LATENCY: Duration = Duration::from_millis(20);
 /// Cost of such a call, in tokens.
 pub(crate) const SERVICE_COST: u32 = 10;
-/// Calls that a plain service runs at once.
-const SERVICE_SLOTS: usize = 8;
 /// Longest time that a process may take to become ready.
 const READY: Duration = Duration::from_secs(20);
 /// Pause between two looks whether it is.
@@ -58,38 +54,6 @@
     pub(crate) directory: PathBuf,
 }
 
-/// Ports of one process.
-struct Node {
-    name: String,
-    zone: &'static str,
-    control: SocketAddr,
-    data: SocketAddr,
-    status: SocketAddr,
-}
-
-impl Node {
-    fn new(name: String, zone: &'static str, ports: &mut Ports) -> Self {
-        Self {
-            name,
-            zone,
-            control: ports.take(),
-            data: ports.take(),
-            status: ports.take(),
-        }
-    }
-
-    fn vm(&self, role: Role, control: SocketAddr) -> Vm {
-        Vm {
-            name: self.name.clone(),
-            role,
-            region: String::new(),
-            zone: self.zone.to_owned(),
-            control,
-            state: State::Live,
-        }
-    }
-}
-
 fn stand_in(source: io::Error) -> Error {
     let name = "stand-in".to_owned();
     Error::Start { name, source }
@@ -117,7 +81,7 @@
         }
         let mut lists = Vec::new();
         for half in 0..2 {
-            let list = list(&routers, &servers, &relays, half);
+            let list = node::list(&routers, &servers, &relays, half);
             lists.push(vms::Registry::bind(any, list).await.map_err(stand_in)?);
         }
         let [first, second] = lists.try_into().expect("there are two lists");
@@ -126,13 +90,13 @@
         let backends = engines.iter().map(Engine::address);
         let backends = backends.chain(services.iter().map(Service::address));
         for (index, (node, backend)) in servers.iter().zip(backends).enumerate() {
-            let settings = sidecar(&plan, node, index, backend, kv.address());
+            let settings = node::sidecar(&plan, node, index, backend, kv.address());
             let process = Process::spawn(&daemon, &directory, "sidecar", node.status, &settings)?;
             sidecars.push(process);
         }
         let mut processes = Vec::new();
         for (index, node) in routers.iter().enumerate() {
-            let settings = router(&plan, node, kv.address(), vms[index % 2].address());
+            let settings = node::router(&plan, node, kv.address(), vms[index % 2].address());
             let process = Process::spawn(&daemon, &directory, "router", node.status, &settings)?;
             processes.push(process);
         }
@@ -219,22 +183,6 @@
     }
 }
 
-impl Plan {
-    fn server(&self, index: usize) -> String {
-        let (pool, _) = self.pool(index);
-        format!("{pool}-{index}")
-    }
-
-    /// Pool and slots of a server.
-    fn pool(&self, index: usize) -> (&'static str, usize) {
-        if index < self.models {
-            (self.model, self.flags.slots)
-        } else {
-            (self.service, SERVICE_SLOTS)
-        }
-    }
-}
-
 async fn backends(plan: &Plan, any: SocketAddr) -> io::Result<(Vec<Engine>, Vec<Service>)> {
     let settings = engine::Settings {
         models: vec![plan.model.to_owned()],
@@ -252,49 +200,3 @@
     }
     Ok((engines, services))
 }
-
-/// The VM list as one half of the routers sees it.
-fn list(routers: &[Node], servers: &[Node], relays: &[Relay], half: usize) -> Vec<Vm> {
-    let routers = routers.iter().zip(relays).enumerate();
-    let routers = routers.map(|(index, (node, relay))| {
-        let own = index % 2 == half;
-        node.vm(Role::Router, if own { node.control } else { relay.address })
-    });
-    let servers = servers
-        .iter()
-        .map(|node| node.vm(Role::Sidecar, node.control));
-    routers.chain(servers).collect()
-}
-
-fn router(plan: &Plan, node: &Node, kv: SocketAddr, vms: SocketAddr) -> Value {
-    json!({
-        "name": node.name,
-        "zone": node.zone,
-        "callers": node.data,
-        "operators": node.status,
-        "control": node.control,
-        "kv": [kv],
-        "vms": vms,
-        "operator_keys": [{"name": "launcher", "key": KeyHash::of(operator::KEY)}],
-        "limits": {"subset": plan.flags.subset},
-        "exchange_ms": plan.flags.exchange_ms,
-        "policy": plan.flags.policy.word(),
-    })
-}
-
-fn sidecar(plan: &Plan, node: &Node, index: usize, backend: SocketAddr, kv: SocketAddr) -> Value {
-    let (pool, slots) = plan.pool(index);
-    json!({
-        "name": node.name,
-        "zone": node.zone,
-        "pool": pool,
-        "kind": if index < plan.models { "model" } else { "service" },
-        "control": node.control,
-        "data": node.data,
-        "status": node.status,
-        "backend": backend,
-        "slots": slots,
-        "kv": [kv],
-        "policy": plan.flags.policy.word(),
-    })
-}
