Count an answer as whole once its told length has passed; send keyed calls at once without an order

Before: an_answer_of_told_length_is_whole_once_passed_on failed (outcome not-run for an answer that the caller held), without_an_order_keys_do_not_wait_for_slots failed (504 after 120 s). Conclusion: an answer ends with its length or its stream, whichever comes first.

--- a/crates/daemon/src/router/home.rs
+++ b/crates/daemon/src/router/home.rs
@@ -5,6 +5,7 @@
 use hyper::StatusCode;
 use mulberryyoke_decide::home::{self, Homes};
 use mulberryyoke_model::{Outcome, ServerId};
+use mulberryyoke_settings::Policy;
 
 use super::call::{Call, Key};
 use super::core::Core;
@@ -43,8 +44,12 @@
     }
 }
 
-/// Takes a slot that should be free, if nothing else waits.
+/// Takes a slot that should be free, if nothing else waits. Without an order
+/// nothing waits here at all.
 fn take_free(core: &Core, call: &Call, link: &Link) -> bool {
+    if core.settings.policy == Policy::Baseline {
+        return link.standing.is_open();
+    }
     let none_waits = core.rooms.get(call.pool).is_empty();
     none_waits && link.standing.is_open() && link.standing.take_free()
 }
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -19,14 +19,18 @@
 pub(crate) struct Relay {
     flow: Arc<Flow>,
     running: Option<Running>,
+    /// Bytes still due, when the server told the length.
+    due: Option<u64>,
 }
 
 impl Relay {
     /// Passes on the answer to a request that runs.
     pub(crate) fn new(flow: Arc<Flow>, running: Running) -> Self {
+        let due = flow.with(|body| body.size_hint().exact()).flatten();
         Self {
             flow,
             running: Some(running),
+            due,
         }
     }
 
@@ -42,7 +46,10 @@
         };
         let frame = ready!(polled);
         match &frame {
-            Some(Ok(_)) => self.flow.handed(clock::now()),
+            Some(Ok(frame)) => {
+                self.count(frame);
+                self.flow.handed(clock::now());
+            }
             Some(Err(error)) => self.finish(&End::Cut(error.to_string())),
             None => self.finish(&End::Whole),
         }
@@ -57,6 +64,11 @@
         self.flow.with(|body| body.size_hint()).unwrap_or_default()
     }
 
+    fn count(&mut self, frame: &Frame<Bytes>) {
+        let length = frame.data_ref().map_or(0, Bytes::len) as u64;
+        self.due = self.due.map(|due| due.saturating_sub(length));
+    }
+
     fn finish(&mut self, end: &End) {
         if let Some(running) = self.running.take() {
             running.finish(end);
@@ -66,7 +78,8 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let end = if self.is_end() {
+        // A connection stops asking once it has passed on the length it told.
+        let end = if self.is_end() || self.due == Some(0) {
             End::Whole
         } else {
             End::HungUp
--- a/crates/daemon/tests/router/fake.rs
+++ b/crates/daemon/tests/router/fake.rs
@@ -23,6 +23,8 @@
 pub(crate) enum Act {
     /// Answers 200 with a text.
     Answer(&'static str),
+    /// Sends a text with its length told, and ends only once it is released.
+    Told(&'static str),
     /// Sends a text, and breaks off once it is released.
     Break(&'static str),
     /// Turns it away.
--- a/crates/daemon/tests/router/fake/data.rs
+++ b/crates/daemon/tests/router/fake/data.rs
@@ -8,6 +8,7 @@
 use futures::stream::{self, BoxStream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -49,6 +50,7 @@
     let act = shared.acts.lock().pop_front();
     Ok(match act.unwrap_or(Act::Answer("ok")) {
         Act::Answer(text) => whole(text),
+        Act::Told(text) => told(shared, text),
         Act::Break(text) => broken(shared, text),
         Act::Hold(text) => {
             shared.released.notified().await;
@@ -70,11 +72,23 @@
     Response::new(StreamBody::new(stream::iter([Ok(frame(text))]).boxed()))
 }
 
+/// A text whose length is told first, and whose end comes once it is released.
+fn told(shared: Arc<Shared>, text: &'static str) -> Response<Pieces> {
+    let mut response = held(shared, text, Ok(Frame::data(Bytes::new())));
+    let length = HeaderValue::from(text.len());
+    response.headers_mut().insert(CONTENT_LENGTH, length);
+    response
+}
+
 /// A text that breaks off after it once it is released.
 fn broken(shared: Arc<Shared>, text: &'static str) -> Response<Pieces> {
+    held(shared, text, Err("told to break off"))
+}
+
+fn held(shared: Arc<Shared>, text: &'static str, last: Piece) -> Response<Pieces> {
     let end = stream::once(async move {
         shared.released.notified().await;
-        Err("told to break off")
+        last
     });
     let pieces = stream::iter([Ok(frame(text))]).chain(end);
     Response::new(StreamBody::new(pieces.boxed()))
--- a/crates/daemon/tests/router/key.rs
+++ b/crates/daemon/tests/router/key.rs
@@ -33,6 +33,15 @@
     expect_that!(homes, each(gt(0)));
 }
 
+#[gtest]
+#[tokio::test]
+async fn without_an_order_keys_do_not_wait_for_slots() {
+    let fake = Fake::bind("b1", SERVICE, 0).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({"policy": "baseline"})).await;
+    let reply = send(fleet.address(), book("k")).await;
+    expect_that!(reply.status.as_u16(), eq(200));
+}
+
 #[gtest]
 #[tokio::test]
 async fn verdicts_on_keys_become_truthful_answers() {
--- a/crates/daemon/tests/router/outcome.rs
+++ b/crates/daemon/tests/router/outcome.rs
@@ -45,6 +45,19 @@
     expect_that!(outcome(&fleet, &reply).await, eq("cut"));
 }
 
+/// The caller's connection has all that was told before the server's stream ends.
+#[gtest]
+#[tokio::test]
+async fn an_answer_of_told_length_is_whole_once_passed_on() {
+    let fake = Fake::bind("s1", MODEL, 4).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({})).await;
+    fake.then(Act::Told("whole"));
+    let reply = send(fleet.address(), completion()).await;
+    expect_that!(reply.text.as_deref(), ok(eq("whole")));
+    expect_that!(outcome(&fleet, &reply).await, eq("ran"));
+    fake.release();
+}
+
 #[gtest]
 #[tokio::test]
 async fn idempotent_requests_are_retried_elsewhere() {
