--- a/crates/daemon/src/router/link/session.rs
+++ b/crates/daemon/src/router/link/session.rs
@@ -161,7 +161,7 @@
             self.grant(&polled);
             if let Some(report) = &polled.report {
                 poll.counted = self.core.fleet.collect(polled.load.incarnation, report);
-                poll.fleet = self.core.fleet.totals(&mut cursor);
+                poll.fleet = self.core.fleet.tell(polled.load.incarnation, &mut cursor);
             } else {
                 poll.fleet = Vec::new();
             }
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -1,24 +1,24 @@
 //! The sidecars that the router is connected to.
 
-use std::collections::HashMap;
+mod choice;
+
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use mulberryyoke_decide::view::View;
-use mulberryyoke_model::{Millis, PoolId, Server, ServerId, State};
+use mulberryyoke_model::{PoolId, Server, ServerId, State};
 use parking_lot::Mutex;
 
 use super::core::Core;
 use super::link::Link;
 use crate::clock;
+use choice::Choice;
 
 /// Time between two looks at configuration and VM list.
 const TICK: Duration = Duration::from_millis(500);
 
-/// How long a link made for one key is kept after its last use, in milliseconds.
-const EXTRA_MS: Millis = 60_000;
-
 /// Links by server and by pool.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
@@ -30,8 +30,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Links {
     table: ArcSwap<Table>,
-    /// Links beyond the router's own choice, with their last use.
-    extra: Mutex<HashMap<ServerId, Millis>>,
+    choice: Mutex<Choice>,
 }
 
 impl Links {
@@ -62,8 +61,8 @@
     /// The link to a server, made if there is none and kept for a while.
     pub(crate) fn require(&self, core: &Arc<Core>, server: &Arc<Server>) -> Arc<Link> {
         let id = ServerId::of(&server.name);
-        let mut extra = self.extra.lock();
-        extra.insert(id, clock::now());
+        let mut choice = self.choice.lock();
+        choice.require(id, clock::now());
         if let Some(link) = self.get(id) {
             return link;
         }
@@ -74,38 +73,30 @@
         link
     }
 
-    /// Makes and ends links as configuration and VM list say.
+    /// Makes and ends links as configuration, VM list and waiting work say.
     fn reconcile(&self, core: &Arc<Core>) {
         let view = core.fleet.view();
-        let mut extra = self.extra.lock();
-        let now = clock::now();
-        extra.retain(|_, used_at| now.saturating_sub(*used_at) < EXTRA_MS);
-        let mut links = Vec::new();
-        for link in self.all() {
-            let wanted = is_wanted(&view, &link) || extra.contains_key(&link.id);
-            let moved = view
-                .server(link.id)
-                .is_some_and(|server| has_moved(server, &link));
-            if moved || !(wanted || link.standing.running() > 0) {
-                link.stop();
-            } else {
-                links.push(link);
-            }
-        }
-        for pool in view.pools() {
-            for server in view.servers(PoolId::of(&pool.name)) {
-                let id = ServerId::of(&server.name);
-                if server.state == State::Active && links.iter().all(|link| link.id != id) {
-                    links.push(Link::spawn(core, server));
-                }
-            }
+        let mut choice = self.choice.lock();
+        choice.refresh(core, clock::now());
+        let (kept, ended): (Vec<_>, Vec<_>) = self
+            .all()
+            .into_iter()
+            .partition(|link| is_kept(&view, &choice, link));
+        for link in ended {
+            link.stop();
         }
+        let mut links = kept;
+        let held: HashSet<ServerId> = links.iter().map(|link| link.id).collect();
+        let missing = choice.wanted().filter(|server| !held.contains(server));
+        let missing = missing.filter_map(|server| view.server(server));
+        links.extend(missing.map(|server| Link::spawn(core, server)));
         for link in &links {
             let state = view.server(link.id).map(|server| server.state);
             let active = state == Some(State::Active);
             link.set_closed(!active || core.fleet.is_leaving(&link.server.name));
         }
         self.publish(links);
+        core.fleet.set_idle(choice::spare(core));
     }
 
     fn publish(&self, links: Vec<Arc<Link>>) {
@@ -119,18 +110,25 @@
     }
 }
 
-/// A link is kept while its server is configured, and after that until the
-/// sidecar has learnt that it is not.
-fn is_wanted(view: &View, link: &Link) -> bool {
-    let state = view.server(link.id).map(|server| server.state);
-    match state {
-        Some(State::Active | State::Draining) => true,
-        Some(State::Removed) | None => {
-            let load = link.standing.load();
-            let behind = load.is_some_and(|load| load.revision < view.revision());
-            link.standing.is_up() && behind
-        }
+/// Whether a link stays: while it is wanted or something runs there. A server
+/// that leaves is kept until it has gone and its sidecar has learnt that.
+fn is_kept(view: &View, choice: &Choice, link: &Link) -> bool {
+    let server = view.server(link.id);
+    if server.is_some_and(|server| has_moved(server, link)) {
+        return false;
     }
+    let state = server.map(|server| server.state);
+    let wanted = match state {
+        Some(State::Active) => choice.wants(link.id),
+        Some(State::Draining) => true,
+        Some(State::Removed) | None => choice.wants(link.id) || lags(view, link),
+    };
+    wanted || link.standing.running() > 0
+}
+
+fn lags(view: &View, link: &Link) -> bool {
+    let load = link.standing.load();
+    link.standing.is_up() && load.is_some_and(|load| load.revision < view.revision())
 }
 
 fn has_moved(server: &Server, link: &Link) -> bool {
