--- a/crates/daemon/src/router/home.rs
+++ b/crates/daemon/src/router/home.rs
@@ -5,6 +5,7 @@
 use hyper::StatusCode;
 use mulberryyoke_decide::home::{self, Homes};
 use mulberryyoke_model::{Outcome, ServerId};
+use mulberryyoke_settings::Policy;
 
 use super::call::{Call, Key};
 use super::core::Core;
@@ -32,7 +33,8 @@
         }
         let current = homes.current.ok_or_else(no_server)?;
         let link = link(core, current).ok_or_else(no_server)?;
-        if at_once && take_free(core, call, &link) {
+        let baseline = core.settings.policy == Policy::Baseline;
+        if baseline || at_once && take_free(core, call, &link) {
             return Ok(Place::direct(&link));
         }
         let gone = gone(core, call, key, &link);
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -12,6 +12,13 @@
 use super::stalls::Flow;
 use crate::clock;
 
+/// End of a stream of events of a model. Callers that have read it need not
+/// wait for the end of the body.
+const DONE: &[u8] = b"data: [DONE]";
+
+/// Bytes at the end of a piece in which [`DONE`] is looked for.
+const TAIL_BYTES: usize = 32;
+
 /// A server's answer on its way to the caller. A frame is asked of the server
 /// only when the caller's connection has room for it. An answer that is not
 /// whole ends with an error, so that the caller's connection is broken off.
@@ -19,6 +26,8 @@
 pub(crate) struct Relay {
     flow: Arc<Flow>,
     running: Option<Running>,
+    /// Whether the last piece ended a stream of events.
+    done: bool,
 }
 
 impl Relay {
@@ -27,6 +36,7 @@
         Self {
             flow,
             running: Some(running),
+            done: false,
         }
     }
 
@@ -42,7 +52,10 @@
         };
         let frame = ready!(polled);
         match &frame {
-            Some(Ok(_)) => self.flow.handed(clock::now()),
+            Some(Ok(piece)) => {
+                self.done = piece.data_ref().is_some_and(|data| ends_stream(data));
+                self.flow.handed(clock::now());
+            }
             Some(Err(error)) => self.finish(&End::Cut(error.to_string())),
             None => self.finish(&End::Whole),
         }
@@ -66,7 +79,7 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let end = if self.is_end() {
+        let end = if self.done || self.is_end() {
             End::Whole
         } else {
             End::HungUp
@@ -74,3 +87,8 @@
         self.finish(&end);
     }
 }
+
+fn ends_stream(piece: &[u8]) -> bool {
+    let tail = &piece[piece.len().saturating_sub(TAIL_BYTES)..];
+    tail.windows(DONE.len()).any(|window| window == DONE)
+}
--- a/crates/daemon/tests/router/outcome.rs
+++ b/crates/daemon/tests/router/outcome.rs
@@ -1,6 +1,7 @@
 //! Truthful outcomes when servers fail.
 
 use googletest::prelude::*;
+use http_body_util::BodyExt;
 use hyper::Method;
 use mulberryyoke_model::Outcome;
 use mulberryyoke_wire::Verdict;
@@ -154,3 +155,30 @@
     expect_that!(outcome_of(&fleet, "1-1").await, eq("unknown"));
     expect_that!(outcome_of(&fleet, "nonsense").await, eq(""));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_caller_that_leaves_after_the_last_event_had_its_answer() {
+    let rows = [
+        ("data: 1\n\ndata: [DONE]\n\n", "ran"),
+        ("data: 1\n\n", "unknown"),
+    ];
+    for (text, told) in rows {
+        let mut fake = Fake::bind("s1", MODEL, 4).await;
+        let fleet = Fleet::spawn(&[&fake], &json!({})).await;
+        fake.then(Act::Break(text));
+        let response = open(fleet.address(), completion()).await;
+        let id = response.headers()["x-request-id"]
+            .to_str()
+            .unwrap()
+            .to_owned();
+        let mut body = response.into_body();
+        body.frame().await.unwrap().unwrap();
+        drop(body);
+        fake.set_withdrawal(Outcome::Unknown, false);
+        fake.arrival().await;
+        let inspect = fleet.router.inspect();
+        crate::fleet::eventually(|| inspect.servers()[0].running == 0).await;
+        expect_that!(outcome_of(&fleet, &id).await, eq(told), "{text}");
+    }
+}
