--- a/crates/daemon/src/router/link/session.rs
+++ b/crates/daemon/src/router/link/session.rs
@@ -149,6 +149,7 @@
             until: 0,
             counted: 0,
             fleet: Vec::new(),
+            heard: 0,
         };
         let mut teacher = Teacher::new(self.core, self.link, &self.client);
         let mut known = None;
@@ -166,7 +167,9 @@
                 poll.fleet = Vec::new();
             }
             self.pace(asked_at, &polled, &mut known).await;
-            poll.until = clock::now() + self.core.settings.heartbeat_ms;
+            let now = clock::now();
+            poll.until = now + self.core.settings.heartbeat_ms;
+            poll.heard = now.saturating_sub(self.core.settings.exchange_ms);
         }
     }
 
--- a/crates/daemon/src/router/links/choice.rs
+++ b/crates/daemon/src/router/links/choice.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{HashMap, HashSet};
 
-use mulberryyoke_model::{Millis, PoolId, Revision, ServerId};
+use mulberryyoke_decide::view::View;
+use mulberryyoke_model::{Millis, PoolId, Revision, Server, ServerId, State};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::router::core::Core;
 
@@ -24,6 +26,9 @@
 /// Peers' idle servers connected to at a time.
 const WIDEN_MOST: usize = 4;
 
+/// Routers that hold a server that leaves.
+const HOLDERS: usize = 2;
+
 /// Idle servers that peers are told of.
 const HINTS: usize = 8;
 
@@ -62,7 +67,7 @@
         let changed = view.revision() != self.revision && age >= LEAST_MS;
         if changed || age >= REFRESH_MS {
             let pools = view.pools().map(|pool| PoolId::of(&pool.name));
-            self.subset = pools.flat_map(|pool| core.fleet.subset(pool)).collect();
+            self.subset = pools.flat_map(|pool| subset(core, &view, pool)).collect();
             self.revision = view.revision();
             self.chosen_at = now;
         }
@@ -99,6 +104,27 @@
     }
 }
 
+/// Servers of a pool to stay connected to. Those that leave are held by a few
+/// routers, from which they learn of changes.
+fn subset(core: &Core, view: &View, pool: PoolId) -> Vec<ServerId> {
+    let servers = view.servers(pool);
+    let all = servers.len() <= core.settings.limits.subset as usize;
+    let leaving = servers.iter().filter(|server| server.state == State::Draining);
+    let held = leaving.filter(|server| all || is_holder(core, server));
+    let mut subset = core.fleet.subset(pool);
+    subset.extend(held.map(|server| ServerId::of(&server.name)));
+    subset
+}
+
+fn is_holder(core: &Core, server: &Server) -> bool {
+    let seed = u64::from(ServerId::of(&server.name).0);
+    let weight = |router: &str| xxh3_64_with_seed(router.as_bytes(), seed);
+    let own = weight(&core.settings.name);
+    let members = core.fleet.members();
+    let before = members.iter().filter(|member| weight(&member.name) > own);
+    before.count() < HOLDERS
+}
+
 fn has_free(core: &Core, pool: PoolId) -> bool {
     core.links.of(pool, |links| {
         let mut links = links.iter();
--- a/crates/daemon/src/router/operators.rs
+++ b/crates/daemon/src/router/operators.rs
@@ -64,7 +64,12 @@
     }
 
     fn unseen(&self) -> usize {
-        nodes::unseen(&self.core)
+        nodes::unseen(&self.core, &self.inspect.servers())
+    }
+
+    fn control_bytes(&self) -> (u64, u64) {
+        let bytes = self.core.fleet.control_bytes();
+        (bytes.read(), bytes.written())
     }
 
     fn tally(&self) -> Tally {
