--- a/crates/daemon/src/router/link/session.rs
+++ b/crates/daemon/src/router/link/session.rs
@@ -84,6 +84,7 @@
         let ended = tokio::select! {
             ended = session.declare() => ended,
             ended = session.poll() => ended,
+            never = Teacher::new(core, link, &session.client).run() => Ok(never),
         };
         match ended {
             Ok(never) => match never {},
@@ -151,14 +152,12 @@
             fleet: Vec::new(),
             heard: 0,
         };
-        let mut teacher = Teacher::new(self.core, self.link, &self.client);
         let mut known = None;
         loop {
             poll.revision = self.core.fleet.view().revision();
             let asked_at = Instant::now();
             let polled = self.ask(&poll).await?;
             self.learn(polled.load);
-            teacher.compare(polled.load);
             self.grant(&polled);
             if let Some(report) = &polled.report {
                 poll.counted = self.core.fleet.collect(polled.load.incarnation, report);
--- a/crates/daemon/src/router/link/teacher.rs
+++ b/crates/daemon/src/router/link/teacher.rs
@@ -1,10 +1,12 @@
 //! Keeping the configuration of a sidecar and of the router alike.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use mulberryyoke_model::{Incarnation, Load, Revision};
 use mulberryyoke_wire::SidecarClient;
+use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::control::within;
@@ -36,8 +38,24 @@
         }
     }
 
+    /// Compares whenever the configuration changes, and again and again.
+    pub(super) async fn run(mut self) -> Infallible {
+        let mut revision = self.core.fleet.watch();
+        loop {
+            // While the link is down, the load may be that of an earlier life.
+            let load = self.link.standing.load();
+            if let Some(load) = load.filter(|_| self.link.standing.is_up()) {
+                self.compare(load);
+            }
+            tokio::select! {
+                Ok(()) = revision.changed() => {}
+                () = sleep(self.link.heartbeat / 2) => {}
+            }
+        }
+    }
+
     /// Sends what the sidecar lacks, and takes over what the router lacks.
-    pub(super) fn compare(&mut self, load: Load) {
+    fn compare(&mut self, load: Load) {
         let held = self.core.fleet.view().revision();
         if load.revision > held {
             self.catch_up(held);
@@ -52,8 +70,9 @@
             _ => Instant::now(),
         };
         self.behind = Some((held, since));
-        // One router after the other, so that most find it done.
-        let turn = self.link.heartbeat / 2 * self.rank(load.incarnation);
+        // One router after the other, so that most find it done: the next poll
+        // tells them.
+        let turn = self.link.heartbeat * 3 / 2 * self.rank(load.incarnation);
         if since.elapsed() >= turn {
             self.teach(load.revision, held);
         }
--- a/crates/daemon/src/router/links/choice.rs
+++ b/crates/daemon/src/router/links/choice.rs
@@ -109,7 +109,9 @@
 fn subset(core: &Core, view: &View, pool: PoolId) -> Vec<ServerId> {
     let servers = view.servers(pool);
     let all = servers.len() <= core.settings.limits.subset as usize;
-    let leaving = servers.iter().filter(|server| server.state == State::Draining);
+    let leaving = servers
+        .iter()
+        .filter(|server| server.state == State::Draining);
     let held = leaving.filter(|server| all || is_holder(core, server));
     let mut subset = core.fleet.subset(pool);
     subset.extend(held.map(|server| ServerId::of(&server.name)));
