--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -12,6 +12,13 @@
 use super::stalls::Flow;
 use crate::clock;
 
+/// End of a stream of events of a model. Callers that have read it need not
+/// wait for the end of the body.
+const DONE: &[u8] = b"data: [DONE]";
+
+/// Bytes at the end of a piece in which [`DONE`] is looked for.
+const TAIL_BYTES: usize = 32;
+
 /// A server's answer on its way to the caller. A frame is asked of the server
 /// only when the caller's connection has room for it. An answer that is not
 /// whole ends with an error, so that the caller's connection is broken off.
@@ -21,6 +28,8 @@
     running: Option<Running>,
     /// Bytes still due, when the server told the length.
     due: Option<u64>,
+    /// Whether the last piece ended a stream of events.
+    done: bool,
 }
 
 impl Relay {
@@ -31,6 +40,7 @@
             flow,
             running: Some(running),
             due,
+            done: false,
         }
     }
 
@@ -46,8 +56,9 @@
         };
         let frame = ready!(polled);
         match &frame {
-            Some(Ok(frame)) => {
-                self.count(frame);
+            Some(Ok(piece)) => {
+                self.count(piece);
+                self.done = piece.data_ref().is_some_and(|data| ends_stream(data));
                 self.flow.handed(clock::now());
             }
             Some(Err(error)) => self.finish(&End::Cut(error.to_string())),
@@ -79,7 +90,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         // A connection stops asking once it has passed on the length it told.
-        let end = if self.is_end() || self.due == Some(0) {
+        let end = if self.done || self.is_end() || self.due == Some(0) {
             End::Whole
         } else {
             End::HungUp
@@ -87,3 +98,8 @@
         self.finish(&end);
     }
 }
+
+fn ends_stream(piece: &[u8]) -> bool {
+    let tail = &piece[piece.len().saturating_sub(TAIL_BYTES)..];
+    tail.windows(DONE.len()).any(|window| window == DONE)
+}
