--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -26,6 +26,8 @@
 pub(crate) struct Relay {
     flow: Arc<Flow>,
     running: Option<Running>,
+    /// Bytes still due, when the server told the length.
+    due: Option<u64>,
     /// Whether the last piece ended a stream of events.
     done: bool,
 }
@@ -33,9 +35,11 @@
 impl Relay {
     /// Passes on the answer to a request that runs.
     pub(crate) fn new(flow: Arc<Flow>, running: Running) -> Self {
+        let due = flow.with(|body| body.size_hint().exact()).flatten();
         Self {
             flow,
             running: Some(running),
+            due,
             done: false,
         }
     }
@@ -53,6 +57,7 @@
         let frame = ready!(polled);
         match &frame {
             Some(Ok(piece)) => {
+                self.count(piece);
                 self.done = piece.data_ref().is_some_and(|data| ends_stream(data));
                 self.flow.handed(clock::now());
             }
@@ -70,6 +75,11 @@
         self.flow.with(|body| body.size_hint()).unwrap_or_default()
     }
 
+    fn count(&mut self, frame: &Frame<Bytes>) {
+        let length = frame.data_ref().map_or(0, Bytes::len) as u64;
+        self.due = self.due.map(|due| due.saturating_sub(length));
+    }
+
     fn finish(&mut self, end: &End) {
         if let Some(running) = self.running.take() {
             running.finish(end);
@@ -79,7 +89,8 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let end = if self.done || self.is_end() {
+        // A connection stops asking once it has passed on the length it told.
+        let end = if self.done || self.is_end() || self.due == Some(0) {
             End::Whole
         } else {
             End::HungUp
