--- a/crates/daemon/src/router/home.rs
+++ b/crates/daemon/src/router/home.rs
@@ -33,7 +33,8 @@
         }
         let current = homes.current.ok_or_else(no_server)?;
         let link = link(core, current).ok_or_else(no_server)?;
-        if (at_once && take_free(core, call, &link)) || admits_all(core, &link) {
+        let baseline = core.settings.policy == Policy::Baseline;
+        if baseline || at_once && take_free(core, call, &link) {
             return Ok(Place::direct(&link));
         }
         let gone = gone(core, call, key, &link);
@@ -44,17 +45,16 @@
     }
 }
 
-/// Takes a slot that should be free, if nothing else waits.
+/// Takes a slot that should be free, if nothing else waits. Without an order
+/// nothing waits here at all.
 fn take_free(core: &Core, call: &Call, link: &Link) -> bool {
+    if core.settings.policy == Policy::Baseline {
+        return link.standing.is_open();
+    }
     let none_waits = core.rooms.get(call.pool).is_empty();
     none_waits && link.standing.is_open() && link.standing.take_free()
 }
 
-/// Whether the server takes any request at once, to queue inside its backend.
-fn admits_all(core: &Core, link: &Link) -> bool {
-    core.settings.policy == Policy::Baseline && link.standing.is_open()
-}
-
 /// Resolves when waiting for a home has become pointless: when the key has
 /// another one, or when its sidecar does not answer.
 async fn gone(
