--- a/crates/daemon/src/router/home.rs
+++ b/crates/daemon/src/router/home.rs
@@ -95,7 +95,8 @@
     Some(core.links.require(core, server))
 }
 
-/// Makes sure that the key never starts at a former home.
+/// Makes sure that the key never starts at a former home. It counts as sent there:
+/// should the sidecar fail and forget the bar, this router will tell it.
 async fn withdraw(
     core: &Arc<Core>,
     call: &Call,
@@ -104,6 +105,7 @@
 ) -> Result<(), Refusal> {
     let link = link(core, former).ok_or_else(|| doubtful(None))?;
     link.wait_control().await;
+    core.keys.remember(former, key.id, clock::now());
     let withdrawal = link.withdraw(call.attempt, Some(key.id)).await;
     let withdrawal = withdrawal.map_err(|_| doubtful(None))?;
     match withdrawal.outcome {
--- a/crates/daemon/tests/router/key.rs
+++ b/crates/daemon/tests/router/key.rs
@@ -148,3 +148,26 @@
     let sent = KeyId::of(customer(), "sent");
     expect_that!(fake.recalled(), elements_are![eq(&sent)]);
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_new_link_is_told_the_keys_given_up_before() {
+    let former = Fake::bind("b1", SERVICE, 4).await;
+    let home = Fake::bind("b2", SERVICE, 4).await;
+    let fleet = Fleet::spawn(&[&former, &home], &json!({})).await;
+    let now = std::time::SystemTime::now();
+    let now = now.duration_since(std::time::UNIX_EPOCH).unwrap();
+    let now = u64::try_from(now.as_millis()).unwrap();
+    fleet.configure(draining(&former.server, now)).await;
+    let inspect = fleet.router.inspect();
+    eventually(|| inspect.servers().iter().any(|server| server.closed)).await;
+    former.set_withdrawal(Outcome::NotRun, false);
+    // Half of the keys had their home there.
+    for key in 0..32 {
+        send(fleet.address(), book(&format!("k{key}"))).await;
+    }
+    let (_, key) = former.withdrawn().await;
+    let key = key.unwrap();
+    former.freeze(true);
+    eventually(|| former.recalled().contains(&key)).await;
+}
