--- a/crates/daemon/src/sidecar/role.rs
+++ b/crates/daemon/src/sidecar/role.rs
@@ -110,17 +110,6 @@
         wait_idle(&self.shared).await;
     }
 
-    /// Waits until a request runs.
-    pub async fn busy(&self) {
-        while self.running() == 0 {
-            tokio::task::yield_now().await;
-        }
-    }
-
-    fn running(&self) -> usize {
-        self.shared.decide(|admission, _| admission.running())
-    }
-
     /// Waits until the home record is this life's.
     pub async fn home_written(&self) {
         self.shared.home.wait_written().await;
--- a/crates/daemon/tests/sidecar/keys.rs
+++ b/crates/daemon/tests/sidecar/keys.rs
@@ -225,8 +225,10 @@
     let (mut backend, resume) = Backend::spawn_paused().await;
     let node = start(&backend, &Memory::default()).await;
     let sent = tokio::spawn(node.try_send(&keyed(1, 5)));
-    node.sidecar.busy().await;
     let attempt = ticket(1).attempt;
+    while node.link.outcome(context(), attempt, None).await? != Outcome::Running {
+        tokio::task::yield_now().await;
+    }
     let withdrawal = node.link.withdraw(context(), attempt, Some(KeyId(5)));
     expect_that!(withdrawal.await?.outcome, eq(Outcome::Running));
     expect_that!(verdict(&node.send(&keyed(2, 5)).await), some(eq("running")));
--- a/crates/decide/tests/admission/random.rs
+++ b/crates/decide/tests/admission/random/model.rs
@@ -1,4 +1,4 @@
-//! Random sessions of one sidecar against what must hold of every attempt and key.
+//! What must hold of every attempt and key.
 
 use std::collections::{HashMap, HashSet};
 
@@ -8,16 +8,15 @@
     Attempt, Class, CustomerId, Grant, Incarnation, Interest, KeyId, Kind, Millis, Outcome, PoolId,
     ServerId, Ticket,
 };
-use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
-const LINKS: usize = 3;
-const CUSTOMERS: u32 = 4;
+pub const LINKS: usize = 3;
+pub const CUSTOMERS: u32 = 4;
 const SLOTS: u32 = 3;
 const RETENTION: Millis = 5_000;
 
+/// An event.
 #[derive(Clone, Debug)]
-enum Op {
+pub enum Op {
     Wait(u16),
     Declare {
         link: usize,
@@ -53,25 +52,8 @@
     Down(bool),
 }
 
-fn op() -> impl Strategy<Value = Op> {
-    let key = || prop_oneof![3 => Just(None), 1 => (0..6_u64).prop_map(Some)];
-    prop_oneof![
-        2 => (0..400_u16).prop_map(Op::Wait),
-        3 => (0..LINKS, 0..CUSTOMERS, prop::array::uniform3(0..3_u16))
-            .prop_map(|(link, customer, waiting)| Op::Declare { link, customer, waiting }),
-        8 => (0..LINKS, 0..CUSTOMERS, key(), prop::bool::weighted(0.1))
-            .prop_map(|(link, customer, key, repeat)| Op::Send { link, customer, key, repeat }),
-        1 => (0..LINKS).prop_map(|link| Op::Decline { link }),
-        1 => (0..LINKS).prop_map(|link| Op::Reconnect { link }),
-        4 => (any::<usize>(), any::<u8>()).prop_map(|(index, tokens)| Op::Meter { index, tokens }),
-        6 => (any::<usize>(), 0..4_u8).prop_map(|(index, how)| Op::End { index, how }),
-        2 => (0..LINKS, 0..4_u64, key())
-            .prop_map(|(link, ahead, key)| Op::Withdraw { link, ahead, key }),
-        1 => any::<bool>().prop_map(Op::Down),
-    ]
-}
-
-struct Model {
+/// A sidecar and what it has promised.
+pub struct Model {
     admission: Admission,
     now: Millis,
     links: Vec<LinkKey>,
@@ -87,7 +69,7 @@
 }
 
 impl Model {
-    fn open() -> Self {
+    pub fn open() -> Self {
         let setup = Setup {
             server: ServerId(1),
             pool: PoolId(1),
@@ -127,7 +109,7 @@
         key
     }
 
-    fn apply(&mut self, op: &Op) {
+    pub fn apply(&mut self, op: &Op) {
         match *op {
             Op::Wait(time) => {
                 self.now += Millis::from(time);
@@ -281,23 +263,3 @@
     let index = index.checked_rem(items.len())?;
     items.get(index).copied()
 }
-
-#[test]
-fn random_sessions_keep_their_word() {
-    let config = Config {
-        cases: 60,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
-    let mut runner = TestRunner::new_with_rng(config, rng);
-    let sessions = prop::collection::vec(op(), 1..1_500);
-    let result = runner.run(&sessions, |ops| {
-        let mut model = Model::open();
-        for op in &ops {
-            model.apply(op);
-        }
-        Ok(())
-    });
-    result.expect("every session keeps its word");
-}
--- a/crates/decide/tests/admission/session.rs
+++ b/crates/decide/tests/admission/session/mod.rs
@@ -1,16 +1,20 @@
 //! Whole sessions of one sidecar as text: a line for each event, then what came
 //! of it.
 
+mod read;
+
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
-use mulberryyoke_decide::admission::{Admission, Due, Ending, LinkKey, Setup, Sharing};
-use mulberryyoke_decide::key::{Answer, Past};
+use mulberryyoke_decide::admission::{Admission, Due, LinkKey, Setup, Sharing};
+use mulberryyoke_decide::key::Past;
 use mulberryyoke_model::{
-    Attempt, Class, Config, Customer, CustomerId, Incarnation, Interest, KeyId, Kind, Millis,
-    Object, PoolId, Server, ServerId, State, Ticket, Usage,
+    Change, Class, Config, Customer, CustomerId, Incarnation, Interest, KeyId, Kind, Millis,
+    Object, PoolId, ServerId, Usage,
 };
 
+use read::{Words, attempt, ending, interest, origin, server, ticket};
+
 /// Runs a session and returns it with what comes of each event.
 pub fn run(text: &str) -> String {
     let mut session = Session::open();
@@ -35,42 +39,6 @@
     now: Millis,
 }
 
-/// The words of a line; `name=value` words by name.
-struct Words<'a> {
-    plain: Vec<&'a str>,
-    named: BTreeMap<&'a str, &'a str>,
-}
-
-impl<'a> Words<'a> {
-    fn read(line: &'a str) -> Self {
-        let (named, plain): (Vec<&str>, Vec<&str>) =
-            line.split_whitespace().partition(|word| word.contains('='));
-        let named = named.into_iter().filter_map(|word| word.split_once('='));
-        Self {
-            plain,
-            named: named.collect(),
-        }
-    }
-
-    fn number<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
-        self.named.get(name)?.parse().ok()
-    }
-}
-
-fn origin(router: &str) -> Incarnation {
-    Incarnation(router.bytes().map(u64::from).sum())
-}
-
-fn attempt(text: &str) -> Attempt {
-    let (router, request) = text.split_once('/').expect("router/request");
-    let request = request.parse().expect("number");
-    Attempt {
-        origin: origin(router),
-        request,
-        number: 0,
-    }
-}
-
 impl Session {
     fn open() -> Self {
         let setup = Setup {
@@ -240,7 +208,7 @@
             _ => Object::Server(server(name, words)),
         };
         let revision = self.config.revision + 1;
-        self.config.apply(mulberryyoke_model::Change {
+        self.config.apply(Change {
             key: object.key(),
             revision,
             object: Some(object),
@@ -248,64 +216,3 @@
         self.admission.configure(&self.config, "llama", self.now);
     }
 }
-
-fn server(name: String, words: &Words) -> Server {
-    let any = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-    let draining = words.plain.contains(&"draining");
-    Server {
-        name,
-        pool: "llama".to_owned(),
-        region: String::new(),
-        zone: "z".to_owned(),
-        control: any,
-        data: any,
-        slots: words.number("slots").unwrap_or(2),
-        state: if draining {
-            State::Draining
-        } else {
-            State::Active
-        },
-        added_at: 0,
-        changed_at: 0,
-    }
-}
-
-/// `name=urgent,normal,deferrable[,cost]`
-fn interest((name, counts): (&&str, &&str)) -> Interest {
-    let numbers = counts
-        .split(',')
-        .map(|count| count.parse().expect("number"));
-    let numbers: Vec<u32> = numbers.collect();
-    let waiting = [0, 1, 2].map(|class| u16::try_from(numbers[class]).expect("small"));
-    Interest {
-        customer: CustomerId::of(name),
-        waiting,
-        cost: numbers.get(3).copied().unwrap_or(100),
-        since: 0,
-    }
-}
-
-fn ticket(words: &Words) -> Ticket {
-    Ticket {
-        attempt: attempt(words.plain[2]),
-        customer: CustomerId::of(words.plain[3]),
-        class: Class::Normal,
-        deadline: words.number("deadline").unwrap_or(1_000_000),
-        hint: 0,
-        cost: words.number("cost").unwrap_or(100),
-        grant: words.number("grant"),
-        key: words.number("key").map(KeyId),
-    }
-}
-
-fn ending(words: &Words) -> Ending {
-    match words.plain.get(3).copied().unwrap_or("whole") {
-        "cut" => Ending::Cut,
-        "unsent" => Ending::Unsent,
-        _ => Ending::Whole(words.named.get("answer").map(|text| Answer {
-            status: 200,
-            headers: Vec::new(),
-            body: text.as_bytes().to_vec(),
-        })),
-    }
-}
