Tell sidecars less of what waits, and what matters

Every change of every count went to every sidecar. Now a customer with few waiting requests is told to two sidecars for each, to more the longer it waits, to any with a free slot; a count is told again when it changes fourfold or appears or vanishes.

--- a/crates/daemon/src/router/link.rs
+++ b/crates/daemon/src/router/link.rs
@@ -6,7 +6,6 @@
 mod session;
 mod standing;
 mod teacher;
-mod told;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -40,7 +39,7 @@
     heartbeat: Duration,
     control: ArcSwapOption<SidecarClient>,
     linked: watch::Sender<bool>,
-    opened: Notify,
+    reconsider: Notify,
     cancel: CancellationToken,
 }
 
@@ -59,7 +58,7 @@
             heartbeat,
             control: ArcSwapOption::empty(),
             linked: watch::Sender::new(false),
-            opened: Notify::new(),
+            reconsider: Notify::new(),
             cancel: CancellationToken::new(),
         });
         link.standing.begin_at(clock::now());
@@ -75,7 +74,7 @@
     /// Allows or forbids new work, as configuration and VM list say.
     pub(crate) fn set_closed(&self, closed: bool) {
         if self.standing.closed.swap(closed, Ordering::Relaxed) != closed {
-            self.opened.notify_one();
+            self.reconsider.notify_one();
         }
     }
 
--- a/crates/daemon/src/router/link/session.rs
+++ b/crates/daemon/src/router/link/session.rs
@@ -1,21 +1,22 @@
 //! The life of a control link, from one connection to the next.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
+use mulberryyoke_decide::declare::Told;
 use mulberryyoke_decide::exchange::Cursor;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::Load;
 use mulberryyoke_wire::{self as wire, Poll, Polled, SidecarClient};
-use parking_lot::Mutex;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::control::{failed, within};
 use super::teacher::Teacher;
-use super::told::Told;
 use super::{Error, Link, SILENT_HEARTBEATS};
 use crate::clock;
 use crate::router::core::Core;
+use crate::router::look::Look;
 
 /// Pause after the first failure to connect; it doubles up to a heartbeat.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -60,7 +61,6 @@
     core: &'a Arc<Core>,
     link: &'a Arc<Link>,
     client: SidecarClient,
-    told: Mutex<Told>,
 }
 
 impl<'a> Session<'a> {
@@ -72,12 +72,7 @@
             Err(_) => return Error::Timeout,
         };
         link.set_control(Some(client.clone()));
-        let session = Self {
-            core,
-            link,
-            client,
-            told: Mutex::default(),
-        };
+        let session = Self { core, link, client };
         if let Err(error) = session.recall().await {
             return error;
         }
@@ -103,46 +98,52 @@
         call.await.map_err(failed)
     }
 
-    /// Tells the sidecar what waits, first all of it, then each change.
-    async fn declare(&self) -> Result<std::convert::Infallible, Error> {
+    /// Tells the sidecar what waits, first all of it, then what has changed.
+    async fn declare(&self) -> Result<Infallible, Error> {
         let room = self.core.rooms.get(self.link.pool);
         let mut changed = room.subscribe();
+        let mut told = Told::default();
         let mut seen = 0;
         let mut full = true;
+        let mut all = true;
         loop {
             changed.mark_unchanged();
-            let interest = if self.link.standing.is_closed() {
-                Vec::new()
-            } else if full {
-                room.all_interest(&mut seen, self.link.id)
-            } else {
-                room.new_interest(&mut seen, self.link.id)
-            };
-            let news = self.news(full, interest);
+            let interest = room.interest(&mut seen, &self.look(&told, all));
+            let news = told.news(interest);
             if full || !news.is_empty() {
+                let count = u64::try_from(news.len()).unwrap_or(u64::MAX);
+                metrics::counter!("declarations_total").increment(1);
+                metrics::counter!("declared_customers_total").increment(count);
                 let context = within(POLL_LIMIT);
                 let origin = self.core.origin();
                 let call = self.client.declare(context, origin, full, news);
                 call.await.map_err(failed)?;
                 sleep(DECLARE_PAUSE).await;
             }
-            full = tokio::select! {
+            full = false;
+            all = tokio::select! {
                 _ = changed.changed() => false,
-                () = self.link.opened.notified() => true,
+                () = self.link.reconsider.notified() => true,
             };
         }
     }
 
-    fn news(&self, full: bool, interest: Vec<wire::Interest>) -> Vec<wire::Interest> {
-        let mut told = self.told.lock();
-        if full {
-            told.clear();
+    /// What decides on the next declaration.
+    fn look<'t>(&self, told: &'t Told, all: bool) -> Look<'t> {
+        let standing = &self.link.standing;
+        Look {
+            server: self.link.id,
+            has_free: standing.free() > 0,
+            closed: standing.is_closed(),
+            open: self.core.links.open(self.link.pool),
+            now: clock::now(),
+            told,
+            all,
         }
-        told.news(interest)
     }
 
     /// Polls for grants and load.
-    async fn poll(&self) -> Result<std::convert::Infallible, Error> {
+    async fn poll(&self) -> Result<Infallible, Error> {
         let mut cursor = Cursor::default();
         let mut poll = Poll {
             origin: self.core.origin(),
@@ -175,6 +176,7 @@
     /// Calls the sidecar and watches for its silence.
     async fn ask(&self, poll: &Poll) -> Result<Polled, Error> {
         let silence = self.link.heartbeat * (SILENT_HEARTBEATS + 1);
+        metrics::counter!("polls_total").increment(1);
         let call = self.client.poll(within(POLL_LIMIT), poll.clone());
         let mut call = std::pin::pin!(call);
         if let Ok(polled) = timeout(silence, &mut call).await {
@@ -191,6 +193,10 @@
 
     fn learn(&self, load: Load) {
         self.link.standing.learn(load, clock::now());
+        if load.free > 0 {
+            // A server with a free slot is told of everything that waits.
+            self.link.reconsider.notify_one();
+        }
         if !self.link.standing.is_up() {
             self.link.set_up(true);
             log!(self.core.logger, Event::LinkUp,
--- a/crates/daemon/src/router/link/standing.rs
+++ b/crates/daemon/src/router/link/standing.rs
@@ -93,9 +93,13 @@
         self.running.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Counts a request that has ended there; its slot should be free.
-    pub(crate) fn end(&self) {
+    /// Counts a request that has ended there. Its slot should be free if
+    /// nothing waits for one.
+    pub(crate) fn end(&self, none_waits: bool) {
         self.running.fetch_sub(1, Ordering::Relaxed);
+        if !none_waits {
+            return;
+        }
         let slots = self.slots();
         let give = |free: u32| (free < slots).then_some(free + 1);
         // A full count stays as it is.
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -138,12 +138,15 @@
 /// Keeps the links and the queues in step with configuration, VM list and time.
 pub(crate) async fn keep(core: Arc<Core>) {
     let mut revision = core.fleet.watch();
+    let mut before = clock::now();
     loop {
         core.links.reconcile(&core);
         let now = clock::now();
         for room in core.rooms.all() {
             room.raise(now);
+            room.spread(before, now);
         }
+        before = now;
         let stall_ms = core.settings.limits.stall_ms;
         core.stalls.release(now.saturating_sub(stall_ms));
         tokio::select! {
--- a/crates/daemon/src/router/mod.rs
+++ b/crates/daemon/src/router/mod.rs
@@ -18,6 +18,7 @@
 mod late;
 mod link;
 mod links;
+mod look;
 mod memory;
 mod operators;
 mod outcome;
--- a/crates/daemon/src/router/room.rs
+++ b/crates/daemon/src/router/room.rs
@@ -1,13 +1,16 @@
 //! The waiting requests of one pool.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
+use mulberryyoke_decide::declare::SPREAD_MS;
 use mulberryyoke_decide::place::Prefix;
 use mulberryyoke_decide::queue::{Changes, Key, Queue, Waiting};
 use mulberryyoke_model::{Attempt, CustomerId, Interest, Millis, PoolId, ServerId};
 use parking_lot::Mutex;
 use tokio::sync::{oneshot, watch};
 
+use super::look::Look;
 use super::place::Place;
 
 /// What ends a request's wait.
@@ -118,26 +121,41 @@
         self.changed.send_replace(number);
     }
 
-    /// Everything that waits for a server; `seen` becomes the latest change.
-    pub(crate) fn all_interest(&self, seen: &mut u64, server: ServerId) -> Vec<Interest> {
+    /// What a sidecar is to be told: of customers changed since `seen`, which
+    /// becomes the latest change, or of every customer.
+    pub(crate) fn interest(&self, seen: &mut u64, look: &Look<'_>) -> Vec<Interest> {
         let state = self.state.lock();
-        *seen = state.changes.last();
-        let mut customers: Vec<CustomerId> = state.queue.customers().collect();
+        let since = std::mem::replace(seen, state.changes.last());
+        let mut customers: Vec<CustomerId> = if look.all {
+            let waiting = state.queue.customers();
+            waiting.chain(look.told.customers()).collect()
+        } else {
+            state.changes.since(since).collect()
+        };
         customers.sort_unstable();
         customers.dedup();
-        let all = customers.into_iter();
-        all.map(|customer| state.queue.interest(customer, server))
+        let interest = customers.into_iter();
+        interest
+            .map(|customer| look.interest(&state.queue, customer))
             .collect()
     }
 
-    /// What has changed since `seen`, which becomes the latest change.
-    pub(crate) fn new_interest(&self, seen: &mut u64, server: ServerId) -> Vec<Interest> {
-        let state = self.state.lock();
-        let since = std::mem::replace(seen, state.changes.last());
-        let changed = state.changes.since(since);
-        changed
-            .map(|customer| state.queue.interest(customer, server))
-            .collect()
+    /// Marks customers whose requests have waited for so long since `before`
+    /// that more sidecars are to be told.
+    pub(crate) fn spread(&self, before: Millis, now: Millis) {
+        let mut state = self.state.lock();
+        let steps = |since: Millis, at: Millis| at.saturating_sub(since) / SPREAD_MS;
+        let waiting = state.queue.iter().map(|(_, waiting)| waiting);
+        let longer = waiting.filter(|held| steps(held.since, before) < steps(held.since, now));
+        let customers: HashSet<CustomerId> = longer.map(|waiting| waiting.customer).collect();
+        let marked = customers
+            .into_iter()
+            .map(|customer| state.changes.mark(customer));
+        let Some(number) = marked.last() else {
+            return;
+        };
+        drop(state);
+        self.changed.send_replace(number);
     }
 
     /// Reads the queue for introspection.
--- a/crates/daemon/src/router/running.rs
+++ b/crates/daemon/src/router/running.rs
@@ -114,7 +114,8 @@
         if !self.ended {
             self.end(&End::HungUp);
         }
-        self.link.standing.end();
+        let none_waits = self.core.rooms.get(self.link.pool).is_empty();
+        self.link.standing.end(none_waits);
         self.core.counts.end(self.customer);
     }
 }
--- a/crates/daemon/tests/router/fake.rs
+++ b/crates/daemon/tests/router/fake.rs
@@ -29,6 +29,8 @@
     Break(&'static str),
     /// Turns it away.
     Verdict(Verdict),
+    /// Names a length and sends a text, but does not end the stream.
+    Sized(u64, &'static str),
     /// Answers with a text once it is released.
     Hold(&'static str),
     /// Sends a text again and again.
--- a/crates/daemon/tests/router/fake/data.rs
+++ b/crates/daemon/tests/router/fake/data.rs
@@ -56,6 +56,12 @@
             shared.released.notified().await;
             whole(text)
         }
+        Act::Sized(length, text) => {
+            let mut response = broken(shared, text);
+            let headers = response.headers_mut();
+            headers.insert(CONTENT_LENGTH, length.into());
+            response
+        }
         Act::Endless => endless(shared),
         Act::Silence => std::future::pending().await,
         Act::Verdict(word) => {
--- /dev/null
+++ b/crates/decide/src/declare.rs
@@ -0,0 +1,108 @@
+//! What a router tells each sidecar of its waiting requests, and when.
+//!
+//! Telling every sidecar of every request costs more than all other control
+//! traffic, and a sidecar needs little of it: whether anything of a customer
+//! waits, and whether any of it is urgent. So counts are told again only when
+//! they differ by much, and a customer with few waiting requests is told to a
+//! few sidecars, to more the longer it waits. No server idles for it: one with
+//! a free slot is told everything.
+
+use std::collections::HashMap;
+
+use mulberryyoke_model::{Class, CustomerId, Interest, Millis, ServerId};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Sidecars told for each waiting request of a customer.
+pub const TOLD: usize = 2;
+
+/// Time after which twice as many sidecars are told, in milliseconds.
+pub const SPREAD_MS: Millis = 1_000;
+
+/// Factor by which a count has to change to be told again.
+const CHANGE: u32 = 4;
+
+/// Most doublings of the number of sidecars told.
+const DOUBLINGS: Millis = 16;
+
+/// How many sidecars are told of a customer's waiting requests.
+#[must_use]
+pub fn reach(interest: &Interest, now: Millis) -> usize {
+    let steps = now.saturating_sub(interest.since) / SPREAD_MS;
+    let each = TOLD << steps.min(DOUBLINGS);
+    each.saturating_mul(interest.total() as usize)
+}
+
+/// Whether a sidecar is among those told of a customer's waiting requests.
+/// `salt` changes whenever the customer begins to wait; `open` are the servers
+/// that may get new work.
+#[must_use]
+pub fn is_told(
+    interest: &Interest,
+    salt: u64,
+    server: ServerId,
+    open: &[ServerId],
+    now: Millis,
+) -> bool {
+    let reach = reach(interest, now);
+    if open.len() <= reach {
+        return true;
+    }
+    let own = weight(interest.customer, salt, server);
+    let before = open
+        .iter()
+        .filter(|&&other| weight(interest.customer, salt, other) > own);
+    before.take(reach).count() < reach
+}
+
+fn weight(customer: CustomerId, salt: u64, server: ServerId) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..4].copy_from_slice(&customer.0.to_le_bytes());
+    bytes[4..8].copy_from_slice(&server.0.to_le_bytes());
+    bytes[8..].copy_from_slice(&salt.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
+/// What one sidecar was told last.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    waiting: HashMap<CustomerId, [u16; 3]>,
+}
+
+impl Told {
+    /// Keeps of `interest` what has to be told, and takes it as told.
+    pub fn news(&mut self, mut interest: Vec<Interest>) -> Vec<Interest> {
+        interest.retain(|now| self.is_news(now));
+        for interest in &interest {
+            if interest.total() == 0 {
+                self.waiting.remove(&interest.customer);
+            } else {
+                self.waiting.insert(interest.customer, interest.waiting);
+            }
+        }
+        interest
+    }
+
+    fn is_news(&self, interest: &Interest) -> bool {
+        let told = self.waiting.get(&interest.customer);
+        let told = told.copied().unwrap_or_default();
+        let urgent = Class::Urgent.index();
+        differs(told[urgent].into(), interest.waiting[urgent].into())
+            || differs(told.into_iter().map(u32::from).sum(), interest.total())
+    }
+
+    /// Whether the sidecar was told of a customer.
+    #[must_use]
+    pub fn knows(&self, customer: CustomerId) -> bool {
+        self.waiting.contains_key(&customer)
+    }
+
+    /// Customers of whom the sidecar was told.
+    pub fn customers(&self) -> impl Iterator<Item = CustomerId> {
+        self.waiting.keys().copied()
+    }
+}
+
+fn differs(told: u32, now: u32) -> bool {
+    let (less, more) = (told.min(now), told.max(now));
+    more > 0 && more >= CHANGE * less
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod account;
 pub mod admission;
+pub mod declare;
 pub mod exchange;
 pub mod home;
 pub mod key;
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -83,7 +83,8 @@
         }
         let waiting = &self.arena[key];
         let line = self.lines.entry((waiting.customer, waiting.bound));
-        line.or_default().insert(key, waiting);
+        line.or_insert_with(|| Line::new(waiting.arrival))
+            .insert(key, waiting);
         key
     }
 
@@ -212,6 +213,19 @@
         line.map_or(0, |line| line.position(waiting))
     }
 
+    /// A number that changes whenever the customer begins to wait.
+    #[must_use]
+    pub fn salt(&self, customer: CustomerId) -> u64 {
+        let line = self.lines.get(&(customer, None));
+        line.map_or(0, Line::began)
+    }
+
+    /// Whether the customer has requests that only `server` may run.
+    #[must_use]
+    pub fn is_bound(&self, customer: CustomerId, server: ServerId) -> bool {
+        self.lines.contains_key(&(customer, Some(server)))
+    }
+
     /// Customers with something waiting; one may stand in it more than once.
     pub fn customers(&self) -> impl Iterator<Item = CustomerId> {
         self.lines.keys().map(|&(customer, _)| customer)
--- a/crates/decide/src/queue/line.rs
+++ b/crates/decide/src/queue/line.rs
@@ -17,9 +17,22 @@
 pub(super) struct Line {
     ranks: [Rank; 3],
     cost: u64,
+    /// Arrival number of the first request that it ever held.
+    began: u64,
 }
 
 impl Line {
+    pub(super) fn new(began: u64) -> Self {
+        Self {
+            began,
+            ..Self::default()
+        }
+    }
+
+    pub(super) const fn began(&self) -> u64 {
+        self.began
+    }
+
     pub(super) fn insert<T>(&mut self, key: Key, waiting: &Waiting<T>) {
         let rank = &mut self.ranks[waiting.rank.index()];
         rank.by_deadline
