--- a/crates/client/src/cmd/waiting.rs
+++ b/crates/client/src/cmd/waiting.rs
@@ -1,7 +1,8 @@
 //! `mulberryyoke waiting`.
 
 use mulberryyoke_command::Command;
-use mulberryyoke_command::answer::{Answer, Counter, Waiter};
+use mulberryyoke_command::answer::{Answer, Counter, Waiter, Waiting};
+use mulberryyoke_model::Outcome;
 
 use crate::cmd::unexpected;
 use crate::error::Error;
@@ -23,7 +24,7 @@
         return Ok(());
     }
     if waiting.requests.is_empty() {
-        println!("router {}: nothing waits", waiting.router);
+        println!("router {}: {}", waiting.router, elsewhere(waiting));
         return Ok(());
     }
     println!("{}", counters(&waiting.customers));
@@ -34,6 +35,15 @@
     Ok(())
 }
 
+/// What is known when nothing that was asked for waits at the asked router.
+fn elsewhere(waiting: &Waiting) -> String {
+    match waiting.outcome {
+        None => "nothing waits".to_owned(),
+        Some(Outcome::Waiting) => "the request waits at another router".to_owned(),
+        Some(outcome) => format!("the request does not wait; outcome: {}", outcome.word()),
+    }
+}
+
 fn counters(customers: &[Counter]) -> Table {
     let mut table = Table::new(&[
         "CUSTOMER",
--- a/crates/daemon/src/router/operators/waiting.rs
+++ b/crates/daemon/src/router/operators/waiting.rs
@@ -151,7 +151,7 @@
     let count = before.len().min(NAMED);
     let names = before[..count].join(", ");
     match before.len() - count {
-        0 => format!("{first}; less service per share have {names}"),
-        more => format!("{first}; less service per share have {names} and {more} more"),
+        0 => format!("{first}; less service per share: {names}"),
+        more => format!("{first}; less service per share: {names} and {more} more"),
     }
 }
--- a/crates/daemon/tests/pages.rs
+++ b/crates/daemon/tests/pages.rs
@@ -1,6 +1,7 @@
 //! Every command and option of the daemon stands in its manual page and in the
 //! completions.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::path::Path;
 use std::process::Command;
@@ -50,3 +51,47 @@
         }
     }
 }
+
+/// Metrics that the sources of a package record.
+fn recorded(package: &str) -> BTreeSet<String> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("..")
+        .join(package);
+    let mut names = BTreeSet::new();
+    let mut directories = vec![root.join("src")];
+    while let Some(directory) = directories.pop() {
+        for entry in fs::read_dir(&directory).expect("the source is there") {
+            let path = entry.expect("an entry").path();
+            if path.is_dir() {
+                directories.push(path);
+                continue;
+            }
+            let source = fs::read_to_string(&path).expect("source is text");
+            for kind in ["counter!(", "gauge!(", "histogram!("] {
+                let calls = source.split(kind).skip(1);
+                let named = calls.filter_map(|call| call.trim_start().strip_prefix('"'));
+                names.extend(
+                    named
+                        .filter_map(|call| call.split('"').next())
+                        .map(str::to_owned),
+                );
+            }
+        }
+    }
+    names
+}
+
+#[gtest]
+fn every_metric_stands_on_the_page() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operating/metrics.md");
+    let page = fs::read_to_string(page).expect("the page is there");
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `"));
+    let rows = rows.filter(|row| row.contains("| counter |") || row.contains("| gauge |"));
+    let listed: BTreeSet<String> = rows
+        .filter_map(|row| row.split('`').next())
+        .map(str::to_owned)
+        .collect();
+    let mut all = recorded("daemon");
+    all.extend(recorded("platform"));
+    expect_that!(listed, eq(&all));
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -145,6 +145,7 @@
         1..=u32_max,
     )?;
     within("limits.head_ms", limits.head_ms, 1..=MAX_PERIOD_MS)?;
+    within("limits.stall_ms", limits.stall_ms, 1..=MAX_RETENTION_MS)?;
     within("limits.stall_ms", limits.stall_ms, 1..=MAX_DRAIN_MS)?;
     within(
         "limits.deadline_ms",
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -247,3 +247,49 @@
         expect_that!(said, starts_with("could not parse settings: "));
     }
 }
+
+/// The fields that an error names as those there are.
+fn known_fields(settings: &Value) -> Vec<String> {
+    let file = File::new(
+        &settings["name"].to_string().replace('"', ""),
+        &settings.to_string(),
+    );
+    let said = check(&file.0, None)
+        .expect_err("a field is unknown")
+        .to_string();
+    let (_, listed) = said
+        .split_once("expected one of ")
+        .expect("it lists the fields");
+    let quoted = listed.split('`').skip(1).step_by(2);
+    quoted.map(str::to_owned).collect()
+}
+
+#[gtest]
+fn every_field_stands_on_the_page() {
+    let page = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/operating/settings.md");
+    let page = fs::read_to_string(page).expect("the page is there");
+    let (routers, rest) = page
+        .split_once("## Limits")
+        .expect("the page has a part on limits");
+    let (limits, sidecars) = rest
+        .split_once("## Sidecar")
+        .expect("it has a part on sidecars");
+    let mut of_limits = router();
+    of_limits["limits"] = json!({"unknown": 1});
+    let mut of_router = router();
+    of_router["unknown"] = json!(1);
+    let mut of_sidecar = sidecar();
+    of_sidecar["unknown"] = json!(1);
+    for (part, prefix, settings) in [
+        (routers, "", of_router),
+        (limits, "limits.", of_limits),
+        (sidecars, "", of_sidecar),
+    ] {
+        let fields = known_fields(&settings);
+        expect_that!(fields.len(), ge(8));
+        for field in fields {
+            let row = format!("| `{prefix}{field}` |");
+            expect_that!(part, contains_substring(row.as_str()));
+        }
+    }
+}
