--- a/crates/standin/src/fleet/audit.rs
+++ b/crates/standin/src/fleet/audit.rs
@@ -9,8 +9,8 @@
 use super::call::{Call, End};
 use super::load::Record;
 
-/// Findings shown one by one, at most.
-const MOST_SHOWN: usize = 20;
+/// Findings kept one by one, at most.
+const MOST_KEPT: usize = 200;
 
 /// Counts of a run; all after `unknown` should be 0 but `reruns`.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -19,6 +19,8 @@
     pub(crate) answered: usize,
     /// Given up after every attempt was told not to have run.
     pub(crate) refused: usize,
+    /// Attempts that were told not to have run.
+    pub(crate) refusals: usize,
     /// Told to have run, without the answer.
     pub(crate) told_ran: usize,
     /// Ended without knowledge.
@@ -72,11 +74,13 @@
             End::NotRun => self.refused += 1,
             End::Ran if started(last) > 0 => self.told_ran += 1,
             End::Ran => self.find(|audit| &mut audit.lost, "told ran without a run", record),
-            End::Unknown => self.unknown += 1,
+            End::Unknown => self.find(|audit| &mut audit.unknown, "unknown", record),
             End::Lost => self.find(|audit| &mut audit.lost, "never ended", record),
             End::Truncated => self.find(|audit| &mut audit.truncated, "truncated", record),
             End::Crossed => self.find(|audit| &mut audit.crossed, "crossed", record),
         }
+        let refusals = record.calls.iter().filter(|call| call.end == End::NotRun);
+        self.refusals += refusals.count();
         self.count_runs(record, started);
     }
 
@@ -116,7 +120,7 @@
 
     fn find(&mut self, count: fn(&mut Self) -> &mut usize, what: &str, record: &Record) {
         *count(self) += 1;
-        if self.findings.len() >= MOST_SHOWN {
+        if self.findings.len() >= MOST_KEPT {
             return;
         }
         let calls = record.calls.iter();
--- a/crates/standin/src/fleet/gap.rs
+++ b/crates/standin/src/fleet/gap.rs
@@ -6,45 +6,69 @@
 const GRID: usize = 1000 / STEP.as_millis() as usize;
 /// Shortest window of [`Gap::fraction_5s`], in grid steps.
 const SHORTEST: usize = 5;
+/// Part of the samples in which a customer counted by [`Gap::backlogged`] waits.
+const STEADY: (usize, usize) = (9, 10);
 
 /// The largest difference in service by share between two customers who were
 /// both backlogged throughout a window, over all windows on a grid of a second.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Gap {
+pub struct Gap {
     /// In tokens per share.
-    pub(crate) tokens: f64,
+    pub tokens: f64,
     /// The same over the service by share of all customers backlogged
     /// throughout that window.
-    pub(crate) fraction: f64,
+    pub fraction: f64,
     /// The largest such fraction over windows of at least five seconds.
-    pub(crate) fraction_5s: f64,
+    pub fraction_5s: f64,
     /// Length of the window of `tokens`, in seconds.
-    pub(crate) seconds: usize,
-    /// Least customers backlogged throughout the whole run.
-    pub(crate) backlogged: usize,
+    pub seconds: usize,
+    /// Customers backlogged in nearly every sample.
+    pub backlogged: usize,
 }
 
-/// Measures the gap.
-pub(crate) fn gap(samples: &[Sample], shares: &[u32]) -> Gap {
-    let mut gap = Gap::default();
+/// Measures the gap of customers with `shares` over evenly spaced samples.
+#[must_use]
+pub fn gap(samples: &[Sample], shares: &[u32]) -> Gap {
+    let steady = |customer: &usize| is_steady(samples, *customer);
+    let mut gap = Gap {
+        backlogged: (0..shares.len()).filter(steady).count(),
+        ..Gap::default()
+    };
     let marks: Vec<usize> = (0..samples.len()).step_by(GRID).collect();
     let ends = backlog_ends(samples, shares.len());
     for (place, &from) in marks.iter().enumerate() {
         for &to in &marks[place + 1..] {
-            let seconds = (to - from) / GRID;
             let backlogged = (0..shares.len()).filter(|&c| ends[from][c] > to);
             let services: Vec<(f64, f64)> = backlogged
                 .map(|c| (tokens(samples, c, from, to), f64::from(shares[c])))
                 .collect();
-            gap.take(&services, seconds);
-            if place == 0 {
-                gap.backlogged = services.len();
-            }
+            gap.take(&services, (to - from) / GRID);
         }
     }
     gap
 }
 
+/// Seconds from the end of a fault until the gap over [`SHORTEST`] seconds is
+/// again no larger than before the fault; both instants in seconds of the run.
+pub(crate) fn recovery(
+    samples: &[Sample],
+    shares: &[u32],
+    begin: usize,
+    end: usize,
+) -> Option<usize> {
+    let over = |second: usize| {
+        let from = second * GRID;
+        let window = samples.get(from..=from + SHORTEST * GRID)?;
+        Some(gap(window, shares).fraction_5s)
+    };
+    let before = (0..begin.saturating_sub(SHORTEST)).filter_map(over);
+    let usual = before.fold(0.0, f64::max);
+    (end..)
+        .map_while(|second| Some((second, over(second)?)))
+        .find(|(_, gap)| *gap <= usual)
+        .map(|(second, _)| second - end)
+}
+
 impl Gap {
     /// Takes one window into account.
     fn take(&mut self, services: &[(f64, f64)], seconds: usize) {
@@ -79,13 +103,19 @@
     ends
 }
 
+fn is_steady(samples: &[Sample], customer: usize) -> bool {
+    let waiting = samples.iter().filter(|sample| sample.waiting[customer]);
+    waiting.count() * STEADY.1 > samples.len() * STEADY.0
+}
+
 #[expect(clippy::cast_precision_loss, reason = "tokens of a run are few")]
 fn tokens(samples: &[Sample], customer: usize, from: usize, to: usize) -> f64 {
     (samples[to].service[customer] - samples[from].service[customer]) as f64
 }
 
 /// Busy slots over slots while work waits.
-pub(crate) fn utilisation(samples: &[Sample]) -> f64 {
+#[must_use]
+pub fn utilisation(samples: &[Sample]) -> f64 {
     let waiting = samples
         .iter()
         .filter(|sample| sample.waiting.contains(&true));
