--- a/crates/daemon/tests/pages.rs
+++ b/crates/daemon/tests/pages.rs
@@ -69,7 +69,7 @@
             let source = fs::read_to_string(&path).expect("source is text");
             for kind in ["counter!(", "gauge!(", "histogram!("] {
                 let calls = source.split(kind).skip(1);
-                let named = calls.filter_map(|call| call.trim_start().strip_prefix('"'));
+                let quoted = calls.filter_map(|call| call.trim_start().strip_prefix('"'));
                 names.extend(
                     named
                         .filter_map(|call| call.split('"').next())
