Don't report the key-value service as down when nothing changes

A watch that was silent for 10 s was taken for a failure: an idle fleet logged 3002 and 3003 every 10 s. It is opened again without a word; a service that is really gone shows at that.

--- a/crates/daemon/src/fleet/source.rs
+++ b/crates/daemon/src/fleet/source.rs
@@ -12,8 +12,8 @@
 use futures::StreamExt;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::{Change, Revision};
-use mulberryyoke_platform::Backoff;
 use mulberryyoke_platform::kv::{self, Kv, Listing, Watch};
+use mulberryyoke_platform::{Backoff, Cause};
 use tokio::time::{interval, sleep, sleep_until, timeout};
 
 use super::Fleet;
@@ -35,6 +35,9 @@
 enum End {
     /// Other routers watch.
     Relieved,
+    /// The watch said nothing for long, as it does when nothing changes; another one
+    /// shows whether it was cut.
+    Silent,
     /// The service failed.
     Failed(kv::Error),
     /// The service has older contents than have been accepted.
@@ -213,7 +216,11 @@
             }
         }
         self.fleet.accept(changes, "kv");
-        failed.map_or(Ok(()), |error| Err(error.into()))
+        match failed {
+            None => Ok(()),
+            Some(kv::Error::Unknown(Cause::Late)) => Err(End::Silent),
+            Some(error) => Err(error.into()),
+        }
     }
 
     fn note_up(&mut self) {
@@ -225,7 +232,7 @@
 
     async fn note(&mut self, end: Result<(), End>) {
         match end {
-            Ok(()) | Err(End::Relieved) => {}
+            Ok(()) | Err(End::Relieved | End::Silent) => {}
             Err(End::Failed(error)) => self.note_failure(&error).await,
             Err(End::Behind(revision)) => self.note_behind(revision),
         }
--- a/crates/daemon/tests/pages.rs
+++ b/crates/daemon/tests/pages.rs
@@ -71,7 +71,7 @@
                 let calls = source.split(kind).skip(1);
                 let quoted = calls.filter_map(|call| call.trim_start().strip_prefix('"'));
                 names.extend(
-                    named
+                    quoted
                         .filter_map(|call| call.split('"').next())
                         .map(str::to_owned),
                 );
