Charge running requests as they stream, 128 tokens ahead; urgent lead 512

The whole estimate at the start made a long request cost its customer all later turns while it streamed through one slot.

--- a/crates/decide/src/account.rs
+++ b/crates/decide/src/account.rs
@@ -27,7 +27,7 @@
 use mulberryyoke_model::CustomerId;
 use smallvec::SmallVec;
 
-pub use charge::Charge;
+pub use charge::{AHEAD, Charge};
 pub use demand::Demand;
 pub use hint::Hint;
 pub use ledger::{AccountKey, Ledger};
@@ -37,7 +37,7 @@
 
 /// How far urgent work runs ahead of its customer's fair position, in tokens
 /// for each unit of share. Repaid, since all service counts.
-pub const URGENT_LEAD: i64 = 1_024;
+pub const URGENT_LEAD: i64 = 512;
 
 /// Largest holding back of a customer by one sidecar, in tokens for each other
 /// server of the pool.
--- a/crates/decide/src/account/charge.rs
+++ b/crates/decide/src/account/charge.rs
@@ -1,7 +1,11 @@
 //! What one running request has been charged.
 
-/// Charge of one running request: its estimate, raised once more tokens have
-/// streamed than that, settled at its end.
+/// How far the charge of a running request is ahead of its stream, in tokens.
+pub const AHEAD: u64 = 128;
+
+/// Charge of one running request: what has streamed and up to [`AHEAD`] tokens of
+/// what is still expected, so that a customer's charges rise about as its requests
+/// run, and a request that was just started counts at once. Settled at the end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Charge {
     estimate: u64,
@@ -9,7 +13,7 @@
 }
 
 impl Charge {
-    /// A charge of an estimate, in tokens.
+    /// The charge of a request that starts now, with an estimated cost in tokens.
     #[must_use]
     pub const fn open(estimate: u64) -> Self {
         Self {
@@ -21,7 +25,8 @@
     /// Tokens charged so far.
     #[must_use]
     pub fn charged(&self) -> u64 {
-        self.estimate.max(self.metered)
+        let ahead = self.estimate.min(self.metered + AHEAD);
+        self.metered.max(ahead)
     }
 
     /// Tokens that streamed so far.
@@ -37,7 +42,7 @@
         self.charged() - before
     }
 
-    /// Settles at the end. Returns what the estimate charged too much.
+    /// Settles at the end. Returns what was charged too much.
     #[must_use]
     pub fn settle(&self) -> u64 {
         self.charged() - self.metered
--- a/crates/decide/src/admission/arrive.rs
+++ b/crates/decide/src/admission/arrive.rs
@@ -103,14 +103,15 @@
         }
         let account = self.ledger.open(ticket.customer);
         let estimate = self.estimate(account, ticket.cost);
-        self.ledger.start(account, estimate);
+        let charge = Charge::open(estimate);
+        self.ledger.start(account, charge.charged());
         self.attempts.start(ticket.attempt);
         if let Some(key) = ticket.key {
             self.keys.note(key, Seen::Running, now);
         }
         let running = Running {
             account,
-            charge: Charge::open(estimate),
+            charge,
             cost: ticket.cost,
             key: ticket.key,
         };
--- a/crates/decide/src/admission/grants.rs
+++ b/crates/decide/src/admission/grants.rs
@@ -4,7 +4,7 @@
 
 use super::link::LinkKey;
 use super::{Admission, Sharing};
-use crate::account::{AccountKey, Demand, Virtual};
+use crate::account::{AccountKey, Charge, Demand, Virtual};
 
 /// How long a slot stays reserved for a request, in milliseconds.
 pub const GRANT_TTL: Millis = 1_000;
@@ -145,7 +145,7 @@
             return false;
         };
         let (link, cost, class) = (best.link, best.cost, best.class());
-        let estimate = self.estimate(account, cost);
+        let estimate = Charge::open(self.estimate(account, cost)).charged();
         let grant = Grant {
             id: self.next_grant,
             customer: holder.customer,
