--- a/crates/daemon/src/router/link.rs
+++ b/crates/daemon/src/router/link.rs
@@ -6,6 +6,7 @@
 mod session;
 mod standing;
 mod teacher;
+mod told;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
--- a/crates/daemon/src/router/link/session.rs
+++ b/crates/daemon/src/router/link/session.rs
@@ -4,16 +4,15 @@
 use std::time::Duration;
 
 use mulberryyoke_decide::exchange::Cursor;
-use mulberryyoke_decide::queue::Told;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::Load;
 use mulberryyoke_wire::{self as wire, Poll, Polled, SidecarClient};
 use parking_lot::Mutex;
-use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::control::{failed, within};
 use super::teacher::Teacher;
+use super::told::Told;
 use super::{Error, Link, SILENT_HEARTBEATS};
 use crate::clock;
 use crate::router::core::Core;
@@ -24,9 +23,6 @@
 /// Least time between two declarations, so that changes are told together.
 const DECLARE_PAUSE: Duration = Duration::from_millis(2);
 
-/// Longest time that a change is kept back which leaves no slot idle.
-const DECLARE_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Time limit of a poll on the wire. Silence is noticed long before.
 pub(super) const POLL_LIMIT: Duration = Duration::from_hours(1);
 
@@ -65,8 +61,6 @@
     link: &'a Arc<Link>,
     client: SidecarClient,
     told: Mutex<Told>,
-    /// Tells that a slot was reserved for nothing.
-    declined: Notify,
 }
 
 impl<'a> Session<'a> {
@@ -83,7 +77,6 @@
             link,
             client,
             told: Mutex::default(),
-            declined: Notify::new(),
         };
         if let Err(error) = session.recall().await {
             return error;
@@ -116,7 +109,6 @@
         let mut changed = room.subscribe();
         let mut seen = 0;
         let mut full = true;
-        let mut told_at = Instant::now();
         loop {
             changed.mark_unchanged();
             let interest = if self.link.standing.is_closed() {
@@ -126,34 +118,27 @@
             } else {
                 room.new_interest(&mut seen, self.link.id)
             };
-            let (has_news, is_urgent) = self.note(full, interest);
-            if full || is_urgent || (has_news && told_at.elapsed() >= DECLARE_INTERVAL) {
-                let news = self.told.lock().take();
+            let news = self.news(full, interest);
+            if full || !news.is_empty() {
                 let context = within(POLL_LIMIT);
                 let origin = self.core.origin();
                 let call = self.client.declare(context, origin, full, news);
                 call.await.map_err(failed)?;
                 sleep(DECLARE_PAUSE).await;
-                told_at = Instant::now();
             }
-            let has_news = self.told.lock().has_news();
             full = tokio::select! {
                 _ = changed.changed() => false,
-                () = self.declined.notified() => false,
-                () = sleep_until(told_at + DECLARE_INTERVAL), if has_news => false,
                 () = self.link.opened.notified() => true,
             };
         }
     }
 
-    /// Notes what waits; tells whether there is news, and whether it is urgent.
-    fn note(&self, full: bool, interest: Vec<wire::Interest>) -> (bool, bool) {
+    fn news(&self, full: bool, interest: Vec<wire::Interest>) -> Vec<wire::Interest> {
         let mut told = self.told.lock();
         if full {
             told.clear();
         }
-        told.note(interest);
-        (told.has_news(), told.is_urgent())
+        told.news(interest)
     }
 
     /// Polls for grants and load.
@@ -218,16 +203,10 @@
     fn grant(&self, polled: &Polled) {
         let mut declined = Vec::new();
         for grant in &polled.grants {
-            // Before the request leaves its room, so that the change is seen after.
-            self.told.lock().granted(grant.customer);
             if !self.core.grant(self.link, grant) {
                 declined.push(grant.id);
             }
         }
-        if !declined.is_empty() {
-            self.told.lock().declined();
-            self.declined.notify_one();
-        }
         self.link.decline(declined);
     }
 
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -6,7 +6,6 @@
 
 mod changes;
 mod line;
-mod told;
 mod waiting;
 
 use std::collections::{BTreeSet, HashMap};
@@ -17,7 +16,6 @@
 
 pub use changes::Changes;
 use line::Line;
-pub use told::{MOST_TOLD, Told};
 pub use waiting::Waiting;
 
 /// How long before its deadline a deferrable request ranks as urgent, in milliseconds.
