Delete the records of things removed long ago

Servers of replaced VMs bear ever new names: their records would pile up in the key-value service and on every node. A command that adds something of the kind deletes up to 8 records that are older than twice the key retention time.

--- a/crates/daemon/src/operator/execute.rs
+++ b/crates/daemon/src/operator/execute.rs
@@ -9,7 +9,7 @@
 use mulberryyoke_command::answer::{Answer, Code, Refusal, Request, Written};
 use mulberryyoke_command::{Command, ConfigAction, Error, Waiting, words};
 use mulberryyoke_decide::settle::{self, Settled};
-use mulberryyoke_model::{Attempt, Object};
+use mulberryyoke_model::{Attempt, Millis, Object};
 
 use super::author::Author;
 use super::held::Held;
@@ -18,16 +18,28 @@
 use super::source::Source;
 use super::store::{Store, conflict};
 
+/// Records of removed things that one command deletes at most.
+const DELETED: usize = 8;
+
+/// Key retention times for which such a record is kept: nodes may see it late, and
+/// clocks differ.
+const KEPT_RETENTIONS: u64 = 2;
+
 /// Carries out commands.
 pub(crate) struct Execute {
     store: Store,
     source: Arc<dyn Source>,
+    retention_ms: u64,
 }
 
 impl Execute {
     /// Carries out commands on `store` and `source`.
-    pub(crate) fn new(store: Store, source: Arc<dyn Source>) -> Self {
-        Self { store, source }
+    pub(crate) fn new(store: Store, source: Arc<dyn Source>, retention_ms: u64) -> Self {
+        Self {
+            store,
+            source,
+            retention_ms,
+        }
     }
 
     /// Carries out one command of an operator.
@@ -79,6 +91,18 @@
         }
     }
 
+    /// Deletes some records of things that were removed long ago, so that names that
+    /// come and go don't pile up.
+    async fn delete_old(&self, listing: &[(String, Held)], now: Millis) {
+        let before = now.saturating_sub(KEPT_RETENTIONS * self.retention_ms);
+        let old = listing
+            .iter()
+            .filter(|(_, held)| held.was_removed_before(before));
+        for (key, held) in old.take(DELETED) {
+            self.store.delete(key, held).await;
+        }
+    }
+
     /// Carries out a change of `key`, read as `held`, that `plan` has decided.
     async fn change(
         &self,
--- a/crates/daemon/src/operator/execute/customer.rs
+++ b/crates/daemon/src/operator/execute/customer.rs
@@ -22,7 +22,9 @@
                 let listing = self.list("customer/").await?;
                 let (held, others) = (pick(&listing, &key), customers(objects(&listing)));
                 let plan = || plan::add(add, held.object(), &others);
-                self.change(&key, &held, None, plan, author).await
+                let answer = self.change(&key, &held, None, plan, author).await?;
+                self.delete_old(&listing, author.at).await;
+                Ok(answer)
             }
             Some(CustomerAction::Set(set)) => {
                 let key = format!("customer/{}", set.name);
--- a/crates/daemon/src/operator/execute/pool.rs
+++ b/crates/daemon/src/operator/execute/pool.rs
@@ -23,7 +23,9 @@
                 let listing = self.list("pool/").await?;
                 let (held, others) = (pick(&listing, &key), pools(objects(&listing)));
                 let plan = || plan::add(add, held.object(), &others);
-                self.change(&key, &held, None, plan, author).await
+                let answer = self.change(&key, &held, None, plan, author).await?;
+                self.delete_old(&listing, author.at).await;
+                Ok(answer)
             }
             Some(PoolAction::Set(set)) => {
                 let key = format!("pool/{}", set.name);
--- a/crates/daemon/src/operator/execute/server.rs
+++ b/crates/daemon/src/operator/execute/server.rs
@@ -50,7 +50,9 @@
         let listing = self.list("server/").await?;
         let (held, others) = (pick(&listing, &key), servers(objects(&listing)));
         let plan = || plan::add(add, held.object(), &others, author.at);
-        self.change(&key, &held, None, plan, author).await
+        let answer = self.change(&key, &held, None, plan, author).await?;
+        self.delete_old(&listing, author.at).await;
+        Ok(answer)
     }
 
     async fn move_server(
--- a/crates/daemon/src/operator/port.rs
+++ b/crates/daemon/src/operator/port.rs
@@ -39,6 +39,8 @@
     pub operators: Vec<mulberryyoke_settings::Operator>,
     /// Prefix of the key-value service's keys.
     pub prefix: String,
+    /// How long idempotency keys are remembered, in milliseconds.
+    pub retention_ms: u64,
     /// The key-value service.
     pub kv: Arc<dyn Kv>,
     /// The router.
@@ -70,7 +72,7 @@
         let store = Store::new(setup.kv, &setup.prefix);
         let respond = Arc::new(Respond {
             access: Access::new(&setup.operators),
-            execute: Execute::new(store, Arc::clone(&setup.source)),
+            execute: Execute::new(store, Arc::clone(&setup.source), setup.retention_ms),
             source: setup.source,
             logger: setup.logger,
         });
--- a/crates/daemon/src/operator/store.rs
+++ b/crates/daemon/src/operator/store.rs
@@ -93,6 +93,17 @@
         }
     }
 
+    /// Deletes a key if it is still as `held` says; whatever fails is left to the
+    /// next try.
+    pub(crate) async fn delete(&self, key: &str, held: &Held) {
+        let Some(revision) = held.revision else {
+            return;
+        };
+        let full = format!("{}{key}", self.prefix);
+        let expect = Expect::Revision(revision);
+        let _ = self.kv.swap(&full, expect, None, None).await;
+    }
+
     fn held(&self, pair: &Pair) -> (String, Held) {
         let key = pair.key.strip_prefix(&self.prefix).unwrap_or(&pair.key);
         let held = Held {
--- a/crates/daemon/src/router/operators.rs
+++ b/crates/daemon/src/router/operators.rs
@@ -24,6 +24,7 @@
         address: settings.operators,
         operators: settings.operator_keys.clone(),
         prefix: settings.prefix.clone(),
+        retention_ms: settings.retention_ms,
         kv: Arc::new(kv),
         source: Arc::new(Standing {
             core: Arc::clone(core),
--- a/crates/daemon/tests/operator/changes.rs
+++ b/crates/daemon/tests/operator/changes.rs
@@ -200,3 +200,35 @@
     let other = add("other", "GET /bookings repeatable 4");
     assert_that!(port.ask(key, other).await.1.ok, eq(true));
 }
+
+#[tokio::test]
+async fn records_of_removed_servers_go_in_time() {
+    let port = port_after(&["pool add chat --kind model", ADD, "server remove m-1"]).await;
+    let (mut entry, _) = port.kv.entry("server/m-1").expect("the record is kept");
+    let others = "--pool chat --zone a --slots 8 --control 10.0.0.2:1 --data 10.0.0.2:2";
+    port.change(10, &format!("server add m-2 {others}"))
+        .await
+        .expect("accepted");
+    assert_that!(port.kv.entry("server/m-1"), some(anything()));
+    // As if it had been removed long before.
+    entry.at = 1;
+    port.kv.put("server/m-1", &entry);
+    port.change(11, "server remove m-2")
+        .await
+        .expect("accepted");
+    port.change(12, &format!("server add m-2 {others}"))
+        .await
+        .expect("accepted");
+    assert_that!(port.kv.entry("server/m-1"), none());
+    assert_that!(port.kv.entry("server/m-2"), some(anything()));
+    // One that is added again is no old record any more.
+    port.change(13, "server remove m-2")
+        .await
+        .expect("accepted");
+    let (mut entry, _) = port.kv.entry("server/m-2").expect("the record is kept");
+    entry.at = 1;
+    port.kv.put("server/m-2", &entry);
+    let again = format!("server add m-2 {others}");
+    port.change(14, &again).await.expect("accepted");
+    assert_that!(port.kv.entry("server/m-2"), some(anything()));
+}
--- a/crates/daemon/tests/operator/kv.rs
+++ b/crates/daemon/tests/operator/kv.rs
@@ -69,6 +69,17 @@
         put(&mut self.state.lock(), key, entry)
     }
 
+    fn delete(&self, key: &str, expected: Expect) -> Swap {
+        let mut state = self.state.lock();
+        let held = state.pairs.get(key);
+        if held.map(|(_, revision)| Expect::Revision(*revision)) != Some(expected) {
+            return Swap::Conflict(held.map(|held| pair(key, held)));
+        }
+        state.revision += 1;
+        state.pairs.remove(key);
+        Swap::Done(state.revision)
+    }
+
     fn write(&self, key: &str, expected: Expect, value: Vec<u8>) -> Result<Swap, Error> {
         let mut state = self.state.lock();
         let lost = || Error::Unknown(Cause::Cut("answer lost".to_owned()));
@@ -182,8 +193,11 @@
         value: Option<Vec<u8>>,
         _lease: Option<LeaseId>,
     ) -> Call<'a, Swap> {
-        let value = value.expect("configuration is never deleted");
-        Box::pin(std::future::ready(self.write(key, expected, value)))
+        let swap = match value {
+            Some(value) => self.write(key, expected, value),
+            None => Ok(self.delete(key, expected)),
+        };
+        Box::pin(std::future::ready(swap))
     }
 
     fn watch<'a>(&'a self, _prefix: &'a str, _from: u64) -> Call<'a, Watch> {
--- a/crates/daemon/tests/operator/port.rs
+++ b/crates/daemon/tests/operator/port.rs
@@ -105,6 +105,7 @@
                 key: KeyHash::of(KEY),
             }],
             prefix: "/test/".to_owned(),
+            retention_ms: 600_000,
             kv: kv.clone(),
             source: router.clone(),
             logger: Logger::root(Discard, o!()),
--- a/crates/decide/src/settle.rs
+++ b/crates/decide/src/settle.rs
@@ -51,7 +51,7 @@
     found: Option<(&Entry, Revision)>,
 ) -> Settled {
     let Some((entry, revision)) = found else {
-        // Keys are never deleted, so an expected one cannot be absent.
+        // Only the record of something removed is deleted, and long after.
         return match expected {
             None => Settled::Open,
             Some(_) => Settled::Unclear,
