--- a/crates/daemon/src/router/attempt.rs
+++ b/crates/daemon/src/router/attempt.rs
@@ -37,6 +37,8 @@
     Lost(String),
     /// As [`Sent::Lost`], and its caller stopped waiting.
     Late,
+    /// As [`Sent::Lost`], and the router stops.
+    Stopping,
 }
 
 /// An answer that has not come yet.
@@ -76,6 +78,10 @@
             late::watch(core, &link, call, pending);
             Sent::Late
         }
+        () = core.stop.cut.cancelled() => {
+            running.lose();
+            Sent::Stopping
+        }
     }
 }
 
--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -64,16 +64,21 @@
         local.map_err(|source| Error::Callers { address, source })
     }
 
-    /// Takes connections until new requests are refused, then lets the open
+    /// Takes connections until the port is closed, then lets the open
     /// ones end. Beyond the bound, connections wait to be accepted.
     pub(crate) async fn run(self) {
-        let refuse = self.core.stop.refuse.clone();
+        let close = self.core.stop.close.clone();
         loop {
-            let Ok(permit) = Arc::clone(&self.connections).acquire_owned().await else {
+            let connections = Arc::clone(&self.connections);
+            let permit = tokio::select! {
+                () = close.cancelled() => break,
+                permit = connections.acquire_owned() => permit,
+            };
+            let Ok(permit) = permit else {
                 break;
             };
             let accepted = tokio::select! {
-                () = refuse.cancelled() => break,
+                () = close.cancelled() => break,
                 accepted = self.listener.accept() => accepted,
             };
             match accepted {
--- a/crates/daemon/src/router/dispatch.rs
+++ b/crates/daemon/src/router/dispatch.rs
@@ -79,6 +79,10 @@
                     self.doubtful = true;
                     return Err(too_late());
                 }
+                Sent::Stopping => {
+                    self.doubtful = true;
+                    return Err(wait::stopping());
+                }
             }
             self.call.attempt = self.call.attempt.next();
         }
--- a/crates/daemon/src/router/handle.rs
+++ b/crates/daemon/src/router/handle.rs
@@ -19,9 +19,19 @@
 use crate::fleet::{Fleet, Local};
 use crate::operator::Operator;
 
+/// How long open connections stay open for requests that are on their way, only
+/// to be refused.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// Most of the time for a planned stop that goes for that: one part in this many.
+const LINGER_PART: u32 = 4;
+
 /// Part of the time for a planned stop in which waiting requests may still start.
 const WAITING_PART: u32 = 2;
 
+/// Time to write out the last refusals after the deadline.
+const FLUSH: Duration = Duration::from_secs(1);
+
 /// A running router.
 #[derive(Debug)]
 pub struct Router {
@@ -88,27 +98,34 @@
     /// time allowed and running answers end until it is over.
     pub async fn stop(self) {
         let core = self.core;
+        let stop = &core.stop;
         let drain = Duration::from_millis(core.settings.drain_ms);
         let began = Instant::now();
+        let deadline = began + drain;
         log!(core.logger, Event::Stopping, "running" => core.counts.total());
-        core.stop.refuse.cancel();
+        stop.refuse.cancel();
+        let linger = LINGER.min(drain / LINGER_PART);
+        sleep_until(began + linger).await;
+        let steps = [
+            (&stop.close, began + drain / WAITING_PART),
+            (&stop.clear, deadline),
+            (&stop.cut, deadline + FLUSH),
+        ];
         let mut callers = self.callers;
-        let clear_at = began + drain / WAITING_PART;
-        let mut ended = timeout_at(clear_at, &mut callers).await.is_ok();
-        core.stop.clear.cancel();
-        if !ended {
-            ended = timeout_at(began + drain, &mut callers).await.is_ok();
+        let mut ended = false;
+        for (step, until) in steps {
+            step.cancel();
+            ended = ended || timeout_at(until, &mut callers).await.is_ok();
         }
-        core.stop.end.cancel();
+        stop.end.cancel();
         if !ended {
-            // A task that ends on `end` at once; a panic in it changes nothing here.
+            // It ends at once now; a panic in it changes nothing here.
             let _ = callers.await;
         }
         let _ = self.links.await;
         self.operators.stop().await;
         core.fleet.stop().await;
         log!(core.logger, Event::Stopped, "cut" => core.counts.total());
-        sleep_until(Instant::now()).await;
     }
 }
 
--- a/crates/daemon/src/router/late.rs
+++ b/crates/daemon/src/router/late.rs
@@ -40,15 +40,17 @@
             withdrawn = self.withdraw() => withdrawn,
             () = self.drop_answer(pending) => return,
         };
-        if withdrawn {
-            self.not_run();
+        match withdrawn {
+            Outcome::NotRun => self.not_run(),
+            outcome => self.core.memory.learn(self.attempt, outcome),
         }
     }
 
-    async fn withdraw(&self) -> bool {
+    async fn withdraw(&self) -> Outcome {
         let withdrawal = self.link.withdraw(self.attempt, None).await;
         match withdrawal {
-            Ok(withdrawal) => withdrawal.outcome == Outcome::NotRun && !withdrawal.doubtful,
+            Ok(withdrawal) if !withdrawal.doubtful => withdrawal.outcome,
+            Ok(_) => Outcome::Unknown,
             // Only the answer itself can tell more.
             Err(_) => std::future::pending().await,
         }
--- a/crates/daemon/src/router/look.rs
+++ b/crates/daemon/src/router/look.rs
@@ -47,6 +47,7 @@
                 queue.salt(customer),
                 self.server,
                 &self.open,
+                queue.lines(),
                 self.now,
             )
     }
--- a/crates/daemon/src/router/memory.rs
+++ b/crates/daemon/src/router/memory.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use mulberryyoke_model::{KeyId, Outcome, ServerId};
+use mulberryyoke_model::{Attempt, KeyId, Outcome, ServerId};
 use parking_lot::Mutex;
 
 /// Requests remembered; older ones are answered "unknown".
@@ -83,6 +83,18 @@
         }
     }
 
+    /// Records what a sidecar says became of an attempt that was given up.
+    pub(crate) fn learn(&self, attempt: Attempt, outcome: Outcome) {
+        if !matches!(outcome, Outcome::Ran | Outcome::Cut) {
+            return;
+        }
+        if let Some(record) = self.records.lock().get_mut(attempt.request)
+            && record.outcome == Outcome::Unknown
+        {
+            record.outcome = outcome;
+        }
+    }
+
     /// Records that the request waits again.
     pub(crate) fn wait(&self, request: u64) {
         self.settle(request, Outcome::Waiting);
--- a/crates/daemon/src/router/service.rs
+++ b/crates/daemon/src/router/service.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::{Attempt, Outcome};
 use serde_json::json;
@@ -28,19 +29,28 @@
     core: Arc<Core>,
     request: Request<Incoming>,
 ) -> Result<Response<Answer>, Infallible> {
-    if request.method() == Method::GET {
-        if request.uri().path() == MODELS {
-            return Ok(
-                models(&core, &request).unwrap_or_else(|refusal| refusal.into_response(None))
-            );
-        }
-        if let Some(id) = request.uri().path().strip_prefix(OUTCOMES) {
-            let id = id.to_owned();
-            let told = outcome::tell(&core, &id, request.headers()).await;
-            return Ok(told.unwrap_or_else(|refusal| refusal.into_response(Some(&id))));
-        }
+    let is_http1 = request.version() < Version::HTTP_2;
+    let mut response = answer(&core, request).await;
+    if is_http1 && core.stop.refuse.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(run(&core, request).await)
+    Ok(response)
+}
+
+async fn answer(core: &Arc<Core>, request: Request<Incoming>) -> Response<Answer> {
+    if request.method() != Method::GET {
+        return run(core, request).await;
+    }
+    if request.uri().path() == MODELS {
+        return models(core, &request).unwrap_or_else(|refusal| refusal.into_response(None));
+    }
+    let Some(id) = request.uri().path().strip_prefix(OUTCOMES) else {
+        return run(core, request).await;
+    };
+    let id = id.to_owned();
+    let told = outcome::tell(core, &id, request.headers()).await;
+    told.unwrap_or_else(|refusal| refusal.into_response(Some(&id)))
 }
 
 async fn run(core: &Arc<Core>, request: Request<Incoming>) -> Response<Answer> {
--- a/crates/daemon/tests/router/caller.rs
+++ b/crates/daemon/tests/router/caller.rs
@@ -68,11 +68,17 @@
     request
 }
 
-/// Sends a request on a connection of its own and reads the head of the answer.
-pub(crate) async fn open(address: SocketAddr, request: Request<Full<Bytes>>) -> Response<Incoming> {
+/// Opens a connection.
+pub(crate) async fn connect(address: SocketAddr) -> http1::SendRequest<Full<Bytes>> {
     let stream = TcpStream::connect(address).await.unwrap();
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
     tokio::spawn(connection);
+    sender
+}
+
+/// Sends a request on a connection of its own and reads the head of the answer.
+pub(crate) async fn open(address: SocketAddr, request: Request<Full<Bytes>>) -> Response<Incoming> {
+    let mut sender = connect(address).await;
     sender.send_request(request).await.unwrap()
 }
 
--- a/crates/daemon/tests/router/stop.rs
+++ b/crates/daemon/tests/router/stop.rs
@@ -3,9 +3,9 @@
 use googletest::prelude::*;
 use serde_json::json;
 
-use crate::caller::{completion, spawn};
+use crate::caller::{completion, connect, read, spawn};
 use crate::fake::{Act, Fake};
-use crate::fleet::{Fleet, MODEL, customer};
+use crate::fleet::{Fleet, MODEL, customer, eventually};
 
 #[gtest]
 #[tokio::test]
@@ -46,3 +46,37 @@
     expect_that!(waiting.await.unwrap().status.as_u16(), eq(200));
     stopped.await.unwrap();
 }
+
+#[gtest]
+#[tokio::test]
+async fn what_remains_at_the_deadline_is_told_the_truth() {
+    let mut fake = Fake::bind("s1", MODEL, 1).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({"drain_ms": 400})).await;
+    fake.then(Act::Silence);
+    let running = spawn(fleet.address(), completion());
+    fake.arrival().await;
+    fleet.router.stop().await;
+    let refusal = (503, "stopping".to_owned(), "unknown");
+    expect_that!(running.await.unwrap().refusal(), eq(&refusal));
+}
+
+#[gtest]
+#[tokio::test]
+async fn open_connections_are_told_before_they_close() {
+    let fake = Fake::bind("s1", MODEL, 1).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({})).await;
+    let address = fleet.address();
+    let mut connection = connect(address).await;
+    let before = read(connection.send_request(completion()).await.unwrap()).await;
+    expect_that!(before.header("connection"), eq(""));
+    let inspect = fleet.router.inspect();
+    let stopped = tokio::spawn(fleet.router.stop());
+    eventually(|| !inspect.is_ready()).await;
+    let after = read(connection.send_request(completion()).await.unwrap()).await;
+    expect_that!(
+        after.refusal(),
+        eq(&(503, "stopping".to_owned(), "not-run"))
+    );
+    expect_that!(after.header("connection"), eq("close"));
+    stopped.await.unwrap();
+}
--- a/crates/decide/src/declare.rs
+++ b/crates/decide/src/declare.rs
@@ -5,7 +5,8 @@
 //! waits, and whether any of it is urgent. So counts are told again only when
 //! they differ by much, and a customer with few waiting requests is told to a
 //! few sidecars, to more the longer it waits. No server idles for it: one with
-//! a free slot is told everything.
+//! a free slot is told everything, and so many are told of each customer that
+//! every sidecar knows of some.
 
 use std::collections::HashMap;
 
@@ -24,26 +25,30 @@
 /// Most doublings of the number of sidecars told.
 const DOUBLINGS: Millis = 16;
 
-/// How many sidecars are told of a customer's waiting requests.
+/// How many of `open` sidecars are told of a customer's waiting requests while
+/// `customers` have some.
 #[must_use]
-pub fn reach(interest: &Interest, now: Millis) -> usize {
+pub fn reach(interest: &Interest, open: usize, customers: usize, now: Millis) -> usize {
+    let cover = (TOLD * open).div_ceil(customers.max(1));
     let steps = now.saturating_sub(interest.since) / SPREAD_MS;
     let each = TOLD << steps.min(DOUBLINGS);
-    each.saturating_mul(interest.total() as usize)
+    let each = each.saturating_mul(interest.total() as usize);
+    each.max(cover)
 }
 
 /// Whether a sidecar is among those told of a customer's waiting requests.
 /// `salt` changes whenever the customer begins to wait; `open` are the servers
-/// that may get new work.
+/// that may get new work; `customers` have waiting requests.
 #[must_use]
 pub fn is_told(
     interest: &Interest,
     salt: u64,
     server: ServerId,
     open: &[ServerId],
+    customers: usize,
     now: Millis,
 ) -> bool {
-    let reach = reach(interest, now);
+    let reach = reach(interest, open.len(), customers, now);
     if open.len() <= reach {
         return true;
     }
--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -109,12 +109,16 @@
 
     /// Counts a request that waits no longer; `started` tells whether a server
     /// took it.
+    ///
+    /// # Panics
+    ///
+    /// When none was counted as waiting: each is counted once and leaves once.
     pub fn leave(&mut self, customer: CustomerId, started: bool, now: Millis) {
-        let Some(account) = self.accounts.get_mut(&customer) else {
-            return;
-        };
-        account.waiting = account.waiting.saturating_sub(1);
-        self.total = self.total.saturating_sub(1);
+        let account = self.accounts.get_mut(&customer);
+        let account = account.filter(|account| account.waiting > 0);
+        let account = account.expect("a request that leaves was counted as waiting");
+        account.waiting -= 1;
+        self.total -= 1;
         if started {
             account.drain.count(now);
         }
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -89,16 +89,20 @@
     }
 
     /// Takes a request out, wherever it stands.
+    ///
+    /// # Panics
+    ///
+    /// When it stands in no line: each request stands in one.
     pub fn remove(&mut self, key: Key) -> Option<Waiting<T>> {
         let waiting = self.arena.remove(key)?;
         self.rises
             .remove(&(waiting.deadline.saturating_sub(RISE_MS), key));
         let place = (waiting.customer, waiting.bound);
-        if let Some(line) = self.lines.get_mut(&place) {
-            line.remove(key, &waiting);
-            if line.is_empty() {
-                self.lines.remove(&place);
-            }
+        let line = self.lines.get_mut(&place);
+        let line = line.expect("a waiting request stands in a line");
+        line.remove(key, &waiting);
+        if line.is_empty() {
+            self.lines.remove(&place);
         }
         Some(waiting)
     }
@@ -226,6 +230,13 @@
         self.lines.contains_key(&(customer, Some(server)))
     }
 
+    /// How many customers have something waiting; one with bound requests counts
+    /// more than once.
+    #[must_use]
+    pub fn lines(&self) -> usize {
+        self.lines.len()
+    }
+
     /// Customers with something waiting; one may stand in it more than once.
     pub fn customers(&self) -> impl Iterator<Item = CustomerId> {
         self.lines.keys().map(|&(customer, _)| customer)
--- a/crates/decide/src/queue/line.rs
+++ b/crates/decide/src/queue/line.rs
@@ -43,9 +43,9 @@
 
     pub(super) fn remove<T>(&mut self, key: Key, waiting: &Waiting<T>) {
         let rank = &mut self.ranks[waiting.rank.index()];
-        rank.by_deadline
-            .remove(&(waiting.deadline, waiting.arrival, key));
-        rank.by_arrival.remove(&(waiting.arrival, key));
+        let place = (waiting.deadline, waiting.arrival, key);
+        let stood = rank.by_deadline.remove(&place) && rank.by_arrival.remove(&(place.1, key));
+        assert!(stood, "a waiting request stands in its line once");
         self.cost -= u64::from(waiting.cost);
     }
 
--- a/crates/decide/tests/declare.rs
+++ b/crates/decide/tests/declare.rs
@@ -19,12 +19,12 @@
     (0..count).map(ServerId).collect()
 }
 
-/// How many of some servers are told.
-fn told(interest: &Interest, salt: u64, count: u32, now: u64) -> usize {
+/// How many of some servers are told while so many customers wait.
+fn told(interest: &Interest, count: u32, customers: usize, now: u64) -> usize {
     let open = servers(count);
     let told = open
         .iter()
-        .filter(|&&server| is_told(interest, salt, server, &open, now));
+        .filter(|&&server| is_told(interest, 0, server, &open, customers, now));
     told.count()
 }
 
@@ -41,11 +41,19 @@
         ("one server", [0, 1, 0], 1, 0, 1),
     ];
     for (row, waiting, servers, waited, expected) in rows {
-        let told = told(&interest(waiting), 0, servers, 1_000 + waited);
+        let told = told(&interest(waiting), servers, 100, 1_000 + waited);
         expect_that!(told, eq(expected), "{row}");
     }
 }
 
+#[gtest]
+fn the_fewer_customers_wait_the_more_sidecars_know_of_each() {
+    for (customers, expected) in [(1, 12), (2, 12), (4, 6), (12, TOLD), (0, 12)] {
+        let told = told(&interest([0, 1, 0]), 12, customers, 1_000);
+        expect_that!(told, eq(expected), "{customers} customers");
+    }
+}
+
 #[gtest]
 fn who_is_told_changes_with_the_salt_and_spreads() {
     let few = interest([0, 1, 0]);
@@ -53,7 +61,7 @@
     let mut counts = [0; 12];
     for salt in 0..600 {
         for server in &open {
-            let is_told = is_told(&few, salt, *server, &open, 1_000);
+            let is_told = is_told(&few, salt, *server, &open, 100, 1_000);
             counts[server.0 as usize] += u32::from(is_told);
         }
     }
