Let requests wait longer than keys are remembered; log refusals by event

The cap of a deadline at the retention time is on the ticket, from when it is sent: a deferrable request whose deadline is hours away was given up after ten minutes. Requests with an unknown outcome log their fields under the event 1006 itself.

--- a/crates/daemon/src/router/attempt.rs
+++ b/crates/daemon/src/router/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_wire::{Verdict, ticket, verdict};
+use mulberryyoke_wire::{Ticket, Verdict, ticket, verdict};
 
 use super::answer::Answer;
 use super::call::Call;
@@ -54,7 +54,8 @@
         Err(error) => return Sent::Unsent(error.to_string()),
     };
     let grant = place.take();
-    let request = request(call, &link, grant);
+    let until = clock::now().saturating_add(core.settings.retention_ms);
+    let request = request(call, &link, &call.ticket(grant, until));
     let running = Running::begin(core, &link, call);
     log!(core.logger, Event::Routed,
         "request" => call.attempt.request_id(),
@@ -85,13 +86,13 @@
     }
 }
 
-fn request(call: &Call, link: &Link, grant: Option<u64>) -> Request<Full<Bytes>> {
+fn request(call: &Call, link: &Link, ticket: &Ticket) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     let uri = format!("http://{}{}", link.server.data, call.path);
     *request.uri_mut() = uri.parse().expect("an address and a parsed path are a URI");
     *request.headers_mut() = call.headers.clone();
-    let packed = ticket::pack(&call.ticket(grant));
+    let packed = ticket::pack(ticket);
     let packed = HeaderValue::from_str(&packed).expect("a packed ticket is a header value");
     request.headers_mut().insert(ticket::HEADER, packed);
     request
--- a/crates/daemon/src/router/call.rs
+++ b/crates/daemon/src/router/call.rs
@@ -48,13 +48,14 @@
 }
 
 impl Call {
-    /// What a sidecar needs to know of it.
-    pub(crate) fn ticket(&self, grant: Option<u64>) -> Ticket {
+    /// What a sidecar needs to know of it. A copy that comes after `until` must
+    /// not start: the sidecar may have forgotten by then that it was withdrawn.
+    pub(crate) fn ticket(&self, grant: Option<u64>, until: Millis) -> Ticket {
         Ticket {
             attempt: self.attempt,
             customer: self.customer,
             class: self.class,
-            deadline: self.deadline,
+            deadline: self.deadline.min(until),
             hint: self.hint,
             cost: self.cost,
             grant,
--- a/crates/daemon/src/router/dispatch.rs
+++ b/crates/daemon/src/router/dispatch.rs
@@ -189,21 +189,29 @@
         if refusal.outcome == Outcome::NotRun && (self.doubtful || given) {
             refusal.outcome = Outcome::Unknown;
         }
-        let event = match refusal.outcome {
-            Outcome::Unknown => Event::Doubtful,
-            _ => Event::Refused,
-        };
         self.core
             .memory
             .settle(self.call.attempt.request, refusal.outcome);
         metrics::counter!("refused_total", "code" => refusal.code).increment(1);
-        log!(self.core.logger, event,
-            "request" => self.call.attempt.request_id(),
-            "customer" => self.call.customer.0,
-            "code" => refusal.code,
-            "outcome" => refusal.outcome.word());
+        self.log(&refusal);
         refusal
     }
+
+    fn log(&self, refusal: &Refusal) {
+        let request = self.call.attempt.request_id();
+        let customer = self.call.customer.0;
+        let code = refusal.code;
+        if refusal.outcome == Outcome::Unknown {
+            log!(self.core.logger, Event::Doubtful,
+                "request" => request, "customer" => customer, "code" => code);
+            return;
+        }
+        log!(self.core.logger, Event::Refused,
+            "request" => request,
+            "customer" => customer,
+            "code" => code,
+            "outcome" => refusal.outcome.word());
+    }
 }
 
 fn candidates(core: &Core, pool: PoolId) -> Vec<Candidate> {
--- a/crates/daemon/src/router/request.rs
+++ b/crates/daemon/src/router/request.rs
@@ -168,17 +168,13 @@
     class.ok_or_else(|| bad_header(header::URGENCY))
 }
 
-/// The caller's deadline, at most the retention time ahead: a sidecar remembers a
-/// withdrawn attempt for as long, and refuses a later copy as past its deadline.
 fn deadline(core: &Core, headers: &HeaderMap, now: Millis) -> Result<Millis, Refusal> {
-    let last = now.saturating_add(core.settings.retention_ms);
     let usual = now.saturating_add(core.settings.limits.deadline_ms);
     let Some(value) = headers.get(header::DEADLINE) else {
-        return Ok(usual.min(last));
+        return Ok(usual);
     };
-    let deadline: Result<Millis, _> = text(header::DEADLINE, value)?.parse();
-    let deadline = deadline.map_err(|_| bad_header(header::DEADLINE))?;
-    Ok(deadline.min(last))
+    let deadline = text(header::DEADLINE, value)?.parse();
+    deadline.map_err(|_| bad_header(header::DEADLINE))
 }
 
 fn number(headers: &HeaderMap, name: &'static str) -> Result<Option<u32>, Refusal> {
--- a/crates/daemon/tests/router/input.rs
+++ b/crates/daemon/tests/router/input.rs
@@ -201,7 +201,7 @@
 /// A sidecar remembers a withdrawn attempt for the retention time only.
 #[gtest]
 #[tokio::test]
-async fn a_deadline_is_at_most_the_retention_time_ahead() {
+async fn a_tickets_deadline_is_at_most_the_retention_time_ahead() {
     const RETENTION: u64 = 600_000;
 
     let (mut fake, fleet) = one().await;
