--- a/crates/daemon/tests/router/waiting.rs
+++ b/crates/daemon/tests/router/waiting.rs
@@ -152,3 +152,17 @@
         .await;
     crate::fleet::eventually(|| fake.revision() > known).await;
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_request_may_wait_longer_than_keys_are_remembered() {
+    let mut fake = Fake::bind("s1", MODEL, 0).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({"retention_ms": 1})).await;
+    let caller = spawn(fleet.address(), completion());
+    let began = std::time::Instant::now();
+    fake.declared(customer(), [0, 1, 0]).await;
+    crate::fleet::eventually(|| began.elapsed().as_millis() > 5).await;
+    fake.grant(1, customer());
+    expect_that!(caller.await.unwrap().status.as_u16(), eq(200));
+    expect_that!(fake.arrival().await.ticket.grant, some(eq(1)));
+}
