--- a/crates/daemon/src/router/body.rs
+++ b/crates/daemon/src/router/body.rs
@@ -8,13 +8,17 @@
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use super::core::Core;
 use super::refusal::Refusal;
 
 const BYTES_PER_KIB: usize = 1 << 10;
 
+/// Longest time for a whole body, in multiples of that for a head; no pause in it
+/// may be longer than for a head.
+const WHOLE: u32 = 12;
+
 /// A caller's body with its portion of the router's memory for bodies.
 #[derive(Debug)]
 pub(crate) struct Whole {
@@ -29,10 +33,12 @@
         return Err(too_large(most));
     }
     let pause = Duration::from_millis(core.settings.limits.head_ms);
+    let last = Instant::now() + pause * WHOLE;
     let mut bytes = BytesMut::new();
     let mut memory = reserve(core, 1)?;
     loop {
-        let frame = timeout(pause, body.frame()).await;
+        let until = last.min(Instant::now() + pause);
+        let frame = timeout_at(until, body.frame()).await;
         let Some(frame) = frame.map_err(|_| too_slow())? else {
             break;
         };
--- a/crates/daemon/tests/router/input.rs
+++ b/crates/daemon/tests/router/input.rs
@@ -1,16 +1,18 @@
 //! Callers' input, good and bad.
 
+use std::net::SocketAddr;
+
 use googletest::prelude::*;
-use http_body_util::{BodyExt, Full};
-use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
 use hyper::client::conn::http2;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use mulberryyoke_model::Class;
 use serde_json::json;
 use tokio::net::TcpStream;
 
-use crate::caller::{completion, post, raw, send, with};
-use crate::fake::Fake;
+use crate::caller::{completion, post, raw, read, send, with};
+use crate::fake::{Act, Fake};
 use crate::fleet::{Fleet, MODEL, SERVICE, customer};
 
 const HEAD: &str = "POST /v1/chat/completions HTTP/1.1\r\nhost: router\r\n\
@@ -252,23 +254,31 @@
     expect_that!(reply.status.as_u16(), eq(401));
 }
 
-#[gtest]
-#[tokio::test]
-async fn callers_may_speak_http2() {
-    let (_fake, fleet) = one().await;
-    let stream = TcpStream::connect(fleet.address()).await.unwrap();
+/// Sends a request over HTTP/2 and reads the head of its answer.
+async fn open_http2(address: SocketAddr) -> Response<Incoming> {
+    let stream = TcpStream::connect(address).await.unwrap();
     let handshake = http2::handshake(TokioExecutor::new(), TokioIo::new(stream));
     let (mut sender, connection) = handshake.await.unwrap();
     tokio::spawn(connection);
-    let (parts, body) = completion().into_parts();
-    let mut request: Request<Full<_>> = Request::from_parts(parts, body);
+    let mut request = completion();
     request.headers_mut().remove("host");
-    let uri = format!("http://{}/v1/chat/completions", fleet.address());
+    let uri = format!("http://{address}/v1/chat/completions");
     *request.uri_mut() = uri.parse().unwrap();
-    let response = sender.send_request(request).await.unwrap();
-    expect_that!(response.status().as_u16(), eq(200));
-    let body = response.into_body().collect().await.unwrap().to_bytes();
-    expect_that!(&body[..], eq(b"ok"));
+    sender.send_request(request).await.unwrap()
+}
+
+#[gtest]
+#[tokio::test]
+async fn callers_may_speak_http2() {
+    let (fake, fleet) = one().await;
+    let reply = read(open_http2(fleet.address()).await).await;
+    expect_that!(reply.status.as_u16(), eq(200));
+    expect_that!(reply.text, ok(eq("ok")));
+    fake.then(Act::Break("data: 1\n\n"));
+    let response = open_http2(fleet.address()).await;
+    fake.release();
+    // The stream is reset, so that the answer does not look whole.
+    expect_that!(read(response).await.text, err(anything()));
 }
 
 #[gtest]
@@ -277,9 +287,9 @@
     let fake = Fake::bind("s1", MODEL, 4).await;
     let limits = json!({"limits": {"stall_ms": 100}});
     let fleet = Fleet::spawn(&[&fake], &limits).await;
-    fake.then(crate::fake::Act::Endless);
+    fake.then(Act::Endless);
     let response = crate::caller::open(fleet.address(), completion()).await;
     fake.abandoned().await;
-    let reply = crate::caller::read(response).await;
+    let reply = read(response).await;
     expect_that!(reply.text, err(anything()));
 }
