--- a/crates/standin/src/fleet/audit.rs
+++ b/crates/standin/src/fleet/audit.rs
@@ -74,7 +74,7 @@
             End::NotRun => self.refused += 1,
             End::Ran if started(last) > 0 => self.told_ran += 1,
             End::Ran => self.find(|audit| &mut audit.lost, "told ran without a run", record),
-            End::Unknown => self.find(|audit| &mut audit.unknown, "unknown", record),
+            End::Unknown => self.find(|audit| &mut audit.unknown, ran(started(last)), record),
             End::Lost => self.find(|audit| &mut audit.lost, "never ended", record),
             End::Truncated => self.find(|audit| &mut audit.truncated, "truncated", record),
             End::Crossed => self.find(|audit| &mut audit.crossed, "crossed", record),
@@ -133,3 +133,12 @@
             .push(format!("{what}: {} {:?}: {calls}", op.id, op.work));
     }
 }
+
+/// What an unknown end turned out to be.
+fn ran(started: usize) -> &'static str {
+    if started > 0 {
+        "unknown, ran"
+    } else {
+        "unknown, had not run"
+    }
+}
--- a/crates/standin/src/fleet/process.rs
+++ b/crates/standin/src/fleet/process.rs
@@ -5,11 +5,13 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use tokio::process::{Child, Command};
+use tokio::time::timeout;
 
 use super::error::Error;
 
@@ -17,6 +19,8 @@
 /// connections get, so that a process that is started again finds its own free.
 const FIRST_PORT: u16 = 10_000;
 const LAST_PORT: u16 = 32_000;
+/// Longest time that a process may take to end; then it is killed.
+const LONGEST_END: Duration = Duration::from_secs(75);
 /// Bytes of a log that are shown when a process fails.
 const LOG_TAIL: usize = 2_000;
 
@@ -62,6 +66,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Mutex<Option<Child>>,
+    /// Its id while it has not been waited for.
+    pid: Mutex<Option<Pid>>,
 }
 
 impl Process {
@@ -81,6 +87,7 @@
             settings: directory.join(format!("{name}.json")),
             log: directory.join(format!("{name}.log")),
             child: Mutex::new(None),
+            pid: Mutex::new(None),
             name,
         };
         fs::write(&process.settings, settings.to_string()).map_err(Error::Settings)?;
@@ -94,6 +101,8 @@
             name: self.name.clone(),
             source,
         })?;
+        let id = child.id().and_then(|id| i32::try_from(id).ok());
+        *self.pid.lock() = id.and_then(Pid::from_raw);
         *self.child.lock() = Some(child);
         Ok(())
     }
@@ -111,14 +120,9 @@
             .spawn()
     }
 
-    /// Sends a signal; a process that has ended gets none.
+    /// Sends a signal; a process that has been waited for gets none.
     pub(crate) fn signal(&self, signal: Signal) {
-        let id = self.child.lock().as_ref().and_then(Child::id);
-        let pid = id
-            .and_then(|id| i32::try_from(id).ok())
-            .and_then(Pid::from_raw);
-        if let Some(pid) = pid {
-            // The child is not waited for yet, so its id is still its own.
+        if let Some(pid) = *self.pid.lock() {
             kill_process(pid, signal).ok();
         }
     }
@@ -126,8 +130,10 @@
     /// Sends a signal that ends the process; returns its exit code, if any.
     pub(crate) async fn end(&self, signal: Signal) -> Option<i32> {
         self.signal(signal);
-        let child = self.child.lock().take();
-        child?.wait().await.ok()?.code()
+        let mut child = self.child.lock().take()?;
+        let ended = timeout(LONGEST_END, child.wait()).await;
+        *self.pid.lock() = None;
+        ended.ok()?.ok()?.code()
     }
 
     /// Whether the process has ended by itself.
--- a/crates/standin/src/fleet/scene.rs
+++ b/crates/standin/src/fleet/scene.rs
@@ -47,7 +47,7 @@
             Fault::RouterKill => self.kill_router().await,
             Fault::SidecarKill => self.end_sidecars(Signal::KILL, &mut found).await,
             Fault::SidecarRestart => self.end_sidecars(Signal::TERM, &mut found).await,
-            Fault::SidecarFreeze => self.freeze(0).await,
+            Fault::SidecarFreeze => self.freeze(3 % self.fleet.engines.len()).await,
             Fault::LeaseLapse => self.lapse().await,
             Fault::RouterPartition => self.partition().await,
             Fault::ExchangeLoss => self.lose_exchange().await,
@@ -104,7 +104,8 @@
     }
 
     async fn freeze(&self, engine: usize) -> Result<(), Error> {
-        let service = self.fleet.engines.len();
+        // Not the service's sidecar that another fault may end.
+        let service = self.fleet.sidecars.len() - 1;
         let pair = [&self.fleet.sidecars[engine], &self.fleet.sidecars[service]];
         self.set_down(engine, true);
         for sidecar in pair {
@@ -168,7 +169,8 @@
                 ..Switch::default()
             };
             self.fleet.kv.switch(&switch);
-            let name = &self.fleet.plan.customers[0].name;
+            // Not the customer that operators may race for.
+            let name = &self.fleet.plan.customers[1].name;
             let queue = 1000 + number;
             let set = words(&format!("customer set {name} --queue {queue}"));
             self.fleet.command(0, &set).await?;
