--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -195,6 +195,7 @@
         kv_calls_per_s: 0.0,
         first_token_ms_p50: report::first_token(records, 0.5),
         first_token_ms_p95: report::first_token(records, 0.95),
+        longest_ms: report::longest(records),
         added_ms_p50: 0.0,
         added_ms_p95: 0.0,
         policy: plan.flags.policy.word(),
--- a/crates/standin/src/fleet/report.rs
+++ b/crates/standin/src/fleet/report.rs
@@ -44,6 +44,8 @@
     pub(crate) first_token_ms_p50: BTreeMap<&'static str, f64>,
     /// By class.
     pub(crate) first_token_ms_p95: BTreeMap<&'static str, f64>,
+    /// Longest time of a call.
+    pub(crate) longest_ms: f64,
     /// Time that the fleet adds to a call at low load.
     pub(crate) added_ms_p50: f64,
     pub(crate) added_ms_p95: f64,
@@ -91,3 +93,10 @@
         .map(|(class, mut times)| (class, quantile(&mut times, part)))
         .collect()
 }
+
+/// Longest time of a call, in milliseconds.
+pub(crate) fn longest(records: &[Record]) -> f64 {
+    let calls = records.iter().flat_map(|record| &record.calls);
+    let longest = calls.map(|call| call.took).max().unwrap_or_default();
+    longest.as_secs_f64() * 1000.0
+}
--- a/crates/standin/src/fleet/setup.rs
+++ b/crates/standin/src/fleet/setup.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::engine::{self, Engine};
+use crate::journal::now;
 use crate::service::Service;
 use crate::{kv, vms};
 
@@ -62,8 +63,8 @@
 impl Fleet {
     /// Starts everything and declares the plan through the operators' port.
     pub(crate) async fn spawn(plan: Arc<Plan>, daemon: PathBuf) -> Result<Self, Error> {
-        let directory =
-            std::env::temp_dir().join(format!("mulberryyoke-fleet-{}", std::process::id()));
+        let name = format!("mulberryyoke-fleet-{}-{}", std::process::id(), now());
+        let directory = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&directory).map_err(Error::Settings)?;
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let mut ports = Ports::open();
