--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -2,9 +2,11 @@
 //! list and the service that customers have received.
 
 mod catch_up;
+mod choice;
 mod error;
 mod exchange;
 mod local;
+mod message;
 mod peer;
 mod peers;
 mod reader;
@@ -12,19 +14,17 @@
 mod source;
 mod standing;
 mod store;
+mod usage;
 mod vms;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 
-use mulberryyoke_decide::exchange::{self as decide_exchange, Cursor, Ledger, Life};
+use mulberryyoke_decide::exchange::{self as decide_exchange, Ledger, Life};
 use mulberryyoke_decide::member::{self as decide_member, Place};
-use mulberryyoke_decide::subset::{self, Chooser};
 use mulberryyoke_decide::view::View;
-use mulberryyoke_model::{
-    Attempt, Change, Config, Incarnation, Outcome, PoolId, Report, Revision, ServerId, Usage,
-};
+use mulberryyoke_model::{Attempt, Change, Config, Incarnation, Outcome, Revision, ServerId};
 use mulberryyoke_platform::{kv, vm};
 use mulberryyoke_settings as settings;
 use mulberryyoke_wire::{Bytes, Listener, Member};
@@ -200,58 +200,6 @@
         self.accept(changes, "offer");
     }
 
-    /// Counts a sidecar's report; returns the sequence number of the last report
-    /// that the totals include.
-    pub fn collect(&self, sidecar: Incarnation, report: &Report) -> u64 {
-        let now = clock::now();
-        self.ledger.lock().collect(sidecar, report, now)
-    }
-
-    /// Fleet totals that changed since the cursor, which is moved on. Totals never
-    /// go back within this router's life.
-    pub fn totals(&self, changed_since: &mut Cursor) -> Vec<Usage> {
-        self.ledger.lock().totals(changed_since)
-    }
-
-    /// Totals to tell a sidecar after its report was collected: those that the report
-    /// raised, and of the others a bounded number that grew most since they were told. A
-    /// cursor belongs to one link.
-    pub fn tell(&self, sidecar: Incarnation, cursor: &mut Cursor) -> Vec<Usage> {
-        self.ledger.lock().tell(sidecar, cursor)
-    }
-
-    /// Servers of a pool to stay connected to.
-    #[must_use]
-    pub fn subset(&self, pool: PoolId) -> Vec<ServerId> {
-        let routers = self.peers.names();
-        subset::choose(&self.chooser(&routers), self.view().servers(pool))
-    }
-
-    /// Servers of a pool beyond those held to connect to while work waits, at most
-    /// `most`: other routers said that they have free slots.
-    #[must_use]
-    pub fn widen(&self, pool: PoolId, held: &[ServerId], most: usize) -> Vec<ServerId> {
-        let view = self.view();
-        subset::widen(
-            &self.chooser(&[]),
-            view.servers(pool),
-            held,
-            &self.idle(),
-            most,
-        )
-    }
-
-    /// Tells the peers which servers have free slots that this router can spare.
-    pub fn set_idle(&self, servers: Vec<ServerId>) {
-        *self.idle.lock() = servers;
-    }
-
-    /// Servers of which a peer said of late that they have free slots.
-    #[must_use]
-    pub fn idle(&self) -> Vec<ServerId> {
-        self.peers.idle()
-    }
-
     /// Whether the VM list says that a VM is leaving.
     #[must_use]
     pub fn is_leaving(&self, name: &str) -> bool {
@@ -286,15 +234,6 @@
         self.tasks.wait().await;
     }
 
-    fn chooser<'a>(&'a self, routers: &'a [String]) -> Chooser<'a> {
-        Chooser {
-            router: &self.member.name,
-            zone: &self.member.zone,
-            routers,
-            size: usize::try_from(self.settings.limits.subset).unwrap_or(usize::MAX),
-        }
-    }
-
     fn run(&self, task: impl Future<Output = ()> + Send + 'static) {
         let stop = self.stop.clone();
         self.tasks.spawn(async move {
--- a/crates/daemon/src/fleet/exchange.rs
+++ b/crates/daemon/src/fleet/exchange.rs
@@ -1,14 +1,13 @@
 //! The exchange with other routers: usage, standing, idle servers, and news of the
 //! configuration.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::join_all;
-use mulberryyoke_decide::exchange::{Bounds, Life};
+use mulberryyoke_decide::exchange::Bounds;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{Relation, ServerId, Statement};
+use mulberryyoke_model::Relation;
 use mulberryyoke_wire::Summary;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -37,8 +36,11 @@
 /// Longest wait for the first answers of other routers, in milliseconds.
 const FIRST_MS: u64 = 2_500;
 
-/// Most servers in a hint.
-const MOST_IDLE: usize = 16;
+/// How long a prediction holds and a router counts as heard, at least, in milliseconds.
+const HORIZON_MS: u64 = 5_000;
+
+/// The same in exchanges.
+const HORIZON_INTERVALS: u64 = 3;
 
 /// Exchanges until stopped.
 pub(super) async fn run(fleet: Arc<Fleet>) {
@@ -80,15 +82,6 @@
     fleet.call(&peer, relation).await;
 }
 
-/// What the receiver of a statement is to its sender.
-pub(super) fn inverse(relation: Relation) -> Relation {
-    match relation {
-        Relation::Peer => Relation::Peer,
-        Relation::Child => Relation::Parent,
-        Relation::Parent => Relation::Child,
-    }
-}
-
 impl Fleet {
     fn interval(&self) -> Duration {
         Duration::from_millis(self.settings.exchange_ms.max(1))
@@ -104,6 +97,7 @@
         let mut ledger = self.ledger.lock();
         ledger.set_bounds(Bounds {
             entries: usize::try_from(entries).unwrap_or(usize::MAX),
+            horizon_ms: HORIZON_MS.max(HORIZON_INTERVALS * self.settings.exchange_ms),
             ..Bounds::default()
         });
         if plan.parent.is_none() {
@@ -173,67 +167,4 @@
             log!(self.logger, Event::PeerDown, "peer" => &peer.name);
         }
     }
-
-    /// The next statement for a life that this router calls, which its plan makes
-    /// `relation` to it.
-    fn state(&self, life: Life, relation: Relation) -> Statement {
-        let now = clock::now();
-        let mut ledger = self.ledger.lock();
-        if relation == Relation::Child {
-            ledger.follow(Some(life), now);
-        }
-        ledger.state(life.incarnation, relation, now)
-    }
-
-    /// The answering statement for a life that called; none as its child unless this
-    /// router's own plan says so too.
-    pub(super) fn answer(&self, life: Life, relation: Relation) -> Option<Statement> {
-        let mut ledger = self.ledger.lock();
-        if relation == Relation::Child && ledger.parent() != Some(life.incarnation) {
-            return None;
-        }
-        Some(ledger.state(life.incarnation, relation, clock::now()))
-    }
-
-    /// A message for another router that this one is `relation` to.
-    pub(super) fn summary(&self, statement: Option<Statement>, relation: Relation) -> Summary {
-        let (revision, digest) = self.store.standing();
-        Summary {
-            from: self.member.clone(),
-            revision,
-            digest,
-            statement,
-            idle: self.hint(relation),
-        }
-    }
-
-    /// Idle servers to tell of: upwards and to peers those of this router and below it,
-    /// downwards all, so that no hint goes in a circle.
-    fn hint(&self, relation: Relation) -> Vec<ServerId> {
-        let mut idle: BTreeSet<ServerId> = self.idle.lock().iter().copied().collect();
-        if relation == Relation::Parent {
-            idle.extend(self.peers.idle());
-        } else {
-            let children = self.peers.children().into_iter();
-            let heard = children.filter_map(|child| child.heard());
-            idle.extend(heard.flat_map(|heard| heard.idle));
-        }
-        idle.into_iter().take(MOST_IDLE).collect()
-    }
-
-    /// Takes in what another router says.
-    pub(super) fn hear(self: &Arc<Self>, summary: &Summary) {
-        if let Some(statement) = &summary.statement {
-            let mut ledger = self.ledger.lock();
-            ledger.hear(life(&summary.from), statement, clock::now());
-        }
-        let Some((peer, is_new)) = self.peers.hear(summary) else {
-            return;
-        };
-        if is_new {
-            log!(self.logger, Event::PeerUp, "peer" => &peer.name,
-                "incarnation" => summary.from.incarnation.0);
-        }
-        self.catch_up(&peer, summary.revision, summary.digest);
-    }
 }
--- a/crates/daemon/src/fleet/service.rs
+++ b/crates/daemon/src/fleet/service.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use super::Fleet;
-use super::exchange::inverse;
+use super::message::inverse;
 use super::peer::life;
 
 /// Pause after a link could not be accepted, in milliseconds: the process may be
--- /dev/null
+++ b/crates/daemon/src/fleet/usage.rs
@@ -0,0 +1,36 @@
+//! Service that customers have received.
+
+use mulberryyoke_decide::exchange::Cursor;
+use mulberryyoke_model::{Incarnation, Millis, Report, Usage};
+
+use super::Fleet;
+use crate::clock;
+
+impl Fleet {
+    /// Counts a sidecar's report; returns the sequence number of the last report
+    /// that the totals include.
+    pub fn collect(&self, sidecar: Incarnation, report: &Report) -> u64 {
+        let now = clock::now();
+        self.ledger.lock().collect(sidecar, report, now)
+    }
+
+    /// Fleet totals that changed since the cursor, which is moved on. Totals never
+    /// go back within this router's life.
+    pub fn totals(&self, changed_since: &mut Cursor) -> Vec<Usage> {
+        self.ledger.lock().totals(changed_since)
+    }
+
+    /// Totals to tell a sidecar after its report was collected: those that the report
+    /// raised, and of the others a bounded number that grew most since they were told. A
+    /// cursor belongs to one link.
+    pub fn tell(&self, sidecar: Incarnation, cursor: &mut Cursor) -> Vec<Usage> {
+        self.ledger.lock().tell(sidecar, cursor)
+    }
+
+    /// About the instant up to which the totals include what other routers counted, as
+    /// far as they are heard.
+    #[must_use]
+    pub fn heard(&self) -> Millis {
+        self.ledger.lock().heard(clock::now())
+    }
+}
--- a/crates/decide/src/exchange/hear.rs
+++ b/crates/decide/src/exchange/hear.rs
@@ -15,7 +15,7 @@
 
     pub(super) fn hear_peer(&mut self, from: Life, statement: &Statement, now: Millis) {
         let origin = self.origin(from, now);
-        origin.hear(statement.sequence, &statement.tallies, now);
+        origin.hear(statement, now);
         for extract in &statement.extracts {
             if extract.origin == self.own.incarnation {
                 continue;
@@ -37,7 +37,7 @@
         let rebased = self.graveyard.contains(from.incarnation);
         let child = self.children.entry(from.incarnation);
         let child = child.or_insert_with(|| Inbound::open(from, rebased, now));
-        child.hear(statement.sequence, &statement.tallies, now);
+        child.hear(statement, now);
         self.settle_children(now);
     }
 
@@ -47,7 +47,7 @@
         let Some(told) = told else {
             return;
         };
-        told.hear(statement.sequence, &statement.tallies, now);
+        told.hear(statement, now);
         self.settle_told(now);
     }
 
--- a/crates/decide/src/exchange/inbound.rs
+++ b/crates/decide/src/exchange/inbound.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use mulberryyoke_model::{Flow, Known, Millis, PoolId, Tally};
+use mulberryyoke_model::{Flow, Known, Millis, PoolId, Statement, Tally};
 
 use super::account::flatten;
 use super::outbound::predict;
@@ -27,6 +27,8 @@
     /// The last sequence number heard from the origin itself.
     sequence: u64,
     heard_at: Millis,
+    /// How old what it counts was by then, in milliseconds.
+    age_ms: u32,
     changed_at: Millis,
     /// Sum of the counters at the last comparison.
     compared: u64,
@@ -40,6 +42,7 @@
             rebased,
             sequence: 0,
             heard_at: 0,
+            age_ms: 0,
             changed_at: now,
             compared: 0,
             held: HashMap::new(),
@@ -54,15 +57,24 @@
         self.sequence
     }
 
+    /// How old what is known of it is, in milliseconds; `None` if it was not heard for
+    /// a while.
+    pub(super) fn age(&self, now: Millis, fresh_ms: Millis) -> Option<Millis> {
+        let silent_ms = now.saturating_sub(self.heard_at);
+        let is_fresh = self.sequence > 0 && silent_ms <= fresh_ms;
+        is_fresh.then_some(silent_ms + Millis::from(self.age_ms))
+    }
+
     /// When anything was heard of it last.
     pub(super) fn changed_at(&self) -> Millis {
         self.changed_at.max(self.heard_at)
     }
 
     /// Takes in what the origin itself says.
-    pub(super) fn hear(&mut self, sequence: u64, tallies: &[Tally], now: Millis) {
+    pub(super) fn hear(&mut self, statement: &Statement, now: Millis) {
+        let sequence = statement.sequence;
         let rebase = self.rebased && self.sequence == 0;
-        for (account, flow) in flatten(tallies) {
+        for (account, flow) in flatten(&statement.tallies) {
             let held = self.open_account(account, flow.tokens, rebase);
             held.tokens = held.tokens.max(flow.tokens);
             if sequence > held.sequence {
@@ -71,6 +83,9 @@
                 held.at = now;
             }
         }
+        if sequence > self.sequence {
+            self.age_ms = statement.age_ms;
+        }
         self.sequence = self.sequence.max(sequence);
         self.heard_at = now;
     }
--- a/crates/decide/src/exchange/ledger.rs
+++ b/crates/decide/src/exchange/ledger.rs
@@ -120,6 +120,10 @@
     /// Makes the next statement for a receiver's life. `relation` is what this router
     /// is to the receiver.
     pub fn state(&mut self, to: Incarnation, relation: Relation, now: Millis) -> Statement {
+        let age_ms = match relation {
+            Relation::Parent => now.saturating_sub(self.heard(now)),
+            Relation::Peer | Relation::Child => self.age_below(now),
+        };
         self.sequence += 1;
         let sequence = self.sequence;
         let edge = self.edges.entry(to).or_default();
@@ -143,6 +147,7 @@
             to,
             sequence,
             counted,
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
             tallies: group(flows),
             known: Vec::new(),
             extracts: Vec::new(),
--- a/crates/decide/src/exchange/settle.rs
+++ b/crates/decide/src/exchange/settle.rs
@@ -6,6 +6,29 @@
 use super::attribution::Target;
 
 impl Ledger {
+    /// About the instant up to which the totals include what other routers counted, as
+    /// far as they are heard.
+    #[must_use]
+    pub fn heard(&self, now: Millis) -> Millis {
+        let fresh_ms = self.bounds.horizon_ms;
+        let age_ms = if let Some(told) = &self.told {
+            told.age(now, fresh_ms)
+        } else {
+            let peers = self.origins.values();
+            mean(peers.filter_map(|origin| origin.age(now, fresh_ms)))
+        };
+        let age_ms = age_ms.unwrap_or(0).max(self.age_below(now));
+        now.saturating_sub(age_ms)
+    }
+
+    /// How old what this router hands on is, in milliseconds: its children's counters.
+    pub(super) fn age_below(&self, now: Millis) -> Millis {
+        let fresh_ms = self.bounds.horizon_ms;
+        let children = self.children.values();
+        let ages = children.filter_map(|child| child.age(now, fresh_ms));
+        mean(ages).unwrap_or(0)
+    }
+
     pub(super) fn settle_children(&mut self, now: Millis) {
         let mut grown = Vec::new();
         for child in self.children.values_mut() {
@@ -47,3 +70,8 @@
         });
     }
 }
+
+fn mean(ages: impl Iterator<Item = Millis>) -> Option<Millis> {
+    let (sum, count) = ages.fold((0, 0), |(sum, count), age| (sum + age, count + 1));
+    (count > 0).then(|| sum / count)
+}
--- a/crates/decide/src/exchange/told.rs
+++ b/crates/decide/src/exchange/told.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use mulberryyoke_model::{Millis, Tally};
+use mulberryyoke_model::{Millis, Statement};
 
 use super::inbound::Inbound;
 use super::{Account, Life};
@@ -35,8 +35,13 @@
         self.inbound.sequence()
     }
 
-    pub(super) fn hear(&mut self, sequence: u64, tallies: &[Tally], now: Millis) {
-        self.inbound.hear(sequence, tallies, now);
+    pub(super) fn hear(&mut self, statement: &Statement, now: Millis) {
+        self.inbound.hear(statement, now);
+    }
+
+    /// How old the totals are, in milliseconds; `None` if the parent is silent.
+    pub(super) fn age(&self, now: Millis, fresh_ms: Millis) -> Option<Millis> {
+        self.inbound.age(now, fresh_ms)
     }
 
     /// This router has counted tokens, which the parent will include later.
