--- a/crates/decide/src/exchange/bounds.rs
+++ b/crates/decide/src/exchange/bounds.rs
@@ -20,7 +20,7 @@
     fn default() -> Self {
         Self {
             entries: 64,
-            error: 1_024,
+            error: 256,
             horizon_ms: 5_000,
             forget_ms: 3_600_000,
         }
--- a/crates/decide/src/member/bounds.rs
+++ b/crates/decide/src/member/bounds.rs
@@ -22,7 +22,7 @@
         Self {
             suspect_ms: 3_000,
             flat: 24,
-            fanout: 8,
+            fanout: 4,
             watching: 8,
             watchers: 2,
         }
