--- a/crates/standin/tests/fleet/exchange.rs
+++ b/crates/standin/tests/fleet/exchange.rs
@@ -1,6 +1,7 @@
 //! The exchange between routers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use googletest::prelude::*;
 use mulberryyoke_decide::exchange::Cursor;
@@ -149,3 +150,42 @@
         router.fleet.stop().await;
     }
 }
+
+#[tokio::test]
+async fn a_large_fleet_exchanges_in_a_tree() {
+    const ROUTERS: usize = 27;
+    let world = World::open().await;
+    let mut routers = Vec::new();
+    for index in 0..ROUTERS {
+        let zone = format!("z{}", index % 3);
+        routers.push(world.router(&format!("r{index}"), &zone).await);
+    }
+    // Every router but the three zones' roots has a parent, most of them no children.
+    let is_leaf = |router: &Router| router.fleet.members().len() == 2;
+    let settled = async {
+        while routers.iter().filter(|router| is_leaf(router)).count() < ROUTERS / 2 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    limit(settled).await;
+    let revision = world.accept("one").await;
+    for router in &routers {
+        router.reach(revision).await;
+    }
+    // A router counts from the first word of its parent.
+    let mut reports = 0;
+    while routers.iter().any(|router| total(&router.fleet, 7) == 0) {
+        reports += 1;
+        report(&routers[0], reports, usage(7, reports));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let before: Vec<u64> = routers.iter().map(|r| total(&r.fleet, 7)).collect();
+    report(&routers[0], reports + 1, usage(7, reports + 1_000));
+    for (router, before) in routers.iter().zip(before) {
+        router.until(|fleet| total(fleet, 7) >= before + 900).await;
+        assert_that!(total(&router.fleet, 7), le(reports + 1_000));
+    }
+    for router in &routers {
+        router.fleet.stop().await;
+    }
+}
