--- a/crates/daemon/src/router/home.rs
+++ b/crates/daemon/src/router/home.rs
@@ -5,6 +5,7 @@
 use hyper::StatusCode;
 use mulberryyoke_decide::home::{self, Homes};
 use mulberryyoke_model::{Outcome, ServerId};
+use mulberryyoke_settings::Policy;
 
 use super::call::{Call, Key};
 use super::core::Core;
@@ -32,7 +33,8 @@
         }
         let current = homes.current.ok_or_else(no_server)?;
         let link = link(core, current).ok_or_else(no_server)?;
-        if at_once && take_free(core, call, &link) {
+        let baseline = core.settings.policy == Policy::Baseline;
+        if baseline || at_once && take_free(core, call, &link) {
             return Ok(Place::direct(&link));
         }
         let gone = gone(core, call, key, &link);
@@ -43,8 +45,12 @@
     }
 }
 
-/// Takes a slot that should be free, if nothing else waits.
+/// Takes a slot that should be free, if nothing else waits. Without an order
+/// nothing waits here at all.
 fn take_free(core: &Core, call: &Call, link: &Link) -> bool {
+    if core.settings.policy == Policy::Baseline {
+        return link.standing.is_open();
+    }
     let none_waits = core.rooms.get(call.pool).is_empty();
     none_waits && link.standing.is_open() && link.standing.take_free()
 }
@@ -89,7 +95,8 @@
     Some(core.links.require(core, server))
 }
 
-/// Makes sure that the key never starts at a former home.
+/// Makes sure that the key never starts at a former home. It counts as sent there:
+/// should the sidecar fail and forget the bar, this router will tell it.
 async fn withdraw(
     core: &Arc<Core>,
     call: &Call,
@@ -98,6 +105,7 @@
 ) -> Result<(), Refusal> {
     let link = link(core, former).ok_or_else(|| doubtful(None))?;
     link.wait_control().await;
+    core.keys.remember(former, key.id, clock::now());
     let withdrawal = link.withdraw(call.attempt, Some(key.id)).await;
     let withdrawal = withdrawal.map_err(|_| doubtful(None))?;
     match withdrawal.outcome {
--- a/crates/daemon/tests/router/fake.rs
+++ b/crates/daemon/tests/router/fake.rs
@@ -23,10 +23,14 @@
 pub(crate) enum Act {
     /// Answers 200 with a text.
     Answer(&'static str),
+    /// Sends a text with its length told, and ends only once it is released.
+    Told(&'static str),
     /// Sends a text, and breaks off once it is released.
     Break(&'static str),
     /// Turns it away.
     Verdict(Verdict),
+    /// Names a length and sends a text, but does not end the stream.
+    Sized(u64, &'static str),
     /// Answers with a text once it is released.
     Hold(&'static str),
     /// Sends a text again and again.
