--- a/crates/daemon/src/router/link/session.rs
+++ b/crates/daemon/src/router/link/session.rs
@@ -163,13 +163,12 @@
             if let Some(report) = &polled.report {
                 poll.counted = self.core.fleet.collect(polled.load.incarnation, report);
                 poll.fleet = self.core.fleet.tell(polled.load.incarnation, &mut cursor);
+                poll.heard = self.core.fleet.heard();
             } else {
                 poll.fleet = Vec::new();
             }
             self.pace(asked_at, &polled, &mut known).await;
-            let now = clock::now();
-            poll.until = now + self.core.settings.heartbeat_ms;
-            poll.heard = now.saturating_sub(self.core.settings.exchange_ms);
+            poll.until = clock::now() + self.core.settings.heartbeat_ms;
         }
     }
 
--- a/crates/decide/src/exchange/collector.rs
+++ b/crates/decide/src/exchange/collector.rs
@@ -58,6 +58,14 @@
             .map_or(&[], |source| source.latest.as_slice())
     }
 
+    /// How old what is known of each sidecar is, in milliseconds, as far as it was heard
+    /// of late.
+    pub(super) fn ages(&self, now: Millis, fresh_ms: Millis) -> impl Iterator<Item = Millis> {
+        let sources = self.0.values();
+        let ages = sources.map(move |source| now.saturating_sub(source.heard_at));
+        ages.filter(move |age_ms| *age_ms <= fresh_ms)
+    }
+
     /// Forgets the lives not heard since an instant.
     pub(super) fn forget(&mut self, before: Millis) {
         self.0.retain(|_, source| source.heard_at >= before);
--- a/crates/decide/src/exchange/settle.rs
+++ b/crates/decide/src/exchange/settle.rs
@@ -21,12 +21,14 @@
         now.saturating_sub(age_ms)
     }
 
-    /// How old what this router hands on is, in milliseconds: its children's counters.
+    /// How old what this router hands on is, in milliseconds: the counters of its sidecars
+    /// and children.
     pub(super) fn age_below(&self, now: Millis) -> Millis {
         let fresh_ms = self.bounds.horizon_ms;
         let children = self.children.values();
         let ages = children.filter_map(|child| child.age(now, fresh_ms));
-        mean(ages).unwrap_or(0)
+        let sidecars = self.collector.ages(now, fresh_ms);
+        mean(ages.chain(sidecars)).unwrap_or(0)
     }
 
     pub(super) fn settle_children(&mut self, now: Millis) {
--- a/crates/decide/tests/exchange/flat.rs
+++ b/crates/decide/tests/exchange/flat.rs
@@ -244,3 +244,22 @@
         }
     }
 }
+
+#[googletest::test]
+fn the_totals_are_as_old_as_what_they_rest_on() {
+    let mut net = Net::open(3, all_fit());
+    let heard = |net: &Net| net.now - net.nodes[0].ledger.heard(net.now);
+    expect_that!(heard(&net), eq(0));
+    net.credit(1, 0, 100);
+    net.now += 400;
+    net.exchange(0, 1, Fate::Whole);
+    expect_that!(heard(&net), eq(400));
+    net.now += 300;
+    expect_that!(heard(&net), eq(700));
+    net.exchange(0, 2, Fate::Whole);
+    expect_that!(heard(&net), eq(350));
+    // A peer that is not heard for long no longer counts.
+    net.now += Bounds::default().horizon_ms + 1;
+    net.exchange(0, 2, Fate::Whole);
+    expect_that!(heard(&net), eq(0));
+}
--- a/crates/model/src/statement.rs
+++ b/crates/model/src/statement.rs
@@ -68,8 +68,8 @@
     pub sequence: u64,
     /// The last sequence number that the sender has taken in from the receiver.
     pub counted: u64,
-    /// How old what the sender counted of others was, in milliseconds: what a peer's or
-    /// child's children told it, or what a parent's totals rest on.
+    /// How old what the sender counted was, in milliseconds: what its sidecars and
+    /// children told it, or what a parent's totals rest on.
     pub age_ms: u32,
     /// A peer's or child's own counters, or a parent's totals.
     pub tallies: Vec<Tally>,
