--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -170,7 +170,8 @@
         standings
     }
 
-    /// Whether the key-value service is being followed.
+    /// Whether the key-value service is being followed, here or by other routers of the
+    /// zone.
     #[must_use]
     pub fn is_kv_up(&self) -> bool {
         self.kv_up.load(Ordering::Relaxed)
--- a/crates/daemon/src/fleet/exchange.rs
+++ b/crates/daemon/src/fleet/exchange.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use metrics::{counter, gauge};
 use mulberryyoke_decide::exchange::Bounds;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::Relation;
@@ -104,6 +105,9 @@
             ledger.follow(None, now);
         }
         ledger.tick(now);
+        let age_ms = now.saturating_sub(ledger.heard(now));
+        #[expect(clippy::cast_precision_loss, reason = "milliseconds of an age are few")]
+        gauge!("exchange_age_ms", "router" => self.member.name.clone()).set(age_ms as f64);
     }
 
     /// Whom to call in a round, and what this router is to them. With `news` to tell,
@@ -157,11 +161,13 @@
     }
 
     async fn ask(&self, peer: &Peer, summary: Summary) -> Option<Summary> {
+        counter!("exchange_calls_total").increment(1);
         let client = peer.client(&self.bytes).await?;
         client.exchange(context(), summary).await.ok()
     }
 
     async fn note_failure(&self, peer: &Peer) {
+        counter!("exchange_failures_total").increment(1);
         peer.disconnect().await;
         if self.peers.fail(&peer.name) {
             log!(self.logger, Event::PeerDown, "peer" => &peer.name);
--- a/crates/daemon/src/fleet/source.rs
+++ b/crates/daemon/src/fleet/source.rs
@@ -111,6 +111,8 @@
     async fn wait_for_duty(&mut self) {
         while !self.is_on_duty() {
             self.from = None;
+            self.standing = Standing::New;
+            self.fleet.kv_up.store(true, Ordering::Relaxed);
             sleep(Duration::from_millis(REVIEW_MS)).await;
         }
     }
