--- a/crates/daemon/src/router/link/session.rs
+++ b/crates/daemon/src/router/link/session.rs
@@ -10,6 +10,7 @@
 use mulberryyoke_model::Load;
 use mulberryyoke_wire::{self as wire, Poll, Polled, SidecarClient};
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::control::{failed, within};
@@ -28,6 +29,10 @@
 /// Time limit of a poll on the wire. Silence is noticed long before.
 pub(super) const POLL_LIMIT: Duration = Duration::from_hours(1);
 
+/// Polls in a row that find a free slot beside waiting requests, after which
+/// everything is told again.
+const IDLE_POLLS: u32 = 3;
+
 /// Keeps a link until it is stopped.
 pub(super) async fn run(core: Arc<Core>, link: Arc<Link>) {
     let mut pause = FIRST_PAUSE;
@@ -63,6 +68,7 @@
     link: &'a Arc<Link>,
     client: SidecarClient,
     told: Mutex<Told>,
+    repeat: Notify,
 }
 
 impl<'a> Session<'a> {
@@ -79,6 +85,7 @@
             link,
             client,
             told: Mutex::default(),
+            repeat: Notify::new(),
         };
         if let Err(error) = session.recall().await {
             return error;
@@ -116,6 +123,9 @@
             changed.mark_unchanged();
             let news = {
                 let mut told = self.told.lock();
+                if full {
+                    told.clear();
+                }
                 let interest = room.interest(&mut seen, &self.look(&told, all));
                 told.news(interest)
             };
@@ -129,14 +139,30 @@
                 call.await.map_err(failed)?;
                 sleep(DECLARE_PAUSE).await;
             }
-            full = false;
-            all = tokio::select! {
-                _ = changed.changed() => false,
-                () = self.link.reconsider.notified() => true,
+            (full, all) = tokio::select! {
+                _ = changed.changed() => (false, false),
+                () = self.link.reconsider.notified() => (false, true),
+                () = self.repeat.notified() => (true, true),
             };
         }
     }
 
+    /// Tells everything again if the sidecar has a free slot although it was told
+    /// of waiting requests. Then what it knows is not what the router thinks.
+    fn check(&self, polled: &Polled, idle: &mut u32) {
+        let is_idle = polled.load.free > 0 && !polled.load.draining && polled.grants.is_empty();
+        if !is_idle || self.told.lock().is_empty() {
+            *idle = 0;
+            return;
+        }
+        *idle += 1;
+        if *idle == IDLE_POLLS {
+            *idle = 0;
+            metrics::counter!("declarations_repeated_total").increment(1);
+            self.repeat.notify_one();
+        }
+    }
+
     /// What decides on the next declaration.
     fn look<'t>(&self, told: &'t Told, all: bool) -> Look<'t> {
         let standing = &self.link.standing;
@@ -163,12 +189,14 @@
             heard: 0,
         };
         let mut known = None;
+        let mut idle = 0;
         loop {
             poll.revision = self.core.fleet.view().revision();
             let asked_at = Instant::now();
             let polled = self.ask(&poll).await?;
             self.learn(polled.load);
             self.grant(&polled);
+            self.check(&polled, &mut idle);
             if let Some(report) = &polled.report {
                 poll.counted = self.core.fleet.collect(polled.load.incarnation, report);
                 poll.fleet = self.core.fleet.tell(polled.load.incarnation, &mut cursor);
--- a/crates/daemon/tests/router/fake.rs
+++ b/crates/daemon/tests/router/fake.rs
@@ -175,6 +175,16 @@
         self.shared.granted.notify_one();
     }
 
+    /// Forgets all that was declared.
+    pub(crate) fn forget(&self) {
+        self.shared.interest.send_modify(BTreeMap::clear);
+    }
+
+    /// Tells of free slots from now on.
+    pub(crate) fn set_free(&self, free: u32) {
+        *self.shared.free.lock() = free;
+    }
+
     /// Waits until a slot is given back.
     pub(crate) async fn declined(&self, id: u64) {
         let mut declined = self.shared.declined.subscribe();
--- a/crates/daemon/tests/router/waiting.rs
+++ b/crates/daemon/tests/router/waiting.rs
@@ -167,3 +167,18 @@
     expect_that!(caller.await.unwrap().status.as_u16(), eq(200));
     expect_that!(fake.arrival().await.ticket.grant, some(eq(1)));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_sidecar_that_has_forgotten_what_waits_is_told_again() {
+    let fake = Fake::bind("s1", MODEL, 0).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({})).await;
+    let caller = spawn(fleet.address(), completion());
+    fake.declared(customer(), [0, 1, 0]).await;
+    fake.forget();
+    // A free slot beside what it was told of shows that it does not know of it.
+    fake.set_free(1);
+    fake.declared(customer(), [0, 1, 0]).await;
+    fake.grant(1, customer());
+    expect_that!(caller.await.unwrap().status.as_u16(), eq(200));
+}
--- a/crates/decide/src/declare.rs
+++ b/crates/decide/src/declare.rs
@@ -116,6 +116,17 @@
         self.waiting.contains_key(&customer)
     }
 
+    /// Whether the sidecar knows of nothing that waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Takes everything as untold, as before a full declaration.
+    pub fn clear(&mut self) {
+        self.waiting.clear();
+    }
+
     /// Customers of whom the sidecar was told.
     pub fn customers(&self) -> impl Iterator<Item = CustomerId> {
         self.waiting.keys().copied()
