--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -4,7 +4,7 @@
 
 mod audit;
 mod build;
-mod call;
+pub mod call;
 mod error;
 mod fault;
 mod flags;
@@ -13,11 +13,11 @@
 mod meter;
 mod node;
 mod op;
-mod operator;
+pub mod operator;
 mod overhead;
 mod plan;
-mod process;
-mod relay;
+pub mod process;
+pub mod relay;
 mod report;
 mod scene;
 mod scrape;
@@ -43,6 +43,7 @@
 pub use self::flags::{Deployment, Flags, Policy};
 pub use self::gap::{Gap, gap, utilisation};
 pub use self::meter::Sample;
+pub use self::op::Work;
 pub use self::report::Report;
 
 /// Faults begin and end after these parts of the load.
--- a/crates/standin/src/fleet/call.rs
+++ b/crates/standin/src/fleet/call.rs
@@ -15,7 +15,7 @@
 use super::op::Work;
 
 /// A client that keeps connections, as callers and operators use it.
-pub(crate) type Client = Pool<HttpConnector, Full<Bytes>>;
+pub type Client = Pool<HttpConnector, Full<Bytes>>;
 
 /// No call takes longer, since a router gives up after two minutes; one that
 /// does has been lost.
@@ -23,7 +23,7 @@
 
 /// What a caller holds at the end of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum End {
+pub enum End {
     /// The whole answer to its own request.
     Whole,
     /// Told, or sure itself, that the request did not run.
@@ -56,7 +56,8 @@
 }
 
 /// Opens a client.
-pub(crate) fn client() -> Client {
+#[must_use]
+pub fn client() -> Client {
     let mut builder = Pool::builder(TokioExecutor::new());
     builder.pool_timer(TokioTimer::new()).build_http()
 }
@@ -144,7 +145,8 @@
 }
 
 /// Compares a body that ended well with the answer that is due.
-fn judge(bytes: &[u8], attempt: &str, work: Work) -> End {
+#[must_use]
+pub fn judge(bytes: &[u8], attempt: &str, work: Work) -> End {
     let text = String::from_utf8_lossy(bytes);
     match work {
         Work::Booking => {
--- a/crates/standin/src/fleet/node.rs
+++ b/crates/standin/src/fleet/node.rs
@@ -1,5 +1,6 @@
 //! Settings of the processes, and the VM list that they see.
 
+use std::io;
 use std::net::SocketAddr;
 
 use mulberryyoke_model::KeyHash;
@@ -24,14 +25,14 @@
 }
 
 impl Node {
-    pub(crate) fn new(name: String, zone: &'static str, ports: &mut Ports) -> Self {
-        Self {
+    pub(crate) fn new(name: String, zone: &'static str, ports: &mut Ports) -> io::Result<Self> {
+        Ok(Self {
             name,
             zone,
-            control: ports.take(),
-            data: ports.take(),
-            status: ports.take(),
-        }
+            control: ports.take()?,
+            data: ports.take()?,
+            status: ports.take()?,
+        })
     }
 
     fn vm(&self, role: Role, control: SocketAddr) -> Vm {
--- a/crates/standin/src/fleet/op.rs
+++ b/crates/standin/src/fleet/op.rs
@@ -28,9 +28,14 @@
 
 /// What is wanted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Work {
+pub enum Work {
     /// A model answer of a number of tokens.
-    Chat { tokens: u32, streamed: bool },
+    Chat {
+        /// Tokens of the answer.
+        tokens: u32,
+        /// Whether it is streamed.
+        streamed: bool,
+    },
     /// A call that must run at most once.
     Booking,
 }
--- a/crates/standin/src/fleet/operator.rs
+++ b/crates/standin/src/fleet/operator.rs
@@ -13,14 +13,22 @@
 use super::error::Error;
 
 /// Bearer key of the launcher's operator.
-pub(crate) const KEY: &str = "key-of-the-launchers-operator";
+pub const KEY: &str = "key-of-the-launchers-operator";
 /// Most sendings of one command.
 const MOST_SENDINGS: usize = 40;
 /// Pause between two of them.
 const PAUSE: Duration = Duration::from_millis(250);
 
 /// Sends a command once.
-pub(crate) async fn send(
+///
+/// # Errors
+///
+/// An answer that did not come or cannot be read.
+///
+/// # Panics
+///
+/// Never: every command has a JSON form and every address is one of a URI.
+pub async fn send(
     client: &Client,
     router: SocketAddr,
     words: &[String],
@@ -46,7 +54,11 @@
 }
 
 /// Sends a command under one id until its result is known.
-pub(crate) async fn settle(
+///
+/// # Errors
+///
+/// A command whose result did not become known.
+pub async fn settle(
     client: &Client,
     router: SocketAddr,
     words: &[String],
@@ -75,6 +87,7 @@
 }
 
 /// Splits a command into words.
-pub(crate) fn words(text: &str) -> Vec<String> {
+#[must_use]
+pub fn words(text: &str) -> Vec<String> {
     text.split_whitespace().map(str::to_owned).collect()
 }
--- a/crates/standin/src/fleet/process.rs
+++ b/crates/standin/src/fleet/process.rs
@@ -2,7 +2,7 @@
 
 use std::fs::{self, File};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
@@ -10,57 +10,48 @@
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
+use tokio::net::TcpSocket;
 use tokio::process::{Child, Command};
 use tokio::time::timeout;
 
 use super::error::Error;
 
-/// Ports are taken from here up to [`LAST_PORT`], below those that outgoing
-/// connections get, so that a process that is started again finds its own free.
-const FIRST_PORT: u16 = 10_000;
-const LAST_PORT: u16 = 32_000;
 /// Longest time that a process may take to end; then it is killed.
 const LONGEST_END: Duration = Duration::from_secs(75);
 /// Bytes of a log that are shown when a process fails.
 const LOG_TAIL: usize = 2_000;
 
-/// Free ports of the loopback address.
-#[derive(Debug)]
-pub(crate) struct Ports {
-    next: u16,
+/// Ports of the loopback address, kept for processes to bind, again and again,
+/// until dropped.
+#[derive(Debug, Default)]
+pub struct Ports {
+    held: Vec<TcpSocket>,
 }
 
 impl Ports {
-    /// Starts at a place that differs between launchers.
-    pub(crate) fn open() -> Self {
-        let place = std::process::id() * 131 % u32::from(LAST_PORT - FIRST_PORT);
-        let place = u16::try_from(place).unwrap_or(0);
-        Self {
-            next: FIRST_PORT + place,
-        }
-    }
-
-    /// Takes a port that is free now.
-    pub(crate) fn take(&mut self) -> SocketAddr {
-        loop {
-            self.next += 1;
-            if self.next >= LAST_PORT {
-                self.next = FIRST_PORT;
-            }
-            let address = SocketAddr::from((Ipv4Addr::LOCALHOST, self.next));
-            if TcpListener::bind(address).is_ok() {
-                return address;
-            }
-        }
+    /// Takes a port.
+    ///
+    /// # Errors
+    ///
+    /// What the operating system says when there is none.
+    pub fn take(&mut self) -> io::Result<SocketAddr> {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        // From now on one may listen there; what just needs any port gets another.
+        socket.set_reuseaddr(true)?;
+        let address = socket.local_addr()?;
+        self.held.push(socket);
+        Ok(address)
     }
 }
 
 /// A router or sidecar. Dropping it kills the process.
 #[derive(Debug)]
-pub(crate) struct Process {
-    pub(crate) name: String,
+pub struct Process {
+    /// Name in the settings.
+    pub name: String,
     /// Where health and metrics are served.
-    pub(crate) status: SocketAddr,
+    pub status: SocketAddr,
     daemon: PathBuf,
     role: &'static str,
     settings: PathBuf,
@@ -72,7 +63,11 @@
 
 impl Process {
     /// Writes settings and starts the process.
-    pub(crate) fn spawn(
+    ///
+    /// # Errors
+    ///
+    /// Settings that cannot be written, or a process that cannot be started.
+    pub fn spawn(
         daemon: &Path,
         directory: &Path,
         role: &'static str,
@@ -96,7 +91,11 @@
     }
 
     /// Starts the process, again if it has run before.
-    pub(crate) fn start(&self) -> Result<(), Error> {
+    ///
+    /// # Errors
+    ///
+    /// A process that cannot be started.
+    pub fn start(&self) -> Result<(), Error> {
         let child = self.launch().map_err(|source| Error::Start {
             name: self.name.clone(),
             source,
@@ -121,14 +120,14 @@
     }
 
     /// Sends a signal; a process that has been waited for gets none.
-    pub(crate) fn signal(&self, signal: Signal) {
+    pub fn signal(&self, signal: Signal) {
         if let Some(pid) = *self.pid.lock() {
             kill_process(pid, signal).ok();
         }
     }
 
     /// Sends a signal that ends the process; returns its exit code, if any.
-    pub(crate) async fn end(&self, signal: Signal) -> Option<i32> {
+    pub async fn end(&self, signal: Signal) -> Option<i32> {
         self.signal(signal);
         let mut child = self.child.lock().take()?;
         let ended = timeout(LONGEST_END, child.wait()).await;
@@ -137,7 +136,7 @@
     }
 
     /// Whether the process has ended by itself.
-    pub(crate) fn has_ended(&self) -> bool {
+    pub fn has_ended(&self) -> bool {
         let mut child = self.child.lock();
         let ended = child
             .as_mut()
@@ -145,8 +144,16 @@
         ended.unwrap_or(false)
     }
 
+    /// Its log, over restarts.
+    #[must_use]
+    pub fn log(&self) -> String {
+        let log = fs::read(&self.log).unwrap_or_default();
+        String::from_utf8_lossy(&log).into_owned()
+    }
+
     /// The end of its log.
-    pub(crate) fn tail(&self) -> String {
+    #[must_use]
+    pub fn tail(&self) -> String {
         let log = fs::read(&self.log).unwrap_or_default();
         let start = log.len().saturating_sub(LOG_TAIL);
         String::from_utf8_lossy(&log[start..]).into_owned()
--- a/crates/standin/src/fleet/setup.rs
+++ b/crates/standin/src/fleet/setup.rs
@@ -53,6 +53,7 @@
     pub(crate) callers: Vec<SocketAddr>,
     /// Where settings and logs are.
     pub(crate) directory: PathBuf,
+    _ports: Ports,
 }
 
 fn stand_in(source: io::Error) -> Error {
@@ -67,15 +68,17 @@
         let directory = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&directory).map_err(Error::Settings)?;
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let mut ports = Ports::open();
+        let mut ports = Ports::default();
         let kv = kv::Store::bind(any).await.map_err(stand_in)?;
         let (engines, services) = backends(&plan, any).await.map_err(stand_in)?;
         let routers: Vec<Node> = (0..plan.flags.routers)
             .map(|index| Node::new(format!("router-{index}"), plan.zone(index), &mut ports))
-            .collect();
+            .collect::<io::Result<_>>()
+            .map_err(stand_in)?;
         let servers: Vec<Node> = (0..plan.models + plan.services)
             .map(|index| Node::new(plan.server(index), plan.zone(index), &mut ports))
-            .collect();
+            .collect::<io::Result<_>>()
+            .map_err(stand_in)?;
         let mut relays = Vec::new();
         for router in &routers {
             relays.push(Relay::bind(router.control).await.map_err(stand_in)?);
@@ -114,6 +117,7 @@
             callers: routers.iter().map(|node| node.data).collect(),
             directory,
             plan,
+            _ports: ports,
         };
         fleet.declare(&servers).await?;
         for process in fleet.sidecars.iter().chain(&fleet.routers) {
