Tell the outcome of a request through any router, and of none but its own life

Cause: a router asked by another answered from its memory alone, by the request's number, whatever life had taken the request. So a router that had forgotten told 'not-run' of a request that ran, if its own request of that number had not; and a request whose router could ask the sidecar stayed 'unknown' when asked for through another router. Ruled out: the way between routers (the question did arrive). Before: proof truth::an_outcome_asked_of_a_router_that_has_forgotten_it 'Actual: NotRun', truth::a_link_cut_while_the_call_runs 'waited for an outcome; seen: unknown'. After: both pass. Conclusion: whoever is asked, only the life that took the request answers, and it asks the sidecar when it does not know itself.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -210,12 +210,19 @@
     /// What became of a request, asked of the router life that took it.
     pub async fn outcome(&self, attempt: Attempt) -> Outcome {
         if attempt.origin == self.member.incarnation {
-            let local = self.local.get();
-            return local.map_or(Outcome::Unknown, |local| local.outcome(attempt));
+            return self.own_outcome(attempt).await;
         }
         self.peers.outcome(attempt).await
     }
 
+    /// What became of a request that this router, or an earlier life of it, took.
+    async fn own_outcome(&self, attempt: Attempt) -> Outcome {
+        match self.local.get() {
+            Some(local) => local.outcome(attempt).await,
+            None => Outcome::Unknown,
+        }
+    }
+
     /// Names what answers the peers' questions about this router's requests. Only
     /// the first call counts.
     pub fn serve(&self, local: Arc<dyn Local>) {
--- a/crates/daemon/src/fleet/service.rs
+++ b/crates/daemon/src/fleet/service.rs
@@ -58,8 +58,7 @@
     }
 
     async fn outcome(self, _: Context, attempt: Attempt) -> Outcome {
-        let local = self.0.local.get();
-        local.map_or(Outcome::Unknown, |local| local.outcome(attempt))
+        self.0.own_outcome(attempt).await
     }
 
     async fn keys(self, _: Context, server: ServerId, since: Millis) -> (Millis, Vec<KeyId>) {
--- a/crates/daemon/src/router/handle.rs
+++ b/crates/daemon/src/router/handle.rs
@@ -1,6 +1,7 @@
 //! The running router.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use super::core::Core;
 use super::error::Error;
 use super::inspect::Inspect;
-use super::{links, operators};
+use super::{links, operators, outcome};
 use crate::fleet::{Fleet, Local};
 use crate::operator::Operator;
 
@@ -129,14 +130,13 @@
     }
 }
 
-/// Answers to other routers.
+/// Answers about this router's requests.
 #[derive(Debug)]
 struct Answers(Arc<Core>);
 
 impl Local for Answers {
-    fn outcome(&self, attempt: Attempt) -> Outcome {
-        let record = self.0.memory.get(attempt.request);
-        record.map_or(Outcome::Unknown, |record| record.outcome)
+    fn outcome(&self, attempt: Attempt) -> Pin<Box<dyn Future<Output = Outcome> + Send + '_>> {
+        Box::pin(outcome::own(&self.0, attempt))
     }
 
     fn keys(&self, server: ServerId, since: Millis) -> (Millis, Vec<KeyId>) {
--- a/crates/daemon/src/router/outcome.rs
+++ b/crates/daemon/src/router/outcome.rs
@@ -19,15 +19,16 @@
 ) -> Result<Response<Answer>, Refusal> {
     request::customer(&core.fleet.view(), headers)?;
     let attempt = Attempt::parse_request_id(id).ok_or_else(no_id)?;
-    let outcome = find(core, attempt).await;
+    let outcome = core.fleet.outcome(attempt).await;
     let body = json!({"id": id, "outcome": outcome.word()});
     Ok(json(StatusCode::OK, body.to_string()))
 }
 
-/// What became of a request of this or another router.
-async fn find(core: &Arc<Core>, attempt: Attempt) -> Outcome {
+/// What became of a request of this router: what it knows itself, else what the
+/// sidecar tells that it was last sent to.
+pub(crate) async fn own(core: &Core, attempt: Attempt) -> Outcome {
     if attempt.origin != core.origin() {
-        return core.fleet.outcome(attempt).await;
+        return Outcome::Unknown;
     }
     let Some(record) = core.memory.get(attempt.request) else {
         return Outcome::Unknown;
--- a/crates/standin/tests/fleet/exchange.rs
+++ b/crates/standin/tests/fleet/exchange.rs
@@ -1,6 +1,7 @@
 //! The exchange between routers.
 
 use std::collections::BTreeMap;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -129,12 +130,9 @@
 struct Answers;
 
 impl Local for Answers {
-    fn outcome(&self, attempt: Attempt) -> Outcome {
-        if attempt.request == 1 {
-            Outcome::Ran
-        } else {
-            Outcome::NotRun
-        }
+    fn outcome(&self, attempt: Attempt) -> Pin<Box<dyn Future<Output = Outcome> + Send + '_>> {
+        let ran = attempt.request == 1;
+        Box::pin(async move { if ran { Outcome::Ran } else { Outcome::NotRun } })
     }
 
     fn keys(&self, _: ServerId, since: Millis) -> (Millis, Vec<KeyId>) {
