--- /dev/null
+++ b/crates/daemon/tests/proof/shared/ask.rs
@@ -0,0 +1,250 @@
+//! What a caller asks, and what it holds in the end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use mulberryyoke_decide::home;
+use mulberryyoke_model::{CustomerId, KeyId, Server, ServerId, State};
+use mulberryyoke_standin::fleet::Work;
+use mulberryyoke_standin::fleet::call::{End, judge};
+use serde_json::{Value, json};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use super::setup::key;
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    customer: &'static str,
+    /// Identity that the backend notes, `CUSTOMER/NAME`.
+    pub(crate) op: String,
+    work: Work,
+    headers: Vec<(&'static str, String)>,
+}
+
+/// What a caller holds in the end.
+#[derive(Clone, Debug)]
+pub(crate) struct Reply {
+    /// The HTTP status; 0 when there was none.
+    pub(crate) status: u16,
+    /// The header `x-outcome`.
+    pub(crate) outcome: String,
+    /// The error's code.
+    pub(crate) code: String,
+    /// The fleet's name of the request.
+    pub(crate) id: String,
+    /// Seconds after which to come back.
+    pub(crate) retry_after: Option<u64>,
+    /// The body, or why it is not whole.
+    pub(crate) text: Result<String, String>,
+    /// The same, judged.
+    pub(crate) end: End,
+}
+
+impl Ask {
+    /// Asks for a model answer of some tokens.
+    pub(crate) fn chat(name: &str, tokens: u32) -> Self {
+        let streamed = true;
+        Self::new(name, Work::Chat { tokens, streamed })
+    }
+
+    /// Asks for a call of the plain service, which may not be repeated.
+    pub(crate) fn booking(name: &str) -> Self {
+        Self::new(name, Work::Booking)
+    }
+
+    /// Asks for such a call whose key has its home at one of a pool's servers.
+    pub(crate) fn booking_at(pool: &[&str], home: &str, number: u64) -> Self {
+        let names = (0..).map(|tail| format!("{number}-{tail}"));
+        let mut asks = names.map(|name| Self::booking(&name).keyed());
+        let is_home = |ask: &Self| {
+            let key = KeyId::of(CustomerId::of(ask.customer), &ask.op);
+            home_of(pool, key) == ServerId::of(home)
+        };
+        asks.find(is_home).unwrap()
+    }
+
+    fn new(name: &str, work: Work) -> Self {
+        Self {
+            customer: "scouts",
+            op: format!("scouts/{name}"),
+            work,
+            headers: Vec::new(),
+        }
+    }
+
+    /// For a customer other than the usual one.
+    pub(crate) fn of(mut self, customer: &'static str) -> Self {
+        self.op = self.op.replace(self.customer, customer);
+        self.customer = customer;
+        self
+    }
+
+    /// With an `Idempotency-Key`: its own identity.
+    pub(crate) fn keyed(self) -> Self {
+        let key = self.op.clone();
+        self.with("idempotency-key", key)
+    }
+
+    pub(crate) fn with(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    fn request(&self) -> Request<Full<Bytes>> {
+        let op = &self.op;
+        let (path, body) = match self.work {
+            Work::Booking => ("/bookings", json!({"op": op})),
+            Work::Chat { tokens, streamed } => {
+                let body = json!({
+                    "model": "assistant",
+                    "stream": streamed,
+                    "messages": [{"role": "user", "content": format!("Please answer {op}.")}],
+                    "standin": {"op": op, "tokens": tokens},
+                });
+                ("/v1/chat/completions", body)
+            }
+        };
+        let mut request = Request::post(path)
+            .header("host", "router")
+            .header("authorization", format!("Bearer {}", key(self.customer)));
+        for (name, value) in &self.headers {
+            request = request.header(*name, value);
+        }
+        request.body(Full::from(body.to_string())).unwrap()
+    }
+
+    /// Sends it to a router on a connection of its own and reads the answer.
+    pub(crate) async fn send(&self, router: SocketAddr) -> Reply {
+        match self.open(router).await {
+            Ok(response) => self.read(response).await,
+            Err(reply) => reply,
+        }
+    }
+
+    /// As [`Self::send`], in a task of its own.
+    pub(crate) fn spawn(&self, router: SocketAddr) -> JoinHandle<Reply> {
+        let ask = self.clone();
+        tokio::spawn(async move { ask.send(router).await })
+    }
+
+    /// Sends it and reads the head of the answer.
+    pub(crate) async fn open(&self, router: SocketAddr) -> Result<Response<Incoming>, Reply> {
+        let stream = TcpStream::connect(router).await;
+        let stream = stream.map_err(|error| Reply::none(End::NotRun, &error.to_string()))?;
+        stream.set_nodelay(true).unwrap();
+        let lost = |error: hyper::Error| Reply::none(End::Unknown, &error.to_string());
+        let (mut sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(lost)?;
+        tokio::spawn(connection);
+        sender.send_request(self.request()).await.map_err(lost)
+    }
+
+    async fn read(&self, response: Response<Incoming>) -> Reply {
+        let (parts, body) = response.into_parts();
+        let text = match body.collect().await {
+            Ok(whole) => Ok(String::from_utf8(whole.to_bytes().to_vec()).unwrap()),
+            Err(error) => Err(error.to_string()),
+        };
+        let header = |name| {
+            let value = parts.headers.get(name);
+            value.map_or("", |value| value.to_str().unwrap())
+        };
+        let refusal: Value = text.as_ref().map_or(Value::Null, |text| {
+            serde_json::from_str(text).unwrap_or_default()
+        });
+        let mut reply = Reply {
+            status: parts.status.as_u16(),
+            outcome: header("x-outcome").to_owned(),
+            code: refusal["error"]["code"]
+                .as_str()
+                .unwrap_or_default()
+                .to_owned(),
+            id: header("x-request-id").to_owned(),
+            retry_after: header("retry-after").parse().ok(),
+            text,
+            end: End::Unknown,
+        };
+        reply.end = self.judge(&reply);
+        reply
+    }
+
+    fn judge(&self, reply: &Reply) -> End {
+        match (&reply.text, reply.status, reply.outcome.as_str()) {
+            (Ok(text), 200, _) => judge(text.as_bytes(), &self.op, self.work),
+            (_, _, "not-run") => End::NotRun,
+            (_, _, "ran") => End::Ran,
+            _ => End::Unknown,
+        }
+    }
+}
+
+impl Reply {
+    fn none(end: End, cause: &str) -> Self {
+        Self {
+            status: 0,
+            outcome: String::new(),
+            code: String::new(),
+            id: String::new(),
+            retry_after: None,
+            text: Err(cause.to_owned()),
+            end,
+        }
+    }
+
+    /// The status, the error's code and the outcome.
+    pub(crate) fn refusal(&self) -> (u16, &str, &str) {
+        (self.status, &self.code, &self.outcome)
+    }
+}
+
+/// The home of a key in a pool that has long been as it is.
+fn home_of(pool: &[&str], key: KeyId) -> ServerId {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let servers = pool.iter().map(|name| {
+        Arc::new(Server {
+            name: (*name).to_owned(),
+            pool: String::new(),
+            region: String::new(),
+            zone: String::new(),
+            control: address,
+            data: address,
+            slots: 1,
+            state: State::Active,
+            added_at: 0,
+            changed_at: 0,
+        })
+    });
+    let servers: Vec<Arc<Server>> = servers.collect();
+    home::find(&servers, key, 1, 1).current.unwrap()
+}
+
+/// What a router tells of a request's outcome.
+pub(crate) async fn outcome(router: SocketAddr, id: &str) -> String {
+    let (_, body) = get(router, &format!("/v1/outcomes/{id}")).await.unwrap();
+    let told: Value = serde_json::from_slice(&body).unwrap();
+    told["outcome"].as_str().unwrap_or_default().to_owned()
+}
+
+/// The status and body at a path, if there is an answer.
+pub(crate) async fn get(address: SocketAddr, path: &str) -> Option<(u16, Bytes)> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let request = Request::get(path)
+        .header("host", "router")
+        .header("authorization", format!("Bearer {}", key("scouts")))
+        .body(Full::new(Bytes::new()))
+        .unwrap();
+    let response = sender.send_request(request).await.ok()?;
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.ok()?;
+    Some((status, body.to_bytes()))
+}
--- /dev/null
+++ b/crates/daemon/tests/proof/whole.rs
@@ -0,0 +1,234 @@
+//! Every caller receives the whole answer to its own request, or sees that it
+//! does not.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use googletest::prelude::*;
+use mulberryyoke_event::Event;
+use mulberryyoke_standin::fleet::call::End;
+use serde_json::json;
+
+use crate::shared::{Ask, Fleet, Setup, Stream, wait};
+
+/// Tokens of an answer that is under way when a fault comes.
+const TOKENS: u32 = 200;
+
+/// Tokens of an answer that fills every buffer on its way.
+const MANY: u32 = 40_000;
+
+const DONE: &str = "[DONE]";
+
+fn engines(engines: usize) -> Setup {
+    Setup {
+        engines,
+        ..Setup::default()
+    }
+}
+
+/// Waits until some router's caller has some of its answer from a server.
+async fn under_way(fleet: &Fleet, server: usize) {
+    wait::holds("an answer under way", || {
+        let runs = fleet.backends[server].journal().runs();
+        runs.iter().any(|run| run.tokens > 2)
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_sidecar_killed_in_the_middle() {
+    let fleet = Fleet::spawn(engines(1)).await;
+    let mut stream = Stream::open(&Ask::chat("a", TOKENS), fleet.router(0)).await;
+    stream.read(3).await;
+    fleet.sidecars[0].kill().await;
+    let held = stream.finish().await;
+    expect_that!(held, err(anything()));
+    let cut = fleet.routers[0].event(Event::Truncated, |_| true).await;
+    expect_that!(cut["side"].as_str(), some(eq("server")));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_killed_in_the_middle() {
+    let fleet = Fleet::spawn(engines(1)).await;
+    let mut stream = Stream::open(&Ask::chat("a", TOKENS), fleet.router(0)).await;
+    stream.read(3).await;
+    fleet.routers[0].kill().await;
+    let held = stream.finish().await;
+    expect_that!(held, err(anything()));
+    // The engine's slot comes free for others.
+    let next = Ask::chat("b", 4).send(fleet.router(1)).await;
+    expect_that!(next.end, eq(End::Whole));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_link_to_the_engine_cut_in_the_middle() {
+    let fleet = Fleet::spawn(engines(1)).await;
+    let asks: Vec<Ask> = (0..2).map(|n| Ask::chat(&format!("{n}"), TOKENS)).collect();
+    let sent: Vec<_> = asks.iter().map(|ask| ask.spawn(fleet.router(0))).collect();
+    under_way(&fleet, 0).await;
+    fleet.backends[0].relay.cut();
+    fleet.backends[0].relay.mend();
+    for reply in join_all(sent).await {
+        expect_that!(reply.unwrap().end, eq(End::Whole));
+    }
+    expect_that!(fleet.sidecars[0].events(Event::Resumed), not(is_empty()));
+    for ask in &asks {
+        expect_that!(fleet.starts(&ask.op), eq(1));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_stays_away_in_the_middle() {
+    let fleet = Fleet::spawn(engines(1)).await;
+    let mut stream = Stream::open(&Ask::chat("a", TOKENS), fleet.router(0)).await;
+    stream.read(3).await;
+    fleet.backends[0].relay.cut();
+    let held = stream.finish().await;
+    expect_that!(held, err(anything()));
+    fleet.backends[0].relay.mend();
+    let next = Ask::chat("b", 4).send(fleet.router(1)).await;
+    expect_that!(next.end, any![eq(End::Whole), eq(End::NotRun)], "{next:?}");
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_comes_late() {
+    let fleet = Fleet::spawn(Setup {
+        slots: 8,
+        router: json!({"heartbeat_ms": 250}),
+        ..engines(2)
+    })
+    .await;
+    fleet.sidecars[0].freeze();
+    let asks: Vec<Ask> = (0..8).map(|n| Ask::chat(&format!("{n}"), 8)).collect();
+    let sent: Vec<_> = asks.iter().map(|ask| ask.spawn(fleet.router(0))).collect();
+    let replies = join_all(sent).await;
+    for reply in replies {
+        let reply = reply.unwrap();
+        expect_that!(
+            reply.end,
+            any![eq(End::Whole), eq(End::Unknown)],
+            "{reply:?}"
+        );
+    }
+    let lost = fleet.routers[0].events(Event::Retried);
+    expect_that!(lost, not(is_empty()));
+    fleet.sidecars[0].thaw();
+    // What the frozen one answers now, or is told not to run, reaches nobody.
+    let told = |event| {
+        let events = [&fleet.routers[0], &fleet.sidecars[0]].map(|node| node.events(event));
+        events.concat().len()
+    };
+    wait::holds(
+        "late answers to be dropped or their attempts withdrawn",
+        || told(Event::Dropped) + told(Event::Withdrawn) >= lost.len(),
+    )
+    .await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_callers_while_sidecars_freeze_and_die() {
+    let fleet = Fleet::spawn(Setup {
+        slots: 8,
+        router: json!({"heartbeat_ms": 250}),
+        ..engines(3)
+    })
+    .await;
+    let asks: Vec<Ask> = (0..48)
+        .map(|n| Ask::chat(&format!("{n}"), 30 + n % 7))
+        .collect();
+    let calls = asks.iter().enumerate();
+    let sent: Vec<_> = calls
+        .map(|(n, ask)| ask.spawn(fleet.router(n % 2)))
+        .collect();
+    under_way(&fleet, 0).await;
+    fleet.sidecars[0].freeze();
+    under_way(&fleet, 1).await;
+    fleet.sidecars[1].kill().await;
+    fleet.routers[0]
+        .event(Event::LinkDown, |line| line["server"] == "assistant-0")
+        .await;
+    fleet.sidecars[0].thaw();
+    fleet.sidecars[1].start();
+    let mut whole = 0;
+    for (ask, reply) in asks.iter().zip(join_all(sent).await) {
+        let reply = reply.unwrap();
+        expect_that!(
+            reply.end,
+            any![eq(End::Whole), eq(End::Unknown), eq(End::NotRun)],
+            "{}: {reply:?}",
+            ask.op
+        );
+        whole += u32::from(reply.end == End::Whole);
+    }
+    // The third server's answers at least.
+    expect_that!(whole, ge(8));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_key_of_two_customers() {
+    let fleet = Fleet::spawn(Setup {
+        services: 1,
+        ..Setup::default()
+    })
+    .await;
+    let key = |ask: Ask| ask.with("idempotency-key", "one");
+    let asks = [
+        key(Ask::booking("slot")),
+        key(Ask::booking("slot").of("families")),
+    ];
+    for round in 0..2 {
+        for ask in &asks {
+            let reply = ask.send(fleet.router(round)).await;
+            expect_that!(reply.end, eq(End::Whole), "{reply:?}");
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_reads_slowly() {
+    let fleet = Fleet::spawn(Setup {
+        token: Duration::ZERO,
+        ..engines(1)
+    })
+    .await;
+    let slow = Ask::chat("slow", MANY);
+    let mut stream = Stream::open(&slow, fleet.router(0)).await;
+    stream.read(1).await;
+    // The engine has made it all; the caller reads none of it meanwhile.
+    wait::holds("the whole answer", || {
+        let runs = fleet.backends[0].runs(&slow.op);
+        runs.iter().any(|run| run.ended > 0)
+    })
+    .await;
+    for n in 0..4 {
+        let next = Ask::chat(&format!("{n}"), 50).send(fleet.router(0)).await;
+        expect_that!(next.end, eq(End::Whole));
+    }
+    let held = stream.finish().await.unwrap();
+    expect_that!(held.matches("\"content\"").count(), eq(MANY as usize));
+    expect_that!(held.contains(DONE), eq(true));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_reads_no_more() {
+    let fleet = Fleet::spawn(Setup {
+        token: Duration::ZERO,
+        router: json!({"limits": {"stall_ms": 500}}),
+        ..engines(1)
+    })
+    .await;
+    let mut stream = Stream::open(&Ask::chat("slow", MANY), fleet.router(0)).await;
+    stream.read(1).await;
+    let cut = fleet.routers[0].event(Event::Truncated, |_| true).await;
+    expect_that!(cut["side"].as_str(), some(eq("caller")));
+    expect_that!(stream.finish().await, err(anything()));
+}
