--- a/crates/daemon/src/router/link/session.rs
+++ b/crates/daemon/src/router/link/session.rs
@@ -9,6 +9,8 @@
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::Load;
 use mulberryyoke_wire::{self as wire, Poll, Polled, SidecarClient};
+use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::control::{failed, within};
@@ -27,6 +29,10 @@
 /// Time limit of a poll on the wire. Silence is noticed long before.
 pub(super) const POLL_LIMIT: Duration = Duration::from_hours(1);
 
+/// Polls in a row that find a free slot beside waiting requests, after which
+/// everything is told again.
+const IDLE_POLLS: u32 = 3;
+
 /// Keeps a link until it is stopped.
 pub(super) async fn run(core: Arc<Core>, link: Arc<Link>) {
     let mut pause = FIRST_PAUSE;
@@ -61,6 +67,8 @@
     core: &'a Arc<Core>,
     link: &'a Arc<Link>,
     client: SidecarClient,
+    told: Mutex<Told>,
+    repeat: Notify,
 }
 
 impl<'a> Session<'a> {
@@ -72,7 +80,13 @@
             Err(_) => return Error::Timeout,
         };
         link.set_control(Some(client.clone()));
-        let session = Self { core, link, client };
+        let session = Self {
+            core,
+            link,
+            client,
+            told: Mutex::default(),
+            repeat: Notify::new(),
+        };
         if let Err(error) = session.recall().await {
             return error;
         }
@@ -102,14 +116,19 @@
     async fn declare(&self) -> Result<Infallible, Error> {
         let room = self.core.rooms.get(self.link.pool);
         let mut changed = room.subscribe();
-        let mut told = Told::default();
         let mut seen = 0;
         let mut full = true;
         let mut all = true;
         loop {
             changed.mark_unchanged();
-            let interest = room.interest(&mut seen, &self.look(&told, all));
-            let news = told.news(interest);
+            let news = {
+                let mut told = self.told.lock();
+                if full {
+                    told.clear();
+                }
+                let interest = room.interest(&mut seen, &self.look(&told, all));
+                told.news(interest)
+            };
             if full || !news.is_empty() {
                 let count = u64::try_from(news.len()).unwrap_or(u64::MAX);
                 metrics::counter!("declarations_total").increment(1);
@@ -120,14 +139,30 @@
                 call.await.map_err(failed)?;
                 sleep(DECLARE_PAUSE).await;
             }
-            full = false;
-            all = tokio::select! {
-                _ = changed.changed() => false,
-                () = self.link.reconsider.notified() => true,
+            (full, all) = tokio::select! {
+                _ = changed.changed() => (false, false),
+                () = self.link.reconsider.notified() => (false, true),
+                () = self.repeat.notified() => (true, true),
             };
         }
     }
 
+    /// Tells everything again if the sidecar has a free slot although it was told
+    /// of waiting requests. Then what it knows is not what the router thinks.
+    fn check(&self, polled: &Polled, idle: &mut u32) {
+        let is_idle = polled.load.free > 0 && !polled.load.draining && polled.grants.is_empty();
+        if !is_idle || self.told.lock().is_empty() {
+            *idle = 0;
+            return;
+        }
+        *idle += 1;
+        if *idle == IDLE_POLLS {
+            *idle = 0;
+            metrics::counter!("declarations_repeated_total").increment(1);
+            self.repeat.notify_one();
+        }
+    }
+
     /// What decides on the next declaration.
     fn look<'t>(&self, told: &'t Told, all: bool) -> Look<'t> {
         let standing = &self.link.standing;
@@ -154,22 +189,23 @@
             heard: 0,
         };
         let mut known = None;
+        let mut idle = 0;
         loop {
             poll.revision = self.core.fleet.view().revision();
             let asked_at = Instant::now();
             let polled = self.ask(&poll).await?;
             self.learn(polled.load);
             self.grant(&polled);
+            self.check(&polled, &mut idle);
             if let Some(report) = &polled.report {
                 poll.counted = self.core.fleet.collect(polled.load.incarnation, report);
                 poll.fleet = self.core.fleet.tell(polled.load.incarnation, &mut cursor);
+                poll.heard = self.core.fleet.heard();
             } else {
                 poll.fleet = Vec::new();
             }
             self.pace(asked_at, &polled, &mut known).await;
-            let now = clock::now();
-            poll.until = now + self.core.settings.heartbeat_ms;
-            poll.heard = now.saturating_sub(self.core.settings.exchange_ms);
+            poll.until = clock::now() + self.core.settings.heartbeat_ms;
         }
     }
 
@@ -209,6 +245,8 @@
     fn grant(&self, polled: &Polled) {
         let mut declined = Vec::new();
         for grant in &polled.grants {
+            // Before the request leaves its room, so that the change is seen after.
+            self.told.lock().granted(grant.customer);
             if !self.core.grant(self.link, grant) {
                 declined.push(grant.id);
             }
--- a/crates/daemon/tests/router/fake.rs
+++ b/crates/daemon/tests/router/fake.rs
@@ -157,8 +157,15 @@
         interest.wait_for(held).await.unwrap();
     }
 
-    /// Reserves a slot.
+    /// Reserves a slot, and counts one request of the best class less, as sidecars do.
     pub(crate) fn grant(&self, id: u64, customer: CustomerId) {
+        self.shared.interest.send_modify(|interest| {
+            let held = interest.get_mut(&customer);
+            let best = held.and_then(|held| held.waiting.iter_mut().find(|count| **count > 0));
+            if let Some(best) = best {
+                *best -= 1;
+            }
+        });
         let until = u64::MAX;
         self.shared.grants.lock().push(Grant {
             id,
@@ -168,6 +175,16 @@
         self.shared.granted.notify_one();
     }
 
+    /// Forgets all that was declared.
+    pub(crate) fn forget(&self) {
+        self.shared.interest.send_modify(BTreeMap::clear);
+    }
+
+    /// Tells of free slots from now on.
+    pub(crate) fn set_free(&self, free: u32) {
+        *self.shared.free.lock() = free;
+    }
+
     /// Waits until a slot is given back.
     pub(crate) async fn declined(&self, id: u64) {
         let mut declined = self.shared.declined.subscribe();
--- a/crates/daemon/tests/router/waiting.rs
+++ b/crates/daemon/tests/router/waiting.rs
@@ -29,6 +29,7 @@
     expect_that!(reply.status.as_u16(), eq(200));
     expect_that!(fake.arrival().await.ticket.grant, some(eq(7)));
     fake.declared(customer(), [0, 0, 0]).await;
+    expect_that!(fleet.router.inspect().waiting(), is_empty());
 }
 
 #[gtest]
@@ -152,3 +153,32 @@
         .await;
     crate::fleet::eventually(|| fake.revision() > known).await;
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_request_may_wait_longer_than_keys_are_remembered() {
+    let mut fake = Fake::bind("s1", MODEL, 0).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({"retention_ms": 1})).await;
+    let caller = spawn(fleet.address(), completion());
+    let began = std::time::Instant::now();
+    fake.declared(customer(), [0, 1, 0]).await;
+    crate::fleet::eventually(|| began.elapsed().as_millis() > 5).await;
+    fake.grant(1, customer());
+    expect_that!(caller.await.unwrap().status.as_u16(), eq(200));
+    expect_that!(fake.arrival().await.ticket.grant, some(eq(1)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_sidecar_that_has_forgotten_what_waits_is_told_again() {
+    let fake = Fake::bind("s1", MODEL, 0).await;
+    let fleet = Fleet::spawn(&[&fake], &json!({})).await;
+    let caller = spawn(fleet.address(), completion());
+    fake.declared(customer(), [0, 1, 0]).await;
+    fake.forget();
+    // A free slot beside what it was told of shows that it does not know of it.
+    fake.set_free(1);
+    fake.declared(customer(), [0, 1, 0]).await;
+    fake.grant(1, customer());
+    expect_that!(caller.await.unwrap().status.as_u16(), eq(200));
+}
--- a/crates/decide/src/declare.rs
+++ b/crates/decide/src/declare.rs
@@ -5,7 +5,8 @@
 //! waits, and whether any of it is urgent. So counts are told again only when
 //! they differ by much, and a customer with few waiting requests is told to a
 //! few sidecars, to more the longer it waits. No server idles for it: one with
-//! a free slot is told everything.
+//! a free slot is told everything, and so many are told of each customer that
+//! every sidecar knows of some.
 
 use std::collections::HashMap;
 
@@ -24,26 +25,30 @@
 /// Most doublings of the number of sidecars told.
 const DOUBLINGS: Millis = 16;
 
-/// How many sidecars are told of a customer's waiting requests.
+/// How many of `open` sidecars are told of a customer's waiting requests while
+/// `customers` have some.
 #[must_use]
-pub fn reach(interest: &Interest, now: Millis) -> usize {
+pub fn reach(interest: &Interest, open: usize, customers: usize, now: Millis) -> usize {
+    let cover = (TOLD * open).div_ceil(customers.max(1));
     let steps = now.saturating_sub(interest.since) / SPREAD_MS;
     let each = TOLD << steps.min(DOUBLINGS);
-    each.saturating_mul(interest.total() as usize)
+    let each = each.saturating_mul(interest.total() as usize);
+    each.max(cover)
 }
 
 /// Whether a sidecar is among those told of a customer's waiting requests.
 /// `salt` changes whenever the customer begins to wait; `open` are the servers
-/// that may get new work.
+/// that may get new work; `customers` have waiting requests.
 #[must_use]
 pub fn is_told(
     interest: &Interest,
     salt: u64,
     server: ServerId,
     open: &[ServerId],
+    customers: usize,
     now: Millis,
 ) -> bool {
-    let reach = reach(interest, now);
+    let reach = reach(interest, open.len(), customers, now);
     if open.len() <= reach {
         return true;
     }
@@ -62,7 +67,8 @@
     xxh3_64(&bytes)
 }
 
-/// What one sidecar was told last.
+/// What one sidecar believes to wait: what it was told last, less the slots that
+/// it has reserved since.
 #[derive(Clone, Debug, Default)]
 pub struct Told {
     waiting: HashMap<CustomerId, [u16; 3]>,
@@ -82,6 +88,20 @@
         interest
     }
 
+    /// The sidecar reserved a slot for a customer, and counts one request of the
+    /// best class less.
+    pub fn granted(&mut self, customer: CustomerId) {
+        let Some(waiting) = self.waiting.get_mut(&customer) else {
+            return;
+        };
+        if let Some(best) = waiting.iter_mut().find(|count| **count > 0) {
+            *best -= 1;
+        }
+        if *waiting == [0; 3] {
+            self.waiting.remove(&customer);
+        }
+    }
+
     fn is_news(&self, interest: &Interest) -> bool {
         let told = self.waiting.get(&interest.customer);
         let told = told.copied().unwrap_or_default();
@@ -96,6 +116,17 @@
         self.waiting.contains_key(&customer)
     }
 
+    /// Whether the sidecar knows of nothing that waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Takes everything as untold, as before a full declaration.
+    pub fn clear(&mut self) {
+        self.waiting.clear();
+    }
+
     /// Customers of whom the sidecar was told.
     pub fn customers(&self) -> impl Iterator<Item = CustomerId> {
         self.waiting.keys().copied()
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -4,7 +4,7 @@
 
 mod audit;
 mod build;
-mod call;
+pub mod call;
 mod error;
 mod fault;
 mod flags;
@@ -13,11 +13,11 @@
 mod meter;
 mod node;
 mod op;
-mod operator;
+pub mod operator;
 mod overhead;
 mod plan;
-mod process;
-mod relay;
+pub mod process;
+pub mod relay;
 mod report;
 mod scene;
 mod scrape;
@@ -43,6 +43,7 @@
 pub use self::flags::{Deployment, Flags, Policy};
 pub use self::gap::{Gap, gap, utilisation};
 pub use self::meter::Sample;
+pub use self::op::Work;
 pub use self::report::Report;
 
 /// Faults begin and end after these parts of the load.
@@ -195,6 +196,7 @@
         kv_calls_per_s: 0.0,
         first_token_ms_p50: report::first_token(records, 0.5),
         first_token_ms_p95: report::first_token(records, 0.95),
+        longest_ms: report::longest(records),
         added_ms_p50: 0.0,
         added_ms_p95: 0.0,
         policy: plan.flags.policy.word(),
--- a/crates/standin/src/fleet/setup.rs
+++ b/crates/standin/src/fleet/setup.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::engine::{self, Engine};
+use crate::journal::now;
 use crate::service::Service;
 use crate::{kv, vms};
 
@@ -52,6 +53,7 @@
     pub(crate) callers: Vec<SocketAddr>,
     /// Where settings and logs are.
     pub(crate) directory: PathBuf,
+    _ports: Ports,
 }
 
 fn stand_in(source: io::Error) -> Error {
@@ -62,19 +64,21 @@
 impl Fleet {
     /// Starts everything and declares the plan through the operators' port.
     pub(crate) async fn spawn(plan: Arc<Plan>, daemon: PathBuf) -> Result<Self, Error> {
-        let directory =
-            std::env::temp_dir().join(format!("mulberryyoke-fleet-{}", std::process::id()));
+        let name = format!("mulberryyoke-fleet-{}-{}", std::process::id(), now());
+        let directory = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&directory).map_err(Error::Settings)?;
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let mut ports = Ports::open();
+        let mut ports = Ports::default();
         let kv = kv::Store::bind(any).await.map_err(stand_in)?;
         let (engines, services) = backends(&plan, any).await.map_err(stand_in)?;
         let routers: Vec<Node> = (0..plan.flags.routers)
             .map(|index| Node::new(format!("router-{index}"), plan.zone(index), &mut ports))
-            .collect();
+            .collect::<io::Result<_>>()
+            .map_err(stand_in)?;
         let servers: Vec<Node> = (0..plan.models + plan.services)
             .map(|index| Node::new(plan.server(index), plan.zone(index), &mut ports))
-            .collect();
+            .collect::<io::Result<_>>()
+            .map_err(stand_in)?;
         let mut relays = Vec::new();
         for router in &routers {
             relays.push(Relay::bind(router.control).await.map_err(stand_in)?);
@@ -113,6 +117,7 @@
             callers: routers.iter().map(|node| node.data).collect(),
             directory,
             plan,
+            _ports: ports,
         };
         fleet.declare(&servers).await?;
         for process in fleet.sidecars.iter().chain(&fleet.routers) {
