--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -95,6 +95,7 @@
     );
     let calls = fleet.kv.stats().total - calls;
     let records = load.finish().await;
+    let drained = end.elapsed();
     let mut report = report(&plan, &samples, &records, &runs(&fleet));
     #[expect(clippy::cast_precision_loss, reason = "counts of a run are small")]
     {
@@ -104,6 +105,7 @@
         report.control_bytes_per_request = control / (records.len() as f64).max(1.0);
         report.kv_calls_per_s = calls as f64 / seconds;
     }
+    report.drain_s = drained.as_secs_f64();
     [report.added_ms_p50, report.added_ms_p95] = added;
     report.broken_promises = faults.len();
     let findings = report.audit.findings.iter().chain(&faults);
@@ -196,6 +198,7 @@
         kv_calls_per_s: 0.0,
         first_token_ms_p50: report::first_token(records, 0.5),
         first_token_ms_p95: report::first_token(records, 0.95),
+        drain_s: 0.0,
         longest_ms: report::longest(records),
         added_ms_p50: 0.0,
         added_ms_p95: 0.0,
--- a/crates/standin/src/fleet/report.rs
+++ b/crates/standin/src/fleet/report.rs
@@ -44,6 +44,8 @@
     pub(crate) first_token_ms_p50: BTreeMap<&'static str, f64>,
     /// By class.
     pub(crate) first_token_ms_p95: BTreeMap<&'static str, f64>,
+    /// Time from the end of the load until the last call ended.
+    pub(crate) drain_s: f64,
     /// Longest time of a call.
     pub(crate) longest_ms: f64,
     /// Time that the fleet adds to a call at low load.
