--- a/crates/decide/src/declare.rs
+++ b/crates/decide/src/declare.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Sidecars told for each waiting request of a customer.
-pub const TOLD: usize = 2;
+pub const TOLD: usize = 4;
 
 /// Time after which twice as many sidecars are told, in milliseconds.
 pub const SPREAD_MS: Millis = 1_000;
