--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -22,6 +22,8 @@
 /// What the process does.
 #[derive(Debug, Options)]
 pub(crate) enum Role {
+    /// take callers' requests on an entry VM and send them straight to servers
+    Gateway(Gateway),
     /// take callers' requests on an entry VM
     Router(Router),
     /// start requests on the backend server beside it
@@ -30,6 +32,18 @@
     Check(Check),
 }
 
+/// Takes callers' requests on an entry VM and sends them straight to servers.
+///
+/// Example: mulberryyoked gateway --settings gateway.json
+#[derive(Debug, Options)]
+pub(crate) struct Gateway {
+    /// print this help
+    pub(crate) help: bool,
+    /// the settings file, in JSON
+    #[options(required, meta = "FILE")]
+    pub(crate) settings: PathBuf,
+}
+
 /// Takes callers' requests on an entry VM.
 ///
 /// Example: mulberryyoked router --settings router.json
@@ -61,7 +75,7 @@
 pub(crate) struct Check {
     /// print this help
     pub(crate) help: bool,
-    /// router or sidecar; found out from the file when absent
+    /// gateway, router or sidecar; found out from the file when absent
     #[options(meta = "ROLE")]
     pub(crate) role: Option<mulberryyoke_settings::Role>,
     /// the settings file, in JSON
--- a/crates/daemon/src/cmd/mod.rs
+++ b/crates/daemon/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! What each word of the command line does.
 
 mod check;
+mod gateway;
 mod router;
 mod sidecar;
 mod signal;
@@ -25,11 +26,12 @@
         return Ok(());
     }
     match &args.role {
+        Some(Role::Gateway(options)) => gateway::run(options),
         Some(Role::Router(options)) => router::run(options),
         Some(Role::Sidecar(options)) => sidecar::run(options),
         Some(Role::Check(options)) => check::run(options),
         None => Err(Error::Usage(
-            "a role is missing; allowed are router, sidecar and check".to_owned(),
+            "a role is missing; allowed are gateway, router, sidecar and check".to_owned(),
         )),
     }
 }
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -21,6 +21,8 @@
     Runtime(io::Error),
     /// could not wait for signals: {0}
     Signal(io::Error),
+    /// could not run gateway: {0}
+    Gateway(mulberryyoke_gateway::Error),
     /// could not run router: {0}
     Router(router::Error),
     /// could not run sidecar: {0}
@@ -34,7 +36,7 @@
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
             Self::Usage(_) | Self::Settings(_) => ExitCode::from(USAGE),
-            Self::Runtime(_) | Self::Signal(_) | Self::Router(_) | Self::Sidecar(_) => {
+            Self::Runtime(_) | Self::Signal(_) | Self::Gateway(_) | Self::Router(_) | Self::Sidecar(_) => {
                 ExitCode::FAILURE
             }
         }
--- a/crates/daemon/src/sidecar/meter.rs
+++ b/crates/daemon/src/sidecar/meter.rs
@@ -6,7 +6,7 @@
 use mulberryyoke_model::{Kind, Ticket};
 
 use super::chunk::{self, Meaning};
-use super::sse::{self, Events};
+use mulberryyoke_wire::sse::{self, Events};
 
 /// Largest whole answer that is read for its token count, in bytes.
 const MAX_WHOLE: usize = 1 << 20;
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -20,7 +20,6 @@
 mod role;
 mod shared;
 mod slot;
-mod sse;
 mod status;
 mod timer;
 
--- /dev/null
+++ b/crates/decide/src/engine/cache.rs
@@ -0,0 +1,78 @@
+//! The shared prompt parts that a server is believed to keep.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::Prompt;
+
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    tokens: u32,
+    used: u64,
+}
+
+/// Prompt parts in the order of their last use; the least recently used yield
+/// once they exceed a number of tokens.
+#[derive(Clone, Debug)]
+pub struct Cache {
+    capacity: u32,
+    tokens: u32,
+    uses: u64,
+    kept: HashMap<u64, Kept>,
+    by_use: BTreeMap<u64, u64>,
+}
+
+impl Cache {
+    /// An empty cache of `capacity` tokens.
+    #[must_use]
+    pub fn new(capacity: u32) -> Self {
+        Self {
+            capacity,
+            tokens: 0,
+            uses: 0,
+            kept: HashMap::new(),
+            by_use: BTreeMap::new(),
+        }
+    }
+
+    /// Tokens of a prompt's beginning that need not be read again.
+    #[must_use]
+    pub fn cached(&self, prompt: &Prompt) -> u32 {
+        let held = prompt
+            .shared
+            .iter()
+            .take_while(|part| self.kept.contains_key(&part.key));
+        held.map(|part| part.tokens).sum()
+    }
+
+    /// Notes that a prompt is read: its shared parts are the most recently used.
+    pub fn insert(&mut self, prompt: &Prompt) {
+        // The first part is touched last: without it those after it are of no use.
+        for part in prompt.shared.iter().rev() {
+            self.touch(part.key, part.tokens);
+        }
+        while self.tokens > self.capacity {
+            let Some((_, key)) = self.by_use.pop_first() else {
+                break;
+            };
+            let kept = self.kept.remove(&key);
+            self.tokens -= kept.map_or(0, |kept| kept.tokens);
+        }
+    }
+
+    /// Forgets a part that the server no longer keeps.
+    pub fn remove(&mut self, key: u64) {
+        if let Some(kept) = self.kept.remove(&key) {
+            self.by_use.remove(&kept.used);
+            self.tokens -= kept.tokens;
+        }
+    }
+
+    fn touch(&mut self, key: u64, tokens: u32) {
+        self.remove(key);
+        self.uses += 1;
+        let used = self.uses;
+        self.kept.insert(key, Kept { tokens, used });
+        self.by_use.insert(used, key);
+        self.tokens += tokens;
+    }
+}
--- /dev/null
+++ b/crates/decide/src/engine/prompt.rs
@@ -0,0 +1,63 @@
+//! A prompt by its parts.
+
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A part of a prompt, together with all parts before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Hash of the model, the parts before and the part itself: a server that
+    /// keeps a part under this key need not read it again.
+    pub key: u64,
+    /// Length of the part alone, in tokens.
+    pub tokens: u32,
+}
+
+/// A prompt as its caller describes it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Parts that other requests may share, in order.
+    pub shared: SmallVec<[Part; 4]>,
+    /// Length of the whole prompt, in tokens.
+    pub tokens: u32,
+    /// Most tokens to be generated.
+    pub output: u32,
+}
+
+impl Prompt {
+    /// Reads a prompt's parts; the last part is the request's own and not shared.
+    pub fn of(model: &str, parts: impl IntoIterator<Item = (u64, u32)>, output: u32) -> Self {
+        let mut key = xxh3_64(model.as_bytes());
+        let mut tokens: u32 = 0;
+        let mut shared = SmallVec::new();
+        for (id, length) in parts {
+            let mut bytes = [0; 16];
+            bytes[..8].copy_from_slice(&key.to_le_bytes());
+            bytes[8..].copy_from_slice(&id.to_le_bytes());
+            key = xxh3_64(&bytes);
+            tokens = tokens.saturating_add(length);
+            shared.push(Part {
+                key,
+                tokens: length,
+            });
+        }
+        shared.pop();
+        Self {
+            shared,
+            tokens,
+            output,
+        }
+    }
+
+    /// The key by which requests gain from going to the same server.
+    #[must_use]
+    pub fn home(&self) -> Option<u64> {
+        self.shared.last().map(|part| part.key)
+    }
+
+    /// Tokens of the parts that other requests may share.
+    #[must_use]
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared.iter().map(|part| part.tokens).sum()
+    }
+}
--- a/crates/decide/src/place.rs
+++ b/crates/decide/src/place.rs
@@ -34,10 +34,7 @@
     /// Rank of a server for this prefix, by rendezvous hash; higher is warmer.
     #[must_use]
     pub fn weight(self, server: ServerId) -> u64 {
-        let mut bytes = [0; 12];
-        bytes[..8].copy_from_slice(&self.0.to_le_bytes());
-        bytes[8..].copy_from_slice(&server.0.to_le_bytes());
-        xxh3_64(&bytes)
+        weight(self.0, server)
     }
 
     /// The server of highest weight.
@@ -48,6 +45,15 @@
     }
 }
 
+/// Rank of a server for a key, by rendezvous hash.
+#[must_use]
+pub fn weight(key: u64, server: ServerId) -> u64 {
+    let mut bytes = [0; 12];
+    bytes[..8].copy_from_slice(&key.to_le_bytes());
+    bytes[8..].copy_from_slice(&server.0.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
 /// Chooses among servers with a free slot: the warm one, else a near one, else
 /// the one with the most free slots. `None` when no slot is free.
 #[must_use]
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -70,6 +70,14 @@
     PeerUp = 1012, Info, "peer connected";
     /// A peer router does not answer.
     PeerDown = 1013, Warning, "peer disconnected";
+    /// A stream that a router passed on has ended.
+    Streamed = 1014, Info, "stream ended";
+    /// A connection of a caller could not be taken.
+    AcceptFailed = 1015, Warning, "connection not accepted";
+    /// A router uses a server, or no longer gives it new work.
+    ServerSeen = 1016, Info, "server registered";
+    /// A router no longer uses a server.
+    ServerGone = 1017, Info, "server gone";
     /// A sidecar reserved a slot for a customer's request at a router.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod catalogue;
 mod logger;
+mod sink;
 
 pub use catalogue::{Event, Level};
-pub use logger::{Form, open};
+pub use logger::{Form, open, open_output};
--- a/crates/event/src/logger.rs
+++ b/crates/event/src/logger.rs
@@ -1,9 +1,12 @@
 //! Opening the log.
 
 use std::io;
+use std::sync::Mutex;
 
 use slog::{Drain, Logger, o};
 
+use crate::sink::Sink;
+
 /// Lines kept while the output is slow; more are dropped and counted in the log.
 const BACKLOG: usize = 8192;
 
@@ -39,3 +42,15 @@
         }
     }
 }
+
+/// Opens a log in JSON on the standard output for a named node. Lines are never
+/// waited for: those that find no room are dropped and counted.
+#[must_use]
+pub fn open_output(node: &str) -> Logger {
+    let drain = slog_json::Json::new(Sink::spawn())
+        .add_default_keys()
+        .set_newlines(true)
+        .build();
+    let drain = Mutex::new(drain).fuse();
+    Logger::root(drain, o!("node" => node.to_owned()))
+}
--- /dev/null
+++ b/crates/event/src/sink.rs
@@ -0,0 +1,82 @@
+//! A bounded buffer of log lines that a thread of its own writes out.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+/// Most bytes that wait to be written; lines beyond are dropped and counted.
+const BUFFER_BYTES: usize = 256 << 10;
+
+/// Time between writes: a line is seen this much later at most, and the process
+/// is woken this seldom for its log.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Where lines are put without waiting for the output.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Sink {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    lines: Mutex<Vec<u8>>,
+    dropped: AtomicU64,
+}
+
+impl Sink {
+    /// Begins to write lines to the standard output.
+    pub(crate) fn spawn() -> Self {
+        let sink = Self::default();
+        let shared = Arc::clone(&sink.shared);
+        let spawned = thread::Builder::new()
+            .name("log".to_owned())
+            .stack_size(64 << 10)
+            .spawn(move || write(&shared));
+        if let Err(error) = spawned {
+            eprintln!("could not start the thread that writes the log: {error}");
+        }
+        sink
+    }
+}
+
+impl Shared {
+    fn lines(&self) -> MutexGuard<'_, Vec<u8>> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Write for Sink {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let mut lines = self.shared.lines();
+        if lines.len() + line.len() > BUFFER_BYTES {
+            self.shared.dropped.fetch_add(1, Ordering::Relaxed);
+        } else {
+            lines.extend_from_slice(line);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write(shared: &Shared) {
+    let mut output = io::stdout();
+    let mut lines = Vec::new();
+    loop {
+        thread::sleep(PAUSE);
+        std::mem::swap(&mut *shared.lines(), &mut lines);
+        let dropped = shared.dropped.swap(0, Ordering::Relaxed);
+        // Nobody can be told that the log cannot be written.
+        let _ = output.write_all(&lines);
+        if dropped > 0 {
+            let _ = writeln!(output, "{{\"msg\":\"log lines dropped\",\"count\":{dropped}}}");
+        }
+        let _ = output.flush();
+        lines.clear();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/balance.rs
@@ -0,0 +1,99 @@
+//! Choice of a server, and whether a request may be sent at all.
+
+use std::sync::Arc;
+
+use mulberryyoke_decide::engine::{Candidate, Choice, Engine, choose};
+use mulberryyoke_model::ServerId;
+use tokio::time::Instant;
+
+use crate::backend::{Backend, Running};
+use crate::call::Call;
+use crate::core::Core;
+use crate::refusal::Refusal;
+
+/// Part of a stream's objective that the first event may be expected to take.
+const OBJECTIVE_PART: f64 = 0.5;
+
+/// Time that a prompt may wait however long it takes to be read, as a part of the objective.
+const WAIT_PART: f64 = 0.15;
+
+/// Cost of a request that runs on a plain server, in milliseconds.
+const PLAIN_MS: f64 = 10.0;
+
+/// Cost of leaving the availability zone, in milliseconds.
+const FAR_MS: f64 = 3.0;
+
+/// Least and most time after which a refused caller is asked to come back, in milliseconds.
+const RETRY_MS: (f64, f64) = (100.0, 1_500.0);
+
+/// Chooses a server and counts the request there. Servers in `tried` are left out.
+pub(crate) fn place(core: &Core, call: &Call, tried: &[ServerId]) -> Result<Running, Refusal> {
+    core.roster.of(call.pool, |servers| {
+        let now = Instant::now();
+        let open: Vec<&Arc<Backend>> = servers
+            .iter()
+            .filter(|backend| backend.is_open() && !tried.contains(&backend.server.id))
+            .collect();
+        if call.prompt.is_some() {
+            return place_prompt(call, &open, now);
+        }
+        let zone = &core.settings.zone;
+        let best = open.into_iter().min_by(|a, b| {
+            let (a, b) = (plain_cost(a, zone, now), plain_cost(b, zone, now));
+            a.total_cmp(&b)
+        });
+        let backend = best.ok_or(Refusal::NoServer)?;
+        Ok(Running::begin(backend, None))
+    })
+}
+
+fn plain_cost(backend: &Backend, zone: &str, now: Instant) -> f64 {
+    let requests = backend.engine.lock().requests();
+    let far = if backend.server.zone == zone {
+        0.0
+    } else {
+        FAR_MS
+    };
+    f64::from(requests) * PLAIN_MS + far + backend.health.lock().penalty_ms(now)
+}
+
+fn place_prompt(
+    call: &Call,
+    open: &[&Arc<Backend>],
+    now: Instant,
+) -> Result<Running, Refusal> {
+    let prompt = call.prompt.as_ref().ok_or(Refusal::NoServer)?;
+    let engines: Vec<_> = open.iter().map(|backend| backend.engine.lock()).collect();
+    let candidates = open.iter().zip(&engines).map(|(backend, engine)| {
+        let engine: &Engine = engine;
+        Candidate {
+            server: backend.server.id,
+            engine,
+            penalty_ms: backend.health.lock().penalty_ms(now),
+        }
+    });
+    let choice = choose(prompt, candidates).ok_or(Refusal::NoServer)?;
+    drop(engines);
+    admit(call, &choice)?;
+    let chosen = open.iter().find(|b| b.server.id == choice.server);
+    let backend = chosen.ok_or(Refusal::NoServer)?;
+    Ok(Running::begin(backend, Some(prompt)))
+}
+
+/// Refuses a prompt whose first token would come too late where it costs least.
+fn admit(call: &Call, choice: &Choice) -> Result<(), Refusal> {
+    #[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
+    let objective = call.route.objective_ms as f64;
+    let beyond = choice.first_ms() - objective * OBJECTIVE_PART;
+    if beyond <= 0.0 || choice.wait_ms <= objective * WAIT_PART {
+        return Ok(());
+    }
+    let ms = beyond.clamp(RETRY_MS.0, RETRY_MS.1);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped to a small positive range"
+    )]
+    let ms = ms as u32;
+    Err(Refusal::Busy(ms))
+}
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,43 @@
+//! A caller's request that was read whole and is allowed.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::http::uri::PathAndQuery;
+use hyper::{HeaderMap, Method};
+use mulberryyoke_decide::engine::Prompt;
+use mulberryyoke_model::PoolId;
+use tokio::time::Instant;
+
+use crate::plan::{Customer, Route};
+
+/// A caller's request that was read whole and is allowed.
+#[derive(Debug)]
+pub(crate) struct Call {
+    /// The caller's name for this attempt.
+    pub(crate) id: String,
+    /// Its route.
+    pub(crate) route: Arc<Route>,
+    /// The pool chosen among the route's.
+    pub(crate) pool: PoolId,
+    /// Whose it is; `None` on public routes.
+    pub(crate) customer: Option<Arc<Customer>>,
+    /// What it has a model read, if it is for a model.
+    pub(crate) prompt: Option<Prompt>,
+    /// When its head had come.
+    pub(crate) since: Instant,
+    /// When its answer is of no more use to the caller, or its route's time is over.
+    pub(crate) deadline: Instant,
+    pub(crate) method: Method,
+    pub(crate) path: PathAndQuery,
+    /// The caller's end-to-end headers.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Call {
+    /// The customer's name, as servers are told it.
+    pub(crate) fn customer_name(&self) -> Option<&str> {
+        self.customer.as_ref().map(|customer| &*customer.name)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core.rs
@@ -0,0 +1,31 @@
+//! What every task of a gateway shares.
+
+use std::fmt;
+use std::sync::Arc;
+
+use mulberryyoke_decide::retry::Budget;
+use mulberryyoke_event::slog::Logger;
+use mulberryyoke_settings as settings;
+use parking_lot::Mutex;
+
+use crate::protocol::Protocol;
+use crate::roster::Roster;
+use crate::stop::Stop;
+use crate::view::View;
+
+/// The state of a gateway.
+pub(crate) struct Core {
+    pub(crate) settings: settings::Gateway,
+    pub(crate) protocol: Arc<dyn Protocol>,
+    pub(crate) logger: Logger,
+    pub(crate) view: View,
+    pub(crate) roster: Roster,
+    pub(crate) budget: Mutex<Budget>,
+    pub(crate) stop: Stop,
+}
+
+impl fmt::Debug for Core {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Core").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,122 @@
+//! From a checked request to its answer: choosing, sending, trying again.
+
+mod send;
+
+use std::sync::Arc;
+
+use hyper::Response;
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::ServerId;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+pub(crate) use self::send::{fail, finish};
+use crate::answer::Answer;
+use crate::backend::Running;
+use crate::balance;
+use crate::call::Call;
+use crate::clock;
+use crate::core::Core;
+use crate::outcome::Outcome;
+use crate::refusal::Refusal;
+
+/// Times that one request is sent though none of the servers may have run it.
+const MOST_UNSENT: u32 = 3;
+
+/// Servers asked for one request, and what they may have done.
+#[derive(Debug, Default)]
+pub(crate) struct Trials {
+    tried: SmallVec<[ServerId; 4]>,
+    /// Servers that may have run it.
+    ran: u32,
+    /// Servers that have not.
+    not_run: u32,
+}
+
+impl Trials {
+    /// Chooses the next server and sends the request there. `resume_after` is the
+    /// last event that the caller has, when its stream broke off.
+    pub(crate) async fn next(
+        &mut self,
+        core: &Arc<Core>,
+        call: &Arc<Call>,
+        resume_after: Option<u64>,
+    ) -> Result<(Outcome, ServerId), Refusal> {
+        let running = balance::place(core, call, &self.tried)?;
+        let server = running.backend.server.id;
+        self.tried.push(server);
+        note(core, call, &running, self.ran + self.not_run);
+        let outcome = send::send(core, call, running, resume_after).await;
+        match outcome {
+            Outcome::TurnedAway | Outcome::OtherServer | Outcome::Unsent => self.not_run += 1,
+            _ => self.ran += 1,
+        }
+        Ok((outcome, server))
+    }
+
+    /// Whether the request may be sent once more after it may have run.
+    pub(crate) fn may_repeat(&self, core: &Core, call: &Call) -> bool {
+        let may = call.route.kind.may_repeat() && self.ran < call.route.attempts;
+        may && Instant::now() < call.deadline && core.budget.lock().spend()
+    }
+
+    /// Whether the request may be sent once more after a server did not run it.
+    fn may_move(&self, core: &Core, call: &Call) -> bool {
+        let may = self.not_run < MOST_UNSENT && Instant::now() < call.deadline;
+        may && core.budget.lock().spend()
+    }
+}
+
+/// Answers a request, or refuses it truthfully.
+pub(crate) async fn answer(
+    core: &Arc<Core>,
+    call: &Arc<Call>,
+) -> Result<Response<Answer>, Refusal> {
+    core.budget.lock().earn();
+    let mut trials = Trials::default();
+    let mut last = Refusal::NoServer;
+    loop {
+        let (outcome, server) = match trials.next(core, call, None).await {
+            Ok(sent) => sent,
+            Err(refusal) if trials.ran == 0 => return Err(refusal),
+            Err(_) => return Err(last),
+        };
+        let word = outcome.word();
+        let (again, refusal) = match outcome {
+            Outcome::Answered(response) => return Ok(response),
+            Outcome::Failed(response) if !trials.may_repeat(core, call) => return Ok(response),
+            Outcome::Failed(_) => (true, Refusal::Unknown),
+            Outcome::TurnedAway | Outcome::OtherServer | Outcome::Unsent => {
+                let refusal = if trials.ran == 0 {
+                    Refusal::TurnedAway
+                } else {
+                    last
+                };
+                (trials.may_move(core, call), refusal)
+            }
+            Outcome::Unknown => (trials.may_repeat(core, call), Refusal::Unknown),
+            Outcome::Garbled => (trials.may_repeat(core, call), Refusal::Garbled),
+            Outcome::TimedOut => (false, Refusal::TimedOut),
+        };
+        if !again {
+            return Err(refusal);
+        }
+        last = refusal;
+        log!(core.logger, Event::Retried,
+            "request" => &call.id, "cause" => word, "server" => server.0);
+        metrics::counter!("retries_total", "cause" => word).increment(1);
+    }
+}
+
+fn note(core: &Core, call: &Call, running: &Running, attempt: u32) {
+    log!(core.logger, Event::Routed,
+        "request" => &call.id,
+        "attempt" => attempt,
+        "customer" => call.customer_name(),
+        "route" => &call.route.name,
+        "server" => &running.backend.server.name,
+        "unread" => running.ahead(),
+        "uncached" => running.tokens,
+        "view_age_ms" => core.view.age_ms(),
+        "elapsed_ms" => clock::between_ms(call.since, Instant::now()));
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch/send.rs
@@ -0,0 +1,165 @@
+//! Sending a request to one server.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_ENCODING;
+use hyper::{Request, Response, StatusCode};
+use mulberryyoke_event::{Event, log};
+use tokio::time::{Instant, sleep_until};
+
+use crate::answer::Answer;
+use crate::backend::Running;
+use crate::call::Call;
+use crate::conn::Conn;
+use crate::core::Core;
+use crate::header;
+use crate::outcome::Outcome;
+use crate::protocol::{Order, Reading};
+use crate::{clock, pump};
+
+/// Largest answer that is kept until it is whole, in bytes; larger ones are passed on as they come.
+const WHOLE_BYTES: u64 = 256 << 10;
+
+/// Sends a request to the server where it is counted, and waits for the answer's
+/// head, or for a short answer's end.
+pub(super) async fn send(
+    core: &Arc<Core>,
+    call: &Arc<Call>,
+    running: Running,
+    resume_after: Option<u64>,
+) -> Outcome {
+    let backend = Arc::clone(&running.backend);
+    let opened = tokio::select! {
+        opened = backend.conns.take() => opened,
+        () = sleep_until(call.deadline) => return Outcome::Unsent,
+    };
+    let mut conn = match opened {
+        Ok(conn) => conn,
+        Err(error) => {
+            fail(core, call, &running, "could not connect", &error.to_string());
+            return Outcome::Unsent;
+        }
+    };
+    let request = request(core, call, &running, resume_after);
+    let sent = conn.sender.try_send_request(request);
+    let sent = tokio::select! {
+        sent = sent => sent,
+        () = sleep_until(call.deadline) => return Outcome::TimedOut,
+    };
+    let response = match sent {
+        Ok(response) => response,
+        Err(error) => {
+            let is_unsent = error.message().is_some();
+            let text = error.error().to_string();
+            fail(core, call, &running, "connection failed", &text);
+            return if is_unsent {
+                Outcome::Unsent
+            } else {
+                Outcome::Unknown
+            };
+        }
+    };
+    read(core, call, running, conn, response).await
+}
+
+fn request(
+    core: &Core,
+    call: &Call,
+    running: &Running,
+    resume_after: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.path.clone().into();
+    let mut headers = call.headers.clone();
+    let order = Order {
+        left_ms: clock::between_ms(Instant::now(), call.deadline).max(1),
+        server: &running.backend.server.name,
+        customer: call.customer_name(),
+        resume_after,
+    };
+    core.protocol.forward(&mut headers, &order);
+    *request.headers_mut() = headers;
+    request
+}
+
+async fn read(
+    core: &Arc<Core>,
+    call: &Arc<Call>,
+    running: Running,
+    conn: Conn,
+    response: Response<Incoming>,
+) -> Outcome {
+    let (mut head, body) = response.into_parts();
+    let reading = core.protocol.reading(&head, &call.id);
+    if reading.is_crossed {
+        fail(core, call, &running, "answer of another request", "");
+        return Outcome::Garbled;
+    }
+    if reading.is_other_server {
+        fail(core, call, &running, "another server has the address", "");
+        running.backend.close();
+        return Outcome::OtherServer;
+    }
+    if reading.is_not_run {
+        fail(core, call, &running, "turned away", head.status.as_str());
+        return Outcome::TurnedAway;
+    }
+    let is_success = head.status.is_success();
+    if !reading.is_sealed || head.headers.contains_key(CONTENT_ENCODING) {
+        fail(core, call, &running, "no answer of a server", head.status.as_str());
+        return Outcome::Garbled;
+    }
+    header::end_to_end(&mut head.headers);
+    if call.route.kind.is_stream() && is_success {
+        let pieces = pump::spawn(core, call, running, conn, body, reading);
+        return Outcome::Answered(Response::from_parts(head, Answer::Pieces(pieces)));
+    }
+    let collected = tokio::select! {
+        collected = collect(body) => collected,
+        () = sleep_until(call.deadline) => return Outcome::TimedOut,
+    };
+    let Some(whole) = collected else {
+        fail(core, call, &running, "answer broke off", "");
+        return Outcome::Unknown;
+    };
+    finish(running, conn, reading);
+    let response = Response::from_parts(head, Answer::whole(whole));
+    if response.status() >= StatusCode::INTERNAL_SERVER_ERROR {
+        return Outcome::Failed(response);
+    }
+    Outcome::Answered(response)
+}
+
+/// Reads a whole body; `None` if it breaks off or is too large.
+async fn collect(body: Incoming) -> Option<Bytes> {
+    let limit = usize::try_from(WHOLE_BYTES).unwrap_or(usize::MAX);
+    let limited = http_body_util::Limited::new(body, limit);
+    let collected = limited.collect().await.ok()?;
+    Some(collected.to_bytes())
+}
+
+/// Keeps the connection after a whole answer.
+pub(crate) fn finish(mut running: Running, conn: Conn, reading: Reading) {
+    running.first();
+    let backend = &running.backend;
+    backend.health.lock().succeed(Instant::now());
+    if !reading.is_last && backend.is_open() {
+        backend.conns.give(conn, reading.idle_ms);
+    }
+}
+
+/// Notes a failure of a server.
+pub(crate) fn fail(core: &Core, call: &Call, running: &Running, what: &str, why: &str) {
+    let backend = &running.backend;
+    backend.health.lock().fail(Instant::now());
+    log!(core.logger, Event::BackendFailed,
+        "request" => &call.id,
+        "server" => &backend.server.name,
+        "what" => what,
+        "error" => why,
+        "elapsed_ms" => clock::between_ms(call.since, Instant::now()));
+}
--- /dev/null
+++ b/crates/gateway/src/handle.rs
@@ -0,0 +1,107 @@
+//! A running gateway.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mulberryyoke_decide::retry::Budget;
+use mulberryyoke_event::slog::Logger;
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_platform::kv::Feed;
+use mulberryyoke_settings as settings;
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use crate::core::Core;
+use crate::error::Error;
+use crate::protocol::Protocol;
+use crate::roster::Roster;
+use crate::stop::Stop;
+use crate::view::View;
+use crate::{follow, listen, ready};
+
+/// Time after the node said that it leaves in which callers may still be sent to
+/// it: they are until two questions for readiness have failed.
+const LEAVE: Duration = Duration::from_millis(3_200);
+
+/// Time kept of a planned stop for ending the process.
+const END_MS: u64 = 400;
+
+/// Part of the fleet's ratio of retries that one node allows itself: the ratio
+/// holds in each window, and requests are counted late.
+const RATIO_PART: f64 = 0.8;
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    core: Arc<Core>,
+}
+
+impl Gateway {
+    /// Starts a gateway. It answers nothing before it knows a configuration.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Bind`] when a port cannot be had.
+    pub async fn spawn(
+        settings: settings::Gateway,
+        protocol: Arc<dyn Protocol>,
+        feed: Arc<dyn Feed>,
+        logger: Logger,
+    ) -> Result<Self, Error> {
+        ready::install();
+        let callers = bind(settings.callers).await?;
+        let health = bind(settings.health).await?;
+        let control = bind(settings.control).await?;
+        let core = Arc::new(Core {
+            budget: Mutex::new(Budget::new(percent(settings.retry_ratio))),
+            settings,
+            protocol,
+            logger,
+            view: View::default(),
+            roster: Roster::default(),
+            stop: Stop::default(),
+        });
+        tokio::spawn(follow::follow(Arc::clone(&core), feed));
+        tokio::spawn(ready::serve(Arc::clone(&core), health));
+        tokio::spawn(ready::serve(Arc::clone(&core), control));
+        tokio::spawn(listen::serve(Arc::clone(&core), callers));
+        log!(core.logger, Event::Ready, "role" => "gateway");
+        Ok(Self { core })
+    }
+
+    /// Stops as planned: callers are sent elsewhere, requests that run are
+    /// answered as long as there is time.
+    pub async fn stop(self) {
+        let stop = &self.core.stop;
+        log!(self.core.logger, Event::Stopping);
+        stop.leave.cancel();
+        let grace = Duration::from_millis(self.core.settings.grace_ms.saturating_sub(END_MS));
+        let closing = async {
+            sleep(LEAVE).await;
+            stop.close.cancel();
+            stop.end.cancelled().await;
+        };
+        tokio::select! {
+            () = closing => {}
+            () = sleep(grace) => stop.end.cancel(),
+        }
+        log!(self.core.logger, Event::Stopped);
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| Error::Bind { address, source })
+}
+
+fn percent(ratio: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the ratio is checked to be from 0 to 1"
+    )]
+    let percent = (ratio * RATIO_PART * 100.0) as u32;
+    percent
+}
--- /dev/null
+++ b/crates/gateway/src/intake.rs
@@ -0,0 +1,126 @@
+//! Reading a caller's request: route, customer, bounds and body.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
+use rand::RngExt;
+use tokio::time::Instant;
+
+use crate::call::Call;
+use crate::core::Core;
+use crate::plan::{Customer, Plan, Route};
+use crate::protocol::Ask;
+use crate::refusal::Refusal;
+use crate::{clock, header};
+
+/// Age of the configuration beyond which it is not enough to deny a request, in
+/// milliseconds: a newer one may allow it.
+const DENY_MS: u64 = 1_500;
+
+/// A request and what its head says.
+pub(crate) struct Intake {
+    pub(crate) ask: Ask,
+    since: Instant,
+    parts: Parts,
+    body: Incoming,
+}
+
+impl Intake {
+    /// Reads a request's head.
+    pub(crate) fn open(core: &Core, request: Request<Incoming>) -> Result<Self, Refusal> {
+        let since = Instant::now();
+        let (parts, body) = request.into_parts();
+        let ask = core.protocol.ask(&parts);
+        let ask = ask.map_err(|_| Refusal::Malformed)?;
+        Ok(Self {
+            ask,
+            since,
+            parts,
+            body,
+        })
+    }
+
+    /// Finds route and customer, then reads the body.
+    pub(crate) async fn read(mut self, core: &Core) -> Result<Call, Refusal> {
+        let plan = core.view.plan().ok_or(Refusal::NoView)?;
+        let route = Arc::clone(self.route(core, &plan)?);
+        let customer = self.customer(core, &plan, &route)?;
+        let pool = route.pool(rand::rng().random()).ok_or(Refusal::NoServer)?;
+        let body = read_body(self.body, plan.limits().body_bytes).await?;
+        let patience_ms = self.ask.patience_ms.unwrap_or(u64::MAX);
+        let most_ms = patience_ms.min(route.timeout_ms);
+        header::end_to_end(&mut self.parts.headers);
+        Ok(Call {
+            id: self.ask.id,
+            pool,
+            customer,
+            prompt: self.ask.prompt,
+            since: self.since,
+            deadline: clock::after(self.since, most_ms),
+            method: self.parts.method,
+            path: path(&self.parts.uri),
+            headers: self.parts.headers,
+            body,
+            route,
+        })
+    }
+
+    fn route<'a>(&self, core: &Core, plan: &'a Plan) -> Result<&'a Arc<Route>, Refusal> {
+        let named = self.parts.headers.get(HOST);
+        let host = match self.parts.uri.authority() {
+            Some(authority) => authority.as_str(),
+            None => named.and_then(|host| host.to_str().ok()).unwrap_or(""),
+        };
+        let route = plan.route(host, self.parts.uri.path());
+        route.ok_or_else(|| deny(core, Refusal::NoRoute))
+    }
+
+    fn customer(
+        &self,
+        core: &Core,
+        plan: &Plan,
+        route: &Route,
+    ) -> Result<Option<Arc<Customer>>, Refusal> {
+        if !plan.has_customers() || route.is_public {
+            return Ok(None);
+        }
+        let fresh_ms = core.settings.keys_fresh_ms;
+        if fresh_ms.is_some_and(|fresh_ms| core.view.age_ms() >= fresh_ms) {
+            return Err(Refusal::NoView);
+        }
+        let key = self.ask.key.as_deref();
+        let customer = key.and_then(|key| plan.customer(key));
+        match customer {
+            Some(customer) => Ok(Some(Arc::clone(customer))),
+            None => Err(deny(core, Refusal::NoCustomer)),
+        }
+    }
+}
+
+/// The refusal of what the configuration does not allow, or, when that is old,
+/// of what a newer one may allow.
+fn deny(core: &Core, refusal: Refusal) -> Refusal {
+    if core.view.age_ms() > DENY_MS {
+        return Refusal::NoView;
+    }
+    refusal
+}
+
+fn path(uri: &hyper::Uri) -> PathAndQuery {
+    let path = uri.path_and_query().cloned();
+    path.unwrap_or_else(|| PathAndQuery::from_static("/"))
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
+        Err(_) => Err(Refusal::Cut),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,35 @@
+//! A gateway: a router on an entry VM that talks straight to backend servers.
+//!
+//! It follows a key-value service for configuration and servers, chooses a server
+//! for each request by what the server is believed to keep and to have waiting,
+//! and passes answers on as they come.
+
+mod answer;
+mod backend;
+mod balance;
+mod call;
+mod clock;
+mod conn;
+mod core;
+mod dispatch;
+mod error;
+mod follow;
+mod handle;
+mod header;
+mod intake;
+mod listen;
+mod outcome;
+pub mod plan;
+pub mod protocol;
+mod pump;
+mod ready;
+mod refusal;
+mod roster;
+mod server;
+mod socket;
+mod stop;
+mod view;
+
+pub use self::error::Error;
+pub use self::handle::Gateway;
+pub use self::server::Server;
--- /dev/null
+++ b/crates/gateway/src/listen.rs
@@ -0,0 +1,130 @@
+//! The callers' port.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use mulberryyoke_event::{Event, log};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+use crate::answer::Answer;
+use crate::core::Core;
+use crate::intake::Intake;
+use crate::refusal::Refusal;
+use crate::{clock, dispatch, socket};
+
+/// Largest head of a request before a configuration tells another bound, in bytes.
+const HEAD_BYTES: usize = 16 << 10;
+
+/// Smallest buffer that the library takes, in bytes.
+const LEAST_BUFFER: usize = 8 << 10;
+
+/// Pause after a failure to accept, for example for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes callers' connections until the port is closed, then lets the open ones end.
+pub(crate) async fn serve(core: Arc<Core>, listener: TcpListener) {
+    let shutdown = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            () = core.stop.close.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => connect(&core, &shutdown, stream),
+            Err(error) => {
+                log!(core.logger, Event::AcceptFailed, "error" => error.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    tokio::select! {
+        () = core.stop.end.cancelled() => {}
+        () = shutdown.shutdown() => core.stop.end.cancel(),
+    }
+}
+
+fn connect(core: &Arc<Core>, shutdown: &GracefulShutdown, stream: TcpStream) {
+    if let Err(error) = socket::tune(&stream) {
+        // The caller has gone between the two calls.
+        log!(core.logger, Event::AcceptFailed, "error" => error.to_string());
+        return;
+    }
+    let head_bytes = core
+        .view
+        .plan()
+        .map_or(HEAD_BYTES, |plan| plan.limits().head_bytes);
+    let service = {
+        let core = Arc::clone(core);
+        service_fn(move |request| answer(Arc::clone(&core), request))
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .max_buf_size(head_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = shutdown.watch(connection);
+    let end = core.stop.end.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            // How a connection fails is seen in its requests.
+            _ = connection => {}
+            () = end.cancelled() => {}
+        }
+    });
+}
+
+async fn answer(
+    core: Arc<Core>,
+    request: Request<Incoming>,
+) -> Result<Response<Answer>, Infallible> {
+    let since = Instant::now();
+    metrics::counter!("requests_total").increment(1);
+    let mut response = match Intake::open(&core, request) {
+        Ok(intake) => {
+            let id = intake.ask.id.clone();
+            let answered = run(&core, intake).await;
+            answered.unwrap_or_else(|refusal| refuse(&core, &id, since, refusal))
+        }
+        Err(refusal) => refuse(&core, "", since, refusal),
+    };
+    if core.stop.leave.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
+
+async fn run(core: &Arc<Core>, intake: Intake) -> Result<Response<Answer>, Refusal> {
+    if core.stop.close.is_cancelled() {
+        return Err(Refusal::Stopping);
+    }
+    let call = Arc::new(intake.read(core).await?);
+    let response = dispatch::answer(core, &call).await?;
+    log!(core.logger, Event::Answered,
+        "request" => &call.id,
+        "status" => response.status().as_u16(),
+        "elapsed_ms" => clock::between_ms(call.since, Instant::now()));
+    Ok(response)
+}
+
+/// Records a refusal and words it for the caller.
+fn refuse(core: &Core, id: &str, since: Instant, refusal: Refusal) -> Response<Answer> {
+    metrics::counter!("refused_total", "why" => refusal.word()).increment(1);
+    log!(core.logger, Event::Refused,
+        "request" => id,
+        "code" => refusal.word(),
+        "retry_ms" => refusal.retry_ms(),
+        "view_age_ms" => core.view.age_ms(),
+        "elapsed_ms" => clock::between_ms(since, Instant::now()));
+    refusal.response()
+}
--- /dev/null
+++ b/crates/gateway/src/plan/pool.rs
@@ -0,0 +1,27 @@
+//! Pools of servers.
+
+use mulberryyoke_model::PoolId;
+
+/// Servers that answer the same requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pool {
+    /// Its identity, a hash of the name.
+    pub id: PoolId,
+    /// Its name.
+    pub name: String,
+    /// Path under which a server tells its health.
+    pub health: String,
+    /// Most connections that one server takes, from all routers together.
+    pub connections: u32,
+    /// What its model servers are like; `None` for a plain service.
+    pub model: Option<Model>,
+}
+
+/// What the model servers of a pool are like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Model {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens that fit into a server's memory.
+    pub memory_tokens: u32,
+}
--- /dev/null
+++ b/crates/gateway/src/roster.rs
@@ -0,0 +1,94 @@
+//! The servers that are registered.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use mulberryyoke_model::PoolId;
+
+use crate::backend::Backend;
+use crate::plan::Plan;
+use crate::server::Server;
+
+/// The servers by name and by pool.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    by_name: HashMap<String, Arc<Backend>>,
+    by_pool: HashMap<PoolId, Vec<Arc<Backend>>>,
+}
+
+/// The servers that are registered, readable without a lock. One task alone changes it.
+#[derive(Debug, Default)]
+pub(crate) struct Roster {
+    table: ArcSwap<Table>,
+}
+
+impl Roster {
+    /// Reads the servers of a pool.
+    pub(crate) fn of<T>(&self, pool: PoolId, read: impl FnOnce(&[Arc<Backend>]) -> T) -> T {
+        let table = self.table.load();
+        read(table.by_pool.get(&pool).map_or(&[], Vec::as_slice))
+    }
+
+    /// The server of a name.
+    pub(crate) fn get(&self, name: &str) -> Option<Arc<Backend>> {
+        self.table.load().by_name.get(name).cloned()
+    }
+
+    /// Every server.
+    pub(crate) fn all(&self) -> Vec<Arc<Backend>> {
+        self.table.load().by_name.values().cloned().collect()
+    }
+
+    /// Notes a registration; `true` if it changed what may be sent where.
+    pub(crate) fn register(&self, server: Server, plan: Option<&Plan>) -> bool {
+        let held = self.get(&server.name);
+        if let Some(held) = held.filter(|held| is_same(&held.server, &server)) {
+            let closes = server.is_leaving && held.is_open();
+            if closes {
+                held.close();
+            }
+            return closes;
+        }
+        let model = plan.and_then(|plan| plan.pool(server.pool)?.model);
+        let name = server.name.clone();
+        let backend = Arc::new(Backend::new(server, model));
+        self.change(|servers| {
+            servers.insert(name, backend);
+        });
+        true
+    }
+
+    /// Notes that a server is gone; `true` if it was there.
+    pub(crate) fn remove(&self, name: &str) -> bool {
+        let Some(held) = self.get(name) else {
+            return false;
+        };
+        held.close();
+        self.change(|servers| {
+            servers.remove(name);
+        });
+        true
+    }
+
+    fn change(&self, change: impl FnOnce(&mut HashMap<String, Arc<Backend>>)) {
+        let mut table = Table {
+            by_name: self.table.load().by_name.clone(),
+            by_pool: HashMap::new(),
+        };
+        change(&mut table.by_name);
+        for backend in table.by_name.values() {
+            let of_pool = table.by_pool.entry(backend.server.pool).or_default();
+            of_pool.push(Arc::clone(backend));
+        }
+        for of_pool in table.by_pool.values_mut() {
+            of_pool.sort_by(|a, b| a.server.name.cmp(&b.server.name));
+        }
+        self.table.store(Arc::new(table));
+    }
+}
+
+/// Whether two registrations are of one server that has not come back from leaving.
+fn is_same(held: &Server, new: &Server) -> bool {
+    (held.pool, held.address) == (new.pool, new.address) && (!held.is_leaving || new.is_leaving)
+}
--- /dev/null
+++ b/crates/gateway/src/view.rs
@@ -0,0 +1,47 @@
+//! The configuration in force on this node, and how old it may be.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use arc_swap::ArcSwapOption;
+use tokio::time::Instant;
+
+use crate::clock;
+use crate::plan::Plan;
+
+/// The configuration in force on this node. Its version never falls within the
+/// life of a process.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    plan: ArcSwapOption<Plan>,
+    confirmed_ms: AtomicU64,
+}
+
+impl View {
+    /// The configuration; `None` before the first.
+    pub(crate) fn plan(&self) -> Option<Arc<Plan>> {
+        self.plan.load_full()
+    }
+
+    /// Puts a configuration in force; `false` if it is not newer than the one in force.
+    pub(crate) fn apply(&self, plan: Plan) -> bool {
+        let held = self.plan.load().as_ref().map(|held| held.version());
+        if held.is_some_and(|held| held >= plan.version()) {
+            return false;
+        }
+        self.plan.store(Some(Arc::new(plan)));
+        true
+    }
+
+    /// Notes that no newer configuration had been accepted at an instant.
+    pub(crate) fn confirm(&self, at: Instant) {
+        self.confirmed_ms
+            .fetch_max(clock::ms(at), Ordering::Relaxed);
+    }
+
+    /// Time since it was last known that no newer configuration had been
+    /// accepted, in milliseconds.
+    pub(crate) fn age_ms(&self) -> u64 {
+        clock::now_ms().saturating_sub(self.confirmed_ms.load(Ordering::Relaxed))
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -27,7 +27,7 @@
 
 /// Why a call failed.
 #[derive(Debug)]
-pub(crate) struct Failure {
+pub struct Failure {
     /// Whether the request may have reached the service.
     pub sent: bool,
     /// What went wrong.
@@ -49,13 +49,14 @@
 
 /// An HTTP/1.1 client with a pool of connections.
 #[derive(Debug)]
-pub(crate) struct Http {
+pub struct Http {
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
 impl Http {
     /// Opens a client that gives up connecting after `connect_ms` milliseconds.
-    pub(crate) fn open(connect_ms: u64) -> Self {
+    #[must_use]
+    pub fn open(connect_ms: u64) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(connect_ms)));
@@ -69,7 +70,11 @@
     }
 
     /// Sends a request and returns the answer's head and unread body.
-    pub(crate) async fn send(
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] when no answer has begun by the deadline.
+    pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
         deadline: Instant,
@@ -87,7 +92,11 @@
     }
 
     /// Sends a request and returns the whole body of a successful answer.
-    pub(crate) async fn call(
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] when no whole answer has come by the deadline, or it is no success.
+    pub async fn call(
         &self,
         request: Request<Full<Bytes>>,
         limit: usize,
@@ -103,11 +112,16 @@
     }
 }
 
-/// A request to an endpoint; `path` is one of this crate's.
-pub(crate) fn request(
+/// A request to an endpoint.
+///
+/// # Panics
+///
+/// When `path` is no path of a URI.
+#[must_use]
+pub fn request(
     method: Method,
     endpoint: SocketAddr,
-    path: &'static str,
+    path: &str,
     body: Bytes,
 ) -> Request<Full<Bytes>> {
     let uri = format!("http://{endpoint}{path}");
@@ -120,7 +134,11 @@
 }
 
 /// Reads a whole body of at most `limit` bytes.
-pub(crate) async fn read(
+///
+/// # Errors
+///
+/// [`Failure`] when the body does not end by the deadline or is larger.
+pub async fn read(
     answer: Response<Incoming>,
     limit: usize,
     deadline: Instant,
@@ -136,7 +154,8 @@
 }
 
 /// Describes an answer that is not a success.
-pub(crate) fn refusal(status: StatusCode, body: &[u8]) -> Cause {
+#[must_use]
+pub fn refusal(status: StatusCode, body: &[u8]) -> Cause {
     let text = String::from_utf8_lossy(body);
     Cause::Status {
         status: status.as_u16(),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,7 +2,7 @@
 
 mod backoff;
 mod cause;
-mod http;
+pub mod http;
 pub mod kv;
 pub mod vm;
 
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -7,7 +7,7 @@
 
 use mulberryyoke_model::KeyHash;
 
-use crate::{Limits, Operator, Router, Sidecar};
+use crate::{Gateway, Limits, Operator, Router, Sidecar};
 
 use self::bound::within;
 use self::place::{apart, filled, reachable};
@@ -21,6 +21,9 @@
 /// Longest time that keys are remembered, in milliseconds.
 const MAX_RETENTION_MS: u64 = 86_400_000;
 
+/// Fewest file descriptors with which a gateway can serve, beside those for files.
+const MIN_DESCRIPTORS: u32 = 256;
+
 /// Digits of a key's hash.
 const HASH_DIGITS: usize = 64;
 
@@ -40,6 +43,29 @@
     }
 }
 
+/// Checks a gateway's settings.
+pub(crate) fn gateway(gateway: &Gateway) -> Result<(), Fault> {
+    filled("name", &gateway.name)?;
+    filled("zone", &gateway.zone)?;
+    apart(&[
+        ("callers", gateway.callers),
+        ("health", gateway.health),
+        ("control", gateway.control),
+    ])?;
+    reachable("store", &[gateway.store])?;
+    if let Some(fresh_ms) = gateway.keys_fresh_ms {
+        within("keys_fresh_ms", fresh_ms, 1..=MAX_PERIOD_MS)?;
+    }
+    within("grace_ms", gateway.grace_ms, 0..=MAX_DRAIN_MS)?;
+    within("share_window_ms", gateway.share_window_ms, 1..=MAX_PERIOD_MS)?;
+    let fewest = u64::from(MIN_DESCRIPTORS);
+    within("descriptors", u64::from(gateway.descriptors), fewest..=u64::from(u32::MAX))?;
+    if !(0.0..=1.0).contains(&gateway.retry_ratio) {
+        return Err(Fault::new("retry_ratio", "must be from 0 to 1"));
+    }
+    Ok(())
+}
+
 /// Checks a router's settings.
 pub(crate) fn router(router: &Router) -> Result<(), Fault> {
     filled("name", &router.name)?;
--- /dev/null
+++ b/crates/settings/src/gateway.rs
@@ -0,0 +1,55 @@
+//! Settings of a gateway: a router that talks straight to backend servers.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+/// Settings of a gateway.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Gateway {
+    /// Unique name.
+    pub name: String,
+    /// Availability zone it runs in.
+    pub zone: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where its readiness is asked for.
+    pub health: SocketAddr,
+    /// Where other gateways send what they know; metrics are here too, over TCP.
+    pub control: SocketAddr,
+    /// The key-value service.
+    pub store: SocketAddr,
+    /// Age of the configuration from which requests with a key are refused, in
+    /// milliseconds; never when absent.
+    #[serde(default)]
+    pub keys_fresh_ms: Option<u64>,
+    /// Longest time of a planned stop, in milliseconds.
+    #[serde(default = "grace_ms")]
+    pub grace_ms: u64,
+    /// Retries that the fleet may make for each request.
+    #[serde(default = "retry_ratio")]
+    pub retry_ratio: f64,
+    /// Time over which the customers' portions are counted, in milliseconds.
+    #[serde(default = "share_window_ms")]
+    pub share_window_ms: u64,
+    /// File descriptors that the process may have open.
+    #[serde(default = "descriptors")]
+    pub descriptors: u32,
+}
+
+const fn grace_ms() -> u64 {
+    8_000
+}
+
+const fn retry_ratio() -> f64 {
+    0.2
+}
+
+const fn share_window_ms() -> u64 {
+    4_000
+}
+
+const fn descriptors() -> u32 {
+    1_024
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod error;
+mod gateway;
 mod limits;
 mod operator;
 mod read;
@@ -10,9 +11,10 @@
 mod sidecar;
 
 pub use error::Error;
+pub use gateway::Gateway;
 pub use limits::Limits;
 pub use operator::Operator;
-pub use read::{check, read_router, read_sidecar};
+pub use read::{check, read_gateway, read_router, read_sidecar};
 pub use role::Role;
 pub use router::{Log, Policy, Router};
 pub use sidecar::Sidecar;
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -7,11 +7,14 @@
 use serde_json::Value;
 
 use crate::check::{self, Fault};
-use crate::{Error, Role, Router, Sidecar};
+use crate::{Error, Gateway, Role, Router, Sidecar};
 
 /// Field that only a router's settings have.
 const ROUTER_FIELD: &str = "callers";
 
+/// Field that only a gateway's settings have.
+const GATEWAY_FIELD: &str = "store";
+
 /// Reads and checks a router's settings.
 ///
 /// # Errors
@@ -34,6 +37,17 @@
     Ok(sidecar)
 }
 
+/// Reads and checks a gateway's settings.
+///
+/// # Errors
+///
+/// See [`Error`].
+pub fn read_gateway(path: &Path) -> Result<Gateway, Error> {
+    let gateway: Gateway = parse(path, &read(path)?)?;
+    check::gateway(&gateway).map_err(|fault| value(path, fault))?;
+    Ok(gateway)
+}
+
 /// Reads and checks a settings file without starting anything. A file that does
 /// not say its role is a router's if it says where callers connect.
 ///
@@ -46,6 +60,7 @@
         None => detect(path)?,
     };
     match role {
+        Role::Gateway => drop(read_gateway(path)?),
         Role::Router => drop(read_router(path)?),
         Role::Sidecar => drop(read_sidecar(path)?),
     }
@@ -54,6 +69,9 @@
 
 fn detect(path: &Path) -> Result<Role, Error> {
     let settings: Value = parse(path, &read(path)?)?;
+    if settings.get(GATEWAY_FIELD).is_some() {
+        return Ok(Role::Gateway);
+    }
     match settings.get(ROUTER_FIELD) {
         Some(_) => Ok(Role::Router),
         None => Ok(Role::Sidecar),
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -6,6 +6,8 @@
 /// What a settings file is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
+    /// A gateway.
+    Gateway,
     /// A router.
     Router,
     /// A sidecar.
@@ -15,6 +17,7 @@
 impl fmt::Display for Role {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Self::Gateway => "gateway",
             Self::Router => "router",
             Self::Sidecar => "sidecar",
         })
@@ -26,9 +29,10 @@
 
     fn from_str(text: &str) -> Result<Self, String> {
         match text {
+            "gateway" => Ok(Self::Gateway),
             "router" => Ok(Self::Router),
             "sidecar" => Ok(Self::Sidecar),
-            _ => Err("allowed are router and sidecar".to_owned()),
+            _ => Err("allowed are gateway, router and sidecar".to_owned()),
         }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod link;
 mod router;
 mod sidecar;
+pub mod sse;
 pub mod ticket;
 pub mod verdict;
 
--- a/crates/daemon/src/sidecar/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -8,14 +8,15 @@
 /// Cuts a stream at the ends of its events, so that what was passed on is always
 /// a number of whole events and the stream can be resumed there.
 #[derive(Debug, Default)]
-pub(crate) struct Events {
+pub struct Events {
     partial: BytesMut,
     torn: bool,
 }
 
 impl Events {
     /// Reads a part of the stream. Returns the whole events that end in it.
-    pub(crate) fn read(&mut self, data: Bytes) -> Bytes {
+    #[must_use]
+    pub fn read(&mut self, data: Bytes) -> Bytes {
         if self.partial.is_empty() && data.ends_with(b"\n\n") {
             return data;
         }
@@ -31,17 +32,19 @@
     }
 
     /// Returns what came after the last whole event.
-    pub(crate) fn flush(&mut self) -> Bytes {
+    #[must_use]
+    pub fn flush(&mut self) -> Bytes {
         self.partial.split().freeze()
     }
 
     /// Drops what came after the last whole event.
-    pub(crate) fn rewind(&mut self) {
+    pub fn rewind(&mut self) {
         self.partial.clear();
     }
 
     /// Whether part of an event was passed on before its end had come.
-    pub(crate) const fn is_torn(&self) -> bool {
+    #[must_use]
+    pub const fn is_torn(&self) -> bool {
         self.torn
     }
 }
@@ -55,8 +58,17 @@
 }
 
 /// The data of each event in a part of a stream.
-pub(crate) fn data(events: &[u8]) -> impl Iterator<Item = &[u8]> {
+pub fn data(events: &[u8]) -> impl Iterator<Item = &[u8]> {
     let lines = events.split(|byte| *byte == b'\n');
     let data = lines.filter_map(|line| line.strip_prefix(b"data:"));
     data.map(<[u8]>::trim_ascii)
 }
+
+/// The number of the last event in a part of a stream, if its `id` is one.
+#[must_use]
+pub fn last_id(events: &[u8]) -> Option<u64> {
+    let lines = events.rsplit(|byte| *byte == b'\n');
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = std::str::from_utf8(ids.next()?.trim_ascii()).ok()?;
+    id.parse().ok()
+}
