--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -36,9 +36,11 @@
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
             Self::Usage(_) | Self::Settings(_) => ExitCode::from(USAGE),
-            Self::Runtime(_) | Self::Signal(_) | Self::Gateway(_) | Self::Router(_) | Self::Sidecar(_) => {
-                ExitCode::FAILURE
-            }
+            Self::Runtime(_)
+            | Self::Signal(_)
+            | Self::Gateway(_)
+            | Self::Router(_)
+            | Self::Sidecar(_) => ExitCode::FAILURE,
         }
     }
 }
--- a/crates/decide/src/engine.rs
+++ b/crates/decide/src/engine.rs
@@ -5,11 +5,16 @@
 mod choice;
 mod prompt;
 mod rate;
+mod recent;
 
 pub use self::cache::Cache;
 pub use self::choice::{Candidate, Choice, choose};
 pub use self::prompt::{Part, Prompt};
 pub use self::rate::Rate;
+pub use self::recent::Recent;
+
+use mulberryyoke_model::Millis;
+use serde::{Deserialize, Serialize};
 
 /// Time from the end of a prompt's reading to its first token, in milliseconds:
 /// one step of the engine and the way there and back.
@@ -27,16 +32,23 @@
     pub cache: Cache,
     /// How fast it reads prompts.
     pub rate: Rate,
-    /// Prompt tokens sent to it by this router and not yet read.
+    /// Prompt tokens sent to it lately, by any router.
+    pub recent: Recent,
+    /// What this router has there.
+    pub own: Load,
+    /// What all other routers have there together.
+    pub others: Load,
+}
+
+/// What routers have at a model server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Prompt tokens sent to it and not yet read.
     pub unread: u32,
-    /// Requests sent to it by this router whose first token has not come.
+    /// Requests sent to it whose first token has not come.
     pub queued: u32,
-    /// Requests of this router whose first token has come.
+    /// Requests whose first token has come.
     pub running: u32,
-    /// As `unread`, by all other routers.
-    pub others_unread: u32,
-    /// As `queued` and `running` together, by all other routers.
-    pub others_requests: u32,
 }
 
 impl Engine {
@@ -47,24 +59,23 @@
             slots,
             cache: Cache::new(cache_tokens),
             rate: Rate::default(),
-            unread: 0,
-            queued: 0,
-            running: 0,
-            others_unread: 0,
-            others_requests: 0,
+            recent: Recent::default(),
+            own: Load::default(),
+            others: Load::default(),
         }
     }
 
     /// Prompt tokens that were sent by any router and not yet read.
     #[must_use]
     pub const fn backlog(&self) -> u32 {
-        self.unread.saturating_add(self.others_unread)
+        self.own.unread.saturating_add(self.others.unread)
     }
 
     /// Requests that the server has, from any router.
     #[must_use]
     pub const fn requests(&self) -> u32 {
-        self.queued + self.running + self.others_requests
+        let (own, others) = (&self.own, &self.others);
+        own.queued + own.running + others.queued + others.running
     }
 
     /// Time until the server would begin to read a prompt sent now, in milliseconds.
@@ -81,29 +92,29 @@
     }
 
     /// Notes that a prompt is sent, and returns the tokens it has to read.
-    pub fn send(&mut self, prompt: &Prompt) -> u32 {
+    pub fn send(&mut self, prompt: &Prompt, now: Millis) -> u32 {
         let tokens = prompt.tokens - self.cache.cached(prompt);
-        self.cache.insert(prompt);
-        self.unread += tokens;
-        self.queued += 1;
+        self.cache.insert(&prompt.shared);
+        self.recent.add(tokens, now);
+        self.own.unread += tokens;
+        self.own.queued += 1;
         tokens
     }
 
     /// Notes the first token of a request that had `tokens` to read.
-    pub fn begin(&mut self, tokens: u32) {
-        self.unread = self.unread.saturating_sub(tokens);
-        self.queued = self.queued.saturating_sub(1);
-        self.running += 1;
+    pub const fn begin(&mut self, tokens: u32) {
+        self.abandon(tokens);
+        self.own.running += 1;
     }
 
     /// Notes the end of a request that had its first token.
-    pub fn end(&mut self) {
-        self.running = self.running.saturating_sub(1);
+    pub const fn end(&mut self) {
+        self.own.running = self.own.running.saturating_sub(1);
     }
 
     /// Notes that a request ended before its first token.
-    pub fn abandon(&mut self, tokens: u32) {
-        self.unread = self.unread.saturating_sub(tokens);
-        self.queued = self.queued.saturating_sub(1);
+    pub const fn abandon(&mut self, tokens: u32) {
+        self.own.unread = self.own.unread.saturating_sub(tokens);
+        self.own.queued = self.own.queued.saturating_sub(1);
     }
 }
--- a/crates/decide/src/engine/cache.rs
+++ b/crates/decide/src/engine/cache.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::Prompt;
+use super::{Part, Prompt};
 
 #[derive(Clone, Copy, Debug)]
 struct Kept {
@@ -34,20 +34,24 @@
         }
     }
 
+    /// Whether a part is kept.
+    #[must_use]
+    pub fn has(&self, part: &Part) -> bool {
+        self.kept.contains_key(&part.key)
+    }
+
     /// Tokens of a prompt's beginning that need not be read again.
     #[must_use]
     pub fn cached(&self, prompt: &Prompt) -> u32 {
-        let held = prompt
-            .shared
-            .iter()
-            .take_while(|part| self.kept.contains_key(&part.key));
+        let held = prompt.shared.iter().take_while(|part| self.has(part));
         held.map(|part| part.tokens).sum()
     }
 
-    /// Notes that a prompt is read: its shared parts are the most recently used.
-    pub fn insert(&mut self, prompt: &Prompt) {
+    /// Notes that a prompt is read: its shared parts, given in order, are the
+    /// most recently used.
+    pub fn insert(&mut self, shared: &[Part]) {
         // The first part is touched last: without it those after it are of no use.
-        for part in prompt.shared.iter().rev() {
+        for part in shared.iter().rev() {
             self.touch(part.key, part.tokens);
         }
         while self.tokens > self.capacity {
--- a/crates/decide/src/engine/choice.rs
+++ b/crates/decide/src/engine/choice.rs
@@ -1,6 +1,6 @@
 //! Choice of a model server for a prompt.
 
-use mulberryyoke_model::ServerId;
+use mulberryyoke_model::{Millis, ServerId};
 
 use super::{Engine, Prompt};
 use crate::place::weight;
@@ -9,9 +9,19 @@
 /// delays those that come after.
 const READ_WEIGHT: f64 = 2.0;
 
-/// Part of the shared tokens that the home of a prompt is expected to keep though
-/// this router has not sent them there; other routers may have.
-const HOME_KEEPS: f64 = 0.5;
+/// Cost of a token that is read though another server keeps it, in milliseconds
+/// of waiting. A shared part of some thousand tokens is worth more than an
+/// answer on time.
+const AGAIN_MS: f64 = 0.3;
+
+/// Cost of a token that was sent to a server lately, in milliseconds of waiting:
+/// a shared part that no server keeps gets its home where little is sent.
+const RECENT_MS: f64 = 0.002;
+
+/// Advantage of the server of highest rendezvous weight for a prompt that no
+/// server keeps, in milliseconds: routers that do not know of each other's
+/// choices then agree.
+const HOME_MS: f64 = 40.0;
 
 /// A server that could take a prompt.
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +45,8 @@
     pub read_ms: f64,
     /// Prompt tokens that have to be read.
     pub uncached: u32,
+    /// Those of them that another server keeps.
+    pub again: u32,
 }
 
 impl Choice {
@@ -46,19 +58,35 @@
 }
 
 /// Chooses the server where a prompt costs least: the time it waits, twice the
-/// time it is read, and what is held against the server. `None` without candidates.
+/// time it is read, what is read again, and what is held against the server.
+/// `None` without candidates.
 pub fn choose<'a>(
     prompt: &Prompt,
     candidates: impl Iterator<Item = Candidate<'a>> + Clone,
+    now: Millis,
 ) -> Option<Choice> {
-    let home = prompt.home().and_then(|key| {
+    let kept = candidates
+        .clone()
+        .map(|candidate| candidate.engine.cache.cached(prompt));
+    let kept = kept.max().unwrap_or(0);
+    let is_new = kept < prompt.shared_tokens();
+    let home = prompt.home().filter(|_| is_new).and_then(|key| {
         let servers = candidates.clone().map(|candidate| candidate.server);
         servers.max_by_key(|&server| weight(key, server))
     });
     let mut best: Option<(f64, Choice)> = None;
     for candidate in candidates {
-        let choice = meet(prompt, &candidate, home == Some(candidate.server));
-        let cost = choice.wait_ms + READ_WEIGHT * choice.read_ms + candidate.penalty_ms;
+        let choice = meet(prompt, &candidate, kept);
+        let mut cost = choice.wait_ms
+            + READ_WEIGHT * choice.read_ms
+            + AGAIN_MS * f64::from(choice.again)
+            + candidate.penalty_ms;
+        if is_new {
+            cost += RECENT_MS * candidate.engine.recent.tokens(now);
+        }
+        if home == Some(candidate.server) {
+            cost -= HOME_MS;
+        }
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, choice));
         }
@@ -66,18 +94,16 @@
     best.map(|(_, choice)| choice)
 }
 
-fn meet(prompt: &Prompt, candidate: &Candidate<'_>, is_home: bool) -> Choice {
+/// What a prompt would meet at a server; `kept` of its tokens are kept somewhere.
+fn meet(prompt: &Prompt, candidate: &Candidate<'_>, kept: u32) -> Choice {
     let engine = candidate.engine;
-    let uncached = prompt.tokens - engine.cache.cached(prompt);
-    let own = prompt.tokens - prompt.shared_tokens();
-    let mut read_ms = engine.read_ms(uncached);
-    if is_home {
-        read_ms -= HOME_KEEPS * engine.rate.ms(uncached - own.min(uncached));
-    }
+    let cached = engine.cache.cached(prompt);
+    let uncached = prompt.tokens - cached;
     Choice {
         server: candidate.server,
         wait_ms: engine.wait_ms(),
-        read_ms,
+        read_ms: engine.read_ms(uncached),
         uncached,
+        again: kept.saturating_sub(cached),
     }
 }
--- a/crates/decide/src/engine/prompt.rs
+++ b/crates/decide/src/engine/prompt.rs
@@ -1,10 +1,11 @@
 //! A prompt by its parts.
 
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A part of a prompt, together with all parts before it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
     /// Hash of the model, the parts before and the part itself: a server that
     /// keeps a part under this key need not read it again.
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -78,6 +78,8 @@
     ServerSeen = 1016, Info, "server registered";
     /// A router no longer uses a server.
     ServerGone = 1017, Info, "server gone";
+    /// A router could not tell its peers where it is.
+    AnnounceFailed = 1018, Warning, "address not announced";
     /// A sidecar reserved a slot for a customer's request at a router.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/event/src/sink.rs
+++ b/crates/event/src/sink.rs
@@ -74,7 +74,10 @@
         // Nobody can be told that the log cannot be written.
         let _ = output.write_all(&lines);
         if dropped > 0 {
-            let _ = writeln!(output, "{{\"msg\":\"log lines dropped\",\"count\":{dropped}}}");
+            let _ = writeln!(
+                output,
+                "{{\"msg\":\"log lines dropped\",\"count\":{dropped}}}"
+            );
         }
         let _ = output.flush();
         lines.clear();
--- a/crates/gateway/src/backend/running.rs
+++ b/crates/gateway/src/backend/running.rs
@@ -1,6 +1,7 @@
 //! A request at a server, counted there until it ends.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use mulberryyoke_decide::engine::Prompt;
 use tokio::time::Instant;
@@ -27,8 +28,9 @@
         let none = Prompt::default();
         let mut engine = backend.engine.lock();
         let ahead = engine.backlog();
-        let tokens = engine.send(prompt.unwrap_or(&none));
+        let tokens = engine.send(prompt.unwrap_or(&none), clock::now_ms());
         drop(engine);
+        backend.sent.fetch_add(tokens, Ordering::Relaxed);
         Self {
             backend: Arc::clone(backend),
             tokens,
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -8,6 +8,7 @@
 
 use crate::backend::{Backend, Running};
 use crate::call::Call;
+use crate::clock;
 use crate::core::Core;
 use crate::refusal::Refusal;
 
@@ -35,7 +36,7 @@
             .filter(|backend| backend.is_open() && !tried.contains(&backend.server.id))
             .collect();
         if call.prompt.is_some() {
-            return place_prompt(call, &open, now);
+            return place_prompt(core, call, &open, now);
         }
         let zone = &core.settings.zone;
         let best = open.into_iter().min_by(|a, b| {
@@ -58,6 +59,7 @@
 }
 
 fn place_prompt(
+    core: &Core,
     call: &Call,
     open: &[&Arc<Backend>],
     now: Instant,
@@ -72,11 +74,14 @@
             penalty_ms: backend.health.lock().penalty_ms(now),
         }
     });
-    let choice = choose(prompt, candidates).ok_or(Refusal::NoServer)?;
+    let choice = choose(prompt, candidates, clock::ms(now)).ok_or(Refusal::NoServer)?;
     drop(engines);
     admit(call, &choice)?;
     let chosen = open.iter().find(|b| b.server.id == choice.server);
     let backend = chosen.ok_or(Refusal::NoServer)?;
+    let own = prompt.tokens - prompt.shared_tokens();
+    let is_new = choice.uncached > own;
+    core.exchange.note(choice.server, prompt, is_new);
     Ok(Running::begin(backend, Some(prompt)))
 }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -8,6 +8,7 @@
 use mulberryyoke_settings as settings;
 use parking_lot::Mutex;
 
+use crate::exchange::Exchange;
 use crate::protocol::Protocol;
 use crate::roster::Roster;
 use crate::stop::Stop;
@@ -20,6 +21,7 @@
     pub(crate) logger: Logger,
     pub(crate) view: View,
     pub(crate) roster: Roster,
+    pub(crate) exchange: Exchange,
     pub(crate) budget: Mutex<Budget>,
     pub(crate) stop: Stop,
 }
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -39,7 +39,13 @@
     let mut conn = match opened {
         Ok(conn) => conn,
         Err(error) => {
-            fail(core, call, &running, "could not connect", &error.to_string());
+            fail(
+                core,
+                call,
+                &running,
+                "could not connect",
+                &error.to_string(),
+            );
             return Outcome::Unsent;
         }
     };
@@ -110,7 +116,13 @@
     }
     let is_success = head.status.is_success();
     if !reading.is_sealed || head.headers.contains_key(CONTENT_ENCODING) {
-        fail(core, call, &running, "no answer of a server", head.status.as_str());
+        fail(
+            core,
+            call,
+            &running,
+            "no answer of a server",
+            head.status.as_str(),
+        );
         return Outcome::Garbled;
     }
     header::end_to_end(&mut head.headers);
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,234 @@
+//! What gateways tell each other: what each has at the servers, and which shared
+//! prompt parts it had them read.
+
+mod announce;
+mod peer;
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mulberryyoke_decide::engine::{Load, Prompt};
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::{Incarnation, ServerId};
+use mulberryyoke_wire::beat::{self, Beat, Read};
+use parking_lot::Mutex;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+pub(crate) use self::announce::{PREFIX, announce};
+use self::peer::Peer;
+use crate::clock;
+use crate::core::Core;
+
+/// Least time between two beats, in milliseconds: about as long as a server takes
+/// to read one short prompt.
+const BEAT_MS: u64 = 20;
+
+/// Time between beats for each peer, in milliseconds: with many peers the beats
+/// are fewer, so that they cost a bounded part of the processor.
+const BEAT_MS_A_PEER: u64 = 2;
+
+/// Time without a beat after which what a peer had at the servers no longer
+/// counts, in milliseconds.
+const SILENT_MS: u64 = 600;
+
+/// Time after which a shared part that is still in use is told again, in
+/// milliseconds: a lost datagram does no lasting harm.
+const TELL_AGAIN_MS: u64 = 2_000;
+
+/// Reads that wait to be told; more are left out.
+const MOST_READS: usize = 64;
+
+/// What this gateway exchanges with its peers.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    origin: Incarnation,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Addresses of peers by name.
+    addresses: HashMap<String, SocketAddr>,
+    peers: HashMap<Incarnation, Peer>,
+    reads: Vec<Read>,
+    told: HashMap<(ServerId, u64), Instant>,
+    number: u32,
+}
+
+impl Exchange {
+    pub(crate) fn new() -> Self {
+        Self {
+            origin: Incarnation(rand::random()),
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Notes where a peer takes beats, or that it is gone.
+    pub(crate) fn set_address(&self, name: &str, address: Option<SocketAddr>) {
+        let addresses = &mut self.inner.lock().addresses;
+        match address {
+            Some(address) => addresses.insert(name.to_owned(), address),
+            None => addresses.remove(name),
+        };
+    }
+
+    /// Number of gateways that are known, this one included.
+    pub(crate) fn gateways(&self) -> usize {
+        self.inner.lock().addresses.len() + 1
+    }
+
+    /// Notes that a server is given a prompt, to tell its shared parts.
+    pub(crate) fn note(&self, server: ServerId, prompt: &Prompt, is_new: bool) {
+        let Some(key) = prompt.home() else {
+            return;
+        };
+        let now = Instant::now();
+        let mut inner = self.inner.lock();
+        if inner.addresses.is_empty() || inner.reads.len() >= MOST_READS {
+            return;
+        }
+        let told = inner.told.get(&(server, key));
+        let is_told = told.is_some_and(|at| clock::between_ms(*at, now) < TELL_AGAIN_MS);
+        if is_told && !is_new {
+            return;
+        }
+        inner.told.insert((server, key), now);
+        inner.reads.push(Read {
+            server,
+            shared: prompt.shared.to_vec(),
+        });
+    }
+
+    fn take_beat(&self, core: &Core) -> (Beat, Vec<SocketAddr>) {
+        let mut inner = self.inner.lock();
+        inner.number = inner.number.wrapping_add(1);
+        let now = Instant::now();
+        inner
+            .told
+            .retain(|_, at| clock::between_ms(*at, now) < TELL_AGAIN_MS);
+        let all = core.roster.all();
+        let servers = all.iter().filter_map(|backend| backend.told());
+        let beat = Beat {
+            origin: self.origin,
+            number: inner.number,
+            servers: servers.collect(),
+            reads: std::mem::take(&mut inner.reads),
+            customers: Vec::new(),
+        };
+        (beat, inner.addresses.values().copied().collect())
+    }
+
+    fn hear(&self, core: &Core, beat: &Beat) {
+        if beat.origin == self.origin {
+            return;
+        }
+        let now = Instant::now();
+        let mut inner = self.inner.lock();
+        let is_new = !inner.peers.contains_key(&beat.origin);
+        let peer = inner.peers.entry(beat.origin).or_default();
+        if !peer.hear(beat, now) {
+            return;
+        }
+        if is_new {
+            log!(core.logger, Event::PeerUp, "peer" => beat.origin.0);
+        }
+        for server in &beat.servers {
+            if let Some(backend) = core.roster.by_id(server.id) {
+                let sent = peer.sent(server);
+                let now_ms = clock::now_ms();
+                backend.engine.lock().recent.add(sent, now_ms);
+            }
+        }
+        for read in &beat.reads {
+            if let Some(backend) = core.roster.by_id(read.server) {
+                backend.engine.lock().cache.insert(&read.shared);
+            }
+        }
+        inner.recount(core);
+    }
+
+    /// Stops counting peers that are silent.
+    fn expire(&self, core: &Core) {
+        let now = Instant::now();
+        let mut inner = self.inner.lock();
+        let before = inner.peers.len();
+        inner.peers.retain(|origin, peer| {
+            let is_heard = peer.age_ms(now) < SILENT_MS;
+            if !is_heard {
+                log!(core.logger, Event::PeerDown, "peer" => origin.0);
+            }
+            is_heard
+        });
+        if inner.peers.len() != before {
+            inner.recount(core);
+        }
+    }
+}
+
+impl Inner {
+    /// Adds up what peers have at the servers.
+    fn recount(&self, core: &Core) {
+        for backend in core.roster.all() {
+            let mut sum = Load::default();
+            for peer in self.peers.values() {
+                let load = peer.load(backend.server.id);
+                sum.unread = sum.unread.saturating_add(load.unread);
+                sum.queued += load.queued;
+                sum.running += load.running;
+            }
+            backend.engine.lock().others = sum;
+        }
+    }
+}
+
+/// Tells peers and hears them until the gateway ends.
+pub(crate) async fn run(core: Arc<Core>, socket: UdpSocket) {
+    let mut buffer = vec![0; 2 * beat::MAX_BYTES];
+    let mut ticks = interval(Duration::from_millis(BEAT_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = Instant::now();
+    loop {
+        tokio::select! {
+            () = core.stop.end.cancelled() => return,
+            _ = ticks.tick() => {
+                core.exchange.expire(&core);
+                let peers = core.exchange.gateways() as u64 - 1;
+                let now = Instant::now();
+                if clock::between_ms(last, now) + 1 >= BEAT_MS.max(peers * BEAT_MS_A_PEER) {
+                    last = now;
+                    tell(&core, &socket).await;
+                }
+            }
+            received = socket.recv_from(&mut buffer) => hear(&core, &buffer, received),
+        }
+    }
+}
+
+async fn tell(core: &Core, socket: &UdpSocket) {
+    let (mut beat, addresses) = core.exchange.take_beat(core);
+    if addresses.is_empty() {
+        return;
+    }
+    let bytes = beat.encode();
+    for address in addresses {
+        if let Err(error) = socket.send_to(&bytes, address).await {
+            metrics::counter!("beats_unsent_total", "kind" => error.kind().to_string())
+                .increment(1);
+        }
+    }
+}
+
+fn hear(core: &Core, buffer: &[u8], received: io::Result<(usize, SocketAddr)>) {
+    // An error tells that an earlier datagram met no listener.
+    let Ok((length, _)) = received else {
+        return;
+    };
+    match Beat::decode(&buffer[..length]) {
+        Some(beat) => core.exchange.hear(core, &beat),
+        None => metrics::counter!("beats_unreadable_total").increment(1),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/exchange/announce.rs
@@ -0,0 +1,61 @@
+//! Keeping this gateway's address in the key-value service while it lives.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_platform::kv::{Error, Feed, LeaseId};
+use tokio::time::sleep;
+
+use crate::core::Core;
+
+/// Prefix of the keys under which gateways tell where they take beats.
+pub(crate) const PREFIX: &str = "mulberryyoke/gateways/";
+
+/// Time after which a gateway that is gone is no longer told anything, in milliseconds.
+const LEASE_MS: u64 = 10_000;
+
+/// Time between renewals of the lease.
+const RENEW: Duration = Duration::from_millis(3_000);
+
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Keeps the address there until the gateway ends.
+pub(crate) async fn announce(core: Arc<Core>, feed: Arc<dyn Feed>) {
+    let end = core.stop.end.clone();
+    tokio::select! {
+        () = end.cancelled() => {}
+        () = keep(&core, &*feed) => {}
+    }
+}
+
+async fn keep(core: &Core, feed: &dyn Feed) {
+    let mut lease = None;
+    loop {
+        match renew(core, feed, lease).await {
+            Ok(id) => {
+                lease = Some(id);
+                sleep(RENEW).await;
+            }
+            Err(error) => {
+                if matches!(error, Error::Lapsed) {
+                    lease = None;
+                }
+                log!(core.logger, Event::AnnounceFailed, "error" => error.to_string());
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn renew(core: &Core, feed: &dyn Feed, lease: Option<LeaseId>) -> Result<LeaseId, Error> {
+    if let Some(id) = lease {
+        return feed.keep(id).await.map(|lease| lease.id);
+    }
+    let id = feed.grant(LEASE_MS).await?.id;
+    let key = format!("{PREFIX}{}", core.settings.name);
+    let address = core.settings.control.to_string();
+    feed.put(&key, address.as_bytes(), id).await?;
+    Ok(id)
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,6 +1,7 @@
 //! Following the key-value service: configuration and servers.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 
 use crate::clock;
 use crate::core::Core;
+use crate::exchange;
 
 /// Longest time that a call for changes waits, in milliseconds: the age of the
 /// configuration is known at least this often.
@@ -25,11 +27,11 @@
 
 /// Time for which a server stays in use that lapsed while the service failed, in
 /// milliseconds: those that are alive register again within it.
-const LAPSE_MS: u64 = 1_800;
+const LAPSE_MS: u64 = 1_500;
 
-/// Time after a failed call in which registrations lapse for want of heartbeats
-/// that could not be written, in milliseconds.
-const FAULT_MS: u64 = 5_000;
+/// Time after the service is back in which registrations that lapsed while it
+/// failed are seen to be gone, in milliseconds. Later ones end for another reason.
+const FAULT_MS: u64 = 500;
 
 /// All keys: one call tells configuration and servers alike.
 const EVERY_KEY: &str = "";
@@ -112,7 +114,12 @@
         self.expire();
         let std_now = now.into_std();
         let until = backoff.next(std_now, &mut rand::rng());
-        sleep(until.saturating_duration_since(std_now).max(Duration::from_millis(1))).await;
+        sleep(
+            until
+                .saturating_duration_since(std_now)
+                .max(Duration::from_millis(1)),
+        )
+        .await;
     }
 
     fn up(&mut self) {
@@ -144,7 +151,7 @@
             match (event.value, event.key.strip_prefix(prefix)) {
                 (Some(value), _) => self.write(&event.key, &value, event.revision),
                 (None, Some(name)) => self.remove(name),
-                (None, None) => {}
+                (None, None) => self.set_peer(&event.key, None),
             }
         }
     }
@@ -158,6 +165,18 @@
             if revision > known {
                 self.register(name, value, revision);
             }
+        } else {
+            let address = std::str::from_utf8(value).ok();
+            self.set_peer(key, address.and_then(|address| address.parse().ok()));
+        }
+    }
+
+    fn set_peer(&self, key: &str, address: Option<SocketAddr>) {
+        let Some(name) = key.strip_prefix(exchange::PREFIX) else {
+            return;
+        };
+        if name != self.core.settings.name {
+            self.core.exchange.set_address(name, address);
         }
     }
 
@@ -192,7 +211,9 @@
     fn remove(&mut self, name: &str) {
         self.known.remove(name);
         let now = Instant::now();
-        let has_failed = self.failed.is_some_and(|at| clock::between_ms(at, now) < FAULT_MS);
+        let has_failed = self
+            .failed
+            .is_some_and(|at| clock::between_ms(at, now) < FAULT_MS);
         if has_failed {
             let until = clock::after(now, LAPSE_MS);
             self.lapsing.entry(name.to_owned()).or_insert(until);
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -10,23 +10,28 @@
 use mulberryyoke_platform::kv::Feed;
 use mulberryyoke_settings as settings;
 use parking_lot::Mutex;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 
 use crate::core::Core;
 use crate::error::Error;
+use crate::exchange::{self, Exchange};
 use crate::protocol::Protocol;
 use crate::roster::Roster;
 use crate::stop::Stop;
 use crate::view::View;
 use crate::{follow, listen, ready};
 
-/// Time after the node said that it leaves in which callers may still be sent to
-/// it: they are until two questions for readiness have failed.
-const LEAVE: Duration = Duration::from_millis(3_200);
+/// Time after the node said that it leaves in which requests are still taken:
+/// callers are sent to it until two questions for readiness, a second apart, have
+/// failed. Later ones could not end in time.
+const TAKE: Duration = Duration::from_millis(2_500);
+
+/// Time after that in which connections are still accepted, to refuse what comes on them.
+const ACCEPT: Duration = Duration::from_millis(1_000);
 
 /// Time kept of a planned stop for ending the process.
-const END_MS: u64 = 400;
+const END_MS: u64 = 700;
 
 /// Part of the fleet's ratio of retries that one node allows itself: the ratio
 /// holds in each window, and requests are counted late.
@@ -54,6 +59,9 @@
         let callers = bind(settings.callers).await?;
         let health = bind(settings.health).await?;
         let control = bind(settings.control).await?;
+        let address = settings.control;
+        let beats = UdpSocket::bind(address).await;
+        let beats = beats.map_err(|source| Error::Bind { address, source })?;
         let core = Arc::new(Core {
             budget: Mutex::new(Budget::new(percent(settings.retry_ratio))),
             settings,
@@ -61,8 +69,11 @@
             logger,
             view: View::default(),
             roster: Roster::default(),
+            exchange: Exchange::new(),
             stop: Stop::default(),
         });
+        tokio::spawn(exchange::announce(Arc::clone(&core), Arc::clone(&feed)));
+        tokio::spawn(exchange::run(Arc::clone(&core), beats));
         tokio::spawn(follow::follow(Arc::clone(&core), feed));
         tokio::spawn(ready::serve(Arc::clone(&core), health));
         tokio::spawn(ready::serve(Arc::clone(&core), control));
@@ -79,7 +90,9 @@
         stop.leave.cancel();
         let grace = Duration::from_millis(self.core.settings.grace_ms.saturating_sub(END_MS));
         let closing = async {
-            sleep(LEAVE).await;
+            sleep(TAKE).await;
+            stop.refuse.cancel();
+            sleep(ACCEPT).await;
             stop.close.cancel();
             stop.end.cancelled().await;
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod core;
 mod dispatch;
 mod error;
+mod exchange;
 mod follow;
 mod handle;
 mod header;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -105,7 +105,7 @@
 }
 
 async fn run(core: &Arc<Core>, intake: Intake) -> Result<Response<Answer>, Refusal> {
-    if core.stop.close.is_cancelled() {
+    if core.stop.refuse.is_cancelled() {
         return Err(Refusal::Stopping);
     }
     let call = Arc::new(intake.read(core).await?);
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -94,7 +94,13 @@
         }
         match end {
             End::Whole => finish(self.running, conn, reading),
-            End::Broken => fail(&self.core, &self.call, &self.running, "stream broke off", ""),
+            End::Broken => fail(
+                &self.core,
+                &self.call,
+                &self.running,
+                "stream broke off",
+                "",
+            ),
             End::Late | End::HungUp | End::Stopping => drop(conn),
         }
     }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use mulberryyoke_model::PoolId;
+use mulberryyoke_model::{PoolId, ServerId};
 
 use crate::backend::Backend;
 use crate::plan::Plan;
@@ -14,6 +14,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     by_name: HashMap<String, Arc<Backend>>,
+    by_id: HashMap<ServerId, Arc<Backend>>,
     by_pool: HashMap<PoolId, Vec<Arc<Backend>>>,
 }
 
@@ -35,6 +36,11 @@
         self.table.load().by_name.get(name).cloned()
     }
 
+    /// The server of an identity.
+    pub(crate) fn by_id(&self, id: ServerId) -> Option<Arc<Backend>> {
+        self.table.load().by_id.get(&id).cloned()
+    }
+
     /// Every server.
     pub(crate) fn all(&self) -> Vec<Arc<Backend>> {
         self.table.load().by_name.values().cloned().collect()
@@ -74,12 +80,14 @@
     fn change(&self, change: impl FnOnce(&mut HashMap<String, Arc<Backend>>)) {
         let mut table = Table {
             by_name: self.table.load().by_name.clone(),
+            by_id: HashMap::new(),
             by_pool: HashMap::new(),
         };
         change(&mut table.by_name);
         for backend in table.by_name.values() {
             let of_pool = table.by_pool.entry(backend.server.pool).or_default();
             of_pool.push(Arc::clone(backend));
+            table.by_id.insert(backend.server.id, Arc::clone(backend));
         }
         for of_pool in table.by_pool.values_mut() {
             of_pool.sort_by(|a, b| a.server.name.cmp(&b.server.name));
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -7,6 +7,8 @@
 pub(crate) struct Stop {
     /// The node is no longer ready; each answer ends its connection.
     pub(crate) leave: CancellationToken,
+    /// New requests are refused.
+    pub(crate) refuse: CancellationToken,
     /// No connection is accepted, and those without a request are closed.
     pub(crate) close: CancellationToken,
     /// Everything ends.
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -38,7 +38,9 @@
 );
 
 /// One life of a process, drawn at random when it starts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
--- a/crates/platform/src/kv/feed.rs
+++ b/crates/platform/src/kv/feed.rs
@@ -1,6 +1,6 @@
 //! A key-value service whose changes are asked for call by call.
 
-use crate::kv::{Call, Event, Listing, Revision};
+use crate::kv::{Call, Event, Lease, LeaseId, Listing, Revision};
 
 /// Writes after a revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -11,7 +11,8 @@
     pub events: Vec<Event>,
 }
 
-/// Reading keys and then their changes, by calls that wait until there are some.
+/// A key-value service as gateways use it: reading keys and then their changes, by
+/// calls that wait until there are some, and keeping a key for as long as one lives.
 pub trait Feed: Send + Sync {
     /// Reads all keys that start with `prefix`. Pages of a long listing are not
     /// of one revision; the listing's revision is that of the first.
@@ -20,4 +21,13 @@
     /// Returns the writes after a revision as soon as there are some, or none
     /// after `wait_ms` milliseconds.
     fn changes<'a>(&'a self, prefix: &'a str, after: Revision, wait_ms: u64) -> Call<'a, Changes>;
+
+    /// Opens a lease of at least `ttl_ms` milliseconds.
+    fn grant(&self, ttl_ms: u64) -> Call<'_, Lease>;
+
+    /// Renews a lease; [`crate::kv::Error::Lapsed`] when it has ended.
+    fn keep(&self, id: LeaseId) -> Call<'_, Lease>;
+
+    /// Writes a key that goes when the lease ends.
+    fn put<'a>(&'a self, key: &'a str, value: &'a [u8], lease: LeaseId) -> Call<'a, ()>;
 }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -57,9 +57,17 @@
         within("keys_fresh_ms", fresh_ms, 1..=MAX_PERIOD_MS)?;
     }
     within("grace_ms", gateway.grace_ms, 0..=MAX_DRAIN_MS)?;
-    within("share_window_ms", gateway.share_window_ms, 1..=MAX_PERIOD_MS)?;
+    within(
+        "share_window_ms",
+        gateway.share_window_ms,
+        1..=MAX_PERIOD_MS,
+    )?;
     let fewest = u64::from(MIN_DESCRIPTORS);
-    within("descriptors", u64::from(gateway.descriptors), fewest..=u64::from(u32::MAX))?;
+    within(
+        "descriptors",
+        u64::from(gateway.descriptors),
+        fewest..=u64::from(u32::MAX),
+    )?;
     if !(0.0..=1.0).contains(&gateway.retry_ratio) {
         return Err(Fault::new("retry_ratio", "must be from 0 to 1"));
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! by its peers. Bodies and answers go over HTTP/2; the router's request
 //! carries one [`Ticket`] in the header [`ticket::HEADER`].
 
+pub mod beat;
 mod count;
 mod error;
 mod link;
