Customers' max-min level in the admission: who has more than its portion waits for idle servers

Cause: worst tenants and worst classes took most after re-reading; every customer met the same bound.

--- a/crates/decide/src/engine/prompt.rs
+++ b/crates/decide/src/engine/prompt.rs
@@ -56,6 +56,12 @@
         self.shared.last().map(|part| part.key)
     }
 
+    /// What it takes of the servers: tokens to be read and most to be generated.
+    #[must_use]
+    pub const fn cost(&self) -> u32 {
+        self.tokens.saturating_add(self.output)
+    }
+
     /// Tokens of the parts that other requests may share.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -17,5 +17,6 @@
 pub(crate) mod rank;
 pub mod retry;
 pub mod settle;
+pub mod share;
 pub mod subset;
 pub mod view;
--- /dev/null
+++ b/crates/decide/src/share.rs
@@ -0,0 +1,126 @@
+//! What customers ask and are given, and the level to which capacity is shared out.
+
+use std::collections::HashMap;
+
+use mulberryyoke_model::{CustomerId, Millis};
+
+/// Time in which what was asked or given counts half, in milliseconds.
+const HALF_MS: f64 = 2_000.0;
+
+/// Decayed sum of a steady flow, in seconds of the flow: the half-life over ln 2.
+const SUM_S: f64 = HALF_MS / 1_000.0 / std::f64::consts::LN_2;
+
+/// Steps in which the level is found; each halves the error.
+const STEPS: u32 = 24;
+
+/// Flow below which a customer is forgotten, in tokens.
+const LEAST: f64 = 1.0;
+
+/// Tokens that a customer asked and was given; those of long ago count less.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Flow {
+    /// Tokens of its requests.
+    pub asked: f64,
+    /// Tokens of those that were sent to servers.
+    pub given: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Account {
+    own: Flow,
+    others: Flow,
+}
+
+impl Account {
+    fn asked(&self) -> f64 {
+        self.own.asked + self.others.asked
+    }
+
+    fn given(&self) -> f64 {
+        self.own.given + self.others.given
+    }
+}
+
+/// What all customers ask and are given.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    accounts: HashMap<CustomerId, Account>,
+    at: Millis,
+    /// Tokens a second up to which each customer is given what it asks; `None`
+    /// when there is enough for all.
+    level: Option<f64>,
+}
+
+impl Shares {
+    /// Notes what a request asks.
+    pub fn ask(&mut self, customer: CustomerId, tokens: u32) {
+        self.accounts.entry(customer).or_default().own.asked += f64::from(tokens);
+    }
+
+    /// Notes that a request was sent to a server.
+    pub fn give(&mut self, customer: CustomerId, tokens: u32) {
+        self.accounts.entry(customer).or_default().own.given += f64::from(tokens);
+    }
+
+    /// What customers asked of and were given by this router.
+    pub fn own(&self) -> impl Iterator<Item = (CustomerId, Flow)> {
+        self.accounts
+            .iter()
+            .map(|(&customer, account)| (customer, account.own))
+    }
+
+    /// Takes in what customers asked of and were given by all other routers.
+    pub fn set_others(&mut self, others: &HashMap<CustomerId, Flow>) {
+        for account in self.accounts.values_mut() {
+            account.others = Flow::default();
+        }
+        for (&customer, &flow) in others {
+            self.accounts.entry(customer).or_default().others = flow;
+        }
+    }
+
+    /// Lets old flow count less and finds the level at which `capacity` tokens a
+    /// second are shared out.
+    pub fn settle(&mut self, capacity: f64, now: Millis) {
+        #[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
+        let elapsed = now.saturating_sub(self.at) as f64;
+        self.at = now;
+        let left = (-elapsed / HALF_MS).exp2();
+        for account in self.accounts.values_mut() {
+            account.own.asked *= left;
+            account.own.given *= left;
+        }
+        self.accounts.retain(|_, account| account.asked() >= LEAST);
+        self.level = level(self.accounts.values().map(Account::asked), capacity * SUM_S);
+    }
+
+    /// What a customer was given as a part of what it may have; 0 when there is
+    /// enough for all.
+    #[must_use]
+    pub fn standing(&self, customer: CustomerId) -> f64 {
+        let account = self.accounts.get(&customer);
+        match (self.level, account) {
+            (Some(level), Some(account)) => account.given() / level.max(LEAST),
+            _ => 0.0,
+        }
+    }
+}
+
+/// The level at which flows cut down to it add up to `capacity`; `None` if they
+/// add up to less.
+fn level(flows: impl Iterator<Item = f64> + Clone, capacity: f64) -> Option<f64> {
+    if flows.clone().sum::<f64>() <= capacity {
+        return None;
+    }
+    let (mut low, mut high) = (0.0, capacity);
+    for _ in 0..STEPS {
+        let middle = f64::midpoint(low, high);
+        let given: f64 = flows.clone().map(|flow| flow.min(middle)).sum();
+        if given > capacity {
+            high = middle;
+        } else {
+            low = middle;
+        }
+    }
+    Some(high)
+}
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -12,9 +12,16 @@
 use crate::core::Core;
 use crate::refusal::Refusal;
 
-/// Part of a stream's objective that the first event may be expected to take.
+/// Part of a stream's objective that the first event may be expected to take, for
+/// a customer that has what it may have.
 const OBJECTIVE_PART: f64 = 0.5;
 
+/// As [`OBJECTIVE_PART`], for a customer that has less.
+const BEHIND_PART: f64 = 0.7;
+
+/// Part of what it may have below which a customer is behind.
+const BEHIND: f64 = 0.8;
+
 /// Time that a prompt may wait however long it takes to be read, as a part of the objective.
 const WAIT_PART: f64 = 0.15;
 
@@ -74,23 +81,43 @@
             penalty_ms: backend.health.lock().penalty_ms(now),
         }
     });
+    let standing = match &call.customer {
+        Some(customer) => {
+            let mut shares = core.shares.lock();
+            shares.ask(customer.id, prompt.cost());
+            shares.standing(customer.id)
+        }
+        None => 0.0,
+    };
     let choice = choose(prompt, candidates, clock::ms(now)).ok_or(Refusal::NoServer)?;
     drop(engines);
-    admit(call, &choice)?;
+    admit(call, &choice, standing)?;
     let chosen = open.iter().find(|b| b.server.id == choice.server);
     let backend = chosen.ok_or(Refusal::NoServer)?;
     let own = prompt.tokens - prompt.shared_tokens();
     let is_new = choice.uncached > own;
+    if let Some(customer) = &call.customer {
+        core.shares.lock().give(customer.id, prompt.cost());
+    }
     core.exchange.note(choice.server, prompt, is_new);
     Ok(Running::begin(backend, Some(prompt)))
 }
 
 /// Refuses a prompt whose first token would come too late where it costs least.
-fn admit(call: &Call, choice: &Choice) -> Result<(), Refusal> {
+///
+/// A customer that has more than it may have is sent only where little waits, so
+/// that those who have less come first.
+fn admit(call: &Call, choice: &Choice, standing: f64) -> Result<(), Refusal> {
     #[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
     let objective = call.route.objective_ms as f64;
-    let beyond = choice.first_ms() - objective * OBJECTIVE_PART;
-    if beyond <= 0.0 || choice.wait_ms <= objective * WAIT_PART {
+    let over = standing.max(1.0);
+    let part = if standing < BEHIND {
+        BEHIND_PART
+    } else {
+        OBJECTIVE_PART / (over * over)
+    };
+    let beyond = choice.first_ms() - objective * part;
+    if beyond <= 0.0 || choice.wait_ms <= objective * WAIT_PART / (over * over) {
         return Ok(());
     }
     let ms = beyond.clamp(RETRY_MS.0, RETRY_MS.1);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use mulberryyoke_decide::retry::Budget;
+use mulberryyoke_decide::share::Shares;
 use mulberryyoke_event::slog::Logger;
 use mulberryyoke_settings as settings;
 use parking_lot::Mutex;
@@ -22,6 +23,7 @@
     pub(crate) view: View,
     pub(crate) roster: Roster,
     pub(crate) exchange: Exchange,
+    pub(crate) shares: Mutex<Shares>,
     pub(crate) budget: Mutex<Budget>,
     pub(crate) stop: Stop,
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,9 +11,10 @@
 use std::time::Duration;
 
 use mulberryyoke_decide::engine::{Load, Prompt};
+use mulberryyoke_decide::share::Flow;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{Incarnation, ServerId};
-use mulberryyoke_wire::beat::{self, Beat, Read};
+use mulberryyoke_model::{CustomerId, Incarnation, ServerId};
+use mulberryyoke_wire::beat::{self, Beat, Customer, Read};
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -39,6 +40,10 @@
 /// milliseconds: a lost datagram does no lasting harm.
 const TELL_AGAIN_MS: u64 = 2_000;
 
+/// Time between tellings of what customers asked and were given, in milliseconds:
+/// short beside the seconds over which it is counted.
+const CUSTOMERS_MS: u64 = 100;
+
 /// Reads that wait to be told; more are left out.
 const MOST_READS: usize = 64;
 
@@ -57,6 +62,7 @@
     reads: Vec<Read>,
     told: HashMap<(ServerId, u64), Instant>,
     number: u32,
+    customers_told: Option<Instant>,
 }
 
 impl Exchange {
@@ -110,6 +116,13 @@
         inner
             .told
             .retain(|_, at| clock::between_ms(*at, now) < TELL_AGAIN_MS);
+        let told = inner.customers_told;
+        let customers = if told.is_none_or(|at| clock::between_ms(at, now) >= CUSTOMERS_MS) {
+            inner.customers_told = Some(now);
+            customers(core)
+        } else {
+            Vec::new()
+        };
         let all = core.roster.all();
         let servers = all.iter().filter_map(|backend| backend.told());
         let beat = Beat {
@@ -117,7 +130,7 @@
             number: inner.number,
             servers: servers.collect(),
             reads: std::mem::take(&mut inner.reads),
-            customers: Vec::new(),
+            customers,
         };
         (beat, inner.addresses.values().copied().collect())
     }
@@ -149,6 +162,9 @@
             }
         }
         inner.recount(core);
+        if !beat.customers.is_empty() {
+            inner.recount_customers(core);
+        }
     }
 
     /// Stops counting peers that are silent.
@@ -165,11 +181,44 @@
         });
         if inner.peers.len() != before {
             inner.recount(core);
+            inner.recount_customers(core);
         }
     }
 }
 
+/// What customers asked of this gateway and were given by it.
+fn customers(core: &Core) -> Vec<Customer> {
+    let shares = core.shares.lock();
+    let customers = shares.own().map(|(id, flow)| Customer {
+        id,
+        asked: whole(flow.asked),
+        given: whole(flow.given),
+    });
+    customers.collect()
+}
+
+fn whole(tokens: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the cast goes to the nearest bound"
+    )]
+    let whole = tokens as u32;
+    whole
+}
+
 impl Inner {
+    /// Adds up what customers asked of peers and were given by them.
+    fn recount_customers(&self, core: &Core) {
+        let mut sums: HashMap<CustomerId, Flow> = HashMap::new();
+        for (customer, flow) in self.peers.values().flat_map(Peer::customers) {
+            let sum = sums.entry(customer).or_default();
+            sum.asked += flow.asked;
+            sum.given += flow.given;
+        }
+        core.shares.lock().set_others(&sums);
+    }
+
     /// Adds up what peers have at the servers.
     fn recount(&self, core: &Core) {
         for backend in core.roster.all() {
@@ -196,6 +245,7 @@
             () = core.stop.end.cancelled() => return,
             _ = ticks.tick() => {
                 core.exchange.expire(&core);
+                settle(&core);
                 let peers = core.exchange.gateways() as u64 - 1;
                 let now = Instant::now();
                 if clock::between_ms(last, now) + 1 >= BEAT_MS.max(peers * BEAT_MS_A_PEER) {
@@ -208,6 +258,14 @@
     }
 }
 
+/// Finds the level to which the servers' capacity is shared out.
+fn settle(core: &Core) {
+    let plan = core.view.plan();
+    let capacity = plan.and_then(|plan| plan.limits().tokens_per_s);
+    let capacity = capacity.map_or(f64::INFINITY, f64::from);
+    core.shares.lock().settle(capacity, clock::now_ms());
+}
+
 async fn tell(core: &Core, socket: &UdpSocket) {
     let (mut beat, addresses) = core.exchange.take_beat(core);
     if addresses.is_empty() {
--- a/crates/gateway/src/exchange/peer.rs
+++ b/crates/gateway/src/exchange/peer.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 
 use mulberryyoke_decide::engine::Load;
-use mulberryyoke_model::ServerId;
+use mulberryyoke_decide::share::Flow;
+use mulberryyoke_model::{CustomerId, ServerId};
 use mulberryyoke_wire::beat::{Beat, Server};
 use tokio::time::Instant;
 
@@ -16,6 +17,7 @@
     heard: Option<Instant>,
     loads: HashMap<ServerId, Load>,
     sent: HashMap<ServerId, u32>,
+    customers: HashMap<CustomerId, Flow>,
 }
 
 impl Peer {
@@ -27,9 +29,25 @@
         self.number = beat.number;
         self.heard = Some(now);
         self.loads = beat.servers.iter().map(|s| (s.id, s.load)).collect();
+        if !beat.customers.is_empty() {
+            let customers = beat.customers.iter().map(|customer| {
+                let (asked, given) = (customer.asked, customer.given);
+                let flow = Flow {
+                    asked: f64::from(asked),
+                    given: f64::from(given),
+                };
+                (customer.id, flow)
+            });
+            self.customers = customers.collect();
+        }
         true
     }
 
+    /// What customers asked of it and were given by it.
+    pub(crate) fn customers(&self) -> impl Iterator<Item = (CustomerId, Flow)> {
+        self.customers.iter().map(|(&customer, &flow)| (customer, flow))
+    }
+
     /// Tokens sent to a server since the beat before.
     pub(crate) fn sent(&mut self, server: &Server) -> u32 {
         let before = self.sent.insert(server.id, server.sent);
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -70,6 +70,7 @@
             view: View::default(),
             roster: Roster::default(),
             exchange: Exchange::new(),
+            shares: Mutex::default(),
             stop: Stop::default(),
         });
         tokio::spawn(exchange::announce(Arc::clone(&core), Arc::clone(&feed)));
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_wire::sse::{self, Events};
+use mulberryyoke_wire::sse::Events;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
