--- a/crates/decide/src/share.rs
+++ b/crates/decide/src/share.rs
@@ -5,11 +5,16 @@
 use mulberryyoke_model::{CustomerId, Millis};
 
 /// Time in which what was asked or given counts half, in milliseconds.
-const HALF_MS: f64 = 2_000.0;
+const HALF_MS: f64 = 1_500.0;
 
 /// Decayed sum of a steady flow, in seconds of the flow: the half-life over ln 2.
 const SUM_S: f64 = HALF_MS / 1_000.0 / std::f64::consts::LN_2;
 
+/// Most that a customer is held to have been given, as a part of what it may have:
+/// what it got while there was enough for all is not held against it for longer
+/// than about one second.
+const MOST_GIVEN: f64 = 3.0;
+
 /// Steps in which the level is found; each halves the error.
 const STEPS: u32 = 24;
 
@@ -46,9 +51,20 @@
 pub struct Shares {
     accounts: HashMap<CustomerId, Account>,
     at: Millis,
-    /// Tokens a second up to which each customer is given what it asks; `None`
-    /// when there is enough for all.
+    /// Tokens up to which each customer may have what it asks; `None` when there
+    /// is enough for all.
     level: Option<f64>,
+    /// As `level`, when all that is in fact given is shared out.
+    given_level: Option<f64>,
+}
+
+/// What a customer was given, beside what it may have.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Standing {
+    /// As a part of its portion of the capacity; 0 when there is enough for all.
+    pub of_portion: f64,
+    /// As a part of its portion of what is given in all.
+    pub of_given: f64,
 }
 
 impl Shares {
@@ -91,17 +107,28 @@
             account.own.given *= left;
         }
         self.accounts.retain(|_, account| account.asked() >= LEAST);
-        self.level = level(self.accounts.values().map(Account::asked), capacity * SUM_S);
+        let asked = self.accounts.values().map(Account::asked);
+        let given: f64 = self.accounts.values().map(Account::given).sum();
+        let capacity = capacity * SUM_S;
+        self.level = level(asked.clone(), capacity);
+        self.given_level = level(asked, given.max(capacity));
+        let Some(level) = self.level else {
+            return;
+        };
+        for account in self.accounts.values_mut() {
+            let most = MOST_GIVEN * level / account.given().max(LEAST);
+            account.own.given *= most.min(1.0);
+        }
     }
 
-    /// What a customer was given as a part of what it may have; 0 when there is
-    /// enough for all.
+    /// What a customer was given, beside what it may have.
     #[must_use]
-    pub fn standing(&self, customer: CustomerId) -> f64 {
-        let account = self.accounts.get(&customer);
-        match (self.level, account) {
-            (Some(level), Some(account)) => account.given() / level.max(LEAST),
-            _ => 0.0,
+    pub fn standing(&self, customer: CustomerId) -> Standing {
+        let given = self.accounts.get(&customer).map_or(0.0, Account::given);
+        let part = |level: Option<f64>| level.map_or(0.0, |level| given / level.max(LEAST));
+        Standing {
+            of_portion: part(self.level),
+            of_given: part(self.given_level),
         }
     }
 }
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -80,6 +80,8 @@
     ServerGone = 1017, Info, "server gone";
     /// A router could not tell its peers where it is.
     AnnounceFailed = 1018, Warning, "address not announced";
+    /// A router sends a request to no server, because the best one has too much to do.
+    HeldBack = 1019, Info, "request held back";
     /// A sidecar reserved a slot for a customer's request at a router.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use mulberryyoke_decide::engine::{Candidate, Choice, Engine, choose};
+use mulberryyoke_decide::share::Standing;
+use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::ServerId;
 use tokio::time::Instant;
 
@@ -13,15 +15,27 @@
 use crate::refusal::Refusal;
 
 /// Part of a stream's objective that the first event may be expected to take, for
-/// a customer that has what it may have.
-const OBJECTIVE_PART: f64 = 0.5;
-
-/// As [`OBJECTIVE_PART`], for a customer that has less.
+/// a customer that has less than its portion.
 const BEHIND_PART: f64 = 0.7;
 
-/// Part of what it may have below which a customer is behind.
+/// As [`BEHIND_PART`], for a customer that has its portion.
+const PORTION_PART: f64 = 0.5;
+
+/// Part of its portion below which a customer is behind.
 const BEHIND: f64 = 0.8;
 
+/// How fast the bound falls for a customer that has more than its portion, and
+/// the multiple of the portion beyond which it falls no more.
+const OVER_POWER: i32 = 2;
+const OVER_MOST: f64 = 2.5;
+
+/// Multiple of its portion of all that is given beyond which a customer has to wait
+/// for those that have less.
+const EVEN: f64 = 1.2;
+
+/// Factor of the bound for a customer beyond [`EVEN`].
+const UNEVEN_FACTOR: f64 = 0.3;
+
 /// Time that a prompt may wait however long it takes to be read, as a part of the objective.
 const WAIT_PART: f64 = 0.15;
 
@@ -87,11 +101,11 @@
             shares.ask(customer.id, prompt.cost());
             shares.standing(customer.id)
         }
-        None => 0.0,
+        None => Standing::default(),
     };
     let choice = choose(prompt, candidates, clock::ms(now)).ok_or(Refusal::NoServer)?;
     drop(engines);
-    admit(call, &choice, standing)?;
+    admit(core, call, &choice, standing)?;
     let chosen = open.iter().find(|b| b.server.id == choice.server);
     let backend = chosen.ok_or(Refusal::NoServer)?;
     let own = prompt.tokens - prompt.shared_tokens();
@@ -107,25 +121,50 @@
 ///
 /// A customer that has more than it may have is sent only where little waits, so
 /// that those who have less come first.
-fn admit(call: &Call, choice: &Choice, standing: f64) -> Result<(), Refusal> {
+fn admit(core: &Core, call: &Call, choice: &Choice, standing: Standing) -> Result<(), Refusal> {
     #[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
     let objective = call.route.objective_ms as f64;
-    let over = standing.max(1.0);
-    let part = if standing < BEHIND {
-        BEHIND_PART
-    } else {
-        OBJECTIVE_PART / (over * over)
-    };
+    let factor = leeway(standing);
+    let part = PORTION_PART * factor;
     let beyond = choice.first_ms() - objective * part;
-    if beyond <= 0.0 || choice.wait_ms <= objective * WAIT_PART / (over * over) {
+    if beyond <= 0.0 || choice.wait_ms <= objective * WAIT_PART * factor.min(1.0) {
         return Ok(());
     }
+    log!(core.logger, Event::HeldBack,
+        "request" => &call.id,
+        "customer" => call.customer_name(),
+        "server" => choice.server.0,
+        "wait_ms" => rounded(choice.wait_ms),
+        "read_ms" => rounded(choice.read_ms),
+        "uncached" => choice.uncached,
+        "again" => choice.again,
+        "allowed_ms" => rounded(objective * part),
+        "of_portion" => rounded(standing.of_portion * 100.0),
+        "of_given" => rounded(standing.of_given * 100.0));
     let ms = beyond.clamp(RETRY_MS.0, RETRY_MS.1);
+    Err(Refusal::Busy(rounded(ms)))
+}
+
+/// Factor of the time that a customer's prompts may take to be begun.
+fn leeway(standing: Standing) -> f64 {
+    if standing.of_portion < BEHIND {
+        return BEHIND_PART / PORTION_PART;
+    }
+    let over = standing.of_portion.clamp(1.0, OVER_MOST);
+    let even = if standing.of_given > EVEN {
+        UNEVEN_FACTOR
+    } else {
+        1.0
+    };
+    even / over.powi(OVER_POWER)
+}
+
+fn rounded(number: f64) -> u32 {
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
-        reason = "clamped to a small positive range"
+        reason = "the cast goes to the nearest bound"
     )]
-    let ms = ms as u32;
-    Err(Refusal::Busy(ms))
+    let rounded = number.round() as u32;
+    rounded
 }
