--- a/crates/decide/src/engine/choice.rs
+++ b/crates/decide/src/engine/choice.rs
@@ -47,6 +47,8 @@
     pub uncached: u32,
     /// Those of them that another server keeps.
     pub again: u32,
+    /// Time until the servers, taken together, would begin to read it, in milliseconds.
+    pub mean_wait_ms: f64,
 }
 
 impl Choice {
@@ -74,6 +76,9 @@
         let servers = candidates.clone().map(|candidate| candidate.server);
         servers.max_by_key(|&server| weight(key, server))
     });
+    let waits = candidates.clone().map(|candidate| candidate.engine.wait_ms());
+    let (count, sum) = waits.fold((0_u32, 0.0), |(count, sum), wait| (count + 1, sum + wait));
+    let mean_wait_ms = sum / f64::from(count.max(1));
     let mut best: Option<(f64, Choice)> = None;
     for candidate in candidates {
         let choice = meet(prompt, &candidate, kept);
@@ -91,7 +96,10 @@
             best = Some((cost, choice));
         }
     }
-    best.map(|(_, choice)| choice)
+    best.map(|(_, choice)| Choice {
+        mean_wait_ms,
+        ..choice
+    })
 }
 
 /// What a prompt would meet at a server; `kept` of its tokens are kept somewhere.
@@ -105,5 +113,6 @@
         read_ms: engine.read_ms(uncached),
         uncached,
         again: kept.saturating_sub(cached),
+        mean_wait_ms: 0.0,
     }
 }
--- a/crates/decide/src/share.rs
+++ b/crates/decide/src/share.rs
@@ -13,7 +13,7 @@
 /// Most that a customer is held to have been given, as a part of what it may have:
 /// what it got while there was enough for all is not held against it for longer
 /// than about one second.
-const MOST_GIVEN: f64 = 3.0;
+const MOST_GIVEN: f64 = 5.0;
 
 /// Steps in which the level is found; each halves the error.
 const STEPS: u32 = 24;
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -29,12 +29,13 @@
 const OVER_POWER: i32 = 2;
 const OVER_MOST: f64 = 2.5;
 
-/// Multiple of its portion of all that is given beyond which a customer has to wait
-/// for those that have less.
+/// Multiple of its portion of all that is given beyond which a customer is given
+/// nothing until those that have less were served.
 const EVEN: f64 = 1.2;
 
-/// Factor of the bound for a customer beyond [`EVEN`].
-const UNEVEN_FACTOR: f64 = 0.3;
+/// Time that prompts wait at the servers on average below which there is capacity
+/// for all, in milliseconds: about half a step of an engine that reads.
+const SCARCE_MS: f64 = 30.0;
 
 /// Time that a prompt may wait however long it takes to be read, as a part of the objective.
 const WAIT_PART: f64 = 0.15;
@@ -124,10 +125,11 @@
 fn admit(core: &Core, call: &Call, choice: &Choice, standing: Standing) -> Result<(), Refusal> {
     #[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
     let objective = call.route.objective_ms as f64;
-    let factor = leeway(standing);
+    let factor = leeway(standing, choice.mean_wait_ms);
     let part = PORTION_PART * factor;
     let beyond = choice.first_ms() - objective * part;
-    if beyond <= 0.0 || choice.wait_ms <= objective * WAIT_PART * factor.min(1.0) {
+    let wait_ms = objective * WAIT_PART * factor.min(1.0);
+    if factor > 0.0 && (beyond <= 0.0 || choice.wait_ms <= wait_ms) {
         return Ok(());
     }
     log!(core.logger, Event::HeldBack,
@@ -139,6 +141,7 @@
         "uncached" => choice.uncached,
         "again" => choice.again,
         "allowed_ms" => rounded(objective * part),
+        "mean_wait_ms" => rounded(choice.mean_wait_ms),
         "of_portion" => rounded(standing.of_portion * 100.0),
         "of_given" => rounded(standing.of_given * 100.0));
     let ms = beyond.clamp(RETRY_MS.0, RETRY_MS.1);
@@ -146,17 +149,15 @@
 }
 
 /// Factor of the time that a customer's prompts may take to be begun.
-fn leeway(standing: Standing) -> f64 {
+fn leeway(standing: Standing, mean_wait_ms: f64) -> f64 {
     if standing.of_portion < BEHIND {
         return BEHIND_PART / PORTION_PART;
     }
     let over = standing.of_portion.clamp(1.0, OVER_MOST);
-    let even = if standing.of_given > EVEN {
-        UNEVEN_FACTOR
-    } else {
-        1.0
-    };
-    even / over.powi(OVER_POWER)
+    if standing.of_given > EVEN && mean_wait_ms > SCARCE_MS {
+        return 0.0;
+    }
+    over.powi(-OVER_POWER)
 }
 
 fn rounded(number: f64) -> u32 {
