--- a/crates/daemon/src/cmd/gateway.rs
+++ b/crates/daemon/src/cmd/gateway.rs
@@ -1,16 +1,25 @@
 //! `mulberryyoked gateway`.
 
+use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use mulberryyoke_adapter::{Edge, Store};
+use mulberryyoke_event::slog::Logger;
+use mulberryyoke_event::{Event, log};
 use mulberryyoke_gateway::Gateway;
 use mulberryyoke_settings as settings;
 use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal as listen};
+use tokio::time::interval;
 
 use crate::args;
 use crate::cmd::signal;
 use crate::error::Error;
 
+/// Time between looks at the settings file, which may change without a signal.
+const LOOK: Duration = Duration::from_secs(2);
+
 /// Runs a gateway until a planned stop has ended. One thread carries it: the VMs
 /// have one core, and a second thread only costs switches.
 pub(crate) fn run(options: &args::Gateway) -> Result<(), Error> {
@@ -22,11 +31,36 @@
         .map_err(Error::Runtime)?;
     runtime.block_on(async move {
         let store = Arc::new(Store::open(settings.store));
-        let gateway = Gateway::spawn(settings, Arc::new(Edge), store, logger)
+        let gateway = Gateway::spawn(settings, Arc::new(Edge), store, logger.clone())
             .await
             .map_err(Error::Gateway)?;
-        signal::stop().await?;
+        tokio::select! {
+            stopped = signal::stop() => stopped?,
+            watched = watch(&gateway, &options.settings, &logger) => watched?,
+        }
         gateway.stop().await;
         Ok(())
     })
 }
+
+/// Reads the settings again after each SIGHUP and each change of the file.
+async fn watch(gateway: &Gateway, path: &Path, logger: &Logger) -> Result<(), Error> {
+    let mut hangup = listen(SignalKind::hangup()).map_err(Error::Signal)?;
+    let mut looks = interval(LOOK);
+    let mut held = std::fs::read(path).ok();
+    loop {
+        let is_asked = tokio::select! {
+            _ = hangup.recv() => true,
+            _ = looks.tick() => false,
+        };
+        let found = std::fs::read(path).ok();
+        if !is_asked && (found.is_none() || found == held) {
+            continue;
+        }
+        held = found;
+        match settings::read_gateway(path) {
+            Ok(settings) => gateway.reload(settings),
+            Err(error) => log!(logger, Event::ReloadFailed, "error" => error.to_string()),
+        }
+    }
+}
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -60,7 +60,7 @@
         if call.prompt.is_some() {
             return place_prompt(core, call, &open, now);
         }
-        let zone = &core.settings.zone;
+        let zone = &core.settings.load().zone;
         let best = open.into_iter().min_by(|a, b| {
             let (a, b) = (plain_cost(a, zone, now), plain_cost(b, zone, now));
             a.total_cmp(&b)
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -24,6 +24,8 @@
     pub(crate) customer: Option<Arc<Customer>>,
     /// What it has a model read, if it is for a model.
     pub(crate) prompt: Option<Prompt>,
+    /// The event after which the caller wants the stream to go on.
+    pub(crate) resume_after: Option<u64>,
     /// When its head had come.
     pub(crate) since: Instant,
     /// When its answer is of no more use to the caller, or its route's time is over.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use arc_swap::ArcSwap;
 use mulberryyoke_decide::retry::Budget;
 use mulberryyoke_decide::share::Shares;
 use mulberryyoke_event::slog::Logger;
@@ -17,7 +18,7 @@
 
 /// The state of a gateway.
 pub(crate) struct Core {
-    pub(crate) settings: settings::Gateway,
+    pub(crate) settings: ArcSwap<settings::Gateway>,
     pub(crate) protocol: Arc<dyn Protocol>,
     pub(crate) logger: Logger,
     pub(crate) view: View,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -23,8 +23,16 @@
 /// Times that one request is sent though none of the servers may have run it.
 const MOST_UNSENT: u32 = 3;
 
+/// Time without an answer after which another server is asked, in hundredths of
+/// the objective: there is time left for the second to be on time.
+const STALL: u64 = 60;
+
+/// As [`STALL`], for streams: with a full queue a first event may well take the
+/// whole objective, and a second server would begin anew.
+const STREAM_STALL: u64 = 130;
+
 /// Servers asked for one request, and what they may have done.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Trials {
     tried: SmallVec<[ServerId; 4]>,
     /// Servers that may have run it.
@@ -46,7 +54,7 @@
         let server = running.backend.server.id;
         self.tried.push(server);
         note(core, call, &running, self.ran + self.not_run);
-        let outcome = send::send(core, call, running, resume_after).await;
+        let outcome = send::send(core, call, running, self, resume_after).await;
         match outcome {
             Outcome::TurnedAway | Outcome::OtherServer | Outcome::Unsent => self.not_run += 1,
             _ => self.ran += 1,
@@ -54,10 +62,37 @@
         Ok((outcome, server))
     }
 
+    /// As these, once the last server asked has run the request.
+    fn after_run(&self) -> Self {
+        Self {
+            ran: self.ran + 1,
+            ..self.clone()
+        }
+    }
+
     /// Whether the request may be sent once more after it may have run.
     pub(crate) fn may_repeat(&self, core: &Core, call: &Call) -> bool {
-        let may = call.route.kind.may_repeat() && self.ran < call.route.attempts;
-        may && Instant::now() < call.deadline && core.budget.lock().spend()
+        self.has_another(call) && Instant::now() < call.deadline && core.budget.lock().spend()
+    }
+
+    /// Whether another server may run the request besides those that may have.
+    pub(crate) fn has_another(&self, call: &Call) -> bool {
+        call.route.kind.may_repeat() && self.ran < call.route.attempts
+    }
+
+    /// When another server is asked for want of an answer; `None` if none may be.
+    /// It is called while the last server asked is not yet counted.
+    fn stall(&self, call: &Call) -> Option<Instant> {
+        if !call.route.kind.may_repeat() || self.ran + 1 >= call.route.attempts {
+            return None;
+        }
+        let hundredths = if call.route.kind.is_stream() {
+            STREAM_STALL
+        } else {
+            STALL
+        };
+        let ms = call.route.objective_ms * hundredths / 100;
+        Some(clock::after(Instant::now(), ms))
     }
 
     /// Whether the request may be sent once more after a server did not run it.
@@ -96,6 +131,7 @@
             }
             Outcome::Unknown => (trials.may_repeat(core, call), Refusal::Unknown),
             Outcome::Garbled => (trials.may_repeat(core, call), Refusal::Garbled),
+            Outcome::Stalled => (true, Refusal::TimedOut),
             Outcome::TimedOut => (false, Refusal::TimedOut),
         };
         if !again {
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -15,6 +15,7 @@
 use crate::call::Call;
 use crate::conn::Conn;
 use crate::core::Core;
+use crate::dispatch::Trials;
 use crate::header;
 use crate::outcome::Outcome;
 use crate::protocol::{Order, Reading};
@@ -29,6 +30,7 @@
     core: &Arc<Core>,
     call: &Arc<Call>,
     running: Running,
+    trials: &Trials,
     resume_after: Option<u64>,
 ) -> Outcome {
     let backend = Arc::clone(&running.backend);
@@ -50,10 +52,23 @@
         }
     };
     let request = request(core, call, &running, resume_after);
-    let sent = conn.sender.try_send_request(request);
-    let sent = tokio::select! {
-        sent = sent => sent,
-        () = sleep_until(call.deadline) => return Outcome::TimedOut,
+    let mut sent = Box::pin(conn.sender.try_send_request(request));
+    let mut stall = trials.stall(call);
+    let sent = loop {
+        let until = stall.map_or(call.deadline, |stall| stall.min(call.deadline));
+        tokio::select! {
+            sent = &mut sent => break sent,
+            () = sleep_until(until) => {}
+        }
+        if until >= call.deadline {
+            fail(core, call, &running, "no answer in time", "");
+            return Outcome::TimedOut;
+        }
+        stall = None;
+        if core.budget.lock().spend() {
+            fail(core, call, &running, "no answer for long", "");
+            return Outcome::Stalled;
+        }
     };
     let response = match sent {
         Ok(response) => response,
@@ -68,7 +83,7 @@
             };
         }
     };
-    read(core, call, running, conn, response).await
+    read(core, call, running, trials, conn, response).await
 }
 
 fn request(
@@ -96,6 +111,7 @@
     core: &Arc<Core>,
     call: &Arc<Call>,
     running: Running,
+    trials: &Trials,
     conn: Conn,
     response: Response<Incoming>,
 ) -> Outcome {
@@ -127,7 +143,8 @@
     }
     header::end_to_end(&mut head.headers);
     if call.route.kind.is_stream() && is_success {
-        let pieces = pump::spawn(core, call, running, conn, body, reading);
+        let trials = trials.after_run();
+        let pieces = pump::spawn(core, call, running, trials, (conn, reading), body);
         return Outcome::Answered(Response::from_parts(head, Answer::Pieces(pieces)));
     }
     let collected = tokio::select! {
--- a/crates/gateway/src/exchange/announce.rs
+++ b/crates/gateway/src/exchange/announce.rs
@@ -54,8 +54,9 @@
         return feed.keep(id).await.map(|lease| lease.id);
     }
     let id = feed.grant(LEASE_MS).await?.id;
-    let key = format!("{PREFIX}{}", core.settings.name);
-    let address = core.settings.control.to_string();
+    let settings = core.settings.load_full();
+    let key = format!("{PREFIX}{}", settings.name);
+    let address = settings.control.to_string();
     feed.put(&key, address.as_bytes(), id).await?;
     Ok(id)
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -175,7 +175,7 @@
         let Some(name) = key.strip_prefix(exchange::PREFIX) else {
             return;
         };
-        if name != self.core.settings.name {
+        if name != self.core.settings.load().name {
             self.core.exchange.set_address(name, address);
         }
     }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use mulberryyoke_decide::retry::Budget;
 use mulberryyoke_event::slog::Logger;
 use mulberryyoke_event::{Event, log};
@@ -64,7 +65,7 @@
         let beats = beats.map_err(|source| Error::Bind { address, source })?;
         let core = Arc::new(Core {
             budget: Mutex::new(Budget::new(percent(settings.retry_ratio))),
-            settings,
+            settings: ArcSwap::from_pointee(settings),
             protocol,
             logger,
             view: View::default(),
@@ -83,13 +84,25 @@
         Ok(Self { core })
     }
 
+    /// Puts changed settings in force. Names and addresses stay as they were until
+    /// the next start.
+    pub fn reload(&self, settings: settings::Gateway) {
+        let core = &self.core;
+        let before = core.settings.load_full();
+        let needs_restart = before.place() != settings.place();
+        log!(core.logger, Event::Reloaded, "needs_restart" => needs_restart);
+        *core.budget.lock() = Budget::new(percent(settings.retry_ratio));
+        let settings = settings.at(&before);
+        core.settings.store(Arc::new(settings));
+    }
+
     /// Stops as planned: callers are sent elsewhere, requests that run are
     /// answered as long as there is time.
     pub async fn stop(self) {
         let stop = &self.core.stop;
         log!(self.core.logger, Event::Stopping);
         stop.leave.cancel();
-        let grace = Duration::from_millis(self.core.settings.grace_ms.saturating_sub(END_MS));
+        let grace = Duration::from_millis(self.core.settings.load().grace_ms.saturating_sub(END_MS));
         let closing = async {
             sleep(TAKE).await;
             stop.refuse.cancel();
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -61,6 +61,7 @@
             pool,
             customer,
             prompt: self.ask.prompt,
+            resume_after: self.ask.resume_after,
             since: self.since,
             deadline: clock::after(self.since, most_ms),
             method: self.parts.method,
@@ -90,7 +91,7 @@
         if !plan.has_customers() || route.is_public {
             return Ok(None);
         }
-        let fresh_ms = core.settings.keys_fresh_ms;
+        let fresh_ms = core.settings.load().keys_fresh_ms;
         if fresh_ms.is_some_and(|fresh_ms| core.view.age_ms() >= fresh_ms) {
             return Err(Refusal::NoView);
         }
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -21,6 +21,8 @@
     Unknown,
     /// What came was no answer to it. It may have run.
     Garbled,
+    /// No answer has come for so long that another server is asked. It may have run.
+    Stalled,
     /// The time is over.
     TimedOut,
 }
@@ -36,6 +38,7 @@
             Self::Failed(_) => "failed",
             Self::Unknown => "unknown",
             Self::Garbled => "garbled",
+            Self::Stalled => "stalled",
             Self::TimedOut => "timed_out",
         }
     }
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -1,27 +1,33 @@
 //! Passing a stream of events on, and resuming it where it broke off.
 
+use std::pin::Pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_wire::sse::Events;
+use mulberryyoke_wire::sse::{self, Events};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
-use crate::answer::Broken;
+use crate::answer::{Answer, Broken};
 use crate::backend::Running;
 use crate::call::Call;
 use crate::clock;
 use crate::conn::Conn;
 use crate::core::Core;
-use crate::dispatch::{fail, finish};
+use crate::dispatch::{Trials, fail, finish};
+use crate::outcome::Outcome;
 use crate::protocol::Reading;
 
 /// Pieces that wait for the caller's connection; more hold the server up.
 const PIECES: usize = 4;
 
+/// Longest pause between events, as a multiple of that of an answer on time, before
+/// a stream goes on at another server: a preempted request begins again within it.
+const GAPS: u64 = 3;
+
 /// Why a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
@@ -53,6 +59,10 @@
     events: Events,
     pieces: mpsc::Sender<Result<Bytes, Broken>>,
     passed: u32,
+    /// The last event that the caller has.
+    last_event: Option<u64>,
+    /// Servers asked for this request.
+    trials: Trials,
 }
 
 /// Passes a stream on in a task of its own, until its end or until nobody reads it.
@@ -60,9 +70,9 @@
     core: &Arc<Core>,
     call: &Arc<Call>,
     running: Running,
-    conn: Conn,
+    trials: Trials,
+    (conn, reading): (Conn, Reading),
     body: Incoming,
-    reading: Reading,
 ) -> mpsc::Receiver<Result<Bytes, Broken>> {
     let (pieces, receiver) = mpsc::channel(PIECES);
     let pump = Pump {
@@ -73,6 +83,8 @@
         events: Events::default(),
         pieces,
         passed: 0,
+        last_event: call.resume_after,
+        trials,
     };
     tokio::spawn(pump.run(conn, reading));
     receiver
@@ -81,6 +93,10 @@
 impl Pump {
     async fn run(mut self, conn: Conn, reading: Reading) {
         let end = self.pass().await;
+        if end == End::Broken && self.trials.may_repeat(&self.core, &self.call) {
+            drop(conn);
+            return self.resume().await;
+        }
         let broken = match end {
             End::Whole | End::HungUp => None,
             End::Broken => Some(Broken::Server),
@@ -105,14 +121,50 @@
         }
     }
 
+    /// Goes on at another server after the last event that the caller has.
+    async fn resume(mut self) {
+        self.note(End::Broken);
+        let (core, call) = (&Arc::clone(&self.core), &Arc::clone(&self.call));
+        fail(core, call, &self.running, "stream broke off", "resuming");
+        let next = self.trials.next(core, call, self.last_event);
+        let next: Pin<Box<dyn Future<Output = _> + Send + '_>> = Box::pin(next);
+        let outcome = next.await;
+        log!(core.logger, Event::Resumed,
+            "request" => &call.id,
+            "after" => self.last_event,
+            "outcome" => outcome.as_ref().map_or_else(|refusal| refusal.word(), |(o, _)| o.word()));
+        let Ok((Outcome::Answered(response), _)) = outcome else {
+            // A caller that is gone has no use for it.
+            let _ = self.pieces.send(Err(Broken::Server)).await;
+            return;
+        };
+        let Answer::Pieces(mut rest) = response.into_body() else {
+            let _ = self.pieces.send(Err(Broken::Server)).await;
+            return;
+        };
+        loop {
+            let piece = tokio::select! {
+                biased;
+                () = self.pieces.closed() => return,
+                piece = rest.recv() => piece,
+            };
+            let Some(piece) = piece else { return };
+            if self.pieces.send(piece).await.is_err() {
+                return;
+            }
+        }
+    }
+
     async fn pass(&mut self) -> End {
         let core = Arc::clone(&self.core);
         let deadline = self.call.deadline;
         loop {
+            let stall = self.stall().unwrap_or(deadline);
             let frame = tokio::select! {
                 biased;
                 () = self.pieces.closed() => return End::HungUp,
                 frame = self.body.frame() => frame,
+                () = sleep_until(stall.min(deadline)), if stall < deadline => return End::Broken,
                 () = sleep_until(deadline) => return End::Late,
                 () = core.stop.end.cancelled() => return End::Stopping,
             };
@@ -128,12 +180,20 @@
             }
             self.running.first();
             self.passed += 1;
+            self.last_event = sse::last_id(&whole).or(self.last_event);
             if self.pieces.send(Ok(whole)).await.is_err() {
                 return End::HungUp;
             }
         }
     }
 
+    /// When a stream that may go on elsewhere is taken to have broken off.
+    fn stall(&self) -> Option<Instant> {
+        let gap_ms = self.call.route.gap_ms?;
+        let may_go_on = self.trials.has_another(&self.call);
+        may_go_on.then(|| clock::after(Instant::now(), GAPS * gap_ms))
+    }
+
     fn note(&self, end: End) {
         let elapsed_ms = clock::between_ms(self.call.since, Instant::now());
         log!(self.core.logger, Event::Streamed,
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -38,6 +38,29 @@
     pub descriptors: u32,
 }
 
+impl Gateway {
+    /// What is fixed for the life of a process: name, zone and addresses.
+    #[must_use]
+    pub fn place(&self) -> (&str, &str, [SocketAddr; 4]) {
+        let addresses = [self.callers, self.health, self.control, self.store];
+        (&self.name, &self.zone, addresses)
+    }
+
+    /// These settings at the place of others.
+    #[must_use]
+    pub fn at(self, place: &Self) -> Self {
+        Self {
+            name: place.name.clone(),
+            zone: place.zone.clone(),
+            callers: place.callers,
+            health: place.health,
+            control: place.control,
+            store: place.store,
+            ..self
+        }
+    }
+}
+
 const fn grace_ms() -> u64 {
     8_000
 }
