--- a/crates/decide/src/engine.rs
+++ b/crates/decide/src/engine.rs
@@ -51,6 +51,22 @@
     pub running: u32,
 }
 
+impl Load {
+    /// Adds what one router has.
+    pub const fn add(&mut self, load: Self) {
+        self.unread = self.unread.saturating_add(load.unread);
+        self.queued = self.queued.saturating_add(load.queued);
+        self.running = self.running.saturating_add(load.running);
+    }
+
+    /// Takes away what one router had.
+    pub const fn take(&mut self, load: Self) {
+        self.unread = self.unread.saturating_sub(load.unread);
+        self.queued = self.queued.saturating_sub(load.queued);
+        self.running = self.running.saturating_sub(load.running);
+    }
+}
+
 impl Engine {
     /// An idle server that keeps nothing.
     #[must_use]
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 
 use arc_swap::ArcSwap;
 use mulberryyoke_decide::retry::Budget;
@@ -26,6 +27,8 @@
     pub(crate) exchange: Exchange,
     pub(crate) shares: Mutex<Shares>,
     pub(crate) budget: Mutex<Budget>,
+    /// Callers' open connections.
+    pub(crate) connections: AtomicU32,
     pub(crate) stop: Stop,
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -44,6 +44,10 @@
 /// short beside the seconds over which it is counted.
 const CUSTOMERS_MS: u64 = 100;
 
+/// Time between additions of all that peers tell, in milliseconds: servers that
+/// registered between two beats are counted right again.
+const RECOUNT_MS: u64 = 200;
+
 /// Reads that wait to be told; more are left out.
 const MOST_READS: usize = 64;
 
@@ -63,6 +67,8 @@
     told: HashMap<(ServerId, u64), Instant>,
     number: u32,
     customers_told: Option<Instant>,
+    /// When what peers tell was last added up.
+    counted: Option<Instant>,
 }
 
 impl Exchange {
@@ -143,17 +149,24 @@
         let mut inner = self.inner.lock();
         let is_new = !inner.peers.contains_key(&beat.origin);
         let peer = inner.peers.entry(beat.origin).or_default();
-        if !peer.hear(beat, now) {
+        let Some(mut before) = peer.hear(beat, now) else {
             return;
-        }
+        };
         if is_new {
             log!(core.logger, Event::PeerUp, "peer" => beat.origin.0);
         }
         for server in &beat.servers {
             if let Some(backend) = core.roster.by_id(server.id) {
                 let sent = peer.sent(server);
-                let now_ms = clock::now_ms();
-                backend.engine.lock().recent.add(sent, now_ms);
+                let mut engine = backend.engine.lock();
+                engine.recent.add(sent, clock::now_ms());
+                engine.others.take(before.remove(&server.id).unwrap_or_default());
+                engine.others.add(server.load);
+            }
+        }
+        for (server, load) in before {
+            if let Some(backend) = core.roster.by_id(server) {
+                backend.engine.lock().others.take(load);
             }
         }
         for read in &beat.reads {
@@ -161,10 +174,6 @@
                 backend.engine.lock().cache.insert(&read.shared);
             }
         }
-        inner.recount(core);
-        if !beat.customers.is_empty() {
-            inner.recount_customers(core);
-        }
     }
 
     /// Stops counting peers that are silent.
@@ -179,7 +188,10 @@
             }
             is_heard
         });
-        if inner.peers.len() != before {
+        let counted = inner.counted;
+        let is_due = counted.is_none_or(|at| clock::between_ms(at, now) >= RECOUNT_MS);
+        if is_due || inner.peers.len() != before {
+            inner.counted = Some(now);
             inner.recount(core);
             inner.recount_customers(core);
         }
@@ -224,10 +236,7 @@
         for backend in core.roster.all() {
             let mut sum = Load::default();
             for peer in self.peers.values() {
-                let load = peer.load(backend.server.id);
-                sum.unread = sum.unread.saturating_add(load.unread);
-                sum.queued += load.queued;
-                sum.running += load.running;
+                sum.add(peer.load(backend.server.id));
             }
             backend.engine.lock().others = sum;
         }
--- a/crates/gateway/src/exchange/peer.rs
+++ b/crates/gateway/src/exchange/peer.rs
@@ -21,14 +21,16 @@
 }
 
 impl Peer {
-    /// Takes a beat in; `false` if a later one has come before it.
-    pub(crate) fn hear(&mut self, beat: &Beat, now: Instant) -> bool {
+    /// Takes a beat in, and returns the loads that it replaces; `None` if a later
+    /// one has come before it.
+    pub(crate) fn hear(&mut self, beat: &Beat, now: Instant) -> Option<HashMap<ServerId, Load>> {
         if self.heard.is_some() && beat.number <= self.number {
-            return false;
+            return None;
         }
         self.number = beat.number;
         self.heard = Some(now);
-        self.loads = beat.servers.iter().map(|s| (s.id, s.load)).collect();
+        let loads = beat.servers.iter().map(|s| (s.id, s.load)).collect();
+        let before = std::mem::replace(&mut self.loads, loads);
         if !beat.customers.is_empty() {
             let customers = beat.customers.iter().map(|customer| {
                 let (asked, given) = (customer.asked, customer.given);
@@ -40,7 +42,7 @@
             });
             self.customers = customers.collect();
         }
-        true
+        Some(before)
     }
 
     /// What customers asked of it and were given by it.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,8 +15,9 @@
 use crate::exchange;
 
 /// Longest time that a call for changes waits, in milliseconds: the age of the
-/// configuration is known at least this often.
-const WAIT_MS: u64 = 500;
+/// configuration is known at least this often. Each call is paid for; keys that are
+/// taken away have to stop working in some seconds also when calls fail.
+const WAIT_MS: u64 = 2_000;
 
 /// Least time between two calls for changes, in milliseconds: servers write their
 /// heartbeats there many times a second, and each call is paid for.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -72,6 +73,7 @@
             roster: Roster::default(),
             exchange: Exchange::new(),
             shares: Mutex::default(),
+            connections: AtomicU32::new(0),
             stop: Stop::default(),
         });
         tokio::spawn(exchange::announce(Arc::clone(&core), Arc::clone(&feed)));
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -21,7 +21,7 @@
 
 /// Age of the configuration beyond which it is not enough to deny a request, in
 /// milliseconds: a newer one may allow it.
-const DENY_MS: u64 = 1_500;
+const DENY_MS: u64 = 2_500;
 
 /// A request and what its head says.
 pub(crate) struct Intake {
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -2,13 +2,14 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use mulberryyoke_event::{Event, log};
@@ -27,6 +28,9 @@
 /// Smallest buffer that the library takes, in bytes.
 const LEAST_BUFFER: usize = 8 << 10;
 
+/// Part of the file descriptors that callers' connections may have before some are closed.
+const CROWDED_PART: u32 = 8;
+
 /// Pause after a failure to accept, for example for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -74,12 +78,15 @@
         .serve_connection(TokioIo::new(stream), service);
     let connection = shutdown.watch(connection);
     let end = core.stop.end.clone();
+    core.connections.fetch_add(1, Ordering::Relaxed);
+    let core = Arc::clone(core);
     tokio::spawn(async move {
         tokio::select! {
             // How a connection fails is seen in its requests.
             _ = connection => {}
             () = end.cancelled() => {}
         }
+        core.connections.fetch_sub(1, Ordering::Relaxed);
     });
 }
 
@@ -97,7 +104,8 @@
         }
         Err(refusal) => refuse(&core, "", since, refusal),
     };
-    if core.stop.leave.is_cancelled() {
+    let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    if core.stop.leave.is_cancelled() || (is_refusal && is_crowded(&core)) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -117,6 +125,13 @@
     Ok(response)
 }
 
+/// Whether so many connections are open that those of refused callers are closed:
+/// they come back on new ones.
+fn is_crowded(core: &Core) -> bool {
+    let most = core.settings.load().descriptors / CROWDED_PART;
+    core.connections.load(Ordering::Relaxed) > most
+}
+
 /// Records a refusal and words it for the caller.
 fn refuse(core: &Core, id: &str, since: Instant, refusal: Refusal) -> Response<Answer> {
     metrics::counter!("refused_total", "why" => refusal.word()).increment(1);
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -18,9 +18,9 @@
 /// Path of the metrics; every other path tells readiness.
 const METRICS: &str = "/metrics";
 
-/// Age of the configuration from which a node is not ready, in milliseconds: two
-/// calls to the key-value service have failed by then.
-const FRESH_MS: u64 = 2_500;
+/// Age of the configuration from which a node is not ready, in milliseconds: a call
+/// to the key-value service has failed by then, and its repetition.
+const FRESH_MS: u64 = 3_600;
 
 static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
