--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,7 +30,7 @@
 
 /// Time between beats for each peer, in milliseconds: with many peers the beats
 /// are fewer, so that they cost a bounded part of the processor.
-const BEAT_MS_A_PEER: u64 = 2;
+const BEAT_MS_A_PEER: u64 = 8;
 
 /// Time without a beat after which what a peer had at the servers no longer
 /// counts, in milliseconds.
