--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -82,6 +82,8 @@
     AnnounceFailed = 1018, Warning, "address not announced";
     /// A router sends a request to no server, because the best one has too much to do.
     HeldBack = 1019, Info, "request held back";
+    /// A router has more to do than its processor can, or no longer.
+    Strained = 1020, Warning, "strain changed";
     /// A sidecar reserved a slot for a customer's request at a router.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -15,6 +15,7 @@
 use crate::protocol::Protocol;
 use crate::roster::Roster;
 use crate::stop::Stop;
+use crate::strain::Strain;
 use crate::view::View;
 
 /// The state of a gateway.
@@ -29,6 +30,7 @@
     pub(crate) budget: Mutex<Budget>,
     /// Callers' open connections.
     pub(crate) connections: AtomicU32,
+    pub(crate) strain: Strain,
     pub(crate) stop: Stop,
 }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -21,8 +21,9 @@
 use crate::protocol::Protocol;
 use crate::roster::Roster;
 use crate::stop::Stop;
+use crate::strain::Strain;
 use crate::view::View;
-use crate::{follow, listen, ready};
+use crate::{follow, listen, ready, strain};
 
 /// Time after the node said that it leaves in which requests are still taken:
 /// callers are sent to it until two questions for readiness, a second apart, have
@@ -74,9 +75,11 @@
             exchange: Exchange::new(),
             shares: Mutex::default(),
             connections: AtomicU32::new(0),
+            strain: Strain::default(),
             stop: Stop::default(),
         });
         tokio::spawn(exchange::announce(Arc::clone(&core), Arc::clone(&feed)));
+        tokio::spawn(strain::measure(Arc::clone(&core)));
         tokio::spawn(exchange::run(Arc::clone(&core), beats));
         tokio::spawn(follow::follow(Arc::clone(&core), feed));
         tokio::spawn(ready::serve(Arc::clone(&core), health));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod server;
 mod socket;
 mod stop;
+mod strain;
 mod view;
 
 pub use self::error::Error;
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -37,7 +37,8 @@
 /// Whether callers should be sent to this node.
 pub(crate) fn is_ready(core: &Core) -> bool {
     let has_plan = core.view.plan().is_some();
-    has_plan && core.view.age_ms() < FRESH_MS && !core.stop.leave.is_cancelled()
+    let is_fresh = core.view.age_ms() < FRESH_MS;
+    has_plan && is_fresh && !core.strain.is_strained() && !core.stop.leave.is_cancelled()
 }
 
 /// Answers questions for readiness and metrics until the gateway ends.
