--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -104,8 +104,7 @@
         }
         Err(refusal) => refuse(&core, "", since, refusal),
     };
-    let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-    if core.stop.leave.is_cancelled() || (is_refusal && is_crowded(&core)) {
+    if ends_connection(&core, response.status()) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -125,6 +124,14 @@
     Ok(response)
 }
 
+/// Whether the caller's connection ends with this answer, so that its next request
+/// goes to another node.
+fn ends_connection(core: &Core, status: StatusCode) -> bool {
+    let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE;
+    let is_leaving = core.stop.leave.is_cancelled();
+    is_leaving || core.strain.is_strained() || (is_refusal && is_crowded(core))
+}
+
 /// Whether so many connections are open that those of refused callers are closed:
 /// they come back on new ones.
 fn is_crowded(core: &Core) -> bool {
