--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,64 @@
+//! The port of peers and operators: metrics, and the key-value service's contents.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use mulberryyoke_wire::relay::{CHANGES, LIST, Relayed};
+
+use crate::core::Core;
+use crate::{clock, ready};
+
+/// Path of the metrics.
+const METRICS: &str = "/metrics";
+
+/// Longest time that a peer's call waits, whatever it asks, in milliseconds.
+const MOST_WAIT_MS: u64 = 10_000;
+
+/// Answers one request.
+pub(crate) async fn answer(
+    core: Arc<Core>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let came = clock::now_ms();
+    let uri = request.uri();
+    let answer = match uri.path() {
+        METRICS => Response::new(Full::new(Bytes::from(ready::metrics()))),
+        LIST => relayed(core.mirror.list(core.view.known_ms(came))),
+        CHANGES => changes(&core, uri.query().unwrap_or(""), came).await,
+        _ => status(StatusCode::NOT_FOUND),
+    };
+    Ok(answer)
+}
+
+async fn changes(core: &Core, query: &str, came: u64) -> Response<Full<Bytes>> {
+    let (Some(after), Some(wait_ms)) = (number(query, "after"), number(query, "wait_ms")) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let wait = Duration::from_millis(wait_ms.min(MOST_WAIT_MS));
+    core.mirror.wait(after, wait).await;
+    relayed(core.mirror.changes(after, core.view.known_ms(came)))
+}
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    let fields = query.split('&').filter_map(|field| field.split_once('='));
+    let mut named = fields.filter(|(field, _)| *field == name);
+    named.next()?.1.parse().ok()
+}
+
+fn relayed(relayed: Option<Relayed>) -> Response<Full<Bytes>> {
+    match relayed {
+        Some(relayed) => Response::new(Full::new(Bytes::from(relayed.encode()))),
+        None => status(StatusCode::GONE),
+    }
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 
 use crate::exchange::Exchange;
+use crate::mirror::Mirror;
 use crate::protocol::Protocol;
 use crate::roster::Roster;
 use crate::stop::Stop;
@@ -25,6 +26,7 @@
     pub(crate) logger: Logger,
     pub(crate) view: View,
     pub(crate) roster: Roster,
+    pub(crate) mirror: Mirror,
     pub(crate) exchange: Exchange,
     pub(crate) shares: Mutex<Shares>,
     pub(crate) budget: Mutex<Budget>,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -18,6 +18,7 @@
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
+use xxhash_rust::xxh3::xxh3_64;
 
 pub(crate) use self::announce::{PREFIX, announce};
 use self::peer::Peer;
@@ -48,6 +49,9 @@
 /// registered between two beats are counted right again.
 const RECOUNT_MS: u64 = 200;
 
+/// Gateways that ask the key-value service: any two may be gone or cut off.
+const WATCHERS: usize = 3;
+
 /// Reads that wait to be told; more are left out.
 const MOST_READS: usize = 64;
 
@@ -88,6 +92,27 @@
         };
     }
 
+    /// Whether this gateway is one of the few that ask the key-value service, and
+    /// where the others of these are. All gateways that know of each other agree.
+    pub(crate) fn watchers(&self, name: &str) -> (bool, Vec<SocketAddr>) {
+        let inner = self.inner.lock();
+        let mut ranked: Vec<(u64, Option<SocketAddr>)> = inner
+            .addresses
+            .iter()
+            .map(|(name, address)| (rank(name), Some(*address)))
+            .collect();
+        ranked.push((rank(name), None));
+        ranked.sort_unstable();
+        ranked.truncate(WATCHERS);
+        let is_watcher = ranked.iter().any(|(_, address)| address.is_none());
+        let mut peers: Vec<SocketAddr> = ranked.into_iter().filter_map(|(_, peer)| peer).collect();
+        // The others spread over the watchers.
+        let first = usize::try_from(rank(name) % WATCHERS as u64).unwrap_or(0);
+        let first = first.min(peers.len());
+        peers.rotate_left(first);
+        (is_watcher, peers)
+    }
+
     /// Number of gateways that are known, this one included.
     pub(crate) fn gateways(&self) -> usize {
         self.inner.lock().addresses.len() + 1
@@ -243,6 +268,10 @@
     }
 }
 
+fn rank(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
 /// Tells peers and hears them until the gateway ends.
 pub(crate) async fn run(core: Arc<Core>, socket: UdpSocket) {
     let mut buffer = vec![0; 2 * beat::MAX_BYTES];
--- a/crates/gateway/src/exchange/announce.rs
+++ b/crates/gateway/src/exchange/announce.rs
@@ -5,7 +5,7 @@
 
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_platform::kv::{Error, Feed, LeaseId};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::core::Core;
 
@@ -15,8 +15,9 @@
 /// Time after which a gateway that is gone is no longer told anything, in milliseconds.
 const LEASE_MS: u64 = 10_000;
 
-/// Time between renewals of the lease.
-const RENEW: Duration = Duration::from_millis(3_000);
+/// Time between renewals of the lease. They also tell whether this node itself
+/// reaches the service.
+const RENEW: Duration = Duration::from_millis(1_500);
 
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(500);
@@ -33,8 +34,10 @@
 async fn keep(core: &Core, feed: &dyn Feed) {
     let mut lease = None;
     loop {
+        let begun = Instant::now();
         match renew(core, feed, lease).await {
             Ok(id) => {
+                core.view.reach(begun);
                 lease = Some(id);
                 sleep(RENEW).await;
             }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,4 +1,6 @@
-//! Following the key-value service: configuration and servers.
+//! Following the key-value service: configuration, servers and gateways.
+
+mod source;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -7,18 +9,15 @@
 
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_platform::Backoff;
-use mulberryyoke_platform::kv::{Changes, Error, Feed, Listing, Revision};
+use mulberryyoke_platform::kv::{Error, Feed, Revision};
+use mulberryyoke_wire::relay::Write;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use self::source::{Source, Sources};
 use crate::clock;
 use crate::core::Core;
 use crate::exchange;
 
-/// Longest time that a call for changes waits, in milliseconds: the age of the
-/// configuration is known at least this often. Each call is paid for; keys that are
-/// taken away have to stop working in some seconds also when calls fail.
-const WAIT_MS: u64 = 2_000;
-
 /// Least time between two calls for changes, in milliseconds: servers write their
 /// heartbeats there many times a second, and each call is paid for.
 const PACE_MS: u64 = 200;
@@ -34,15 +33,12 @@
 /// failed are seen to be gone, in milliseconds. Later ones end for another reason.
 const FAULT_MS: u64 = 500;
 
-/// All keys: one call tells configuration and servers alike.
-const EVERY_KEY: &str = "";
-
 /// Follows the service until the gateway ends.
 pub(crate) async fn follow(core: Arc<Core>, feed: Arc<dyn Feed>) {
     let end = core.stop.end.clone();
     let mut follower = Follower {
         core,
-        feed,
+        sources: Sources::new(feed),
         known: HashMap::new(),
         lapsing: HashMap::new(),
         failed: None,
@@ -56,7 +52,7 @@
 
 struct Follower {
     core: Arc<Core>,
-    feed: Arc<dyn Feed>,
+    sources: Sources,
     /// Revision of the last write seen of each registered server.
     known: HashMap<String, Revision>,
     /// When servers that lapsed are taken to be gone.
@@ -71,15 +67,18 @@
         let mut backoff = Backoff::new(PAUSE_MS.0, PAUSE_MS.1);
         loop {
             let begun = Instant::now();
-            match self.feed.list(EVERY_KEY).await {
+            let source = self.sources.choose(&self.core);
+            match self.sources.list(source).await {
                 Ok(listing) => {
                     backoff.reset();
-                    self.up();
-                    let revision = self.take_listing(listing);
-                    self.core.view.confirm(begun);
+                    let revision = listing.revision;
+                    self.up(source);
+                    self.core.mirror.reset(listing.writes.iter().cloned(), revision);
+                    self.take_listing(listing.writes);
+                    self.confirm(source, begun, listing.known_ms);
                     self.watch(revision, &mut backoff).await;
                 }
-                Err(error) => self.pause(&error, &mut backoff).await,
+                Err(error) => self.pause(source, &error, &mut backoff).await,
             }
         }
     }
@@ -88,29 +87,45 @@
     async fn watch(&mut self, mut revision: Revision, backoff: &mut Backoff) {
         loop {
             let begun = Instant::now();
-            match self.feed.changes(EVERY_KEY, revision, WAIT_MS).await {
-                Ok(changes) if is_gap(revision, &changes) => return,
+            let source = self.sources.choose(&self.core);
+            match self.sources.changes(source, revision).await {
                 Ok(changes) => {
                     backoff.reset();
-                    self.up();
+                    self.up(source);
                     revision = revision.max(changes.revision);
-                    self.take_changes(changes);
-                    self.core.view.confirm(begun);
+                    self.core.mirror.extend(&changes.writes, revision);
+                    let known_ms = changes.known_ms;
+                    self.take_changes(changes.writes);
+                    self.confirm(source, begun, known_ms);
                 }
                 Err(Error::Compacted(_)) => return,
-                Err(error) => self.pause(&error, backoff).await,
+                Err(error) => self.pause(source, &error, backoff).await,
             }
             self.expire();
             sleep_until(clock::after(begun, PACE_MS)).await;
         }
     }
 
-    async fn pause(&mut self, error: &Error, backoff: &mut Backoff) {
+    /// Notes that all writes are known up to `known_ms` milliseconds after a call
+    /// came to its source, which is no earlier than it began.
+    fn confirm(&self, source: Source, begun: Instant, known_ms: i64) {
+        let at_ms = clock::ms(begun).saturating_add_signed(known_ms);
+        self.core.view.confirm(at_ms);
+        if source == Source::Store {
+            self.core.view.reach(begun);
+        }
+    }
+
+    async fn pause(&mut self, source: Source, error: &Error, backoff: &mut Backoff) {
         let now = Instant::now();
-        self.failed = Some(now);
+        self.sources.fail(source);
+        if source == Source::Store {
+            self.failed = Some(now);
+        }
         if !self.is_down {
             self.is_down = true;
-            log!(self.core.logger, Event::KvDown, "error" => error.to_string());
+            log!(self.core.logger, Event::KvDown,
+                "source" => source.word(), "error" => error.to_string());
         }
         self.expire();
         let std_now = now.into_std();
@@ -123,32 +138,32 @@
         .await;
     }
 
-    fn up(&mut self) {
+    fn up(&mut self, source: Source) {
         if self.is_down {
             self.is_down = false;
-            self.failed = Some(Instant::now());
-            log!(self.core.logger, Event::KvUp);
+            self.failed = self.failed.map(|_| Instant::now());
+            log!(self.core.logger, Event::KvUp, "source" => source.word());
         }
     }
 
-    fn take_listing(&mut self, listing: Listing) -> Revision {
+    fn take_listing(&mut self, writes: Vec<Write>) {
         let prefix = self.core.protocol.servers_prefix();
         let mut gone: Vec<String> = self.known.keys().cloned().collect();
-        for pair in listing.entries {
-            if let Some(name) = pair.key.strip_prefix(prefix) {
+        for write in writes {
+            if let Some(name) = write.key.strip_prefix(prefix) {
                 gone.retain(|known| known != name);
             }
-            self.write(&pair.key, &pair.value, pair.revision);
+            let value = write.value.unwrap_or_default();
+            self.write(&write.key, &value, write.revision);
         }
         for name in gone {
             self.remove(&name);
         }
-        listing.revision
     }
 
-    fn take_changes(&mut self, changes: Changes) {
+    fn take_changes(&mut self, writes: Vec<Write>) {
         let prefix = self.core.protocol.servers_prefix();
-        for event in changes.events {
+        for event in writes {
             match (event.value, event.key.strip_prefix(prefix)) {
                 (Some(value), _) => self.write(&event.key, &value, event.revision),
                 (None, Some(name)) => self.remove(name),
@@ -187,7 +202,7 @@
                 let version = plan.version();
                 if self.core.view.apply(plan) {
                     log!(self.core.logger, Event::ConfigApplied,
-                        "revision" => revision, "version" => version, "from" => "key-value service");
+                        "revision" => revision, "version" => version, "view_age_ms" => self.core.view.age_ms());
                 }
             }
             Err(error) => self.unreadable(self.core.protocol.config_key(), revision, &error),
@@ -245,8 +260,3 @@
             "key" => key, "revision" => revision, "error" => error.to_string());
     }
 }
-
-/// Whether changes were passed over: the service's revision rose, and no write tells why.
-fn is_gap(after: Revision, changes: &Changes) -> bool {
-    changes.events.is_empty() && changes.revision > after
-}
--- /dev/null
+++ b/crates/gateway/src/follow/source.rs
@@ -0,0 +1,174 @@
+//! Where a node learns the key-value service's contents: there, or from a peer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use mulberryyoke_platform::Cause;
+use mulberryyoke_platform::http::{self, Http};
+use mulberryyoke_platform::kv::{Error, Feed, Revision};
+use mulberryyoke_wire::relay::{CHANGES, LIST, Relayed, Write};
+use tokio::time::Instant;
+
+use crate::clock;
+use crate::core::Core;
+
+/// Longest time that a call of the key-value service for changes waits, in
+/// milliseconds: the age of the configuration is known at least this often. Each
+/// call is paid for.
+const STORE_WAIT_MS: u64 = 700;
+
+/// Longest time that a peer's call waits, in milliseconds.
+const PEER_WAIT_MS: u64 = 1_500;
+
+/// Longest time to connect to a peer, in milliseconds.
+const CONNECT_MS: u64 = 300;
+
+/// Longest time of a call to a peer beyond the time that it waits, in milliseconds.
+const CALL_MS: u64 = 500;
+
+/// Largest answer of a peer, in bytes: a configuration of a megabyte and the servers.
+const ANSWER_BYTES: usize = 8 << 20;
+
+/// Time for which a source that failed is not asked again, in milliseconds, while
+/// there is another.
+const AVOID_MS: u64 = 3_000;
+
+/// Age of what a peer knows from which it is asked no more, in milliseconds: the
+/// peer itself is out of touch.
+const STALE_MS: u64 = 2_600;
+
+/// Every key: one call tells configuration, servers and gateways alike.
+const EVERY_KEY: &str = "";
+
+/// One that can be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Source {
+    Store,
+    Peer(SocketAddr),
+}
+
+impl Source {
+    /// Its name in logs.
+    pub(super) fn word(self) -> String {
+        match self {
+            Self::Store => "key-value service".to_owned(),
+            Self::Peer(address) => address.to_string(),
+        }
+    }
+}
+
+/// Those that can be asked, and when one of them last failed.
+pub(super) struct Sources {
+    feed: Arc<dyn Feed>,
+    http: Http,
+    failed: Vec<(Source, Instant)>,
+}
+
+impl Sources {
+    pub(super) fn new(feed: Arc<dyn Feed>) -> Self {
+        Self {
+            feed,
+            http: Http::open(CONNECT_MS),
+            failed: Vec::new(),
+        }
+    }
+
+    /// The source to ask now: for the first gateways in the order of the fleet the
+    /// service itself, for the others one of these; after a failure another.
+    pub(super) fn choose(&mut self, core: &Core) -> Source {
+        let now = Instant::now();
+        self.failed
+            .retain(|(_, at)| clock::between_ms(*at, now) < AVOID_MS);
+        let (is_watcher, peers) = core.exchange.watchers(&core.settings.load().name);
+        let peers = peers.into_iter().map(Source::Peer);
+        let mut order: Vec<Source> = peers.collect();
+        if is_watcher {
+            order.insert(0, Source::Store);
+        } else {
+            order.push(Source::Store);
+        }
+        let is_open = |source: &Source| !self.failed.iter().any(|(failed, _)| failed == source);
+        order.into_iter().find(is_open).unwrap_or(Source::Store)
+    }
+
+    /// Notes that a source failed.
+    pub(super) fn fail(&mut self, source: Source) {
+        self.failed.push((source, Instant::now()));
+    }
+
+    /// Reads every key.
+    pub(super) async fn list(&self, source: Source) -> Result<Relayed, Error> {
+        match source {
+            Source::Store => {
+                let listing = self.feed.list(EVERY_KEY).await?;
+                let writes = listing.entries.into_iter().map(|pair| Write {
+                    key: pair.key,
+                    value: Some(pair.value),
+                    revision: pair.revision,
+                });
+                Ok(Relayed {
+                    known_ms: 0,
+                    revision: listing.revision,
+                    writes: writes.collect(),
+                })
+            }
+            Source::Peer(address) => self.ask(address, LIST, 0).await,
+        }
+    }
+
+    /// Reads the writes after a revision; waits for some at most `wait_ms` milliseconds.
+    pub(super) async fn changes(
+        &self,
+        source: Source,
+        after: Revision,
+    ) -> Result<Relayed, Error> {
+        match source {
+            Source::Store => {
+                let changes = self.feed.changes(EVERY_KEY, after, STORE_WAIT_MS).await?;
+                let is_gap = changes.events.is_empty() && changes.revision > after;
+                if is_gap {
+                    return Err(Error::Compacted(changes.revision));
+                }
+                let writes = changes.events.into_iter().map(|event| Write {
+                    key: event.key,
+                    value: event.value,
+                    revision: event.revision,
+                });
+                Ok(Relayed {
+                    known_ms: 0,
+                    revision: changes.revision,
+                    writes: writes.collect(),
+                })
+            }
+            Source::Peer(address) => {
+                let path = format!("{CHANGES}?after={after}&wait_ms={PEER_WAIT_MS}");
+                self.ask(address, &path, PEER_WAIT_MS).await
+            }
+        }
+    }
+
+    async fn ask(&self, peer: SocketAddr, path: &str, wait_ms: u64) -> Result<Relayed, Error> {
+        let begun = Instant::now();
+        let deadline = std::time::Instant::now() + Duration::from_millis(wait_ms + CALL_MS);
+        let request = http::request(Method::GET, peer, path, Bytes::new());
+        let sent = self.http.send(request, deadline).await;
+        let answer = sent.map_err(|failure| Error::Unknown(failure.cause))?;
+        if answer.status() == StatusCode::GONE {
+            return Err(Error::Compacted(0));
+        }
+        let body = http::read(answer, ANSWER_BYTES, deadline).await;
+        let body = body.map_err(|failure| Error::Unknown(failure.cause))?;
+        let relayed = Relayed::decode(&body);
+        let now_ms = clock::now_ms();
+        let relayed = relayed.filter(|relayed| {
+            let known_ms = clock::ms(begun).saturating_add_signed(relayed.known_ms);
+            now_ms.saturating_sub(known_ms) < STALE_MS
+        });
+        relayed.ok_or_else(|| {
+            Error::Unknown(Cause::Unreadable("peer is out of touch itself".to_owned()))
+        })
+    }
+}
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -18,12 +18,13 @@
 use crate::core::Core;
 use crate::error::Error;
 use crate::exchange::{self, Exchange};
+use crate::mirror::Mirror;
 use crate::protocol::Protocol;
 use crate::roster::Roster;
 use crate::stop::Stop;
 use crate::strain::Strain;
 use crate::view::View;
-use crate::{follow, listen, ready, strain};
+use crate::{control, follow, listen, ready, strain};
 
 /// Time after the node said that it leaves in which requests are still taken:
 /// callers are sent to it until two questions for readiness, a second apart, have
@@ -72,6 +73,7 @@
             logger,
             view: View::default(),
             roster: Roster::default(),
+            mirror: Mirror::new(),
             exchange: Exchange::new(),
             shares: Mutex::default(),
             connections: AtomicU32::new(0),
@@ -82,8 +84,8 @@
         tokio::spawn(strain::measure(Arc::clone(&core)));
         tokio::spawn(exchange::run(Arc::clone(&core), beats));
         tokio::spawn(follow::follow(Arc::clone(&core), feed));
-        tokio::spawn(ready::serve(Arc::clone(&core), health));
-        tokio::spawn(ready::serve(Arc::clone(&core), control));
+        tokio::spawn(ready::serve(Arc::clone(&core), health, ready::answer));
+        tokio::spawn(ready::serve(Arc::clone(&core), control, control::answer));
         tokio::spawn(listen::serve(Arc::clone(&core), callers));
         log!(core.logger, Event::Ready, "role" => "gateway");
         Ok(Self { core })
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -1,4 +1,4 @@
-//! Readiness and metrics.
+//! Whether callers should be sent to this node.
 
 use std::convert::Infallible;
 use std::sync::{Arc, OnceLock};
@@ -15,13 +15,14 @@
 
 use crate::core::Core;
 
-/// Path of the metrics; every other path tells readiness.
-const METRICS: &str = "/metrics";
-
 /// Age of the configuration from which a node is not ready, in milliseconds: a call
 /// to the key-value service has failed by then, and its repetition.
 const FRESH_MS: u64 = 3_600;
 
+/// Time since this node itself last reached the key-value service from which it is
+/// not ready, in milliseconds: two renewals of its lease have failed by then.
+const REACH_MS: u64 = 3_600;
+
 static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
 /// Begins the recording of metrics, unless it has begun.
@@ -29,6 +30,14 @@
     handle();
 }
 
+/// Every metric of this process.
+pub(crate) fn metrics() -> String {
+    handle().map_or_else(String::new, |handle| {
+        handle.run_upkeep();
+        handle.render()
+    })
+}
+
 fn handle() -> Option<&'static PrometheusHandle> {
     let handle = HANDLE.get_or_init(|| PrometheusBuilder::new().install_recorder().ok());
     handle.as_ref()
@@ -37,12 +46,30 @@
 /// Whether callers should be sent to this node.
 pub(crate) fn is_ready(core: &Core) -> bool {
     let has_plan = core.view.plan().is_some();
-    let is_fresh = core.view.age_ms() < FRESH_MS;
+    let is_fresh = core.view.age_ms() < FRESH_MS && core.view.reach_age_ms() < REACH_MS;
     has_plan && is_fresh && !core.strain.is_strained() && !core.stop.leave.is_cancelled()
 }
 
-/// Answers questions for readiness and metrics until the gateway ends.
-pub(crate) async fn serve(core: Arc<Core>, listener: TcpListener) {
+/// Answers one question for readiness.
+pub(crate) async fn answer(
+    core: Arc<Core>,
+    _: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let mut response = Response::new(Full::default());
+    if !is_ready(&core) {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    Ok(response)
+}
+
+/// Serves a port with short answers until the gateway ends.
+pub(crate) async fn serve<F>(
+    core: Arc<Core>,
+    listener: TcpListener,
+    answer: impl Fn(Arc<Core>, Request<Incoming>) -> F + Copy + Send + 'static,
+) where
+    F: Future<Output = Result<Response<Full<Bytes>>, Infallible>> + Send + 'static,
+{
     loop {
         let accepted = tokio::select! {
             () = core.stop.end.cancelled() => return,
@@ -52,27 +79,9 @@
             continue;
         };
         let core = Arc::clone(&core);
-        let service = service_fn(move |request| {
-            let answer = answer(&core, &request);
-            async move { Ok::<_, Infallible>(answer) }
-        });
+        let service = service_fn(move |request| answer(Arc::clone(&core), request));
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         // One who asks and goes is of no concern.
         tokio::spawn(async move { drop(connection.await) });
     }
 }
-
-fn answer(core: &Core, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    if request.uri().path() == METRICS {
-        let text = handle().map_or_else(String::new, |handle| {
-            handle.run_upkeep();
-            handle.render()
-        });
-        return Response::new(Full::new(Bytes::from(text)));
-    }
-    let mut response = Response::new(Full::default());
-    if !is_ready(core) {
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    }
-    response
-}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -15,6 +15,7 @@
 pub(crate) struct View {
     plan: ArcSwapOption<Plan>,
     confirmed_ms: AtomicU64,
+    reached_ms: AtomicU64,
 }
 
 impl View {
@@ -33,10 +34,29 @@
         true
     }
 
-    /// Notes that no newer configuration had been accepted at an instant.
-    pub(crate) fn confirm(&self, at: Instant) {
-        self.confirmed_ms
-            .fetch_max(clock::ms(at), Ordering::Relaxed);
+    /// Notes that no newer configuration had been accepted at an instant, in
+    /// milliseconds of this process's clock.
+    pub(crate) fn confirm(&self, at_ms: u64) {
+        self.confirmed_ms.fetch_max(at_ms, Ordering::Relaxed);
+    }
+
+    /// When it was last known that no newer configuration had been accepted, in
+    /// milliseconds after an instant of this process's clock; negative if before.
+    pub(crate) fn known_ms(&self, than_ms: u64) -> i64 {
+        let confirmed_ms = self.confirmed_ms.load(Ordering::Relaxed);
+        i64::try_from(confirmed_ms).unwrap_or(i64::MAX)
+            - i64::try_from(than_ms).unwrap_or(i64::MAX)
+    }
+
+    /// Notes that this node itself reached the key-value service with a call that
+    /// began at an instant.
+    pub(crate) fn reach(&self, at: Instant) {
+        self.reached_ms.fetch_max(clock::ms(at), Ordering::Relaxed);
+    }
+
+    /// Time since this node itself reached the key-value service, in milliseconds.
+    pub(crate) fn reach_age_ms(&self) -> u64 {
+        clock::now_ms().saturating_sub(self.reached_ms.load(Ordering::Relaxed))
     }
 
     /// Time since it was last known that no newer configuration had been
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod count;
 mod error;
 mod link;
+pub mod relay;
 mod router;
 mod sidecar;
 pub mod sse;
