--- a/crates/gateway/src/follow/source.rs
+++ b/crates/gateway/src/follow/source.rs
@@ -32,9 +32,16 @@
 /// Largest answer of a peer, in bytes: a configuration of a megabyte and the servers.
 const ANSWER_BYTES: usize = 8 << 20;
 
-/// Time for which a source that failed is not asked again, in milliseconds, while
-/// there is another.
-const AVOID_MS: u64 = 3_000;
+/// Time for which a peer that failed is not asked again, in milliseconds, while
+/// there is another source.
+const AVOID_PEER_MS: u64 = 3_000;
+
+/// As [`AVOID_PEER_MS`], for the service itself: peers may be out of touch as well.
+const AVOID_STORE_MS: u64 = 500;
+
+/// Longest time that a call waits at a peer while the service itself fails, in
+/// milliseconds: the peer may be waiting in vain as well.
+const FAILOVER_WAIT_MS: u64 = 200;
 
 /// Age of what a peer knows from which it is asked no more, in milliseconds: the
 /// peer itself is out of touch.
@@ -51,6 +58,14 @@
 }
 
 impl Source {
+    /// Time for which it is not asked again after a failure, in milliseconds.
+    const fn avoid_ms(self) -> u64 {
+        match self {
+            Self::Store => AVOID_STORE_MS,
+            Self::Peer(_) => AVOID_PEER_MS,
+        }
+    }
+
     /// Its name in logs.
     pub(super) fn word(self) -> String {
         match self {
@@ -81,7 +96,7 @@
     pub(super) fn choose(&mut self, core: &Core) -> Source {
         let now = Instant::now();
         self.failed
-            .retain(|(_, at)| clock::between_ms(*at, now) < AVOID_MS);
+            .retain(|(source, at)| clock::between_ms(*at, now) < source.avoid_ms());
         let (is_watcher, peers) = core.exchange.watchers(&core.settings.load().name);
         let peers = peers.into_iter().map(Source::Peer);
         let mut order: Vec<Source> = peers.collect();
@@ -144,8 +159,13 @@
                 })
             }
             Source::Peer(address) => {
-                let path = format!("{CHANGES}?after={after}&wait_ms={PEER_WAIT_MS}");
-                self.ask(address, &path, PEER_WAIT_MS).await
+                let wait_ms = if self.failed.is_empty() {
+                    PEER_WAIT_MS
+                } else {
+                    FAILOVER_WAIT_MS
+                };
+                let path = format!("{CHANGES}?after={after}&wait_ms={wait_ms}");
+                self.ask(address, &path, wait_ms).await
             }
         }
     }
