--- a/completions/mulberryyoke.bash
+++ b/completions/mulberryyoke.bash
@@ -28,7 +28,7 @@
         return
         ;;
     --role)
-        COMPREPLY=($(compgen -W "router sidecar" -- "$cur"))
+        COMPREPLY=($(compgen -W "gateway router sidecar" -- "$cur"))
         return
         ;;
     esac
@@ -75,16 +75,17 @@
         return
         ;;
     --role)
-        COMPREPLY=($(compgen -W "router sidecar" -- "$cur"))
+        COMPREPLY=($(compgen -W "gateway router sidecar" -- "$cur"))
         return
         ;;
     esac
     local choices=
     case ${COMP_WORDS[1]-} in
     router) choices="--help --settings" ;;
+    gateway) choices="--help --settings" ;;
     sidecar) choices="--help --settings" ;;
     check) choices="--help --role" ;;
-    *) choices="router sidecar check --help --version" ;;
+    *) choices="gateway router sidecar check --help --version" ;;
     esac
     if [[ ${COMP_WORDS[1]-} == check && $cur != -* ]]; then
         COMPREPLY=($(compgen -f -- "$cur"))
--- a/completions/mulberryyoke.fish
+++ b/completions/mulberryyoke.fish
@@ -132,19 +132,22 @@
 complete -c mulberryyoke -n '__mulberryyoke_words config show' -l key -x -d 'only keys that start so, for example customer/'
 complete -c mulberryyoke -n '__mulberryyoke_words config show' -l json -d 'print JSON'
 complete -c mulberryyoke -n '__mulberryyoke_words check' -s h -l help -d 'print this help'
-complete -c mulberryyoke -n '__mulberryyoke_words check' -l role -x -a 'router sidecar' -d 'router or sidecar; found out from the file when absent'
+complete -c mulberryyoke -n '__mulberryyoke_words check' -l role -x -a 'gateway router sidecar' -d 'gateway, router or sidecar; found out from the file when absent'
 complete -c mulberryyoke -n '__mulberryyoke_words check' -F
 
 complete -c mulberryyoked -f
 complete -c mulberryyoked -n __fish_use_subcommand -a router -d 'take callers\' requests on an entry VM'
+complete -c mulberryyoked -n __fish_use_subcommand -a gateway -d 'take requests on an entry VM and send them straight to servers'
 complete -c mulberryyoked -n __fish_use_subcommand -a sidecar -d 'start requests on the backend server beside it'
 complete -c mulberryyoked -n __fish_use_subcommand -a check -d 'check a settings file without starting'
 complete -c mulberryyoked -n '__fish_use_subcommand' -s h -l help -d 'print this help'
 complete -c mulberryyoked -n '__fish_use_subcommand' -l version -d 'print the version'
 complete -c mulberryyoked -n '__fish_seen_subcommand_from router' -s h -l help -d 'print this help'
 complete -c mulberryyoked -n '__fish_seen_subcommand_from router' -s s -l settings -r -F -d 'the settings file, in JSON'
+complete -c mulberryyoked -n '__fish_seen_subcommand_from gateway' -s h -l help -d 'print this help'
+complete -c mulberryyoked -n '__fish_seen_subcommand_from gateway' -s s -l settings -r -F -d 'the settings file, in JSON'
 complete -c mulberryyoked -n '__fish_seen_subcommand_from sidecar' -s h -l help -d 'print this help'
 complete -c mulberryyoked -n '__fish_seen_subcommand_from sidecar' -s s -l settings -r -F -d 'the settings file, in JSON'
 complete -c mulberryyoked -n '__fish_seen_subcommand_from check' -s h -l help -d 'print this help'
-complete -c mulberryyoked -n '__fish_seen_subcommand_from check' -s r -l role -x -a 'router sidecar' -d 'router or sidecar; found out from the file when absent'
+complete -c mulberryyoked -n '__fish_seen_subcommand_from check' -s r -l role -x -a 'gateway router sidecar' -d 'gateway, router or sidecar; found out from the file when absent'
 complete -c mulberryyoked -n '__fish_seen_subcommand_from check' -F
--- a/crates/client/src/args.rs
+++ b/crates/client/src/args.rs
@@ -47,7 +47,7 @@
     /// print this help
     #[options(short = "h")]
     pub(crate) help: bool,
-    /// router or sidecar; found out from the file when absent
+    /// gateway, router or sidecar; found out from the file when absent
     #[options(meta = "ROLE")]
     pub(crate) role: Option<mulberryyoke_settings::Role>,
     /// the settings file, in JSON
--- a/crates/daemon/tests/pages.rs
+++ b/crates/daemon/tests/pages.rs
@@ -8,7 +8,7 @@
 
 use googletest::prelude::*;
 
-const ROLES: [&str; 3] = ["router", "sidecar", "check"];
+const ROLES: [&str; 4] = ["gateway", "router", "sidecar", "check"];
 
 const PAGES: [&str; 4] = [
     "man/mulberryyoked.8",
@@ -86,12 +86,14 @@
     let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operating/metrics.md");
     let page = fs::read_to_string(page).expect("the page is there");
     let rows = page.lines().filter_map(|line| line.strip_prefix("| `"));
-    let rows = rows.filter(|row| row.contains("| counter |") || row.contains("| gauge |"));
+    let kinds = ["| counter |", "| gauge |", "| histogram |"];
+    let rows = rows.filter(|row| kinds.iter().any(|kind| row.contains(kind)));
     let listed: BTreeSet<String> = rows
         .filter_map(|row| row.split('`').next())
         .map(str::to_owned)
         .collect();
     let mut all = recorded("daemon");
     all.extend(recorded("platform"));
+    all.extend(recorded("gateway"));
     expect_that!(listed, eq(&all));
 }
--- a/crates/decide/src/engine/choice.rs
+++ b/crates/decide/src/engine/choice.rs
@@ -76,7 +76,9 @@
         let servers = candidates.clone().map(|candidate| candidate.server);
         servers.max_by_key(|&server| weight(key, server))
     });
-    let waits = candidates.clone().map(|candidate| candidate.engine.wait_ms());
+    let waits = candidates
+        .clone()
+        .map(|candidate| candidate.engine.wait_ms());
     let (count, sum) = waits.fold((0_u32, 0.0), |(count, sum), wait| (count + 1, sum + wait));
     let mean_wait_ms = sum / f64::from(count.max(1));
     let mut best: Option<(f64, Choice)> = None;
--- a/crates/decide/src/engine/rate.rs
+++ b/crates/decide/src/engine/rate.rs
@@ -30,13 +30,13 @@
 impl Rate {
     /// Time to read a number of tokens, in milliseconds.
     #[must_use]
-    pub fn ms(&self, tokens: u32) -> f64 {
+    pub fn ms(self, tokens: u32) -> f64 {
         f64::from(tokens) / self.per_ms
     }
 
     /// Tokens a millisecond.
     #[must_use]
-    pub const fn per_ms(&self) -> f64 {
+    pub const fn per_ms(self) -> f64 {
         self.per_ms
     }
 
--- a/crates/decide/src/share.rs
+++ b/crates/decide/src/share.rs
@@ -110,8 +110,8 @@
         let asked = self.accounts.values().map(Account::asked);
         let given: f64 = self.accounts.values().map(Account::given).sum();
         let capacity = capacity * SUM_S;
-        self.level = level(asked.clone(), capacity);
-        self.given_level = level(asked, given.max(capacity));
+        self.level = level(&asked, capacity);
+        self.given_level = level(&asked, given.max(capacity));
         let Some(level) = self.level else {
             return;
         };
@@ -135,7 +135,7 @@
 
 /// The level at which flows cut down to it add up to `capacity`; `None` if they
 /// add up to less.
-fn level(flows: impl Iterator<Item = f64> + Clone, capacity: f64) -> Option<f64> {
+fn level(flows: &(impl Iterator<Item = f64> + Clone), capacity: f64) -> Option<f64> {
     if flows.clone().sum::<f64>() <= capacity {
         return None;
     }
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -130,12 +130,12 @@
     Ready = 5001, Info, "ready";
     /// A planned stop began.
     Stopping = 5002, Info, "stopping";
+    /// A process has stopped.
+    Stopped = 5003, Info, "stopped";
     /// Changed settings are in force.
     Reloaded = 5004, Info, "settings reloaded";
     /// Changed settings cannot be read; the earlier ones stay in force.
     ReloadFailed = 5005, Error, "settings not reloaded";
-    /// A process has stopped.
-    Stopped = 5003, Info, "stopped";
 }
 
 /// Logs an event with fields: `log!(logger, Event::Ready, "role" => "router")`.
--- a/crates/event/src/logger.rs
+++ b/crates/event/src/logger.rs
@@ -45,7 +45,6 @@
 
 /// Opens a log in JSON on the standard output for a named node. Lines are never
 /// waited for: those that find no room are dropped and counted.
-#[must_use]
 pub fn open_output(node: &str) -> Logger {
     let drain = slog_json::Json::new(Sink::spawn())
         .add_default_keys()
--- a/crates/event/tests/catalogue.rs
+++ b/crates/event/tests/catalogue.rs
@@ -60,7 +60,8 @@
 /// The fields with which the daemon logs each event.
 fn logged() -> BTreeMap<String, BTreeSet<String>> {
     let mut logged = BTreeMap::new();
-    let mut directories = vec![root().join("crates/daemon/src")];
+    let sources = ["crates/daemon/src", "crates/gateway/src"];
+    let mut directories: Vec<PathBuf> = sources.map(|source| root().join(source)).into();
     while let Some(directory) = directories.pop() {
         for entry in fs::read_dir(&directory).expect("the source is there") {
             let path = entry.expect("an entry").path();
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -145,6 +145,9 @@
         "of_portion" => rounded(standing.of_portion * 100.0),
         "of_given" => rounded(standing.of_given * 100.0));
     let ms = beyond.clamp(RETRY_MS.0, RETRY_MS.1);
+    if standing.of_portion > 1.0 {
+        return Err(Refusal::Share(rounded(ms)));
+    }
     Err(Refusal::Busy(rounded(ms)))
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -27,7 +27,7 @@
     let came = clock::now_ms();
     let uri = request.uri();
     let answer = match uri.path() {
-        METRICS => Response::new(Full::new(Bytes::from(ready::metrics()))),
+        METRICS => Response::new(Full::new(Bytes::from(ready::metrics(&core)))),
         LIST => relayed(core.mirror.list(core.view.known_ms(came))),
         CHANGES => changes(&core, uri.query().unwrap_or(""), came).await,
         _ => status(StatusCode::NOT_FOUND),
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -18,7 +18,7 @@
 use crate::dispatch::Trials;
 use crate::header;
 use crate::outcome::Outcome;
-use crate::protocol::{Order, Reading};
+use crate::protocol::{Order, Proof, Reading};
 use crate::{clock, pump};
 
 /// Largest answer that is kept until it is whole, in bytes; larger ones are passed on as they come.
@@ -117,30 +117,33 @@
 ) -> Outcome {
     let (mut head, body) = response.into_parts();
     let reading = core.protocol.reading(&head, &call.id);
-    if reading.is_crossed {
-        fail(core, call, &running, "answer of another request", "");
-        return Outcome::Garbled;
-    }
-    if reading.is_other_server {
-        fail(core, call, &running, "another server has the address", "");
-        running.backend.close();
-        return Outcome::OtherServer;
-    }
-    if reading.is_not_run {
-        fail(core, call, &running, "turned away", head.status.as_str());
-        return Outcome::TurnedAway;
+    match reading.proof {
+        Proof::Sealed if !head.headers.contains_key(CONTENT_ENCODING) => {}
+        Proof::Sealed | Proof::Unproved => {
+            fail(
+                core,
+                call,
+                &running,
+                "no answer of a server",
+                head.status.as_str(),
+            );
+            return Outcome::Garbled;
+        }
+        Proof::Crossed => {
+            fail(core, call, &running, "answer of another request", "");
+            return Outcome::Garbled;
+        }
+        Proof::OtherServer => {
+            fail(core, call, &running, "another server has the address", "");
+            running.backend.close();
+            return Outcome::OtherServer;
+        }
+        Proof::NotRun => {
+            fail(core, call, &running, "turned away", head.status.as_str());
+            return Outcome::TurnedAway;
+        }
     }
     let is_success = head.status.is_success();
-    if !reading.is_sealed || head.headers.contains_key(CONTENT_ENCODING) {
-        fail(
-            core,
-            call,
-            &running,
-            "no answer of a server",
-            head.status.as_str(),
-        );
-        return Outcome::Garbled;
-    }
     header::end_to_end(&mut head.headers);
     if call.route.kind.is_stream() && is_success {
         let trials = trials.after_run();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -185,7 +185,9 @@
                 let sent = peer.sent(server);
                 let mut engine = backend.engine.lock();
                 engine.recent.add(sent, clock::now_ms());
-                engine.others.take(before.remove(&server.id).unwrap_or_default());
+                engine
+                    .others
+                    .take(before.remove(&server.id).unwrap_or_default());
                 engine.others.add(server.load);
             }
         }
@@ -291,7 +293,7 @@
                     tell(&core, &socket).await;
                 }
             }
-            received = socket.recv_from(&mut buffer) => hear(&core, &buffer, received),
+            received = socket.recv_from(&mut buffer) => hear(&core, &buffer, &received),
         }
     }
 }
@@ -318,12 +320,12 @@
     }
 }
 
-fn hear(core: &Core, buffer: &[u8], received: io::Result<(usize, SocketAddr)>) {
+fn hear(core: &Core, buffer: &[u8], received: &io::Result<(usize, SocketAddr)>) {
     // An error tells that an earlier datagram met no listener.
     let Ok((length, _)) = received else {
         return;
     };
-    match Beat::decode(&buffer[..length]) {
+    match Beat::decode(&buffer[..*length]) {
         Some(beat) => core.exchange.hear(core, &beat),
         None => metrics::counter!("beats_unreadable_total").increment(1),
     }
--- a/crates/gateway/src/exchange/peer.rs
+++ b/crates/gateway/src/exchange/peer.rs
@@ -47,7 +47,9 @@
 
     /// What customers asked of it and were given by it.
     pub(crate) fn customers(&self) -> impl Iterator<Item = (CustomerId, Flow)> {
-        self.customers.iter().map(|(&customer, &flow)| (customer, flow))
+        self.customers
+            .iter()
+            .map(|(&customer, &flow)| (customer, flow))
     }
 
     /// Tokens sent to a server since the beat before.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -73,7 +73,9 @@
                     backoff.reset();
                     let revision = listing.revision;
                     self.up(source);
-                    self.core.mirror.reset(listing.writes.iter().cloned(), revision);
+                    self.core
+                        .mirror
+                        .reset(listing.writes.iter().cloned(), revision);
                     self.take_listing(listing.writes);
                     self.confirm(source, begun, listing.known_ms);
                     self.watch(revision, &mut backoff).await;
--- a/crates/gateway/src/follow/source.rs
+++ b/crates/gateway/src/follow/source.rs
@@ -135,11 +135,7 @@
     }
 
     /// Reads the writes after a revision; waits for some at most `wait_ms` milliseconds.
-    pub(super) async fn changes(
-        &self,
-        source: Source,
-        after: Revision,
-    ) -> Result<Relayed, Error> {
+    pub(super) async fn changes(&self, source: Source, after: Revision) -> Result<Relayed, Error> {
         match source {
             Source::Store => {
                 let changes = self.feed.changes(EVERY_KEY, after, STORE_WAIT_MS).await?;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -32,7 +32,7 @@
 const TAKE: Duration = Duration::from_millis(2_500);
 
 /// Time after that in which connections are still accepted, to refuse what comes on them.
-const ACCEPT: Duration = Duration::from_millis(1_000);
+const ACCEPT: Duration = Duration::from_secs(1);
 
 /// Time kept of a planned stop for ending the process.
 const END_MS: u64 = 700;
@@ -109,7 +109,8 @@
         let stop = &self.core.stop;
         log!(self.core.logger, Event::Stopping);
         stop.leave.cancel();
-        let grace = Duration::from_millis(self.core.settings.load().grace_ms.saturating_sub(END_MS));
+        let grace =
+            Duration::from_millis(self.core.settings.load().grace_ms.saturating_sub(END_MS));
         let closing = async {
             sleep(TAKE).await;
             stop.refuse.cancel();
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -117,6 +117,9 @@
     }
     let call = Arc::new(intake.read(core).await?);
     let response = dispatch::answer(core, &call).await?;
+    let elapsed = Instant::now() - call.since;
+    let kind = call.route.kind.word();
+    metrics::histogram!("first_answer_seconds", "kind" => kind).record(elapsed.as_secs_f64());
     log!(core.logger, Event::Answered,
         "request" => &call.id,
         "status" => response.status().as_u16(),
@@ -127,7 +130,11 @@
 /// Whether the caller's connection ends with this answer, so that its next request
 /// goes to another node.
 fn ends_connection(core: &Core, status: StatusCode) -> bool {
-    let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE;
+    let refusals = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    let is_refusal = refusals.contains(&status);
     let is_leaving = core.stop.leave.is_cancelled();
     is_leaving || core.strain.is_strained() || (is_refusal && is_crowded(core))
 }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -12,7 +12,7 @@
 pub use self::ask::Ask;
 pub use self::load::Load;
 pub use self::order::Order;
-pub use self::reading::Reading;
+pub use self::reading::{Proof, Reading};
 pub use self::unreadable::Unreadable;
 use crate::plan::Plan;
 use crate::server::Server;
--- a/crates/gateway/src/protocol/reading.rs
+++ b/crates/gateway/src/protocol/reading.rs
@@ -5,14 +5,8 @@
 /// What the head of a server's answer proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reading {
-    /// The server says that it has not run the request and never will.
-    pub is_not_run: bool,
-    /// Another server has the address.
-    pub is_other_server: bool,
-    /// The answer bears the server's seal.
-    pub is_sealed: bool,
-    /// The answer names another request, so it belongs to that one.
-    pub is_crossed: bool,
+    /// What became of the request.
+    pub proof: Proof,
     /// The server will take no more requests on this connection.
     pub is_last: bool,
     /// How long the connection may be idle, in milliseconds.
@@ -20,3 +14,18 @@
     /// What the server tells of its load.
     pub load: Option<Load>,
 }
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// The answer is the server's own, as its seal shows.
+    Sealed,
+    /// The server says that it has not run the request and never will.
+    NotRun,
+    /// Another server has the address, and has not run the request.
+    OtherServer,
+    /// The answer names another request, so it belongs to that one.
+    Crossed,
+    /// None of these: whose answer it is cannot be told.
+    Unproved,
+}
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -170,9 +170,8 @@
             };
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(_)) => return End::Broken,
                 None if self.events.flush().is_empty() => return End::Whole,
-                None => return End::Broken,
+                None | Some(Err(_)) => return End::Broken,
             };
             let whole = self.events.read(data);
             if whole.is_empty() {
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -1,7 +1,9 @@
 //! Whether callers should be sent to this node.
 
 use std::convert::Infallible;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,6 +25,10 @@
 /// not ready, in milliseconds: two renewals of its lease have failed by then.
 const REACH_MS: u64 = 3_600;
 
+/// Upper bounds of the latency histograms, in seconds: from a short answer of a plain
+/// service to the longest time that callers wait.
+const BUCKETS_S: [f64; 10] = [0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 1.5, 5.0, 15.0];
+
 static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
 /// Begins the recording of metrics, unless it has begun.
@@ -31,7 +37,16 @@
 }
 
 /// Every metric of this process.
-pub(crate) fn metrics() -> String {
+pub(crate) fn metrics(core: &Core) -> String {
+    let age_s = Duration::from_millis(core.view.age_ms()).as_secs_f64();
+    metrics::gauge!("configuration_age_seconds").set(age_s);
+    let reach_s = Duration::from_millis(core.view.reach_age_ms()).as_secs_f64();
+    metrics::gauge!("kv_reached_age_seconds").set(reach_s);
+    metrics::gauge!("callers_connections").set(core.connections.load(Ordering::Relaxed));
+    let plan = core.view.plan();
+    let version = plan.map_or(0, |plan| plan.version());
+    #[expect(clippy::cast_precision_loss, reason = "a gauge is a floating number")]
+    metrics::gauge!("configuration_version").set(version as f64);
     handle().map_or_else(String::new, |handle| {
         handle.run_upkeep();
         handle.render()
@@ -39,7 +54,10 @@
 }
 
 fn handle() -> Option<&'static PrometheusHandle> {
-    let handle = HANDLE.get_or_init(|| PrometheusBuilder::new().install_recorder().ok());
+    let handle = HANDLE.get_or_init(|| {
+        let builder = PrometheusBuilder::new().set_buckets(&BUCKETS_S).ok()?;
+        builder.install_recorder().ok()
+    });
     handle.as_ref()
 }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -35,8 +35,6 @@
     Unknown,
     /// A server's answer was no answer to this request.
     Garbled,
-    /// The time is over and no server was asked.
-    Late,
     /// The time is over and a server may still run the request.
     TimedOut,
 }
@@ -53,12 +51,9 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoCustomer => StatusCode::UNAUTHORIZED,
             Self::Share(_) => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoView
-            | Self::NoServer
-            | Self::Busy(_)
-            | Self::TurnedAway
-            | Self::Late
-            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoView | Self::NoServer | Self::Busy(_) | Self::TurnedAway | Self::Stopping => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Unknown | Self::Garbled => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -80,7 +75,6 @@
             Self::Stopping => "stopping",
             Self::Unknown => "outcome_unknown",
             Self::Garbled => "garbled_answer",
-            Self::Late => "late",
             Self::TimedOut => "timed_out",
         }
     }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -13,9 +13,9 @@
 /// The servers by name and by pool.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
-    by_name: HashMap<String, Arc<Backend>>,
-    by_id: HashMap<ServerId, Arc<Backend>>,
-    by_pool: HashMap<PoolId, Vec<Arc<Backend>>>,
+    names: HashMap<String, Arc<Backend>>,
+    ids: HashMap<ServerId, Arc<Backend>>,
+    pools: HashMap<PoolId, Vec<Arc<Backend>>>,
 }
 
 /// The servers that are registered, readable without a lock. One task alone changes it.
@@ -28,22 +28,22 @@
     /// Reads the servers of a pool.
     pub(crate) fn of<T>(&self, pool: PoolId, read: impl FnOnce(&[Arc<Backend>]) -> T) -> T {
         let table = self.table.load();
-        read(table.by_pool.get(&pool).map_or(&[], Vec::as_slice))
+        read(table.pools.get(&pool).map_or(&[], Vec::as_slice))
     }
 
     /// The server of a name.
     pub(crate) fn get(&self, name: &str) -> Option<Arc<Backend>> {
-        self.table.load().by_name.get(name).cloned()
+        self.table.load().names.get(name).cloned()
     }
 
     /// The server of an identity.
     pub(crate) fn by_id(&self, id: ServerId) -> Option<Arc<Backend>> {
-        self.table.load().by_id.get(&id).cloned()
+        self.table.load().ids.get(&id).cloned()
     }
 
     /// Every server.
     pub(crate) fn all(&self) -> Vec<Arc<Backend>> {
-        self.table.load().by_name.values().cloned().collect()
+        self.table.load().names.values().cloned().collect()
     }
 
     /// Notes a registration; `true` if it changed what may be sent where.
@@ -79,17 +79,17 @@
 
     fn change(&self, change: impl FnOnce(&mut HashMap<String, Arc<Backend>>)) {
         let mut table = Table {
-            by_name: self.table.load().by_name.clone(),
-            by_id: HashMap::new(),
-            by_pool: HashMap::new(),
+            names: self.table.load().names.clone(),
+            ids: HashMap::new(),
+            pools: HashMap::new(),
         };
-        change(&mut table.by_name);
-        for backend in table.by_name.values() {
-            let of_pool = table.by_pool.entry(backend.server.pool).or_default();
+        change(&mut table.names);
+        for backend in table.names.values() {
+            let of_pool = table.pools.entry(backend.server.pool).or_default();
             of_pool.push(Arc::clone(backend));
-            table.by_id.insert(backend.server.id, Arc::clone(backend));
+            table.ids.insert(backend.server.id, Arc::clone(backend));
         }
-        for of_pool in table.by_pool.values_mut() {
+        for of_pool in table.pools.values_mut() {
             of_pool.sort_by(|a, b| a.server.name.cmp(&b.server.name));
         }
         self.table.store(Arc::new(table));
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -44,8 +44,7 @@
     /// milliseconds after an instant of this process's clock; negative if before.
     pub(crate) fn known_ms(&self, than_ms: u64) -> i64 {
         let confirmed_ms = self.confirmed_ms.load(Ordering::Relaxed);
-        i64::try_from(confirmed_ms).unwrap_or(i64::MAX)
-            - i64::try_from(than_ms).unwrap_or(i64::MAX)
+        i64::try_from(confirmed_ms).unwrap_or(i64::MAX) - i64::try_from(than_ms).unwrap_or(i64::MAX)
     }
 
     /// Notes that this node itself reached the key-value service with a call that
