--- /dev/null
+++ b/crates/decide/tests/share.rs
@@ -0,0 +1,99 @@
+//! Portions of customers under scarcity.
+
+use std::collections::HashMap;
+
+use googletest::prelude::*;
+use mulberryyoke_decide::share::{Flow, Shares, Standing};
+use mulberryyoke_model::CustomerId;
+
+const LARGE: CustomerId = CustomerId(1);
+const SMALL: CustomerId = CustomerId(2);
+
+/// Lets customers ask and be given tokens a second for some seconds, in steps of 20 ms.
+fn run(shares: &mut Shares, from_s: u64, to_s: u64, flows: &[(CustomerId, u32, u32)]) {
+    for step in from_s * 50..to_s * 50 {
+        for &(customer, asked, given) in flows {
+            shares.ask(customer, asked / 50);
+            shares.give(customer, given / 50);
+        }
+        shares.settle(10_000.0, step * 20);
+    }
+}
+
+#[gtest]
+fn with_enough_for_all_nobody_has_too_much() {
+    let mut shares = Shares::default();
+    run(
+        &mut shares,
+        0,
+        8,
+        &[(LARGE, 8_000, 8_000), (SMALL, 1_000, 1_000)],
+    );
+    expect_that!(shares.standing(LARGE), eq(Standing::default()));
+}
+
+#[gtest]
+fn who_asks_less_than_an_even_portion_is_behind_and_the_other_has_the_rest() {
+    let mut shares = Shares::default();
+    run(
+        &mut shares,
+        0,
+        8,
+        &[(LARGE, 40_000, 9_000), (SMALL, 1_000, 500)],
+    );
+    let (large, small) = (shares.standing(LARGE), shares.standing(SMALL));
+    expect_that!(large.of_portion, near(1.0, 0.05));
+    expect_that!(small.of_portion, lt(0.1));
+}
+
+#[gtest]
+fn what_is_given_beyond_the_capacity_is_shared_evenly_as_well() {
+    let mut shares = Shares::default();
+    let other = CustomerId(3);
+    run(
+        &mut shares,
+        0,
+        8,
+        &[(LARGE, 60_000, 24_000), (other, 60_000, 6_000)],
+    );
+    let (large, other) = (shares.standing(LARGE), shares.standing(other));
+    expect_that!(large.of_given, gt(1.2));
+    expect_that!(other.of_given, lt(0.5));
+}
+
+#[gtest]
+fn what_was_given_in_plenty_is_not_held_against_a_customer_for_long() {
+    let mut shares = Shares::default();
+    run(&mut shares, 0, 6, &[(LARGE, 9_900, 9_900)]);
+    let others: Vec<_> = (10..40).map(|id| (CustomerId(id), 2_000, 330)).collect();
+    let mut flows = others.clone();
+    flows.push((LARGE, 9_900, 0));
+    run(&mut shares, 6, 11, &flows);
+    expect_that!(shares.standing(LARGE).of_portion, lt(0.8));
+}
+
+#[gtest]
+fn what_other_routers_gave_counts_and_goes_with_them() {
+    let mut shares = Shares::default();
+    shares.ask(LARGE, 50_000);
+    let flow = Flow {
+        asked: 50_000.0,
+        given: 40_000.0,
+    };
+    shares.set_others(&HashMap::from([(LARGE, flow), (SMALL, flow)]));
+    shares.settle(10_000.0, 0);
+    expect_that!(shares.standing(LARGE).of_portion, gt(1.0));
+    shares.set_others(&HashMap::new());
+    shares.settle(10_000.0, 0);
+    expect_that!(shares.standing(LARGE).of_portion, eq(0.0));
+}
+
+#[gtest]
+fn customers_that_ask_nothing_are_forgotten() {
+    let mut shares = Shares::default();
+    shares.ask(SMALL, 1_000);
+    shares.settle(10_000.0, 0);
+    expect_that!(shares.own().count(), eq(1));
+    shares.settle(10_000.0, 60_000);
+    expect_that!(shares.own().count(), eq(0));
+}
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -10,7 +10,7 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use rand::RngExt;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::call::Call;
 use crate::core::Core;
@@ -52,9 +52,11 @@
         let route = Arc::clone(self.route(core, &plan)?);
         let customer = self.customer(core, &plan, &route)?;
         let pool = route.pool(rand::rng().random()).ok_or(Refusal::NoServer)?;
-        let body = read_body(self.body, plan.limits().body_bytes).await?;
         let patience_ms = self.ask.patience_ms.unwrap_or(u64::MAX);
-        let most_ms = patience_ms.min(route.timeout_ms);
+        let deadline = clock::after(self.since, patience_ms.min(route.timeout_ms));
+        let body = read_body(self.body, plan.limits().body_bytes);
+        let body = timeout_at(deadline, body).await;
+        let body = body.unwrap_or(Err(Refusal::Slow))?;
         header::end_to_end(&mut self.parts.headers);
         Ok(Call {
             id: self.ask.id,
@@ -63,7 +65,7 @@
             prompt: self.ask.prompt,
             resume_after: self.ask.resume_after,
             since: self.since,
-            deadline: clock::after(self.since, most_ms),
+            deadline,
             method: self.parts.method,
             path: path(&self.parts.uri),
             headers: self.parts.headers,
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -25,6 +25,10 @@
 /// Largest head of a request before a configuration tells another bound, in bytes.
 const HEAD_BYTES: usize = 16 << 10;
 
+/// Longest time without a whole head before a configuration tells another bound, in
+/// milliseconds.
+const IDLE_MS: u64 = 15_000;
+
 /// Smallest buffer that the library takes, in bytes.
 const LEAST_BUFFER: usize = 8 << 10;
 
@@ -63,17 +67,17 @@
         log!(core.logger, Event::AcceptFailed, "error" => error.to_string());
         return;
     }
-    let head_bytes = core
-        .view
-        .plan()
-        .map_or(HEAD_BYTES, |plan| plan.limits().head_bytes);
+    let plan = core.view.plan();
+    let limits = plan.as_ref().map(|plan| plan.limits());
+    let head_bytes = limits.map_or(HEAD_BYTES, |limits| limits.head_bytes);
+    let idle_ms = limits.map_or(IDLE_MS, |limits| limits.idle_ms);
     let service = {
         let core = Arc::clone(core);
         service_fn(move |request| answer(Arc::clone(&core), request))
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(None)
+        .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(head_bytes.max(LEAST_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     let connection = shutdown.watch(connection);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -15,6 +15,8 @@
     TooLarge,
     /// The body did not come whole.
     Cut,
+    /// The body did not come in time.
+    Slow,
     /// No route has this host and path.
     NoRoute,
     /// The key names no customer.
@@ -47,6 +49,7 @@
     pub(crate) const fn status(self) -> StatusCode {
         match self {
             Self::Malformed | Self::Cut => StatusCode::BAD_REQUEST,
+            Self::Slow => StatusCode::REQUEST_TIMEOUT,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoCustomer => StatusCode::UNAUTHORIZED,
@@ -65,6 +68,7 @@
             Self::Malformed => "malformed",
             Self::TooLarge => "body_too_large",
             Self::Cut => "body_cut",
+            Self::Slow => "body_slow",
             Self::NoRoute => "no_route",
             Self::NoCustomer => "no_customer",
             Self::NoView => "no_configuration",
--- /dev/null
+++ b/crates/gateway/tests/gateway/admission.rs
@@ -0,0 +1,56 @@
+//! What cannot be served in time is refused at once.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::{Instant, sleep};
+
+use crate::backend::{Backend, Way};
+use crate::caller;
+use crate::fleet::{Node, ready};
+use crate::protocol::LONG_PROMPT;
+
+/// Has a long prompt be read by the only server.
+async fn occupy(node: &Node) -> tokio::net::TcpStream {
+    let fields = format!("x-tokens: {LONG_PROMPT}\r\n");
+    let stream = caller::open(node.callers, &caller::request("/stream/", &fields)).await;
+    sleep(Duration::from_millis(100)).await;
+    stream
+}
+
+#[gtest]
+#[tokio::test]
+async fn behind_a_long_prompt_others_are_refused_at_once_and_reach_no_server() {
+    let backend = Backend::spawn(Way::Hang).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let _long = occupy(&node).await;
+    let begun = Instant::now();
+    let reply = node.ask("/stream/", "x-tokens: 2000\r\n").await;
+    expect_that!(reply.status, eq(503));
+    expect_that!(reply.head, contains_substring("retry-after: "));
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(50)));
+    expect_that!(backend.state.heads().len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_long_prompt_goes_to_an_idle_server_though_it_cannot_be_on_time() {
+    let backend = Backend::spawn(Way::Stream).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let fields = format!("x-tokens: {LONG_PROMPT}\r\n");
+    expect_that!(node.ask("/stream/", &fields).await.status, eq(200));
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_waits_no_longer_counts_no_longer() {
+    let backend = Backend::spawn(Way::Hang).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let long = occupy(&node).await;
+    drop(long);
+    sleep(Duration::from_millis(200)).await;
+    let request = caller::request("/stream/", "x-tokens: 2000\r\n");
+    let _second = caller::open(node.callers, &request).await;
+    sleep(Duration::from_millis(200)).await;
+    expect_that!(backend.state.heads().len(), eq(2));
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/answers.rs
@@ -0,0 +1,168 @@
+//! Each caller gets its own whole answer, or is told what is known.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::{Instant, sleep};
+
+use crate::backend::{Backend, Way, field};
+use crate::caller;
+use crate::fleet::ready;
+use crate::protocol::TIMEOUT_MS;
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_is_told_as_its_proof_allows() {
+    let table = [
+        (Way::Answer, "/once/", 200),
+        (Way::Fail, "/once/", 500),
+        (Way::TurnAway, "/once/", 503),
+        (Way::OtherServer, "/once/", 503),
+        (Way::Close, "/once/", 502),
+        (Way::Cross, "/once/", 502),
+        (Way::Unsealed, "/once/", 502),
+        (Way::Truncate, "/once/", 502),
+        (Way::Encode, "/once/", 502),
+        (Way::Hang, "/once/", 504),
+        (Way::Close, "/idempotent/", 502),
+        (Way::Answer, "/idempotent/", 200),
+    ];
+    for (way, path, status) in table {
+        let backend = Backend::spawn(way).await;
+        let (_service, node) = ready(&[&backend]).await;
+        let reply = node.ask(path, "").await;
+        expect_that!(reply.status, eq(status), "{way:?} {path}");
+        expect_that!(reply.is_whole, eq(true), "{way:?} {path}");
+        expect_that!(backend.state.heads().len(), eq(1), "{way:?} {path}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_refusal_that_promises_says_when_to_come_back() {
+    let backend = Backend::spawn(Way::TurnAway).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let reply = node.ask("/once/", "").await;
+    expect_that!(reply.head, contains_substring("retry-after: 0."));
+}
+
+#[gtest]
+#[tokio::test]
+async fn the_server_gets_the_request_and_what_the_router_says() {
+    let backend = Backend::spawn(Way::Answer).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let fields = "Authorization: Bearer secret\r\nx-customer: forged\r\nx-own: kept\r\nx-patience-ms: 900\r\n";
+    let reply = node.ask("/keyed/a/b?c=%20d", fields).await;
+    expect_that!(reply.status, eq(200));
+    let heads = backend.state.heads();
+    let head = &heads[0];
+    expect_that!(head, starts_with("post /keyed/a/b?c=%20d http/1.1"));
+    expect_that!(field(head, "x-customer"), some(eq("noor")));
+    expect_that!(field(head, "x-server"), some(eq("plain-0")));
+    expect_that!(field(head, "x-own"), some(eq("kept")));
+    expect_that!(field(head, "authorization"), none());
+    expect_that!(field(head, "connection"), none());
+    let left: u64 = field(head, "x-left-ms")
+        .and_then(|ms| ms.parse().ok())
+        .unwrap_or(0);
+    expect_that!(left, all!(gt(400), le(900)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn bad_input_is_answered_and_reaches_no_server() {
+    let backend = Backend::spawn(Way::Answer).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let large = format!("x-large: {}\r\n", "x".repeat(20_000));
+    let table = [
+        (caller::request("/nowhere/", ""), 404),
+        (caller::request("/keyed/", ""), 401),
+        (
+            caller::request("/keyed/", "Authorization: Bearer wrong\r\n"),
+            401,
+        ),
+        (caller::request("/once/", &large), 431),
+        (
+            caller::request("/once/", "").replace("x-id: q1\r\n", ""),
+            400,
+        ),
+        (caller::request("/once/", "Content-Length: 3\r\n"), 400),
+        (
+            caller::request("/once/", "").replace("Length: 2", "Length: 2000"),
+            413,
+        ),
+        ("GARBAGE\r\n\r\n".to_owned(), 400),
+    ];
+    for (request, status) in table {
+        let text = request.replacen("hi", &"h".repeat(2_000), usize::from(status == 413));
+        let reply = caller::send(node.callers, &text).await;
+        let first: String = request.chars().take(60).collect();
+        expect_that!(reply.status, eq(status), "{first}");
+    }
+    expect_that!(backend.state.heads().len(), eq(0));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_request_inside_another_is_not_smuggled() {
+    let backend = Backend::spawn(Way::Answer).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let inner = "POST /once/inner HTTP/1.1\r\nx-id: q2\r\n\r\n";
+    let chunk = format!("{:x}\r\n{inner}\r\n0\r\n\r\n", inner.len());
+    let request = caller::request("/once/", "Transfer-Encoding: chunked\r\n")
+        .replace("Content-Length: 2\r\n\r\nhi", &format!("\r\n{chunk}"));
+    let reply = caller::send(node.callers, &request).await;
+    expect_that!(reply.status, eq(200));
+    let heads = backend.state.heads();
+    expect_that!(heads.len(), eq(1));
+    expect_that!(field(&heads[0], "transfer-encoding"), none());
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_caller_is_not_kept_longer_than_its_route_allows() {
+    let backend = Backend::spawn(Way::Hang).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let begun = Instant::now();
+    let reply = node.ask("/once/", "").await;
+    let elapsed = begun.elapsed();
+    expect_that!(reply.status, eq(504));
+    expect_that!(elapsed, ge(Duration::from_millis(TIMEOUT_MS - 50)));
+    expect_that!(elapsed, lt(Duration::from_millis(TIMEOUT_MS + 500)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_body_that_does_not_come_is_given_up() {
+    let backend = Backend::spawn(Way::Answer).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let request = caller::request("/once/", "").replace("Length: 2", "Length: 20");
+    let reply = caller::send(node.callers, &request).await;
+    expect_that!(reply.status, eq(408));
+    expect_that!(backend.state.heads().len(), eq(0));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_connection_without_a_request_is_closed() {
+    let backend = Backend::spawn(Way::Answer).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let begun = Instant::now();
+    let reply = caller::send(node.callers, "POST /once/ HTTP/1.1\r\n").await;
+    expect_that!(reply.status, any!(eq(0), eq(408)));
+    expect_that!(begun.elapsed(), lt(Duration::from_secs(7)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_server_is_left_at_once_when_the_caller_leaves() {
+    let backend = Backend::spawn(Way::Hang).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let stream = caller::open(node.callers, &caller::request("/once/", "")).await;
+    while backend.state.heads().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    drop(stream);
+    sleep(Duration::from_millis(300)).await;
+    expect_that!(backend.state.hung_up(), eq(1));
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/backend.rs
@@ -0,0 +1,189 @@
+//! Backend servers that answer as a test says.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// What a server does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// Answers with a seal and the body `done`.
+    Answer,
+    /// Answers with status 500 and a seal.
+    Fail,
+    /// Says that it has not run it.
+    TurnAway,
+    /// Says that another server was meant.
+    OtherServer,
+    /// Closes the connection without an answer.
+    Close,
+    /// Answers in the name of another request.
+    Cross,
+    /// Answers without a seal.
+    Unsealed,
+    /// Answers with less than the length that it tells.
+    Truncate,
+    /// Answers with a coding of the body.
+    Encode,
+    /// Says nothing.
+    Hang,
+    /// Answers events 1 to 4 with a pause between, and the end.
+    Stream,
+    /// Answers events 1 and 2, half of 3, and closes the connection.
+    CutStream,
+    /// Answers events 1 and 2, and then says nothing.
+    HangStream,
+}
+
+/// A running server.
+#[derive(Debug)]
+pub(crate) struct Backend {
+    pub(crate) address: SocketAddr,
+    pub(crate) state: Arc<State>,
+}
+
+/// What a server has seen.
+#[derive(Debug)]
+pub(crate) struct State {
+    way: Mutex<Way>,
+    heads: Mutex<Vec<String>>,
+    hung_up: AtomicU32,
+}
+
+impl State {
+    /// Heads of the requests that came.
+    pub(crate) fn heads(&self) -> Vec<String> {
+        self.heads.lock().clone()
+    }
+
+    /// Requests whose connection was closed before the answer's end.
+    pub(crate) fn hung_up(&self) -> u32 {
+        self.hung_up.load(Ordering::Relaxed)
+    }
+}
+
+impl Backend {
+    pub(crate) async fn spawn(way: Way) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let state = Arc::new(State {
+            way: Mutex::new(way),
+            heads: Mutex::default(),
+            hung_up: AtomicU32::new(0),
+        });
+        let shared = Arc::clone(&state);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, Arc::clone(&shared)));
+            }
+        });
+        Self { address, state }
+    }
+}
+
+async fn serve(mut stream: TcpStream, state: Arc<State>) {
+    while let Some(head) = read_head(&mut stream).await {
+        state.heads.lock().push(head.clone());
+        let way = *state.way.lock();
+        if !respond(&mut stream, &state, way, &head).await {
+            return;
+        }
+    }
+}
+
+/// Reads a request's head; the tests' bodies come with a length.
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    while !text.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        text.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&text).to_ascii_lowercase();
+    let length = field(&head, "content-length").and_then(|length| length.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(head)
+}
+
+/// The value of a header of a head in lower case.
+pub(crate) fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    lines
+        .find(|(field, _)| *field == name)
+        .map(|(_, value)| value)
+}
+
+/// Answers; `false` when the connection is to be closed.
+async fn respond(stream: &mut TcpStream, state: &State, way: Way, head: &str) -> bool {
+    let id = field(head, "x-id").unwrap_or("");
+    let sealed = format!("x-id: {id}\r\nx-seal: s");
+    let text = match way {
+        Way::Answer => whole(200, &sealed, 4),
+        Way::Fail => whole(500, &sealed, 4),
+        Way::TurnAway => whole(503, "x-not-run: 1", 4),
+        Way::OtherServer => whole(421, "x-any: 1", 4),
+        Way::Cross => whole(200, "x-id: another\r\nx-seal: s", 4),
+        Way::Unsealed => whole(200, &format!("x-id: {id}"), 4),
+        Way::Encode => whole(200, &format!("{sealed}\r\ncontent-encoding: gzip"), 4),
+        Way::Truncate => whole(200, &sealed, 40),
+        Way::Close => return false,
+        Way::Hang => {
+            hang(stream, state).await;
+            return false;
+        }
+        Way::Stream => return events(stream, &sealed, head, 4).await,
+        Way::CutStream => {
+            events(stream, &sealed, head, 2).await;
+            let _ = stream.write_all(b"8\r\nid: 3\nda\r\n").await;
+            return false;
+        }
+        Way::HangStream => {
+            events(stream, &sealed, head, 2).await;
+            hang(stream, state).await;
+            return false;
+        }
+    };
+    let is_sent = stream.write_all(text.as_bytes()).await.is_ok();
+    is_sent && way != Way::Truncate
+}
+
+fn whole(status: u16, fields: &str, length: usize) -> String {
+    format!("HTTP/1.1 {status} Any\r\n{fields}\r\ncontent-length: {length}\r\n\r\ndone")
+}
+
+async fn hang(stream: &mut TcpStream, state: &State) {
+    let mut byte = [0];
+    // What the router sends meanwhile is of no concern, only that it leaves.
+    while matches!(stream.read(&mut byte).await, Ok(read) if read > 0) {}
+    state.hung_up.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Sends the events up to `last` of four; the end only after the fourth.
+async fn events(stream: &mut TcpStream, sealed: &str, head: &str, last: u64) -> bool {
+    let after = field(head, "x-after").and_then(|event| event.parse().ok());
+    let begin = format!(
+        "HTTP/1.1 200 OK\r\n{sealed}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    let _ = stream.write_all(begin.as_bytes()).await;
+    for event in after.unwrap_or(0) + 1..=last {
+        let text = format!("id: {event}\ndata: t{event}\n\n");
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        if stream.write_all(chunk.as_bytes()).await.is_err() {
+            return false;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    if last == 4 {
+        return stream.write_all(b"0\r\n\r\n").await.is_ok();
+    }
+    true
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -0,0 +1,133 @@
+//! What the key-value service says is in force in time and never goes back.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+use crate::backend::{Backend, Way};
+use crate::feed::Service;
+use crate::fleet::{KEYS_FRESH_MS, Node, ready, register};
+
+const KEY: &str = "Authorization: Bearer secret\r\n";
+
+/// Time within which a change is in force, in milliseconds.
+const SOON: Duration = Duration::from_millis(600);
+
+#[gtest]
+#[tokio::test]
+async fn before_the_first_configuration_nothing_is_denied() {
+    let service = Service::new();
+    let node = Node::spawn(&service, "g0").await;
+    for path in ["/keyed/", "/nowhere/", "/once/"] {
+        expect_that!(node.ask(path, "").await.status, eq(503), "{path}");
+    }
+    expect_that!(node.ready().await, eq(503));
+    service.set("config", Some("1 secret"));
+    node.wait_ready().await;
+    expect_that!(node.ask("/nowhere/", "").await.status, eq(404));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_key_that_is_taken_away_stops_working_and_an_older_version_does_not_bring_it_back() {
+    let backend = Backend::spawn(Way::Answer).await;
+    let (service, node) = ready(&[&backend]).await;
+    expect_that!(node.ask("/keyed/", KEY).await.status, eq(200));
+    service.set("config", Some("7 other"));
+    sleep(SOON).await;
+    expect_that!(node.ask("/keyed/", KEY).await.status, eq(401));
+    service.set("config", Some("6 secret"));
+    service.compact();
+    sleep(SOON).await;
+    expect_that!(node.ask("/keyed/", KEY).await.status, eq(401));
+}
+
+#[gtest]
+#[tokio::test]
+async fn keys_stop_working_on_a_node_that_is_cut_off() {
+    for is_silent in [false, true] {
+        let backend = Backend::spawn(Way::Answer).await;
+        let (_service, node) = ready(&[&backend]).await;
+        if is_silent {
+            node.way.silence(true);
+        } else {
+            node.way.cut(true);
+        }
+        sleep(Duration::from_millis(KEYS_FRESH_MS + 100)).await;
+        expect_that!(node.ask("/keyed/", KEY).await.status, eq(503));
+        expect_that!(
+            node.ask("/keyed/", "").await.status,
+            eq(503),
+            "no denial either"
+        );
+        expect_that!(
+            node.ask("/once/", "").await.status,
+            eq(200),
+            "no key is needed"
+        );
+        expect_that!(node.ready().await, eq(503));
+        node.way.cut(false);
+        node.way.silence(false);
+        node.wait_ready().await;
+        expect_that!(node.ask("/keyed/", KEY).await.status, eq(200));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_was_written_while_the_history_was_lost_is_learnt() {
+    let backend = Backend::spawn(Way::Answer).await;
+    let (service, node) = ready(&[&backend]).await;
+    node.way.cut(true);
+    sleep(Duration::from_millis(900)).await;
+    service.set("config", Some("9 other"));
+    service.set("servers/plain-0", None);
+    service.compact();
+    node.way.cut(false);
+    sleep(Duration::from_millis(2_600)).await;
+    expect_that!(node.ask("/keyed/", KEY).await.status, eq(401));
+    expect_that!(node.ask("/once/", "").await.status, eq(503));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_leaving_or_ended_server_gets_nothing_new() {
+    for state in ["leaving", "gone"] {
+        let (leaving, stays) = (
+            Backend::spawn(Way::Answer).await,
+            Backend::spawn(Way::Answer).await,
+        );
+        let (service, node) = ready(&[&leaving, &stays]).await;
+        if state == "gone" {
+            service.set("servers/plain-0", None);
+        } else {
+            register(&service, 0, &leaving, state);
+        }
+        sleep(SOON).await;
+        let before = leaving.state.heads().len();
+        for _ in 0..6 {
+            expect_that!(node.ask("/once/", "").await.status, eq(200), "{state}");
+        }
+        expect_that!(leaving.state.heads().len(), eq(before), "{state}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn servers_that_lapse_while_the_service_is_away_have_time_to_register_again() {
+    let backend = Backend::spawn(Way::Answer).await;
+    let (service, node) = ready(&[&backend]).await;
+    node.way.cut(true);
+    sleep(Duration::from_millis(900)).await;
+    service.set("servers/plain-0", None);
+    node.way.cut(false);
+    sleep(SOON + SOON).await;
+    expect_that!(node.ask("/once/", "").await.status, eq(200));
+    sleep(Duration::from_millis(1_800)).await;
+    expect_that!(
+        node.ask("/once/", "").await.status,
+        eq(503),
+        "it did not come back"
+    );
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/feed.rs
@@ -0,0 +1,186 @@
+//! A key-value service in memory that can be told to fail.
+
+use std::collections::BTreeMap;
+use std::future::pending;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use mulberryyoke_platform::Cause;
+use mulberryyoke_platform::kv::{
+    Call, Changes, Error, Event, Feed, Lease, LeaseId, Listing, Pair, Revision,
+};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// What the service holds.
+#[derive(Debug, Default)]
+struct Held {
+    revision: Revision,
+    keys: BTreeMap<String, (Vec<u8>, Revision)>,
+    events: Vec<Event>,
+    floor: Revision,
+}
+
+/// The service.
+#[derive(Debug)]
+pub(crate) struct Service {
+    held: Mutex<Held>,
+    changed: watch::Sender<Revision>,
+    calls: AtomicU64,
+}
+
+impl Service {
+    pub(crate) fn new() -> Arc<Self> {
+        Arc::new(Self {
+            held: Mutex::default(),
+            changed: watch::Sender::new(0),
+            calls: AtomicU64::new(0),
+        })
+    }
+
+    /// Writes a key, or deletes it.
+    pub(crate) fn set(&self, key: &str, value: Option<&str>) {
+        let mut held = self.held.lock();
+        held.revision += 1;
+        let revision = held.revision;
+        let value = value.map(|value| value.as_bytes().to_vec());
+        match &value {
+            Some(value) => held.keys.insert(key.to_owned(), (value.clone(), revision)),
+            None => held.keys.remove(key),
+        };
+        held.events.push(Event {
+            key: key.to_owned(),
+            value,
+            revision,
+        });
+        drop(held);
+        self.changed.send_replace(revision);
+    }
+
+    /// Forgets the history.
+    pub(crate) fn compact(&self) {
+        let mut held = self.held.lock();
+        held.events.clear();
+        held.floor = held.revision;
+    }
+
+    /// Calls that came.
+    pub(crate) fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    async fn wait(&self, after: Revision, wait_ms: u64) {
+        let mut changed = self.changed.subscribe();
+        let wait = changed.wait_for(|revision| *revision > after);
+        // That the time is over is no failure.
+        let _ = timeout(Duration::from_millis(wait_ms), wait).await;
+    }
+}
+
+/// One node's way to the service.
+#[derive(Debug)]
+pub(crate) struct Way {
+    pub(crate) service: Arc<Service>,
+    is_cut: AtomicBool,
+    is_silent: AtomicBool,
+}
+
+impl Way {
+    pub(crate) fn new(service: &Arc<Service>) -> Arc<Self> {
+        Arc::new(Self {
+            service: Arc::clone(service),
+            is_cut: AtomicBool::new(false),
+            is_silent: AtomicBool::new(false),
+        })
+    }
+
+    /// Makes calls fail, or work again.
+    pub(crate) fn cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
+
+    /// Makes calls hang, or work again.
+    pub(crate) fn silence(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::Relaxed);
+    }
+
+    async fn pass(&self) -> Result<(), Error> {
+        self.service.calls.fetch_add(1, Ordering::Relaxed);
+        if self.is_silent.load(Ordering::Relaxed) {
+            let _ = timeout(Duration::from_millis(1_500), pending::<()>()).await;
+            return Err(Error::Unknown(Cause::Late));
+        }
+        if self.is_cut.load(Ordering::Relaxed) {
+            return Err(Error::Unsent(Cause::Connect("cut".to_owned())));
+        }
+        Ok(())
+    }
+
+    fn lease(id: LeaseId) -> Lease {
+        Lease {
+            id,
+            deadline: Instant::now() + Duration::from_secs(10),
+        }
+    }
+}
+
+impl Feed for Way {
+    fn list<'a>(&'a self, prefix: &'a str) -> Call<'a, Listing> {
+        Box::pin(async move {
+            self.pass().await?;
+            let held = self.service.held.lock();
+            let keys = held.keys.iter().filter(|(key, _)| key.starts_with(prefix));
+            let entries = keys.map(|(key, (value, revision))| Pair {
+                key: key.clone(),
+                value: value.clone(),
+                revision: *revision,
+                lease: None,
+            });
+            Ok(Listing {
+                revision: held.revision,
+                entries: entries.collect(),
+            })
+        })
+    }
+
+    fn changes<'a>(&'a self, _: &'a str, after: Revision, wait_ms: u64) -> Call<'a, Changes> {
+        Box::pin(async move {
+            self.pass().await?;
+            self.service.wait(after, wait_ms).await;
+            self.pass().await?;
+            let held = self.service.held.lock();
+            if after < held.floor {
+                return Err(Error::Compacted(held.floor));
+            }
+            let newer = held.events.iter().filter(|event| event.revision > after);
+            Ok(Changes {
+                revision: held.revision,
+                events: newer.cloned().collect(),
+            })
+        })
+    }
+
+    fn grant(&self, _: u64) -> Call<'_, Lease> {
+        Box::pin(async move {
+            self.pass().await?;
+            Ok(Self::lease(LeaseId(1)))
+        })
+    }
+
+    fn keep(&self, id: LeaseId) -> Call<'_, Lease> {
+        Box::pin(async move {
+            self.pass().await?;
+            Ok(Self::lease(id))
+        })
+    }
+
+    fn put<'a>(&'a self, key: &'a str, value: &'a [u8], _: LeaseId) -> Call<'a, ()> {
+        Box::pin(async move {
+            self.pass().await?;
+            self.service.set(key, std::str::from_utf8(value).ok());
+            Ok(())
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -0,0 +1,105 @@
+//! Gateways with what they need.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use mulberryyoke_event::slog::{Discard, Logger, o};
+use mulberryyoke_gateway::Gateway;
+use mulberryyoke_settings as settings;
+use tokio::time::{Instant, sleep};
+
+use crate::backend::Backend;
+use crate::caller::{self, Reply};
+use crate::feed::{Service, Way};
+use crate::protocol::Words;
+
+/// Age from which requests with a key are refused in the tests, in milliseconds.
+pub(crate) const KEYS_FRESH_MS: u64 = 4_000;
+
+/// A gateway and its way to the key-value service.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) gateway: Option<Gateway>,
+    pub(crate) callers: SocketAddr,
+    pub(crate) health: SocketAddr,
+    pub(crate) way: Arc<Way>,
+}
+
+impl Node {
+    /// Starts a gateway that has not yet learnt anything.
+    pub(crate) async fn spawn(service: &Arc<Service>, name: &str) -> Self {
+        let way = Way::new(service);
+        let [callers, health, control, store] = [(); 4].map(|()| free());
+        let settings = settings::Gateway {
+            name: name.to_owned(),
+            zone: "a".to_owned(),
+            callers,
+            health,
+            control,
+            store,
+            keys_fresh_ms: Some(KEYS_FRESH_MS),
+            grace_ms: 6_000,
+            retry_ratio: 1.0,
+            share_window_ms: 4_000,
+            descriptors: 1_024,
+        };
+        let logger = Logger::root(Discard, o!());
+        let feed = Arc::clone(&way);
+        let gateway = Gateway::spawn(settings, Arc::new(Words), feed, logger).await;
+        Self {
+            gateway: Some(gateway.expect("the gateway starts")),
+            callers,
+            health,
+            way,
+        }
+    }
+
+    /// Sends a request.
+    pub(crate) async fn ask(&self, path: &str, fields: &str) -> Reply {
+        caller::send(self.callers, &caller::request(path, fields)).await
+    }
+
+    /// The status with which it tells its readiness.
+    pub(crate) async fn ready(&self) -> u16 {
+        let request = "GET /any HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        caller::send(self.health, request).await.status
+    }
+
+    /// Waits until it is ready.
+    pub(crate) async fn wait_ready(&self) {
+        let until = Instant::now() + Duration::from_secs(8);
+        while self.ready().await != 200 {
+            assert!(Instant::now() < until, "the gateway becomes ready");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// A gateway that knows a configuration and these servers of both pools, in their order.
+pub(crate) async fn ready(backends: &[&Backend]) -> (Arc<Service>, Node) {
+    let service = Service::new();
+    service.set("config", Some("5 secret"));
+    for (index, backend) in backends.iter().enumerate() {
+        register(&service, index, backend, "ready");
+    }
+    let node = Node::spawn(&service, "g0").await;
+    node.wait_ready().await;
+    (service, node)
+}
+
+/// Registers a server in both pools.
+pub(crate) fn register(service: &Service, index: usize, backend: &Backend, state: &str) {
+    for pool in ["plain", "model"] {
+        let key = format!("servers/{pool}-{index}");
+        let value = format!("{pool} {} {state}", backend.address);
+        service.set(&key, Some(&value));
+    }
+}
+
+/// A free address; another process could take it before it is used, which the
+/// test would show as a failure to start.
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/main.rs
@@ -0,0 +1,15 @@
+//! A gateway between callers, backend servers, peers and a key-value service that
+//! are all played by the test.
+
+mod admission;
+mod answers;
+mod backend;
+mod caller;
+mod configuration;
+mod feed;
+mod fleet;
+mod peers;
+mod protocol;
+mod repeats;
+mod stop;
+mod streams;
--- /dev/null
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -0,0 +1,69 @@
+//! Gateways among themselves.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+use crate::backend::{Backend, Way};
+use crate::feed::Service;
+use crate::fleet::{KEYS_FRESH_MS, Node, register};
+
+const KEY: &str = "Authorization: Bearer secret\r\n";
+
+#[gtest]
+#[tokio::test]
+async fn a_node_without_the_service_goes_by_what_its_peers_know() {
+    let service = Service::new();
+    service.set("config", Some("5 secret"));
+    let backend = Backend::spawn(Way::Answer).await;
+    register(&service, 0, &backend, "ready");
+    let one = Node::spawn(&service, "g1").await;
+    let two = Node::spawn(&service, "g2").await;
+    one.wait_ready().await;
+    two.wait_ready().await;
+    sleep(Duration::from_millis(1_000)).await;
+    two.way.cut(true);
+    sleep(Duration::from_millis(KEYS_FRESH_MS + 500)).await;
+    expect_that!(
+        two.ask("/keyed/", KEY).await.status,
+        eq(200),
+        "its view is fresh"
+    );
+    expect_that!(
+        two.ready().await,
+        eq(503),
+        "callers are better served elsewhere"
+    );
+    service.set("config", Some("8 other"));
+    sleep(Duration::from_millis(1_500)).await;
+    expect_that!(two.ask("/keyed/", KEY).await.status, eq(401));
+    one.way.cut(true);
+    sleep(Duration::from_millis(KEYS_FRESH_MS + 500)).await;
+    let other = "Authorization: Bearer other\r\n";
+    expect_that!(
+        two.ask("/keyed/", other).await.status,
+        eq(503),
+        "neither knows anything new"
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn most_gateways_leave_the_service_alone() {
+    let service = Service::new();
+    service.set("config", Some("5 secret"));
+    let mut nodes = Vec::new();
+    for index in 0..8 {
+        nodes.push(Node::spawn(&service, &format!("g{index}")).await);
+    }
+    for node in &nodes {
+        node.wait_ready().await;
+    }
+    sleep(Duration::from_secs(3)).await;
+    let before = service.calls();
+    sleep(Duration::from_secs(4)).await;
+    let calls = service.calls() - before;
+    // Each renews its lease every 1.5 s; three wait 0.7 s a call for changes.
+    expect_that!(calls, le(8 * 3 + 3 * 2 * 7));
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -0,0 +1,186 @@
+//! Headers and values of the tests.
+
+use hyper::HeaderMap;
+use hyper::header::{AUTHORIZATION, HeaderValue};
+use hyper::http::{request, response};
+use mulberryyoke_decide::engine::Prompt;
+use mulberryyoke_gateway::Server;
+use mulberryyoke_gateway::plan::{Customer, Kind, Limits, Model, Plan, Pool, Route, Target};
+use mulberryyoke_gateway::protocol::{Ask, Order, Proof, Protocol, Reading, Unreadable};
+use mulberryyoke_model::{CustomerId, PoolId, ServerId};
+
+/// Time after which a caller is answered on every route, in milliseconds.
+pub(crate) const TIMEOUT_MS: u64 = 1_500;
+
+/// Objective of every route, in milliseconds.
+pub(crate) const OBJECTIVE_MS: u64 = 200;
+
+/// Tokens of a prompt that no server could read in time behind another.
+pub(crate) const LONG_PROMPT: u32 = 60_000;
+
+/// Values are words: `VERSION KEY...` for a configuration, `POOL ADDRESS STATE` for a server.
+#[derive(Debug)]
+pub(crate) struct Words;
+
+impl Protocol for Words {
+    fn ask(&self, head: &request::Parts) -> Result<Ask, Unreadable> {
+        let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let id = text("x-id").ok_or_else(|| Unreadable {
+            what: "x-id".to_owned(),
+            why: "missing".to_owned(),
+        })?;
+        let tokens = text("x-tokens").and_then(|tokens| tokens.parse().ok());
+        let key = text("authorization").and_then(|value| value.strip_prefix("Bearer "));
+        Ok(Ask {
+            id: id.to_owned(),
+            patience_ms: text("x-patience-ms").and_then(|ms| ms.parse().ok()),
+            key: key.map(str::to_owned),
+            prompt: tokens.map(|tokens| Prompt::of("m", [(1, tokens)], 10)),
+            resume_after: text("x-after").and_then(|event| event.parse().ok()),
+        })
+    }
+
+    fn forward(&self, headers: &mut HeaderMap, order: &Order<'_>) {
+        headers.remove(AUTHORIZATION);
+        headers.insert("x-left-ms", HeaderValue::from(order.left_ms));
+        for (name, text) in [
+            ("x-server", Some(order.server)),
+            ("x-customer", order.customer),
+        ] {
+            headers.remove(name);
+            if let Some(value) = text.and_then(|text| HeaderValue::from_str(text).ok()) {
+                headers.insert(name, value);
+            }
+        }
+        if let Some(event) = order.resume_after {
+            headers.insert("x-after", HeaderValue::from(event));
+        }
+    }
+
+    fn reading(&self, head: &response::Parts, id: &str) -> Reading {
+        let headers = &head.headers;
+        let named = headers.get("x-id").map(HeaderValue::as_bytes);
+        let proof = if named.is_some_and(|named| named != id.as_bytes()) {
+            Proof::Crossed
+        } else if head.status.as_u16() == 421 {
+            Proof::OtherServer
+        } else if headers.contains_key("x-not-run") {
+            Proof::NotRun
+        } else if headers.contains_key("x-seal") {
+            Proof::Sealed
+        } else {
+            Proof::Unproved
+        };
+        Reading {
+            proof,
+            is_last: false,
+            idle_ms: None,
+            load: None,
+        }
+    }
+
+    fn config_key(&self) -> &'static str {
+        "config"
+    }
+
+    fn servers_prefix(&self) -> &'static str {
+        "servers/"
+    }
+
+    fn plan(&self, value: &[u8]) -> Result<Plan, Unreadable> {
+        let text = String::from_utf8_lossy(value);
+        let mut words = text.split_whitespace();
+        let version = words.next().and_then(|word| word.parse().ok());
+        let version = version.ok_or_else(|| unreadable("configuration"))?;
+        let customer = Customer {
+            id: CustomerId::of("noor"),
+            name: "noor".to_owned(),
+            keys: words.map(str::to_owned).collect(),
+            priority: None,
+        };
+        let limits = Limits {
+            head_bytes: 16_384,
+            body_bytes: 1_000,
+            head_ms: 1_000,
+            idle_ms: 5_000,
+            tokens_per_s: None,
+        };
+        let routes = [
+            ("/idempotent/", Kind::Idempotent, 2),
+            ("/once/", Kind::Once, 1),
+            ("/stream/", Kind::Stream, 1),
+            ("/resumable/", Kind::Resumable, 2),
+            ("/keyed/", Kind::Idempotent, 2),
+        ];
+        let routes = routes.map(|(prefix, kind, attempts)| route(prefix, kind, attempts));
+        let pools = vec![pool("plain", None), pool("model", Some(model()))];
+        Ok(Plan::new(
+            version,
+            limits,
+            routes.into(),
+            Some(vec![customer]),
+            pools,
+        ))
+    }
+
+    fn server(&self, name: &str, value: &[u8]) -> Result<Server, Unreadable> {
+        let text = String::from_utf8_lossy(value);
+        let words: Vec<&str> = text.split_whitespace().collect();
+        let [pool, address, state] = words[..] else {
+            return Err(unreadable(name));
+        };
+        Ok(Server {
+            id: ServerId::of(name),
+            name: name.to_owned(),
+            pool: PoolId::of(pool),
+            address: address.parse().map_err(|_| unreadable(name))?,
+            zone: "a".to_owned(),
+            slots: 8,
+            is_leaving: state == "leaving",
+        })
+    }
+}
+
+fn unreadable(what: &str) -> Unreadable {
+    Unreadable {
+        what: what.to_owned(),
+        why: "words are missing".to_owned(),
+    }
+}
+
+fn route(prefix: &str, kind: Kind, attempts: u32) -> Route {
+    let pool = if kind.is_stream() { "model" } else { "plain" };
+    Route {
+        name: prefix.to_owned(),
+        host: "host.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        is_public: prefix != "/keyed/",
+        timeout_ms: TIMEOUT_MS,
+        objective_ms: OBJECTIVE_MS,
+        gap_ms: kind.is_stream().then_some(100),
+        attempts,
+        priority: 1,
+        targets: vec![Target {
+            pool: PoolId::of(pool),
+            weight: 1,
+        }],
+    }
+}
+
+fn pool(name: &str, model: Option<Model>) -> Pool {
+    Pool {
+        id: PoolId::of(name),
+        name: name.to_owned(),
+        health: "/health".to_owned(),
+        connections: 64,
+        model,
+    }
+}
+
+const fn model() -> Model {
+    Model {
+        slots: 8,
+        memory_tokens: 100_000,
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/repeats.rs
@@ -0,0 +1,87 @@
+//! What may run more than once is tried again; what may not never is.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::Instant;
+
+use crate::backend::{Backend, Way};
+use crate::fleet::ready;
+use crate::protocol::OBJECTIVE_MS;
+
+/// Requests that came to servers, in total.
+fn came(backends: &[&Backend]) -> usize {
+    backends
+        .iter()
+        .map(|backend| backend.state.heads().len())
+        .sum()
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_request_runs_on_as_many_servers_as_its_route_allows() {
+    let table = [
+        (Way::Close, "/once/", 502, 1),
+        (Way::Cross, "/once/", 502, 1),
+        (Way::Truncate, "/once/", 502, 1),
+        (Way::Fail, "/once/", 500, 1),
+        (Way::Close, "/idempotent/", 502, 2),
+        (Way::Truncate, "/idempotent/", 502, 2),
+        (Way::Fail, "/idempotent/", 500, 2),
+    ];
+    for (way, path, status, most) in table {
+        let [a, b, c] = [way; 3].map(Backend::spawn);
+        let (a, b, c) = (a.await, b.await, c.await);
+        let (_service, node) = ready(&[&a, &b, &c]).await;
+        let reply = node.ask(path, "").await;
+        expect_that!(reply.status, eq(status), "{way:?} {path}");
+        expect_that!(came(&[&a, &b, &c]), eq(most), "{way:?} {path}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_a_server_has_not_run_goes_to_another() {
+    for path in ["/once/", "/idempotent/"] {
+        for way in [Way::TurnAway, Way::OtherServer] {
+            let (bad, good) = (Backend::spawn(way).await, Backend::spawn(Way::Answer).await);
+            let (_service, node) = ready(&[&bad, &good]).await;
+            for _ in 0..4 {
+                let reply = node.ask(path, "").await;
+                expect_that!(reply.status, eq(200), "{way:?} {path}");
+            }
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_server_that_cannot_be_reached_is_passed_over() {
+    let gone = Backend {
+        address: "127.0.0.1:1".parse().expect("an address"),
+        ..Backend::spawn(Way::Answer).await
+    };
+    let good = Backend::spawn(Way::Answer).await;
+    let (_service, node) = ready(&[&gone, &good]).await;
+    for _ in 0..4 {
+        expect_that!(node.ask("/once/", "").await.status, eq(200));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_silent_server_is_given_up_in_time_for_another() {
+    let (silent, good) = (
+        Backend::spawn(Way::Hang).await,
+        Backend::spawn(Way::Answer).await,
+    );
+    let (_service, node) = ready(&[&silent, &good]).await;
+    for _ in 0..3 {
+        let begun = Instant::now();
+        expect_that!(node.ask("/idempotent/", "").await.status, eq(200));
+        expect_that!(
+            begun.elapsed(),
+            lt(Duration::from_millis(OBJECTIVE_MS + 100))
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -0,0 +1,100 @@
+//! Streams are passed on whole and in order, marked when cut, resumed where allowed.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+use crate::backend::{Backend, Way, field};
+use crate::caller::{self, Reply};
+use crate::fleet::ready;
+use crate::protocol::TIMEOUT_MS;
+
+const PROMPT: &str = "x-tokens: 100\r\n";
+
+/// The numbers of the events that came whole, in their order.
+fn events(reply: &Reply) -> Vec<u64> {
+    let lines = reply
+        .body
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "));
+    lines.filter_map(|id| id.parse().ok()).collect()
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stream_comes_as_it_was_made() {
+    let backend = Backend::spawn(Way::Stream).await;
+    let (_service, node) = ready(&[&backend]).await;
+    for path in ["/stream/", "/resumable/"] {
+        let reply = node.ask(path, PROMPT).await;
+        expect_that!(reply.status, eq(200));
+        expect_that!(
+            events(&reply),
+            elements_are![eq(&1), eq(&2), eq(&3), eq(&4)]
+        );
+        expect_that!(reply.is_whole, eq(true));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stream_that_breaks_off_does_not_look_whole_and_has_no_part_of_an_event() {
+    let (cut, other) = (
+        Backend::spawn(Way::CutStream).await,
+        Backend::spawn(Way::CutStream).await,
+    );
+    let (_service, node) = ready(&[&cut, &other]).await;
+    let reply = node.ask("/stream/", PROMPT).await;
+    expect_that!(reply.status, eq(200));
+    expect_that!(events(&reply), elements_are![eq(&1), eq(&2)]);
+    expect_that!(reply.is_whole, eq(false));
+    let came = cut.state.heads().len() + other.state.heads().len();
+    expect_that!(came, eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stream_that_may_be_resumed_goes_on_after_the_last_whole_event() {
+    for way in [Way::CutStream, Way::HangStream] {
+        let (bad, good) = (Backend::spawn(way).await, Backend::spawn(Way::Stream).await);
+        let (_service, node) = ready(&[&bad, &good]).await;
+        for _ in 0..3 {
+            let reply = node.ask("/resumable/", PROMPT).await;
+            expect_that!(
+                events(&reply),
+                elements_are![eq(&1), eq(&2), eq(&3), eq(&4)],
+                "{way:?}"
+            );
+            expect_that!(reply.is_whole, eq(true), "{way:?}");
+        }
+        let heads = good.state.heads();
+        let resumed = heads
+            .iter()
+            .filter(|head| field(head, "x-after") == Some("2"));
+        expect_that!(resumed.count(), ge(1), "{way:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stream_ends_when_its_route_allows_no_more() {
+    let backend = Backend::spawn(Way::HangStream).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let begun = tokio::time::Instant::now();
+    let reply = node.ask("/stream/", PROMPT).await;
+    expect_that!(reply.is_whole, eq(false));
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(TIMEOUT_MS + 500)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stream_ends_at_its_server_when_the_caller_leaves() {
+    let backend = Backend::spawn(Way::HangStream).await;
+    let (_service, node) = ready(&[&backend]).await;
+    let stream = caller::open(node.callers, &caller::request("/stream/", PROMPT)).await;
+    sleep(Duration::from_millis(200)).await;
+    drop(stream);
+    sleep(Duration::from_millis(300)).await;
+    expect_that!(backend.state.hung_up(), eq(1));
+}
