--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -22,7 +22,7 @@
     let two = Node::spawn(&service, "g2").await;
     one.wait_ready().await;
     two.wait_ready().await;
-    sleep(Duration::from_millis(1_000)).await;
+    sleep(Duration::from_secs(1)).await;
     two.way.cut(true);
     sleep(Duration::from_millis(KEYS_FRESH_MS + 500)).await;
     expect_that!(
