--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     percent: u64,
+    /// Most that may be saved up, in hundredths of a retry.
+    full: u64,
     hundredths: u64,
 }
 
@@ -19,16 +21,23 @@
     #[must_use]
     pub fn new(percent: u32) -> Self {
         let burst = if percent == 0 { 0 } else { BURST };
+        let full = u64::from(burst) * WHOLE;
         Self {
             percent: u64::from(percent),
-            hundredths: u64::from(burst) * WHOLE,
+            full,
+            hundredths: full,
         }
     }
 
+    /// Bounds what may be saved up, in hundredths of a retry.
+    pub fn set_full(&mut self, hundredths: u64) {
+        self.full = hundredths;
+        self.hundredths = self.hundredths.min(hundredths);
+    }
+
     /// Counts a first attempt.
     pub fn earn(&mut self) {
-        let full = u64::from(BURST) * WHOLE;
-        self.hundredths = (self.hundredths + self.percent).min(full);
+        self.hundredths = (self.hundredths + self.percent).min(self.full);
     }
 
     /// Spends a retry; `false` when none is left.
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -138,11 +138,24 @@
     ReloadFailed = 5005, Error, "settings not reloaded";
 }
 
+impl Event {
+    /// Whether it tells what becomes of one request that goes well or is refused;
+    /// under load there are too many of these to write all.
+    #[must_use]
+    pub const fn is_of_request(self) -> bool {
+        matches!(
+            self,
+            Self::Routed | Self::Answered | Self::Streamed | Self::Refused | Self::HeldBack
+        )
+    }
+}
+
 /// Logs an event with fields: `log!(logger, Event::Ready, "role" => "router")`.
 #[macro_export]
 macro_rules! log {
     ($logger:expr, $event:expr $(, $($fields:tt)*)?) => {{
         let event = $event;
+        if $crate::budget::admits(event) {
         match event.level() {
             $crate::Level::Info => $crate::slog::info!(
                 $logger, "{}", event.text(); "event" => event.number() $(, $($fields)*)?
@@ -154,5 +167,6 @@
                 $logger, "{}", event.text(); "event" => event.number() $(, $($fields)*)?
             ),
         }
+        }
     }};
 }
--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub use slog;
 
+pub mod budget;
 mod catalogue;
 mod logger;
 mod sink;
--- a/crates/event/src/logger.rs
+++ b/crates/event/src/logger.rs
@@ -5,6 +5,7 @@
 
 use slog::{Drain, Logger, o};
 
+use crate::budget;
 use crate::sink::Sink;
 
 /// Lines kept while the output is slow; more are dropped and counted in the log.
@@ -43,9 +44,15 @@
     }
 }
 
+/// Lines about requests that are written a second: every line of an entry VM on a
+/// busy day, at about 300 bytes; a flood of refusals causes many times more.
+const REQUEST_LINES: u32 = 300;
+
 /// Opens a log in JSON on the standard output for a named node. Lines are never
-/// waited for: those that find no room are dropped and counted.
+/// waited for: those that find no room are dropped and counted, and so are lines
+/// about requests beyond some hundred a second.
 pub fn open_output(node: &str) -> Logger {
+    budget::bound(REQUEST_LINES);
     let drain = slog_json::Json::new(Sink::spawn())
         .add_default_keys()
         .set_newlines(true)
--- a/crates/event/src/sink.rs
+++ b/crates/event/src/sink.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::budget;
+
 /// Most bytes that wait to be written; lines beyond are dropped and counted.
 const BUFFER_BYTES: usize = 256 << 10;
 
@@ -15,9 +17,11 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// Where lines are put without waiting for the output.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Sink {
     shared: Arc<Shared>,
+    /// A line that has not come to its end.
+    line: Vec<u8>,
 }
 
 #[derive(Debug, Default)]
@@ -49,14 +53,19 @@
 }
 
 impl Write for Sink {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, text: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(text);
+        if !text.ends_with(b"\n") {
+            return Ok(text.len());
+        }
         let mut lines = self.shared.lines();
-        if lines.len() + line.len() > BUFFER_BYTES {
+        if lines.len() + self.line.len() > BUFFER_BYTES {
             self.shared.dropped.fetch_add(1, Ordering::Relaxed);
         } else {
-            lines.extend_from_slice(line);
+            lines.extend_from_slice(&self.line);
         }
-        Ok(line.len())
+        self.line.clear();
+        Ok(text.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
@@ -79,7 +88,25 @@
                 "{{\"msg\":\"log lines dropped\",\"count\":{dropped}}}"
             );
         }
+        note_left_out(&mut output);
         let _ = output.flush();
         lines.clear();
     }
 }
+
+/// Writes how many lines were left out, by the event's number.
+fn note_left_out(output: &mut impl Write) {
+    let left_out = budget::take_left_out();
+    if left_out.is_empty() {
+        return;
+    }
+    let counts = left_out
+        .iter()
+        .map(|(event, count)| format!("\"{}\":{count}", event.number()));
+    let counts = counts.collect::<Vec<_>>().join(",");
+    // Nobody can be told that the log cannot be written.
+    let _ = writeln!(
+        output,
+        "{{\"msg\":\"log lines left out\",\"events\":{{{counts}}}}}"
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/budgets.rs
@@ -0,0 +1,82 @@
+//! The retries that this node may make, by pool.
+
+use std::collections::HashMap;
+
+use mulberryyoke_decide::retry::Budget;
+use mulberryyoke_model::PoolId;
+use parking_lot::Mutex;
+
+/// Part of the fleet's ratio of retries that one node allows itself: the ratio
+/// holds in each window, and requests are counted late.
+const RATIO_PART: f64 = 0.8;
+
+/// Part of the fleet's slack that all nodes together may have saved up.
+const SLACK_PART: f64 = 0.5;
+
+/// The retries that this node may make, by pool: those of one pool do not count
+/// for another.
+#[derive(Debug, Default)]
+pub(crate) struct Budgets {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    percent: u32,
+    full: u64,
+    by_pool: HashMap<PoolId, Budget>,
+}
+
+impl Inner {
+    fn of(&mut self, pool: PoolId) -> &mut Budget {
+        let (percent, full) = (self.percent, self.full);
+        self.by_pool.entry(pool).or_insert_with(|| {
+            let mut budget = Budget::new(percent);
+            budget.set_full(full);
+            budget
+        })
+    }
+}
+
+impl Budgets {
+    /// Bounds the retries: the fleet may make `ratio` for each request and `slack`
+    /// beyond, and this node is one of `nodes`.
+    pub(crate) fn bound(&self, ratio: f64, slack: u32, nodes: usize) {
+        let percent = whole(ratio * RATIO_PART * 100.0);
+        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX).max(1);
+        let full = u64::from(whole(
+            f64::from(slack) * SLACK_PART * 100.0 / f64::from(nodes),
+        ));
+        let mut inner = self.inner.lock();
+        if inner.percent != percent {
+            inner.by_pool.clear();
+        }
+        if inner.full != full {
+            for budget in inner.by_pool.values_mut() {
+                budget.set_full(full);
+            }
+        }
+        inner.percent = percent;
+        inner.full = full;
+    }
+
+    /// Counts a first attempt.
+    pub(crate) fn earn(&self, pool: PoolId) {
+        self.inner.lock().of(pool).earn();
+    }
+
+    /// Spends a retry; `false` when none is left.
+    pub(crate) fn spend(&self, pool: PoolId) -> bool {
+        self.inner.lock().of(pool).spend()
+    }
+}
+
+fn whole(number: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the cast goes to the nearest bound"
+    )]
+    let whole = number as u32;
+    whole
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,12 +5,12 @@
 use std::sync::atomic::AtomicU32;
 
 use arc_swap::ArcSwap;
-use mulberryyoke_decide::retry::Budget;
 use mulberryyoke_decide::share::Shares;
 use mulberryyoke_event::slog::Logger;
 use mulberryyoke_settings as settings;
 use parking_lot::Mutex;
 
+use crate::budgets::Budgets;
 use crate::exchange::Exchange;
 use crate::mirror::Mirror;
 use crate::protocol::Protocol;
@@ -29,7 +29,7 @@
     pub(crate) mirror: Mirror,
     pub(crate) exchange: Exchange,
     pub(crate) shares: Mutex<Shares>,
-    pub(crate) budget: Mutex<Budget>,
+    pub(crate) budgets: Budgets,
     /// Callers' open connections.
     pub(crate) connections: AtomicU32,
     pub(crate) strain: Strain,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -72,7 +72,7 @@
 
     /// Whether the request may be sent once more after it may have run.
     pub(crate) fn may_repeat(&self, core: &Core, call: &Call) -> bool {
-        self.has_another(call) && Instant::now() < call.deadline && core.budget.lock().spend()
+        self.has_another(call) && Instant::now() < call.deadline && core.budgets.spend(call.pool)
     }
 
     /// Whether another server may run the request besides those that may have.
@@ -98,7 +98,7 @@
     /// Whether the request may be sent once more after a server did not run it.
     fn may_move(&self, core: &Core, call: &Call) -> bool {
         let may = self.not_run < MOST_UNSENT && Instant::now() < call.deadline;
-        may && core.budget.lock().spend()
+        may && core.budgets.spend(call.pool)
     }
 }
 
@@ -107,7 +107,7 @@
     core: &Arc<Core>,
     call: &Arc<Call>,
 ) -> Result<Response<Answer>, Refusal> {
-    core.budget.lock().earn();
+    core.budgets.earn(call.pool);
     let mut trials = Trials::default();
     let mut last = Refusal::NoServer;
     loop {
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -65,7 +65,7 @@
             return Outcome::TimedOut;
         }
         stall = None;
-        if core.budget.lock().spend() {
+        if core.budgets.spend(call.pool) {
             fail(core, call, &running, "no answer for long", "");
             return Outcome::Stalled;
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -298,12 +298,17 @@
     }
 }
 
-/// Finds the level to which the servers' capacity is shared out.
+/// Finds the level to which the servers' capacity is shared out, and the retries
+/// that this node may make.
 fn settle(core: &Core) {
     let plan = core.view.plan();
     let capacity = plan.and_then(|plan| plan.limits().tokens_per_s);
     let capacity = capacity.map_or(f64::INFINITY, f64::from);
     core.shares.lock().settle(capacity, clock::now_ms());
+    let settings = core.settings.load();
+    let nodes = core.exchange.gateways();
+    core.budgets
+        .bound(settings.retry_ratio, settings.retry_slack, nodes);
 }
 
 async fn tell(core: &Core, socket: &UdpSocket) {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use mulberryyoke_decide::retry::Budget;
 use mulberryyoke_event::slog::Logger;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_platform::kv::Feed;
@@ -15,6 +14,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 
+use crate::budgets::Budgets;
 use crate::core::Core;
 use crate::error::Error;
 use crate::exchange::{self, Exchange};
@@ -37,10 +37,6 @@
 /// Time kept of a planned stop for ending the process.
 const END_MS: u64 = 700;
 
-/// Part of the fleet's ratio of retries that one node allows itself: the ratio
-/// holds in each window, and requests are counted late.
-const RATIO_PART: f64 = 0.8;
-
 /// A running gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -67,7 +63,7 @@
         let beats = UdpSocket::bind(address).await;
         let beats = beats.map_err(|source| Error::Bind { address, source })?;
         let core = Arc::new(Core {
-            budget: Mutex::new(Budget::new(percent(settings.retry_ratio))),
+            budgets: Budgets::default(),
             settings: ArcSwap::from_pointee(settings),
             protocol,
             logger,
@@ -80,6 +76,11 @@
             strain: Strain::default(),
             stop: Stop::default(),
         });
+        let (ratio, slack) = {
+            let settings = core.settings.load();
+            (settings.retry_ratio, settings.retry_slack)
+        };
+        core.budgets.bound(ratio, slack, 1);
         tokio::spawn(exchange::announce(Arc::clone(&core), Arc::clone(&feed)));
         tokio::spawn(strain::measure(Arc::clone(&core)));
         tokio::spawn(exchange::run(Arc::clone(&core), beats));
@@ -98,7 +99,6 @@
         let before = core.settings.load_full();
         let needs_restart = before.place() != settings.place();
         log!(core.logger, Event::Reloaded, "needs_restart" => needs_restart);
-        *core.budget.lock() = Budget::new(percent(settings.retry_ratio));
         let settings = settings.at(&before);
         core.settings.store(Arc::new(settings));
     }
@@ -130,13 +130,3 @@
     let listener = TcpListener::bind(address).await;
     listener.map_err(|source| Error::Bind { address, source })
 }
-
-fn percent(ratio: f64) -> u32 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the ratio is checked to be from 0 to 1"
-    )]
-    let percent = (ratio * RATIO_PART * 100.0) as u32;
-    percent
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod backend;
 mod balance;
+mod budgets;
 mod call;
 mod clock;
 mod conn;
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -54,6 +54,7 @@
             keys_fresh_ms: Some(KEYS_FRESH_MS),
             grace_ms: 6_000,
             retry_ratio: 1.0,
+            retry_slack: 20,
             share_window_ms: 4_000,
             descriptors: 1_024,
         };
--- a/crates/gateway/tests/gateway/repeats.rs
+++ b/crates/gateway/tests/gateway/repeats.rs
@@ -85,3 +85,21 @@
         );
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn retries_are_bounded_by_the_requests_of_their_own_pool() {
+    let (bad, other) = (
+        Backend::spawn(Way::Fail).await,
+        Backend::spawn(Way::Fail).await,
+    );
+    let (_service, node) = ready(&[&bad, &other]).await;
+    let requests = 100;
+    for _ in 0..requests {
+        node.ask("/stream/", "x-tokens: 10\r\n").await;
+        node.ask("/idempotent/", "").await;
+    }
+    let again = came(&[&bad, &other]) - 2 * requests;
+    // Four fifths of the ratio of 1, and half of the slack of 20.
+    expect_that!(again, all!(ge(requests * 4 / 5), le(requests * 4 / 5 + 10)));
+}
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -30,6 +30,9 @@
     /// Retries that the fleet may make for each request.
     #[serde(default = "retry_ratio")]
     pub retry_ratio: f64,
+    /// Retries that the fleet may make beyond, in a window of ten seconds.
+    #[serde(default = "retry_slack")]
+    pub retry_slack: u32,
     /// Time over which the customers' portions are counted, in milliseconds.
     #[serde(default = "share_window_ms")]
     pub share_window_ms: u64,
@@ -69,6 +72,10 @@
     0.2
 }
 
+const fn retry_slack() -> u32 {
+    20
+}
+
 const fn share_window_ms() -> u64 {
     4_000
 }
