--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -16,6 +16,10 @@
 /// Path of the metrics.
 const METRICS: &str = "/metrics";
 
+/// Age of the configuration from which peers are told at once to ask elsewhere, in
+/// milliseconds: one call to the key-value service has failed.
+const OUT_OF_TOUCH_MS: u64 = 1_800;
+
 /// Longest time that a peer's call waits, whatever it asks, in milliseconds.
 const MOST_WAIT_MS: u64 = 10_000;
 
@@ -39,6 +43,9 @@
     let (Some(after), Some(wait_ms)) = (number(query, "after"), number(query, "wait_ms")) else {
         return status(StatusCode::BAD_REQUEST);
     };
+    if core.view.age_ms() > OUT_OF_TOUCH_MS {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let wait = Duration::from_millis(wait_ms.min(MOST_WAIT_MS));
     core.mirror.wait(after, wait).await;
     relayed(core.mirror.changes(after, core.view.known_ms(came)))
--- a/crates/gateway/src/follow/source.rs
+++ b/crates/gateway/src/follow/source.rs
@@ -20,14 +20,15 @@
 /// call is paid for.
 const STORE_WAIT_MS: u64 = 700;
 
-/// Longest time that a peer's call waits, in milliseconds.
-const PEER_WAIT_MS: u64 = 1_500;
+/// Longest time that a peer's call waits, in milliseconds: with two silent peers and
+/// then the service itself, a change is still in force within three seconds.
+const PEER_WAIT_MS: u64 = 600;
 
 /// Longest time to connect to a peer, in milliseconds.
 const CONNECT_MS: u64 = 300;
 
 /// Longest time of a call to a peer beyond the time that it waits, in milliseconds.
-const CALL_MS: u64 = 500;
+const CALL_MS: u64 = 300;
 
 /// Largest answer of a peer, in bytes: a configuration of a megabyte and the servers.
 const ANSWER_BYTES: usize = 8 << 20;
--- a/crates/gateway/src/strain.rs
+++ b/crates/gateway/src/strain.rs
@@ -13,12 +13,12 @@
 /// Time between measurements.
 const PERIOD: Duration = Duration::from_millis(50);
 
-/// Lateness of tasks from which callers are sent elsewhere, in milliseconds: beyond
-/// the tenth of a second that a quota of the processor may hold the process.
-const STRAINED_MS: u64 = 180;
+/// Lateness of tasks from which callers are sent elsewhere, in milliseconds: half of
+/// the shortest objective of a plain service, and before connections go unanswered.
+const STRAINED_MS: u64 = 80;
 
 /// Lateness of tasks below which callers are taken again, in milliseconds.
-const EASED_MS: u64 = 40;
+const EASED_MS: u64 = 20;
 
 /// Weight of a measurement, as its divisor.
 const WEIGHT: u64 = 4;
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use tokio::time::sleep;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
 
 use crate::backend::{Backend, Way};
 use crate::feed::Service;
@@ -67,3 +68,33 @@
     // Each renews its lease every 1.5 s; three wait 0.7 s a call for changes.
     expect_that!(calls, le(8 * 3 + 3 * 2 * 7));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_change_is_in_force_in_time_though_the_peers_asked_are_silent() {
+    let service = Service::new();
+    service.set("config", Some("5 secret"));
+    let mut silent = Vec::new();
+    for index in 0..20 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        service.set(&format!("mulberryyoke/gateways/s{index}"), Some(&address));
+        silent.push(listener);
+    }
+    let backend = Backend::spawn(Way::Answer).await;
+    register(&service, 0, &backend, "ready");
+    let node = Node::spawn(&service, "g0").await;
+    let mut slowest = Duration::ZERO;
+    for version in 6..14 {
+        let key = format!("key{version}");
+        service.set("config", Some(&format!("{version} {key}")));
+        let since = Instant::now();
+        let key = format!("Authorization: Bearer {key}\r\n");
+        while node.ask("/keyed/", &key).await.status != 200 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        slowest = slowest.max(since.elapsed());
+        sleep(Duration::from_millis(130 * (version % 5))).await;
+    }
+    expect_that!(slowest, lt(Duration::from_millis(2_600)));
+}
