--- /dev/null
+++ b/crates/daemon/tests/gateway.rs
@@ -0,0 +1,270 @@
+//! The gateway as a process before stand-ins of the platform: signals, settings,
+//! and the way from a request's id to its cause by the log alone.
+
+#[path = "../../../platform/tests/standin/mod.rs"]
+mod standin;
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::standin::{server, store::Store};
+
+/// Longest time that a test waits for anything.
+const LONGEST: Duration = Duration::from_secs(10);
+
+/// A running gateway and what it has logged.
+struct Process {
+    child: Child,
+    settings: PathBuf,
+    callers: SocketAddr,
+    lines: Arc<Mutex<Vec<Value>>>,
+    store: Store,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+fn settings(store: &Store, addresses: [SocketAddr; 3]) -> Value {
+    json!({
+        "name": "edge-1", "zone": "a", "callers": addresses[0], "health": addresses[1],
+        "control": addresses[2], "store": store.address, "keys_fresh_ms": 5_000,
+    })
+}
+
+impl Process {
+    /// Starts a gateway before one server that takes `pause` for each first event.
+    async fn spawn(name: &str, pause: Duration) -> Self {
+        let store = Store::spawn().await;
+        let server = server::spawn(pause).await;
+        let config = json!({
+            "version": 3,
+            "routes": [{"name": "r-1", "host": "h.example", "prefix": "/s/", "kind": "streaming",
+                "timeoutMs": 5_000, "sloMs": 200, "service": "llm", "attempts": 1, "public": true,
+                "gapTargetMs": 500}],
+            "services": [{"name": "llm", "healthPath": "/health",
+                "engine": {"slots": 8, "kvCapacityTokens": 100_000}}],
+            "limits": {"headerBytes": 16_384, "maxBodyBytes": 10_000, "headerTimeoutMs": 3_000,
+                "idleTimeoutMs": 15_000},
+        });
+        store.put("op/config", config.to_string().as_bytes());
+        let registration =
+            json!({"service": "llm", "address": server, "zone": "a", "slots": 8, "state": "ready"});
+        store.put("servers/i-1", registration.to_string().as_bytes());
+        let addresses = [free(), free(), free()];
+        let path =
+            std::env::temp_dir().join(format!("mulberryyoke-{name}-{}.json", std::process::id()));
+        fs::write(&path, settings(&store, addresses).to_string()).expect("a file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_mulberryyoked"))
+            .args(["gateway", "--settings"])
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the gateway starts");
+        let output = child.stdout.take().expect("its output");
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let read = Arc::clone(&lines);
+        thread::spawn(move || {
+            for line in BufReader::new(output)
+                .lines()
+                .map_while(std::result::Result::ok)
+            {
+                let line = serde_json::from_str(&line).expect("a line is JSON");
+                read.lock().expect("no panic").push(line);
+            }
+        });
+        let process = Self {
+            child,
+            settings: path,
+            callers: addresses[0],
+            lines,
+            store,
+        };
+        process.wait(|line| line["event"] == 1016).await;
+        process
+    }
+
+    /// Waits for a line of the log.
+    async fn wait(&self, is_it: impl Fn(&Value) -> bool) -> Value {
+        let until = Instant::now() + LONGEST;
+        loop {
+            let found = self
+                .lines
+                .lock()
+                .expect("no panic")
+                .iter()
+                .find(|line| is_it(line))
+                .cloned();
+            if let Some(line) = found {
+                return line;
+            }
+            assert!(Instant::now() < until, "the line is logged");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Numbers of the events that have a request's id, in their order, once `last` is there.
+    async fn events(&self, id: &str, last: u64) -> Vec<u64> {
+        self.wait(|line| line["request"] == id && line["event"] == last)
+            .await;
+        let lines = self.lines.lock().expect("no panic");
+        let of_id = lines.iter().filter(|line| line["request"] == id);
+        of_id.filter_map(|line| line["event"].as_u64()).collect()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        kill_process(pid.expect("a process id"), signal).expect("it runs");
+    }
+
+    async fn ask(&self, id: &str, path: &str, tokens: u32) -> String {
+        let mut stream = self.send(id, path, tokens).await;
+        let mut text = String::new();
+        // A connection that is reset ends here as well.
+        let _ = stream.read_to_string(&mut text).await;
+        text
+    }
+
+    async fn send(&self, id: &str, path: &str, tokens: u32) -> TcpStream {
+        let mut stream = TcpStream::connect(self.callers).await.expect("it listens");
+        let request = format!(
+            "POST /s/{path} HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nMulberryyoke-Request-Id: {id}\r\nMulberryyoke-Model: m\r\nMulberryyoke-Token-Counts: {tokens},10\r\nMulberryyoke-Prompt-Prefix: 1f:{tokens}\r\nContent-Length: 0\r\n\r\n"
+        );
+        stream
+            .write_all(request.as_bytes())
+            .await
+            .expect("it reads");
+        stream
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_refused_request_leads_to_what_the_server_had_to_do() {
+    let process = Process::spawn("refused", Duration::from_secs(2)).await;
+    let _long = process.send("long", "any", 60_000).await;
+    process
+        .wait(|line| line["request"] == "long" && line["event"] == 1001)
+        .await;
+    let reply = process.ask("refused", "any", 2_000).await;
+    expect_that!(reply, starts_with("HTTP/1.1 503"));
+    let events = process.events("refused", 1003).await;
+    expect_that!(events, elements_are![eq(&1019), eq(&1003)]);
+    let line = process
+        .wait(|line| line["request"] == "refused" && line["event"] == 1019)
+        .await;
+    expect_that!(line["server"].as_str(), some(eq("i-1")));
+    expect_that!(
+        line["wait_ms"].as_u64(),
+        some(gt(line["allowed_ms"].as_u64().unwrap_or(0)))
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_late_first_event_leads_to_the_server_and_its_prompt() {
+    let process = Process::spawn("late", Duration::from_millis(700)).await;
+    process.ask("late", "any", 1_000).await;
+    let events = process.events("late", 1014).await;
+    expect_that!(events, elements_are![eq(&1001), eq(&1004), eq(&1014)]);
+    let routed = process
+        .wait(|line| line["request"] == "late" && line["event"] == 1001)
+        .await;
+    expect_that!(routed["server"].as_str(), some(eq("i-1")));
+    expect_that!(routed["uncached"].as_u64(), some(eq(1_000)));
+    expect_that!(routed["elapsed_ms"].as_u64(), some(lt(200)));
+    let answered = process
+        .wait(|line| line["request"] == "late" && line["event"] == 1004)
+        .await;
+    expect_that!(answered["elapsed_ms"].as_u64(), some(ge(700)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_broken_stream_leads_to_the_server_that_broke_off() {
+    let process = Process::spawn("broken", Duration::ZERO).await;
+    let reply = process.ask("broken", "broken", 1_000).await;
+    expect_that!(reply, not(contains_substring("\r\n0\r\n")));
+    let events = process.events("broken", 2007).await;
+    expect_that!(
+        events,
+        elements_are![eq(&1001), eq(&1004), eq(&1014), eq(&2007)]
+    );
+    let ended = process
+        .wait(|line| line["request"] == "broken" && line["event"] == 1014)
+        .await;
+    expect_that!(
+        (ended["end"].as_str(), ended["server"].as_str()),
+        eq((Some("broken"), Some("i-1")))
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn settings_are_read_again_on_a_signal_and_when_the_file_changes() {
+    let process = Process::spawn("reload", Duration::ZERO).await;
+    process.signal(Signal::HUP);
+    let line = process.wait(|line| line["event"] == 5004).await;
+    expect_that!(line["needs_restart"].as_bool(), some(eq(false)));
+    expect_that!(
+        process.ask("after", "any", 10).await,
+        starts_with("HTTP/1.1 200")
+    );
+    fs::write(&process.settings, "{").expect("a file");
+    process.wait(|line| line["event"] == 5005).await;
+    let moved = settings(&process.store, [free(), free(), free()]);
+    fs::write(&process.settings, moved.to_string()).expect("a file");
+    process
+        .wait(|line| line["event"] == 5004 && line["needs_restart"] == true)
+        .await;
+    expect_that!(
+        process.ask("later", "any", 10).await,
+        starts_with("HTTP/1.1 200")
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_planned_stop_ends_with_success() {
+    let mut process = Process::spawn("stop", Duration::from_millis(300)).await;
+    let stream = process.send("running", "any", 10).await;
+    process
+        .wait(|line| line["request"] == "running" && line["event"] == 1001)
+        .await;
+    process.signal(Signal::TERM);
+    process.wait(|line| line["event"] == 5002).await;
+    let events = process.events("running", 1014).await;
+    expect_that!(events.last(), some(eq(&1014)));
+    drop(stream);
+    let until = Instant::now() + LONGEST;
+    while Instant::now() < until {
+        if let Some(status) = process.child.try_wait().expect("its status") {
+            expect_that!(status.success(), eq(true));
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    add_failure!("the process ends");
+}
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -106,9 +106,9 @@
     };
     let choice = choose(prompt, candidates, clock::ms(now)).ok_or(Refusal::NoServer)?;
     drop(engines);
-    admit(core, call, &choice, standing)?;
     let chosen = open.iter().find(|b| b.server.id == choice.server);
     let backend = chosen.ok_or(Refusal::NoServer)?;
+    admit(core, call, &choice, standing, &backend.server.name)?;
     let own = prompt.tokens - prompt.shared_tokens();
     let is_new = choice.uncached > own;
     if let Some(customer) = &call.customer {
@@ -122,7 +122,13 @@
 ///
 /// A customer that has more than it may have is sent only where little waits, so
 /// that those who have less come first.
-fn admit(core: &Core, call: &Call, choice: &Choice, standing: Standing) -> Result<(), Refusal> {
+fn admit(
+    core: &Core,
+    call: &Call,
+    choice: &Choice,
+    standing: Standing,
+    server: &str,
+) -> Result<(), Refusal> {
     #[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
     let objective = call.route.objective_ms as f64;
     let factor = leeway(standing, choice.mean_wait_ms);
@@ -135,7 +141,7 @@
     log!(core.logger, Event::HeldBack,
         "request" => &call.id,
         "customer" => call.customer_name(),
-        "server" => choice.server.0,
+        "server" => server,
         "wait_ms" => rounded(choice.wait_ms),
         "read_ms" => rounded(choice.read_ms),
         "uncached" => choice.uncached,
