--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -57,11 +57,6 @@
         within("keys_fresh_ms", fresh_ms, 1..=MAX_PERIOD_MS)?;
     }
     within("grace_ms", gateway.grace_ms, 0..=MAX_DRAIN_MS)?;
-    within(
-        "share_window_ms",
-        gateway.share_window_ms,
-        1..=MAX_PERIOD_MS,
-    )?;
     let fewest = u64::from(MIN_DESCRIPTORS);
     within(
         "descriptors",
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -33,9 +33,6 @@
     /// Retries that the fleet may make beyond, in a window of ten seconds.
     #[serde(default = "retry_slack")]
     pub retry_slack: u32,
-    /// Time over which the customers' portions are counted, in milliseconds.
-    #[serde(default = "share_window_ms")]
-    pub share_window_ms: u64,
     /// File descriptors that the process may have open.
     #[serde(default = "descriptors")]
     pub descriptors: u32,
@@ -76,10 +73,6 @@
     20
 }
 
-const fn share_window_ms() -> u64 {
-    4_000
-}
-
 const fn descriptors() -> u32 {
     1_024
 }
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -293,3 +293,56 @@
         }
     }
 }
+
+fn gateway() -> Value {
+    json!({
+        "name": "entry-1",
+        "zone": "a",
+        "callers": "127.0.0.1:7001",
+        "health": "127.0.0.1:7002",
+        "control": "127.0.0.1:7003",
+        "store": "127.0.0.1:8781",
+    })
+}
+
+#[gtest]
+fn a_gateways_settings_are_found_out_and_accepted() {
+    let file = File::new("gateway", &gateway().to_string());
+    expect_that!(check(&file.0, None), ok(eq(&Role::Gateway)));
+}
+
+#[gtest]
+fn a_gateways_wrong_values_are_refused() {
+    let table = [
+        ("/name", json!(" "), "name: must not be empty"),
+        ("/zone", json!(""), "zone: must not be empty"),
+        (
+            "/health",
+            json!("127.0.0.1:7001"),
+            "health: 127.0.0.1:7001 is the address of callers",
+        ),
+        (
+            "/store",
+            json!("127.0.0.1:0"),
+            "store: 127.0.0.1:0: allowed are ports",
+        ),
+        (
+            "/keys_fresh_ms",
+            json!(0),
+            "keys_fresh_ms: 0 is not allowed; allowed are 1 to 60000",
+        ),
+        ("/descriptors", json!(12), "descriptors: 12 is not allowed"),
+        (
+            "/retry_ratio",
+            json!(1.5),
+            "retry_ratio: must be from 0 to 1",
+        ),
+        ("/retry_slack", json!(-1), "retry_slack"),
+        ("/unknown", json!(1), "unknown field `unknown`"),
+    ];
+    for (index, (pointer, value, text)) in table.into_iter().enumerate() {
+        let name = format!("gateway-{index}");
+        let said = said(&name, gateway(), pointer, value);
+        expect_that!(said, contains_substring(text));
+    }
+}
