--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::core::Core;
 use crate::refusal::Refusal;
+use crate::round::whole;
 
 /// Part of a stream's objective that the first event may be expected to take, for
 /// a customer that has less than its portion.
@@ -142,19 +143,19 @@
         "request" => &call.id,
         "customer" => call.customer_name(),
         "server" => server,
-        "wait_ms" => rounded(choice.wait_ms),
-        "read_ms" => rounded(choice.read_ms),
+        "wait_ms" => whole(choice.wait_ms),
+        "read_ms" => whole(choice.read_ms),
         "uncached" => choice.uncached,
         "again" => choice.again,
-        "allowed_ms" => rounded(objective * part),
-        "mean_wait_ms" => rounded(choice.mean_wait_ms),
-        "of_portion" => rounded(standing.of_portion * 100.0),
-        "of_given" => rounded(standing.of_given * 100.0));
+        "allowed_ms" => whole(objective * part),
+        "mean_wait_ms" => whole(choice.mean_wait_ms),
+        "of_portion" => whole(standing.of_portion * 100.0),
+        "of_given" => whole(standing.of_given * 100.0));
     let ms = beyond.clamp(RETRY_MS.0, RETRY_MS.1);
     if standing.of_portion > 1.0 {
-        return Err(Refusal::Share(rounded(ms)));
+        return Err(Refusal::Share(whole(ms)));
     }
-    Err(Refusal::Busy(rounded(ms)))
+    Err(Refusal::Busy(whole(ms)))
 }
 
 /// Factor of the time that a customer's prompts may take to be begun.
@@ -168,13 +169,3 @@
     }
     over.powi(-OVER_POWER)
 }
-
-fn rounded(number: f64) -> u32 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the cast goes to the nearest bound"
-    )]
-    let rounded = number.round() as u32;
-    rounded
-}
--- a/crates/gateway/src/budgets.rs
+++ b/crates/gateway/src/budgets.rs
@@ -6,6 +6,8 @@
 use mulberryyoke_model::PoolId;
 use parking_lot::Mutex;
 
+use crate::round::whole;
+
 /// Part of the fleet's ratio of retries that one node allows itself: the ratio
 /// holds in each window, and requests are counted late.
 const RATIO_PART: f64 = 0.8;
@@ -70,13 +72,3 @@
         self.inner.lock().of(pool).spend()
     }
 }
-
-fn whole(number: f64) -> u32 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the cast goes to the nearest bound"
-    )]
-    let whole = number as u32;
-    whole
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod ready;
 mod refusal;
 mod roster;
+mod round;
 mod server;
 mod socket;
 mod stop;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -1,7 +1,6 @@
 //! What callers and backend servers say, read by an adapter at the process's edge.
 
 mod ask;
-mod load;
 mod order;
 mod reading;
 mod unreadable;
@@ -10,7 +9,6 @@
 use hyper::http::{request, response};
 
 pub use self::ask::Ask;
-pub use self::load::Load;
 pub use self::order::Order;
 pub use self::reading::{Proof, Reading};
 pub use self::unreadable::Unreadable;
--- a/crates/gateway/src/protocol/reading.rs
+++ b/crates/gateway/src/protocol/reading.rs
@@ -1,7 +1,5 @@
 //! What the head of a server's answer proves.
 
-use super::Load;
-
 /// What the head of a server's answer proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reading {
@@ -11,8 +9,6 @@
     pub is_last: bool,
     /// How long the connection may be idle, in milliseconds.
     pub idle_ms: Option<u64>,
-    /// What the server tells of its load.
-    pub load: Option<Load>,
 }
 
 /// What became of a request.
--- /dev/null
+++ b/crates/gateway/src/round.rs
@@ -0,0 +1,12 @@
+//! Whole numbers of what is counted in parts.
+
+/// A number without its fraction; out of range, the nearest bound.
+pub(crate) fn whole(number: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the cast goes to the nearest bound"
+    )]
+    let whole = number as u32;
+    whole
+}
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -75,7 +75,6 @@
             proof,
             is_last: false,
             idle_ms: None,
-            load: None,
         }
     }
 
