--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -19,7 +19,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::standin::{server, store::Store};
+use crate::standin::store::Store;
+use crate::standin::{caller, server};
 
 /// Longest time that a test waits for anything.
 const LONGEST: Duration = Duration::from_secs(10);
@@ -59,20 +60,7 @@
     async fn spawn(name: &str, pause: Duration) -> Self {
         let store = Store::spawn().await;
         let server = server::spawn(pause).await;
-        let config = json!({
-            "version": 3,
-            "routes": [{"name": "r-1", "host": "h.example", "prefix": "/s/", "kind": "streaming",
-                "timeoutMs": 5_000, "sloMs": 200, "service": "llm", "attempts": 1, "public": true,
-                "gapTargetMs": 500}],
-            "services": [{"name": "llm", "healthPath": "/health",
-                "engine": {"slots": 8, "kvCapacityTokens": 100_000}}],
-            "limits": {"headerBytes": 16_384, "maxBodyBytes": 10_000, "headerTimeoutMs": 3_000,
-                "idleTimeoutMs": 15_000},
-        });
-        store.put("op/config", config.to_string().as_bytes());
-        let registration =
-            json!({"service": "llm", "address": server, "zone": "a", "slots": 8, "state": "ready"});
-        store.put("servers/i-1", registration.to_string().as_bytes());
+        store.configure(server);
         let addresses = [free(), free(), free()];
         let path =
             std::env::temp_dir().join(format!("mulberryyoke-{name}-{}.json", std::process::id()));
@@ -149,9 +137,7 @@
 
     async fn send(&self, id: &str, path: &str, tokens: u32) -> TcpStream {
         let mut stream = TcpStream::connect(self.callers).await.expect("it listens");
-        let request = format!(
-            "POST /s/{path} HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nMulberryyoke-Request-Id: {id}\r\nMulberryyoke-Model: m\r\nMulberryyoke-Token-Counts: {tokens},10\r\nMulberryyoke-Prompt-Prefix: 1f:{tokens}\r\nContent-Length: 0\r\n\r\n"
-        );
+        let request = caller::request(id, path, tokens);
         stream
             .write_all(request.as_bytes())
             .await
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -18,8 +18,8 @@
 use crate::core::Core;
 use crate::exchange;
 
-/// Least time between two calls for changes, in milliseconds: servers write their
-/// heartbeats there many times a second, and each call is paid for.
+/// Least time between two calls for changes, in milliseconds: each call is paid for,
+/// and a burst of changes is learnt by a few calls.
 const PACE_MS: u64 = 200;
 
 /// Pauses after failed calls, in milliseconds.
