Streams are not broken off for want of a retry or refused when resumed; large answers are passed on

Found by reading: a pause of three gaps ended a resumable stream also when no retry was left (19 of 20 in the test); what went on at another server could be refused there, and counted as asked twice; an answer over 256 KB was told as unknown. Errors of accepting and of reading heads were passed over. Three tests, each seen failing.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -84,6 +84,8 @@
     HeldBack = 1019, Info, "request held back";
     /// A router has more to do than its processor can, or no longer.
     Strained = 1020, Warning, "strain changed";
+    /// A caller's head could not be read.
+    Malformed = 1021, Info, "head malformed";
     /// A sidecar reserved a slot for a customer's request at a router.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
@@ -145,7 +147,12 @@
     pub const fn is_of_request(self) -> bool {
         matches!(
             self,
-            Self::Routed | Self::Answered | Self::Streamed | Self::Refused | Self::HeldBack
+            Self::Routed
+                | Self::Answered
+                | Self::Streamed
+                | Self::Refused
+                | Self::HeldBack
+                | Self::Malformed
         )
     }
 }
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -51,7 +51,14 @@
 const RETRY_MS: (f64, f64) = (100.0, 1_500.0);
 
 /// Chooses a server and counts the request there. Servers in `tried` are left out.
-pub(crate) fn place(core: &Core, call: &Call, tried: &[ServerId]) -> Result<Running, Refusal> {
+/// One that `may_have_run` is not refused for what others have to do: that it has
+/// not run can no longer be promised, and what it took would be lost.
+pub(crate) fn place(
+    core: &Core,
+    call: &Call,
+    tried: &[ServerId],
+    may_have_run: bool,
+) -> Result<Running, Refusal> {
     core.roster.of(call.pool, |servers| {
         let now = Instant::now();
         let open: Vec<&Arc<Backend>> = servers
@@ -59,7 +66,9 @@
             .filter(|backend| backend.is_open() && !tried.contains(&backend.server.id))
             .collect();
         if call.prompt.is_some() {
-            return place_prompt(core, call, &open, now);
+            let standing = standing(core, call, tried.is_empty());
+            let standing = (!may_have_run).then_some(standing);
+            return place_prompt(core, call, &open, standing, now);
         }
         let zone = &core.settings.load().zone;
         let best = open.into_iter().min_by(|a, b| {
@@ -85,6 +94,7 @@
     core: &Core,
     call: &Call,
     open: &[&Arc<Backend>],
+    standing: Option<Standing>,
     now: Instant,
 ) -> Result<Running, Refusal> {
     let prompt = call.prompt.as_ref().ok_or(Refusal::NoServer)?;
@@ -97,28 +107,34 @@
             penalty_ms: backend.health.lock().penalty_ms(now),
         }
     });
-    let standing = match &call.customer {
-        Some(customer) => {
-            let mut shares = core.shares.lock();
-            shares.ask(customer.id, prompt.cost());
-            shares.standing(customer.id)
-        }
-        None => Standing::default(),
-    };
     let choice = choose(prompt, candidates, clock::ms(now)).ok_or(Refusal::NoServer)?;
     drop(engines);
     let chosen = open.iter().find(|b| b.server.id == choice.server);
     let backend = chosen.ok_or(Refusal::NoServer)?;
-    admit(core, call, &choice, standing, &backend.server.name)?;
+    if let Some(standing) = standing {
+        admit(core, call, &choice, standing, &backend.server.name)?;
+    }
     let own = prompt.tokens - prompt.shared_tokens();
     let is_new = choice.uncached > own;
-    if let Some(customer) = &call.customer {
+    if let Some(customer) = call.customer.as_ref().filter(|_| standing.is_some()) {
         core.shares.lock().give(customer.id, prompt.cost());
     }
     core.exchange.note(choice.server, prompt, is_new);
     Ok(Running::begin(backend, Some(prompt)))
 }
 
+/// What the customer was given, beside what it may have; a new request counts as asked.
+fn standing(core: &Core, call: &Call, is_new: bool) -> Standing {
+    let (Some(customer), Some(prompt)) = (&call.customer, &call.prompt) else {
+        return Standing::default();
+    };
+    let mut shares = core.shares.lock();
+    if is_new {
+        shares.ask(customer.id, prompt.cost());
+    }
+    shares.standing(customer.id)
+}
+
 /// Refuses a prompt whose first token would come too late where it costs least.
 ///
 /// A customer that has more than it may have is sent only where little waits, so
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -50,7 +50,7 @@
         call: &Arc<Call>,
         resume_after: Option<u64>,
     ) -> Result<(Outcome, ServerId), Refusal> {
-        let running = balance::place(core, call, &self.tried)?;
+        let running = balance::place(core, call, &self.tried, self.ran > 0)?;
         let server = running.backend.server.id;
         self.tried.push(server);
         note(core, call, &running, self.ran + self.not_run);
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
@@ -19,10 +19,10 @@
 use crate::header;
 use crate::outcome::Outcome;
 use crate::protocol::{Order, Proof, Reading};
-use crate::{clock, pump};
+use crate::{clock, pass, pump};
 
 /// Largest answer that is kept until it is whole, in bytes; larger ones are passed on as they come.
-const WHOLE_BYTES: u64 = 256 << 10;
+const WHOLE_BYTES: usize = 256 << 10;
 
 /// Sends a request to the server where it is counted, and waits for the answer's
 /// head, or for a short answer's end.
@@ -152,26 +152,50 @@
     }
     let collected = tokio::select! {
         collected = collect(body) => collected,
-        () = sleep_until(call.deadline) => return Outcome::TimedOut,
+        () = sleep_until(call.deadline) => {
+            fail(core, call, &running, "no whole answer in time", "");
+            return Outcome::TimedOut;
+        }
     };
-    let Some(whole) = collected else {
-        fail(core, call, &running, "answer broke off", "");
-        return Outcome::Unknown;
+    let answer = match collected {
+        Ok(Collected::Whole(whole)) => {
+            finish(running, conn, reading);
+            Answer::whole(whole)
+        }
+        Ok(Collected::Large(begun, rest)) => {
+            let pieces = pass::spawn(core, call, running, (conn, reading), begun, rest);
+            Answer::Pieces(pieces)
+        }
+        Err(error) => {
+            fail(core, call, &running, "answer broke off", &error.to_string());
+            return Outcome::Unknown;
+        }
     };
-    finish(running, conn, reading);
-    let response = Response::from_parts(head, Answer::whole(whole));
+    let response = Response::from_parts(head, answer);
     if response.status() >= StatusCode::INTERNAL_SERVER_ERROR {
         return Outcome::Failed(response);
     }
     Outcome::Answered(response)
 }
 
-/// Reads a whole body; `None` if it breaks off or is too large.
-async fn collect(body: Incoming) -> Option<Bytes> {
-    let limit = usize::try_from(WHOLE_BYTES).unwrap_or(usize::MAX);
-    let limited = http_body_util::Limited::new(body, limit);
-    let collected = limited.collect().await.ok()?;
-    Some(collected.to_bytes())
+/// A body as far as it is kept.
+enum Collected {
+    /// To its end.
+    Whole(Bytes),
+    /// Its beginning, and where the rest comes from.
+    Large(Bytes, Incoming),
+}
+
+/// Reads a body to its end, or until it is larger than is kept.
+async fn collect(mut body: Incoming) -> Result<Collected, hyper::Error> {
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        read.extend_from_slice(&frame?.into_data().unwrap_or_default());
+        if read.len() > WHOLE_BYTES {
+            return Ok(Collected::Large(read.freeze(), body));
+        }
+    }
+    Ok(Collected::Whole(read.freeze()))
 }
 
 /// Keeps the connection after a whole answer.
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -9,6 +9,7 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
+use mulberryyoke_event::{Event, log};
 use rand::RngExt;
 use tokio::time::{Instant, timeout_at};
 
@@ -37,7 +38,10 @@
         let since = Instant::now();
         let (parts, body) = request.into_parts();
         let ask = core.protocol.ask(&parts);
-        let ask = ask.map_err(|_| Refusal::Malformed)?;
+        let ask = ask.map_err(|error| {
+            log!(core.logger, Event::Malformed, "error" => error.to_string());
+            Refusal::Malformed
+        })?;
         Ok(Self {
             ask,
             since,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod listen;
 mod mirror;
 mod outcome;
+mod pass;
 pub mod plan;
 pub mod protocol;
 mod pump;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -36,7 +36,7 @@
 const CROWDED_PART: u32 = 8;
 
 /// Pause after a failure to accept, for example for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Takes callers' connections until the port is closed, then lets the open ones end.
 pub(crate) async fn serve(core: Arc<Core>, listener: TcpListener) {
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -33,6 +33,8 @@
 enum End {
     Whole,
     Broken,
+    /// Nothing came for long, and another server is asked.
+    Stalled,
     Late,
     HungUp,
     Stopping,
@@ -43,6 +45,7 @@
         match self {
             Self::Whole => "whole",
             Self::Broken => "broken",
+            Self::Stalled => "stalled",
             Self::Late => "late",
             Self::HungUp => "hung_up",
             Self::Stopping => "stopping",
@@ -93,13 +96,14 @@
 impl Pump {
     async fn run(mut self, conn: Conn, reading: Reading) {
         let end = self.pass().await;
-        if end == End::Broken && self.trials.may_repeat(&self.core, &self.call) {
+        let is_stalled = end == End::Stalled;
+        if is_stalled || (end == End::Broken && self.trials.may_repeat(&self.core, &self.call)) {
             drop(conn);
-            return self.resume().await;
+            return self.resume(end).await;
         }
         let broken = match end {
             End::Whole | End::HungUp => None,
-            End::Broken => Some(Broken::Server),
+            End::Broken | End::Stalled => Some(Broken::Server),
             End::Late => Some(Broken::Late),
             End::Stopping => Some(Broken::Stopping),
         };
@@ -110,7 +114,7 @@
         }
         match end {
             End::Whole => finish(self.running, conn, reading),
-            End::Broken => fail(
+            End::Broken | End::Stalled => fail(
                 &self.core,
                 &self.call,
                 &self.running,
@@ -122,8 +126,8 @@
     }
 
     /// Goes on at another server after the last event that the caller has.
-    async fn resume(mut self) {
-        self.note(End::Broken);
+    async fn resume(mut self, end: End) {
+        self.note(end);
         let (core, call) = (&Arc::clone(&self.core), &Arc::clone(&self.call));
         fail(core, call, &self.running, "stream broke off", "resuming");
         let next = self.trials.next(core, call, self.last_event);
@@ -158,14 +162,24 @@
     async fn pass(&mut self) -> End {
         let core = Arc::clone(&self.core);
         let deadline = self.call.deadline;
+        let mut stall = self.stall();
         loop {
-            let stall = self.stall().unwrap_or(deadline);
+            let until = stall.map_or(deadline, |stall| stall.min(deadline));
             let frame = tokio::select! {
                 biased;
                 () = self.pieces.closed() => return End::HungUp,
                 frame = self.body.frame() => frame,
-                () = sleep_until(stall.min(deadline)), if stall < deadline => return End::Broken,
-                () = sleep_until(deadline) => return End::Late,
+                () = sleep_until(until) => {
+                    if until >= deadline {
+                        return End::Late;
+                    }
+                    if self.trials.may_repeat(&core, &self.call) {
+                        return End::Stalled;
+                    }
+                    // No retry is left, and a slow answer is better than none.
+                    stall = None;
+                    continue;
+                }
                 () = core.stop.end.cancelled() => return End::Stopping,
             };
             let data = match frame {
@@ -173,6 +187,7 @@
                 None if self.events.flush().is_empty() => return End::Whole,
                 None | Some(Err(_)) => return End::Broken,
             };
+            stall = self.stall();
             let whole = self.events.read(data);
             if whole.is_empty() {
                 continue;
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -13,9 +13,12 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use mulberryyoke_event::{Event, log};
 use tokio::net::TcpListener;
+use tokio::time::sleep;
 
 use crate::core::Core;
+use crate::listen;
 
 /// Age of the configuration from which a node is not ready, in milliseconds: a call
 /// to the key-value service has failed by then, and its repetition.
@@ -93,8 +96,13 @@
             () = core.stop.end.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, _)) = accepted else {
-            continue;
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log!(core.logger, Event::AcceptFailed, "error" => error.to_string());
+                sleep(listen::ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let core = Arc::clone(&core);
         let service = service_fn(move |request| answer(Arc::clone(&core), request));
--- a/crates/gateway/tests/gateway/answers.rs
+++ b/crates/gateway/tests/gateway/answers.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use tokio::time::{Instant, sleep};
 
-use crate::backend::{Backend, Way, field};
+use crate::backend::{Backend, LARGE, Way, field};
 use crate::caller;
 use crate::fleet::ready;
 use crate::protocol::TIMEOUT_MS;
@@ -166,3 +166,17 @@
     sleep(Duration::from_millis(300)).await;
     expect_that!(backend.state.hung_up(), eq(1));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_large_answer_is_passed_on_whole() {
+    let backend = Backend::spawn(Way::Large).await;
+    let (_service, node) = ready(&[&backend]).await;
+    for path in ["/once/", "/idempotent/"] {
+        let reply = node.ask(path, "").await;
+        expect_that!((reply.status, reply.is_whole), eq((200, true)), "{path}");
+        let came = reply.body.bytes().filter(|byte| *byte == b'x').count();
+        expect_that!(came, eq(LARGE), "{path}");
+    }
+    expect_that!(backend.state.heads().len(), eq(2));
+}
--- a/crates/gateway/tests/gateway/backend.rs
+++ b/crates/gateway/tests/gateway/backend.rs
@@ -39,8 +39,15 @@
     CutStream,
     /// Answers events 1 and 2, and then says nothing.
     HangStream,
+    /// As `Stream`, with a long pause after event 2.
+    SlowStream,
+    /// Answers with a seal and [`LARGE`] bytes.
+    Large,
 }
 
+/// Length of a large answer, in bytes.
+pub(crate) const LARGE: usize = 1_000_000;
+
 /// A running server.
 #[derive(Debug)]
 pub(crate) struct Backend {
@@ -146,6 +153,13 @@
             let _ = stream.write_all(b"8\r\nid: 3\nda\r\n").await;
             return false;
         }
+        Way::Large => whole(200, &sealed, LARGE).replace("done", &"x".repeat(LARGE)),
+        Way::SlowStream => {
+            events(stream, &sealed, head, 2).await;
+            sleep(Duration::from_millis(600)).await;
+            let rest = "f\r\nid: 3\ndata: a\n\n\r\nf\r\nid: 4\ndata: a\n\n\r\n0\r\n\r\n";
+            return stream.write_all(rest.as_bytes()).await.is_ok();
+        }
         Way::HangStream => {
             events(stream, &sealed, head, 2).await;
             hang(stream, state).await;
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -7,8 +7,8 @@
 
 use crate::backend::{Backend, Way, field};
 use crate::caller::{self, Reply};
-use crate::fleet::ready;
-use crate::protocol::TIMEOUT_MS;
+use crate::fleet::{ready, register};
+use crate::protocol::{LONG_PROMPT, TIMEOUT_MS};
 
 const PROMPT: &str = "x-tokens: 100\r\n";
 
@@ -98,3 +98,38 @@
     sleep(Duration::from_millis(300)).await;
     expect_that!(backend.state.hung_up(), eq(1));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_slow_stream_is_not_broken_off_when_no_retry_is_left() {
+    let (slow, other) = (
+        Backend::spawn(Way::SlowStream).await,
+        Backend::spawn(Way::SlowStream).await,
+    );
+    let (_service, node) = ready(&[&slow, &other]).await;
+    let asks = (0..40).map(|_| node.ask("/resumable/", PROMPT));
+    let replies = futures::future::join_all(asks).await;
+    let whole = replies
+        .iter()
+        .filter(|reply| reply.status == 200 && reply.is_whole);
+    let begun = replies.iter().filter(|reply| reply.status == 200);
+    expect_that!(whole.count(), eq(begun.count()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_broken_stream_is_offered_to_a_server_where_a_new_request_would_be_refused() {
+    let busy = Backend::spawn(Way::Hang).await;
+    let (service, node) = ready(&[&busy]).await;
+    let long = caller::request("/stream/", &format!("x-tokens: {LONG_PROMPT}\r\n"));
+    let _long = caller::open(node.callers, &long).await;
+    sleep(Duration::from_millis(100)).await;
+    expect_that!(node.ask("/resumable/", PROMPT).await.status, eq(503));
+    let cut = Backend::spawn(Way::CutStream).await;
+    register(&service, 1, &cut, "ready");
+    sleep(Duration::from_millis(500)).await;
+    let reply = node.ask("/resumable/", PROMPT).await;
+    expect_that!(events(&reply), elements_are![eq(&1), eq(&2)]);
+    let heads = busy.state.heads();
+    expect_that!(field(&heads[heads.len() - 1], "x-after"), some(eq("2")));
+}
