--- a/crates/gateway/examples/cost.rs
+++ b/crates/gateway/examples/cost.rs
@@ -1,7 +1,10 @@
 //! Processor time of a gateway a request: callers and servers run on threads of
 //! their own, so that the gateway's thread can be measured and profiled alone.
 //!
-//! `cargo run --release -p mulberryyoke-gateway --example cost -- [REQUESTS] [CALLERS]`
+//! `cargo run --release -p mulberryyoke-gateway --example cost -- [REQUESTS] [CALLERS] [refused]`
+//!
+//! With `refused` every server reads a prompt that takes longer than the objective, and all
+//! requests come on kept connections and are refused.
 
 #[allow(dead_code, reason = "the tests use all of it")]
 #[path = "../tests/gateway/backend.rs"]
@@ -26,6 +29,7 @@
 
 use mulberryyoke_gateway::Gateway;
 use mulberryyoke_settings as settings;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::runtime::Builder;
 
 use crate::backend::{Backend, Way};
@@ -35,6 +39,9 @@
 /// Ticks of the system's clock a second.
 const TICKS_S: f64 = 100.0;
 
+/// Servers before the gateway.
+const SERVERS: u32 = 55;
+
 /// Addresses of the gateway: callers, health, control, store.
 const PORTS: [u16; 4] = [17_401, 17_402, 17_403, 17_404];
 
@@ -47,13 +54,15 @@
             .unwrap_or(usual)
     };
     let (requests, callers) = (number(4_000), number(16));
+    let is_refused = words.next().is_some_and(|word| word == "refused");
+    let way = if is_refused { Way::Hang } else { Way::Stream };
     let service = Service::new();
     let (sender, receiver) = mpsc::channel();
     let servers = Arc::clone(&service);
     thread::spawn(move || {
         let runtime = Builder::new_current_thread().enable_all().build();
         runtime.expect("a runtime").block_on(async {
-            service_with_servers(&servers).await;
+            service_with_servers(&servers, way).await;
             sender.send(()).expect("the main thread waits");
             std::future::pending::<()>().await;
         });
@@ -65,9 +74,13 @@
         .spawn(move || run_gateway(&gateway))
         .expect("a thread");
     thread::sleep(Duration::from_millis(1_500));
+    if is_refused {
+        load(Load::Long, SERVERS, SERVERS);
+    }
+    let kind = if is_refused { Load::Kept } else { Load::Fresh };
     let before = ticks();
     let begun = Instant::now();
-    let whole = load(requests, callers);
+    let whole = load(kind, requests, callers);
     let spent_ms = (ticks() - before) / TICKS_S * 1_000.0;
     println!(
         "{{\"requests\":{requests},\"whole\":{whole},\"seconds\":{:.2},\"processor_ms_a_request\":{:.3}}}",
@@ -76,10 +89,10 @@
     );
 }
 
-async fn service_with_servers(service: &Service) {
+async fn service_with_servers(service: &Service, way: Way) {
     service.set("config", Some("1 secret"));
-    for index in 0..12 {
-        let backend = Backend::spawn(Way::Stream).await;
+    for index in 0..SERVERS {
+        let backend = Backend::spawn(way).await;
         let value = format!("model {} ready", backend.address);
         service.set(&format!("servers/model-{index}"), Some(&value));
     }
@@ -111,8 +124,19 @@
     });
 }
 
+/// What callers send.
+#[derive(Clone, Copy, Debug)]
+enum Load {
+    /// Requests on connections of their own.
+    Fresh,
+    /// Requests on kept connections.
+    Kept,
+    /// Long prompts, whose answers nobody waits for.
+    Long,
+}
+
 /// Sends the requests and returns how many were answered whole.
-fn load(requests: u32, callers: u32) -> u32 {
+fn load(kind: Load, requests: u32, callers: u32) -> u32 {
     let left = Arc::new(AtomicU32::new(requests));
     let whole = Arc::new(AtomicU32::new(0));
     let runtime = Builder::new_multi_thread()
@@ -124,17 +148,19 @@
         for _ in 0..callers {
             let (left, whole) = (Arc::clone(&left), Arc::clone(&whole));
             tasks.push(tokio::spawn(async move {
-                let gateway = SocketAddr::from(([127, 0, 0, 1], PORTS[0]));
-                let request = caller::request("/stream/", "x-tokens: 500\r\n");
                 while left
                     .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| n.checked_sub(1))
                     .is_ok()
                 {
-                    let reply = caller::send(gateway, &request).await;
-                    whole.fetch_add(
-                        u32::from(reply.status == 200 && reply.is_whole),
-                        Ordering::Relaxed,
-                    );
+                    let is_whole = match kind {
+                        Load::Fresh => fresh().await,
+                        Load::Long => long().await,
+                        Load::Kept => {
+                            whole.fetch_add(kept(&left).await, Ordering::Relaxed);
+                            return;
+                        }
+                    };
+                    whole.fetch_add(u32::from(is_whole), Ordering::Relaxed);
                 }
             }));
         }
@@ -145,6 +171,51 @@
     whole.load(Ordering::Relaxed)
 }
 
+fn gateway() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], PORTS[0]))
+}
+
+async fn fresh() -> bool {
+    let request = caller::request("/stream/", "x-tokens: 500\r\n");
+    let reply = caller::send(gateway(), &request).await;
+    reply.status == 200 && reply.is_whole
+}
+
+async fn long() -> bool {
+    let request = caller::request("/stream/", "x-tokens: 60000\r\n");
+    let stream = caller::open(gateway(), &request).await;
+    // It stays open until the process ends.
+    std::mem::forget(stream.into_std());
+    true
+}
+
+/// Sends requests on one connection until none is left, and returns how many were answered.
+async fn kept(left: &AtomicU32) -> u32 {
+    let request = caller::request("/stream/", "x-tokens: 500\r\n");
+    let request = request.replace("Connection: close\r\n", "");
+    let mut stream = caller::open(gateway(), &request).await;
+    let mut answered = 0;
+    let mut read = Vec::new();
+    loop {
+        read.clear();
+        while !read.ends_with(b"}\n") {
+            if stream.read_buf(&mut read).await.unwrap_or(0) == 0 {
+                return answered;
+            }
+        }
+        answered += 1;
+        if left
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| n.checked_sub(1))
+            .is_err()
+        {
+            return answered;
+        }
+        if stream.write_all(request.as_bytes()).await.is_err() {
+            return answered;
+        }
+    }
+}
+
 /// Processor time of the gateway's thread, in ticks.
 fn ticks() -> f64 {
     let tasks = fs::read_dir("/proc/self/task").expect("the process's threads");
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -41,13 +41,22 @@
 /// Takes callers' connections until the port is closed, then lets the open ones end.
 pub(crate) async fn serve(core: Arc<Core>, listener: TcpListener) {
     let shutdown = GracefulShutdown::new();
+    if let Err(error) = socket::tune(&listener) {
+        log!(core.logger, Event::AcceptFailed, "error" => error.to_string());
+    }
+    let mut inherits = None;
     loop {
         let accepted = tokio::select! {
             () = core.stop.close.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => connect(&core, &shutdown, stream),
+            Ok((stream, _)) => {
+                let inherits = *inherits.get_or_insert_with(|| socket::is_tuned(&stream));
+                if inherits || is_usable(&core, &stream) {
+                    connect(&core, &shutdown, stream);
+                }
+            }
             Err(error) => {
                 log!(core.logger, Event::AcceptFailed, "error" => error.to_string());
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -61,12 +70,16 @@
     }
 }
 
-fn connect(core: &Arc<Core>, shutdown: &GracefulShutdown, stream: TcpStream) {
-    if let Err(error) = socket::tune(&stream) {
-        // The caller has gone between the two calls.
+/// Sets a connection's options; `false` if the caller has gone meanwhile.
+fn is_usable(core: &Core, stream: &TcpStream) -> bool {
+    let tuned = socket::tune(stream);
+    if let Err(error) = &tuned {
         log!(core.logger, Event::AcceptFailed, "error" => error.to_string());
-        return;
     }
+    tuned.is_ok()
+}
+
+fn connect(core: &Arc<Core>, shutdown: &GracefulShutdown, stream: TcpStream) {
     let plan = core.view.plan();
     let limits = plan.as_ref().map(|plan| plan.limits());
     let head_bytes = limits.map_or(HEAD_BYTES, |limits| limits.head_bytes);
@@ -140,7 +153,7 @@
     ];
     let is_refusal = refusals.contains(&status);
     let is_leaving = core.stop.leave.is_cancelled();
-    is_leaving || core.strain.is_strained() || (is_refusal && is_crowded(core))
+    is_leaving || core.strain.sends_away() || (is_refusal && is_crowded(core))
 }
 
 /// Whether so many connections are open that those of refused callers are closed:
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -62,6 +62,10 @@
     events: Events,
     pieces: mpsc::Sender<Result<Bytes, Broken>>,
     passed: u32,
+    /// When events were last passed on.
+    passed_at: Instant,
+    /// Longest pause between events, in milliseconds.
+    pause_ms: u64,
     /// The last event that the caller has.
     last_event: Option<u64>,
     /// Servers asked for this request.
@@ -86,6 +90,8 @@
         events: Events::default(),
         pieces,
         passed: 0,
+        passed_at: Instant::now(),
+        pause_ms: 0,
         last_event: call.resume_after,
         trials,
     };
@@ -193,7 +199,7 @@
                 continue;
             }
             self.running.first();
-            self.passed += 1;
+            self.count();
             self.last_event = sse::last_id(&whole).or(self.last_event);
             if self.pieces.send(Ok(whole)).await.is_err() {
                 return End::HungUp;
@@ -201,6 +207,17 @@
         }
     }
 
+    /// Counts events that are passed on.
+    fn count(&mut self) {
+        let now = Instant::now();
+        if self.passed > 0 {
+            let pause_ms = clock::between_ms(self.passed_at, now);
+            self.pause_ms = self.pause_ms.max(pause_ms);
+        }
+        self.passed += 1;
+        self.passed_at = now;
+    }
+
     /// When a stream that may go on elsewhere is taken to have broken off.
     fn stall(&self) -> Option<Instant> {
         let gap_ms = self.call.route.gap_ms?;
@@ -215,6 +232,7 @@
             "server" => &self.running.backend.server.name,
             "end" => end.word(),
             "pieces" => self.passed,
+            "pause_ms" => self.pause_ms,
             "elapsed_ms" => elapsed_ms);
         metrics::counter!("streams_total", "end" => end.word()).increment(1);
     }
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -18,9 +18,9 @@
 
 /// Sets what both sides of the router need: no delay of small writes, and an
 /// error within seconds when the peer's machine is gone.
-pub(crate) fn tune(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
+pub(crate) fn tune<'a>(socket: impl Into<SockRef<'a>>) -> io::Result<()> {
+    let socket = socket.into();
+    socket.set_tcp_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(PROBE)
         .with_interval(PROBE)
@@ -28,3 +28,14 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
 }
+
+/// Whether a connection has what [`tune`] sets. Linux hands the options of a listening
+/// socket on to the connections that it accepts, which saves six calls for each of them.
+pub(crate) fn is_tuned(stream: &TcpStream) -> bool {
+    let socket = SockRef::from(stream);
+    let has_nodelay = socket.tcp_nodelay().unwrap_or(false);
+    let has_keepalive = socket.keepalive().unwrap_or(false);
+    let probe = socket.tcp_keepalive_time().ok();
+    let unacknowledged = socket.tcp_user_timeout().ok().flatten();
+    has_nodelay && has_keepalive && probe == Some(PROBE) && unacknowledged == Some(UNACKNOWLEDGED)
+}
--- a/crates/gateway/src/strain.rs
+++ b/crates/gateway/src/strain.rs
@@ -20,6 +20,10 @@
 /// Lateness of tasks below which callers are taken again, in milliseconds.
 const EASED_MS: u64 = 20;
 
+/// Time after which the balancer sends new connections elsewhere, in milliseconds: it asks
+/// once a second and goes by two answers. Until then a new connection only costs more.
+const AWAY_MS: u64 = 2_200;
+
 /// Weight of a measurement, as its divisor.
 const WEIGHT: u64 = 4;
 
@@ -28,6 +32,8 @@
 pub(crate) struct Strain {
     late_ms: AtomicU64,
     is_strained: AtomicBool,
+    /// When callers began to be sent elsewhere, in milliseconds of this process's clock.
+    since_ms: AtomicU64,
 }
 
 impl Strain {
@@ -36,6 +42,13 @@
         self.is_strained.load(Ordering::Relaxed)
     }
 
+    /// Whether callers that are connected should come back on new connections: these
+    /// go elsewhere only once the balancer has seen twice that this node is not ready.
+    pub(crate) fn sends_away(&self) -> bool {
+        let since_ms = self.since_ms.load(Ordering::Relaxed);
+        self.is_strained() && clock::now_ms().saturating_sub(since_ms) >= AWAY_MS
+    }
+
     /// Notes by how much a task was late; `true` if that changes what callers should do.
     fn note(&self, ms: u64) -> bool {
         let late_ms = self.late_ms.load(Ordering::Relaxed);
@@ -44,6 +57,9 @@
         let was_strained = self.is_strained();
         let is_strained = late_ms > if was_strained { EASED_MS } else { STRAINED_MS };
         self.is_strained.store(is_strained, Ordering::Relaxed);
+        if is_strained && !was_strained {
+            self.since_ms.store(clock::now_ms(), Ordering::Relaxed);
+        }
         was_strained != is_strained
     }
 }
--- a/crates/gateway/tests/gateway/backend.rs
+++ b/crates/gateway/tests/gateway/backend.rs
@@ -37,6 +37,8 @@
     Stream,
     /// Answers events 1 and 2, half of 3, and closes the connection.
     CutStream,
+    /// Answers events 1 and 2 and breaks off, all in one packet.
+    CutAtOnce,
     /// Answers events 1 and 2, and then says nothing.
     HangStream,
     /// As `Stream`, with a long pause after event 2.
@@ -153,6 +155,14 @@
             let _ = stream.write_all(b"8\r\nid: 3\nda\r\n").await;
             return false;
         }
+        Way::CutAtOnce => {
+            let text = format!(
+                "HTTP/1.1 200 OK\r\n{sealed}\r\ntransfer-encoding: chunked\r\n\r\n\
+                 7\r\nid: 1\n\n\r\n7\r\nid: 2\n\n\r\n8\r\nid: 3\nda\r\n"
+            );
+            let _ = stream.write_all(text.as_bytes()).await;
+            return false;
+        }
         Way::Large => whole(200, &sealed, LARGE).replace("done", &"x".repeat(LARGE)),
         Way::SlowStream => {
             events(stream, &sealed, head, 2).await;
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -53,6 +53,18 @@
     expect_that!(came, eq(1));
 }
 
+#[gtest]
+#[tokio::test]
+async fn events_that_came_before_a_break_are_passed_on_though_both_came_at_once() {
+    let backend = Backend::spawn(Way::CutAtOnce).await;
+    let (_service, node) = ready(&[&backend]).await;
+    for _ in 0..5 {
+        let reply = node.ask("/stream/", PROMPT).await;
+        expect_that!(events(&reply), elements_are![eq(&1), eq(&2)]);
+        expect_that!(reply.is_whole, eq(false));
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_stream_that_may_be_resumed_goes_on_after_the_last_whole_event() {
