--- a/crates/decide/src/engine.rs
+++ b/crates/decide/src/engine.rs
@@ -3,6 +3,7 @@
 
 mod cache;
 mod choice;
+mod pause;
 mod prompt;
 mod rate;
 mod recent;
@@ -94,6 +95,12 @@
         own.queued + own.running + others.queued + others.running
     }
 
+    /// Streams that the server runs, from any router.
+    #[must_use]
+    pub const fn running(&self) -> u32 {
+        self.own.running.saturating_add(self.others.running)
+    }
+
     /// Time until the server would begin to read a prompt sent now, in milliseconds.
     #[must_use]
     pub fn wait_ms(&self) -> f64 {
--- a/crates/decide/src/engine/choice.rs
+++ b/crates/decide/src/engine/choice.rs
@@ -2,7 +2,7 @@
 
 use mulberryyoke_model::{Millis, ServerId};
 
-use super::{Engine, Prompt};
+use super::{Engine, Prompt, pause};
 use crate::place::weight;
 
 /// How much a millisecond of reading counts beside one of waiting: reading also
@@ -60,11 +60,13 @@
 }
 
 /// Chooses the server where a prompt costs least: the time it waits, twice the
-/// time it is read, what is read again, and what is held against the server.
+/// time it is read, what is read again, the streams there that come late, and what is
+/// held against the server. `pause_ms` is the longest pause of a stream on time.
 /// `None` without candidates.
 pub fn choose<'a>(
     prompt: &Prompt,
     candidates: impl Iterator<Item = Candidate<'a>> + Clone,
+    pause_ms: f64,
     now: Millis,
 ) -> Option<Choice> {
     let kept = candidates
@@ -87,6 +89,7 @@
         let mut cost = choice.wait_ms
             + READ_WEIGHT * choice.read_ms
             + AGAIN_MS * f64::from(choice.again)
+            + pause::cost_ms(candidate.engine, choice.uncached, pause_ms)
             + candidate.penalty_ms;
         if is_new {
             cost += RECENT_MS * candidate.engine.recent.tokens(now);
--- /dev/null
+++ b/crates/decide/src/engine/pause.rs
@@ -0,0 +1,28 @@
+//! What reading prompts costs the streams that run beside it: an engine makes one token
+//! of each stream for each part of a prompt that it reads, so that a long reading in a row
+//! holds up the next event of all its streams.
+
+use super::Engine;
+
+/// Time of reading in a row from which streams begin to come late, and from which all do,
+/// as parts of the longest pause of a stream on time.
+const LATE_PARTS: (f64, f64) = (0.5, 0.9);
+
+/// Cost of one stream that comes late, in milliseconds of waiting: about what reading
+/// 2,000 shared tokens again costs.
+const STREAM_MS: f64 = 600.0;
+
+/// Cost of the streams of a server that come late when it has to read `tokens` more, in
+/// milliseconds of waiting. `pause_ms` is the longest pause of a stream on time.
+pub(super) fn cost_ms(engine: &Engine, tokens: u32, pause_ms: f64) -> f64 {
+    let before = late_part(engine, 0, pause_ms);
+    let after = late_part(engine, tokens, pause_ms);
+    f64::from(engine.running()) * STREAM_MS * (after - before)
+}
+
+/// Part of a server's streams that come late.
+fn late_part(engine: &Engine, tokens: u32, pause_ms: f64) -> f64 {
+    let reading_ms = engine.rate.ms(engine.backlog().saturating_add(tokens));
+    let (none, all) = LATE_PARTS;
+    ((reading_ms / pause_ms - none) / (all - none)).clamp(0.0, 1.0)
+}
--- a/crates/decide/tests/engine.rs
+++ b/crates/decide/tests/engine.rs
@@ -4,6 +4,9 @@
 use mulberryyoke_decide::engine::{Cache, Candidate, Engine, Load, Prompt, Rate, Recent, choose};
 use mulberryyoke_model::ServerId;
 
+/// Longest pause of a stream on time, in milliseconds.
+const PAUSE_MS: f64 = 500.0;
+
 /// A prompt of a shared part and 500 tokens of its own.
 fn prompt(shared: u64, tokens: u32) -> Prompt {
     Prompt::of("m", [(1, 100), (shared, tokens), (0xffff, 500)], 80)
@@ -19,7 +22,7 @@
         engine,
         penalty_ms: 0.0,
     });
-    choose(prompt, candidates, 0).map(|choice| choice.server.0 as usize)
+    choose(prompt, candidates, PAUSE_MS, 0).map(|choice| choice.server.0 as usize)
 }
 
 #[gtest]
@@ -75,6 +78,30 @@
     expect_that!(chosen(&prompt, &[&idle, &keeper]), some(eq(0)));
 }
 
+#[gtest]
+fn a_long_prompt_goes_where_it_holds_up_few_streams() {
+    let streams = |running, unread| {
+        let mut engine = Engine::new(32, 100_000);
+        engine.others = Load {
+            unread,
+            queued: 0,
+            running,
+        };
+        engine
+    };
+    let (full, few) = (streams(12, 0), streams(1, 6_000));
+    // Reading 30,000 tokens takes about the longest pause.
+    let table = [(30_000, 1), (2_000, 0)];
+    for (tokens, server) in table {
+        let prompt = Prompt::of("m", [(9, tokens)], 80);
+        expect_that!(
+            chosen(&prompt, &[&full, &few]),
+            some(eq(server)),
+            "{tokens}"
+        );
+    }
+}
+
 #[gtest]
 fn what_peers_sent_counts_as_what_was_sent_here() {
     let mut loaded = engine();
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -107,7 +107,9 @@
             penalty_ms: backend.health.lock().penalty_ms(now),
         }
     });
-    let choice = choose(prompt, candidates, clock::ms(now)).ok_or(Refusal::NoServer)?;
+    let pause_ms = call.route.gap_ms.map_or(f64::INFINITY, as_f64);
+    let choice = choose(prompt, candidates, pause_ms, clock::ms(now));
+    let choice = choice.ok_or(Refusal::NoServer)?;
     drop(engines);
     let chosen = open.iter().find(|b| b.server.id == choice.server);
     let backend = chosen.ok_or(Refusal::NoServer)?;
@@ -146,8 +148,7 @@
     standing: Standing,
     server: &str,
 ) -> Result<(), Refusal> {
-    #[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
-    let objective = call.route.objective_ms as f64;
+    let objective = as_f64(call.route.objective_ms);
     let factor = leeway(standing, choice.mean_wait_ms);
     let part = PORTION_PART * factor;
     let beyond = choice.first_ms() - objective * part;
@@ -185,3 +186,8 @@
     }
     over.powi(-OVER_POWER)
 }
+
+#[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
+const fn as_f64(ms: u64) -> f64 {
+    ms as f64
+}
