--- a/crates/decide/src/engine/pause.rs
+++ b/crates/decide/src/engine/pause.rs
@@ -9,8 +9,8 @@
 const LATE_PARTS: (f64, f64) = (0.5, 0.9);
 
 /// Cost of one stream that comes late, in milliseconds of waiting: about what reading
-/// 2,000 shared tokens again costs.
-const STREAM_MS: f64 = 600.0;
+/// 800 shared tokens again costs.
+const STREAM_MS: f64 = 250.0;
 
 /// Cost of the streams of a server that come late when it has to read `tokens` more, in
 /// milliseconds of waiting. `pause_ms` is the longest pause of a stream on time.
