--- /dev/null
+++ b/crates/daemon/tests/soak/plan.rs
@@ -0,0 +1,102 @@
+//! The faults of a run: the same seed gives the same ones.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::link::Way;
+
+/// Time in which faults begin.
+pub(crate) const SPAN: Duration = Duration::from_secs(9);
+
+/// Shortest and longest time of a fault that lasts, in milliseconds.
+const LASTS_MS: (u64, u64) = (200, 3_000);
+
+/// Fewest and most faults of a run, for each gateway.
+const FAULTS: (usize, usize) = (4, 7);
+
+/// What goes wrong, or is planned.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fault {
+    /// A gateway is killed and started again.
+    Kill,
+    /// A gateway is stopped as planned and started again.
+    Stop,
+    /// A gateway is frozen for a time.
+    Freeze,
+    /// A gateway is told to read its settings again.
+    Reload,
+    /// A gateway's way to the store is harmed.
+    Store(Way),
+    /// The store refuses every call.
+    Refuse,
+    /// The store forgets its history.
+    Compact,
+    /// The way to a server is harmed.
+    Server(Way),
+    /// A server leaves as planned, and another takes its address.
+    Replace,
+    /// The configuration gains or loses a route.
+    Route,
+    /// A key is taken away.
+    Revoke,
+}
+
+impl Fault {
+    /// Its name in counts.
+    pub(crate) fn word(self) -> String {
+        let text = format!("{self:?}").to_lowercase();
+        text.replace(|c: char| c.is_ascii_digit(), "")
+            .replace("()", "")
+    }
+}
+
+/// A fault and when it begins and ends.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Step {
+    pub(crate) at: Duration,
+    pub(crate) lasts: Duration,
+    pub(crate) fault: Fault,
+    /// Which gateway or server; taken by remainder.
+    pub(crate) target: usize,
+}
+
+/// The steps of a seed, in their order.
+pub(crate) fn steps(seed: u64, gates: usize) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let count = rng.random_range(FAULTS.0..=FAULTS.1) * gates;
+    let mut steps: Vec<Step> = (0..count).map(|_| step(&mut rng)).collect();
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+fn step(rng: &mut ChaCha8Rng) -> Step {
+    let span_ms = u64::try_from(SPAN.as_millis()).unwrap_or(0);
+    let way = match rng.random_range(0..4) {
+        0 => Way::Slow(rng.random_range(20..300)),
+        1 => Way::Silent,
+        2 => Way::OneWay,
+        _ => Way::Reset,
+    };
+    let fault = match rng.random_range(0..14) {
+        0 => Fault::Kill,
+        1 | 2 => Fault::Stop,
+        3 => Fault::Freeze,
+        4 => Fault::Reload,
+        5 | 6 => Fault::Store(way),
+        7 => Fault::Refuse,
+        8 => Fault::Compact,
+        9 | 10 => Fault::Server(way),
+        11 => Fault::Replace,
+        12 => Fault::Route,
+        _ => Fault::Revoke,
+    };
+    Step {
+        at: Duration::from_millis(rng.random_range(0..span_ms)),
+        lasts: Duration::from_millis(rng.random_range(LASTS_MS.0..LASTS_MS.1)),
+        fault,
+        target: rng.random_range(0..64),
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/scene.rs
@@ -0,0 +1,343 @@
+//! A run: gateways, servers, the store, callers, and the faults that are played.
+
+use std::collections::{BTreeMap, HashMap};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use rustix::process::Signal;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::audit::{Audit, audit};
+use crate::backend::{Arrival, Backend};
+use crate::forms::{Stage, registration, server_key};
+use crate::gate::{GRACE_MS, Gate};
+use crate::link::{Link, Way};
+use crate::load::{self, Record};
+use crate::operator::Operator;
+use crate::plan::{self, Fault, SPAN, Step};
+use crate::store::Store;
+use crate::trouble::{Place, Troubles};
+
+/// Servers of each pool.
+const SERVERS: usize = 4;
+
+/// Time between looks at the readiness of the gateways.
+const LOOK: Duration = Duration::from_millis(300);
+
+/// Time within which gateways are ready after their start.
+const START: Duration = Duration::from_secs(15);
+
+/// Time after all were killed and started within which requests are served again.
+const RECOVER: Duration = Duration::from_secs(5);
+
+/// Part of the requests that are served after that, and for how long it is looked at.
+const SERVED: f64 = 0.9;
+const SETTLED: Duration = Duration::from_millis(1_500);
+
+/// A server, the proxy before it and its pool.
+struct Host {
+    backend: Backend,
+    link: Link,
+    pool: &'static str,
+}
+
+/// A run and what is seen in it.
+pub(crate) struct Scene {
+    pub(crate) gates: Vec<Gate>,
+    pub(crate) operator: Operator,
+    pub(crate) records: Mutex<Vec<Record>>,
+    pub(crate) arrivals: Arc<std::sync::Mutex<Vec<Arrival>>>,
+    pub(crate) troubles: Troubles,
+    store: Store,
+    links: Vec<Link>,
+    hosts: Vec<Host>,
+    /// When servers were told to be leaving.
+    left: Mutex<HashMap<String, Instant>>,
+    ready: Vec<AtomicU64>,
+    is_over: AtomicBool,
+    named: AtomicU64,
+}
+
+/// What a run gave.
+pub(crate) struct Outcome {
+    pub(crate) audit: Audit,
+    pub(crate) requests: usize,
+    pub(crate) served: usize,
+    pub(crate) faults: BTreeMap<String, usize>,
+    pub(crate) logs: PathBuf,
+}
+
+/// Plays a seed with a number of gateways and callers.
+pub(crate) async fn play(seed: u64, gates: usize, callers: usize) -> Outcome {
+    let directory = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("a directory");
+    let scene = Arc::new(Scene::open(&directory, gates).await);
+    let until = Instant::now() + START;
+    while !(0..gates).all(|gate| scene.is_ready(gate)) {
+        assert!(
+            Instant::now() < until,
+            "the gateways of seed {seed} become ready"
+        );
+        scene.look().await;
+    }
+    let steps = plan::steps(seed, gates);
+    let mut faults = BTreeMap::new();
+    for step in &steps {
+        *faults.entry(step.fault.word()).or_default() += 1;
+    }
+    let mut tasks: Vec<_> = (0..callers as u64)
+        .map(|caller| tokio::spawn(load::call(Arc::clone(&scene), seed << 16 | caller)))
+        .collect();
+    let looking = Arc::clone(&scene);
+    tasks.push(tokio::spawn(async move {
+        while !looking.is_over() {
+            looking.look().await;
+            sleep(LOOK).await;
+        }
+    }));
+    let begun = Instant::now();
+    let played: Vec<_> = steps
+        .into_iter()
+        .map(|step| tokio::spawn(Arc::clone(&scene).play_step(step, begun)))
+        .collect();
+    for step in played {
+        step.await.expect("a fault is played");
+    }
+    let served = scene.kill_all(begun).await;
+    scene.is_over.store(true, Ordering::Relaxed);
+    for task in tasks {
+        task.await.expect("a caller ends");
+    }
+    let mut audit = audit(&scene);
+    audit.checked.insert("served after all were killed", 1);
+    if served < SERVED {
+        audit
+            .findings
+            .push(format!("served after all were killed: {served:.2}"));
+    }
+    let records = scene.records.lock();
+    Outcome {
+        audit,
+        requests: records.len(),
+        served: records.iter().filter(|record| record.is_served()).count(),
+        faults,
+        logs: directory,
+    }
+}
+
+impl Scene {
+    async fn open(directory: &std::path::Path, count: usize) -> Self {
+        let store = Store::spawn().await;
+        let arrivals = Arc::default();
+        let mut hosts = Vec::new();
+        for index in 0..2 * SERVERS {
+            let pool = if index < SERVERS { "desk" } else { "llm" };
+            let backend = Backend::spawn(&format!("s-{index}"), Arc::clone(&arrivals)).await;
+            let link = Link::spawn(backend.address).await;
+            let value = registration(pool, link.address, Stage::Ready);
+            store.put(&server_key(&backend.name()), &value);
+            hosts.push(Host {
+                backend,
+                link,
+                pool,
+            });
+        }
+        let mut links = Vec::new();
+        let mut gates = Vec::new();
+        let operator = Operator::new(store.clone());
+        for index in 0..count {
+            let link = Link::spawn(store.address).await;
+            let gate = Gate::new(directory, index, link.address);
+            gate.start();
+            links.push(link);
+            gates.push(gate);
+        }
+        Self {
+            ready: gates.iter().map(|_| AtomicU64::new(0)).collect(),
+            gates,
+            operator,
+            records: Mutex::default(),
+            arrivals,
+            troubles: Troubles::default(),
+            store,
+            links,
+            hosts,
+            left: Mutex::default(),
+            is_over: AtomicBool::new(false),
+            named: AtomicU64::new(0),
+        }
+    }
+
+    pub(crate) fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Relaxed)
+    }
+
+    /// Whether the store serves all gateways.
+    pub(crate) fn is_serving(&self) -> bool {
+        let now = Instant::now();
+        self.troubles.is_calm(Place::Stores, now, now)
+    }
+
+    /// When a server was told to be leaving.
+    pub(crate) fn left(&self, server: &str) -> Option<Instant> {
+        self.left.lock().get(server).copied()
+    }
+
+    /// A gateway in rotation, or any if none is.
+    pub(crate) fn rotation(&self, chance: usize) -> usize {
+        let ready: Vec<usize> = (0..self.gates.len())
+            .filter(|gate| self.is_ready(*gate))
+            .collect();
+        match ready.len() {
+            0 => chance % self.gates.len(),
+            count => ready[chance % count],
+        }
+    }
+
+    /// Two questions in a row without a good answer take a gateway out.
+    fn is_ready(&self, gate: usize) -> bool {
+        self.ready[gate].load(Ordering::Relaxed) > 0
+    }
+
+    async fn look(&self) {
+        let asked = self.gates.iter().map(|gate| timeout(LOOK, is_ready(gate)));
+        let answers = futures::future::join_all(asked).await;
+        for (ready, answer) in self.ready.iter().zip(answers) {
+            let before = ready.load(Ordering::Relaxed);
+            let now = if answer.unwrap_or(false) {
+                2
+            } else {
+                before.saturating_sub(1)
+            };
+            ready.store(now, Ordering::Relaxed);
+        }
+    }
+
+    async fn play_step(self: Arc<Self>, step: Step, begun: Instant) {
+        sleep((begun + step.at).saturating_duration_since(Instant::now())).await;
+        let gate = step.target % self.gates.len();
+        let host = &self.hosts[step.target % self.hosts.len()];
+        match step.fault {
+            Fault::Kill => self.restart(gate, Signal::KILL).await,
+            Fault::Stop => self.restart(gate, Signal::TERM).await,
+            Fault::Freeze => {
+                let trouble = self.troubles.begin(Place::Gate(gate));
+                self.gates[gate].signal(Signal::STOP);
+                sleep(step.lasts).await;
+                self.gates[gate].signal(Signal::CONT);
+                self.troubles.end(trouble);
+            }
+            Fault::Reload => self.gates[gate].signal(Signal::HUP),
+            Fault::Store(way) => {
+                let trouble = self.troubles.begin(Place::Store(gate));
+                self.links[gate].set(way);
+                sleep(step.lasts).await;
+                self.links[gate].set(Way::Open);
+                self.troubles.end(trouble);
+            }
+            Fault::Refuse => {
+                let trouble = self.troubles.begin(Place::Stores);
+                self.store.set_refusing(true);
+                sleep(step.lasts).await;
+                self.store.set_refusing(false);
+                self.troubles.end(trouble);
+            }
+            Fault::Compact => self.store.compact(),
+            Fault::Server(way) => {
+                let trouble = self.troubles.begin(Place::Server);
+                host.link.set(way);
+                sleep(step.lasts).await;
+                host.link.set(Way::Open);
+                self.troubles.end(trouble);
+            }
+            Fault::Replace => self.replace(host).await,
+            Fault::Route => self.operator.turn_route(),
+            Fault::Revoke => self.operator.revoke(),
+        }
+    }
+
+    /// Ends a gateway and starts it again. A planned stop is no fault until the process
+    /// has ended.
+    async fn restart(&self, gate: usize, signal: Signal) {
+        let is_planned = signal == Signal::TERM;
+        let trouble = (!is_planned).then(|| self.troubles.begin(Place::Gate(gate)));
+        self.gates[gate].signal(signal);
+        let longest = Duration::from_millis(GRACE_MS + 1_000);
+        let ended = self.gates[gate].end(longest).await;
+        let trouble = trouble.unwrap_or_else(|| self.troubles.begin(Place::Gate(gate)));
+        if is_planned && ended.is_none() {
+            self.gates[gate].signal(Signal::KILL);
+            self.gates[gate].end(longest).await;
+        }
+        sleep(Duration::from_millis(200)).await;
+        self.gates[gate].start();
+        self.troubles.end(trouble);
+    }
+
+    /// A server leaves, and another takes its address.
+    async fn replace(&self, host: &Host) {
+        let name = host.backend.name();
+        if self.left.lock().contains_key(&name) {
+            return;
+        }
+        let value = registration(host.pool, host.link.address, Stage::Draining);
+        self.store.put(&server_key(&name), &value);
+        self.left.lock().insert(name.clone(), Instant::now());
+        sleep(Duration::from_secs(3)).await;
+        self.store.delete(&server_key(&name));
+        sleep(Duration::from_secs(1)).await;
+        let next = format!("n-{}", self.named.fetch_add(1, Ordering::Relaxed));
+        host.backend.rename(&next);
+        let value = registration(host.pool, host.link.address, Stage::Ready);
+        self.store.put(&server_key(&next), &value);
+    }
+
+    /// Kills every gateway at once, starts them again, and tells the part of the requests
+    /// that is served some seconds later.
+    async fn kill_all(&self, begun: Instant) -> f64 {
+        sleep((begun + SPAN).saturating_duration_since(Instant::now())).await;
+        let troubles: Vec<usize> = (0..self.gates.len())
+            .map(|gate| self.troubles.begin(Place::Gate(gate)))
+            .collect();
+        for gate in &self.gates {
+            gate.signal(Signal::KILL);
+        }
+        for (gate, trouble) in self.gates.iter().zip(troubles) {
+            gate.end(Duration::from_secs(2)).await;
+            gate.start();
+            self.troubles.end(trouble);
+        }
+        sleep(RECOVER).await;
+        let from = Instant::now();
+        sleep(SETTLED).await;
+        let records = self.records.lock();
+        let asked = records
+            .iter()
+            .filter(|record| record.sent >= from && !matches!(record.kind, "keyed" | "extra"));
+        let (mut count, mut served) = (0.0_f64, 0.0);
+        for record in asked {
+            count += 1.0;
+            served += f64::from(u8::from(record.is_served()));
+        }
+        served / count.max(1.0)
+    }
+}
+
+async fn is_ready(gate: &Gate) -> bool {
+    let Ok(mut stream) = TcpStream::connect(gate.health).await else {
+        return false;
+    };
+    let request = b"GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    if stream.write_all(request).await.is_err() {
+        return false;
+    }
+    let mut text = String::new();
+    // What came before a reset counts.
+    let _ = stream.read_to_string(&mut text).await;
+    text.starts_with("HTTP/1.1 200")
+}
