--- a/crates/daemon/src/router/answer.rs
+++ b/crates/daemon/src/router/answer.rs
@@ -5,10 +5,10 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
-use displaydoc::Display;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 
+use super::broken::Broken;
 use super::relay::Relay;
 
 /// A response's body.
@@ -20,17 +20,6 @@
     Relay(Relay),
 }
 
-/// Why an answer is not whole.
-#[derive(Debug, Display)]
-pub(crate) enum Broken {
-    /// answer broke off: {0}
-    Server(hyper::Error),
-    /// answer was not read for too long
-    Unread,
-}
-
-impl std::error::Error for Broken {}
-
 impl Body for Answer {
     type Data = Bytes;
     type Error = Broken;
--- a/crates/daemon/src/router/attempt.rs
+++ b/crates/daemon/src/router/attempt.rs
@@ -1,6 +1,5 @@
 //! Sending one attempt to a server.
 
-use std::pin::Pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -10,7 +9,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_wire::{Ticket, Verdict, ticket, verdict};
+use mulberryyoke_wire::{Ticket, Verdict, ticket};
 
 use super::answer::Answer;
 use super::call::Call;
@@ -18,6 +17,7 @@
 use super::header;
 use super::late;
 use super::link::Link;
+use super::pending::{Pending, verdict_of};
 use super::place::Place;
 use super::refusal::REQUEST_ID;
 use super::relay::Relay;
@@ -41,11 +41,6 @@
     Stopping,
 }
 
-/// An answer that has not come yet.
-pub(crate) type Pending = Pin<
-    Box<dyn Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>> + Send>,
->;
-
 /// Sends a request and waits for the head of its answer.
 pub(crate) async fn send(core: &Arc<Core>, call: &Call, mut place: Place) -> Sent {
     let link = Arc::clone(&place.link);
@@ -126,13 +121,6 @@
     Sent::Verdict(verdict, retry_after(&response))
 }
 
-/// The sidecar's verdict on a response; one that cannot be read proves nothing.
-pub(crate) fn verdict_of(response: &Response<Incoming>) -> Option<Verdict> {
-    let word = response.headers().get(verdict::HEADER)?;
-    let verdict = word.to_str().ok().and_then(Verdict::parse);
-    Some(verdict.unwrap_or(Verdict::Broken))
-}
-
 fn retry_after(response: &Response<Incoming>) -> Option<u32> {
     let value = response.headers().get(hyper::header::RETRY_AFTER)?;
     value.to_str().ok()?.parse().ok()
--- a/crates/daemon/src/router/core.rs
+++ b/crates/daemon/src/router/core.rs
@@ -17,10 +17,10 @@
 use super::links::Links;
 use super::memory::Memory;
 use super::place::Place;
-use super::room::Turn;
 use super::rooms::Rooms;
 use super::stalls::Stalls;
 use super::stop::Stop;
+use super::waiter::Turn;
 use crate::clock;
 use crate::fleet::Fleet;
 
--- a/crates/daemon/src/router/dispatch.rs
+++ b/crates/daemon/src/router/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hyper::{Response, StatusCode};
+use hyper::Response;
 use mulberryyoke_decide::place::{self as decide, Candidate};
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::{Outcome, PoolId, ServerId, State};
@@ -17,12 +17,12 @@
 use super::link::Link;
 use super::place::Place;
 use super::refusal::Refusal;
+use super::refusals::{
+    doubtful, keys_full, malformed, no_server, repeated, too_late, unknown, unreachable,
+};
 use super::wait::{self, Waited};
 use crate::clock;
 
-/// Seconds named to callers where only a fault has to pass.
-pub(crate) const SOON_S: u32 = 1;
-
 /// Attempts after which a request is given up whatever the budget.
 const MOST_ATTEMPTS: u8 = 100;
 
@@ -234,51 +234,3 @@
     let mut servers = view.servers(pool).iter();
     servers.any(|server| server.state == State::Active && !core.fleet.is_leaving(&server.name))
 }
-
-fn unavailable(code: &'static str, message: impl Into<String>) -> Refusal {
-    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, code, message)
-}
-
-/// The pool has no server that takes new work.
-pub(crate) fn no_server() -> Refusal {
-    unavailable("no_server", "no server of this pool takes new work").retry_after(SOON_S)
-}
-
-fn unreachable(cause: &str) -> Refusal {
-    let message = format!("no attempt succeeded and no retry is left: {cause}");
-    unavailable("unreachable", message).retry_after(SOON_S)
-}
-
-fn unknown(cause: &str) -> Refusal {
-    let message = format!("the request may have run: {cause}; ask for its outcome by its id");
-    Refusal::new(StatusCode::BAD_GATEWAY, "outcome_unknown", message).outcome(Outcome::Unknown)
-}
-
-fn too_late() -> Refusal {
-    let message = "the deadline passed while a server held the request";
-    Refusal::new(StatusCode::GATEWAY_TIMEOUT, "deadline_passed", message).outcome(Outcome::Unknown)
-}
-
-fn malformed() -> Refusal {
-    let message = "the server's sidecar could not read the ticket";
-    Refusal::new(StatusCode::INTERNAL_SERVER_ERROR, "malformed", message)
-}
-
-fn keys_full(after: Option<u32>) -> Refusal {
-    let message = "the server cannot remember more idempotency keys";
-    unavailable("keys_full", message).retry_after(after.unwrap_or(SOON_S))
-}
-
-/// It cannot be proved whether a request with this key ran.
-pub(crate) fn doubtful(after: Option<u32>) -> Refusal {
-    let message = "a request with this key may have run before a restart or a change of servers";
-    unavailable("key_doubtful", message)
-        .outcome(Outcome::Unknown)
-        .retry_after(after.unwrap_or(SOON_S))
-}
-
-/// A request with this key came before.
-pub(crate) fn repeated(outcome: Outcome) -> Refusal {
-    let message = "a request with this key was started before";
-    Refusal::new(StatusCode::CONFLICT, "key_used", message).outcome(outcome)
-}
--- a/crates/daemon/src/router/home.rs
+++ b/crates/daemon/src/router/home.rs
@@ -9,10 +9,10 @@
 
 use super::call::{Call, Key};
 use super::core::Core;
-use super::dispatch::{SOON_S, doubtful, no_server, repeated};
 use super::link::Link;
 use super::place::Place;
 use super::refusal::Refusal;
+use super::refusals::{SOON_S, doubtful, no_server, repeated};
 use super::wait::{self, Waited};
 use crate::clock;
 
--- a/crates/daemon/src/router/late.rs
+++ b/crates/daemon/src/router/late.rs
@@ -6,10 +6,10 @@
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::{Attempt, KeyId, Outcome};
 
-use super::attempt::{Pending, verdict_of};
 use super::call::Call;
 use super::core::Core;
 use super::link::Link;
+use super::pending::{Pending, verdict_of};
 
 /// How long a late answer is waited for, to count it.
 const WATCHED: Duration = Duration::from_mins(1);
--- a/crates/daemon/src/router/look.rs
+++ b/crates/daemon/src/router/look.rs
@@ -4,7 +4,7 @@
 use mulberryyoke_decide::queue::Queue;
 use mulberryyoke_model::{CustomerId, Interest, Millis, ServerId};
 
-use super::room::Waiter;
+use super::waiter::Waiter;
 
 /// What decides how much of the queue a sidecar is told.
 #[derive(Debug)]
--- a/crates/daemon/src/router/mod.rs
+++ b/crates/daemon/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod broken;
 mod call;
 mod callers;
 mod core;
@@ -23,8 +24,10 @@
 mod operators;
 mod outcome;
 mod paced;
+mod pending;
 mod place;
 mod refusal;
+mod refusals;
 mod relay;
 mod request;
 mod room;
@@ -34,6 +37,7 @@
 mod stalls;
 mod stop;
 mod wait;
+mod waiter;
 
 pub use error::Error;
 pub use handle::Router;
--- /dev/null
+++ b/crates/daemon/src/router/refusals.rs
@@ -0,0 +1,63 @@
+//! Refusals of requests that no server answers.
+
+use hyper::StatusCode;
+use mulberryyoke_model::Outcome;
+
+use super::refusal::Refusal;
+
+/// Seconds named to callers where only a fault has to pass.
+pub(super) const SOON_S: u32 = 1;
+
+/// A refusal that another moment may lift.
+pub(super) fn unavailable(code: &'static str, message: impl Into<String>) -> Refusal {
+    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, code, message)
+}
+
+/// The pool has no server that takes new work.
+pub(super) fn no_server() -> Refusal {
+    unavailable("no_server", "no server of this pool takes new work").retry_after(SOON_S)
+}
+
+/// No attempt reached a server.
+pub(super) fn unreachable(cause: &str) -> Refusal {
+    let message = format!("no attempt succeeded and no retry is left: {cause}");
+    unavailable("unreachable", message).retry_after(SOON_S)
+}
+
+/// A server may have run the request.
+pub(super) fn unknown(cause: &str) -> Refusal {
+    let message = format!("the request may have run: {cause}; ask for its outcome by its id");
+    Refusal::new(StatusCode::BAD_GATEWAY, "outcome_unknown", message).outcome(Outcome::Unknown)
+}
+
+/// The time is over while a server holds the request.
+pub(super) fn too_late() -> Refusal {
+    let message = "the deadline passed while a server held the request";
+    Refusal::new(StatusCode::GATEWAY_TIMEOUT, "deadline_passed", message).outcome(Outcome::Unknown)
+}
+
+/// A sidecar could not read what this router sent.
+pub(super) fn malformed() -> Refusal {
+    let message = "the server's sidecar could not read the ticket";
+    Refusal::new(StatusCode::INTERNAL_SERVER_ERROR, "malformed", message)
+}
+
+/// A sidecar has no room for the request's key.
+pub(super) fn keys_full(after: Option<u32>) -> Refusal {
+    let message = "the server cannot remember more idempotency keys";
+    unavailable("keys_full", message).retry_after(after.unwrap_or(SOON_S))
+}
+
+/// It cannot be proved whether a request with this key ran.
+pub(super) fn doubtful(after: Option<u32>) -> Refusal {
+    let message = "a request with this key may have run before a restart or a change of servers";
+    unavailable("key_doubtful", message)
+        .outcome(Outcome::Unknown)
+        .retry_after(after.unwrap_or(SOON_S))
+}
+
+/// A request with this key came before.
+pub(super) fn repeated(outcome: Outcome) -> Refusal {
+    let message = "a request with this key was started before";
+    Refusal::new(StatusCode::CONFLICT, "key_used", message).outcome(outcome)
+}
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
-use super::answer::Broken;
+use super::broken::Broken;
 use super::running::{End, Running};
 use super::stalls::Flow;
 use crate::clock;
--- a/crates/daemon/src/router/room.rs
+++ b/crates/daemon/src/router/room.rs
@@ -4,31 +4,13 @@
 use std::sync::Arc;
 
 use mulberryyoke_decide::declare::SPREAD_MS;
-use mulberryyoke_decide::place::Prefix;
 use mulberryyoke_decide::queue::{Changes, Key, Queue, Waiting};
-use mulberryyoke_model::{Attempt, CustomerId, Interest, Millis, PoolId, ServerId};
+use mulberryyoke_model::{CustomerId, Interest, Millis, PoolId, ServerId};
 use parking_lot::Mutex;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 
 use super::look::Look;
-use super::place::Place;
-
-/// What ends a request's wait.
-#[derive(Debug)]
-pub(crate) enum Turn {
-    /// A server has a slot for it.
-    Go(Place),
-    /// It has to go because too much waits here.
-    Displaced,
-}
-
-/// What is kept with a waiting request.
-#[derive(Debug)]
-pub(crate) struct Waiter {
-    pub(crate) attempt: Attempt,
-    pub(crate) prefix: Option<Prefix>,
-    pub(crate) turn: oneshot::Sender<Turn>,
-}
+use super::waiter::Waiter;
 
 #[derive(Debug, Default)]
 struct State {
--- a/crates/daemon/src/router/wait.rs
+++ b/crates/daemon/src/router/wait.rs
@@ -13,7 +13,8 @@
 use super::core::Core;
 use super::place::Place;
 use super::refusal::Refusal;
-use super::room::{Room, Turn, Waiter};
+use super::room::Room;
+use super::waiter::{Turn, Waiter};
 use crate::clock;
 
 /// A request in its room; it leaves when this is dropped.
--- a/crates/daemon/tests/soak/audit.rs
+++ b/crates/daemon/tests/soak/audit.rs
@@ -14,7 +14,7 @@
 const SLACK: Duration = Duration::from_millis(500);
 
 /// Time after which a leaving server gets nothing new from gateways in touch.
-const DRAIN: Duration = Duration::from_millis(2_000);
+const DRAIN: Duration = Duration::from_secs(2);
 
 /// Window in which retries are counted.
 const WINDOW: Duration = Duration::from_secs(10);
--- a/crates/daemon/tests/soak/link.rs
+++ b/crates/daemon/tests/soak/link.rs
@@ -18,7 +18,7 @@
     /// Nothing comes, either way; what was sent comes when the link is open again.
     Silent,
     /// Requests go on, answers do not come.
-    OneWay,
+    Half,
     /// Connections are reset, new ones as well.
     Reset,
 }
@@ -77,7 +77,7 @@
         let Ok(read) = from.read(&mut bytes).await else {
             return;
         };
-        let held = |way: &Way| *way == Way::Silent || (is_answer && *way == Way::OneWay);
+        let held = |way: &Way| *way == Way::Silent || (is_answer && *way == Way::Half);
         if ways.wait_for(|way| !held(way)).await.is_err() {
             return;
         }
--- a/crates/daemon/tests/soak/load.rs
+++ b/crates/daemon/tests/soak/load.rs
@@ -19,7 +19,7 @@
 use crate::scene::Scene;
 
 /// Time that a caller waits for an answer, and how much longer it listens for a late one.
-pub(crate) const PATIENCE: Duration = Duration::from_millis(3_000);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(3);
 const LISTEN: Duration = Duration::from_millis(1_500);
 
 /// Longest time to open a connection.
--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -77,7 +77,7 @@
     let way = match rng.random_range(0..4) {
         0 => Way::Slow(rng.random_range(20..300)),
         1 => Way::Silent,
-        2 => Way::OneWay,
+        2 => Way::Half,
         _ => Way::Reset,
     };
     let fault = match rng.random_range(0..14) {
