--- a/crates/daemon/tests/soak/gate.rs
+++ b/crates/daemon/tests/soak/gate.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 /// Age of the configuration from which keys are refused, in milliseconds.
-pub(crate) const KEYS_FRESH_MS: u64 = 5_000;
+pub(crate) const KEYS_FRESH_MS: u64 = 2_000;
 
 /// Longest time of a planned stop, in milliseconds.
 pub(crate) const GRACE_MS: u64 = 6_000;
