--- a/crates/daemon/tests/soak/link.rs
+++ b/crates/daemon/tests/soak/link.rs
@@ -19,6 +19,8 @@
     Silent,
     /// Requests go on, answers do not come.
     Half,
+    /// Requests go on, and connections are closed when an answer comes.
+    Cut,
     /// Connections are reset, new ones as well.
     Reset,
 }
@@ -82,6 +84,9 @@
             return;
         }
         let way = *ways.borrow();
+        if is_answer && way == Way::Cut {
+            return;
+        }
         if let Way::Slow(ms) = way {
             sleep(Duration::from_millis(ms)).await;
         }
--- a/crates/daemon/tests/soak/scene.rs
+++ b/crates/daemon/tests/soak/scene.rs
@@ -255,6 +255,14 @@
                 host.link.set(Way::Open);
                 self.troubles.end(trouble);
             }
+            Fault::Pool(way) => {
+                let trouble = self.troubles.begin(Place::Server);
+                let of_pool = self.hosts.iter().filter(|other| other.pool == host.pool);
+                of_pool.clone().for_each(|host| host.link.set(way));
+                sleep(step.lasts).await;
+                of_pool.for_each(|host| host.link.set(Way::Open));
+                self.troubles.end(trouble);
+            }
             Fault::Replace => self.replace(host).await,
             Fault::Route => self.operator.turn_route(),
             Fault::Revoke => self.operator.revoke(),
