--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -30,7 +30,7 @@
     Reload,
     /// A gateway's way to the store is harmed.
     Store(Way),
-    /// The store refuses every call.
+    /// The store refuses every call of the gateways, while a key is taken away.
     Refuse,
     /// The store forgets its history.
     Compact,
--- a/crates/daemon/tests/soak/scene.rs
+++ b/crates/daemon/tests/soak/scene.rs
@@ -243,6 +243,7 @@
             Fault::Refuse => {
                 let trouble = self.troubles.begin(Place::Stores);
                 self.store.set_refusing(true);
+                self.operator.revoke();
                 sleep(step.lasts).await;
                 self.store.set_refusing(false);
                 self.troubles.end(trouble);
