--- a/crates/daemon/tests/soak/scene.rs
+++ b/crates/daemon/tests/soak/scene.rs
@@ -260,7 +260,8 @@
                 let trouble = self.troubles.begin(Place::Server);
                 let of_pool = self.hosts.iter().filter(|other| other.pool == host.pool);
                 of_pool.clone().for_each(|host| host.link.set(way));
-                sleep(step.lasts).await;
+                // Long enough for repeats to exceed their budget, were there none.
+                sleep(2 * step.lasts).await;
                 of_pool.for_each(|host| host.link.set(Way::Open));
                 self.troubles.end(trouble);
             }
