--- a/crates/gateway/src/header.rs
+++ b/crates/gateway/src/header.rs
@@ -1,39 +1,13 @@
-//! Headers that concern one connection only.
+//! Headers that are not passed on.
 
 use hyper::HeaderMap;
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
-
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
-
-const HOP_BY_HOP: [HeaderName; 11] = [
-    CONNECTION,
-    CONTENT_LENGTH,
-    EXPECT,
-    KEEP_ALIVE,
-    PROXY_CONNECTION,
-    PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
+use hyper::header::{CONTENT_LENGTH, EXPECT};
+use mulberryyoke_wire::hop;
 
 /// Removes the headers that concern one connection only, those that frame the
 /// body among them.
 pub(crate) fn end_to_end(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.into_iter().chain(HOP_BY_HOP) {
-        headers.remove(name);
-    }
+    hop::strip(headers);
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(EXPECT);
 }
