--- a/justfile
+++ b/justfile
@@ -10,3 +10,7 @@
 # Runs the tests.
 test:
     cargo test --workspace --locked
+
+# Plays fresh seeds of the fault soak: `just soak 1000..1050`.
+soak seeds:
+    SOAK_SEEDS={{seeds}} cargo test --release -p mulberryyoked --test soak -- --nocapture
