--- a/crates/decide/src/engine.rs
+++ b/crates/decide/src/engine.rs
@@ -9,7 +9,7 @@
 mod recent;
 
 pub use self::cache::Cache;
-pub use self::choice::{Candidate, Choice, choose};
+pub use self::choice::{Candidate, Choice, choose, choose_soon};
 pub use self::prompt::{Name, Part, Prompt};
 pub use self::rate::Rate;
 pub use self::recent::Recent;
--- a/crates/decide/src/engine/choice.rs
+++ b/crates/decide/src/engine/choice.rs
@@ -14,6 +14,10 @@
 /// answer on time.
 const AGAIN_MS: f64 = 0.3;
 
+/// As [`AGAIN_MS`], where the prompt would else be refused: a second server then gets to
+/// keep the part, and what is read again is about what reading takes.
+const AGAIN_SOON_MS: f64 = 0.03;
+
 /// Cost of a token that was sent to a server lately, in milliseconds of waiting:
 /// a shared part that no server keeps gets its home where little is sent.
 const RECENT_MS: f64 = 0.002;
@@ -68,6 +72,27 @@
     candidates: impl Iterator<Item = Candidate<'a>> + Clone,
     pause_ms: f64,
     now: Millis,
+) -> Option<Choice> {
+    least(prompt, candidates, pause_ms, AGAIN_MS, now)
+}
+
+/// As [`choose`], for a prompt that would come too late there: shared parts are read again
+/// where that brings it forward.
+pub fn choose_soon<'a>(
+    prompt: &Prompt,
+    candidates: impl Iterator<Item = Candidate<'a>> + Clone,
+    pause_ms: f64,
+    now: Millis,
+) -> Option<Choice> {
+    least(prompt, candidates, pause_ms, AGAIN_SOON_MS, now)
+}
+
+fn least<'a>(
+    prompt: &Prompt,
+    candidates: impl Iterator<Item = Candidate<'a>> + Clone,
+    pause_ms: f64,
+    again_ms: f64,
+    now: Millis,
 ) -> Option<Choice> {
     let kept = candidates
         .clone()
@@ -88,7 +113,7 @@
         let choice = meet(prompt, &candidate, kept);
         let mut cost = choice.wait_ms
             + READ_WEIGHT * choice.read_ms
-            + AGAIN_MS * f64::from(choice.again)
+            + again_ms * f64::from(choice.again)
             + pause::cost_ms(candidate.engine, choice.uncached, pause_ms)
             + candidate.penalty_ms;
         if is_new {
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,9 +1,11 @@
-//! Choice of a server, and whether a request may be sent at all.
+//! Facts for the choice of a server, and carrying it out.
 
 use std::sync::Arc;
 
-use mulberryyoke_decide::engine::{Candidate, Choice, Engine, choose};
+use mulberryyoke_decide::engine::{Candidate, Engine};
+use mulberryyoke_decide::plain;
 use mulberryyoke_decide::share::Standing;
+use mulberryyoke_decide::shed::{self, Aim, Held};
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::ServerId;
 use tokio::time::Instant;
@@ -15,41 +17,6 @@
 use crate::refusal::Refusal;
 use crate::round::whole;
 
-/// Part of a stream's objective that the first event may be expected to take, for
-/// a customer that has less than its portion.
-const BEHIND_PART: f64 = 0.7;
-
-/// As [`BEHIND_PART`], for a customer that has its portion.
-const PORTION_PART: f64 = 0.5;
-
-/// Part of its portion below which a customer is behind.
-const BEHIND: f64 = 0.8;
-
-/// How fast the bound falls for a customer that has more than its portion, and
-/// the multiple of the portion beyond which it falls no more.
-const OVER_POWER: i32 = 2;
-const OVER_MOST: f64 = 2.5;
-
-/// Multiple of its portion of all that is given beyond which a customer is given
-/// nothing until those that have less were served.
-const EVEN: f64 = 1.2;
-
-/// Time that prompts wait at the servers on average below which there is capacity
-/// for all, in milliseconds: about half a step of an engine that reads.
-const SCARCE_MS: f64 = 30.0;
-
-/// Time that a prompt may wait however long it takes to be read, as a part of the objective.
-const WAIT_PART: f64 = 0.15;
-
-/// Cost of a request that runs on a plain server, in milliseconds.
-const PLAIN_MS: f64 = 10.0;
-
-/// Cost of leaving the availability zone, in milliseconds.
-const FAR_MS: f64 = 3.0;
-
-/// Least and most time after which a refused caller is asked to come back, in milliseconds.
-const RETRY_MS: (f64, f64) = (100.0, 1_500.0);
-
 /// Chooses a server and counts the request there. Servers in `tried` are left out.
 /// One that `may_have_run` is not refused for what others have to do: that it has
 /// not run can no longer be promised, and what it took would be lost.
@@ -71,23 +38,26 @@
             return place_prompt(core, call, &open, standing, now);
         }
         let zone = &core.settings.load().zone;
-        let best = open.into_iter().min_by(|a, b| {
-            let (a, b) = (plain_cost(a, zone, now), plain_cost(b, zone, now));
-            a.total_cmp(&b)
+        let candidates = open.iter().map(|backend| plain::Candidate {
+            server: backend.server.id,
+            requests: backend.engine.lock().requests(),
+            is_near: backend.server.zone == *zone,
+            penalty_ms: backend.health.lock().penalty_ms(now),
         });
-        let backend = best.ok_or(Refusal::NoServer)?;
+        let backend = named(&open, plain::choose(candidates))?;
         Ok(Running::begin(backend, None))
     })
 }
 
-fn plain_cost(backend: &Backend, zone: &str, now: Instant) -> f64 {
-    let requests = backend.engine.lock().requests();
-    let far = if backend.server.zone == zone {
-        0.0
-    } else {
-        FAR_MS
-    };
-    f64::from(requests) * PLAIN_MS + far + backend.health.lock().penalty_ms(now)
+/// The server of an identity among these.
+fn named<'a>(
+    open: &[&'a Arc<Backend>],
+    server: Option<ServerId>,
+) -> Result<&'a Arc<Backend>, Refusal> {
+    let named = open
+        .iter()
+        .find(|backend| Some(backend.server.id) == server);
+    named.copied().ok_or(Refusal::NoServer)
 }
 
 fn place_prompt(
@@ -107,15 +77,22 @@
             penalty_ms: backend.health.lock().penalty_ms(now),
         }
     });
-    let pause_ms = call.route.gap_ms.map_or(f64::INFINITY, as_f64);
-    let choice = choose(prompt, candidates, pause_ms, clock::ms(now));
-    let choice = choice.ok_or(Refusal::NoServer)?;
+    let aim = Aim {
+        objective_ms: as_f64(call.route.objective_ms),
+        pause_ms: call.route.gap_ms.map_or(f64::INFINITY, as_f64),
+    };
+    let placed = shed::place(prompt, candidates, aim, standing, clock::ms(now));
+    let placed = placed.ok_or(Refusal::NoServer)?;
     drop(engines);
-    let chosen = open.iter().find(|b| b.server.id == choice.server);
-    let backend = chosen.ok_or(Refusal::NoServer)?;
-    if let Some(standing) = standing {
-        admit(core, call, &choice, standing, &backend.server.name)?;
-    }
+    let choice = match placed {
+        Ok(choice) => choice,
+        Err(held) => {
+            let standing = standing.unwrap_or_default();
+            let backend = named(open, Some(held.choice.server))?;
+            return Err(refuse(core, call, &held, standing, &backend.server.name));
+        }
+    };
+    let backend = named(open, Some(choice.server))?;
     let own = prompt.tokens - prompt.shared_tokens();
     let is_new = choice.uncached > own;
     if let Some(customer) = call.customer.as_ref().filter(|_| standing.is_some()) {
@@ -137,25 +114,9 @@
     shares.standing(customer.id)
 }
 
-/// Refuses a prompt whose first token would come too late where it costs least.
-///
-/// A customer that has more than it may have is sent only where little waits, so
-/// that those who have less come first.
-fn admit(
-    core: &Core,
-    call: &Call,
-    choice: &Choice,
-    standing: Standing,
-    server: &str,
-) -> Result<(), Refusal> {
-    let objective = as_f64(call.route.objective_ms);
-    let factor = leeway(standing, choice.mean_wait_ms);
-    let part = PORTION_PART * factor;
-    let beyond = choice.first_ms() - objective * part;
-    let wait_ms = objective * WAIT_PART * factor.min(1.0);
-    if factor > 0.0 && (beyond <= 0.0 || choice.wait_ms <= wait_ms) {
-        return Ok(());
-    }
+/// The refusal of a prompt that no server can take in time; `server` is the best one's name.
+fn refuse(core: &Core, call: &Call, held: &Held, standing: Standing, server: &str) -> Refusal {
+    let choice = &held.choice;
     log!(core.logger, Event::HeldBack,
         "request" => &call.id,
         "customer" => call.customer_name(),
@@ -164,27 +125,15 @@
         "read_ms" => whole(choice.read_ms),
         "uncached" => choice.uncached,
         "again" => choice.again,
-        "allowed_ms" => whole(objective * part),
+        "allowed_ms" => whole(held.allowed_ms),
         "mean_wait_ms" => whole(choice.mean_wait_ms),
         "of_portion" => whole(standing.of_portion * 100.0),
         "of_given" => whole(standing.of_given * 100.0));
-    let ms = beyond.clamp(RETRY_MS.0, RETRY_MS.1);
+    let retry_ms = whole(held.retry_ms);
     if standing.of_portion > 1.0 {
-        return Err(Refusal::Share(whole(ms)));
-    }
-    Err(Refusal::Busy(whole(ms)))
-}
-
-/// Factor of the time that a customer's prompts may take to be begun.
-fn leeway(standing: Standing, mean_wait_ms: f64) -> f64 {
-    if standing.of_portion < BEHIND {
-        return BEHIND_PART / PORTION_PART;
-    }
-    let over = standing.of_portion.clamp(1.0, OVER_MOST);
-    if standing.of_given > EVEN && mean_wait_ms > SCARCE_MS {
-        return 0.0;
+        return Refusal::Share(retry_ms);
     }
-    over.powi(-OVER_POWER)
+    Refusal::Busy(retry_ms)
 }
 
 #[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
