--- a/crates/decide/tests/shed.rs
+++ b/crates/decide/tests/shed.rs
@@ -50,11 +50,11 @@
 }
 
 /// The standing of a customer that was given this part of its portion.
-fn standing(of_portion: f64) -> Option<Standing> {
-    Some(Standing {
+const fn standing(of_portion: f64) -> Standing {
+    Standing {
         of_portion,
         of_given: of_portion,
-    })
+    }
 }
 
 #[gtest]
@@ -63,7 +63,7 @@
     let engines = [loaded(0), keeper(60_000)];
     let table = [(0.0, Some(0)), (0.9, Some(0)), (1.0, None), (2.0, None)];
     for (of_portion, server) in table {
-        let placed = place(&engines, 20_000, standing(of_portion));
+        let placed = place(&engines, 20_000, Some(standing(of_portion)));
         let chosen = placed.ok().map(|choice| choice.server.0);
         expect_that!(chosen, eq(server), "{of_portion}");
     }
@@ -72,7 +72,7 @@
 #[gtest]
 fn where_the_keeper_is_in_time_nothing_is_read_again() {
     let engines = [loaded(0), keeper(12_000)];
-    let placed = place(&engines, 2_000, standing(0.1));
+    let placed = place(&engines, 2_000, Some(standing(0.1)));
     expect_that!(placed.map(|choice| choice.server.0), ok(eq(1)));
 }
 
@@ -89,7 +89,7 @@
     for (unread, sent) in table {
         let placed = [0.5, 1.0, 1.6, 3.0].map(|of_portion| {
             let engines = [keeper(unread)];
-            place(&engines, 5_000, standing(of_portion)).is_ok()
+            place(&engines, 5_000, Some(standing(of_portion))).is_ok()
         });
         expect_that!(placed, eq(sent), "{unread}");
     }
@@ -99,7 +99,7 @@
 fn who_is_refused_comes_back_when_the_excess_is_read_within_bounds() {
     let table = [(60_000, 183.0), (55_000, 100.0), (600_000, 1_500.0)];
     for (unread, retry_ms) in table {
-        let held = place(&[keeper(unread)], 3_800, standing(0.5)).expect_err("refused");
+        let held = place(&[keeper(unread)], 3_800, Some(standing(0.5))).expect_err("refused");
         expect_that!(held.retry_ms, near(retry_ms, 1.0), "{unread}");
     }
 }
