--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod key;
 pub mod limit;
 pub mod member;
+pub mod overload;
 pub mod place;
 pub mod plain;
 pub mod queue;
