--- a/crates/decide/tests/replay/patterns.rs
+++ b/crates/decide/tests/replay/patterns.rs
@@ -73,10 +73,10 @@
 fn who_asks_little_is_served_under_every_load() {
     for (name, pattern) in PATTERNS {
         let served = mean(pattern, |report| small(report, &ALL).served());
-        // 0.90 when all are back at once, 0.92 among prompts of 50,000 tokens, else 0.98.
+        // 0.94 when all are back at once, 0.95 among prompts of 50,000 tokens, else 0.99.
         let least = match name {
-            "all back at once" | "short behind huge" => 0.87,
-            _ => 0.96,
+            "all back at once" | "short behind huge" => 0.90,
+            _ => 0.97,
         };
         expect_that!(served, ge(least), "{name}");
     }
