--- a/crates/decide/tests/replay/world.rs
+++ b/crates/decide/tests/replay/world.rs
@@ -27,8 +27,8 @@
 /// What the servers give together, in tokens a second.
 const CAPACITY: f64 = 230_000.0;
 
-/// Part of a first attempt that a caller waits until a second one.
-const PATIENCE_MS: f64 = 5_000.0;
+/// Time after the last arrival for which beats go on, in milliseconds: refused callers are back by then.
+const AFTER_MS: f64 = 5_000.0;
 
 enum Event {
     Asked(Job),
@@ -117,7 +117,7 @@
                 Some(Event::Ended { gateway, server }) => {
                     self.gateways[gateway].engines[server].end();
                 }
-                Some(Event::Beat) if now_ms < end_ms + PATIENCE_MS => {
+                Some(Event::Beat) if now_ms < end_ms + AFTER_MS => {
                     self.beat(now_ms);
                     self.push(now_ms + BEAT_MS, Event::Beat);
                 }
