--- a/crates/decide/src/engine/prompt.rs
+++ b/crates/decide/src/engine/prompt.rs
@@ -49,7 +49,8 @@
 impl Prompt {
     /// Reads a prompt's parts; the last part is the request's own and not shared.
     pub fn of(model: &str, parts: impl IntoIterator<Item = (u64, u32)>, output: u32) -> Self {
-        let mut key = xxh3_64(model.as_bytes());
+        let model = xxh3_64(model.as_bytes());
+        let mut key = model;
         let mut tokens: u32 = 0;
         let mut shared = SmallVec::new();
         let mut names = SmallVec::new();
@@ -60,7 +61,7 @@
                 key,
                 tokens: length,
             });
-            names.push(Name::of(model, id));
+            names.push(Name(join(model, id)));
         }
         shared.pop();
         names.pop();
