Replay: a test that could not fail gives way to a bound on the gap between small customers

The printing test held only that no figure was missing. A sent request tells where it went, instead of being looked up among what peers are told.

--- a/crates/decide/tests/replay/gateway.rs
+++ b/crates/decide/tests/replay/gateway.rs
@@ -1,6 +1,6 @@
 //! What one gateway believes.
 
-use mulberryyoke_decide::engine::{Candidate, Choice, Engine, Part};
+use mulberryyoke_decide::engine::{Candidate, Engine, Part};
 use mulberryyoke_decide::share::Shares;
 use mulberryyoke_decide::shed::{self, Aim, Held};
 use mulberryyoke_model::{CustomerId, Millis, ServerId};
@@ -10,6 +10,14 @@
 /// Longest pause of a stream on time, in milliseconds.
 pub(crate) const PAUSE_MS: f64 = 600.0;
 
+/// Where a request was sent.
+pub(crate) struct Sent {
+    pub(crate) server: usize,
+    /// Prompt tokens that the server is believed to have to read for it, and before it.
+    pub(crate) tokens: u32,
+    pub(crate) ahead: u32,
+}
+
 pub(crate) struct Gateway {
     pub(crate) engines: Vec<Engine>,
     pub(crate) shares: Shares,
@@ -26,22 +34,14 @@
         }
     }
 
-    /// Where a request goes among the servers that are not gone.
-    pub(crate) fn place(
-        &mut self,
-        job: &Job,
-        gone: &[bool],
-        now: Millis,
-    ) -> Option<Result<Choice, Held>> {
+    /// Sends a request to one of the servers that are not gone, or says why not.
+    pub(crate) fn place(&mut self, job: &Job, gone: &[bool], now: Millis) -> Result<Sent, Held> {
         let customer = CustomerId(job.customer);
         self.shares.ask(customer, job.prompt.cost());
         let standing = self.shares.standing(customer);
-        let candidates = self
-            .engines
-            .iter()
-            .enumerate()
-            .filter(|(index, _)| !gone[*index]);
-        let candidates = candidates.map(|(index, engine)| Candidate {
+        let engines = self.engines.iter().enumerate();
+        let open = engines.filter(|(index, _)| !gone[*index]);
+        let candidates = open.map(|(index, engine)| Candidate {
             server: ServerId(u32::try_from(index).unwrap_or(u32::MAX)),
             engine,
             penalty_ms: 0.0,
@@ -50,14 +50,18 @@
             objective_ms: KINDS[job.kind].objective_ms,
             pause_ms: PAUSE_MS,
         };
-        let placed = shed::place(&job.prompt, candidates, aim, Some(standing), now)?;
-        if let Ok(choice) = &placed {
-            self.shares.give(customer, job.prompt.cost());
-            let server = choice.server.0 as usize;
-            let tokens = self.engines[server].send(&job.prompt, now);
-            self.reads
-                .push((server, job.prompt.shared.to_vec(), tokens));
-        }
-        Some(placed)
+        let placed = shed::place(&job.prompt, candidates, aim, Some(standing), now);
+        let choice = placed.expect("a server is there")?;
+        self.shares.give(customer, job.prompt.cost());
+        let server = choice.server.0 as usize;
+        let ahead = self.engines[server].backlog();
+        let tokens = self.engines[server].send(&job.prompt, now);
+        let shared = job.prompt.shared.to_vec();
+        self.reads.push((server, shared, tokens));
+        Ok(Sent {
+            server,
+            tokens,
+            ahead,
+        })
     }
 }
--- a/crates/decide/tests/replay/patterns.rs
+++ b/crates/decide/tests/replay/patterns.rs
@@ -119,11 +119,21 @@
 }
 
 #[gtest]
-fn reports_of_all_loads_are_printed() {
-    let lines: Vec<String> = PATTERNS
-        .iter()
-        .map(|(name, pattern)| format!("{name}\n{}", play(*pattern, 1).lines()))
-        .collect();
-    println!("{}", lines.join("\n"));
-    expect_that!(lines.concat(), not(contains_substring("NaN")));
+fn no_small_customer_gets_much_less_than_another() {
+    for (name, pattern) in PATTERNS {
+        let report = play(pattern, 1);
+        println!(
+            "{name}\n{}small gap {:.3}",
+            report.lines(),
+            report.gap(SMALL)
+        );
+        let gap = mean(pattern, |report| report.gap(SMALL));
+        // 0.37 among prompts of 50,000 tokens, else 0.22 at most.
+        let most = if name == "short behind huge" {
+            0.45
+        } else {
+            0.28
+        };
+        expect_that!(gap, le(most), "{name}");
+    }
 }
--- a/crates/decide/tests/replay/world.rs
+++ b/crates/decide/tests/replay/world.rs
@@ -7,7 +7,7 @@
 use mulberryyoke_decide::share::Flow;
 use mulberryyoke_model::Millis;
 
-use crate::gateway::{Gateway, PAUSE_MS};
+use crate::gateway::{Gateway, PAUSE_MS, Sent};
 use crate::load::{Job, KINDS, Pattern};
 use crate::report::Report;
 use crate::server::Server;
@@ -137,15 +137,18 @@
             tally.tokens.0 += u64::from(job.prompt.tokens);
         }
         let gone: Vec<bool> = self.servers.iter().map(|server| server.is_gone).collect();
-        let placed = self.gateways[gateway].place(&job, &gone, millis(now_ms));
-        match placed.expect("a server is there") {
-            Ok(choice) => self.send(gateway, choice.server.0 as usize, &job, now_ms),
+        match self.gateways[gateway].place(&job, &gone, millis(now_ms)) {
+            Ok(sent) => self.send(gateway, &sent, &job, now_ms),
             Err(held) => self.refuse(job, held.retry_ms, now_ms),
         }
     }
 
-    fn send(&mut self, gateway: usize, server: usize, job: &Job, now_ms: f64) {
-        let ahead = self.gateways[gateway].engines[server].backlog();
+    fn send(&mut self, gateway: usize, sent: &Sent, job: &Job, now_ms: f64) {
+        let &Sent {
+            server,
+            tokens,
+            ahead,
+        } = sent;
         let kept = self
             .servers
             .iter()
@@ -156,10 +159,6 @@
         let met = self.servers[server].take(&job.prompt, now_ms);
         let uncached = job.prompt.tokens - met.read;
         self.report.again += u64::from(kept.saturating_sub(uncached));
-        let tokens = self.gateways[gateway]
-            .reads
-            .last()
-            .map_or(0, |(_, _, tokens)| *tokens);
         let kind = &KINDS[job.kind];
         let is_late = met.first_ms - now_ms > kind.objective_ms || pause_ms > PAUSE_MS;
         let tally = self.report.of(job.customer, job.kind);
@@ -169,7 +168,6 @@
             (false, 0) => tally.on_time += 1,
             (false, _) => tally.after_refusal += 1,
         }
-        let ahead = ahead.saturating_sub(tokens);
         let first = Event::First {
             gateway,
             server,
