Settings: numbers that a platform fills in may have a fraction; a gateway knows its part of a processor

Cause: `retry_slack` was read as a whole number. `grace_ms` was made from seconds by appending digits, so that 8.25 s would have become 8.25000 ms.

Ruled out: rounding in the template, which can only place values.

--- a/crates/gateway/examples/cost.rs
+++ b/crates/gateway/examples/cost.rs
@@ -40,7 +40,7 @@
 const TICKS_S: f64 = 100.0;
 
 /// Servers before the gateway.
-const SERVERS: u32 = 55;
+const SERVERS: u32 = 180;
 
 /// Addresses of the gateway: callers, health, control, store.
 const PORTS: [u16; 4] = [17_401, 17_402, 17_403, 17_404];
@@ -111,7 +111,8 @@
         keys_fresh_ms: None,
         grace_ms: 1_000,
         retry_ratio: 0.2,
-        retry_slack: 20,
+        retry_slack: 20.0,
+        processors: 1.0,
         descriptors: 4_096,
     };
     let logger = mulberryyoke_event::open_output("g0");
--- a/crates/gateway/src/budgets.rs
+++ b/crates/gateway/src/budgets.rs
@@ -43,12 +43,10 @@
 impl Budgets {
     /// Bounds the retries: the fleet may make `ratio` for each request and `slack`
     /// beyond, and this node is one of `nodes`.
-    pub(crate) fn bound(&self, ratio: f64, slack: u32, nodes: usize) {
+    pub(crate) fn bound(&self, ratio: f64, slack: f64, nodes: usize) {
         let percent = whole(ratio * RATIO_PART * 100.0);
         let nodes = u32::try_from(nodes).unwrap_or(u32::MAX).max(1);
-        let full = u64::from(whole(
-            f64::from(slack) * SLACK_PART * 100.0 / f64::from(nodes),
-        ));
+        let full = u64::from(whole(slack * SLACK_PART * 100.0 / f64::from(nodes)));
         let mut inner = self.inner.lock();
         if inner.percent != percent {
             inner.by_pool.clear();
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -33,7 +33,7 @@
 const LEAST_BUFFER: usize = 8 << 10;
 
 /// Part of the file descriptors that callers' connections may have before some are closed.
-const CROWDED_PART: u32 = 8;
+const CROWDED_PART: u64 = 8;
 
 /// Pause after a failure to accept, for example for want of file descriptors.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -160,7 +160,7 @@
 /// they come back on new ones.
 fn is_crowded(core: &Core) -> bool {
     let most = core.settings.load().descriptors / CROWDED_PART;
-    core.connections.load(Ordering::Relaxed) > most
+    u64::from(core.connections.load(Ordering::Relaxed)) > most
 }
 
 /// Records a refusal and words it for the caller.
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -32,16 +32,21 @@
 impl Node {
     /// Starts a gateway that has not yet learnt anything.
     pub(crate) async fn spawn(service: &Arc<Service>, name: &str) -> Self {
+        Self::sized(service, name, 1.0).await
+    }
+
+    /// As [`Node::spawn`], with so much of a processor.
+    pub(crate) async fn sized(service: &Arc<Service>, name: &str, processors: f64) -> Self {
         // Another test may take an address between its choice and its use.
         for _ in 0..TRIES {
-            if let Some(node) = Self::try_spawn(service, name).await {
+            if let Some(node) = Self::try_spawn(service, name, processors).await {
                 return node;
             }
         }
         panic!("the gateway finds free addresses");
     }
 
-    async fn try_spawn(service: &Arc<Service>, name: &str) -> Option<Self> {
+    async fn try_spawn(service: &Arc<Service>, name: &str, processors: f64) -> Option<Self> {
         let way = Way::new(service);
         let [callers, health, control, store] = [(); 4].map(|()| free());
         let settings = settings::Gateway {
@@ -54,7 +59,8 @@
             keys_fresh_ms: Some(KEYS_FRESH_MS),
             grace_ms: 6_000,
             retry_ratio: 1.0,
-            retry_slack: 20,
+            retry_slack: 20.0,
+            processors,
             descriptors: 1_024,
         };
         let logger = Logger::root(Discard, o!());
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -22,7 +22,7 @@
 const MAX_RETENTION_MS: u64 = 86_400_000;
 
 /// Fewest file descriptors with which a gateway can serve, beside those for files.
-const MIN_DESCRIPTORS: u32 = 256;
+const MIN_DESCRIPTORS: u64 = 256;
 
 /// Digits of a key's hash.
 const HASH_DIGITS: usize = 64;
@@ -57,12 +57,14 @@
         within("keys_fresh_ms", fresh_ms, 1..=MAX_PERIOD_MS)?;
     }
     within("grace_ms", gateway.grace_ms, 0..=MAX_DRAIN_MS)?;
-    let fewest = u64::from(MIN_DESCRIPTORS);
-    within(
-        "descriptors",
-        u64::from(gateway.descriptors),
-        fewest..=u64::from(u32::MAX),
-    )?;
+    let most = u64::from(u32::MAX);
+    within("descriptors", gateway.descriptors, MIN_DESCRIPTORS..=most)?;
+    if gateway.retry_slack < 0.0 {
+        return Err(Fault::new("retry_slack", "must not be negative"));
+    }
+    if gateway.processors <= 0.0 {
+        return Err(Fault::new("processors", "must be more than 0"));
+    }
     if !(0.0..=1.0).contains(&gateway.retry_ratio) {
         return Err(Fault::new("retry_ratio", "must be from 0 to 1"));
     }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -4,6 +4,8 @@
 
 use serde::Deserialize;
 
+use crate::number;
+
 /// Settings of a gateway.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -22,20 +24,24 @@
     pub store: SocketAddr,
     /// Age of the configuration from which requests with a key are refused, in
     /// milliseconds; never when absent.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "number::some_whole")]
     pub keys_fresh_ms: Option<u64>,
     /// Longest time of a planned stop, in milliseconds.
-    #[serde(default = "grace_ms")]
+    #[serde(default = "grace_ms", deserialize_with = "number::whole")]
     pub grace_ms: u64,
     /// Retries that the fleet may make for each request.
     #[serde(default = "retry_ratio")]
     pub retry_ratio: f64,
     /// Retries that the fleet may make beyond, in a window of ten seconds.
     #[serde(default = "retry_slack")]
-    pub retry_slack: u32,
+    pub retry_slack: f64,
+    /// Processors that the process has, or the part of one: those with most of it work for
+    /// the others of their zone.
+    #[serde(default = "processors")]
+    pub processors: f64,
     /// File descriptors that the process may have open.
-    #[serde(default = "descriptors")]
-    pub descriptors: u32,
+    #[serde(default = "descriptors", deserialize_with = "number::whole")]
+    pub descriptors: u64,
 }
 
 impl Gateway {
@@ -69,10 +75,14 @@
     0.2
 }
 
-const fn retry_slack() -> u32 {
-    20
+const fn retry_slack() -> f64 {
+    20.0
+}
+
+const fn processors() -> f64 {
+    1.0
 }
 
-const fn descriptors() -> u32 {
+const fn descriptors() -> u64 {
     1_024
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,7 @@
 mod error;
 mod gateway;
 mod limits;
+mod number;
 mod operator;
 mod read;
 mod role;
