Exchange: collectors of each zone add up what gateways have, instead of everyone telling everyone

Cause, seen in the logs of eleven nodes of delta-a: 74,511 times "peer disconnected" in 34 s. A beat went out every 8 ms a peer, 816 ms with 102 peers, and a peer counted as silent after 600 ms. What peers had at servers and what customers were given was forgotten between two beats. Beside it, by reading: a beat of 180 servers exceeds a packet, so that reads and customers were dropped, and was not read at all above two.

Now a gateway tells the two largest of its zone, these tell each other zone's, and one of them tells the fleet's sum back. Each message holds a whole state and replaces the one before it. Messages of any size go in packets of 1,400 bytes. Intervals follow packets and processor and never come near the age of silence. Without any word a gateway takes its peers to have as much as itself and logs it.

--- /dev/null
+++ b/crates/decide/src/aggregate/state.rs
@@ -0,0 +1,76 @@
+//! What gateways have at the servers, and what customers asked of them.
+
+use std::collections::HashMap;
+
+use mulberryyoke_model::{CustomerId, ServerId};
+
+use crate::engine::Load;
+use crate::share::Flow;
+
+/// What one or more gateways have at the servers, and what customers lately asked of them
+/// and were given. Servers and customers that are not named have nothing.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct State {
+    /// Load by server.
+    pub loads: HashMap<ServerId, Load>,
+    /// Tokens by customer.
+    pub flows: HashMap<CustomerId, Flow>,
+}
+
+impl State {
+    /// Adds what others have.
+    pub fn add(&mut self, other: &Self) {
+        for (&server, &load) in &other.loads {
+            self.loads.entry(server).or_default().add(load);
+        }
+        for (&customer, flow) in &other.flows {
+            let sum = self.flows.entry(customer).or_default();
+            sum.asked += flow.asked;
+            sum.given += flow.given;
+        }
+    }
+
+    /// Takes away what others have; nothing falls below zero.
+    pub fn take(&mut self, other: &Self) {
+        for (server, &load) in &other.loads {
+            if let Some(sum) = self.loads.get_mut(server) {
+                sum.take(load);
+            }
+        }
+        for (customer, flow) in &other.flows {
+            if let Some(sum) = self.flows.get_mut(customer) {
+                sum.asked = (sum.asked - flow.asked).max(0.0);
+                sum.given = (sum.given - flow.given).max(0.0);
+            }
+        }
+    }
+
+    /// What `nodes` others are taken to have that tell nothing: each as much in all as this
+    /// state's one gateway, spread evenly over the servers.
+    #[must_use]
+    pub fn estimate(&self, nodes: u32, servers: &[ServerId]) -> Self {
+        let mut all = Load::default();
+        for &load in self.loads.values() {
+            all.add(load);
+        }
+        let count = u32::try_from(servers.len()).unwrap_or(u32::MAX).max(1);
+        let part = |sum: u32| sum.saturating_mul(nodes) / count;
+        let load = Load {
+            unread: part(all.unread),
+            queued: part(all.queued),
+            running: part(all.running),
+        };
+        let times = f64::from(nodes);
+        let flows = self.flows.iter().map(|(&customer, flow)| {
+            let flow = Flow {
+                asked: flow.asked * times,
+                given: flow.given * times,
+            };
+            (customer, flow)
+        });
+        Self {
+            loads: servers.iter().map(|&server| (server, load)).collect(),
+            flows: flows.collect(),
+        }
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod account;
 pub mod admission;
+pub mod aggregate;
 pub mod declare;
 pub mod engine;
 pub mod exchange;
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -90,6 +90,8 @@
     Listed = 1022, Info, "kept parts listed";
     /// A model server could not be asked which prompt parts it keeps.
     ListFailed = 1023, Warning, "kept parts not listed";
+    /// A router hears of none of its peers, or again of some.
+    Alone = 1024, Warning, "load of peers unknown changed";
     /// A sidecar reserved a slot for a customer's request at a router.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -3,10 +3,9 @@
 mod health;
 mod running;
 
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 
-use mulberryyoke_decide::engine::{Engine, Load};
-use mulberryyoke_wire::beat;
+use mulberryyoke_decide::engine::Engine;
 use parking_lot::Mutex;
 
 pub(crate) use self::health::Health;
@@ -27,8 +26,6 @@
     pub(crate) engine: Mutex<Engine>,
     pub(crate) health: Mutex<Health>,
     is_closed: AtomicBool,
-    /// Prompt tokens sent to it by this router; the count wraps.
-    sent: AtomicU32,
 }
 
 impl Backend {
@@ -40,23 +37,10 @@
             engine: Mutex::new(Engine::new(slots, cache_tokens)),
             health: Mutex::new(Health::default()),
             is_closed: AtomicBool::new(server.is_leaving),
-            sent: AtomicU32::new(0),
             server,
         }
     }
 
-    /// What peers are told of it; `None` while this router never used it.
-    pub(crate) fn told(&self) -> Option<beat::Server> {
-        let sent = self.sent.load(Ordering::Relaxed);
-        let load = self.engine.lock().own;
-        let is_unused = sent == 0 && load == Load::default();
-        (!is_unused).then_some(beat::Server {
-            id: self.server.id,
-            load,
-            sent,
-        })
-    }
-
     /// Whether it may get new requests.
     pub(crate) fn is_open(&self) -> bool {
         !self.is_closed.load(Ordering::Relaxed)
--- a/crates/gateway/src/backend/running.rs
+++ b/crates/gateway/src/backend/running.rs
@@ -1,7 +1,6 @@
 //! A request at a server, counted there until it ends.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use mulberryyoke_decide::engine::Prompt;
 use tokio::time::Instant;
@@ -30,7 +29,6 @@
         let ahead = engine.backlog();
         let tokens = engine.send(prompt.unwrap_or(&none), clock::now_ms());
         drop(engine);
-        backend.sent.fetch_add(tokens, Ordering::Relaxed);
         Self {
             backend: Arc::clone(backend),
             tokens,
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -99,6 +99,10 @@
         core.shares.lock().give(customer.id, prompt.cost());
     }
     core.exchange.note(choice.server, prompt, is_new);
+    // What other nodes have servers read is not told; each is taken to do as this one does.
+    let peers = u32::try_from(core.exchange.gateways() - 1).unwrap_or(u32::MAX);
+    let read = choice.uncached.saturating_mul(peers);
+    backend.engine.lock().cache.read(read);
     Ok(Running::begin(backend, Some(prompt)))
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,50 +1,35 @@
-//! What gateways tell each other: what each has at the servers, and which shared
-//! prompt parts it had them read.
+//! What gateways tell each other: what each has at the servers, what customers asked of it,
+//! and which shared prompt parts it had servers read.
 
 mod announce;
-mod peer;
+mod peers;
+mod reads;
 mod run;
+mod sponsor;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use mulberryyoke_decide::aggregate::{Aggregate, Member, Place, State, Sum, interval_ms, rank};
 use mulberryyoke_decide::engine::{Load, Prompt};
-use mulberryyoke_decide::share::Flow;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{CustomerId, Incarnation, ServerId};
-use mulberryyoke_wire::beat::{Beat, Customer, Read};
+use mulberryyoke_model::{Incarnation, ServerId};
+use mulberryyoke_wire::beat::{Beat, Read, Scope};
 use parking_lot::Mutex;
-use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 pub(crate) use self::announce::{PREFIX, announce};
-use self::peer::Peer;
+pub(crate) use self::peers::Peer;
+use self::peers::Peers;
+use self::reads::Reads;
 pub(crate) use self::run::run;
+use self::sponsor::Sponsor;
 use crate::clock;
 use crate::core::Core;
-use crate::round::whole;
 
-/// Time without a beat after which what a peer had at the servers no longer
-/// counts, in milliseconds.
-const SILENT_MS: u64 = 600;
-
-/// Time after which a shared part that is still in use is told again, in
-/// milliseconds: a lost datagram does no lasting harm.
-const TELL_AGAIN_MS: u64 = 2_000;
-
-/// Time between tellings of what customers asked and were given, in milliseconds:
-/// short beside the seconds over which it is counted.
-const CUSTOMERS_MS: u64 = 100;
-
-/// Time between additions of all that peers tell, in milliseconds: servers that
-/// registered between two beats are counted right again.
-const RECOUNT_MS: u64 = 200;
-
-/// Gateways that ask the key-value service: any two may be gone or cut off.
-const WATCHERS: usize = 3;
-
-/// Reads that wait to be told; more are left out.
-const MOST_READS: usize = 64;
+/// Least time between two additions of all that was heard, in milliseconds: with few
+/// gateways what one tells counts at once, and with many each costs a bounded part of the
+/// processor.
+const COUNT_MS: u64 = 5;
 
 /// What this gateway exchanges with its peers.
 #[derive(Debug)]
@@ -53,60 +38,66 @@
     inner: Mutex<Inner>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Inner {
-    /// Addresses of peers by name.
-    addresses: HashMap<String, SocketAddr>,
-    peers: HashMap<Incarnation, Peer>,
-    reads: Vec<Read>,
-    told: HashMap<(ServerId, u64), Instant>,
+    name: String,
+    place: Place,
+    peers: Peers,
+    aggregate: Aggregate,
+    reads: Reads,
+    sponsor: Sponsor,
+    /// Gateways of the zone that want the fleet's sum.
+    wanting: HashMap<Incarnation, SocketAddr>,
+    /// Collectors of other zones, as they were heard.
+    collectors: HashMap<Incarnation, SocketAddr>,
     number: u32,
-    customers_told: Option<Instant>,
-    /// When what peers tell was last added up.
-    counted: Option<Instant>,
+    /// When what was heard was last added up, in milliseconds of this process's clock.
+    counted_ms: u64,
+    is_changed: bool,
+    is_alone: bool,
 }
 
+/// A message and where it goes.
+type Outgoing = (Beat, Vec<SocketAddr>);
+
 impl Exchange {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(name: &str, place: Place) -> Self {
+        let origin = Incarnation(rand::random());
+        let inner = Inner {
+            name: name.to_owned(),
+            aggregate: Aggregate::new(origin, &place.zone),
+            place,
+            peers: Peers::default(),
+            reads: Reads::default(),
+            sponsor: Sponsor::default(),
+            wanting: HashMap::new(),
+            collectors: HashMap::new(),
+            number: 0,
+            counted_ms: 0,
+            is_changed: false,
+            is_alone: false,
+        };
         Self {
-            origin: Incarnation(rand::random()),
-            inner: Mutex::default(),
+            origin,
+            inner: Mutex::new(inner),
         }
     }
 
-    /// Notes where a peer takes beats, or that it is gone.
-    pub(crate) fn set_address(&self, name: &str, address: Option<SocketAddr>) {
-        let addresses = &mut self.inner.lock().addresses;
-        match address {
-            Some(address) => addresses.insert(name.to_owned(), address),
-            None => addresses.remove(name),
-        };
+    /// Notes where a peer is and takes messages, or that it is gone.
+    pub(crate) fn set_peer(&self, name: &str, peer: Option<Peer>) {
+        self.inner.lock().peers.set(name, peer);
     }
 
     /// Whether this gateway is one of the few that ask the key-value service, and
     /// where the others of these are. All gateways that know of each other agree.
-    pub(crate) fn watchers(&self, name: &str) -> (bool, Vec<SocketAddr>) {
+    pub(crate) fn watchers(&self) -> (bool, Vec<SocketAddr>) {
         let inner = self.inner.lock();
-        let mut ranked: Vec<(u64, Option<SocketAddr>)> = inner
-            .addresses
-            .iter()
-            .map(|(name, address)| (rank(name), Some(*address)))
-            .collect();
-        ranked.push((rank(name), None));
-        ranked.sort_unstable();
-        ranked.truncate(WATCHERS);
-        let is_watcher = ranked.iter().any(|(_, address)| address.is_none());
-        let mut peers: Vec<SocketAddr> = ranked.into_iter().filter_map(|(_, peer)| peer).collect();
-        // The others spread over the watchers.
-        let first = usize::try_from(rank(name) % WATCHERS as u64).unwrap_or(0);
-        let first = first.min(peers.len());
-        peers.rotate_left(first);
-        (is_watcher, peers)
+        inner.peers.watchers(&inner.name, &inner.place)
     }
 
     /// Number of gateways that are known, this one included.
     pub(crate) fn gateways(&self) -> usize {
-        self.inner.lock().addresses.len() + 1
+        self.inner.lock().peers.len() + 1
     }
 
     /// Notes that a server is given a prompt, to tell its shared parts.
@@ -114,80 +105,54 @@
         let Some(key) = prompt.home() else {
             return;
         };
-        let now = Instant::now();
         let mut inner = self.inner.lock();
-        if inner.addresses.is_empty() || inner.reads.len() >= MOST_READS {
-            return;
+        if inner.peers.len() > 0 {
+            let read = || Read {
+                server,
+                shared: prompt.shared.to_vec(),
+            };
+            inner.reads.note(key, read, is_new, server, clock::now_ms());
         }
-        let told = inner.told.get(&(server, key));
-        let is_told = told.is_some_and(|at| clock::between_ms(*at, now) < TELL_AGAIN_MS);
-        if is_told && !is_new {
-            return;
-        }
-        inner.told.insert((server, key), now);
-        inner.reads.push(Read {
-            server,
-            shared: prompt.shared.to_vec(),
-        });
     }
 
-    fn take_beat(&self, core: &Core) -> (Beat, Vec<SocketAddr>) {
+    /// Time from a round of so many packets to the next, in milliseconds.
+    fn interval_ms(&self, packets: usize) -> u64 {
+        let inner = self.inner.lock();
+        interval_ms(packets, inner.place.processors(), inner.collects())
+    }
+
+    /// The messages of a round.
+    fn round(&self, core: &Core) -> Vec<Outgoing> {
         let mut inner = self.inner.lock();
+        let now = clock::now_ms();
+        inner.reads.forget(now);
+        let own = own(core);
         inner.number = inner.number.wrapping_add(1);
-        let now = Instant::now();
-        inner
-            .told
-            .retain(|_, at| clock::between_ms(*at, now) < TELL_AGAIN_MS);
-        let told = inner.customers_told;
-        let customers = if told.is_none_or(|at| clock::between_ms(at, now) >= CUSTOMERS_MS) {
-            inner.customers_told = Some(now);
-            customers(core)
-        } else {
-            Vec::new()
-        };
-        let all = core.roster.all();
-        let servers = all.iter().filter_map(|backend| backend.told());
-        let beat = Beat {
-            origin: self.origin,
-            number: inner.number,
-            servers: servers.collect(),
-            reads: std::mem::take(&mut inner.reads),
-            customers,
-        };
-        (beat, inner.addresses.values().copied().collect())
+        let number = inner.number;
+        inner.aggregate.tell(number, own.clone());
+        let mut round = inner.own_messages(self.origin, number, own, now);
+        if inner.collects() {
+            round.extend(inner.sums(self.origin, now));
+        }
+        round
     }
 
-    fn hear(&self, core: &Core, beat: &Beat) {
+    fn hear(&self, core: &Core, beat: &Beat, from: SocketAddr) {
         if beat.origin == self.origin {
             return;
         }
-        let now = Instant::now();
+        let now = clock::now_ms();
         let mut inner = self.inner.lock();
-        let is_new = !inner.peers.contains_key(&beat.origin);
-        let peer = inner.peers.entry(beat.origin).or_default();
-        let Some(mut before) = peer.hear(beat, now) else {
+        let is_known = inner.aggregate.knows(beat.origin);
+        if !inner.take(beat, from, now) {
             return;
-        };
-        if is_new {
-            log!(core.logger, Event::PeerUp, "peer" => beat.origin.0);
         }
-        for server in &beat.servers {
-            if let Some(backend) = core.roster.by_id(server.id) {
-                let sent = peer.sent(server);
-                let mut engine = backend.engine.lock();
-                engine.recent.add(sent, clock::now_ms());
-                engine.cache.read(sent);
-                engine
-                    .others
-                    .take(before.remove(&server.id).unwrap_or_default());
-                engine.others.add(server.load);
-            }
-        }
-        for (server, load) in before {
-            if let Some(backend) = core.roster.by_id(server) {
-                backend.engine.lock().others.take(load);
-            }
+        inner.is_changed = true;
+        if !is_known {
+            log!(core.logger, Event::PeerUp, "peer" => beat.origin.0, "address" => from.to_string());
         }
+        inner.count_if_due(core, now);
+        drop(inner);
         for read in &beat.reads {
             if let Some(backend) = core.roster.by_id(read.server) {
                 backend.engine.lock().cache.insert(&read.shared);
@@ -195,63 +160,170 @@
         }
     }
 
-    /// Stops counting peers that are silent.
+    /// Stops counting what peers told that are silent.
     fn expire(&self, core: &Core) {
-        let now = Instant::now();
+        let now = clock::now_ms();
         let mut inner = self.inner.lock();
-        let before = inner.peers.len();
-        inner.peers.retain(|origin, peer| {
-            let is_heard = peer.age_ms(now) < SILENT_MS;
-            if !is_heard {
-                log!(core.logger, Event::PeerDown, "peer" => origin.0);
-            }
-            is_heard
-        });
-        let counted = inner.counted;
-        let is_due = counted.is_none_or(|at| clock::between_ms(at, now) >= RECOUNT_MS);
-        if is_due || inner.peers.len() != before {
-            inner.counted = Some(now);
-            inner.recount(core);
-            inner.recount_customers(core);
+        for origin in inner.aggregate.expire(now) {
+            inner.is_changed = true;
+            inner.wanting.remove(&origin);
+            inner.collectors.remove(&origin);
+            log!(core.logger, Event::PeerDown, "peer" => origin.0);
         }
+        inner.count_if_due(core, now);
     }
 }
 
-/// What customers asked of this gateway and were given by it.
-fn customers(core: &Core) -> Vec<Customer> {
-    let shares = core.shares.lock();
-    let customers = shares.own().map(|(id, flow)| Customer {
-        id,
-        asked: whole(flow.asked),
-        given: whole(flow.given),
-    });
-    customers.collect()
-}
-
 impl Inner {
-    /// Adds up what customers asked of peers and were given by them.
-    fn recount_customers(&self, core: &Core) {
-        let mut sums: HashMap<CustomerId, Flow> = HashMap::new();
-        for (customer, flow) in self.peers.values().flat_map(Peer::customers) {
-            let sum = sums.entry(customer).or_default();
-            sum.asked += flow.asked;
-            sum.given += flow.given;
+    /// Whether this gateway adds up what those of its zone have: as one of the zone's
+    /// collectors, or because others found none of them.
+    fn collects(&self) -> bool {
+        let own = (self.name.as_str(), &self.place);
+        self.aggregate.collects() || self.peers.is_collector(own)
+    }
+
+    /// Where the collectors of the zone take messages, this gateway left out, and those asked
+    /// in place of the ones that are passed over.
+    fn collectors_of_zone(&self, passed: usize) -> Vec<SocketAddr> {
+        let own = (self.name.as_str(), &self.place);
+        self.peers.collectors(own, passed)
+    }
+
+    /// Where those of the other zones take them: as they are known, and as they were heard.
+    fn zones(&self) -> Vec<SocketAddr> {
+        let mut zones = self.peers.collectors_elsewhere(&self.place.zone);
+        zones.extend(self.collectors.values());
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+    }
+
+    /// What this gateway tells the collectors of its zone.
+    fn own_messages(
+        &mut self,
+        origin: Incarnation,
+        number: u32,
+        state: State,
+        now: u64,
+    ) -> Vec<Outgoing> {
+        let reads = self.reads.take_own();
+        let collects = self.collects();
+        let sum = Sum {
+            nodes: 1,
+            members: Vec::new(),
+            state,
+        };
+        let node = rank(&self.name);
+        let from = Member { origin, number };
+        let passed = if collects { 0 } else { self.sponsor.passed() };
+        let to = self.collectors_of_zone(passed);
+        if !collects {
+            self.sponsor.choose(&to, now);
+        }
+        let messages = to.into_iter().map(|address| {
+            let wants_fleet = !collects && self.sponsor.is_asked(address, now);
+            let scope = Scope::Node { node, wants_fleet };
+            (Beat::new(from, scope, &sum, reads.clone()), vec![address])
+        });
+        messages.collect()
+    }
+
+    /// What this gateway tells other zones and the gateways of its own.
+    fn sums(&mut self, origin: Incarnation, now: u64) -> Vec<Outgoing> {
+        let mut sums = Vec::new();
+        let zone_reads = self.reads.take_zone();
+        let fleet_reads = self.reads.take_fleet();
+        let zones = self.zones();
+        if !zones.is_empty() {
+            let scope = Scope::Zone {
+                zone: rank(&self.place.zone),
+            };
+            let from = self.next(origin);
+            let sum = self.aggregate.zone_sum();
+            sums.push((Beat::new(from, scope, &sum, zone_reads), zones));
+        }
+        if !self.wanting.is_empty() {
+            let from = self.next(origin);
+            let sum = self.aggregate.fleet_sum(now);
+            let to = self.wanting.values().copied().collect();
+            sums.push((Beat::new(from, Scope::Fleet, &sum, fleet_reads), to));
+        }
+        sums
+    }
+
+    fn next(&mut self, origin: Incarnation) -> Member {
+        self.number = self.number.wrapping_add(1);
+        Member {
+            origin,
+            number: self.number,
         }
-        core.shares.lock().set_others(&sums);
     }
 
-    /// Adds up what peers have at the servers.
-    fn recount(&self, core: &Core) {
-        for backend in core.roster.all() {
-            let mut sum = Load::default();
-            for peer in self.peers.values() {
-                sum.add(peer.load(backend.server.id));
+    /// Takes in a message; `false` if a later one came before it.
+    fn take(&mut self, beat: &Beat, from: SocketAddr, now: u64) -> bool {
+        let sum = beat.sum();
+        match beat.scope {
+            Scope::Node { node, wants_fleet } => {
+                self.reads.pass(&beat.reads, true, now);
+                if wants_fleet {
+                    self.wanting.insert(beat.origin, from);
+                } else {
+                    self.wanting.remove(&beat.origin);
+                }
+                self.aggregate
+                    .hear_node(node, beat.member(), sum.state, now)
+            }
+            Scope::Zone { zone } => {
+                self.reads.pass(&beat.reads, false, now);
+                self.collectors.insert(beat.origin, from);
+                self.aggregate.hear_zone(zone, beat.member(), sum, now)
+            }
+            Scope::Fleet => {
+                let is_collector = self.collectors_of_zone(0).contains(&from);
+                self.sponsor.hear(from, is_collector, now);
+                self.aggregate.hear_fleet(beat.member(), sum, now)
             }
-            backend.engine.lock().others = sum;
         }
     }
+
+    /// Adds up what was heard, unless that was done just now or nothing has changed.
+    fn count_if_due(&mut self, core: &Core, now: u64) {
+        if self.is_changed && now.saturating_sub(self.counted_ms) >= COUNT_MS {
+            self.is_changed = false;
+            self.counted_ms = now;
+            self.count(core, now);
+        }
+    }
+
+    fn count(&mut self, core: &Core, now: u64) {
+        let told = self.aggregate.others(now);
+        let is_alone = told.is_none() && self.peers.len() > 0;
+        if is_alone != self.is_alone {
+            self.is_alone = is_alone;
+            log!(core.logger, Event::Alone, "alone" => is_alone, "peers" => self.peers.len());
+        }
+        let all = core.roster.all();
+        let others = told.unwrap_or_else(|| {
+            let servers: Vec<ServerId> = all.iter().map(|backend| backend.server.id).collect();
+            let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
+            own(core).estimate(peers, &servers)
+        });
+        for backend in &all {
+            let load = others.loads.get(&backend.server.id);
+            backend.engine.lock().others = load.copied().unwrap_or_default();
+        }
+        core.shares.lock().set_others(&others.flows);
+    }
 }
 
-fn rank(name: &str) -> u64 {
-    xxh3_64(name.as_bytes())
+/// What this gateway has at the servers, and what customers asked of it and were given.
+fn own(core: &Core) -> State {
+    let all = core.roster.all();
+    let loads = all.iter().filter_map(|backend| {
+        let load = backend.engine.lock().own;
+        (load != Load::default()).then_some((backend.server.id, load))
+    });
+    let loads = loads.collect();
+    let flows = core.shares.lock().own().collect();
+    State { loads, flows }
 }
--- a/crates/gateway/src/exchange/announce.rs
+++ b/crates/gateway/src/exchange/announce.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mulberryyoke_decide::aggregate::Place;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_platform::kv::{Error, Feed, LeaseId};
 use tokio::time::{Instant, sleep};
 
+use super::Peer;
 use crate::core::Core;
 
 /// Prefix of the keys under which gateways tell where they take beats.
@@ -59,7 +61,10 @@
     let id = feed.grant(LEASE_MS).await?.id;
     let settings = core.settings.load_full();
     let key = format!("{PREFIX}{}", settings.name);
-    let address = settings.control.to_string();
-    feed.put(&key, address.as_bytes(), id).await?;
+    let peer = Peer {
+        address: settings.control,
+        place: Place::new(&settings.zone, settings.processors),
+    };
+    feed.put(&key, peer.write().as_bytes(), id).await?;
     Ok(id)
 }
--- /dev/null
+++ b/crates/gateway/src/exchange/peers.rs
@@ -0,0 +1,126 @@
+//! The gateways that are registered.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use mulberryyoke_decide::aggregate::{COLLECTORS, Place, rank, ranked};
+
+/// Gateways that ask the key-value service: any two may be gone or cut off.
+const WATCHERS: usize = 3;
+
+/// Where a gateway takes messages, and what it runs on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Peer {
+    pub(crate) address: SocketAddr,
+    pub(crate) place: Place,
+}
+
+impl Peer {
+    /// Reads a registration: address, thousandths of a processor, and zone. One that has the
+    /// address alone is of a gateway which takes no messages of this version's form.
+    pub(crate) fn read(value: &[u8]) -> Option<Self> {
+        let text = std::str::from_utf8(value).ok()?;
+        let mut fields = text.splitn(3, ' ');
+        let address = fields.next()?.parse().ok()?;
+        let thousandths = fields.next().and_then(|field| field.parse().ok());
+        let place = Place {
+            zone: fields.next().unwrap_or_default().to_owned(),
+            thousandths: thousandths.unwrap_or(0),
+        };
+        Some(Self { address, place })
+    }
+
+    /// Writes it as [`Peer::read`] reads it.
+    pub(crate) fn write(&self) -> String {
+        let Place { zone, thousandths } = &self.place;
+        format!("{} {thousandths} {zone}", self.address)
+    }
+}
+
+/// The gateways that are registered, but for this one.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    by_name: HashMap<String, Peer>,
+    /// Names by zone, those that collect first.
+    zones: BTreeMap<String, Vec<String>>,
+}
+
+impl Peers {
+    pub(super) fn set(&mut self, name: &str, peer: Option<Peer>) {
+        match peer {
+            Some(peer) => self.by_name.insert(name.to_owned(), peer),
+            None => self.by_name.remove(name),
+        };
+        self.zones.clear();
+        let mut zones: BTreeMap<&str, Vec<(&str, &Place)>> = BTreeMap::new();
+        for (name, peer) in &self.by_name {
+            let of_zone = zones.entry(&peer.place.zone).or_default();
+            of_zone.push((name, &peer.place));
+        }
+        for (zone, peers) in zones {
+            let names = ranked(peers.into_iter());
+            let names = names.into_iter().map(str::to_owned).collect();
+            self.zones.insert(zone.to_owned(), names);
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Whether a gateway, this one, is among the collectors of its zone.
+    pub(super) fn is_collector(&self, (name, place): (&str, &Place)) -> bool {
+        let ranked = self.ranked((name, place));
+        ranked.into_iter().take(COLLECTORS).any(|of| of == name)
+    }
+
+    /// Where the collectors of a gateway's zone take messages, that gateway left out. If some
+    /// are passed over, as they did not answer, those after them are named as well.
+    pub(super) fn collectors(&self, own: (&str, &Place), passed: usize) -> Vec<SocketAddr> {
+        let ranked = self.ranked(own);
+        let first = ranked.iter().take(COLLECTORS);
+        let after = match passed % ranked.len() {
+            0 => &[],
+            passed => &ranked[passed..ranked.len().min(passed + COLLECTORS)],
+        };
+        let named = first
+            .chain(after)
+            .filter_map(|name| self.by_name.get(*name));
+        let mut addresses: Vec<SocketAddr> = named.map(|peer| peer.address).collect();
+        addresses.dedup();
+        addresses
+    }
+
+    /// Where the collectors of all zones but one take messages.
+    pub(super) fn collectors_elsewhere(&self, zone: &str) -> Vec<SocketAddr> {
+        let zones = self.zones.iter().filter(|(of, _)| *of != zone);
+        let names = zones.flat_map(|(_, names)| names.iter().take(COLLECTORS));
+        let peers = names.filter_map(|name| self.by_name.get(name));
+        peers.map(|peer| peer.address).collect()
+    }
+
+    /// Whether a gateway, this one, is one of the few that ask the key-value service, and
+    /// where the others of these are.
+    pub(super) fn watchers(&self, name: &str, place: &Place) -> (bool, Vec<SocketAddr>) {
+        let all = self.by_name.iter();
+        let all = all.map(|(name, peer)| (name.as_str(), &peer.place));
+        let mut ranked = ranked(all.chain([(name, place)]));
+        ranked.truncate(WATCHERS);
+        let is_watcher = ranked.contains(&name);
+        let peers = ranked.into_iter().filter_map(|name| self.by_name.get(name));
+        let mut peers: Vec<SocketAddr> = peers.map(|peer| peer.address).collect();
+        // The others spread over the watchers.
+        let first = usize::try_from(rank(name) % WATCHERS as u64).unwrap_or(0);
+        let first = first.min(peers.len());
+        peers.rotate_left(first);
+        (is_watcher, peers)
+    }
+
+    /// The names of a gateway's zone, its own included, those that collect first.
+    fn ranked<'a>(&'a self, (name, place): (&'a str, &'a Place)) -> Vec<&'a str> {
+        let names = self.zones.get(&place.zone);
+        let names = names.into_iter().flatten().map(String::as_str);
+        let peers = names.filter_map(|name| Some((name, &self.by_name.get(name)?.place)));
+        ranked(peers.chain([(name, place)]))
+    }
+}
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -5,41 +5,39 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mulberryyoke_wire::beat::{self, Beat};
+use mulberryyoke_wire::beat::{self, Assembler};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::clock;
 use crate::core::Core;
 
-/// Least time between two beats, in milliseconds: about as long as a server takes
-/// to read one short prompt.
-const BEAT_MS: u64 = 20;
-
-/// Time between beats for each peer, in milliseconds: with many peers the beats
-/// are fewer, so that they cost a bounded part of the processor.
-const BEAT_MS_A_PEER: u64 = 8;
+/// Time between looks at what is due, in milliseconds: the least time between two rounds.
+const TICK_MS: u64 = 20;
 
 /// Tells peers and hears them until the gateway ends.
 pub(crate) async fn run(core: Arc<Core>, socket: UdpSocket) {
     let mut buffer = vec![0; 2 * beat::MAX_BYTES];
-    let mut ticks = interval(Duration::from_millis(BEAT_MS));
+    let mut assembler = Assembler::default();
+    let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut last = Instant::now();
+    let mut due = Instant::now();
     loop {
         tokio::select! {
             () = core.stop.end.cancelled() => return,
             _ = ticks.tick() => {
                 core.exchange.expire(&core);
                 settle(&core);
-                let peers = core.exchange.gateways() as u64 - 1;
                 let now = Instant::now();
-                if clock::between_ms(last, now) + 1 >= BEAT_MS.max(peers * BEAT_MS_A_PEER) {
-                    last = now;
-                    tell(&core, &socket).await;
+                if now >= due {
+                    let packets = tell(&core, &socket).await;
+                    // A timer is late by a millisecond at least.
+                    due = clock::after(now, core.exchange.interval_ms(packets) - 1);
                 }
             }
-            received = socket.recv_from(&mut buffer) => hear(&core, &buffer, &received),
+            received = socket.recv_from(&mut buffer) => {
+                hear(&core, &mut assembler, &buffer, &received);
+            }
         }
     }
 }
@@ -57,27 +55,40 @@
         .bound(settings.retry_ratio, settings.retry_slack, nodes);
 }
 
-async fn tell(core: &Core, socket: &UdpSocket) {
-    let (mut beat, addresses) = core.exchange.take_beat(core);
-    if addresses.is_empty() {
-        return;
-    }
-    let bytes = beat.encode();
-    for address in addresses {
-        if let Err(error) = socket.send_to(&bytes, address).await {
-            metrics::counter!("beats_unsent_total", "kind" => error.kind().to_string())
-                .increment(1);
+/// Sends a round of messages, and returns the number of packets.
+async fn tell(core: &Core, socket: &UdpSocket) -> usize {
+    let mut sent = 0;
+    for (mut beat, addresses) in core.exchange.round(core) {
+        let packets = beat.encode();
+        sent += packets.len() * addresses.len();
+        for address in addresses {
+            for packet in &packets {
+                if let Err(error) = socket.send_to(packet, address).await {
+                    let kind = error.kind().to_string();
+                    metrics::counter!("beats_unsent_total", "kind" => kind).increment(1);
+                }
+            }
         }
     }
+    metrics::counter!("beat_packets_sent_total").increment(sent as u64);
+    sent
 }
 
-fn hear(core: &Core, buffer: &[u8], received: &io::Result<(usize, SocketAddr)>) {
+fn hear(
+    core: &Core,
+    assembler: &mut Assembler,
+    buffer: &[u8],
+    received: &io::Result<(usize, SocketAddr)>,
+) {
     // An error tells that an earlier datagram met no listener.
-    let Ok((length, _)) = received else {
+    let Ok((length, from)) = received else {
         return;
     };
-    match Beat::decode(&buffer[..*length]) {
-        Some(beat) => core.exchange.hear(core, &beat),
-        None => metrics::counter!("beats_unreadable_total").increment(1),
+    match assembler.take(&buffer[..*length]) {
+        Ok(Some(beat)) => core.exchange.hear(core, &beat, *from),
+        Ok(None) => {}
+        Err(unreadable) => {
+            metrics::counter!("beats_unreadable_total", "why" => unreadable.word()).increment(1);
+        }
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,7 +3,6 @@
 mod source;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +15,7 @@
 use self::source::{Source, Sources};
 use crate::clock;
 use crate::core::Core;
-use crate::exchange;
+use crate::exchange::{self, Peer};
 use crate::kept;
 
 /// Least time between two calls for changes, in milliseconds: each call is paid for,
@@ -186,17 +185,16 @@
                 self.register(name, value, revision);
             }
         } else {
-            let address = std::str::from_utf8(value).ok();
-            self.set_peer(key, address.and_then(|address| address.parse().ok()));
+            self.set_peer(key, Peer::read(value));
         }
     }
 
-    fn set_peer(&self, key: &str, address: Option<SocketAddr>) {
+    fn set_peer(&self, key: &str, peer: Option<Peer>) {
         let Some(name) = key.strip_prefix(exchange::PREFIX) else {
             return;
         };
         if name != self.core.settings.load().name {
-            self.core.exchange.set_address(name, address);
+            self.core.exchange.set_peer(name, peer);
         }
     }
 
--- a/crates/gateway/src/follow/source.rs
+++ b/crates/gateway/src/follow/source.rs
@@ -96,7 +96,7 @@
     pub(super) fn choose(&mut self, core: &Core) -> Source {
         let now = Instant::now();
         self.avoided.retain(|(_, until)| *until > now);
-        let (is_watcher, peers) = core.exchange.watchers(&core.settings.load().name);
+        let (is_watcher, peers) = core.exchange.watchers();
         let peers = peers.into_iter().map(Source::Peer);
         let mut order: Vec<Source> = peers.collect();
         if is_watcher {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use mulberryyoke_decide::aggregate::Place;
 use mulberryyoke_event::slog::Logger;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_platform::kv::Feed;
@@ -62,6 +63,8 @@
         let address = settings.control;
         let beats = UdpSocket::bind(address).await;
         let beats = beats.map_err(|source| Error::Bind { address, source })?;
+        let place = Place::new(&settings.zone, settings.processors);
+        let exchange = Exchange::new(&settings.name, place);
         let core = Arc::new(Core {
             budgets: Budgets::default(),
             settings: ArcSwap::from_pointee(settings),
@@ -70,7 +73,7 @@
             view: View::default(),
             roster: Roster::default(),
             mirror: Mirror::new(),
-            exchange: Exchange::new(),
+            exchange,
             shares: Mutex::default(),
             connections: AtomicU32::new(0),
             strain: Strain::default(),
--- /dev/null
+++ b/crates/gateway/tests/gateway/exchange.rs
@@ -0,0 +1,88 @@
+//! What gateways tell each other of their load.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::net::{TcpStream, UdpSocket};
+use tokio::time::{Instant, sleep};
+
+use crate::backend::{Backend, Way};
+use crate::caller;
+use crate::feed::Service;
+use crate::fleet::{Node, register};
+use crate::protocol::LONG_PROMPT;
+
+/// Longest time until a gateway knows what another has, beyond what it took in these tests.
+const KNOWN: Duration = Duration::from_millis(400);
+
+/// As [`KNOWN`], where those that collect are gone: until they are passed over.
+const KNOWN_ELSEWHERE: Duration = Duration::from_secs(3);
+
+/// Gateways of one zone before one model server that never answers.
+async fn zone(service: &Arc<Service>, nodes: usize) -> (Vec<Node>, Backend) {
+    let backend = Backend::spawn(Way::Hang).await;
+    service.set("config", Some("5 secret"));
+    register(service, 0, &backend, "ready");
+    let mut zone = Vec::new();
+    for index in 0..nodes {
+        // The first are the largest of the zone, so that they collect.
+        let processors = if index < 2 { 2.0 } else { 0.5 };
+        zone.push(Node::sized(service, &format!("g{index}"), processors).await);
+    }
+    for node in &zone {
+        node.wait_ready().await;
+    }
+    sleep(Duration::from_millis(500)).await;
+    (zone, backend)
+}
+
+/// Has the server be given a long prompt by a node; it ends when the connection does.
+async fn occupy(node: &Node) -> TcpStream {
+    let fields = format!("x-tokens: {LONG_PROMPT}\r\n");
+    caller::open(node.callers, &caller::request("/stream/", &fields)).await
+}
+
+/// Time until a node refuses another prompt, as it knows of the long one.
+async fn refuses(node: &Node, most: Duration) -> Duration {
+    let since = Instant::now();
+    while since.elapsed() < most {
+        let request = caller::request("/stream/", "x-tokens: 2000\r\n");
+        let asked = caller::send(node.callers, &request);
+        let asked = tokio::time::timeout(Duration::from_millis(50), asked).await;
+        if asked.is_ok_and(|reply| reply.status == 503) {
+            break;
+        }
+    }
+    since.elapsed()
+}
+
+#[gtest]
+#[tokio::test]
+async fn all_know_within_a_moment_what_one_has_at_a_server() {
+    let service = Service::new();
+    let (zone, _backend) = zone(&service, 8).await;
+    let _long = occupy(&zone[7]).await;
+    for node in &zone[..7] {
+        expect_that!(refuses(node, KNOWN).await, lt(KNOWN));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn others_collect_where_those_that_should_are_silent() {
+    let service = Service::new();
+    let mut silent = Vec::new();
+    for index in 0..2 {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+        let address = socket.local_addr().expect("an address");
+        let value = format!("{address} 9000 a");
+        service.set(&format!("mulberryyoke/gateways/s{index}"), Some(&value));
+        silent.push(socket);
+    }
+    let (zone, _backend) = zone(&service, 6).await;
+    let _long = occupy(&zone[5]).await;
+    for node in &zone[..5] {
+        expect_that!(refuses(node, KNOWN_ELSEWHERE).await, lt(KNOWN_ELSEWHERE));
+    }
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod backend;
 mod caller;
 mod configuration;
+mod exchange;
 mod feed;
 mod fleet;
 mod kept;
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -1,36 +1,65 @@
-//! What gateways tell each other, many times a second, in single datagrams.
+//! What gateways tell each other, many times a second, in datagrams that fit a packet each.
 
+mod assembler;
+mod packet;
+
+use mulberryyoke_decide::aggregate::{Member, State, Sum};
 use mulberryyoke_decide::engine::{Load, Part};
+use mulberryyoke_decide::share::Flow;
 use mulberryyoke_model::{CustomerId, Incarnation, ServerId};
 use serde::{Deserialize, Serialize};
 
-/// Largest encoded beat, in bytes: it fits into one packet.
-pub const MAX_BYTES: usize = 1_400;
+pub use self::assembler::Assembler;
+pub use self::packet::{MAX_BYTES, Unreadable};
+
+/// Whose state a message tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// The sender's own, told to the collectors of its zone.
+    Node {
+        /// A hash of its name.
+        node: u64,
+        /// Whether it wants the fleet's sum from the receiver.
+        wants_fleet: bool,
+    },
+    /// That of all gateways of a zone, told to the collectors of the others.
+    Zone {
+        /// A hash of its name.
+        zone: u64,
+    },
+    /// That of the whole fleet, told to the gateways of the sender's zone.
+    Fleet,
+}
 
-/// What one gateway has at the servers. A later beat takes the place of earlier ones.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// What one or more gateways have at the servers. It is told whole, and a later message of
+/// the same life and scope takes the place of earlier ones.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
-    /// The gateway's life.
+    /// The sender's life.
     pub origin: Incarnation,
-    /// Counts the beats of that life.
+    /// Counts the messages of that life.
     pub number: u32,
-    /// What the gateway has at each server; nothing where none is named.
+    /// Whose state it tells.
+    pub scope: Scope,
+    /// Gateways whose state it tells.
+    pub nodes: u32,
+    /// Those of the sender's zone, and the messages of theirs that it holds.
+    pub members: Vec<Member>,
+    /// What they have at each server; nothing where none is named.
     pub servers: Vec<Server>,
-    /// Shared prompt parts that it lately had servers read.
-    pub reads: Vec<Read>,
-    /// What customers lately asked of it and were given; empty when unchanged.
+    /// What customers lately asked of them and were given.
     pub customers: Vec<Customer>,
+    /// Shared prompt parts that servers were lately given to read.
+    pub reads: Vec<Read>,
 }
 
-/// What a gateway has at a server.
+/// What gateways have at a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
     /// The server.
     pub id: ServerId,
-    /// What it has there now.
+    /// What they have there now.
     pub load: Load,
-    /// Prompt tokens that it sent there in its life; the count wraps.
-    pub sent: u32,
 }
 
 /// Shared prompt parts that a server was given to read.
@@ -42,7 +71,7 @@
     pub shared: Vec<Part>,
 }
 
-/// What a customer lately asked of a gateway and was given.
+/// What a customer lately asked of gateways and was given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Customer {
     /// The customer.
@@ -54,23 +83,99 @@
 }
 
 impl Beat {
-    /// Encodes a beat, leaving out what exceeds one packet: the reads last told first.
+    /// A message that tells a sum.
+    #[must_use]
+    pub fn new(from: Member, scope: Scope, sum: &Sum, reads: Vec<Read>) -> Self {
+        let servers = sum.state.loads.iter();
+        let servers = servers.filter(|(_, load)| **load != Load::default());
+        let customers = sum.state.flows.iter();
+        Self {
+            origin: from.origin,
+            number: from.number,
+            scope,
+            nodes: sum.nodes,
+            members: sum.members.clone(),
+            servers: servers.map(|(&id, &load)| Server { id, load }).collect(),
+            customers: customers
+                .map(|(&id, flow)| Customer::new(id, *flow))
+                .collect(),
+            reads,
+        }
+    }
+
+    /// The message's number in its sender's life.
+    #[must_use]
+    pub const fn member(&self) -> Member {
+        Member {
+            origin: self.origin,
+            number: self.number,
+        }
+    }
+
+    /// The sum that it tells.
     #[must_use]
-    pub fn encode(&mut self) -> Vec<u8> {
+    pub fn sum(&self) -> Sum {
+        let loads = self.servers.iter().map(|server| (server.id, server.load));
+        let flows = self.customers.iter().map(Customer::flow);
+        Sum {
+            nodes: self.nodes,
+            members: self.members.clone(),
+            state: State {
+                loads: loads.collect(),
+                flows: flows.collect(),
+            },
+        }
+    }
+
+    /// Encodes a message as packets. What exceeds the most that one message may have is left
+    /// out: half of the reads at a time, those last told first.
+    #[must_use]
+    pub fn encode(&mut self) -> Vec<Vec<u8>> {
         loop {
             let bytes = postcard::to_stdvec(self).unwrap_or_default();
-            if bytes.len() <= MAX_BYTES || (self.reads.is_empty() && self.customers.is_empty()) {
-                return bytes;
+            if let Some(packets) = packet::split(self.member(), &bytes) {
+                return packets;
             }
-            if self.reads.pop().is_none() {
-                self.customers.pop();
+            let (reads, servers) = (self.reads.len(), self.servers.len());
+            match (reads, servers) {
+                (0, 0) => return Vec::new(),
+                (0, _) => self.servers.truncate(servers / 2),
+                (_, _) => self.reads.truncate(reads / 2),
             }
         }
     }
 
-    /// Reads an encoded beat; `None` if it is none.
-    #[must_use]
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
+    /// Reads the bytes of a whole message.
+    fn decode(bytes: &[u8]) -> Result<Self, Unreadable> {
+        postcard::from_bytes(bytes).map_err(|_| Unreadable::Message)
+    }
+}
+
+impl Customer {
+    fn new(id: CustomerId, flow: Flow) -> Self {
+        Self {
+            id,
+            asked: whole(flow.asked),
+            given: whole(flow.given),
+        }
     }
+
+    fn flow(&self) -> (CustomerId, Flow) {
+        let flow = Flow {
+            asked: f64::from(self.asked),
+            given: f64::from(self.given),
+        };
+        (self.id, flow)
+    }
+}
+
+/// A number of tokens without its fraction; out of range, the nearest bound.
+fn whole(tokens: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the cast goes to the nearest bound"
+    )]
+    let whole = tokens as u32;
+    whole
 }
--- /dev/null
+++ b/crates/wire/tests/beat.rs
@@ -0,0 +1,150 @@
+//! Messages between gateways and their packets.
+
+use googletest::prelude::*;
+use mulberryyoke_decide::aggregate::{Member, State, Sum};
+use mulberryyoke_decide::engine::{Load, Part};
+use mulberryyoke_decide::share::Flow;
+use mulberryyoke_model::{CustomerId, Incarnation, ServerId};
+use mulberryyoke_wire::beat::{Assembler, Beat, MAX_BYTES, Read, Scope, Unreadable};
+
+/// A message of a fleet with so many servers and customers, and with reads.
+fn beat(number: u32, servers: u32, customers: u32, reads: u32) -> Beat {
+    let load = Load {
+        unread: 123_456,
+        queued: 3,
+        running: 16,
+    };
+    let flow = Flow {
+        asked: 3_000_000.0,
+        given: 1_000_000.0,
+    };
+    let loads = (0..servers).map(|id| (ServerId(u32::MAX - id), load));
+    let flows = (0..customers).map(|id| (CustomerId(u32::MAX - id), flow));
+    let from = |origin, number| Member {
+        origin: Incarnation(u64::MAX - origin),
+        number,
+    };
+    let sum = Sum {
+        nodes: 103,
+        members: (0..21).map(|index| from(index, 70_000)).collect(),
+        state: State {
+            loads: loads.collect(),
+            flows: flows.collect(),
+        },
+    };
+    let part = |key| Part {
+        key: u64::MAX - key,
+        tokens: 5_000,
+    };
+    let reads = (0..reads).map(|id| Read {
+        server: ServerId(id),
+        shared: vec![part(u64::from(id)), part(u64::from(id) + 1)],
+    });
+    Beat::new(from(0, number), Scope::Fleet, &sum, reads.collect())
+}
+
+fn sorted(mut beat: Beat) -> Beat {
+    beat.servers.sort_by_key(|server| server.id);
+    beat.customers.sort_by_key(|customer| customer.id);
+    beat
+}
+
+#[gtest]
+fn a_message_of_any_size_comes_in_packets_and_comes_back_whole() {
+    // Of 180 servers and 60 customers nothing was told in one packet but servers, and they
+    // were not read as they exceeded two.
+    for (servers, customers, reads) in [
+        (0, 0, 0),
+        (12, 16, 4),
+        (180, 60, 0),
+        (180, 60, 400),
+        (2_000, 600, 0),
+    ] {
+        let mut told = beat(1, servers, customers, reads);
+        let packets = told.encode();
+        let mut assembler = Assembler::default();
+        let mut heard = None;
+        for packet in &packets {
+            expect_that!(packet.len(), le(MAX_BYTES));
+            expect_that!(heard.is_none(), eq(true));
+            heard = assembler.take(packet).expect("the packet can be read");
+        }
+        expect_that!(heard.map(sorted) == Some(sorted(told)), eq(true));
+    }
+}
+
+#[gtest]
+fn packets_may_come_in_any_order_and_more_than_once() {
+    let mut told = beat(1, 180, 60, 0);
+    let packets = told.encode();
+    let mut assembler = Assembler::default();
+    for packet in packets.iter().skip(1).rev() {
+        expect_that!(assembler.take(packet), ok(none()));
+        expect_that!(assembler.take(packet), ok(none()));
+    }
+    expect_that!(assembler.take(&packets[0]), ok(some(anything())));
+}
+
+#[gtest]
+fn a_message_that_lost_a_packet_is_made_up_for_by_the_next() {
+    let mut assembler = Assembler::default();
+    for packet in beat(1, 180, 60, 0).encode().iter().skip(1) {
+        expect_that!(assembler.take(packet), ok(none()));
+    }
+    let mut heard = Vec::new();
+    for packet in beat(2, 180, 60, 0).encode() {
+        heard.extend(assembler.take(&packet).expect("the packet can be read"));
+    }
+    expect_that!(heard.len(), eq(1));
+    expect_that!(heard[0].number, eq(2));
+}
+
+#[gtest]
+fn more_reads_than_a_message_can_have_are_left_out_first() {
+    let mut told = beat(1, 180, 60, 40_000);
+    let packets = told.encode();
+    expect_that!(packets.len(), le(255));
+    expect_that!(told.servers.len(), eq(180));
+    expect_that!(told.customers.len(), eq(60));
+}
+
+#[gtest]
+fn what_is_no_packet_is_refused() {
+    let whole = beat(1, 3, 3, 0).encode().remove(0);
+    let mut other = whole.clone();
+    other[0] = 1;
+    let mut index = whole.clone();
+    index[13] = 7;
+    let cases = [
+        (Vec::new(), Unreadable::Head),
+        (other, Unreadable::Version),
+        (whole[..10].to_vec(), Unreadable::Head),
+        (index, Unreadable::Head),
+        (whole[..40].to_vec(), Unreadable::Message),
+    ];
+    let mut assembler = Assembler::default();
+    for (packet, why) in cases {
+        expect_that!(assembler.take(&packet), err(eq(&why)));
+    }
+}
+
+#[gtest]
+fn cut_or_changed_packets_never_panic() {
+    let packets = beat(1, 180, 60, 9).encode();
+    let mut assembler = Assembler::default();
+    for packet in &packets {
+        for position in 0..packet.len() {
+            let mut changed = packet.clone();
+            changed[position] ^= 0x5a;
+            // What comes of it is of no interest, but that it is told.
+            let _ = assembler.take(&changed);
+            let _ = assembler.take(&packet[..position]);
+        }
+    }
+    let whole: Vec<Beat> = beat(2, 12, 16, 0)
+        .encode()
+        .iter()
+        .filter_map(|packet| assembler.take(packet).ok().flatten())
+        .collect();
+    expect_that!(whole.len(), eq(1));
+}
