Decide: slots and reading are learnt by pool, one of sixteen servers is chosen, portions bind while prompts wait

Now hold times and rates are learnt of all servers of a pool, with a factor for each; prompts choose among those that keep most of them, their home, and some that are drawn; and portions are those of what is given while prompts wait 100 to 250 ms on average.

Replay: servers have slots; the pattern "few slots".

--- a/crates/decide/src/engine.rs
+++ b/crates/decide/src/engine.rs
@@ -3,15 +3,15 @@
 
 mod cache;
 mod choice;
+mod pace;
 mod pause;
 mod prompt;
-mod rate;
 mod recent;
 
 pub use self::cache::Cache;
-pub use self::choice::{Candidate, Choice, choose, choose_soon};
+pub use self::choice::{Candidate, Choice, MOST, choose, choose_soon, narrow};
+pub use self::pace::{Factor, Pace};
 pub use self::prompt::{Name, Part, Prompt};
-pub use self::rate::Rate;
 pub use self::recent::Recent;
 
 use mulberryyoke_model::Millis;
@@ -21,9 +21,6 @@
 /// one step of the engine and the way there and back.
 const FIRST_TOKEN_MS: f64 = 20.0;
 
-/// Time that a request beyond the free slots waits for one that ends, in milliseconds.
-const SLOT_MS: f64 = 40.0;
-
 /// The load that one model server is believed to have.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -31,8 +28,10 @@
     pub slots: u32,
     /// Shared prompt parts that it keeps.
     pub cache: Cache,
-    /// How fast it reads prompts.
-    pub rate: Rate,
+    /// How fast servers of its pool read prompts and end requests.
+    pub pace: Pace,
+    /// How fast it reads beside the others of its pool.
+    pub factor: Factor,
     /// Prompt tokens sent to it lately, by any router.
     pub recent: Recent,
     /// What this router has there.
@@ -75,7 +74,8 @@
         Self {
             slots,
             cache: Cache::new(cache_tokens),
-            rate: Rate::default(),
+            pace: Pace::default(),
+            factor: Factor::default(),
             recent: Recent::default(),
             own: Load::default(),
             others: Load::default(),
@@ -101,17 +101,29 @@
         self.own.running.saturating_add(self.others.running)
     }
 
+    /// Requests that would have to end before one sent now has a slot.
+    #[must_use]
+    pub const fn beyond(&self) -> u32 {
+        (self.requests() + 1).saturating_sub(self.slots)
+    }
+
     /// Time until the server would begin to read a prompt sent now, in milliseconds.
     #[must_use]
     pub fn wait_ms(&self) -> f64 {
-        let beyond = (self.requests() + 1).saturating_sub(self.slots);
-        self.rate.ms(self.backlog()) + f64::from(beyond) * SLOT_MS
+        let slot_ms = self.pace.hold_ms() / f64::from(self.slots.max(1));
+        self.reading_ms(self.backlog()) + f64::from(self.beyond()) * slot_ms
+    }
+
+    /// Time to read a number of prompt tokens, in milliseconds.
+    #[must_use]
+    pub fn reading_ms(&self, tokens: u32) -> f64 {
+        f64::from(tokens) / (self.pace.per_ms() * self.factor.of_pool())
     }
 
     /// Time to read a number of prompt tokens and make the first token, in milliseconds.
     #[must_use]
     pub fn read_ms(&self, tokens: u32) -> f64 {
-        self.rate.ms(tokens) + FIRST_TOKEN_MS
+        self.reading_ms(tokens) + FIRST_TOKEN_MS
     }
 
     /// Notes that a prompt is sent, and returns the tokens it has to read.
--- a/crates/decide/src/engine/choice.rs
+++ b/crates/decide/src/engine/choice.rs
@@ -1,5 +1,7 @@
 //! Choice of a model server for a prompt.
 
+use std::cmp::Reverse;
+
 use mulberryyoke_model::{Millis, ServerId};
 
 use super::{Engine, Prompt, pause};
@@ -63,6 +65,48 @@
     }
 }
 
+/// Servers among which one is chosen.
+///
+/// The load that it answers: a hundred gateways that know the same of hundreds of servers, and
+/// hear of each other's choices a tenth of a second later. If each looked at all servers, all
+/// would choose the same one meanwhile.
+pub const MOST: usize = 16;
+
+/// The servers among which one is chosen for a prompt: those that keep most of it, the home of
+/// its last shared part, and for the rest some that `seed` draws, so that gateways which know
+/// the same choose differently.
+#[must_use]
+pub fn narrow<'a>(
+    prompt: &Prompt,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+    seed: u64,
+) -> Vec<Candidate<'a>> {
+    let mut ranked: Vec<_> = candidates
+        .map(|candidate| {
+            let cached = candidate.engine.cache.cached(prompt);
+            (Reverse(cached), weight(seed, candidate.server), candidate)
+        })
+        .collect();
+    if ranked.len() <= MOST {
+        return ranked
+            .into_iter()
+            .map(|(_, _, candidate)| candidate)
+            .collect();
+    }
+    let home = prompt.home().and_then(|key| {
+        let servers = ranked.iter().map(|(_, _, candidate)| candidate.server);
+        servers.max_by_key(|&server| weight(key, server))
+    });
+    ranked.sort_unstable_by_key(|(cached, drawn, candidate)| {
+        (home != Some(candidate.server), *cached, *drawn)
+    });
+    ranked.truncate(MOST);
+    ranked
+        .into_iter()
+        .map(|(_, _, candidate)| candidate)
+        .collect()
+}
+
 /// Chooses the server where a prompt costs least: the time it waits, twice the
 /// time it is read, what is read again, the streams there that come late, and what is
 /// held against the server. `pause_ms` is the longest pause of a stream on time.
--- a/crates/decide/src/share.rs
+++ b/crates/decide/src/share.rs
@@ -15,6 +15,14 @@
 /// than about one second.
 const MOST_GIVEN: f64 = 5.0;
 
+/// Time that prompts wait at the servers on average from which there is less for customers than
+/// the configured capacity, and from which there is what is given, in milliseconds.
+///
+/// The load that it answers: slots are short before reading is, so that tokens never reach the
+/// configured capacity. Every customer then had enough by that measure, and a small one was
+/// refused as often as one that asked a hundred times as much.
+const SHORT_MS: (f64, f64) = (100.0, 250.0);
+
 /// Steps in which the level is found; each halves the error.
 const STEPS: u32 = 24;
 
@@ -96,8 +104,9 @@
     }
 
     /// Lets old flow count less and finds the level at which `capacity` tokens a
-    /// second are shared out.
-    pub fn settle(&mut self, capacity: f64, now: Millis) {
+    /// second are shared out, or as many as are given where prompts wait for long at the
+    /// servers, on average `wait_ms` milliseconds.
+    pub fn settle(&mut self, capacity: f64, wait_ms: f64, now: Millis) {
         #[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
         let elapsed = now.saturating_sub(self.at) as f64;
         self.at = now;
@@ -109,7 +118,7 @@
         self.accounts.retain(|_, account| account.asked() >= LEAST);
         let asked = self.accounts.values().map(Account::asked);
         let given: f64 = self.accounts.values().map(Account::given).sum();
-        let capacity = capacity * SUM_S;
+        let capacity = scarce(capacity * SUM_S, given, wait_ms);
         self.level = level(&asked, capacity);
         self.given_level = level(&asked, given.max(capacity));
         let Some(level) = self.level else {
@@ -133,6 +142,19 @@
     }
 }
 
+/// The capacity that there is while prompts wait so long: less than is configured where
+/// something else than reading is short.
+fn scarce(capacity: f64, given: f64, wait_ms: f64) -> f64 {
+    let (none, all) = SHORT_MS;
+    let part = ((wait_ms - none) / (all - none)).clamp(0.0, 1.0);
+    if part == 0.0 || given >= capacity {
+        return capacity;
+    }
+    // Without a configured capacity it is infinite.
+    let capacity = capacity.min(given / part);
+    given + (capacity - given) * (1.0 - part)
+}
+
 /// The level at which flows cut down to it add up to `capacity`; `None` if they
 /// add up to less.
 fn level(flows: &(impl Iterator<Item = f64> + Clone), capacity: f64) -> Option<f64> {
--- a/crates/decide/tests/engine.rs
+++ b/crates/decide/tests/engine.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use mulberryyoke_decide::engine::{
-    Cache, Candidate, Engine, Load, Name, Prompt, Rate, Recent, choose,
+    Cache, Candidate, Engine, Load, MOST, Name, Pace, Prompt, Recent, choose, narrow,
 };
 use mulberryyoke_model::ServerId;
 
@@ -163,16 +163,16 @@
 
 #[gtest]
 fn the_rate_follows_what_is_seen_within_bounds() {
-    let mut rate = Rate::default();
+    let mut rate = Pace::default();
     let before = rate.per_ms();
-    rate.observe(100, 1_000.0);
+    rate.read(100, 1_000.0);
     expect_that!(rate.per_ms(), eq(before), "too few tokens to tell");
     for _ in 0..200 {
-        rate.observe(10_000, 520.0);
+        rate.read(10_000, 520.0);
     }
     expect_that!(rate.per_ms(), near(20.0, 0.5));
     for _ in 0..200 {
-        rate.observe(10_000, 1_000_000.0);
+        rate.read(10_000, 1_000_000.0);
     }
     expect_that!(rate.per_ms(), ge(5.9));
 }
@@ -185,3 +185,109 @@
     recent.add(1_000, 4_000);
     expect_that!(recent.tokens(8_000), near(750.0, 1.0));
 }
+
+#[gtest]
+fn where_slots_are_few_a_queue_lasts_as_long_as_streams_do() {
+    let mut engine = Engine::new(16, 100_000);
+    let mut pace = Pace::default();
+    for _ in 0..400 {
+        pace.hold(3_200.0);
+    }
+    engine.pace = pace;
+    engine.others.running = 16;
+    expect_that!(engine.beyond(), eq(1));
+    expect_that!(engine.wait_ms(), near(200.0, 2.0));
+    engine.others.queued = 3;
+    expect_that!(engine.wait_ms(), near(800.0, 8.0));
+    engine.slots = 64;
+    expect_that!(engine.wait_ms(), eq(0.0));
+}
+
+#[gtest]
+fn a_slow_server_is_told_from_its_pool() {
+    let (mut engine, pace) = (Engine::new(16, 100_000), Pace::default());
+    for _ in 0..100 {
+        engine.factor.read(10_000, 520.0, pace);
+    }
+    expect_that!(engine.reading_ms(10_000), near(500.0, 5.0));
+    for _ in 0..200 {
+        engine.factor.read(10_000, 1_000_000.0, pace);
+    }
+    expect_that!(engine.factor.of_pool(), ge(0.29));
+}
+
+/// Servers that keep nothing, but for those named, which keep the prompt's shared part.
+fn many(count: u32, prompt: &Prompt, keepers: &[u32]) -> Vec<Engine> {
+    let engine = |index| {
+        let mut engine = Engine::new(16, 100_000);
+        if keepers.contains(&index) {
+            engine.cache.insert(&prompt.shared);
+        }
+        engine
+    };
+    (0..count).map(engine).collect()
+}
+
+/// The servers among which one is chosen.
+fn narrowed(engines: &[Engine], prompt: &Prompt, seed: u64) -> Vec<u32> {
+    let candidates = engines.iter().zip(0..).map(|(engine, id)| Candidate {
+        server: ServerId(id),
+        engine,
+        penalty_ms: 0.0,
+    });
+    let mut chosen: Vec<u32> = narrow(prompt, candidates, seed)
+        .iter()
+        .map(|candidate| candidate.server.0)
+        .collect();
+    chosen.sort_unstable();
+    chosen
+}
+
+#[gtest]
+fn of_many_servers_some_are_looked_at_and_all_that_keep_the_prompt() {
+    let prompt = Prompt::of("m", [(1, 500), (2, 5_000), (3, 600)], 10);
+    let keepers = [17, 99, 140];
+    let engines = many(180, &prompt, &keepers);
+    let first = narrowed(&engines, &prompt, 1);
+    expect_that!(first.len(), eq(MOST));
+    for keeper in &keepers {
+        expect_that!(first.contains(keeper), eq(true));
+    }
+    let second = narrowed(&engines, &prompt, 2);
+    let both = first
+        .iter()
+        .filter(|server| second.contains(server))
+        .count();
+    // The keepers, the home, and by chance one or two of twelve.
+    expect_that!(both, all!(ge(4), le(9)));
+}
+
+#[gtest]
+fn few_servers_are_all_looked_at() {
+    let prompt = Prompt::of("m", [(1, 500), (2, 600)], 10);
+    for count in [0, 1, 9, 16] {
+        let engines = many(count, &prompt, &[]);
+        let all: Vec<u32> = (0..count).collect();
+        expect_that!(narrowed(&engines, &prompt, 5), eq(&all));
+    }
+}
+
+#[gtest]
+fn gateways_that_know_the_same_do_not_all_choose_one_server() {
+    let engines = many(180, &Prompt::default(), &[]);
+    let mut chosen = std::collections::HashMap::new();
+    for seed in 0..300 {
+        let prompt = Prompt::of("m", [(seed, 900)], 10);
+        let candidates = engines.iter().zip(0..).map(|(engine, id)| Candidate {
+            server: ServerId(id),
+            engine,
+            penalty_ms: 0.0,
+        });
+        let some = narrow(&prompt, candidates, seed);
+        let choice = choose(&prompt, some.iter().copied(), 600.0, 0).expect("servers");
+        *chosen.entry(choice.server).or_insert(0) += 1;
+    }
+    // 300 at one server when each looks at all.
+    expect_that!(chosen.values().copied().max(), some(le(12)));
+    expect_that!(chosen.len(), ge(100));
+}
--- a/crates/decide/tests/replay/load.rs
+++ b/crates/decide/tests/replay/load.rs
@@ -79,6 +79,8 @@
     pub(crate) repeats: u32,
     /// Part of the long prompts that have 50,000 tokens.
     pub(crate) huge: f64,
+    /// Requests that a server runs at once.
+    pub(crate) slots: u32,
 }
 
 pub(crate) const CALM: Pattern = Pattern {
@@ -92,6 +94,7 @@
     pent_up: false,
     repeats: 0,
     huge: 0.0,
+    slots: 64,
 };
 
 /// Customers; the usual requests of each are half of those of the one before, down to a floor.
--- a/crates/decide/tests/replay/patterns.rs
+++ b/crates/decide/tests/replay/patterns.rs
@@ -28,7 +28,15 @@
     ..CALM
 };
 
-const PATTERNS: [(&str, Pattern); 9] = [
+/// One customer asks seven times its usual, before servers of so few slots that these are short
+/// before reading is.
+const FEW_SLOTS: Pattern = Pattern {
+    hot: 7.0,
+    slots: 12,
+    ..CALM
+};
+
+const PATTERNS: [(&str, Pattern); 10] = [
     ("calm", CALM),
     ("one customer hot", HOT),
     (
@@ -49,6 +57,7 @@
     ("half the servers gone", Pattern { gone: 0.5, ..CALM }),
     ("a third slow by half", Pattern { slow: 2.0, ..CALM }),
     ("all back at once", PENT_UP),
+    ("few slots", FEW_SLOTS),
     (
         "callers repeat at once",
         Pattern {
--- a/crates/decide/tests/replay/server.rs
+++ b/crates/decide/tests/replay/server.rs
@@ -1,5 +1,8 @@
 //! A model server: it reads prompts one after another in the order in which they came.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
 use mulberryyoke_decide::engine::{Cache, Prompt};
 
 /// Prompt tokens read in a millisecond.
@@ -32,33 +35,38 @@
     pub(crate) is_gone: bool,
     /// When it will have read all that it was sent.
     free_ms: f64,
+    /// When each slot is free, in microseconds.
+    slots: BinaryHeap<Reverse<u64>>,
     /// Time spent reading.
     pub(crate) busy_ms: f64,
 }
 
 impl Server {
-    pub(crate) fn new(memory: u32) -> Self {
+    pub(crate) fn new(memory: u32, slots: u32) -> Self {
         Self {
             cache: Cache::new(memory),
             slow: 1.0,
             is_gone: false,
             free_ms: 0.0,
+            slots: (0..slots).map(|_| Reverse(0)).collect(),
             busy_ms: 0.0,
         }
     }
 
-    /// Takes a prompt that arrives now.
-    pub(crate) fn take(&mut self, prompt: &Prompt, now_ms: f64) -> Met {
+    /// Takes a prompt that arrives now, whose stream takes so long: it is read once a slot is
+    /// free and all before it are read.
+    pub(crate) fn take(&mut self, prompt: &Prompt, now_ms: f64, stream_ms: f64) -> Met {
         let read = prompt.tokens - self.cache.cached(prompt);
         self.cache.insert(&prompt.shared);
         let pairs = f64::from(read) * (f64::from(prompt.tokens) - f64::from(read) / 2.0);
         let read_ms = (f64::from(read) / RATE + pairs * PAIRS_MS / 1e6) * self.slow;
         self.busy_ms += read_ms;
-        self.free_ms = self.free_ms.max(now_ms) + read_ms;
-        Met {
-            first_ms: self.free_ms + STEP_MS * self.slow,
-            read,
-        }
+        let Reverse(slot_us) = self.slots.pop().expect("a server has slots");
+        let begin_ms = self.free_ms.max(now_ms).max(from_us(slot_us));
+        self.free_ms = begin_ms + read_ms;
+        let first_ms = self.free_ms + STEP_MS * self.slow;
+        self.slots.push(Reverse(to_us(first_ms + stream_ms)));
+        Met { first_ms, read }
     }
 
     /// Longest pause of a stream that begins now, as far as is known now.
@@ -66,3 +74,17 @@
         (self.free_ms - now_ms).clamp(STEP_MS, PAUSE_MS * self.slow)
     }
 }
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "some seconds in microseconds"
+)]
+fn to_us(ms: f64) -> u64 {
+    (ms * 1_000.0) as u64
+}
+
+#[expect(clippy::cast_precision_loss, reason = "some seconds in microseconds")]
+fn from_us(us: u64) -> f64 {
+    us as f64 / 1_000.0
+}
--- a/crates/decide/tests/replay/world.rs
+++ b/crates/decide/tests/replay/world.rs
@@ -35,16 +35,15 @@
     /// A request's first event at a server, by gateway.
     First {
         gateway: usize,
-        server: usize,
-        tokens: u32,
-        ahead: u32,
+        sent: Sent,
         sent_ms: f64,
         stream_ms: f64,
     },
     /// The end of a stream.
     Ended {
         gateway: usize,
-        server: usize,
+        sent: Sent,
+        stream_ms: f64,
     },
     Beat,
 }
@@ -64,9 +63,9 @@
 pub(crate) fn play(pattern: Pattern, seed: u64) -> Report {
     let mut world = World {
         pattern,
-        servers: vec![Server::new(MEMORY); SERVERS],
+        servers: vec![Server::new(MEMORY, pattern.slots); SERVERS],
         gateways: (0..GATEWAYS)
-            .map(|_| Gateway::new(SERVERS, MEMORY))
+            .map(|_| Gateway::new(SERVERS, MEMORY, pattern.slots))
             .collect(),
         queue: BinaryHeap::new(),
         events: HashMap::new(),
@@ -103,20 +102,23 @@
                 Some(Event::Asked(job)) => self.ask(job, now_ms),
                 Some(Event::First {
                     gateway,
-                    server,
-                    tokens,
-                    ahead,
+                    sent,
                     sent_ms,
                     stream_ms,
                 }) => {
-                    let engine = &mut self.gateways[gateway].engines[server];
-                    engine.begin(tokens);
-                    engine.rate.observe(ahead + tokens, now_ms - sent_ms);
-                    self.push(now_ms + stream_ms, Event::Ended { gateway, server });
-                }
-                Some(Event::Ended { gateway, server }) => {
-                    self.gateways[gateway].engines[server].end();
+                    self.gateways[gateway].first(&sent, now_ms - sent_ms);
+                    let ended = Event::Ended {
+                        gateway,
+                        sent,
+                        stream_ms,
+                    };
+                    self.push(now_ms + stream_ms, ended);
                 }
+                Some(Event::Ended {
+                    gateway,
+                    sent,
+                    stream_ms,
+                }) => self.gateways[gateway].end(&sent, stream_ms),
                 Some(Event::Beat) if now_ms < end_ms + AFTER_MS => {
                     self.beat(now_ms);
                     self.push(now_ms + BEAT_MS, Event::Beat);
@@ -144,11 +146,7 @@
     }
 
     fn send(&mut self, gateway: usize, sent: &Sent, job: &Job, now_ms: f64) {
-        let &Sent {
-            server,
-            tokens,
-            ahead,
-        } = sent;
+        let server = sent.server;
         let kept = self
             .servers
             .iter()
@@ -156,7 +154,7 @@
             .max()
             .unwrap_or(0);
         let pause_ms = self.servers[server].pause_ms(now_ms);
-        let met = self.servers[server].take(&job.prompt, now_ms);
+        let met = self.servers[server].take(&job.prompt, now_ms, KINDS[job.kind].stream_ms);
         let uncached = job.prompt.tokens - met.read;
         self.report.again += u64::from(kept.saturating_sub(uncached));
         let kind = &KINDS[job.kind];
@@ -170,9 +168,7 @@
         }
         let first = Event::First {
             gateway,
-            server,
-            tokens,
-            ahead,
+            sent: *sent,
             sent_ms: now_ms,
             stream_ms: kind.stream_ms,
         };
@@ -230,7 +226,8 @@
             self.tell_customers();
         }
         for gateway in &mut self.gateways {
-            gateway.shares.settle(CAPACITY, now);
+            let wait_ms = gateway.mean_wait_ms();
+            gateway.shares.settle(CAPACITY, wait_ms, now);
         }
         if now_ms >= 6_000.0 {
             self.change_servers();
--- a/crates/decide/tests/share.rs
+++ b/crates/decide/tests/share.rs
@@ -16,7 +16,7 @@
             shares.ask(customer, asked / 50);
             shares.give(customer, given / 50);
         }
-        shares.settle(10_000.0, step * 20);
+        shares.settle(10_000.0, 0.0, step * 20);
     }
 }
 
@@ -81,10 +81,10 @@
         given: 40_000.0,
     };
     shares.set_others(&HashMap::from([(LARGE, flow), (SMALL, flow)]));
-    shares.settle(10_000.0, 0);
+    shares.settle(10_000.0, 0.0, 0);
     expect_that!(shares.standing(LARGE).of_portion, gt(1.0));
     shares.set_others(&HashMap::new());
-    shares.settle(10_000.0, 0);
+    shares.settle(10_000.0, 0.0, 0);
     expect_that!(shares.standing(LARGE).of_portion, eq(0.0));
 }
 
@@ -92,8 +92,8 @@
 fn customers_that_ask_nothing_are_forgotten() {
     let mut shares = Shares::default();
     shares.ask(SMALL, 1_000);
-    shares.settle(10_000.0, 0);
+    shares.settle(10_000.0, 0.0, 0);
     expect_that!(shares.own().count(), eq(1));
-    shares.settle(10_000.0, 60_000);
+    shares.settle(10_000.0, 0.0, 60_000);
     expect_that!(shares.own().count(), eq(0));
 }
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -3,10 +3,11 @@
 mod health;
 mod running;
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use mulberryyoke_decide::engine::Engine;
-use parking_lot::Mutex;
+use mulberryyoke_decide::engine::{Engine, Pace};
+use parking_lot::{Mutex, MutexGuard};
 
 pub(crate) use self::health::Health;
 pub(crate) use self::running::Running;
@@ -24,23 +25,37 @@
     pub(crate) server: Server,
     pub(crate) conns: Conns,
     pub(crate) engine: Mutex<Engine>,
+    /// How fast servers of its pool read prompts and end requests.
+    pub(crate) pace: Arc<Mutex<Pace>>,
     pub(crate) health: Mutex<Health>,
+    /// Whether it is a model server.
+    pub(crate) is_model: bool,
     is_closed: AtomicBool,
 }
 
 impl Backend {
-    pub(crate) fn new(server: Server, model: Option<Model>) -> Self {
+    pub(crate) fn new(server: Server, model: Option<Model>, pace: Arc<Mutex<Pace>>) -> Self {
         let cache_tokens = model.map_or(0, |model| model.memory_tokens / CACHE_PART);
         let slots = model.map_or(server.slots, |model| model.slots);
         Self {
             conns: Conns::new(server.address),
             engine: Mutex::new(Engine::new(slots, cache_tokens)),
+            pace,
             health: Mutex::new(Health::default()),
+            is_model: model.is_some(),
             is_closed: AtomicBool::new(server.is_leaving),
             server,
         }
     }
 
+    /// What is believed of it as a model server, with what was last learnt of its pool.
+    pub(crate) fn engine(&self) -> MutexGuard<'_, Engine> {
+        let pace = *self.pace.lock();
+        let mut engine = self.engine.lock();
+        engine.pace = pace;
+        engine
+    }
+
     /// Whether it may get new requests.
     pub(crate) fn is_open(&self) -> bool {
         !self.is_closed.load(Ordering::Relaxed)
--- a/crates/gateway/src/backend/running.rs
+++ b/crates/gateway/src/backend/running.rs
@@ -17,8 +17,11 @@
     pub(crate) tokens: u32,
     /// Prompt tokens that the server had to read before it.
     ahead: u32,
+    /// Whether the server had a free slot.
+    had_slot: bool,
     sent: Instant,
-    has_begun: bool,
+    /// When its answer began.
+    begun: Option<Instant>,
 }
 
 impl Running {
@@ -27,14 +30,16 @@
         let none = Prompt::default();
         let mut engine = backend.engine.lock();
         let ahead = engine.backlog();
+        let had_slot = engine.beyond() == 0;
         let tokens = engine.send(prompt.unwrap_or(&none), clock::now_ms());
         drop(engine);
         Self {
             backend: Arc::clone(backend),
             tokens,
             ahead,
+            had_slot,
             sent: Instant::now(),
-            has_begun: false,
+            begun: None,
         }
     }
 
@@ -45,25 +50,38 @@
 
     /// Notes that its answer has begun: its prompt is read.
     pub(crate) fn first(&mut self) {
-        if self.has_begun {
+        if self.begun.is_some() {
             return;
         }
-        self.has_begun = true;
-        #[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
-        let elapsed = clock::between_ms(self.sent, Instant::now()) as f64;
+        let now = Instant::now();
+        self.begun = Some(now);
         let mut engine = self.backend.engine.lock();
         engine.begin(self.tokens);
-        engine.rate.observe(self.ahead + self.tokens, elapsed);
+        // The time that it waited for a slot says nothing of how fast prompts are read.
+        if self.had_slot {
+            let elapsed = elapsed_ms(self.sent, now);
+            let tokens = self.ahead + self.tokens;
+            let mut pace = self.backend.pace.lock();
+            engine.factor.read(tokens, elapsed, *pace);
+            pace.read(tokens, elapsed);
+        }
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
         let mut engine = self.backend.engine.lock();
-        if self.has_begun {
-            engine.end();
-        } else {
-            engine.abandon(self.tokens);
-        }
+        let Some(begun) = self.begun else {
+            return engine.abandon(self.tokens);
+        };
+        engine.end();
+        let held_ms = engine.read_ms(self.tokens) + elapsed_ms(begun, Instant::now());
+        drop(engine);
+        self.backend.pace.lock().hold(held_ms);
     }
 }
+
+#[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
+fn elapsed_ms(from: Instant, to: Instant) -> f64 {
+    clock::between_ms(from, to) as f64
+}
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
-use mulberryyoke_decide::engine::{Candidate, Engine};
+use mulberryyoke_decide::engine::{Candidate, Engine, narrow};
 use mulberryyoke_decide::plain;
 use mulberryyoke_decide::share::Standing;
 use mulberryyoke_decide::shed::{self, Aim, Held};
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::ServerId;
+use rand::RngExt;
 use tokio::time::Instant;
 
 use crate::backend::{Backend, Running};
@@ -68,7 +69,7 @@
     now: Instant,
 ) -> Result<Running, Refusal> {
     let prompt = call.prompt.as_ref().ok_or(Refusal::NoServer)?;
-    let engines: Vec<_> = open.iter().map(|backend| backend.engine.lock()).collect();
+    let engines: Vec<_> = open.iter().map(|backend| backend.engine()).collect();
     let candidates = open.iter().zip(&engines).map(|(backend, engine)| {
         let engine: &Engine = engine;
         Candidate {
@@ -77,12 +78,20 @@
             penalty_ms: backend.health.lock().penalty_ms(now),
         }
     });
+    let candidates = narrow(prompt, candidates, rand::rng().random());
     let aim = Aim {
         objective_ms: as_f64(call.route.objective_ms),
         pause_ms: call.route.gap_ms.map_or(f64::INFINITY, as_f64),
     };
-    let placed = shed::place(prompt, candidates, aim, standing, clock::ms(now));
+    let placed = shed::place(
+        prompt,
+        candidates.iter().copied(),
+        aim,
+        standing,
+        clock::ms(now),
+    );
     let placed = placed.ok_or(Refusal::NoServer)?;
+    drop(candidates);
     drop(engines);
     let choice = match placed {
         Ok(choice) => choice,
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -48,7 +48,10 @@
     let plan = core.view.plan();
     let capacity = plan.and_then(|plan| plan.limits().tokens_per_s);
     let capacity = capacity.map_or(f64::INFINITY, f64::from);
-    core.shares.lock().settle(capacity, clock::now_ms());
+    let wait_ms = core.roster.mean_wait_ms();
+    core.shares
+        .lock()
+        .settle(capacity, wait_ms, clock::now_ms());
     let settings = core.settings.load();
     let nodes = core.exchange.gateways();
     core.budgets
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use mulberryyoke_decide::engine::Pace;
 use mulberryyoke_model::{PoolId, ServerId};
+use parking_lot::Mutex;
 
 use crate::backend::Backend;
 use crate::plan::Plan;
@@ -22,6 +24,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
     table: ArcSwap<Table>,
+    /// How fast servers read prompts and end requests, by pool.
+    paces: Mutex<HashMap<PoolId, Arc<Mutex<Pace>>>>,
 }
 
 impl Roster {
@@ -46,6 +50,19 @@
         self.table.load().names.values().cloned().collect()
     }
 
+    /// Time until the model servers would begin to read a prompt sent now, on average, in
+    /// milliseconds; 0 without any.
+    pub(crate) fn mean_wait_ms(&self) -> f64 {
+        let table = self.table.load();
+        let models = table
+            .ids
+            .values()
+            .filter(|backend| backend.is_model && backend.is_open());
+        let waits = models.map(|backend| backend.engine().wait_ms());
+        let (count, sum) = waits.fold((0_u32, 0.0), |(count, sum), wait| (count + 1, sum + wait));
+        sum / f64::from(count.max(1))
+    }
+
     /// Notes a registration; `true` if it changed what may be sent where.
     pub(crate) fn register(&self, server: Server, plan: Option<&Plan>) -> bool {
         let held = self.get(&server.name);
@@ -58,7 +75,8 @@
         }
         let model = plan.and_then(|plan| plan.pool(server.pool)?.model);
         let name = server.name.clone();
-        let backend = Arc::new(Backend::new(server, model));
+        let pace = Arc::clone(self.paces.lock().entry(server.pool).or_default());
+        let backend = Arc::new(Backend::new(server, model, pace));
         self.change(|servers| {
             servers.insert(name, backend);
         });
