Share: what a customer was given is bounded by what all are given, not by the configured capacity

What a customer was given was cut off at five portions of the configured capacity; when seven customers turned hot at 13.5 s these portions shrank, and the largest one, routed 725 times a second rather than 100 to 300, looked like one that had its part (511 of its portion, 117 of what is given, where the other had 269 and 57).

Ruled out: late views (both are over their portion everywhere), urgency, sizes.

--- a/crates/decide/src/share.rs
+++ b/crates/decide/src/share.rs
@@ -121,7 +121,10 @@
         let capacity = scarce(capacity * SUM_S, given, wait_ms);
         self.level = level(&asked, capacity);
         self.given_level = level(&asked, given.max(capacity));
-        let Some(level) = self.level else {
+        // Where more is given than the configured capacity, that is what is shared out: cut off
+        // at five of the smaller portions, one that had a hundred times as much looked like one
+        // that had its part, and got four times as much as another.
+        let Some(level) = self.given_level.or(self.level) else {
             return;
         };
         for account in self.accounts.values_mut() {
--- a/crates/decide/tests/share.rs
+++ b/crates/decide/tests/share.rs
@@ -97,3 +97,21 @@
     shares.settle(10_000.0, 0.0, 60_000);
     expect_that!(shares.own().count(), eq(0));
 }
+
+#[gtest]
+fn who_was_given_many_portions_of_the_capacity_is_not_taken_to_have_its_part() {
+    // Much more is given than the configured capacity, as what servers keep need not be read.
+    let (hot, newly_hot) = (CustomerId(1), CustomerId(2));
+    let mut shares = Shares::default();
+    for step in 0..400 {
+        shares.ask(hot, 4_000);
+        shares.ask(newly_hot, 4_000);
+        shares.give(hot, 2_000);
+        shares.give(newly_hot, 400);
+        shares.settle(10_000.0, 300.0, step * 20);
+    }
+    let (hot, newly_hot) = (shares.standing(hot), shares.standing(newly_hot));
+    expect_that!(hot.of_given, ge(1.6));
+    expect_that!(newly_hot.of_given, le(0.4));
+    expect_that!(hot.of_given / newly_hot.of_given, near(5.0, 0.2));
+}
