Overload: a node that is late closes new connections unread, so that callers go elsewhere at once

The test's flood: 5,000 and more served instead of under 2,000, and under 100 that wait in vain instead of 5,000.

--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -79,3 +79,63 @@
     run(&mut overload, 100, 2_000, 10);
     expect_that!(overload.until(), eq(0));
 }
+
+/// What a node that can take 40 connections in 50 ms does with a flood, and what its callers
+/// see, who wait a second for a connection: those served, those told at once to go elsewhere,
+/// and those who waited in vain.
+fn flood(closes: bool) -> (u64, u64, u64) {
+    const TAKEN: u64 = 40;
+    const WAIT_STEPS: u64 = 20;
+    // Closing a connection unread takes a tenth of what serving one takes.
+    const CLOSING: u64 = 10;
+    let mut overload = Overload::default();
+    let mut waiting: std::collections::VecDeque<u64> = std::collections::VecDeque::new();
+    let (mut served, mut elsewhere, mut in_vain) = (0, 0, 0);
+    for step in 0..200 {
+        waiting.extend(std::iter::repeat_n(step, 120));
+        let mut effort = TAKEN * CLOSING;
+        let hundredths = if closes { overload.closed() } else { 0 };
+        let mut turn = 0;
+        while let Some(since) = waiting.front().copied() {
+            let is_late = step - since >= WAIT_STEPS;
+            turn += 1;
+            let is_closed = turn * hundredths / 100 > (turn - 1) * hundredths / 100;
+            let cost = if is_closed { 1 } else { CLOSING };
+            if effort < cost {
+                break;
+            }
+            effort -= cost;
+            waiting.pop_front();
+            match (is_late, is_closed) {
+                (true, _) => in_vain += 1,
+                (false, true) => elsewhere += 1,
+                (false, false) => served += 1,
+            }
+        }
+        let behind = waiting.front().map_or(0, |since| step - since);
+        overload.note(behind * STEP, step * STEP);
+    }
+    (served, elsewhere, in_vain)
+}
+
+#[gtest]
+fn a_flood_before_a_small_node_is_told_to_go_elsewhere_in_time() {
+    let (served, elsewhere, in_vain) = flood(false);
+    expect_that!((served, elsewhere), (lt(2_000), eq(0)));
+    expect_that!(in_vain, gt(5_000));
+    let (served, elsewhere, in_vain) = flood(true);
+    expect_that!(served, gt(5_000));
+    expect_that!(elsewhere, gt(8_000));
+    expect_that!(in_vain, lt(100));
+}
+
+#[gtest]
+fn no_connection_is_closed_by_a_node_that_keeps_up() {
+    let mut overload = Overload::default();
+    run(&mut overload, 0, 1_000, 60);
+    expect_that!(overload.closed(), eq(0));
+    run(&mut overload, 1_000, 4_000, 240);
+    expect_that!(overload.closed(), all!(gt(30), lt(60)));
+    run(&mut overload, 4_000, 8_000, 5_000);
+    expect_that!(overload.closed(), eq(100));
+}
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -51,6 +51,10 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
+            Ok((stream, _)) if core.strain.closes() => {
+                drop(stream);
+                metrics::counter!("connections_closed_unread_total").increment(1);
+            }
             Ok((stream, _)) => {
                 let inherits = *inherits.get_or_insert_with(|| socket::is_tuned(&stream));
                 if inherits || is_usable(&core, &stream) {
--- a/crates/gateway/src/strain.rs
+++ b/crates/gateway/src/strain.rs
@@ -6,6 +6,7 @@
 
 use mulberryyoke_decide::overload::Overload;
 use mulberryyoke_event::{Event, log};
+use rand::RngExt;
 use tokio::time::{Instant, sleep};
 
 use crate::clock;
@@ -24,6 +25,8 @@
 pub(crate) struct Strain {
     since_ms: AtomicU64,
     until_ms: AtomicU64,
+    /// Hundredths of new connections that are closed unread.
+    closed: AtomicU64,
 }
 
 impl Strain {
@@ -39,6 +42,13 @@
         self.is_away() && clock::now_ms().saturating_sub(since_ms) >= SEEN_MS
     }
 
+    /// Whether a new connection should be closed unread, so that its caller goes elsewhere
+    /// at once.
+    pub(crate) fn closes(&self) -> bool {
+        let closed = self.closed.load(Ordering::Relaxed);
+        closed > 0 && rand::rng().random_range(0..100) < closed
+    }
+
     fn set(&self, overload: &Overload) {
         self.since_ms.store(overload.since(), Ordering::Relaxed);
         self.until_ms.store(overload.until(), Ordering::Relaxed);
@@ -55,7 +65,11 @@
             () = sleep(PERIOD) => {}
         }
         let late_ms = clock::between_ms(due, Instant::now());
-        if overload.note(late_ms, clock::now_ms()) {
+        let is_changed = overload.note(late_ms, clock::now_ms());
+        core.strain
+            .closed
+            .store(overload.closed(), Ordering::Relaxed);
+        if is_changed {
             core.strain.set(&overload);
             log!(core.logger, Event::Strained,
                 "strained" => overload.is_strained(), "late_ms" => late_ms);
