Servers: a life of its own for each start under one name; unreadable entries name no server

Cause: a registration with the name, pool and address of a known server was taken for that server, so that what it was believed to keep, its load, its rate, its penalties and connections outlived a restart under the same name. An entry that could not be read left the earlier one of its name in use.

Now the start that a server tells is part of its identity, so that peers tell loads and reads by life as well; an earlier life changes nothing; an unreadable entry ends the use of what its name stood for, and of nothing else.

Without either both gateway tests fail (the server stays refused; the first server is still used).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -214,7 +214,13 @@
     fn register(&mut self, name: &str, value: &[u8], revision: Revision) {
         let server = match self.core.protocol.server(name, value) {
             Ok(server) => server,
-            Err(error) => return self.unreadable(name, revision, &error),
+            Err(error) => {
+                self.unreadable(name, revision, &error);
+                // Whoever wrote it: it names no server to use, an earlier one included.
+                self.known.insert(name.to_owned(), revision);
+                self.lapsing.remove(name);
+                return self.drop_server(name, "registration unreadable");
+            }
         };
         self.known.insert(name.to_owned(), revision);
         self.lapsing.remove(name);
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -65,13 +65,18 @@
 
     /// Notes a registration; `true` if it changed what may be sent where.
     pub(crate) fn register(&self, server: Server, plan: Option<&Plan>) -> bool {
-        let held = self.get(&server.name);
-        if let Some(held) = held.filter(|held| is_same(&held.server, &server)) {
+        if let Some(held) = self.get(&server.name) {
+            if is_earlier(&server, &held.server) {
+                return false;
+            }
             let closes = server.is_leaving && held.is_open();
-            if closes {
+            let is_same = is_same(&held.server, &server);
+            if closes || !is_same {
                 held.close();
             }
-            return closes;
+            if is_same {
+                return closes;
+            }
         }
         let model = plan.and_then(|plan| plan.pool(server.pool)?.model);
         let name = server.name.clone();
@@ -114,7 +119,14 @@
     }
 }
 
-/// Whether two registrations are of one server that has not come back from leaving.
+/// Whether a registration is of an earlier life than another.
+fn is_earlier(new: &Server, held: &Server) -> bool {
+    let lives = new.born_ms.zip(held.born_ms);
+    lives.is_some_and(|(new, held)| new < held)
+}
+
+/// Whether two registrations are of one life of a server that has not come back from leaving.
 fn is_same(held: &Server, new: &Server) -> bool {
-    (held.pool, held.address) == (new.pool, new.address) && (!held.is_leaving || new.is_leaving)
+    (held.id, held.pool, held.address) == (new.id, new.pool, new.address)
+        && (!held.is_leaving || new.is_leaving)
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,9 +7,9 @@
 /// A backend server as it registered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Server {
-    /// Its identity, a hash of the name.
+    /// The identity of this life of it, a hash of the name and of when it started.
     pub id: ServerId,
-    /// Its name; each start has another.
+    /// Its name.
     pub name: String,
     /// The pool that it serves.
     pub pool: PoolId,
@@ -19,6 +19,9 @@
     pub zone: String,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// When it started, in milliseconds since 1970, if it tells: a later life of the same name
+    /// keeps and runs nothing of the one before.
+    pub born_ms: Option<u64>,
     /// Whether it leaves and must get nothing new.
     pub is_leaving: bool,
 }
--- a/crates/gateway/tests/gateway/configuration.rs
+++ b/crates/gateway/tests/gateway/configuration.rs
@@ -6,8 +6,10 @@
 use tokio::time::sleep;
 
 use crate::backend::{Backend, Way};
+use crate::caller;
 use crate::feed::Service;
 use crate::fleet::{KEYS_FRESH_MS, Node, ready, register};
+use crate::protocol::LONG_PROMPT;
 
 const KEY: &str = "Authorization: Bearer secret\r\n";
 
@@ -131,3 +133,74 @@
         "it did not come back"
     );
 }
+
+/// Time in which a change that is waited for comes into force; the callers of these tests wait
+/// for some of it.
+const AT_ONCE: Duration = Duration::from_millis(250);
+
+/// Registers one server of each pool as a life that began then.
+fn register_life(service: &Service, backend: &Backend, born: u64) {
+    for pool in ["plain", "model"] {
+        let value = format!("{pool} {} ready {born}", backend.address);
+        service.set(&format!("servers/{pool}-0"), Some(&value));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_server_that_starts_again_under_its_name_has_nothing_of_before() {
+    let backend = Backend::spawn(Way::Hang).await;
+    let (service, node) = ready(&[&backend]).await;
+    register_life(&service, &backend, 5);
+    sleep(SOON).await;
+    let long = format!("x-tokens: {LONG_PROMPT}\r\n");
+    let _long = caller::open(node.callers, &caller::request("/stream/", &long)).await;
+    sleep(AT_ONCE).await;
+    let short = "x-tokens: 2000\r\n";
+    expect_that!(
+        node.ask("/stream/", short).await.status,
+        eq(503),
+        "it reads"
+    );
+    register_life(&service, &backend, 4);
+    sleep(AT_ONCE).await;
+    expect_that!(
+        node.ask("/stream/", short).await.status,
+        eq(503),
+        "an earlier life"
+    );
+    register_life(&service, &backend, 6);
+    sleep(AT_ONCE).await;
+    let before = backend.state.heads().len();
+    let request = caller::request("/stream/", short);
+    let _short = caller::open(node.callers, &request).await;
+    sleep(AT_ONCE).await;
+    expect_that!(backend.state.heads().len(), eq(before + 1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_unreadable_entry_ends_the_use_of_a_server_and_of_no_other() {
+    let (first, second) = (
+        Backend::spawn(Way::Answer).await,
+        Backend::spawn(Way::Answer).await,
+    );
+    let (service, node) = ready(&[&first, &second]).await;
+    service.set("servers/plain-0", Some("plain"));
+    service.set("servers/other-writer", Some("\u{7}"));
+    sleep(SOON).await;
+    let before = first.state.heads().len();
+    for _ in 0..6 {
+        expect_that!(node.ask("/once/", "").await.status, eq(200));
+    }
+    expect_that!(first.state.heads().len(), eq(before));
+    register(&service, 0, &first, "ready");
+    service.set("servers/plain-1", None);
+    sleep(SOON).await;
+    expect_that!(
+        node.ask("/once/", "").await.status,
+        eq(200),
+        "it registered again"
+    );
+    expect_that!(first.state.heads().len(), gt(before));
+}
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -21,7 +21,7 @@
 /// Tokens of a prompt's shared part.
 const SHARED: u32 = 4_000;
 
-/// Values are words: `VERSION KEY...` for a configuration, `POOL ADDRESS STATE` for a server.
+/// Values are words: `VERSION KEY...` for a configuration, `POOL ADDRESS STATE [BORN]` for a server.
 #[derive(Debug)]
 pub(crate) struct Words;
 
@@ -145,16 +145,20 @@
     fn server(&self, name: &str, value: &[u8]) -> Result<Server, Unreadable> {
         let text = String::from_utf8_lossy(value);
         let words: Vec<&str> = text.split_whitespace().collect();
-        let [pool, address, state] = words[..] else {
-            return Err(unreadable(name));
+        let (pool, address, state, born) = match words[..] {
+            [pool, address, state] => (pool, address, state, None),
+            [pool, address, state, born] => (pool, address, state, Some(born)),
+            _ => return Err(unreadable(name)),
         };
+        let born_ms = born.map(|born| born.parse().map_err(|_| unreadable(name)));
         Ok(Server {
-            id: ServerId::of(name),
+            id: ServerId::of(&format!("{name} {}", born.unwrap_or_default())),
             name: name.to_owned(),
             pool: PoolId::of(pool),
             address: address.parse().map_err(|_| unreadable(name))?,
             zone: "a".to_owned(),
             slots: 8,
+            born_ms: born_ms.transpose()?,
             is_leaving: state == "leaving",
         })
     }
