--- a/crates/gateway/src/exchange/sponsor.rs
+++ b/crates/gateway/src/exchange/upstream.rs
@@ -6,15 +6,15 @@
 
 /// Time without the fleet's sum after which another collector is asked for it, in
 /// milliseconds: the longest interval between two, and what is late.
-const DEAF_MS: u64 = 350;
+const QUIET_MS: u64 = 350;
 
 /// Time without it after which the next gateways of the zone are asked to collect, in
 /// milliseconds. Another such time later those after them are asked.
-const FORSAKEN_MS: u64 = 700;
+const LOST_MS: u64 = 700;
 
 /// The collector that tells this gateway the fleet's sum: one alone, until it is silent.
 #[derive(Debug, Default)]
-pub(super) struct Sponsor {
+pub(super) struct Upstream {
     chosen: Option<SocketAddr>,
     heard_ms: u64,
     /// When collectors were last passed over.
@@ -24,7 +24,7 @@
     passed: usize,
 }
 
-impl Sponsor {
+impl Upstream {
     /// Notes that the fleet's sum came from a gateway, which is one of the zone's collectors
     /// or was asked in place of these.
     pub(super) fn hear(&mut self, from: SocketAddr, is_collector: bool, now: u64) {
@@ -32,7 +32,7 @@
             self.passed = 0;
             self.chosen = None;
         }
-        if self.chosen.is_none() || self.is_deaf(now) {
+        if self.chosen.is_none() || self.is_quiet(now) {
             self.chosen = Some(from);
         }
         if self.chosen == Some(from) {
@@ -50,7 +50,7 @@
             self.chosen = None;
         }
         let silent_ms = now.saturating_sub(self.heard_ms.max(self.passed_ms));
-        if !collectors.is_empty() && silent_ms >= FORSAKEN_MS {
+        if !collectors.is_empty() && silent_ms >= LOST_MS {
             self.passed_ms = now;
             self.passed += COLLECTORS;
         }
@@ -59,7 +59,7 @@
     /// Whether a gateway is asked for the fleet's sum.
     pub(super) fn is_asked(&self, collector: SocketAddr, now: u64) -> bool {
         let is_chosen = self.chosen.is_none_or(|chosen| chosen == collector);
-        is_chosen || self.passed > 0 || self.is_deaf(now)
+        is_chosen || self.passed > 0 || self.is_quiet(now)
     }
 
     /// Gateways of the zone that are passed over when others are asked to collect.
@@ -67,7 +67,7 @@
         self.passed
     }
 
-    const fn is_deaf(&self, now: u64) -> bool {
-        now.saturating_sub(self.heard_ms) >= DEAF_MS
+    const fn is_quiet(&self, now: u64) -> bool {
+        now.saturating_sub(self.heard_ms) >= QUIET_MS
     }
 }
