Exchange: an estimate follows what the gateway itself has; lives that are gone are told nothing more

Causes, by reading the diff: the estimate for a gateway that hears of nobody was made once, when the last peer fell silent, and never at a start; it spread loads over the servers of other pools as well. And a gateway that restarted left its former life among those that want the fleet's sum, for good, as its life was replaced and not silent: each restart would have doubled what is sent to it.

Test: `a_gateway_that_hears_of_nobody_takes_its_peers_to_do_as_it_does`; before, the second prompt was sent though nine peers were registered.

--- a/crates/decide/src/aggregate.rs
+++ b/crates/decide/src/aggregate.rs
@@ -117,6 +117,12 @@
             || self.fleets.contains_key(&origin)
     }
 
+    /// Whether anything that another gateway told still counts.
+    #[must_use]
+    pub fn has_heard(&self) -> bool {
+        !self.nodes.is_empty() || !self.zones.is_empty() || !self.fleets.is_empty()
+    }
+
     /// Forgets those that are silent, and names them.
     pub fn expire(&mut self, now: Millis) -> Vec<Incarnation> {
         let mut gone = Vec::new();
@@ -135,19 +141,6 @@
         !self.nodes.is_empty()
     }
 
-    /// Whether the fleet's sum was told within an interval and a half.
-    #[must_use]
-    pub fn is_informed(&self, now: Millis) -> bool {
-        self.fleets
-            .values()
-            .any(|heard| heard.age_ms(now) <= FRESH_MS)
-    }
-
-    /// Collectors of other zones that were heard.
-    pub fn collectors(&self) -> impl Iterator<Item = Incarnation> {
-        self.zones.keys().copied()
-    }
-
     /// What the zone's gateways have, this one included.
     #[must_use]
     pub fn zone_sum(&self) -> Sum {
--- a/crates/decide/src/aggregate/state.rs
+++ b/crates/decide/src/aggregate/state.rs
@@ -46,20 +46,13 @@
     }
 
     /// What `nodes` others are taken to have that tell nothing: each as much in all as this
-    /// state's one gateway, spread evenly over the servers.
+    /// state's one gateway, spread evenly over the servers of each pool.
     #[must_use]
-    pub fn estimate(&self, nodes: u32, servers: &[ServerId]) -> Self {
-        let mut all = Load::default();
-        for &load in self.loads.values() {
-            all.add(load);
-        }
-        let count = u32::try_from(servers.len()).unwrap_or(u32::MAX).max(1);
-        let part = |sum: u32| sum.saturating_mul(nodes) / count;
-        let load = Load {
-            unread: part(all.unread),
-            queued: part(all.queued),
-            running: part(all.running),
-        };
+    pub fn estimate(&self, nodes: u32, pools: &[Vec<ServerId>]) -> Self {
+        let loads = pools.iter().flat_map(|servers| {
+            let load = self.part(nodes, servers);
+            servers.iter().map(move |&server| (server, load))
+        });
         let times = f64::from(nodes);
         let flows = self.flows.iter().map(|(&customer, flow)| {
             let flow = Flow {
@@ -69,8 +62,23 @@
             (customer, flow)
         });
         Self {
-            loads: servers.iter().map(|&server| (server, load)).collect(),
+            loads: loads.collect(),
             flows: flows.collect(),
         }
     }
+
+    /// What each of a pool's servers has of `nodes` times this state.
+    fn part(&self, nodes: u32, servers: &[ServerId]) -> Load {
+        let mut all = Load::default();
+        for load in servers.iter().filter_map(|server| self.loads.get(server)) {
+            all.add(*load);
+        }
+        let count = u32::try_from(servers.len()).unwrap_or(u32::MAX).max(1);
+        let part = |sum: u32| sum.saturating_mul(nodes) / count;
+        Load {
+            unread: part(all.unread),
+            queued: part(all.queued),
+            running: part(all.running),
+        }
+    }
 }
--- a/crates/decide/tests/aggregate.rs
+++ b/crates/decide/tests/aggregate.rs
@@ -340,7 +340,7 @@
 fn without_any_word_peers_are_taken_to_have_as_much_spread_evenly() {
     let aggregate = Aggregate::new(Incarnation(1), "a");
     expect_that!(aggregate.others(0), none());
-    let servers: Vec<ServerId> = (0..4).map(ServerId).collect();
+    let pools = [(0..4).map(ServerId).collect(), vec![ServerId(9)]];
     let mut own = State::default();
     let load = Load {
         unread: 1_000,
@@ -353,14 +353,21 @@
         given: 100.0,
     };
     own.flows.insert(CustomerId(1), flow);
-    let estimate = own.estimate(10, &servers);
+    let estimate = own.estimate(10, &pools);
     let each = Load {
         unread: 2_500,
         queued: 5,
         running: 15,
     };
-    expect_that!(estimate.loads.len(), eq(4));
-    expect_that!(estimate.loads.values().all(|load| *load == each), eq(true));
+    expect_that!(estimate.loads.len(), eq(5));
+    for server in 0..4 {
+        expect_that!(estimate.loads[&ServerId(server)], eq(each));
+    }
+    expect_that!(
+        estimate.loads[&ServerId(9)],
+        eq(Load::default()),
+        "another pool"
+    );
     expect_that!(estimate.flows[&CustomerId(1)].asked, eq(5_000.0));
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -124,10 +124,9 @@
         let mut inner = self.inner.lock();
         for origin in inner.aggregate.expire(now) {
             inner.is_changed = true;
-            inner.wanting.remove(&origin);
-            inner.collectors.remove(&origin);
             log!(core.logger, Event::PeerDown, "peer" => origin.0);
         }
+        inner.forget();
         inner.count_if_due(core, now);
     }
 }
--- a/crates/gateway/src/exchange/inner.rs
+++ b/crates/gateway/src/exchange/inner.rs
@@ -6,7 +6,7 @@
 use mulberryyoke_decide::aggregate::{Aggregate, Member, Place, State, Sum, rank};
 use mulberryyoke_decide::engine::Load;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{Incarnation, ServerId};
+use mulberryyoke_model::Incarnation;
 use mulberryyoke_wire::beat::{Beat, Scope};
 
 use super::peers::Peers;
@@ -32,9 +32,9 @@
     pub(super) reads: Reads,
     upstream: Upstream,
     /// Gateways of the zone that want the fleet's sum.
-    pub(super) wanting: HashMap<Incarnation, SocketAddr>,
+    wanting: HashMap<Incarnation, SocketAddr>,
     /// Collectors of other zones, as they were heard.
-    pub(super) collectors: HashMap<Incarnation, SocketAddr>,
+    collectors: HashMap<Incarnation, SocketAddr>,
     pub(super) number: u32,
     /// When what was heard was last added up, in milliseconds of this process's clock.
     counted_ms: u64,
@@ -172,6 +172,15 @@
         }
     }
 
+    /// Forgets where lives take messages that are not heard any more.
+    pub(super) fn forget(&mut self) {
+        let aggregate = &self.aggregate;
+        self.wanting.retain(|origin, _| aggregate.knows(*origin));
+        self.collectors.retain(|origin, _| aggregate.knows(*origin));
+        // An estimate follows what this gateway itself has.
+        self.is_changed |= !aggregate.has_heard() && self.peers.len() > 0;
+    }
+
     /// Adds up what was heard, unless that was done just now or nothing has changed.
     pub(super) fn count_if_due(&mut self, core: &Core, now: u64) {
         if self.is_changed && now.saturating_sub(self.counted_ms) >= COUNT_MS {
@@ -190,9 +199,8 @@
         }
         let all = core.roster.all();
         let others = told.unwrap_or_else(|| {
-            let servers: Vec<ServerId> = all.iter().map(|backend| backend.server.id).collect();
             let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
-            own(core).estimate(peers, &servers)
+            own(core).estimate(peers, &core.roster.pools())
         });
         for backend in &all {
             let load = others.loads.get(&backend.server.id);
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -50,6 +50,14 @@
         self.table.load().names.values().cloned().collect()
     }
 
+    /// The servers of each pool.
+    pub(crate) fn pools(&self) -> Vec<Vec<ServerId>> {
+        let table = self.table.load();
+        let pools = table.pools.values();
+        let ids = pools.map(|servers| servers.iter().map(|backend| backend.server.id).collect());
+        ids.collect()
+    }
+
     /// Time until the model servers would begin to read a prompt sent now, on average, in
     /// milliseconds; 0 without any.
     pub(crate) fn mean_wait_ms(&self) -> f64 {
--- a/crates/gateway/tests/gateway/exchange.rs
+++ b/crates/gateway/tests/gateway/exchange.rs
@@ -86,3 +86,33 @@
         expect_that!(refuses(node, KNOWN_ELSEWHERE).await, lt(KNOWN_ELSEWHERE));
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_gateway_that_hears_of_nobody_takes_its_peers_to_do_as_it_does() {
+    for (peers, status) in [(0, None), (9, Some(503))] {
+        let service = Service::new();
+        for index in 0..peers {
+            // Nothing listens at the discard port.
+            let key = format!("mulberryyoke/gateways/s{index}");
+            service.set(&key, Some("127.0.0.1:9 100 b"));
+        }
+        let servers = [
+            Backend::spawn(Way::Hang).await,
+            Backend::spawn(Way::Hang).await,
+        ];
+        service.set("config", Some("5 secret"));
+        for (index, server) in servers.iter().enumerate() {
+            register(&service, index, server, "ready");
+        }
+        let node = Node::spawn(&service, "g0").await;
+        node.wait_ready().await;
+        let request = caller::request("/stream/", "x-tokens: 2000\r\n");
+        let _first = caller::open(node.callers, &request).await;
+        sleep(Duration::from_millis(200)).await;
+        let second = caller::send(node.callers, &request);
+        let second = tokio::time::timeout(Duration::from_millis(300), second).await;
+        let told = second.ok().map(|reply| reply.status);
+        expect_that!(told, eq(status), "{peers} peers");
+    }
+}
