--- a/crates/decide/src/share.rs
+++ b/crates/decide/src/share.rs
@@ -122,8 +122,8 @@
         self.level = level(&asked, capacity);
         self.given_level = level(&asked, given.max(capacity));
         // Where more is given than the configured capacity, that is what is shared out: cut off
-        // at five of the smaller portions, one that had a hundred times as much looked like one
-        // that had its part, and got four times as much as another.
+        // at five of the smaller portions, a customer with five times another's looked much like
+        // it (1.11 and 0.86 of what is given), and was given the more.
         let Some(level) = self.given_level.or(self.level) else {
             return;
         };
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -43,8 +43,8 @@
 
 /// Takes callers' connections until the port is closed, then lets the open ones end. While the
 /// node has more to do than its processor can, nothing listens at the port: callers are told at
-/// once and at no cost to the node, and try another one. They wait a second for a connection
-/// else, and then have one more try; 48,000 of 200,000 tries of a day ended so where one caller
+/// once and at no cost to the node, and try another one. Else they wait a second for a connection
+/// and then have one more try: 48,000 of 200,000 tries in a minute ended so where one caller
 /// with most of a zone's traffic met one small node.
 pub(crate) async fn serve(core: Arc<Core>, listener: TcpListener) {
     let shutdown = GracefulShutdown::new();
--- a/crates/gateway/src/strain.rs
+++ b/crates/gateway/src/strain.rs
@@ -66,8 +66,7 @@
             () = sleep(PERIOD) => {}
         }
         let late_ms = clock::between_ms(due, Instant::now());
-        let is_changed = overload.note(late_ms, clock::now_ms());
-        if is_changed {
+        if overload.note(late_ms, clock::now_ms()) {
             core.strain.set(&overload);
             log!(core.logger, Event::Strained,
                 "strained" => overload.is_strained(), "late_ms" => late_ms);
