Sight: a digest of path, customer and body in the line of a failed server

A line named the id of one attempt only, and a caller's repeat has another: whether one request is common to the servers that end (first hypothesis) or not (second, third) could not be told from the logs. No change of logic.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,12 +1,12 @@
 //! A caller's request that was read whole and is allowed.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method};
 use mulberryyoke_decide::engine::Prompt;
-use mulberryyoke_model::PoolId;
+use mulberryyoke_model::{Digest, PoolId};
 use tokio::time::Instant;
 
 use crate::plan::{Customer, Route};
@@ -35,6 +35,8 @@
     /// The caller's end-to-end headers.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Found when it is first asked for: bodies may be large.
+    pub(crate) digest: OnceLock<Digest>,
 }
 
 impl Call {
@@ -42,4 +44,17 @@
     pub(crate) fn customer_name(&self) -> Option<&str> {
         self.customer.as_ref().map(|customer| &*customer.name)
     }
+
+    /// What it has in common with its repeats.
+    pub(crate) fn digest(&self) -> Digest {
+        *self.digest.get_or_init(|| {
+            let customer = self.customer_name().unwrap_or_default();
+            Digest::of(
+                self.method.as_str(),
+                self.path.as_str(),
+                customer,
+                &self.body,
+            )
+        })
+    }
 }
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -214,6 +214,7 @@
     backend.health.lock().fail(Instant::now());
     log!(core.logger, Event::BackendFailed,
         "request" => &call.id,
+        "digest" => call.digest().to_string(),
         "server" => &backend.server.name,
         "what" => what,
         "error" => why,
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -1,6 +1,6 @@
 //! Reading a caller's request: route, customer, bounds and body.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -74,6 +74,7 @@
             path: path(&self.parts.uri),
             headers: self.parts.headers,
             body,
+            digest: OnceLock::new(),
             route,
         })
     }
