Quarantine: a request that ends the servers which run it reaches three of them at most, whoever sends it

Cause (class: knowledge kept for one call that the fleet needs for the next): what a request had met was held in the trials of its call and forgotten with it, so that each repeat, at any gateway, was tried on two more servers. A request that breaks off where a new connection is refused, or whose server's registration ends or is taken by another life, has that life held against it; one run that ends well clears it. Gateways tell each other in their beats (a release that does not know the field reads the message up to there); while anything is held against a request one copy at a time runs, as one gateway, chosen by rendezvous, decides; from the second end on apart from other suspects; with the third it is refused with 502 and no time to come back, for a minute and then twice as long with each further end. Convictions lie in the key-value service under a lease, for gateways that start later and for an operator who lifts one by deleting the key.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod overload;
 pub mod place;
 pub mod plain;
+pub mod quarantine;
 pub mod queue;
 pub(crate) mod rank;
 pub mod retry;
--- /dev/null
+++ b/crates/decide/src/quarantine/record.rs
@@ -0,0 +1,140 @@
+//! What is known of one request.
+
+use mulberryyoke_model::{Digest, Millis, ServerId};
+use smallvec::SmallVec;
+
+use super::{End, Suspect, Verdict};
+
+/// Lives of servers under whose ends a request is convicted. Two are met by requests that only
+/// stood beside one that ends servers and went on elsewhere with it; a third, run apart from
+/// other suspects, is not.
+pub const CONVICTED: u32 = 3;
+
+/// Ends that are remembered of one request; later ones are its last ones again and again.
+pub const ENDS: usize = 8;
+
+/// Time for which a convicted request reaches no server, in milliseconds. It doubles with each
+/// end after that. A wrong conviction costs its caller this time, a wrong acquittal one server.
+const SENTENCE_MS: u64 = 60_000;
+
+/// Longest such time, in milliseconds.
+const LONGEST_MS: u64 = 480_000;
+
+/// Time after its last end in which a request under suspicion is remembered, in milliseconds.
+const REMEMBERED_MS: u64 = 600_000;
+
+/// What is known of one request.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Record {
+    /// Lives that ended under it, oldest first, and when. Those before the last run that ended
+    /// well stay, so that what is heard late of them counts for nothing.
+    ends: SmallVec<[(ServerId, Millis); 4]>,
+    survived_at: Option<Millis>,
+    changed_at: Millis,
+    /// Until when one copy has the servers for itself.
+    trial_until: Millis,
+}
+
+impl Record {
+    /// Notes the end of a life at an instant; `false` if it was known.
+    pub(super) fn end(&mut self, server: ServerId, at: Millis, now: Millis) -> bool {
+        if self.ends.iter().any(|(known, _)| *known == server) {
+            return false;
+        }
+        if self.ends.len() == ENDS {
+            self.ends.remove(0);
+        }
+        self.ends.push((server, at));
+        self.ends.sort_by_key(|(_, at)| *at);
+        self.changed_at = now;
+        true
+    }
+
+    /// Notes that a run ended well at an instant; `false` if a later one was known.
+    pub(super) fn survive(&mut self, at: Millis, now: Millis) -> bool {
+        if self.survived_at >= Some(at) {
+            return false;
+        }
+        self.survived_at = Some(at);
+        self.trial_until = 0;
+        self.changed_at = now;
+        true
+    }
+
+    /// Gives one copy the servers for itself until an instant; `false` if another has them.
+    pub(super) fn try_for(&mut self, until: Millis, now: Millis) -> bool {
+        if self.trial_until > now {
+            return false;
+        }
+        self.trial_until = until;
+        true
+    }
+
+    pub(super) fn verdict(&self, now: Millis) -> Verdict {
+        let since = self.survived_at.unwrap_or(0);
+        let mut ends = self.ends.iter().filter(|(_, at)| *at > since);
+        let ended = u32::try_from(ends.clone().count()).unwrap_or(u32::MAX);
+        let Some((_, last)) = ends.next_back() else {
+            return Verdict::Clear;
+        };
+        let until = last.saturating_add(sentence_ms(ended));
+        if ended >= CONVICTED && now < until {
+            return Verdict::Convicted { ended, until };
+        }
+        Verdict::Suspect { ended }
+    }
+
+    pub(super) fn tell(&self, digest: Digest, now: Millis) -> Suspect {
+        let ends = self.ends.iter().map(|&(server, at)| End {
+            server,
+            age_ms: now.saturating_sub(at),
+        });
+        Suspect {
+            digest,
+            ends: ends.collect(),
+            survived_ms: self.survived_at.map(|at| now.saturating_sub(at)),
+        }
+    }
+
+    /// Takes in what another gateway knows; `true` if that changed something.
+    pub(super) fn hear(&mut self, suspect: &Suspect, now: Millis) -> bool {
+        let mut is_changed = false;
+        for end in &suspect.ends {
+            is_changed |= self.end(end.server, now.saturating_sub(end.age_ms), now);
+        }
+        if let Some(age_ms) = suspect.survived_ms {
+            is_changed |= self.hear_survived(now.saturating_sub(age_ms), now);
+        }
+        is_changed
+    }
+
+    /// Notes that another gateway saw a run end well. What clears nothing is no change: as
+    /// messages take time, one instant looks a little later each time that it is told.
+    fn hear_survived(&mut self, at: Millis, now: Millis) -> bool {
+        let known = self.survived_at.unwrap_or(0);
+        let mut ends = self.ends.iter();
+        let clears = ends.any(|(_, end)| *end > known && *end <= at);
+        if clears {
+            return self.survive(at, now);
+        }
+        self.survived_at = self.survived_at.max(Some(at));
+        false
+    }
+
+    pub(super) const fn changed_at(&self) -> Millis {
+        self.changed_at
+    }
+
+    /// Whether it is too old to matter.
+    pub(super) fn is_over(&self, now: Millis) -> bool {
+        let last = self.ends.last().map_or(0, |(_, at)| *at);
+        let last = last.max(self.survived_at.unwrap_or(0));
+        now.saturating_sub(last) >= REMEMBERED_MS
+    }
+}
+
+/// Time for which a request reaches no server after so many ends, in milliseconds.
+fn sentence_ms(ended: u32) -> u64 {
+    let doubled = ended.saturating_sub(CONVICTED).min(u64::BITS - 1);
+    SENTENCE_MS.saturating_mul(1 << doubled).min(LONGEST_MS)
+}
--- /dev/null
+++ b/crates/decide/src/quarantine/suspect.rs
@@ -0,0 +1,41 @@
+//! What gateways tell each other of a request under suspicion.
+
+use mulberryyoke_model::{Digest, ServerId};
+use serde::{Deserialize, Serialize};
+
+/// What a gateway knows of a request that ended servers. Ages are told and not times, so that
+/// clocks need not agree; to hear a thing twice changes nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The request.
+    pub digest: Digest,
+    /// Lives of servers that ended under it.
+    pub ends: Vec<End>,
+    /// Time since a run of it last ended well, in milliseconds.
+    pub survived_ms: Option<u64>,
+}
+
+/// A life of a server that ended under a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// The life.
+    pub server: ServerId,
+    /// Time since its end, in milliseconds.
+    pub age_ms: u64,
+}
+
+impl Suspect {
+    /// One of which nothing is known.
+    #[must_use]
+    pub const fn new(digest: Digest) -> Self {
+        Self {
+            digest,
+            ends: Vec::new(),
+            survived_ms: None,
+        }
+    }
+
+    pub(super) const fn is_empty(&self) -> bool {
+        self.ends.is_empty() && self.survived_ms.is_none()
+    }
+}
--- /dev/null
+++ b/crates/decide/src/quarantine/verdict.rs
@@ -0,0 +1,43 @@
+//! What a request may do.
+
+use mulberryyoke_model::Millis;
+
+/// What a request may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing is held against it.
+    Clear,
+    /// Servers ended under it: one copy at a time may run.
+    Suspect {
+        /// Lives of servers that ended under it since a run of it last ended well.
+        ended: u32,
+    },
+    /// It ends servers: it reaches none.
+    Convicted {
+        /// As for suspects.
+        ended: u32,
+        /// When one copy may be tried again.
+        until: Millis,
+    },
+}
+
+impl Verdict {
+    /// Lives of servers that ended under it since a run of it last ended well.
+    #[must_use]
+    pub const fn ended(self) -> u32 {
+        match self {
+            Self::Clear => 0,
+            Self::Suspect { ended } | Self::Convicted { ended, .. } => ended,
+        }
+    }
+
+    /// Its name in logs and metrics.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Clear => "clear",
+            Self::Suspect { .. } => "suspect",
+            Self::Convicted { .. } => "convicted",
+        }
+    }
+}
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -92,6 +92,20 @@
     ListFailed = 1023, Warning, "kept parts not listed";
     /// A router hears of none of its peers, or again of some.
     Alone = 1024, Warning, "load of peers unknown changed";
+    /// A life of a server is seen to have ended where requests broke off.
+    ServerEnded = 1025, Warning, "server ended";
+    /// More than one server ended under one request.
+    Suspected = 1026, Warning, "request under suspicion";
+    /// A request ended so many servers that it reaches no more.
+    Convicted = 1027, Error, "request quarantined";
+    /// Nothing is held against a request any more.
+    Cleared = 1028, Info, "request cleared";
+    /// A request in quarantine, or under suspicion while another copy runs, was not sent.
+    Withheld = 1029, Info, "request withheld";
+    /// The router that decides about a request under suspicion could not be asked.
+    AdmitFailed = 1030, Warning, "router that decides not asked";
+    /// A conviction could not be written to the key-value service.
+    ConvictionUnwritten = 1031, Warning, "conviction not written";
     /// A sidecar reserved a slot for a customer's request at a router.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
@@ -159,6 +173,7 @@
                 | Self::Refused
                 | Self::HeldBack
                 | Self::Malformed
+                | Self::Withheld
         )
     }
 }
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -4,10 +4,11 @@
 mod running;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use mulberryyoke_decide::engine::{Engine, Pace};
 use parking_lot::{Mutex, MutexGuard};
+use tokio::time::Instant;
 
 pub(crate) use self::health::Health;
 pub(crate) use self::running::Running;
@@ -30,9 +31,21 @@
     pub(crate) health: Mutex<Health>,
     /// Whether it is a model server.
     pub(crate) is_model: bool,
+    /// Whether its life was seen to go on or to have ended; held while that is looked at.
+    pub(crate) seen: tokio::sync::Mutex<Seen>,
+    /// Requests under suspicion that run there apart from others.
+    pub(crate) trials: AtomicU32,
     is_closed: AtomicBool,
 }
 
+/// What was last seen of a server's life.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Seen {
+    /// When it last took a connection that was opened to see whether it lives.
+    pub(crate) alive: Option<Instant>,
+    pub(crate) has_ended: bool,
+}
+
 impl Backend {
     pub(crate) fn new(server: Server, model: Option<Model>, pace: Arc<Mutex<Pace>>) -> Self {
         let cache_tokens = model.map_or(0, |model| model.memory_tokens / CACHE_PART);
@@ -43,6 +56,8 @@
             pace,
             health: Mutex::new(Health::default()),
             is_model: model.is_some(),
+            seen: tokio::sync::Mutex::default(),
+            trials: AtomicU32::new(0),
             is_closed: AtomicBool::new(server.is_leaving),
             server,
         }
--- a/crates/gateway/src/backend/running.rs
+++ b/crates/gateway/src/backend/running.rs
@@ -1,6 +1,7 @@
 //! A request at a server, counted there until it ends.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use mulberryyoke_decide::engine::Prompt;
 use tokio::time::Instant;
@@ -22,6 +23,8 @@
     sent: Instant,
     /// When its answer began.
     begun: Option<Instant>,
+    /// Whether it is under suspicion and runs apart from others that are.
+    is_trial: bool,
 }
 
 impl Running {
@@ -40,9 +43,17 @@
             had_slot,
             sent: Instant::now(),
             begun: None,
+            is_trial: false,
         }
     }
 
+    /// Counts it as one that runs apart from others under suspicion.
+    pub(crate) fn try_apart(mut self) -> Self {
+        self.backend.trials.fetch_add(1, Ordering::Relaxed);
+        self.is_trial = true;
+        self
+    }
+
     /// Prompt tokens that the server had to read before it.
     pub(crate) const fn ahead(&self) -> u32 {
         self.ahead
@@ -70,6 +81,9 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
+        if self.is_trial {
+            self.backend.trials.fetch_sub(1, Ordering::Relaxed);
+        }
         let mut engine = self.backend.engine.lock();
         let Some(begun) = self.begun else {
             return engine.abandon(self.tokens);
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,6 +1,7 @@
 //! Facts for the choice of a server, and carrying it out.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use mulberryyoke_decide::engine::{Candidate, Engine, narrow};
 use mulberryyoke_decide::plain;
@@ -20,19 +21,24 @@
 
 /// Chooses a server and counts the request there. Servers in `tried` are left out.
 /// One that `may_have_run` is not refused for what others have to do: that it has
-/// not run can no longer be promised, and what it took would be lost.
+/// not run can no longer be promised, and what it took would be lost. One that `is_apart` gets
+/// a server without another such request.
 pub(crate) fn place(
     core: &Core,
     call: &Call,
     tried: &[ServerId],
     may_have_run: bool,
+    is_apart: bool,
 ) -> Result<Running, Refusal> {
-    core.roster.of(call.pool, |servers| {
+    let running = core.roster.of(call.pool, |servers| {
         let now = Instant::now();
-        let open: Vec<&Arc<Backend>> = servers
+        let mut open: Vec<&Arc<Backend>> = servers
             .iter()
             .filter(|backend| backend.is_open() && !tried.contains(&backend.server.id))
             .collect();
+        if is_apart {
+            keep_apart(&mut open);
+        }
         if call.prompt.is_some() {
             let standing = standing(core, call, tried.is_empty());
             let standing = (!may_have_run).then_some(standing);
@@ -47,7 +53,20 @@
         });
         let backend = named(&open, plain::choose(candidates))?;
         Ok(Running::begin(backend, None))
-    })
+    })?;
+    if is_apart {
+        return Ok(running.try_apart());
+    }
+    Ok(running)
+}
+
+/// Leaves out servers that run a request under suspicion, while there are others: if one ends,
+/// only one of them is named.
+fn keep_apart(open: &mut Vec<&Arc<Backend>>) {
+    let is_free = |backend: &Arc<Backend>| backend.trials.load(Ordering::Relaxed) == 0;
+    if open.iter().any(|backend| is_free(backend)) {
+        open.retain(|backend| is_free(backend));
+    }
 }
 
 /// The server of an identity among these.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,7 +11,7 @@
 use mulberryyoke_wire::relay::{CHANGES, LIST, Relayed};
 
 use crate::core::Core;
-use crate::{clock, ready};
+use crate::{clock, quarantine, ready};
 
 /// Path of the metrics.
 const METRICS: &str = "/metrics";
@@ -29,10 +29,11 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let came = clock::now_ms();
-    let uri = request.uri();
+    let uri = request.uri().clone();
     let answer = match uri.path() {
         METRICS => Response::new(Full::new(Bytes::from(ready::metrics(&core)))),
         LIST => relayed(core.mirror.list(core.view.known_ms(came))),
+        quarantine::PATH => quarantine::answer(&core, request).await,
         CHANGES => changes(&core, uri.query().unwrap_or(""), came).await,
         _ => status(StatusCode::NOT_FOUND),
     };
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use mulberryyoke_decide::share::Shares;
 use mulberryyoke_event::slog::Logger;
+use mulberryyoke_platform::kv::Feed;
 use mulberryyoke_settings as settings;
 use parking_lot::Mutex;
 
@@ -14,6 +15,7 @@
 use crate::exchange::Exchange;
 use crate::mirror::Mirror;
 use crate::protocol::Protocol;
+use crate::quarantine::Quarantine;
 use crate::roster::Roster;
 use crate::stop::Stop;
 use crate::strain::Strain;
@@ -23,12 +25,14 @@
 pub(crate) struct Core {
     pub(crate) settings: ArcSwap<settings::Gateway>,
     pub(crate) protocol: Arc<dyn Protocol>,
+    pub(crate) feed: Arc<dyn Feed>,
     pub(crate) logger: Logger,
     pub(crate) view: View,
     pub(crate) roster: Roster,
     pub(crate) mirror: Mirror,
     pub(crate) exchange: Exchange,
     pub(crate) shares: Mutex<Shares>,
+    pub(crate) quarantine: Quarantine,
     pub(crate) budgets: Budgets,
     /// Callers' open connections.
     pub(crate) connections: AtomicU32,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::clock;
 use crate::core::Core;
 use crate::outcome::Outcome;
+use crate::quarantine;
 use crate::refusal::Refusal;
 
 /// Times that one request is sent though none of the servers may have run it.
@@ -31,6 +32,10 @@
 /// whole objective, and a second server would begin anew.
 const STREAM_STALL: u64 = 130;
 
+/// Ends of servers from which a request under suspicion runs apart from other suspects: with
+/// one, it is among up to 64 that stood together, too many to keep apart.
+const APART: u32 = 2;
+
 /// Servers asked for one request, and what they may have done.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Trials {
@@ -39,6 +44,8 @@
     ran: u32,
     /// Servers that have not.
     not_run: u32,
+    /// Whether it is under suspicion of ending servers.
+    is_suspect: bool,
 }
 
 impl Trials {
@@ -50,7 +57,10 @@
         call: &Arc<Call>,
         resume_after: Option<u64>,
     ) -> Result<(Outcome, ServerId), Refusal> {
-        let running = balance::place(core, call, &self.tried, self.ran > 0)?;
+        let verdict = quarantine::admit(core, call).await?;
+        self.is_suspect = verdict.ended() > 0;
+        let is_apart = verdict.ended() >= APART;
+        let running = balance::place(core, call, &self.tried, self.ran > 0, is_apart)?;
         let server = running.backend.server.id;
         self.tried.push(server);
         note(core, call, &running, self.ran + self.not_run);
@@ -80,10 +90,17 @@
         call.route.kind.may_repeat() && self.ran < call.route.attempts
     }
 
+    /// Whether another server may be asked for want of an answer: not with a second copy of a
+    /// request under suspicion.
+    pub(crate) fn may_stall(&self, call: &Call) -> bool {
+        self.has_another(call) && !self.is_suspect
+    }
+
     /// When another server is asked for want of an answer; `None` if none may be.
     /// It is called while the last server asked is not yet counted.
     fn stall(&self, call: &Call) -> Option<Instant> {
-        if !call.route.kind.may_repeat() || self.ran + 1 >= call.route.attempts {
+        let is_last = !call.route.kind.may_repeat() || self.ran + 1 >= call.route.attempts;
+        if is_last || self.is_suspect {
             return None;
         }
         let hundredths = if call.route.kind.is_stream() {
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -19,7 +19,7 @@
 use crate::header;
 use crate::outcome::Outcome;
 use crate::protocol::{Order, Proof, Reading};
-use crate::{clock, pass, pump};
+use crate::{clock, pass, pump, quarantine};
 
 /// Largest answer that is kept until it is whole, in bytes; larger ones are passed on as they come.
 const WHOLE_BYTES: usize = 256 << 10;
@@ -76,11 +76,11 @@
             let is_unsent = error.message().is_some();
             let text = error.error().to_string();
             fail(core, call, &running, "connection failed", &text);
-            return if is_unsent {
-                Outcome::Unsent
-            } else {
-                Outcome::Unknown
-            };
+            if is_unsent {
+                return Outcome::Unsent;
+            }
+            quarantine::witness(core, call, &backend).await;
+            return Outcome::Unknown;
         }
     };
     read(core, call, running, trials, conn, response).await
@@ -159,6 +159,7 @@
     };
     let answer = match collected {
         Ok(Collected::Whole(whole)) => {
+            quarantine::survived(core, || call.digest());
             finish(running, conn, reading);
             Answer::whole(whole)
         }
@@ -168,6 +169,7 @@
         }
         Err(error) => {
             fail(core, call, &running, "answer broke off", &error.to_string());
+            quarantine::witness(core, call, &running.backend).await;
             return Outcome::Unknown;
         }
     };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,7 +13,7 @@
 use mulberryyoke_decide::aggregate::{Place, interval_ms};
 use mulberryyoke_decide::engine::Prompt;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{Incarnation, ServerId};
+use mulberryyoke_model::{Digest, Incarnation, ServerId};
 use mulberryyoke_wire::beat::{Beat, Read};
 use parking_lot::Mutex;
 
@@ -23,6 +23,7 @@
 pub(crate) use self::run::run;
 use crate::clock;
 use crate::core::Core;
+use crate::quarantine;
 
 /// What this gateway exchanges with its peers.
 #[derive(Debug)]
@@ -53,6 +54,13 @@
         inner.peers.watchers(&inner.name, &inner.place)
     }
 
+    /// Where the gateway takes messages that decides whether a copy of a request under suspicion
+    /// may run; `None` if this one does.
+    pub(crate) fn arbiter(&self, digest: Digest) -> Option<SocketAddr> {
+        let inner = self.inner.lock();
+        inner.peers.arbiter(digest, &inner.name)
+    }
+
     /// Number of gateways that are known, this one included.
     pub(crate) fn gateways(&self) -> usize {
         self.inner.lock().peers.len() + 1
@@ -92,6 +100,11 @@
         if inner.collects() {
             round.extend(inner.sums(self.origin, now));
         }
+        drop(inner);
+        let suspects = core.quarantine.told();
+        for (beat, _) in &mut round {
+            beat.suspects.clone_from(&suspects);
+        }
         round
     }
 
@@ -99,6 +112,7 @@
         if beat.origin == self.origin {
             return;
         }
+        quarantine::hear(core, &beat.suspects);
         let now = clock::now_ms();
         let mut inner = self.inner.lock();
         let is_known = inner.aggregate.knows(beat.origin);
--- a/crates/gateway/src/exchange/peers.rs
+++ b/crates/gateway/src/exchange/peers.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 
 use mulberryyoke_decide::aggregate::{COLLECTORS, Place, rank, ranked};
+use mulberryyoke_decide::quarantine::arbiter;
+use mulberryyoke_model::Digest;
 
 /// Gateways that ask the key-value service: any two may be gone or cut off.
 const WATCHERS: usize = 3;
@@ -116,6 +118,13 @@
         (is_watcher, peers)
     }
 
+    /// Where the gateway takes messages that decides about a request; `None` if that is this one.
+    pub(super) fn arbiter(&self, digest: Digest, own: &str) -> Option<SocketAddr> {
+        let names = self.by_name.keys().map(String::as_str);
+        let arbiter = arbiter(digest, names.chain([own]))?;
+        self.by_name.get(arbiter).map(|peer| peer.address)
+    }
+
     /// The names of a gateway's zone, its own included, those that collect first.
     fn ranked<'a>(&'a self, (name, place): (&'a str, &'a Place)) -> Vec<&'a str> {
         let names = self.zones.get(&place.zone);
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -27,6 +27,7 @@
             () = core.stop.end.cancelled() => return,
             _ = ticks.tick() => {
                 core.exchange.expire(&core);
+                core.quarantine.expire();
                 settle(&core);
                 let now = Instant::now();
                 if now >= due {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,16 +7,19 @@
 use std::time::Duration;
 
 use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::Digest;
 use mulberryyoke_platform::Backoff;
 use mulberryyoke_platform::kv::{Error, Feed, Revision};
 use mulberryyoke_wire::relay::Write;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use self::source::{Source, Sources};
+use crate::backend::Backend;
 use crate::clock;
 use crate::core::Core;
 use crate::exchange::{self, Peer};
-use crate::kept;
+use crate::protocol::Unreadable;
+use crate::{kept, quarantine};
 
 /// Least time between two calls for changes, in milliseconds: each call is paid for,
 /// and a burst of changes is learnt by a few calls.
@@ -170,7 +173,7 @@
             match (event.value, event.key.strip_prefix(prefix)) {
                 (Some(value), _) => self.write(&event.key, &value, event.revision),
                 (None, Some(name)) => self.remove(name),
-                (None, None) => self.set_peer(&event.key, None),
+                (None, None) => self.forget(&event.key),
             }
         }
     }
@@ -184,11 +187,36 @@
             if revision > known {
                 self.register(name, value, revision);
             }
+        } else if let Some(digest) = quarantine::digest_of(key) {
+            self.convict(digest, value, revision);
         } else {
             self.set_peer(key, Peer::read(value));
         }
     }
 
+    fn forget(&self, key: &str) {
+        match quarantine::digest_of(key) {
+            Some(digest) => quarantine::release(&self.core, digest),
+            None => self.set_peer(key, None),
+        }
+    }
+
+    /// Takes in what gateways found out of a request. One that an operator or a run that ended
+    /// well has cleared names no lives.
+    fn convict(&self, digest: Digest, value: &[u8], revision: Revision) {
+        match quarantine::read(digest, value) {
+            Some(suspect) if suspect.ends.is_empty() => quarantine::release(&self.core, digest),
+            Some(suspect) => quarantine::hear(&self.core, &[suspect]),
+            None => {
+                let error = Unreadable {
+                    what: "lives that ended under a request".to_owned(),
+                    why: "they are no numbers".to_owned(),
+                };
+                self.unreadable(&digest.to_string(), revision, &error);
+            }
+        }
+    }
+
     fn set_peer(&self, key: &str, peer: Option<Peer>) {
         let Some(name) = key.strip_prefix(exchange::PREFIX) else {
             return;
@@ -226,7 +254,9 @@
         self.lapsing.remove(name);
         let is_leaving = server.is_leaving;
         let plan = self.core.view.plan();
+        let before = self.core.roster.get(name);
         if self.core.roster.register(server, plan.as_deref()) {
+            self.replaced(name, before.as_deref());
             log!(self.core.logger, Event::ServerSeen,
                 "server" => name, "leaving" => is_leaving, "revision" => revision);
             if let Some(backend) = self.core.roster.get(name).filter(|_| !is_leaving) {
@@ -235,6 +265,18 @@
         }
     }
 
+    /// Notes that another life of a server has taken the place of one.
+    fn replaced(&self, name: &str, before: Option<&Backend>) {
+        let now = self.core.roster.get(name);
+        let is_other = |backend: &&Backend| {
+            let now = now.as_ref().map(|now| now.server.id);
+            now != Some(backend.server.id) && !backend.server.is_leaving
+        };
+        if let Some(before) = before.filter(is_other) {
+            quarantine::ended(&self.core, before.server.id, name);
+        }
+    }
+
     fn remove(&mut self, name: &str) {
         self.known.remove(name);
         let now = Instant::now();
@@ -246,6 +288,14 @@
             self.lapsing.entry(name.to_owned()).or_insert(until);
             return;
         }
+        if let Some(backend) = self
+            .core
+            .roster
+            .get(name)
+            .filter(|backend| backend.is_open())
+        {
+            quarantine::ended(&self.core, backend.server.id, name);
+        }
         self.drop_server(name, "registration ended");
     }
 
@@ -266,7 +316,7 @@
         }
     }
 
-    fn unreadable(&self, key: &str, revision: Revision, error: &crate::protocol::Unreadable) {
+    fn unreadable(&self, key: &str, revision: Revision, error: &Unreadable) {
         log!(self.core.logger, Event::ConfigUnreadable,
             "key" => key, "revision" => revision, "error" => error.to_string());
     }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -21,6 +21,7 @@
 use crate::exchange::{self, Exchange};
 use crate::mirror::Mirror;
 use crate::protocol::Protocol;
+use crate::quarantine::Quarantine;
 use crate::roster::Roster;
 use crate::stop::Stop;
 use crate::strain::Strain;
@@ -69,12 +70,14 @@
             budgets: Budgets::default(),
             settings: ArcSwap::from_pointee(settings),
             protocol,
+            feed: Arc::clone(&feed),
             logger,
             view: View::default(),
             roster: Roster::default(),
             mirror: Mirror::new(),
             exchange,
             shares: Mutex::default(),
+            quarantine: Quarantine::new(),
             connections: AtomicU32::new(0),
             strain: Strain::default(),
             stop: Stop::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod plan;
 pub mod protocol;
 mod pump;
+mod quarantine;
 mod ready;
 mod refusal;
 mod roster;
--- a/crates/gateway/src/pass.rs
+++ b/crates/gateway/src/pass.rs
@@ -15,6 +15,7 @@
 use crate::core::Core;
 use crate::dispatch::{fail, finish};
 use crate::protocol::Reading;
+use crate::quarantine;
 
 /// Pieces that wait for the caller's connection; more hold the server up.
 const PIECES: usize = 4;
@@ -39,7 +40,10 @@
             () = core.stop.end.cancelled() => Err(Broken::Stopping),
         };
         match passed {
-            Ok(()) => finish(running, conn, reading),
+            Ok(()) => {
+                quarantine::survived(&core, || call.digest());
+                finish(running, conn, reading);
+            }
             Err(broken) => {
                 fail(
                     &core,
@@ -50,6 +54,9 @@
                 );
                 // A caller that is gone has no use for it.
                 let _ = pieces.send(Err(broken)).await;
+                if broken == Broken::Server {
+                    quarantine::witness(&core, &call, &running.backend).await;
+                }
             }
         }
     });
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -20,6 +20,7 @@
 use crate::dispatch::{Trials, fail, finish};
 use crate::outcome::Outcome;
 use crate::protocol::Reading;
+use crate::quarantine;
 
 /// Pieces that wait for the caller's connection; more hold the server up.
 const PIECES: usize = 4;
@@ -119,14 +120,15 @@
             let _ = self.pieces.send(Err(broken)).await;
         }
         match end {
-            End::Whole => finish(self.running, conn, reading),
-            End::Broken | End::Stalled => fail(
-                &self.core,
-                &self.call,
-                &self.running,
-                "stream broke off",
-                "",
-            ),
+            End::Whole => {
+                quarantine::survived(&self.core, || self.call.digest());
+                finish(self.running, conn, reading);
+            }
+            End::Broken | End::Stalled => {
+                let (core, call) = (&self.core, &self.call);
+                fail(core, call, &self.running, "stream broke off", "");
+                quarantine::witness(core, call, &self.running.backend).await;
+            }
             End::Late | End::HungUp | End::Stopping => drop(conn),
         }
     }
@@ -136,6 +138,9 @@
         self.note(end);
         let (core, call) = (&Arc::clone(&self.core), &Arc::clone(&self.call));
         fail(core, call, &self.running, "stream broke off", "resuming");
+        if end == End::Broken {
+            quarantine::witness(core, call, &self.running.backend).await;
+        }
         let next = self.trials.next(core, call, self.last_event);
         let next: Pin<Box<dyn Future<Output = _> + Send + '_>> = Box::pin(next);
         let outcome = next.await;
@@ -221,7 +226,7 @@
     /// When a stream that may go on elsewhere is taken to have broken off.
     fn stall(&self) -> Option<Instant> {
         let gap_ms = self.call.route.gap_ms?;
-        let may_go_on = self.trials.has_another(&self.call);
+        let may_go_on = self.trials.may_stall(&self.call);
         may_go_on.then(|| clock::after(Instant::now(), GAPS * gap_ms))
     }
 
--- /dev/null
+++ b/crates/gateway/src/quarantine/conviction.rs
@@ -0,0 +1,105 @@
+//! Convictions in the key-value service, so that gateways that start later know them, and so
+//! that an operator can lift them. One write each; a lease takes them away.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use mulberryyoke_decide::quarantine::{End, Suspect, Verdict};
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::{Digest, ServerId};
+use mulberryyoke_platform::kv::Error;
+use tokio::time::sleep;
+
+use crate::clock;
+use crate::core::Core;
+
+/// Prefix of the keys; a request's digest in hexadecimal digits follows.
+const PREFIX: &str = "mulberryyoke/quarantine/";
+
+/// Time for which a conviction is kept there, in milliseconds: as long as its evidence counts.
+const LEASE_MS: u64 = 600_000;
+
+/// Pause after a failed write.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// Times that a write is tried, so that an outage of a minute is waited for.
+const TRIES: u32 = 60;
+
+/// Writes that wait at once; a flood of bad requests is known by messages alone beyond it.
+const WRITES: usize = 16;
+
+/// The request that a key names; `None` for other keys.
+pub(crate) fn digest_of(key: &str) -> Option<Digest> {
+    Digest::parse(key.strip_prefix(PREFIX)?)
+}
+
+/// Reads what is known of a request: the lives that ended under it; none if it was cleared.
+pub(crate) fn read(digest: Digest, value: &[u8]) -> Option<Suspect> {
+    let text = std::str::from_utf8(value).ok()?;
+    let lives = text.split_whitespace().map(|life| life.parse().ok());
+    let ends = lives.map(|life| {
+        Some(End {
+            server: ServerId(life?),
+            age_ms: 0,
+        })
+    });
+    Some(Suspect {
+        digest,
+        ends: ends.collect::<Option<_>>()?,
+        survived_ms: None,
+    })
+}
+
+/// Writes what is known of a request there, in a task of its own.
+pub(super) fn write(core: &Arc<Core>, digest: Digest) {
+    let writes = &core.quarantine.writes;
+    if writes.fetch_add(1, Ordering::Relaxed) >= WRITES {
+        writes.fetch_sub(1, Ordering::Relaxed);
+        log!(core.logger, Event::ConvictionUnwritten,
+            "digest" => digest.to_string(), "error" => "too many wait");
+        return;
+    }
+    let core = Arc::clone(core);
+    tokio::spawn(async move {
+        let end = core.stop.end.clone();
+        tokio::select! {
+            () = end.cancelled() => {}
+            () = keep_trying(&core, digest) => {}
+        }
+        core.quarantine.writes.fetch_sub(1, Ordering::Relaxed);
+    });
+}
+
+async fn keep_trying(core: &Core, digest: Digest) {
+    for _ in 0..TRIES {
+        match put(core, digest).await {
+            Ok(()) => return,
+            Err(error) => {
+                log!(core.logger, Event::ConvictionUnwritten,
+                    "digest" => digest.to_string(), "error" => error.to_string());
+            }
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+async fn put(core: &Core, digest: Digest) -> Result<(), Error> {
+    let lease = core.feed.grant(LEASE_MS).await?.id;
+    let key = format!("{PREFIX}{digest}");
+    core.feed
+        .put(&key, text(core, digest).as_bytes(), lease)
+        .await
+}
+
+/// The lives that ended under a request; empty once it is cleared.
+fn text(core: &Core, digest: Digest) -> String {
+    let now = clock::now_ms();
+    let records = core.quarantine.records.lock();
+    if records.verdict(digest, now) == Verdict::Clear {
+        return String::new();
+    }
+    let suspect = records.suspect(digest, now);
+    let lives = suspect.ends.iter().map(|end| end.server.0.to_string());
+    lives.collect::<Vec<_>>().join(" ")
+}
--- /dev/null
+++ b/crates/gateway/src/quarantine/witness.rs
@@ -0,0 +1,66 @@
+//! Learning whether a server has ended where a request broke off.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mulberryyoke_event::{Event, log};
+use tokio::time::{Instant, timeout};
+
+use super::ended;
+use crate::backend::Backend;
+use crate::call::Call;
+use crate::clock;
+use crate::core::Core;
+
+/// Longest time that a broken request waits to know what became of its server: servers are
+/// milliseconds away, and one that is gone refuses at once. A machine that does not answer says
+/// nothing yet; that its registration lapses will.
+const PROBE: Duration = Duration::from_millis(100);
+
+/// Time for which a server that took a connection counts as alive for others that broke off
+/// there, in milliseconds.
+const ALIVE_MS: u64 = 100;
+
+/// Notes that a request broke off at a server, and learns whether the server has ended: a new
+/// connection is refused then. A server that leaves as planned ends with what it runs, which is
+/// no evidence.
+pub(crate) async fn witness(core: &Arc<Core>, call: &Call, backend: &Arc<Backend>) {
+    if !backend.is_open() {
+        return;
+    }
+    let digest = call.digest();
+    core.quarantine
+        .change(|records| records.broke(backend.server.id, digest, clock::now_ms()));
+    if has_ended(core, backend).await {
+        ended(core, backend.server.id, &backend.server.name);
+    }
+}
+
+/// Whether a server's life has ended. It is asked once for all that broke off there at a time.
+async fn has_ended(core: &Core, backend: &Backend) -> bool {
+    let mut seen = backend.seen.lock().await;
+    if seen.has_ended {
+        return true;
+    }
+    let now = Instant::now();
+    let is_alive = seen
+        .alive
+        .is_some_and(|at| clock::between_ms(at, now) < ALIVE_MS);
+    if is_alive {
+        return false;
+    }
+    match timeout(PROBE, backend.conns.open()).await {
+        Ok(Ok(conn)) => {
+            seen.alive = Some(Instant::now());
+            backend.conns.give(conn, None);
+        }
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            seen.has_ended = true;
+            log!(core.logger, Event::ServerEnded, "server" => &backend.server.name);
+        }
+        // It says nothing of the server's life.
+        Ok(Err(_)) | Err(_) => {}
+    }
+    seen.has_ended
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -33,6 +33,8 @@
     TurnedAway,
     /// The node stops.
     Stopping,
+    /// It ends servers, or is under suspicion of it while another copy runs.
+    Quarantined,
     /// A server was asked and what became of it is unknown.
     Unknown,
     /// A server's answer was no answer to this request.
@@ -57,7 +59,8 @@
             Self::NoView | Self::NoServer | Self::Busy(_) | Self::TurnedAway | Self::Stopping => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            Self::Unknown | Self::Garbled => StatusCode::BAD_GATEWAY,
+            // It has run under an earlier id, so that nothing that promises it has not may be said.
+            Self::Quarantined | Self::Unknown | Self::Garbled => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -77,6 +80,7 @@
             Self::Share(_) => "over_share",
             Self::TurnedAway => "turned_away",
             Self::Stopping => "stopping",
+            Self::Quarantined => "quarantined",
             Self::Unknown => "outcome_unknown",
             Self::Garbled => "garbled_answer",
             Self::TimedOut => "timed_out",
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -5,6 +5,7 @@
 
 use mulberryyoke_decide::aggregate::{Member, State, Sum};
 use mulberryyoke_decide::engine::{Load, Part};
+use mulberryyoke_decide::quarantine::Suspect;
 use mulberryyoke_decide::share::Flow;
 use mulberryyoke_model::{CustomerId, Incarnation, ServerId};
 use serde::{Deserialize, Serialize};
@@ -51,6 +52,10 @@
     pub customers: Vec<Customer>,
     /// Shared prompt parts that servers were lately given to read.
     pub reads: Vec<Read>,
+    /// Requests that lately ended servers. They follow the rest of the message: a gateway of a
+    /// release that does not know them reads up to there.
+    #[serde(skip)]
+    pub suspects: Vec<Suspect>,
 }
 
 /// What gateways have at a server.
@@ -100,6 +105,7 @@
                 .map(|(&id, flow)| Customer::new(id, *flow))
                 .collect(),
             reads,
+            suspects: Vec::new(),
         }
     }
 
@@ -132,7 +138,7 @@
     #[must_use]
     pub fn encode(&mut self) -> Vec<Vec<u8>> {
         loop {
-            let bytes = postcard::to_stdvec(self).unwrap_or_default();
+            let bytes = self.bytes();
             if let Some(packets) = packet::split(self.member(), &bytes) {
                 return packets;
             }
@@ -147,7 +153,20 @@
 
     /// Reads the bytes of a whole message.
     fn decode(bytes: &[u8]) -> Result<Self, Unreadable> {
-        postcard::from_bytes(bytes).map_err(|_| Unreadable::Message)
+        let read = postcard::take_from_bytes::<Self>(bytes);
+        let (mut beat, rest) = read.map_err(|_| Unreadable::Message)?;
+        if !rest.is_empty() {
+            beat.suspects = postcard::from_bytes(rest).map_err(|_| Unreadable::Message)?;
+        }
+        Ok(beat)
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        let mut bytes = postcard::to_stdvec(self).unwrap_or_default();
+        if !self.suspects.is_empty() {
+            bytes.extend(postcard::to_stdvec(&self.suspects).unwrap_or_default());
+        }
+        bytes
     }
 }
 
