--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,10 +1,21 @@
 //! Monotonic time in whole milliseconds, for values shared between tasks.
 
 use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+/// Time in which the machine is taken to have been suspended, in milliseconds.
+static SUSPENDED_MS: AtomicU64 = AtomicU64::new(0);
+
+/// Lets the boot clock go on by so many milliseconds and no other clock, as after a suspension
+/// of the machine, which a process cannot bring about for itself alone. For tests.
+#[doc(hidden)]
+pub fn suspend(ms: u64) {
+    SUSPENDED_MS.fetch_add(ms, Ordering::Relaxed);
+}
+
 static START: OnceLock<Instant> = OnceLock::new();
 
 fn start() -> Instant {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 mod balance;
 mod budgets;
 mod call;
-mod clock;
+pub mod clock;
 mod conn;
 mod control;
 mod core;
--- /dev/null
+++ b/crates/gateway/tests/suspension/main.rs
@@ -0,0 +1,130 @@
+//! A gateway whose machine is suspended: the boot clock goes on, the steady clock stands still.
+//!
+//! The clock is the process's, so that these tests have a process of their own and run one
+//! after another.
+
+#[path = "../gateway/backend.rs"]
+#[allow(
+    dead_code,
+    reason = "shared with the tests of gateways that are never suspended"
+)]
+mod backend;
+#[path = "../gateway/caller.rs"]
+#[allow(
+    dead_code,
+    reason = "shared with the tests of gateways that are never suspended"
+)]
+mod caller;
+#[path = "../gateway/feed.rs"]
+#[allow(
+    dead_code,
+    reason = "shared with the tests of gateways that are never suspended"
+)]
+mod feed;
+#[path = "../gateway/fleet.rs"]
+#[allow(
+    dead_code,
+    reason = "shared with the tests of gateways that are never suspended"
+)]
+mod fleet;
+#[path = "../gateway/protocol.rs"]
+#[allow(
+    dead_code,
+    reason = "shared with the tests of gateways that are never suspended"
+)]
+mod protocol;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use mulberryyoke_gateway::clock;
+use tokio::sync::Mutex;
+use tokio::time::{Instant, sleep};
+
+use crate::backend::{Backend, Way, field};
+use crate::fleet::ready;
+use crate::protocol::TIMEOUT_MS;
+
+/// One test at a time.
+static ONE: Mutex<()> = Mutex::const_new(());
+
+/// A suspension, in milliseconds: longer than a view, a peer or a server's registration lasts.
+const LONG_MS: u64 = 10_000;
+
+/// A suspension that is shorter than callers wait, in milliseconds.
+const SHORT_MS: u64 = 800;
+
+const KEY: &str = "Authorization: Bearer secret\r\n";
+
+#[gtest]
+#[tokio::test]
+async fn a_woken_gateway_serves_nothing_by_what_it_knew_before() {
+    let _one = ONE.lock().await;
+    let backend = Backend::spawn(Way::Answer).await;
+    let (service, node) = ready(&[&backend]).await;
+    expect_that!(node.ask("/keyed/", KEY).await.status, eq(200));
+    node.way.cut(true);
+    sleep(Duration::from_millis(100)).await;
+    // Meanwhile the key is taken away and the server leaves.
+    service.set("config", Some("6 other"));
+    service.set("servers/plain-0", None);
+    clock::suspend(LONG_MS);
+    for path in ["/keyed/", "/idempotent/", "/once/"] {
+        let reply = node.ask(path, KEY).await;
+        expect_that!(reply.status, eq(503), "{path}");
+        expect_that!(reply.body, contains_substring("no_configuration"), "{path}");
+    }
+    expect_that!(node.ready().await, eq(503));
+    node.way.cut(false);
+    node.wait_ready().await;
+    expect_that!(node.ask("/keyed/", KEY).await.status, eq(401));
+    expect_that!(
+        node.ask("/idempotent/", "").await.body,
+        contains_substring("no_server")
+    );
+    expect_that!(backend.state.heads(), len(eq(1)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn servers_are_handed_no_more_time_than_the_caller_has_left() {
+    let _one = ONE.lock().await;
+    let (silent, other) = (
+        Backend::spawn(Way::Hang).await,
+        Backend::spawn(Way::Hang).await,
+    );
+    let (_service, node) = ready(&[&silent, &other]).await;
+    let asked = node.ask("/idempotent/", "");
+    let suspended = async {
+        sleep(Duration::from_millis(50)).await;
+        clock::suspend(SHORT_MS);
+    };
+    tokio::join!(asked, suspended);
+    let heads = [silent.state.heads(), other.state.heads()].concat();
+    let left = heads
+        .iter()
+        .filter_map(|head| field(head, "x-left-ms")?.parse().ok());
+    let mut left: Vec<u64> = left.collect();
+    left.sort_unstable();
+    expect_that!(left, len(eq(2)));
+    expect_that!(left[0], le(TIMEOUT_MS - SHORT_MS));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_caller_whose_time_ended_meanwhile_is_told_at_once() {
+    let _one = ONE.lock().await;
+    for path in ["/once/", "/stream/", "/idempotent/"] {
+        let backend = Backend::spawn(Way::Hang).await;
+        let (_service, node) = ready(&[&backend]).await;
+        let begun = Instant::now();
+        let asked = node.ask(path, "x-tokens: 10\r\n");
+        let suspended = async {
+            sleep(Duration::from_millis(50)).await;
+            clock::suspend(LONG_MS);
+        };
+        let (reply, ()) = tokio::join!(asked, suspended);
+        expect_that!(reply.status, eq(504), "{path}");
+        expect_that!(begun.elapsed(), lt(Duration::from_millis(500)), "{path}");
+    }
+}
