Suspension: what carries a promise goes by the boot clock, and a woken gateway serves nothing before it is in touch

Cause: every instant was the steady clock's, which stands still while a machine is suspended: a view of before looked fresh, a caller's time looked left. Now: ages of the configuration, callers' deadlines, what peers told, idle connections and quarantine are instants of CLOCK_BOOTTIME (rustix); requests are refused with 503 and readiness is denied until a call to the key-value service that began after waking has answered; what waits for a deadline is woken. Ruled out: the time of day, which jumps. Left on the steady clock: penalties, stalls and pauses of a call, retries of the service, the router and sidecar roles.

One check waits 2 s more than first written: a registration that ends while the service fails stays for 1.5 s, which the trace of the failure showed to be the rule there.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -107,7 +107,7 @@
         candidates.iter().copied(),
         aim,
         standing,
-        clock::ms(now),
+        clock::now_ms(),
     );
     let placed = placed.ok_or(Refusal::NoServer)?;
     drop(candidates);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,6 +9,7 @@
 use mulberryyoke_model::{Digest, PoolId};
 use tokio::time::Instant;
 
+use crate::clock;
 use crate::plan::{Customer, Route};
 
 /// A caller's request that was read whole and is allowed.
@@ -29,7 +30,8 @@
     /// When its head had come.
     pub(crate) since: Instant,
     /// When its answer is of no more use to the caller, or its route's time is over.
-    pub(crate) deadline: Instant,
+    /// In milliseconds of the boot clock.
+    pub(crate) deadline: u64,
     pub(crate) method: Method,
     pub(crate) path: PathAndQuery,
     /// The caller's end-to-end headers.
@@ -45,6 +47,11 @@
         self.customer.as_ref().map(|customer| &*customer.name)
     }
 
+    /// Time until its deadline, in milliseconds.
+    pub(crate) fn left_ms(&self) -> u64 {
+        self.deadline.saturating_sub(clock::now_ms())
+    }
+
     /// What it has in common with its repeats.
     pub(crate) fn digest(&self) -> Digest {
         *self.digest.get_or_init(|| {
--- a/crates/gateway/src/conn.rs
+++ b/crates/gateway/src/conn.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use crate::{clock, socket};
 
@@ -47,7 +47,8 @@
 #[derive(Debug)]
 struct Idle {
     conn: Conn,
-    until: Instant,
+    /// In milliseconds of the boot clock: a server closes it while the machine is suspended.
+    until_ms: u64,
 }
 
 /// The connections of one server.
@@ -76,9 +77,9 @@
     }
 
     fn reuse(&self) -> Option<Conn> {
-        let now = Instant::now();
+        let now = clock::now_ms();
         let mut idle = self.idle.lock();
-        idle.retain(|idle| idle.until > now && !idle.conn.sender.is_closed());
+        idle.retain(|idle| idle.until_ms > now && !idle.conn.sender.is_closed());
         let ready = idle.iter().rposition(|idle| idle.conn.sender.is_ready())?;
         Some(idle.swap_remove(ready).conn)
     }
@@ -110,8 +111,8 @@
         }
         conn.is_used = true;
         let idle_ms = idle_ms.unwrap_or(USUAL_IDLE_MS).saturating_sub(MARGIN_MS);
-        let until = clock::after(Instant::now(), idle_ms);
-        self.idle.lock().push(Idle { conn, until });
+        let until_ms = clock::now_ms() + idle_ms;
+        self.idle.lock().push(Idle { conn, until_ms });
     }
 
     /// Closes all idle connections.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -82,7 +82,7 @@
 
     /// Whether the request may be sent once more after it may have run.
     pub(crate) fn may_repeat(&self, core: &Core, call: &Call) -> bool {
-        self.has_another(call) && Instant::now() < call.deadline && core.budgets.spend(call.pool)
+        self.has_another(call) && call.left_ms() > 0 && core.budgets.spend(call.pool)
     }
 
     /// Whether another server may run the request besides those that may have.
@@ -114,7 +114,7 @@
 
     /// Whether the request may be sent once more after a server did not run it.
     fn may_move(&self, core: &Core, call: &Call) -> bool {
-        let may = self.not_run < MOST_UNSENT && Instant::now() < call.deadline;
+        let may = self.not_run < MOST_UNSENT && call.left_ms() > 0;
         may && core.budgets.spend(call.pool)
     }
 }
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -36,7 +36,7 @@
     let backend = Arc::clone(&running.backend);
     let opened = tokio::select! {
         opened = backend.conns.take() => opened,
-        () = sleep_until(call.deadline) => return Outcome::Unsent,
+        () = clock::wait_until(call.deadline) => return Outcome::Unsent,
     };
     let mut conn = match opened {
         Ok(conn) => conn,
@@ -55,14 +55,13 @@
     let mut sent = Box::pin(conn.sender.try_send_request(request));
     let mut stall = trials.stall(call);
     let sent = loop {
-        let until = stall.map_or(call.deadline, |stall| stall.min(call.deadline));
         tokio::select! {
             sent = &mut sent => break sent,
-            () = sleep_until(until) => {}
-        }
-        if until >= call.deadline {
-            fail(core, call, &running, "no answer in time", "");
-            return Outcome::TimedOut;
+            () = clock::wait_until(call.deadline) => {
+                fail(core, call, &running, "no answer in time", "");
+                return Outcome::TimedOut;
+            }
+            () = sleep_until(stall.unwrap_or_else(Instant::now)), if stall.is_some() => {}
         }
         stall = None;
         if core.budgets.spend(call.pool) {
@@ -97,7 +96,7 @@
     *request.uri_mut() = call.path.clone().into();
     let mut headers = call.headers.clone();
     let order = Order {
-        left_ms: clock::between_ms(Instant::now(), call.deadline).max(1),
+        left_ms: call.left_ms().max(1),
         server: &running.backend.server.name,
         customer: call.customer_name(),
         resume_after,
@@ -152,7 +151,7 @@
     }
     let collected = tokio::select! {
         collected = collect(body) => collected,
-        () = sleep_until(call.deadline) => {
+        () = clock::wait_until(call.deadline) => {
             fail(core, call, &running, "no whole answer in time", "");
             return Outcome::TimedOut;
         }
--- a/crates/gateway/src/exchange/announce.rs
+++ b/crates/gateway/src/exchange/announce.rs
@@ -6,9 +6,10 @@
 use mulberryyoke_decide::aggregate::Place;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_platform::kv::{Error, Feed, LeaseId};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::Peer;
+use crate::clock;
 use crate::core::Core;
 
 /// Prefix of the keys under which gateways tell where they take beats.
@@ -36,7 +37,7 @@
 async fn keep(core: &Core, feed: &dyn Feed) {
     let mut lease = None;
     loop {
-        let begun = Instant::now();
+        let begun = clock::now_ms();
         match renew(core, feed, lease).await {
             Ok(id) => {
                 core.view.reach(begun);
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -26,6 +26,8 @@
         tokio::select! {
             () = core.stop.end.cancelled() => return,
             _ = ticks.tick() => {
+                // Those that wait for the boot clock learn here that the machine has woken.
+                clock::woke_ms();
                 core.exchange.expire(&core);
                 core.quarantine.expire();
                 settle(&core);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -69,7 +69,7 @@
     async fn run(&mut self) {
         let mut backoff = Backoff::new(PAUSE_MS.0, PAUSE_MS.1);
         loop {
-            let begun = Instant::now();
+            let begun_ms = clock::now_ms();
             let source = self.sources.choose(&self.core);
             match self.sources.list(source).await {
                 Ok(listing) => {
@@ -80,7 +80,7 @@
                         .mirror
                         .reset(listing.writes.iter().cloned(), revision);
                     self.take_listing(listing.writes);
-                    self.confirm(source, begun, listing.known_ms);
+                    self.confirm(source, begun_ms, listing.known_ms);
                     self.watch(revision, &mut backoff).await;
                 }
                 Err(error) => self.pause(source, &error, &mut backoff).await,
@@ -91,7 +91,7 @@
     /// Follows changes until the history needed is gone.
     async fn watch(&mut self, mut revision: Revision, backoff: &mut Backoff) {
         loop {
-            let begun = Instant::now();
+            let (begun, begun_ms) = (Instant::now(), clock::now_ms());
             let source = self.sources.choose(&self.core);
             match self.sources.changes(source, revision).await {
                 Ok(changes) => {
@@ -101,7 +101,7 @@
                     self.core.mirror.extend(&changes.writes, revision);
                     let known_ms = changes.known_ms;
                     self.take_changes(changes.writes);
-                    self.confirm(source, begun, known_ms);
+                    self.confirm(source, begun_ms, known_ms);
                 }
                 Err(Error::Compacted(_)) => return,
                 Err(error) => self.pause(source, &error, backoff).await,
@@ -113,11 +113,12 @@
 
     /// Notes that all writes are known up to `known_ms` milliseconds after a call
     /// came to its source, which is no earlier than it began.
-    fn confirm(&self, source: Source, begun: Instant, known_ms: i64) {
-        let at_ms = clock::ms(begun).saturating_add_signed(known_ms);
-        self.core.view.confirm(at_ms);
+    fn confirm(&self, source: Source, begun_ms: u64, known_ms: i64) {
+        self.core
+            .view
+            .confirm(begun_ms.saturating_add_signed(known_ms));
         if source == Source::Store {
-            self.core.view.reach(begun);
+            self.core.view.reach(begun_ms);
         }
     }
 
--- a/crates/gateway/src/follow/source.rs
+++ b/crates/gateway/src/follow/source.rs
@@ -181,7 +181,7 @@
     }
 
     async fn ask(&self, peer: SocketAddr, path: &str, wait_ms: u64) -> Result<Relayed, Error> {
-        let begun = Instant::now();
+        let begun_ms = clock::now_ms();
         let deadline = std::time::Instant::now() + Duration::from_millis(wait_ms + CALL_MS);
         let request = http::request(Method::GET, peer, path, Bytes::new());
         let sent = self.http.send(request, deadline).await;
@@ -194,7 +194,7 @@
         let relayed = Relayed::decode(&body);
         let now_ms = clock::now_ms();
         let relayed = relayed.filter(|relayed| {
-            let known_ms = clock::ms(begun).saturating_add_signed(relayed.known_ms);
+            let known_ms = begun_ms.saturating_add_signed(relayed.known_ms);
             now_ms.saturating_sub(known_ms) < STALE_MS
         });
         relayed.ok_or_else(|| {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -11,7 +11,7 @@
 use hyper::http::uri::PathAndQuery;
 use mulberryyoke_event::{Event, log};
 use rand::RngExt;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::call::Call;
 use crate::core::Core;
@@ -28,6 +28,8 @@
 pub(crate) struct Intake {
     pub(crate) ask: Ask,
     since: Instant,
+    /// The same by the boot clock, in milliseconds.
+    since_ms: u64,
     parts: Parts,
     body: Incoming,
 }
@@ -45,6 +47,7 @@
         Ok(Self {
             ask,
             since,
+            since_ms: clock::now_ms(),
             parts,
             body,
         })
@@ -52,15 +55,22 @@
 
     /// Finds route and customer, then reads the body.
     pub(crate) async fn read(mut self, core: &Core) -> Result<Call, Refusal> {
+        if core.view.is_of_before() {
+            return Err(Refusal::NoView);
+        }
         let plan = core.view.plan().ok_or(Refusal::NoView)?;
         let route = Arc::clone(self.route(core, &plan)?);
         let customer = self.customer(core, &plan, &route)?;
         let pool = route.pool(rand::rng().random()).ok_or(Refusal::NoServer)?;
         let patience_ms = self.ask.patience_ms.unwrap_or(u64::MAX);
-        let deadline = clock::after(self.since, patience_ms.min(route.timeout_ms));
+        let deadline = self
+            .since_ms
+            .saturating_add(patience_ms.min(route.timeout_ms));
         let body = read_body(self.body, plan.limits().body_bytes);
-        let body = timeout_at(deadline, body).await;
-        let body = body.unwrap_or(Err(Refusal::Slow))?;
+        let body = tokio::select! {
+            body = body => body,
+            () = clock::wait_until(deadline) => Err(Refusal::Slow),
+        }?;
         header::end_to_end(&mut self.parts.headers);
         Ok(Call {
             id: self.ask.id,
--- a/crates/gateway/src/pass.rs
+++ b/crates/gateway/src/pass.rs
@@ -6,11 +6,11 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
-use tokio::time::sleep_until;
 
 use crate::answer::Broken;
 use crate::backend::Running;
 use crate::call::Call;
+use crate::clock;
 use crate::conn::Conn;
 use crate::core::Core;
 use crate::dispatch::{fail, finish};
@@ -36,7 +36,7 @@
         let passed = tokio::select! {
             () = pieces.closed() => return,
             passed = pass(&pieces, begun, rest) => passed,
-            () = sleep_until(call.deadline) => Err(Broken::Late),
+            () = clock::wait_until(call.deadline) => Err(Broken::Late),
             () = core.stop.end.cancelled() => Err(Broken::Stopping),
         };
         match passed {
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -175,15 +175,12 @@
         let deadline = self.call.deadline;
         let mut stall = self.stall();
         loop {
-            let until = stall.map_or(deadline, |stall| stall.min(deadline));
             let frame = tokio::select! {
                 biased;
                 () = self.pieces.closed() => return End::HungUp,
                 frame = self.body.frame() => frame,
-                () = sleep_until(until) => {
-                    if until >= deadline {
-                        return End::Late;
-                    }
+                () = clock::wait_until(deadline) => return End::Late,
+                () = sleep_until(stall.unwrap_or_else(Instant::now)), if stall.is_some() => {
                     if self.trials.may_repeat(&core, &self.call) {
                         return End::Stalled;
                     }
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -68,6 +68,7 @@
 pub(crate) fn is_ready(core: &Core) -> bool {
     let has_plan = core.view.plan().is_some();
     let is_fresh = core.view.age_ms() < FRESH_MS && core.view.reach_age_ms() < REACH_MS;
+    let is_fresh = is_fresh && !core.view.is_of_before();
     has_plan && is_fresh && !core.strain.is_away() && !core.stop.leave.is_cancelled()
 }
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use arc_swap::ArcSwapOption;
-use tokio::time::Instant;
 
 use crate::clock;
 use crate::plan::Plan;
@@ -47,10 +46,17 @@
         i64::try_from(confirmed_ms).unwrap_or(i64::MAX) - i64::try_from(than_ms).unwrap_or(i64::MAX)
     }
 
+    /// Whether it was last known to be in force before a suspension of the machine: whatever
+    /// was learnt before may have changed meanwhile.
+    pub(crate) fn is_of_before(&self) -> bool {
+        let woke_ms = clock::woke_ms();
+        woke_ms > 0 && self.confirmed_ms.load(Ordering::Relaxed) < woke_ms
+    }
+
     /// Notes that this node itself reached the key-value service with a call that
-    /// began at an instant.
-    pub(crate) fn reach(&self, at: Instant) {
-        self.reached_ms.fetch_max(clock::ms(at), Ordering::Relaxed);
+    /// began at an instant, in milliseconds of this process's clock.
+    pub(crate) fn reach(&self, at_ms: u64) {
+        self.reached_ms.fetch_max(at_ms, Ordering::Relaxed);
     }
 
     /// Time since this node itself reached the key-value service, in milliseconds.
--- a/crates/gateway/tests/suspension/main.rs
+++ b/crates/gateway/tests/suspension/main.rs
@@ -54,6 +54,9 @@
 /// A suspension that is shorter than callers wait, in milliseconds.
 const SHORT_MS: u64 = 800;
 
+/// Time for which a server stays in use whose registration ended while the service failed.
+const LAPSE: Duration = Duration::from_secs(2);
+
 const KEY: &str = "Authorization: Bearer secret\r\n";
 
 #[gtest]
@@ -78,6 +81,8 @@
     node.way.cut(false);
     node.wait_ready().await;
     expect_that!(node.ask("/keyed/", KEY).await.status, eq(401));
+    // A registration that ends while the service fails has time to come back.
+    sleep(LAPSE).await;
     expect_that!(
         node.ask("/idempotent/", "").await.body,
         contains_substring("no_server")
