--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -25,6 +25,7 @@
 use crate::feed::Service;
 use crate::fleet::Node;
 use crate::mortal::{BAD, Mortal, Name, ended};
+use crate::protocol::PANICS;
 
 /// Servers of a fleet: more than one request may end.
 const SERVERS: usize = 8;
@@ -213,3 +214,21 @@
     }
     expect_that!(ended(&fleet.servers), le(MOST));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_request_at_which_the_gateway_itself_fails_ends_its_own_connection_alone() {
+    let fleet = Fleet::spawn(Name::New, 1, Way::SlowStream).await;
+    let running = fleet.ask(0, "/resumable/", "good");
+    let failing = async {
+        sleep(Duration::from_millis(100)).await;
+        let request = caller::with_body("/resumable/", PANICS, "good");
+        for _ in 0..5 {
+            let reply = caller::send(fleet.nodes[0].callers, &request).await;
+            expect_that!(reply.status, eq(0));
+        }
+    };
+    let (running, ()) = tokio::join!(running, failing);
+    expect_that!(running.is_whole, eq(true));
+    expect_that!(fleet.ask(0, "/resumable/", "good").await.status, eq(200));
+}
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -18,6 +18,9 @@
 /// Tokens of a prompt that no server could read in time behind another.
 pub(crate) const LONG_PROMPT: u32 = 60_000;
 
+/// Header of a request at which reading the head panics.
+pub(crate) const PANICS: &str = "x-panics: 1\r\n";
+
 /// Tokens of a prompt's shared part.
 const SHARED: u32 = 4_000;
 
@@ -28,6 +31,7 @@
 impl Protocol for Words {
     fn ask(&self, head: &request::Parts) -> Result<Ask, Unreadable> {
         let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
+        assert!(text("x-panics").is_none(), "a head that nobody thought of");
         let id = text("x-id").ok_or_else(|| Unreadable {
             what: "x-id".to_owned(),
             why: "missing".to_owned(),
--- a/crates/model/src/digest.rs
+++ b/crates/model/src/digest.rs
@@ -34,7 +34,7 @@
     /// Reads what its text says; `None` for any other text.
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
-        let is_whole = text.len() == 2 * BYTES;
+        let is_whole = text.len() == 2 * BYTES && text.bytes().all(|byte| byte.is_ascii_hexdigit());
         let digits = is_whole.then(|| u128::from_str_radix(text, 16).ok())?;
         digits.map(Self)
     }
--- a/crates/wire/tests/beat.rs
+++ b/crates/wire/tests/beat.rs
@@ -3,10 +3,14 @@
 use googletest::prelude::*;
 use mulberryyoke_decide::aggregate::{Member, State, Sum};
 use mulberryyoke_decide::engine::{Load, Part};
+use mulberryyoke_decide::quarantine::{End, Suspect};
 use mulberryyoke_decide::share::Flow;
-use mulberryyoke_model::{CustomerId, Incarnation, ServerId};
+use mulberryyoke_model::{CustomerId, Digest, Incarnation, ServerId};
 use mulberryyoke_wire::beat::{Assembler, Beat, MAX_BYTES, Read, Scope, Unreadable};
 
+/// Bytes of a packet before its part of the message.
+const HEAD: usize = 15;
+
 /// A message of a fleet with so many servers and customers, and with reads.
 fn beat(number: u32, servers: u32, customers: u32, reads: u32) -> Beat {
     let load = Load {
@@ -148,3 +152,40 @@
         .collect();
     expect_that!(whole.len(), eq(1));
 }
+
+/// Requests under suspicion, as many as a message tells.
+fn suspects(count: u32) -> Vec<Suspect> {
+    let end = |server| End {
+        server: ServerId(u32::MAX - server),
+        age_ms: 1_500,
+    };
+    let suspects = (0..count).map(|index| Suspect {
+        digest: Digest(u128::MAX - u128::from(index)),
+        ends: (0..3).map(end).collect(),
+        survived_ms: Some(40),
+    });
+    suspects.collect()
+}
+
+#[gtest]
+fn requests_under_suspicion_come_back_and_change_nothing_of_the_rest() {
+    let mut plain = beat(7, 12, 16, 4);
+    let mut told = plain.clone();
+    told.suspects = suspects(64);
+    let bare = plain.encode();
+    let packets = told.encode();
+    // A release that does not know them reads the message up to there.
+    let length = bare[0].len();
+    expect_that!(bare, len(eq(1)));
+    expect_that!(packets[0][HEAD..length] == bare[0][HEAD..], eq(true));
+    let bytes: usize = packets.iter().map(Vec::len).sum();
+    expect_that!(bytes - length, le(3_000), "bytes of 64 requests");
+    let mut assembler = Assembler::default();
+    let read = packets
+        .iter()
+        .filter_map(|packet| assembler.take(packet).expect("readable"));
+    expect_that!(
+        sorted(read.last().expect("whole")).suspects,
+        eq(&suspects(64))
+    );
+}
