--- a/crates/gateway/src/exchange/announce.rs
+++ b/crates/gateway/src/exchange/announce.rs
@@ -5,7 +5,7 @@
 
 use mulberryyoke_decide::aggregate::Place;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_platform::kv::{Error, Feed, LeaseId};
+use mulberryyoke_platform::kv::{Error, LeaseId};
 use tokio::time::sleep;
 
 use super::Peer;
@@ -19,30 +19,31 @@
 const LEASE_MS: u64 = 10_000;
 
 /// Time between renewals of the lease. They also tell whether this node itself
-/// reaches the service.
-const RENEW: Duration = Duration::from_millis(1_500);
+/// reaches the service. In milliseconds.
+const RENEW_MS: u64 = 1_500;
 
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(500);
 
 /// Keeps the address there until the gateway ends.
-pub(crate) async fn announce(core: Arc<Core>, feed: Arc<dyn Feed>) {
+pub(crate) async fn announce(core: Arc<Core>) {
     let end = core.stop.end.clone();
     tokio::select! {
         () = end.cancelled() => {}
-        () = keep(&core, &*feed) => {}
+        () = keep(&core) => {}
     }
 }
 
-async fn keep(core: &Core, feed: &dyn Feed) {
+async fn keep(core: &Core) {
     let mut lease = None;
     loop {
         let begun = clock::now_ms();
-        match renew(core, feed, lease).await {
+        match renew(core, lease).await {
             Ok(id) => {
                 core.view.reach(begun);
                 lease = Some(id);
-                sleep(RENEW).await;
+                // While the machine was suspended the lease may have lapsed.
+                clock::wait_until(clock::now_ms() + RENEW_MS).await;
             }
             Err(error) => {
                 if matches!(error, Error::Lapsed) {
@@ -55,7 +56,8 @@
     }
 }
 
-async fn renew(core: &Core, feed: &dyn Feed, lease: Option<LeaseId>) -> Result<LeaseId, Error> {
+async fn renew(core: &Core, lease: Option<LeaseId>) -> Result<LeaseId, Error> {
+    let feed = &core.feed;
     if let Some(id) = lease {
         return feed.keep(id).await.map(|lease| lease.id);
     }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -70,7 +70,7 @@
             budgets: Budgets::default(),
             settings: ArcSwap::from_pointee(settings),
             protocol,
-            feed: Arc::clone(&feed),
+            feed,
             logger,
             view: View::default(),
             roster: Roster::default(),
@@ -87,10 +87,10 @@
             (settings.retry_ratio, settings.retry_slack)
         };
         core.budgets.bound(ratio, slack, 1);
-        tokio::spawn(exchange::announce(Arc::clone(&core), Arc::clone(&feed)));
+        tokio::spawn(exchange::announce(Arc::clone(&core)));
         tokio::spawn(strain::measure(Arc::clone(&core)));
         tokio::spawn(exchange::run(Arc::clone(&core), beats));
-        tokio::spawn(follow::follow(Arc::clone(&core), feed));
+        tokio::spawn(follow::follow(Arc::clone(&core)));
         tokio::spawn(ready::serve(Arc::clone(&core), health, ready::answer));
         tokio::spawn(ready::serve(Arc::clone(&core), control, control::answer));
         tokio::spawn(listen::serve(Arc::clone(&core), callers));
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -155,7 +155,11 @@
     }
 }
 
+/// Logs that a request is cleared of which it was logged that it is under suspicion.
 fn cleared(core: &Core, digest: Digest, held_for: u32, why: &str) {
+    if held_for < 2 {
+        return;
+    }
     log!(core.logger, Event::Cleared,
         "digest" => digest.to_string(), "ended" => held_for, "why" => why);
 }
--- a/crates/gateway/tests/gateway/feed.rs
+++ b/crates/gateway/tests/gateway/feed.rs
@@ -29,6 +29,8 @@
     held: Mutex<Held>,
     changed: watch::Sender<Revision>,
     calls: AtomicU64,
+    /// Renewals of leases.
+    renewals: AtomicU64,
 }
 
 impl Service {
@@ -37,6 +39,7 @@
             held: Mutex::default(),
             changed: watch::Sender::new(0),
             calls: AtomicU64::new(0),
+            renewals: AtomicU64::new(0),
         })
     }
 
@@ -78,6 +81,12 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    /// Renewals of leases that came.
+    #[allow(dead_code, reason = "only the tests of suspension ask")]
+    pub(crate) fn renewals(&self) -> u64 {
+        self.renewals.load(Ordering::Relaxed)
+    }
+
     async fn wait(&self, after: Revision, wait_ms: u64) {
         let mut changed = self.changed.subscribe();
         let wait = changed.wait_for(|revision| *revision > after);
@@ -183,6 +192,7 @@
     fn keep(&self, id: LeaseId) -> Call<'_, Lease> {
         Box::pin(async move {
             self.pass(0).await?;
+            self.service.renewals.fetch_add(1, Ordering::Relaxed);
             Ok(Self::lease(id))
         })
     }
--- a/crates/gateway/tests/suspension/main.rs
+++ b/crates/gateway/tests/suspension/main.rs
@@ -133,3 +133,16 @@
         expect_that!(begun.elapsed(), lt(Duration::from_millis(500)), "{path}");
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_woken_gateway_renews_its_lease_at_once() {
+    let _one = ONE.lock().await;
+    let backend = Backend::spawn(Way::Answer).await;
+    let (service, _node) = ready(&[&backend]).await;
+    sleep(Duration::from_millis(200)).await;
+    let before = service.renewals();
+    clock::suspend(LONG_MS);
+    sleep(Duration::from_millis(300)).await;
+    expect_that!(service.renewals(), gt(before));
+}
