--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -7,9 +7,8 @@
 //! server that runs it; and one that is under suspicion runs in one copy at a time, apart from
 //! other suspects, so that the next end names one of them.
 //!
-//! The load that it answers: one customer's request came again two to four times a second at
-//! three gateways and ended 21 servers of a pool of twelve in a minute, each with the streams of
-//! everybody else there.
+//! The load that it answers: one customer's request came again and again at three gateways and
+//! ended 21 servers of a pool of twelve, each with the streams of everybody else there.
 
 mod lives;
 mod record;
@@ -30,7 +29,8 @@
 pub use self::verdict::Verdict;
 
 /// Requests that are remembered. With more, those with the least and oldest evidence are
-/// forgotten: 4,096 records take about 1 MB, however many different bad requests come.
+/// forgotten: 4,096 records take about 1 MB by the size of their fields, however many different
+/// bad requests come.
 const RECORDS: usize = 4_096;
 
 /// Broken requests that are remembered for each server until its end is known.
@@ -44,7 +44,8 @@
 /// within one second, and some are lost.
 const TELL_MS: u64 = 2_000;
 
-/// Suspects that one message tells, those with the most evidence first: about 2 KB.
+/// Suspects that one message tells, those with the most evidence first: less than 3 KB with
+/// three ends each.
 const TOLD: usize = 64;
 
 /// Time that one copy under suspicion has for itself, in milliseconds: such a request ends its
--- a/crates/gateway/tests/suspension/main.rs
+++ b/crates/gateway/tests/suspension/main.rs
@@ -27,6 +27,12 @@
     reason = "shared with the tests of gateways that are never suspended"
 )]
 mod fleet;
+#[path = "../gateway/mortal.rs"]
+#[allow(
+    dead_code,
+    reason = "shared with the tests of gateways that are never suspended"
+)]
+mod mortal;
 #[path = "../gateway/protocol.rs"]
 #[allow(
     dead_code,
@@ -42,7 +48,9 @@
 use tokio::time::{Instant, sleep};
 
 use crate::backend::{Backend, Way, field};
-use crate::fleet::ready;
+use crate::feed::Service;
+use crate::fleet::{Node, ready};
+use crate::mortal::{BAD, Mortal, Name, ended};
 use crate::protocol::TIMEOUT_MS;
 
 /// One test at a time.
@@ -57,6 +65,12 @@
 /// Time for which a server stays in use whose registration ended while the service failed.
 const LAPSE: Duration = Duration::from_secs(2);
 
+/// Time for which a request is first kept from servers that has ended three, in milliseconds.
+const SENTENCE_MS: u64 = 60_000;
+
+/// Time that one copy under suspicion has for itself, and a little more.
+const TRIAL: Duration = Duration::from_millis(1_100);
+
 const KEY: &str = "Authorization: Bearer secret\r\n";
 
 #[gtest]
@@ -146,3 +160,30 @@
     sleep(Duration::from_millis(300)).await;
     expect_that!(service.renewals(), gt(before));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_quarantine_ends_by_the_time_that_has_gone_by() {
+    let _one = ONE.lock().await;
+    let service = Service::new();
+    service.set("config", Some("5 secret"));
+    let mut servers = Vec::new();
+    for index in 0..5 {
+        servers.push(Mortal::spawn(&service, index, Name::New, Way::Answer).await);
+    }
+    let node = Node::spawn(&service, "g0").await;
+    node.wait_ready().await;
+    let request = caller::with_body("/once/", "", BAD);
+    for _ in 0..4 {
+        caller::send(node.callers, &request).await;
+        sleep(TRIAL).await;
+    }
+    expect_that!(ended(&servers), eq(3));
+    clock::suspend(SENTENCE_MS);
+    sleep(Duration::from_millis(100)).await;
+    node.wait_ready().await;
+    for _ in 0..2 {
+        caller::send(node.callers, &request).await;
+    }
+    expect_that!(ended(&servers), eq(4));
+}
