--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -19,14 +19,13 @@
 
 use mulberryyoke_model::{Digest, Millis, ServerId};
 
-use crate::aggregate::rank;
-use crate::rank::weight;
-
 use self::lives::Lives;
+pub use self::record::CONVICTED;
 use self::record::Record;
-pub use self::record::{CONVICTED, ENDS};
 pub use self::suspect::{End, Suspect};
 pub use self::verdict::Verdict;
+use crate::aggregate::rank;
+use crate::rank::weight;
 
 /// Requests that are remembered. With more, those with the least and oldest evidence are
 /// forgotten: 4,096 records take about 1 MB by the size of their fields, however many different
@@ -102,8 +101,9 @@
         }
     }
 
-    /// Notes that a life of a server is known to have ended. Those that broke off there shortly
-    /// before are evidence, from when the first of them did; returned are the requests that have more than one such end now.
+    /// Notes that a life of a server is known to have ended, which it did when the first of those
+    /// broke off there that did so shortly before. Returned are the requests that have more than
+    /// one such end now.
     pub fn ended(&mut self, server: ServerId, now: Millis) -> Vec<(Digest, Verdict)> {
         let broken = self.broken.remove(&server).unwrap_or_default();
         let recent = broken
--- a/crates/decide/src/quarantine/record.rs
+++ b/crates/decide/src/quarantine/record.rs
@@ -12,7 +12,7 @@
 pub const CONVICTED: u32 = 3;
 
 /// Ends that are remembered of one request; later ones are its last ones again and again.
-pub const ENDS: usize = 8;
+const ENDS: usize = 8;
 
 /// Time for which a convicted request reaches no server, in milliseconds. It doubles with each
 /// end after that. A wrong conviction costs its caller this time, a wrong acquittal one server.
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -5,13 +5,14 @@
 //! counts) goes by the boot clock, which counts that time and which no change of the time of
 //! day moves.
 
+use std::future::pending;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use rustix::time::{ClockId, clock_gettime};
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Least time by which the boot clock goes ahead of the steady one in a suspension, in
 /// milliseconds. The two are read one after the other, between which a process may wait for
@@ -89,6 +90,14 @@
     }
 }
 
+/// Waits until an instant of the steady clock, if there is one; else for ever.
+pub(crate) async fn wait_for(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => pending().await,
+    }
+}
+
 fn whole_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -8,7 +8,7 @@
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Request, Response, StatusCode};
 use mulberryyoke_event::{Event, log};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 use crate::answer::Answer;
 use crate::backend::Running;
@@ -61,7 +61,7 @@
                 fail(core, call, &running, "no answer in time", "");
                 return Outcome::TimedOut;
             }
-            () = sleep_until(stall.unwrap_or_else(Instant::now)), if stall.is_some() => {}
+            () = clock::wait_for(stall) => {}
         }
         stall = None;
         if core.budgets.spend(call.pool) {
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -9,7 +9,7 @@
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_wire::sse::{self, Events};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 use crate::answer::{Answer, Broken};
 use crate::backend::Running;
@@ -180,7 +180,7 @@
                 () = self.pieces.closed() => return End::HungUp,
                 frame = self.body.frame() => frame,
                 () = clock::wait_until(deadline) => return End::Late,
-                () = sleep_until(stall.unwrap_or_else(Instant::now)), if stall.is_some() => {
+                () = clock::wait_for(stall) => {
                     if self.trials.may_repeat(&core, &self.call) {
                         return End::Stalled;
                     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -62,6 +62,15 @@
         changed
     }
 
+    fn verdict(&self, digest: Digest) -> Verdict {
+        self.records.lock().verdict(digest, clock::now_ms())
+    }
+
+    /// What is known of a request, for another gateway.
+    fn suspect(&self, digest: Digest) -> Suspect {
+        self.records.lock().suspect(digest, clock::now_ms())
+    }
+
     /// What other gateways are to be told.
     pub(crate) fn told(&self) -> Vec<Suspect> {
         if self.is_empty() {
--- a/crates/gateway/src/quarantine/admit.rs
+++ b/crates/gateway/src/quarantine/admit.rs
@@ -40,7 +40,7 @@
         return Ok(Verdict::Clear);
     }
     let digest = call.digest();
-    let verdict = verdict(core, digest);
+    let verdict = core.quarantine.verdict(digest);
     let may = match verdict {
         Verdict::Clear => true,
         Verdict::Convicted { .. } => false,
@@ -64,13 +64,6 @@
     Err(Refusal::Quarantined)
 }
 
-fn verdict(core: &Core, digest: Digest) -> Verdict {
-    core.quarantine
-        .records
-        .lock()
-        .verdict(digest, clock::now_ms())
-}
-
 fn allow(core: &Core, digest: Digest) -> bool {
     core.quarantine
         .change(|records| records.admit(digest, clock::now_ms()))
@@ -78,11 +71,7 @@
 
 /// Asks the gateway that decides. `None` if it does not answer.
 async fn ask(core: &Core, arbiter: SocketAddr, digest: Digest) -> Option<bool> {
-    let suspect = core
-        .quarantine
-        .records
-        .lock()
-        .suspect(digest, clock::now_ms());
+    let suspect = core.quarantine.suspect(digest);
     let body = Bytes::from(postcard::to_stdvec(&suspect).unwrap_or_default());
     let request = http::request(Method::POST, arbiter, PATH, body);
     let deadline = Instant::now() + CALL;
@@ -126,19 +115,15 @@
         return response;
     };
     let digest = suspect.digest;
-    let before = verdict(core, digest);
+    let before = core.quarantine.verdict(digest);
     hear(core, &[suspect]);
     let may = allow(core, digest);
-    let after = verdict(core, digest);
+    let after = core.quarantine.verdict(digest);
     let is_new = matches!(after, Verdict::Convicted { .. }) && before.ended() < after.ended();
     if is_new {
         conviction::write(core, digest);
     }
-    let known = core
-        .quarantine
-        .records
-        .lock()
-        .suspect(digest, clock::now_ms());
+    let known = core.quarantine.suspect(digest);
     let known = postcard::to_stdvec(&known).unwrap_or_default();
     let mut response = Response::new(Full::new(Bytes::from(known)));
     if !may {
--- a/crates/gateway/src/quarantine/conviction.rs
+++ b/crates/gateway/src/quarantine/conviction.rs
@@ -11,7 +11,6 @@
 use mulberryyoke_platform::kv::Error;
 use tokio::time::sleep;
 
-use crate::clock;
 use crate::core::Core;
 
 /// Prefix of the keys; a request's digest in hexadecimal digits follows.
@@ -92,14 +91,15 @@
         .await
 }
 
-/// The lives that ended under a request; empty once it is cleared.
+/// The lives that ended under a request since a run of it last ended well; empty once it is
+/// cleared.
 fn text(core: &Core, digest: Digest) -> String {
-    let now = clock::now_ms();
-    let records = core.quarantine.records.lock();
-    if records.verdict(digest, now) == Verdict::Clear {
+    if core.quarantine.verdict(digest) == Verdict::Clear {
         return String::new();
     }
-    let suspect = records.suspect(digest, now);
-    let lives = suspect.ends.iter().map(|end| end.server.0.to_string());
-    lives.collect::<Vec<_>>().join(" ")
+    let suspect = core.quarantine.suspect(digest);
+    let survived_ms = suspect.survived_ms.unwrap_or(u64::MAX);
+    let ends = suspect.ends.iter().filter(|end| end.age_ms < survived_ms);
+    let lives: Vec<String> = ends.map(|end| end.server.0.to_string()).collect();
+    lives.join(" ")
 }
