--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -24,7 +24,7 @@
 use crate::caller::{self, Reply};
 use crate::feed::Service;
 use crate::fleet::Node;
-use crate::mortal::{BAD, Mortal, Name, ended};
+use crate::mortal::{BAD, Luck, Mortal, Name, UNLUCKY, ended};
 use crate::protocol::PANICS;
 
 /// Servers of a fleet: more than one request may end.
@@ -55,7 +55,11 @@
     async fn spawn(name: Name, nodes: usize, way: Way) -> Self {
         let service = Service::new();
         service.set("config", Some("5 secret"));
-        let servers = (0..SERVERS).map(|index| Mortal::spawn(&service, index, name, way));
+        let luck = Luck::default();
+        let servers = (0..SERVERS).map(|index| {
+            let (service, luck) = (&service, &luck);
+            Mortal::spawn(service, index, name, way, luck)
+        });
         let servers = join_all(servers).await;
         let nodes = (0..nodes).map(async |index| {
             let node = Node::spawn(&service, &format!("g{index}")).await;
@@ -118,6 +122,32 @@
     join_all(cases).await;
 }
 
+#[gtest]
+#[tokio::test]
+async fn one_copy_runs_under_suspicion_and_all_again_once_it_has_ended_well() {
+    let fleet = Fleet::spawn(Name::New, 3, Way::SlowStream).await;
+    let first = fleet.ask(0, "/resumable/", UNLUCKY);
+    let copies = async {
+        sleep(Duration::from_millis(300)).await;
+        [
+            fleet.ask(1, "/resumable/", UNLUCKY).await,
+            fleet.ask(2, "/resumable/", UNLUCKY).await,
+        ]
+    };
+    let (first, copies) = tokio::join!(first, copies);
+    expect_that!(first.is_whole, eq(true));
+    for copy in copies {
+        expect_that!(copy.status, eq(502));
+        expect_that!(copy.body, contains_substring("quarantined"));
+    }
+    sleep(PAUSE).await;
+    let copies = (0..3).map(|node| fleet.ask(node, "/resumable/", UNLUCKY));
+    for copy in join_all(copies).await {
+        expect_that!(copy.is_whole, eq(true));
+    }
+    expect_that!(ended(&fleet.servers), eq(1));
+}
+
 #[gtest]
 #[tokio::test]
 async fn streams_beside_it_go_on_and_are_not_held_to_have_done_it() {
--- a/crates/gateway/tests/gateway/mortal.rs
+++ b/crates/gateway/tests/gateway/mortal.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
@@ -17,6 +17,9 @@
 /// Body of a request that ends each server which begins to run it.
 pub(crate) const BAD: &str = "bad";
 
+/// Body of a request that ends the first server which begins to run it, and no other.
+pub(crate) const UNLUCKY: &str = "unlucky";
+
 /// Time from a server's end until its registration lapses.
 const LAPSE: Duration = Duration::from_millis(700);
 
@@ -41,9 +44,18 @@
     killed: Arc<std::sync::Mutex<CancellationToken>>,
 }
 
+/// Whether an unlucky request has ended a server of a fleet.
+pub(crate) type Luck = Arc<AtomicBool>;
+
 impl Mortal {
-    /// Starts the server of an index, registered in both pools.
-    pub(crate) async fn spawn(service: &Arc<Service>, index: usize, name: Name, way: Way) -> Self {
+    /// Starts the server of an index, registered in both pools, of a fleet with this luck.
+    pub(crate) async fn spawn(
+        service: &Arc<Service>,
+        index: usize,
+        name: Name,
+        way: Way,
+        luck: &Luck,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let mortal = Self {
             state: Arc::new(State::new(way)),
@@ -56,6 +68,7 @@
             index,
             name,
             number: 1,
+            luck: Arc::clone(luck),
         };
         life.register();
         let (state, ended) = (Arc::clone(&mortal.state), Arc::clone(&mortal.ended));
@@ -92,6 +105,7 @@
     index: usize,
     name: Name,
     number: u32,
+    luck: Luck,
 }
 
 impl Life {
@@ -133,7 +147,7 @@
     loop {
         let end = CancellationToken::new();
         *killed.lock().expect("no panic") = end.clone();
-        serve(listener, &state, &end).await;
+        serve(listener, &state, &life.luck, &end).await;
         ended.fetch_add(1, Ordering::Relaxed);
         sleep(LAPSE).await;
         life.lapse();
@@ -145,21 +159,22 @@
 }
 
 /// Serves until the life's end, at which all connections are closed and none is taken.
-async fn serve(listener: TcpListener, state: &Arc<State>, end: &CancellationToken) {
+async fn serve(listener: TcpListener, state: &Arc<State>, luck: &Luck, end: &CancellationToken) {
     let mut conns = JoinSet::new();
     loop {
         tokio::select! {
             () = end.cancelled() => return,
             Ok((stream, _)) = listener.accept() => {
-                conns.spawn(answer(stream, Arc::clone(state), end.clone()));
+                conns.spawn(answer(stream, Arc::clone(state), Arc::clone(luck), end.clone()));
             }
         }
     }
 }
 
-async fn answer(mut stream: TcpStream, state: Arc<State>, end: CancellationToken) {
+async fn answer(mut stream: TcpStream, state: Arc<State>, luck: Luck, end: CancellationToken) {
     while let Some((head, body)) = read_request(&mut stream).await {
-        if body == BAD.as_bytes() {
+        let is_unlucky = body == UNLUCKY.as_bytes() && !luck.swap(true, Ordering::Relaxed);
+        if is_unlucky || body == BAD.as_bytes() {
             let is_stream =
                 head.starts_with("post /stream/") || head.starts_with("post /resumable/");
             if is_stream {
--- a/crates/gateway/tests/suspension/main.rs
+++ b/crates/gateway/tests/suspension/main.rs
@@ -50,7 +50,7 @@
 use crate::backend::{Backend, Way, field};
 use crate::feed::Service;
 use crate::fleet::{Node, ready};
-use crate::mortal::{BAD, Mortal, Name, ended};
+use crate::mortal::{BAD, Luck, Mortal, Name, ended};
 use crate::protocol::TIMEOUT_MS;
 
 /// One test at a time.
@@ -169,7 +169,8 @@
     service.set("config", Some("5 secret"));
     let mut servers = Vec::new();
     for index in 0..5 {
-        servers.push(Mortal::spawn(&service, index, Name::New, Way::Answer).await);
+        let luck = Luck::default();
+        servers.push(Mortal::spawn(&service, index, Name::New, Way::Answer, &luck).await);
     }
     let node = Node::spawn(&service, "g0").await;
     node.wait_ready().await;
