Quarantine: a copy keeps its permission until it has run, and gives it back when a server ends under it

Now an end after a permission frees it, one before it does not; what was not run uses nothing up; and servers that others saw end are passed over for a moment.

--- a/crates/decide/src/quarantine/record.rs
+++ b/crates/decide/src/quarantine/record.rs
@@ -32,8 +32,8 @@
     ends: SmallVec<[(ServerId, Millis); 4]>,
     survived_at: Option<Millis>,
     changed_at: Millis,
-    /// Until when one copy has the servers for itself.
-    trial_until: Millis,
+    /// Since and until when one copy has the servers for itself.
+    trial: Option<(Millis, Millis)>,
 }
 
 impl Record {
@@ -46,6 +46,8 @@
             self.ends.remove(0);
         }
         self.ends.push((server, at));
+        // An end before the trial is that of another copy.
+        self.trial = self.trial.filter(|(since, _)| at < *since);
         self.ends.sort_by_key(|(_, at)| *at);
         self.changed_at = now;
         true
@@ -57,17 +59,17 @@
             return false;
         }
         self.survived_at = Some(at);
-        self.trial_until = 0;
+        self.trial = None;
         self.changed_at = now;
         true
     }
 
     /// Gives one copy the servers for itself until an instant; `false` if another has them.
     pub(super) fn try_for(&mut self, until: Millis, now: Millis) -> bool {
-        if self.trial_until > now {
+        if self.trial.is_some_and(|(_, until)| until > now) {
             return false;
         }
-        self.trial_until = until;
+        self.trial = Some((now, until));
         true
     }
 
--- a/crates/gateway/src/backend/seen.rs
+++ b/crates/gateway/src/backend/seen.rs
@@ -22,11 +22,14 @@
         self.ends += 1;
     }
 
-    /// Notes that another gateway found the registration's first life to have ended.
-    pub(crate) fn learn(&mut self, now: Instant) {
-        if self.ends == 0 {
+    /// Notes that another gateway found the registration's first life to have ended; `true` if
+    /// this is new here.
+    pub(crate) fn learn(&mut self, now: Instant) -> bool {
+        let is_new = self.ends == 0;
+        if is_new {
             self.end(now);
         }
+        is_new
     }
 
     /// Whether a request that was sent at an instant met a life that has ended.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -46,6 +46,9 @@
     not_run: u32,
     /// Whether it is under suspicion of ending servers.
     is_suspect: bool,
+    /// Whether it is the one copy that may run, and has not run since that was asked: servers
+    /// that cannot be reached or turn it away use nothing up.
+    is_admitted: bool,
 }
 
 impl Trials {
@@ -57,8 +60,9 @@
         call: &Arc<Call>,
         resume_after: Option<u64>,
     ) -> Result<(Outcome, ServerId), Refusal> {
-        let verdict = quarantine::admit(core, call).await?;
+        let verdict = quarantine::admit(core, call, self.is_admitted).await?;
         self.is_suspect = verdict.ended() > 0;
+        self.is_admitted = self.is_suspect;
         let is_apart = verdict.ended() >= APART;
         let running = balance::place(core, call, &self.tried, self.ran > 0, is_apart)?;
         let server = running.backend.server.id;
@@ -67,7 +71,10 @@
         let outcome = send::send(core, call, running, self, resume_after).await;
         match outcome {
             Outcome::TurnedAway | Outcome::OtherServer | Outcome::Unsent => self.not_run += 1,
-            _ => self.ran += 1,
+            _ => {
+                self.ran += 1;
+                self.is_admitted = false;
+            }
         }
         Ok((outcome, server))
     }
@@ -76,6 +83,7 @@
     fn after_run(&self) -> Self {
         Self {
             ran: self.ran + 1,
+            is_admitted: false,
             ..self.clone()
         }
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -109,12 +109,19 @@
     }
 }
 
-/// Notes that another gateway saw a life end: what breaks off there later met another life.
+/// Notes that another gateway saw a life end: what breaks off there later met another life, and
+/// meanwhile others are chosen.
 fn learn(core: &Core, server: ServerId) {
-    let backend = core.roster.by_id(server);
+    let Some(backend) = core.roster.by_id(server) else {
+        return;
+    };
     // While somebody looks at its life there is nothing to be learnt.
-    if let Some(mut seen) = backend.as_ref().and_then(|it| it.seen.try_lock().ok()) {
-        seen.learn(Instant::now());
+    let is_new = backend
+        .seen
+        .try_lock()
+        .is_ok_and(|mut seen| seen.learn(Instant::now()));
+    if is_new {
+        backend.health.lock().fail(Instant::now());
     }
 }
 
--- a/crates/gateway/src/quarantine/admit.rs
+++ b/crates/gateway/src/quarantine/admit.rs
@@ -34,8 +34,8 @@
 
 /// Whether a request may be sent to a server, and what is held against it. Of one under
 /// suspicion one copy at a time may run in the whole fleet: one gateway decides, which all that
-/// know of each other agree on.
-pub(crate) async fn admit(core: &Core, call: &Call) -> Result<Verdict, Refusal> {
+/// know of each other agree on. One that `is_admitted` was told so and has not run since.
+pub(crate) async fn admit(core: &Core, call: &Call, is_admitted: bool) -> Result<Verdict, Refusal> {
     if core.quarantine.is_empty() {
         return Ok(Verdict::Clear);
     }
@@ -44,6 +44,7 @@
     let may = match verdict {
         Verdict::Clear => true,
         Verdict::Convicted { .. } => false,
+        Verdict::Suspect { .. } if is_admitted => true,
         Verdict::Suspect { ended } => match core.exchange.arbiter(digest) {
             None => allow(core, digest),
             Some(arbiter) => {
