--- a/crates/gateway/src/follow/contents.rs
+++ b/crates/gateway/src/follow/contents.rs
@@ -25,6 +25,11 @@
 /// failed are seen to be gone, in milliseconds. Later ones end for another reason.
 const FAULT_MS: u64 = 500;
 
+/// Time after its last failed call in which the service is taken to have failed until now, in
+/// milliseconds: while it fails it is asked at least this often, a call that hangs included.
+/// Later, a source that answers again is a peer, and registrations that end do so for good.
+const RECENT_MS: u64 = 2_000;
+
 /// What is known of the service's contents beside what is in force.
 pub(super) struct Contents {
     core: Arc<Core>,
@@ -34,6 +39,8 @@
     lapsing: HashMap<String, Instant>,
     /// When a call to the service last failed.
     failed: Option<Instant>,
+    /// When it was last back.
+    recovered: Option<Instant>,
 }
 
 impl Contents {
@@ -43,6 +50,7 @@
             known: HashMap::new(),
             lapsing: HashMap::new(),
             failed: None,
+            recovered: None,
         }
     }
 
@@ -51,9 +59,12 @@
         self.failed = Some(now);
     }
 
-    /// Notes that the service answers again.
+    /// Notes that a source answers again: the service, if that was failing.
     pub(super) fn recover(&mut self, now: Instant) {
-        self.failed = self.failed.map(|_| now);
+        let failed = self.failed;
+        if failed.is_some_and(|at| clock::between_ms(at, now) < RECENT_MS) {
+            self.recovered = Some(now);
+        }
     }
 
     /// Takes in every key.
@@ -189,9 +200,9 @@
     fn remove(&mut self, name: &str) {
         self.known.remove(name);
         let now = Instant::now();
-        let has_failed = self
-            .failed
-            .is_some_and(|at| clock::between_ms(at, now) < FAULT_MS);
+        let faults = [self.failed, self.recovered];
+        let mut faults = faults.into_iter().flatten();
+        let has_failed = faults.any(|at| clock::between_ms(at, now) < FAULT_MS);
         if has_failed {
             let until = clock::after(now, LAPSE_MS);
             self.lapsing.entry(name.to_owned()).or_insert(until);
