--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod account;
 pub mod admission;
 pub mod aggregate;
+pub mod cold;
 pub mod declare;
 pub mod engine;
 pub mod exchange;
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -106,6 +106,10 @@
     AdmitFailed = 1030, Warning, "router that decides not asked";
     /// A conviction could not be written to the key-value service.
     ConvictionUnwritten = 1031, Warning, "conviction not written";
+    /// A server is not used again as an older copy of the key-value service says.
+    ServerHeldOver = 1032, Info, "server not brought back";
+    /// A router sends nothing to the servers of an availability zone, or again.
+    Evacuated = 1033, Warning, "evacuation changed";
     /// A sidecar reserved a slot for a customer's request at a router.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
@@ -144,6 +148,8 @@
     VmsDown = 3005, Warning, "VM list unreachable";
     /// A value in the key-value service cannot be read.
     ConfigUnreadable = 3006, Error, "configuration value unreadable";
+    /// The key-value service came back from a copy and has lost its latest writes.
+    KvRestored = 3007, Error, "key-value service restored from a copy";
     /// An operator's command was carried out or refused.
     Commanded = 4001, Info, "operator command";
     /// An operator's key was wrong.
--- a/crates/gateway/examples/cost.rs
+++ b/crates/gateway/examples/cost.rs
@@ -116,6 +116,8 @@
         grace_ms: 1_000,
         retry_ratio: 0.2,
         retry_slack: 20.0,
+        cold_overage: 1.0,
+        cold_slack: 0.0,
         processors: 1.0,
         descriptors: 4_096,
     };
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,5 +1,6 @@
 //! A backend server as this router knows it.
 
+mod cold;
 mod health;
 mod running;
 mod seen;
@@ -10,6 +11,7 @@
 use mulberryyoke_decide::engine::{Engine, Pace};
 use parking_lot::{Mutex, MutexGuard};
 
+pub(crate) use self::cold::Cold;
 pub(crate) use self::health::Health;
 pub(crate) use self::running::Running;
 pub(crate) use self::seen::Seen;
@@ -36,7 +38,10 @@
     pub(crate) seen: tokio::sync::Mutex<Seen>,
     /// Requests under suspicion that run there apart from others.
     pub(crate) trials: AtomicU32,
+    pub(crate) cold: Cold,
     is_closed: AtomicBool,
+    /// Whether nothing is to be sent to its availability zone.
+    is_evacuated: AtomicBool,
 }
 
 impl Backend {
@@ -51,6 +56,8 @@
             is_model: model.is_some(),
             seen: tokio::sync::Mutex::default(),
             trials: AtomicU32::new(0),
+            cold: Cold::default(),
+            is_evacuated: AtomicBool::new(false),
             is_closed: AtomicBool::new(server.is_leaving),
             server,
         }
@@ -66,7 +73,17 @@
 
     /// Whether it may get new requests.
     pub(crate) fn is_open(&self) -> bool {
-        !self.is_closed.load(Ordering::Relaxed)
+        !self.is_closed.load(Ordering::Relaxed) && !self.is_evacuated.load(Ordering::Relaxed)
+    }
+
+    /// Whether it leaves or is gone.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Relaxed)
+    }
+
+    /// Lets it get no requests while its availability zone is evacuated, or again.
+    pub(crate) fn evacuate(&self, is_evacuated: bool) {
+        self.is_evacuated.store(is_evacuated, Ordering::Relaxed);
     }
 
     /// Lets it get no more requests; those that run go on.
--- a/crates/gateway/src/backend/running.rs
+++ b/crates/gateway/src/backend/running.rs
@@ -32,10 +32,12 @@
     /// Counts a request that is about to be sent.
     pub(crate) fn begin(backend: &Arc<Backend>, prompt: Option<&Prompt>) -> Self {
         let none = Prompt::default();
+        let now_ms = clock::now_ms();
+        backend.cold.count(now_ms);
         let mut engine = backend.engine.lock();
         let ahead = engine.backlog();
         let had_slot = engine.beyond() == 0;
-        let tokens = engine.send(prompt.unwrap_or(&none), clock::now_ms());
+        let tokens = engine.send(prompt.unwrap_or(&none), now_ms);
         drop(engine);
         Self {
             backend: Arc::clone(backend),
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -32,9 +32,11 @@
 ) -> Result<Running, Refusal> {
     let running = core.roster.of(call.pool, |servers| {
         let now = Instant::now();
+        let (now_ms, is_in_touch) = (clock::now_ms(), core.view.is_in_touch());
         let mut open: Vec<&Arc<Backend>> = servers
             .iter()
             .filter(|backend| backend.is_open() && !tried.contains(&backend.server.id))
+            .filter(|backend| backend.cold.has_room(now_ms, is_in_touch))
             .collect();
         if is_apart {
             keep_apart(&mut open);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use mulberryyoke_platform::kv::Position;
 use mulberryyoke_wire::relay::{CHANGES, LIST, Relayed};
 
 use crate::core::Core;
@@ -41,9 +42,12 @@
 }
 
 async fn changes(core: &Core, query: &str, came: u64) -> Response<Full<Bytes>> {
-    let (Some(after), Some(wait_ms)) = (number(query, "after"), number(query, "wait_ms")) else {
+    let (Some(revision), Some(wait_ms)) = (number(query, "after"), number(query, "wait_ms")) else {
         return status(StatusCode::BAD_REQUEST);
     };
+    // A gateway of a release without eras names none: that of a service which tells none.
+    let era = number(query, "era").unwrap_or(0);
+    let after = Position { era, revision };
     if core.view.age_ms() > OUT_OF_TOUCH_MS {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -116,6 +116,9 @@
 ) -> Outcome {
     let (mut head, body) = response.into_parts();
     let reading = core.protocol.reading(&head, &call.id);
+    if let Some(left_ms) = reading.cold_left_ms.filter(|left_ms| *left_ms > 0) {
+        running.backend.cold.extend(clock::now_ms() + left_ms);
+    }
     match reading.proof {
         Proof::Sealed if !head.headers.contains_key(CONTENT_ENCODING) => {}
         Proof::Sealed | Proof::Unproved => {
--- a/crates/gateway/src/exchange/announce.rs
+++ b/crates/gateway/src/exchange/announce.rs
@@ -5,7 +5,8 @@
 
 use mulberryyoke_decide::aggregate::Place;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_platform::kv::{Error, LeaseId};
+use mulberryyoke_platform::kv::{Era, Error, LeaseId};
+use rand::RngExt;
 use tokio::time::sleep;
 
 use super::Peer;
@@ -35,33 +36,49 @@
 }
 
 async fn keep(core: &Core) {
-    let mut lease = None;
+    let mut held = None;
     loop {
         let begun = clock::now_ms();
-        match renew(core, lease).await {
-            Ok(id) => {
+        match renew(core, held).await {
+            Ok(lease) => {
                 core.view.reach(begun);
-                lease = Some(id);
+                held = Some(lease);
                 // While the machine was suspended the lease may have lapsed.
                 clock::wait_until(clock::now_ms() + RENEW_MS).await;
             }
             Err(error) => {
                 if matches!(error, Error::Lapsed) {
-                    lease = None;
+                    held = None;
                 }
                 log!(core.logger, Event::AnnounceFailed, "error" => error.to_string());
                 sleep(PAUSE).await;
             }
         }
+        if held.is_some_and(|lease: Held| lease.era != core.feed.era()) {
+            held = None;
+            // All gateways write again then: spread, so that the service does not refuse some.
+            let pause_ms = rand::rng().random_range(0..RENEW_MS);
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
     }
 }
 
-async fn renew(core: &Core, lease: Option<LeaseId>) -> Result<LeaseId, Error> {
+/// A lease, and the service's era in which it was granted: when that is over it is gone, and
+/// another gateway may have its number.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    id: LeaseId,
+    era: Era,
+}
+
+async fn renew(core: &Core, held: Option<Held>) -> Result<Held, Error> {
     let feed = &core.feed;
-    if let Some(id) = lease {
-        return feed.keep(id).await.map(|lease| lease.id);
+    if let Some(held) = held {
+        feed.keep(held.id).await?;
+        return Ok(held);
     }
     let id = feed.grant(LEASE_MS).await?.id;
+    let era = feed.era();
     let settings = core.settings.load_full();
     let key = format!("{PREFIX}{}", settings.name);
     let peer = Peer {
@@ -69,5 +86,5 @@
         place: Place::new(&settings.zone, settings.processors),
     };
     feed.put(&key, peer.write().as_bytes(), id).await?;
-    Ok(id)
+    Ok(Held { id, era })
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,14 +1,18 @@
 //! Following the key-value service: configuration, servers and gateways.
 
 mod contents;
+mod servers;
+mod shares;
 mod source;
+mod zones;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_platform::Backoff;
-use mulberryyoke_platform::kv::{Error, Revision};
+use mulberryyoke_platform::kv::{Error, Position};
+use mulberryyoke_platform::{Backoff, Cause};
+use mulberryyoke_wire::relay::Relayed;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use self::contents::Contents;
@@ -51,34 +55,37 @@
         loop {
             let begun_ms = clock::now_ms();
             let source = self.sources.choose(&self.core);
-            match self.sources.list(source).await {
+            let listed = self.sources.list(source).await;
+            match listed.and_then(|listing| self.of_now(listing)) {
                 Ok(listing) => {
                     backoff.reset();
-                    let revision = listing.revision;
+                    let position = position(&listing);
                     self.up(source);
-                    self.core
-                        .mirror
-                        .reset(listing.writes.iter().cloned(), revision);
-                    self.contents.take_listing(listing.writes);
+                    let writes = listing.writes.iter().cloned();
+                    self.core.mirror.reset(writes, position);
+                    self.contents.take_listing(listing.writes, position);
                     self.confirm(source, begun_ms, listing.known_ms);
-                    self.watch(revision, &mut backoff).await;
+                    self.watch(position, &mut backoff).await;
                 }
                 Err(error) => self.pause(source, &error, &mut backoff).await,
             }
         }
     }
 
-    /// Follows changes until the history needed is gone.
-    async fn watch(&mut self, mut revision: Revision, backoff: &mut Backoff) {
+    /// Follows changes until the history needed is gone, or the service came back from a copy.
+    async fn watch(&mut self, mut known: Position, backoff: &mut Backoff) {
         loop {
             let (begun, begun_ms) = (Instant::now(), clock::now_ms());
             let source = self.sources.choose(&self.core);
-            match self.sources.changes(source, revision).await {
+            let changes = self.sources.changes(source, known).await;
+            match changes.and_then(|changes| self.of_now(changes)) {
+                // Its revisions say nothing beside those of the era before.
+                Ok(changes) if changes.era > known.era => return,
                 Ok(changes) => {
                     backoff.reset();
                     self.up(source);
-                    revision = revision.max(changes.revision);
-                    self.core.mirror.extend(&changes.writes, revision);
+                    known = known.max(position(&changes));
+                    self.core.mirror.extend(&changes.writes, known);
                     let known_ms = changes.known_ms;
                     self.contents.take_changes(changes.writes);
                     self.confirm(source, begun_ms, known_ms);
@@ -91,6 +98,16 @@
         }
     }
 
+    /// What a source told, unless it is of an earlier era than what is known here.
+    fn of_now(&self, relayed: Relayed) -> Result<Relayed, Error> {
+        let era = self.contents.era().unwrap_or(0);
+        if relayed.era < era {
+            let why = format!("it is of era {}, before {era}", relayed.era);
+            return Err(Error::Unknown(Cause::Unreadable(why)));
+        }
+        Ok(relayed)
+    }
+
     /// Notes that all writes are known up to `known_ms` milliseconds after a call
     /// came to its source, which is no earlier than it began.
     fn confirm(&self, source: Source, begun_ms: u64, known_ms: i64) {
@@ -133,3 +150,10 @@
         }
     }
 }
+
+const fn position(relayed: &Relayed) -> Position {
+    Position {
+        era: relayed.era,
+        revision: relayed.revision,
+    }
+}
--- a/crates/gateway/src/follow/contents.rs
+++ b/crates/gateway/src/follow/contents.rs
@@ -1,120 +1,173 @@
-//! What the key-value service holds, put in force here: configuration, servers, gateways and
-//! convictions.
+//! What the key-value service holds, put in force here: configuration, servers, gateways,
+//! evacuated availability zones and convictions.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::Digest;
-use mulberryyoke_platform::kv::Revision;
+use mulberryyoke_platform::kv::{Era, Position, Revision};
 use mulberryyoke_wire::relay::Write;
 use tokio::time::Instant;
 
-use crate::backend::Backend;
+use super::servers::Servers;
+use super::shares::Shares;
+use super::zones::Zones;
 use crate::clock;
 use crate::core::Core;
 use crate::exchange::{self, Peer};
 use crate::protocol::Unreadable;
-use crate::{kept, quarantine};
+use crate::quarantine;
 
-/// Time for which a server stays in use that lapsed while the service failed, in
-/// milliseconds: those that are alive register again within it.
-const LAPSE_MS: u64 = 1_500;
-
-/// Time after the service is back in which registrations that lapsed while it
-/// failed are seen to be gone, in milliseconds. Later ones end for another reason.
-const FAULT_MS: u64 = 500;
-
-/// Time after its last failed call in which the service is taken to have failed until now, in
-/// milliseconds: while it fails it is asked at least this often, a call that hangs included.
-/// Later, a source that answers again is a peer, and registrations that end do so for good.
-const RECENT_MS: u64 = 2_000;
+/// Time for which a key is still taken to be there that a copy lacks from which the service came
+/// back, in milliseconds: gateways register again within two seconds, and operators write again
+/// what they had written.
+const RESTORE_MS: u64 = 10_000;
 
 /// What is known of the service's contents beside what is in force.
 pub(super) struct Contents {
     core: Arc<Core>,
-    /// Revision of the last write seen of each registered server.
-    known: HashMap<String, Revision>,
-    /// When servers that lapsed are taken to be gone.
-    lapsing: HashMap<String, Instant>,
-    /// When a call to the service last failed.
-    failed: Option<Instant>,
-    /// When it was last back.
-    recovered: Option<Instant>,
+    /// The service's era; `None` before the first contents.
+    era: Option<Era>,
+    /// Keys that exist, but for those of servers.
+    keys: HashSet<String>,
+    /// When keys are taken to be gone that the service lacks since it came back from a copy.
+    missing: HashMap<String, Instant>,
+    servers: Servers,
+    zones: Zones,
+    shares: Shares,
 }
 
 impl Contents {
     pub(super) fn new(core: &Arc<Core>) -> Self {
         Self {
             core: Arc::clone(core),
-            known: HashMap::new(),
-            lapsing: HashMap::new(),
-            failed: None,
-            recovered: None,
+            era: None,
+            keys: HashSet::new(),
+            missing: HashMap::new(),
+            servers: Servers::new(core),
+            zones: Zones::new(core),
+            shares: Shares::new(core),
         }
     }
 
+    /// The service's era; `None` before the first contents.
+    pub(super) const fn era(&self) -> Option<Era> {
+        self.era
+    }
+
     /// Notes that a call to the service failed.
     pub(super) const fn fail(&mut self, now: Instant) {
-        self.failed = Some(now);
+        self.servers.fail(now);
     }
 
-    /// Notes that a source answers again: the service, if that was failing.
+    /// Notes that a source answers again.
     pub(super) fn recover(&mut self, now: Instant) {
-        let failed = self.failed;
-        if failed.is_some_and(|at| clock::between_ms(at, now) < RECENT_MS) {
-            self.recovered = Some(now);
-        }
+        self.servers.recover(now);
     }
 
     /// Takes in every key.
-    pub(super) fn take_listing(&mut self, writes: Vec<Write>) {
+    pub(super) fn take_listing(&mut self, writes: Vec<Write>, position: Position) {
+        let is_restored = self.era.is_some_and(|era| position.era > era);
+        self.era = Some(position.era);
+        if is_restored {
+            log!(self.core.logger, Event::KvRestored,
+                "era" => position.era, "revision" => position.revision);
+            metrics::counter!("kv_restored_total").increment(1);
+        }
         let prefix = self.core.protocol.servers_prefix();
-        let mut gone: Vec<String> = self.known.keys().cloned().collect();
+        let mut gone: HashSet<String> = self.servers.names().cloned().collect();
+        let mut absent: HashSet<String> = self.keys.clone();
         for write in writes {
             if let Some(name) = write.key.strip_prefix(prefix) {
-                gone.retain(|known| known != name);
+                gone.remove(name);
+                let value = write.value.unwrap_or_default();
+                if is_restored {
+                    self.servers.restore(name, &value, write.revision);
+                } else {
+                    self.servers.write(name, &value, write.revision);
+                }
+            } else {
+                absent.remove(&write.key);
+                self.put(write);
             }
-            let value = write.value.unwrap_or_default();
-            self.write(&write.key, &value, write.revision);
         }
         for name in gone {
-            self.remove(&name);
+            if is_restored {
+                self.servers.miss(&name);
+            } else {
+                self.servers.remove(&name);
+            }
         }
+        for key in absent {
+            if is_restored {
+                let until = clock::after(Instant::now(), RESTORE_MS);
+                self.missing.insert(key, until);
+            } else if !self.missing.contains_key(&key) {
+                self.forget(&key);
+            }
+        }
+        self.shares.members.see(clock::now_ms());
+        self.shares.settle();
     }
 
     /// Takes in writes in the order of their revisions.
     pub(super) fn take_changes(&mut self, writes: Vec<Write>) {
         let prefix = self.core.protocol.servers_prefix();
-        for event in writes {
-            match (event.value, event.key.strip_prefix(prefix)) {
-                (Some(value), _) => self.write(&event.key, &value, event.revision),
-                (None, Some(name)) => self.remove(name),
-                (None, None) => self.forget(&event.key),
+        for write in writes {
+            let name = write.key.strip_prefix(prefix);
+            match (&write.value, name) {
+                (Some(value), Some(name)) => self.servers.write(name, value, write.revision),
+                (None, Some(name)) => self.servers.remove(name),
+                (Some(_), None) => self.put(write),
+                (None, None) => self.forget(&write.key),
             }
         }
+        self.shares.settle();
     }
 
-    fn write(&mut self, key: &str, value: &[u8], revision: Revision) {
+    /// Takes to be gone what is missing for long.
+    pub(super) fn expire(&mut self) {
+        self.servers.expire();
+        let now = Instant::now();
+        let due = self.missing.iter().filter(|(_, until)| **until <= now);
+        let due: Vec<String> = due.map(|(key, _)| key.clone()).collect();
+        for key in due {
+            self.forget(&key);
+        }
+        self.shares.settle();
+    }
+
+    fn put(&mut self, write: Write) {
+        let value = write.value.as_deref().unwrap_or_default();
+        let (key, revision) = (write.key.as_str(), write.revision);
+        self.missing.remove(key);
         let protocol = Arc::clone(&self.core.protocol);
         if key == protocol.config_key() {
             self.configure(value, revision);
-        } else if let Some(name) = key.strip_prefix(protocol.servers_prefix()) {
-            let known = self.known.get(name).copied().unwrap_or(0);
-            if revision > known {
-                self.register(name, value, revision);
-            }
+        } else if let Some(zone) = key.strip_prefix(protocol.evacuations_prefix()) {
+            self.zones.evacuate(zone);
         } else if let Some(digest) = quarantine::digest_of(key) {
             self.convict(digest, value, revision);
-        } else {
-            self.set_peer(key, Peer::read(value));
+        } else if let Some(name) = key.strip_prefix(exchange::PREFIX) {
+            self.set_peer(name, Peer::read(value));
         }
+        self.keys.insert(write.key);
     }
 
-    fn forget(&self, key: &str) {
-        match quarantine::digest_of(key) {
-            Some(digest) => quarantine::release(&self.core, digest),
-            None => self.set_peer(key, None),
+    fn forget(&mut self, key: &str) {
+        self.keys.remove(key);
+        let was_missing = self.missing.remove(key).is_some();
+        let prefix = self.core.protocol.evacuations_prefix();
+        if let Some(zone) = key.strip_prefix(prefix) {
+            self.zones.admit(zone);
+        } else if let Some(digest) = quarantine::digest_of(key) {
+            // What is held against a request fades by itself; that it was lost clears nothing.
+            if !was_missing {
+                quarantine::release(&self.core, digest);
+            }
+        } else if let Some(name) = key.strip_prefix(exchange::PREFIX) {
+            self.set_peer(name, None);
         }
     }
 
@@ -134,20 +187,23 @@
         }
     }
 
-    fn set_peer(&self, key: &str, peer: Option<Peer>) {
-        let Some(name) = key.strip_prefix(exchange::PREFIX) else {
+    fn set_peer(&mut self, name: &str, peer: Option<Peer>) {
+        if name == self.core.settings.load().name {
             return;
-        };
-        if name != self.core.settings.load().name {
-            self.core.exchange.set_peer(name, peer);
         }
+        match peer {
+            Some(_) => self.shares.members.join(name),
+            None => self.shares.members.leave(name, clock::now_ms()),
+        }
+        self.core.exchange.set_peer(name, peer);
     }
 
-    fn configure(&self, value: &[u8], revision: Revision) {
+    fn configure(&mut self, value: &[u8], revision: Revision) {
         match self.core.protocol.plan(value) {
             Ok(plan) => {
                 let version = plan.version();
                 if self.core.view.apply(plan) {
+                    self.shares.members.touch();
                     log!(self.core.logger, Event::ConfigApplied,
                         "revision" => revision, "version" => version, "view_age_ms" => self.core.view.age_ms());
                 }
@@ -156,80 +212,6 @@
         }
     }
 
-    fn register(&mut self, name: &str, value: &[u8], revision: Revision) {
-        let server = match self.core.protocol.server(name, value) {
-            Ok(server) => server,
-            Err(error) => {
-                self.unreadable(name, revision, &error);
-                // Whoever wrote it: it names no server to use, an earlier one included.
-                self.known.insert(name.to_owned(), revision);
-                self.lapsing.remove(name);
-                return self.drop_server(name, "registration unreadable");
-            }
-        };
-        self.known.insert(name.to_owned(), revision);
-        self.lapsing.remove(name);
-        let is_leaving = server.is_leaving;
-        let plan = self.core.view.plan();
-        let before = self.core.roster.get(name);
-        if self.core.roster.register(server, plan.as_deref()) {
-            self.replaced(name, before);
-            log!(self.core.logger, Event::ServerSeen,
-                "server" => name, "leaving" => is_leaving, "revision" => revision);
-            if let Some(backend) = self.core.roster.get(name).filter(|_| !is_leaving) {
-                kept::spawn(&self.core, &backend);
-            }
-        }
-    }
-
-    /// Notes that another life of a server has taken the place of one.
-    fn replaced(&self, name: &str, before: Option<Arc<Backend>>) {
-        let now = self.core.roster.get(name).map(|now| now.server.id);
-        let is_other =
-            |before: &Arc<Backend>| now != Some(before.server.id) && !before.server.is_leaving;
-        self.lapse(before.filter(is_other));
-    }
-
-    /// Notes that a life of a server is over that was in use.
-    fn lapse(&self, backend: Option<Arc<Backend>>) {
-        if let Some(backend) = backend {
-            tokio::spawn(quarantine::lapsed(Arc::clone(&self.core), backend));
-        }
-    }
-
-    fn remove(&mut self, name: &str) {
-        self.known.remove(name);
-        let now = Instant::now();
-        let faults = [self.failed, self.recovered];
-        let mut faults = faults.into_iter().flatten();
-        let has_failed = faults.any(|at| clock::between_ms(at, now) < FAULT_MS);
-        if has_failed {
-            let until = clock::after(now, LAPSE_MS);
-            self.lapsing.entry(name.to_owned()).or_insert(until);
-            return;
-        }
-        let backend = self.core.roster.get(name);
-        self.lapse(backend.filter(|backend| backend.is_open()));
-        self.drop_server(name, "registration ended");
-    }
-
-    /// Takes servers to be gone that lapsed and have not come back.
-    pub(super) fn expire(&mut self) {
-        let now = Instant::now();
-        let due = self.lapsing.iter().filter(|(_, until)| **until <= now);
-        let due: Vec<String> = due.map(|(name, _)| name.clone()).collect();
-        for name in due {
-            self.lapsing.remove(&name);
-            self.drop_server(&name, "registration lapsed");
-        }
-    }
-
-    fn drop_server(&self, name: &str, why: &str) {
-        if self.core.roster.remove(name) {
-            log!(self.core.logger, Event::ServerGone, "server" => name, "why" => why);
-        }
-    }
-
     fn unreadable(&self, key: &str, revision: Revision, error: &Unreadable) {
         log!(self.core.logger, Event::ConfigUnreadable,
             "key" => key, "revision" => revision, "error" => error.to_string());
--- /dev/null
+++ b/crates/gateway/src/follow/shares.rs
@@ -0,0 +1,68 @@
+//! What this gateway may send to cold servers, kept as gateways come and go.
+
+use std::sync::Arc;
+
+use mulberryyoke_decide::aggregate::rank;
+use mulberryyoke_decide::cold::{Bound, Members, share};
+
+use crate::backend::Backend;
+use crate::clock;
+use crate::core::Core;
+
+/// What this gateway may send to cold servers.
+pub(super) struct Shares {
+    core: Arc<Core>,
+    pub(super) members: Members,
+}
+
+impl Shares {
+    pub(super) fn new(core: &Arc<Core>) -> Self {
+        Self {
+            core: Arc::clone(core),
+            members: Members::default(),
+        }
+    }
+
+    /// Finds the shares of the servers that are cold and of which they are not yet found.
+    pub(super) fn settle(&mut self) {
+        let now = clock::now_ms();
+        self.members.expire(now);
+        let view = self.members.view(now);
+        let all = self.core.roster.all();
+        let cold = all
+            .iter()
+            .filter(|backend| backend.cold.is_cold(now) && backend.cold.is_behind(view));
+        let cold: Vec<&Arc<Backend>> = cold.collect();
+        if cold.is_empty() {
+            return;
+        }
+        let own = rank(&self.core.settings.load().name);
+        let ranks = self.members.ranks(now);
+        for backend in cold {
+            let requests = self.requests(backend);
+            let share = match &ranks {
+                Some(ranks) => share(backend.server.id, requests, own, ranks.iter().copied()),
+                None => 0,
+            };
+            backend.cold.set_share(share, view);
+        }
+    }
+
+    /// Requests a second that a server bears from all gateways together while it is cold.
+    fn requests(&self, backend: &Backend) -> u32 {
+        let plan = self.core.view.plan();
+        let pool = plan
+            .as_ref()
+            .and_then(|plan| plan.pool(backend.server.pool));
+        let Some(cold) = pool.and_then(|pool| pool.cold) else {
+            return u32::MAX;
+        };
+        let settings = self.core.settings.load();
+        let bound = Bound {
+            per_s: cold.per_s,
+            overage: settings.cold_overage,
+            slack: settings.cold_slack,
+        };
+        bound.requests()
+    }
+}
--- a/crates/gateway/src/follow/source.rs
+++ b/crates/gateway/src/follow/source.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, StatusCode};
 use mulberryyoke_platform::Cause;
 use mulberryyoke_platform::http::{self, Http};
-use mulberryyoke_platform::kv::{Error, Feed, Revision};
+use mulberryyoke_platform::kv::{Error, Feed, Position};
 use mulberryyoke_wire::relay::{CHANGES, LIST, Relayed, Write};
 use tokio::time::Instant;
 
@@ -139,23 +139,27 @@
                 });
                 Ok(Relayed {
                     known_ms: 0,
-                    revision: listing.revision,
+                    revision: listing.position.revision,
                     writes: writes.collect(),
+                    era: listing.position.era,
                 })
             }
             Source::Peer(address) => self.ask(address, LIST, 0).await,
         }
     }
 
-    /// Reads the writes after a revision; waits for some at most `wait_ms` milliseconds.
-    pub(super) async fn changes(&self, source: Source, after: Revision) -> Result<Relayed, Error> {
+    /// Reads the writes after a position, or learns that the era is another one.
+    pub(super) async fn changes(&self, source: Source, after: Position) -> Result<Relayed, Error> {
         match source {
             Source::Store => {
                 let wait_ms = if self.is_store_down { 0 } else { STORE_WAIT_MS };
-                let changes = self.feed.changes(EVERY_KEY, after, wait_ms).await?;
-                let is_gap = changes.events.is_empty() && changes.revision > after;
-                if is_gap {
-                    return Err(Error::Compacted(changes.revision));
+                let changes = self
+                    .feed
+                    .changes(EVERY_KEY, after.revision, wait_ms)
+                    .await?;
+                let Position { era, revision } = changes.position;
+                if changes.events.is_empty() && changes.position > after {
+                    return Err(Error::Compacted(revision));
                 }
                 let writes = changes.events.into_iter().map(|event| Write {
                     key: event.key,
@@ -164,8 +168,9 @@
                 });
                 Ok(Relayed {
                     known_ms: 0,
-                    revision: changes.revision,
+                    revision,
                     writes: writes.collect(),
+                    era,
                 })
             }
             Source::Peer(address) => {
@@ -174,7 +179,8 @@
                 } else {
                     FAILOVER_WAIT_MS
                 };
-                let path = format!("{CHANGES}?after={after}&wait_ms={wait_ms}");
+                let Position { era, revision } = after;
+                let path = format!("{CHANGES}?era={era}&after={revision}&wait_ms={wait_ms}");
                 self.ask(address, &path, wait_ms).await
             }
         }
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -19,6 +19,7 @@
 
 use self::error::Error;
 use crate::backend::Backend;
+use crate::clock;
 use crate::core::Core;
 
 /// Longest time that a list may take: a part that is read again meanwhile is known
@@ -38,7 +39,9 @@
         .as_ref()
         .and_then(|plan| plan.pool(backend.server.pool));
     let is_model = pool.is_some_and(|pool| pool.model.is_some());
-    let Some(path) = core.protocol.kept_path().filter(|_| is_model) else {
+    // A cold server has just started and keeps nothing, and questions count in what it bears.
+    let may_ask = is_model && backend.is_open() && !backend.cold.is_cold(clock::now_ms());
+    let Some(path) = core.protocol.kept_path().filter(|_| may_ask) else {
         return;
     };
     let (core, backend) = (Arc::clone(core), Arc::clone(backend));
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use mulberryyoke_platform::kv::Revision;
+use mulberryyoke_platform::kv::{Position, Revision};
 use mulberryyoke_wire::relay::{Relayed, Write};
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 pub(crate) struct Mirror {
     inner: Mutex<Inner>,
-    revision: watch::Sender<Revision>,
+    position: watch::Sender<Position>,
 }
 
 #[derive(Debug, Default)]
@@ -29,30 +29,31 @@
     writes: VecDeque<Write>,
     /// Revision after which all writes are in `writes`.
     floor: Revision,
-    revision: Revision,
+    /// How far writes are known; revision 0 before the first were seen.
+    position: Position,
 }
 
 impl Mirror {
     pub(crate) fn new() -> Self {
         Self {
             inner: Mutex::default(),
-            revision: watch::Sender::new(0),
+            position: watch::Sender::new(Position::default()),
         }
     }
 
-    /// Takes in every key, as of a revision.
-    pub(crate) fn reset(&self, writes: impl Iterator<Item = Write>, revision: Revision) {
+    /// Takes in every key, as of a position.
+    pub(crate) fn reset(&self, writes: impl Iterator<Item = Write>, position: Position) {
         let mut inner = self.inner.lock();
         inner.keys = writes.map(|write| (write.key.clone(), write)).collect();
         inner.writes.clear();
-        inner.floor = revision;
-        inner.revision = revision;
+        inner.floor = position.revision;
+        inner.position = position;
         drop(inner);
-        self.revision.send_replace(revision);
+        self.position.send_replace(position);
     }
 
-    /// Takes in writes, and the revision up to which there are no others.
-    pub(crate) fn extend(&self, writes: &[Write], revision: Revision) {
+    /// Takes in writes, and the position up to which there are no others.
+    pub(crate) fn extend(&self, writes: &[Write], position: Position) {
         let mut inner = self.inner.lock();
         for write in writes {
             if write.value.is_some() {
@@ -66,38 +67,44 @@
                 inner.floor = dropped.map_or(inner.floor, |write| write.revision);
             }
         }
-        inner.revision = inner.revision.max(revision);
-        let revision = inner.revision;
+        inner.position = inner.position.max(position);
+        let position = inner.position;
         drop(inner);
-        self.revision.send_replace(revision);
+        self.position.send_replace(position);
     }
 
     /// Every key; `None` before the first were seen.
     pub(crate) fn list(&self, known_ms: i64) -> Option<Relayed> {
         let inner = self.inner.lock();
-        (inner.revision > 0).then(|| Relayed {
+        let Position { era, revision } = inner.position;
+        (revision > 0).then(|| Relayed {
             known_ms,
-            revision: inner.revision,
+            revision,
             writes: inner.keys.values().cloned().collect(),
+            era,
         })
     }
 
-    /// Waits until there are writes after a revision, at most for `wait`.
-    pub(crate) async fn wait(&self, after: Revision, wait: Duration) {
-        let mut seen = self.revision.subscribe();
+    /// Waits until there are writes after a position, at most for `wait`.
+    pub(crate) async fn wait(&self, after: Position, wait: Duration) {
+        let mut seen = self.position.subscribe();
         // That the time is over is no failure: the answer then has no writes.
-        let _ = timeout(wait, seen.wait_for(|revision| *revision > after)).await;
+        let _ = timeout(wait, seen.wait_for(|position| *position > after)).await;
     }
 
-    /// The writes after a revision; `None` when they are no longer all kept.
-    pub(crate) fn changes(&self, after: Revision, known_ms: i64) -> Option<Relayed> {
+    /// The writes after a position; `None` when they are no longer all kept, or are of another
+    /// era.
+    pub(crate) fn changes(&self, after: Position, known_ms: i64) -> Option<Relayed> {
         let inner = self.inner.lock();
-        let is_held = inner.revision > 0 && after >= inner.floor;
-        let newer = inner.writes.iter().filter(|write| write.revision > after);
+        let Position { era, revision } = inner.position;
+        let is_held = revision > 0 && after.era == era && after.revision >= inner.floor;
+        let newer = inner.writes.iter();
+        let newer = newer.filter(|write| write.revision > after.revision);
         is_held.then(|| Relayed {
             known_ms,
-            revision: inner.revision.max(after),
+            revision: revision.max(after.revision),
             writes: newer.cloned().collect(),
+            era,
         })
     }
 }
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -12,7 +12,7 @@
 pub use self::customer::Customer;
 pub use self::kind::Kind;
 pub use self::limits::Limits;
-pub use self::pool::{Model, Pool};
+pub use self::pool::{Cold, Model, Pool};
 pub use self::route::{Route, Target};
 use mulberryyoke_model::PoolId;
 
--- a/crates/gateway/src/plan/pool.rs
+++ b/crates/gateway/src/plan/pool.rs
@@ -3,7 +3,7 @@
 use mulberryyoke_model::PoolId;
 
 /// Servers that answer the same requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Pool {
     /// Its identity, a hash of the name.
     pub id: PoolId,
@@ -15,6 +15,17 @@
     pub connections: u32,
     /// What its model servers are like; `None` for a plain service.
     pub model: Option<Model>,
+    /// What its servers bear while they are cold; `None` where none ever is.
+    pub cold: Option<Cold>,
+}
+
+/// What the servers of a pool bear while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// How long a server is cold after its start, in milliseconds.
+    pub start_ms: u64,
+    /// Requests a second that it is made for meanwhile, from all gateways together.
+    pub per_s: f64,
 }
 
 /// What the model servers of a pool are like.
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -38,6 +38,9 @@
     /// Prefix of the keys under which servers register.
     fn servers_prefix(&self) -> &'static str;
 
+    /// Prefix of the keys that name availability zones to whose servers nothing is to be sent.
+    fn evacuations_prefix(&self) -> &'static str;
+
     /// Reads a configuration.
     ///
     /// # Errors
--- a/crates/gateway/src/protocol/reading.rs
+++ b/crates/gateway/src/protocol/reading.rs
@@ -9,6 +9,8 @@
     pub is_last: bool,
     /// How long the connection may be idle, in milliseconds.
     pub idle_ms: Option<u64>,
+    /// How much longer the server is cold, in milliseconds, if it tells.
+    pub cold_left_ms: Option<u64>,
 }
 
 /// What became of a request.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -1,6 +1,6 @@
 //! The servers that are registered.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 
 use crate::backend::Backend;
+use crate::clock;
 use crate::plan::Plan;
 use crate::server::Server;
 
@@ -26,6 +27,8 @@
     table: ArcSwap<Table>,
     /// How fast servers read prompts and end requests, by pool.
     paces: Mutex<HashMap<PoolId, Arc<Mutex<Pace>>>>,
+    /// Availability zones to whose servers nothing is to be sent.
+    evacuated: Mutex<HashSet<String>>,
 }
 
 impl Roster {
@@ -59,13 +62,14 @@
     }
 
     /// Time until the model servers would begin to read a prompt sent now, on average, in
-    /// milliseconds; 0 without any.
+    /// milliseconds; 0 without any. Cold ones have little to do and cannot take more.
     pub(crate) fn mean_wait_ms(&self) -> f64 {
         let table = self.table.load();
+        let now = clock::now_ms();
         let models = table
             .ids
             .values()
-            .filter(|backend| backend.is_model && backend.is_open());
+            .filter(|backend| backend.is_model && backend.is_open() && !backend.cold.is_cold(now));
         let waits = models.map(|backend| backend.engine().wait_ms());
         let (count, sum) = waits.fold((0_u32, 0.0), |(count, sum), wait| (count + 1, sum + wait));
         sum / f64::from(count.max(1))
@@ -77,7 +81,7 @@
             if is_earlier(&server, &held.server) {
                 return false;
             }
-            let closes = server.is_leaving && held.is_open();
+            let closes = server.is_leaving && !held.is_closed();
             let is_same = is_same(&held.server, &server);
             if closes || !is_same {
                 held.close();
@@ -89,7 +93,9 @@
         let model = plan.and_then(|plan| plan.pool(server.pool)?.model);
         let name = server.name.clone();
         let pace = Arc::clone(self.paces.lock().entry(server.pool).or_default());
+        let is_evacuated = self.evacuated.lock().contains(&server.zone);
         let backend = Arc::new(Backend::new(server, model, pace));
+        backend.evacuate(is_evacuated);
         self.change(|servers| {
             servers.insert(name, backend);
         });
@@ -108,6 +114,23 @@
         true
     }
 
+    /// Lets nothing be sent to the servers of a zone, or again; those that are registered now.
+    pub(crate) fn evacuate(&self, zone: &str, is_evacuated: bool) -> Vec<Arc<Backend>> {
+        let mut evacuated = self.evacuated.lock();
+        if is_evacuated {
+            evacuated.insert(zone.to_owned());
+        } else {
+            evacuated.remove(zone);
+        }
+        drop(evacuated);
+        let mut servers = self.all();
+        servers.retain(|backend| backend.server.zone == zone);
+        for backend in &servers {
+            backend.evacuate(is_evacuated);
+        }
+        servers
+    }
+
     fn change(&self, change: impl FnOnce(&mut HashMap<String, Arc<Backend>>)) {
         let mut table = Table {
             names: self.table.load().names.clone(),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -22,6 +22,8 @@
     /// When it started, in milliseconds since 1970, if it tells: a later life of the same name
     /// keeps and runs nothing of the one before.
     pub born_ms: Option<u64>,
+    /// How much longer it is cold, in milliseconds from its registration; 0 if it is not.
+    pub cold_left_ms: u64,
     /// Whether it leaves and must get nothing new.
     pub is_leaving: bool,
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -8,6 +8,10 @@
 use crate::clock;
 use crate::plan::Plan;
 
+/// Age up to which what is known here is taken to be what others know, in milliseconds: a call
+/// that waits has ended by then, also one at a peer whose own call has just ended.
+const IN_TOUCH_MS: u64 = 2_000;
+
 /// The configuration in force on this node. Its version never falls within the
 /// life of a process.
 #[derive(Debug, Default)]
@@ -64,6 +68,11 @@
         clock::now_ms().saturating_sub(self.reached_ms.load(Ordering::Relaxed))
     }
 
+    /// Whether what is known here of servers and gateways is about what others know.
+    pub(crate) fn is_in_touch(&self) -> bool {
+        self.age_ms() <= IN_TOUCH_MS && !self.is_of_before()
+    }
+
     /// Time since it was last known that no newer configuration had been
     /// accepted, in milliseconds.
     pub(crate) fn age_ms(&self) -> u64 {
--- a/crates/gateway/tests/gateway/backend.rs
+++ b/crates/gateway/tests/gateway/backend.rs
@@ -65,6 +65,8 @@
     kept: Mutex<String>,
     heads: Mutex<Vec<String>>,
     hung_up: AtomicU32,
+    /// Times that it was asked for the prompt parts that it keeps.
+    asked: AtomicU32,
 }
 
 impl State {
@@ -74,6 +76,7 @@
             kept: Mutex::default(),
             heads: Mutex::default(),
             hung_up: AtomicU32::new(0),
+            asked: AtomicU32::new(0),
         }
     }
 
@@ -87,6 +90,12 @@
         list.clone_into(&mut self.kept.lock());
     }
 
+    /// Times that it was asked for the prompt parts that it keeps.
+    #[allow(dead_code, reason = "not every test asks")]
+    pub(crate) fn asked(&self) -> u32 {
+        self.asked.load(Ordering::Relaxed)
+    }
+
     /// Requests whose connection was closed before the answer's end.
     pub(crate) fn hung_up(&self) -> u32 {
         self.hung_up.load(Ordering::Relaxed)
@@ -144,6 +153,7 @@
 /// Answers; `false` when the connection is to be closed.
 pub(crate) async fn respond(stream: &mut TcpStream, state: &State, head: &str) -> bool {
     if head.starts_with("get /kept ") {
+        state.asked.fetch_add(1, Ordering::Relaxed);
         let kept = state.kept.lock().clone();
         let text = whole(200, "x-any: 1", kept.len()).replace("done", &kept);
         return stream.write_all(text.as_bytes()).await.is_ok();
--- a/crates/gateway/tests/gateway/feed.rs
+++ b/crates/gateway/tests/gateway/feed.rs
@@ -8,25 +8,39 @@
 
 use mulberryyoke_platform::Cause;
 use mulberryyoke_platform::kv::{
-    Call, Changes, Error, Event, Feed, Lease, LeaseId, Listing, Pair, Revision,
+    Call, Changes, Contents, Era, Error, Event, Feed, Lease, LeaseId, Pair, Position, Revision,
 };
 use parking_lot::Mutex;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// What the service holds.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Held {
+    era: Era,
     revision: Revision,
     keys: BTreeMap<String, (Vec<u8>, Revision)>,
     events: Vec<Event>,
     floor: Revision,
 }
 
+impl Held {
+    const fn position(&self) -> Position {
+        Position {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+}
+
 /// The service.
 #[derive(Debug)]
 pub(crate) struct Service {
     held: Mutex<Held>,
+    /// What it held when the copy was made from which it may come back.
+    copy: Mutex<Held>,
+    /// Leases that were granted, and by how many calls.
+    grants: AtomicU64,
     changed: watch::Sender<Revision>,
     calls: AtomicU64,
     /// Renewals of leases.
@@ -37,6 +51,8 @@
     pub(crate) fn new() -> Arc<Self> {
         Arc::new(Self {
             held: Mutex::default(),
+            copy: Mutex::default(),
+            grants: AtomicU64::new(0),
             changed: watch::Sender::new(0),
             calls: AtomicU64::new(0),
             renewals: AtomicU64::new(0),
@@ -76,6 +92,33 @@
         held.floor = held.revision;
     }
 
+    /// Makes a copy of what it holds.
+    pub(crate) fn copy(&self) {
+        *self.copy.lock() = self.held.lock().clone();
+    }
+
+    /// Comes back from the copy: all that was written since is lost, and its revisions are
+    /// given out again.
+    pub(crate) fn restore(&self) {
+        let mut held = self.held.lock();
+        let era = held.era + 1;
+        *held = self.copy.lock().clone();
+        held.era = era;
+        let revision = held.revision;
+        drop(held);
+        self.changed.send_replace(revision);
+    }
+
+    /// The revision of the latest write.
+    pub(crate) fn revision(&self) -> Revision {
+        self.held.lock().revision
+    }
+
+    /// Leases that were granted.
+    pub(crate) fn grants(&self) -> u64 {
+        self.grants.load(Ordering::Relaxed)
+    }
+
     /// Calls that came.
     pub(crate) fn calls(&self) -> u64 {
         self.calls.load(Ordering::Relaxed)
@@ -147,7 +190,7 @@
 }
 
 impl Feed for Way {
-    fn list<'a>(&'a self, prefix: &'a str) -> Call<'a, Listing> {
+    fn list<'a>(&'a self, prefix: &'a str) -> Call<'a, Contents> {
         Box::pin(async move {
             self.pass(0).await?;
             let held = self.service.held.lock();
@@ -158,8 +201,8 @@
                 revision: *revision,
                 lease: None,
             });
-            Ok(Listing {
-                revision: held.revision,
+            Ok(Contents {
+                position: held.position(),
                 entries: entries.collect(),
             })
         })
@@ -171,12 +214,12 @@
             self.service.wait(after, wait_ms).await;
             self.pass(0).await?;
             let held = self.service.held.lock();
-            if after < held.floor {
+            if after < held.floor || after > held.revision {
                 return Err(Error::Compacted(held.floor));
             }
             let newer = held.events.iter().filter(|event| event.revision > after);
             Ok(Changes {
-                revision: held.revision,
+                position: held.position(),
                 events: newer.cloned().collect(),
             })
         })
@@ -185,6 +228,7 @@
     fn grant(&self, _: u64) -> Call<'_, Lease> {
         Box::pin(async move {
             self.pass(0).await?;
+            self.service.grants.fetch_add(1, Ordering::Relaxed);
             Ok(Self::lease(LeaseId(1)))
         })
     }
@@ -204,4 +248,8 @@
             Ok(())
         })
     }
+
+    fn era(&self) -> Era {
+        self.service.held.lock().era
+    }
 }
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -17,6 +17,9 @@
 /// Age from which requests with a key are refused in the tests, in milliseconds.
 pub(crate) const KEYS_FRESH_MS: u64 = 4_000;
 
+/// Requests that a cold server may get in some second beyond those that it is made for.
+pub(crate) const COLD_SLACK: f64 = 2.0;
+
 /// Times that a gateway is started on other addresses.
 const TRIES: u32 = 10;
 
@@ -60,6 +63,8 @@
             grace_ms: 6_000,
             retry_ratio: 1.0,
             retry_slack: 20.0,
+            cold_overage: 1.0,
+            cold_slack: COLD_SLACK,
             processors,
             descriptors: 1_024,
         };
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -5,7 +5,7 @@
 use hyper::http::{request, response};
 use mulberryyoke_decide::engine::{Name, Prompt};
 use mulberryyoke_gateway::Server;
-use mulberryyoke_gateway::plan::{Customer, Kind, Limits, Model, Plan, Pool, Route, Target};
+use mulberryyoke_gateway::plan::{Cold, Customer, Kind, Limits, Model, Plan, Pool, Route, Target};
 use mulberryyoke_gateway::protocol::{Ask, Order, Proof, Protocol, Reading, Unreadable};
 use mulberryyoke_model::{CustomerId, PoolId, ServerId};
 
@@ -18,13 +18,20 @@
 /// Tokens of a prompt that no server could read in time behind another.
 pub(crate) const LONG_PROMPT: u32 = 60_000;
 
+/// Time for which servers are cold after their start, in milliseconds.
+pub(crate) const COLD_MS: u64 = 1_500;
+
+/// Requests a second that a cold server is made for, of all gateways together.
+pub(crate) const COLD_PER_S: f64 = 4.0;
+
 /// Header of a request at which reading the head panics.
 pub(crate) const PANICS: &str = "x-panics: 1\r\n";
 
 /// Tokens of a prompt's shared part.
 const SHARED: u32 = 4_000;
 
-/// Values are words: `VERSION KEY...` for a configuration, `POOL ADDRESS STATE [BORN]` for a server.
+/// Values are words: `VERSION KEY...` for a configuration, `POOL ADDRESS STATE [BORN [COLD_MS
+/// [ZONE]]]` for a server, which is cold for so long.
 #[derive(Debug)]
 pub(crate) struct Words;
 
@@ -86,6 +93,7 @@
             proof,
             is_last: false,
             idle_ms: None,
+            cold_left_ms: None,
         }
     }
 
@@ -97,6 +105,10 @@
         "servers/"
     }
 
+    fn evacuations_prefix(&self) -> &'static str {
+        "evacuate/"
+    }
+
     fn plan(&self, value: &[u8]) -> Result<Plan, Unreadable> {
         let text = String::from_utf8_lossy(value);
         let mut words = text.split_whitespace();
@@ -149,20 +161,22 @@
     fn server(&self, name: &str, value: &[u8]) -> Result<Server, Unreadable> {
         let text = String::from_utf8_lossy(value);
         let words: Vec<&str> = text.split_whitespace().collect();
-        let (pool, address, state, born) = match words[..] {
-            [pool, address, state] => (pool, address, state, None),
-            [pool, address, state, born] => (pool, address, state, Some(born)),
-            _ => return Err(unreadable(name)),
+        let [pool, address, state, ..] = words[..] else {
+            return Err(unreadable(name));
         };
+        let born = words.get(3).copied();
+        let cold = words.get(4).copied().unwrap_or("0");
+        let zone = words.get(5).copied().unwrap_or("a");
         let born_ms = born.map(|born| born.parse().map_err(|_| unreadable(name)));
         Ok(Server {
             id: ServerId::of(&format!("{name} {}", born.unwrap_or_default())),
             name: name.to_owned(),
             pool: PoolId::of(pool),
             address: address.parse().map_err(|_| unreadable(name))?,
-            zone: "a".to_owned(),
+            zone: zone.to_owned(),
             slots: 8,
             born_ms: born_ms.transpose()?,
+            cold_left_ms: cold.parse().map_err(|_| unreadable(name))?,
             is_leaving: state == "leaving",
         })
     }
@@ -202,6 +216,10 @@
         health: "/health".to_owned(),
         connections: 64,
         model,
+        cold: Some(Cold {
+            start_ms: COLD_MS,
+            per_s: COLD_PER_S,
+        }),
     }
 }
 
--- a/crates/platform/src/kv.rs
+++ b/crates/platform/src/kv.rs
@@ -9,6 +9,7 @@
 mod listing;
 mod options;
 mod pair;
+mod position;
 mod swap;
 mod watch;
 
@@ -16,11 +17,12 @@
 pub use self::etcd::Etcd;
 pub use self::event::Event;
 pub use self::expect::Expect;
-pub use self::feed::{Changes, Feed};
+pub use self::feed::{Changes, Contents, Feed};
 pub use self::lease::{Lease, LeaseId};
 pub use self::listing::Listing;
 pub use self::options::Options;
 pub use self::pair::Pair;
+pub use self::position::{Era, Position};
 pub use self::swap::Swap;
 pub use self::watch::Watch;
 
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -62,6 +62,12 @@
     if gateway.retry_slack < 0.0 {
         return Err(Fault::new("retry_slack", "must not be negative"));
     }
+    if gateway.cold_overage < 1.0 {
+        return Err(Fault::new("cold_overage", "must be 1 or more"));
+    }
+    if gateway.cold_slack < 0.0 {
+        return Err(Fault::new("cold_slack", "must not be negative"));
+    }
     if gateway.processors <= 0.0 {
         return Err(Fault::new("processors", "must be more than 0"));
     }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -35,6 +35,12 @@
     /// Retries that the fleet may make beyond, in a window of ten seconds.
     #[serde(default = "retry_slack")]
     pub retry_slack: f64,
+    /// Times as many requests a second as a cold server is made for that it may get.
+    #[serde(default = "cold_overage")]
+    pub cold_overage: f64,
+    /// Requests beyond that a cold server may get in some second.
+    #[serde(default)]
+    pub cold_slack: f64,
     /// Processors that the process has, or the part of one: those with most of it work for
     /// the others of their zone.
     #[serde(default = "processors")]
@@ -79,6 +85,10 @@
     20.0
 }
 
+const fn cold_overage() -> f64 {
+    1.0
+}
+
 const fn processors() -> f64 {
     1.0
 }
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -375,6 +375,8 @@
     for (field, value, why) in [
         ("retry_slack", json!(-1), "must not be negative"),
         ("retry_ratio", json!(1.5), "must be from 0 to 1"),
+        ("cold_overage", json!(0.5), "must be 1 or more"),
+        ("cold_slack", json!(-1), "must not be negative"),
         ("processors", json!(0), "must be more than 0"),
         ("descriptors", json!(12), "12 is not allowed"),
         ("grace_ms", json!(-3), "is no number of this setting"),
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -6,7 +6,7 @@
 pub const LIST: &str = "/relay/list";
 
 /// Path under which a gateway passes on writes after a revision, in the query
-/// `after=REVISION&wait_ms=MILLISECONDS`.
+/// `era=ERA&after=REVISION&wait_ms=MILLISECONDS`.
 pub const CHANGES: &str = "/relay/changes";
 
 /// Writes as a gateway knows them.
@@ -19,6 +19,9 @@
     pub revision: u64,
     /// The writes, in the order of their revisions.
     pub writes: Vec<Write>,
+    /// The service's era to which the revisions belong. It is the last field, so that gateways
+    /// of a release without eras read the others.
+    pub era: u64,
 }
 
 /// A write of a key.
