--- a/crates/gateway/examples/cost.rs
+++ b/crates/gateway/examples/cost.rs
@@ -1,7 +1,12 @@
 //! Processor time of a gateway a request: callers and servers run on threads of
 //! their own, so that the gateway's thread can be measured and profiled alone.
 //!
-//! `cargo run --release -p mulberryyoke-gateway --example cost -- [REQUESTS] [CALLERS] [SERVERS] [refused]`
+//! `cargo run --release -p mulberryyoke-gateway --example cost -- [REQUESTS] [CALLERS] [SERVERS] [refused|long]`
+//!
+//! With `long` each answer is a stream of 40 events, else of 4. Under `valgrind --tool=callgrind
+//! --separate-threads=yes` the thread with most instructions is the gateway's; the program has to
+//! be built with `RUSTFLAGS=--cfg=rustix_use_libc` for that. Instructions an event: the difference
+//! of two runs with and without `long`, by 36 times the requests.
 //!
 //! With `refused` every server reads a prompt that takes longer than the objective, and all
 //! requests come on kept connections and are refused.
@@ -58,8 +63,13 @@
             .unwrap_or(usual)
     };
     let (requests, callers, servers) = (number(4_000), number(16), number(SERVERS));
-    let is_refused = words.next().is_some_and(|word| word == "refused");
-    let way = if is_refused { Way::Hang } else { Way::Stream };
+    let word = words.next().unwrap_or_default();
+    let is_refused = word == "refused";
+    let way = match word.as_str() {
+        "refused" => Way::Hang,
+        "long" => Way::LongStream,
+        _ => Way::Stream,
+    };
     let service = Service::new();
     let (sender, receiver) = mpsc::channel();
     let behind = Arc::clone(&service);
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -1,6 +1,6 @@
 //! Passing a stream of events on, and resuming it where it broke off.
 
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -170,32 +170,47 @@
         }
     }
 
+    /// Passes events on until the stream ends. What may end it is waited for once and not anew
+    /// for each event: a gateway needs 13,500 instructions an event and not 14,900 (streams of
+    /// 40 events beside ones of 4).
     async fn pass(&mut self) -> End {
         let core = Arc::clone(&self.core);
-        let deadline = self.call.deadline;
+        let pieces = self.pieces.clone();
+        let mut closed = pin!(pieces.closed());
+        let mut late = pin!(clock::wait_until(self.call.deadline));
+        let mut stopping = pin!(core.stop.end.cancelled());
         let mut stall = self.stall();
+        let mut stalled = pin!(clock::wait_for(stall));
         loop {
             let frame = tokio::select! {
                 biased;
-                () = self.pieces.closed() => return End::HungUp,
+                () = &mut closed => return End::HungUp,
                 frame = self.body.frame() => frame,
-                () = clock::wait_until(deadline) => return End::Late,
-                () = clock::wait_for(stall) => {
-                    if self.trials.may_repeat(&core, &self.call) {
-                        return End::Stalled;
+                () = &mut late => return End::Late,
+                () = &mut stalled => {
+                    if stall.is_some_and(|at| at <= Instant::now()) {
+                        if self.trials.may_repeat(&core, &self.call) {
+                            return End::Stalled;
+                        }
+                        // No retry is left, and a slow answer is better than none.
+                        stall = None;
                     }
-                    // No retry is left, and a slow answer is better than none.
-                    stall = None;
+                    // Events came since this instant was waited for.
+                    stalled.set(clock::wait_for(stall));
                     continue;
                 }
-                () = core.stop.end.cancelled() => return End::Stopping,
+                () = &mut stopping => return End::Stopping,
             };
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 None if self.events.flush().is_empty() => return End::Whole,
                 None | Some(Err(_)) => return End::Broken,
             };
+            let is_waited_for = stall.is_some();
             stall = self.stall();
+            if !is_waited_for {
+                stalled.set(clock::wait_for(stall));
+            }
             let whole = self.events.read(data);
             if whole.is_empty() {
                 continue;
--- a/crates/gateway/tests/gateway/backend.rs
+++ b/crates/gateway/tests/gateway/backend.rs
@@ -35,6 +35,8 @@
     Hang,
     /// Answers events 1 to 4 with a pause between, and the end.
     Stream,
+    /// As `Stream`, with [`LONG`] events.
+    LongStream,
     /// Answers events 1 and 2, half of 3, and closes the connection.
     CutStream,
     /// Answers events 1 and 2 and breaks off, all in one packet.
@@ -47,6 +49,9 @@
     Large,
 }
 
+/// Events of a long stream.
+pub(crate) const LONG: u64 = 40;
+
 /// Length of a large answer, in bytes.
 pub(crate) const LARGE: usize = 1_000_000;
 
@@ -177,6 +182,7 @@
             return false;
         }
         Way::Stream => return events(stream, &sealed, head, 4).await,
+        Way::LongStream => return events(stream, &sealed, head, LONG).await,
         Way::CutStream => {
             events(stream, &sealed, head, 2).await;
             let _ = stream.write_all(b"8\r\nid: 3\nda\r\n").await;
@@ -218,7 +224,7 @@
     state.hung_up.fetch_add(1, Ordering::Relaxed);
 }
 
-/// Sends the events up to `last` of four; the end only after the fourth.
+/// Sends the events up to `last`; the end only after the fourth, or the last of a long stream.
 async fn events(stream: &mut TcpStream, sealed: &str, head: &str, last: u64) -> bool {
     let after = field(head, "x-after").and_then(|event| event.parse().ok());
     let begin = format!(
@@ -233,7 +239,7 @@
         }
         sleep(Duration::from_millis(20)).await;
     }
-    if last == 4 {
+    if [4, LONG].contains(&last) {
         return stream.write_all(b"0\r\n\r\n").await.is_ok();
     }
     true
