Handoff: a connection that was handed on ends after two seconds also when it rests; one that stops takes none

A handed-on connection was ended with an answer after two seconds only; one that rested stayed open, and its next request came to a gateway that was about to end. Test: a connection that rests is closed after two seconds, seen red. A gateway that leaves closes its port for what others hand on at once: its end is no stop of the gateway that took the request.

--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -17,7 +17,7 @@
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use mulberryyoke_event::{Event, log};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::answer::Answer;
 use crate::core::Core;
@@ -42,7 +42,8 @@
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Time for which a connection that was handed on takes requests. A gateway that stops hands
-/// on no more, so that within this time no more come to be cut off at its end.
+/// on no more, so that after this time none come that would be cut off at its end: a kept one
+/// that had rested brought a request seconds after the stop.
 const HANDED_ON: Duration = Duration::from_secs(2);
 
 /// How a caller's connection came.
@@ -50,8 +51,8 @@
 enum Way {
     /// From the balancer.
     Direct,
-    /// Handed on by another gateway, which may stop at any time: it takes no more requests after
-    /// [`HANDED_ON`].
+    /// Handed on by another gateway, which may stop at any time: it ends after [`HANDED_ON`], or
+    /// with the answer that is due then.
     HandedOn,
 }
 
@@ -88,14 +89,20 @@
     mut listening: Option<TcpListener>,
     way: Way,
 ) {
+    // Callers come for a while after the node said that it leaves; other gateways know better
+    // ones at once.
+    let closing = match way {
+        Way::Direct => &core.stop.close,
+        Way::HandedOn => &core.stop.leave,
+    };
     while let Some(listener) = listening.take() {
         let address = listener.local_addr();
         tokio::select! {
-            () = core.stop.close.cancelled() => return,
+            () = closing.cancelled() => return,
             () = accept(core, shutdown, listener, way) => {}
         }
         tokio::select! {
-            () = core.stop.close.cancelled() => return,
+            () = closing.cancelled() => return,
             reopened = reopen(core, address) => listening = Some(reopened),
         }
     }
@@ -190,22 +197,34 @@
     let idle_ms = limits.map_or(IDLE_MS, |limits| limits.idle_ms);
     let service = {
         let core = Arc::clone(core);
-        let ends = (way == Way::HandedOn).then(|| Instant::now() + HANDED_ON);
-        service_fn(move |request| answer(Arc::clone(&core), request, ends))
+        service_fn(move |request| answer(Arc::clone(&core), request))
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(head_bytes.max(LEAST_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
-    let connection = watcher.watch(connection);
     let end = core.stop.end.clone();
     core.connections.fetch_add(1, Ordering::Relaxed);
     let core = Arc::clone(core);
     tokio::spawn(async move {
+        // How a connection fails is seen in its requests.
+        let ended = async {
+            match way {
+                Way::Direct => drop(watcher.watch(connection).await),
+                Way::HandedOn => {
+                    let mut connection = pin!(connection);
+                    if timeout(HANDED_ON, connection.as_mut()).await.is_err() {
+                        connection.as_mut().graceful_shutdown();
+                        drop(connection.await);
+                    }
+                    // Until now the port counts it as open.
+                    drop(watcher);
+                }
+            }
+        };
         tokio::select! {
-            // How a connection fails is seen in its requests.
-            _ = connection => {}
+            () = ended => {}
             () = end.cancelled() => {}
         }
         core.connections.fetch_sub(1, Ordering::Relaxed);
@@ -215,7 +234,6 @@
 async fn answer(
     core: Arc<Core>,
     request: Request<Incoming>,
-    ends: Option<Instant>,
 ) -> Result<Response<Answer>, Infallible> {
     let since = Instant::now();
     metrics::counter!("requests_total").increment(1);
@@ -227,8 +245,7 @@
         }
         Err(refusal) => refuse(&core, "", since, refusal),
     };
-    let is_over = ends.is_some_and(|ends| Instant::now() >= ends);
-    if is_over || ends_connection(&core, response.status()) {
+    if ends_connection(&core, response.status()) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/gateway/tests/gateway/handoff.rs
+++ b/crates/gateway/tests/gateway/handoff.rs
@@ -136,6 +136,23 @@
     );
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_larger_one_that_stops_is_handed_nothing_more() {
+    let mut zone = Zone::new(Way::Answer).await;
+    hold_up().await;
+    expect_that!(zone.small.ask("/once/", "").await.status, eq(200));
+    expect_that!(zone.of_large(), eq(1));
+    let gateway = zone.large.gateway.take().expect("it runs");
+    let stopping = tokio::spawn(gateway.stop());
+    sleep(Duration::from_millis(100)).await;
+    for _ in 0..3 {
+        expect_that!(zone.small.ask("/once/", "").await.status, eq(200));
+    }
+    expect_that!(zone.of_large(), eq(1));
+    stopping.await.expect("it stops");
+}
+
 /// Sends a request on a kept connection and reads the head and body of a short answer.
 async fn ask_again(caller: &mut TcpStream) -> String {
     let request = caller::request("/once/", "").replace("Connection: close\r\n", "");
@@ -166,6 +183,7 @@
     expect_that!(ask_again(&mut caller).await, starts_with("HTTP/1.1 200"));
     expect_that!(zone.of_large(), eq(2));
     sleep(Duration::from_millis(2_100)).await;
-    let last = ask_again(&mut caller).await;
-    expect_that!(last, contains_substring("connection: close"));
+    // One that rests is closed as well: its next request would come to a node that has stopped.
+    let closed = timeout(Duration::from_millis(200), caller.read(&mut [0; 16])).await;
+    expect_that!(matches!(closed, Ok(Ok(0) | Err(_))), eq(true));
 }
