Roster: of more than 256 servers of a pool a gateway uses a part; changes that come together make one table

Cause, by reading: for each prompt, each message heard and each tick a gateway looked at every server, it asked each what it keeps on a connection of its own, and each registration of a listing copied the whole table (3,000 x 3,000 entries when 3,001 are listed). A gateway uses about 256 now, drawn by a hash of both names, which changes little as servers come and go; with up to 256 nothing changes.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod queue;
 pub(crate) mod rank;
 pub mod retry;
+pub mod sample;
 pub mod settle;
 pub mod share;
 pub mod shed;
--- a/crates/gateway/src/exchange/inner.rs
+++ b/crates/gateway/src/exchange/inner.rs
@@ -197,12 +197,12 @@
             self.is_alone = is_alone;
             log!(core.logger, Event::Alone, "alone" => is_alone, "peers" => self.peers.len());
         }
-        let all = core.roster.all();
+        let used = core.roster.used();
         let others = told.unwrap_or_else(|| {
             let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
             own(core).estimate(peers, &core.roster.pools())
         });
-        for backend in &all {
+        for backend in &used {
             let load = others.loads.get(&backend.server.id);
             backend.engine.lock().others = load.copied().unwrap_or_default();
         }
@@ -212,8 +212,8 @@
 
 /// What this gateway has at the servers, and what customers asked of it and were given.
 pub(super) fn own(core: &Core) -> State {
-    let all = core.roster.all();
-    let loads = all.iter().filter_map(|backend| {
+    let used = core.roster.used();
+    let loads = used.iter().filter_map(|backend| {
         let load = backend.engine.lock().own;
         (load != Load::default()).then_some((backend.server.id, load))
     });
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -63,7 +63,11 @@
                     self.up(source);
                     let writes = listing.writes.iter().cloned();
                     self.core.mirror.reset(writes, position);
-                    self.contents.take_listing(listing.writes, position);
+                    let contents = &mut self.contents;
+                    self.core
+                        .roster
+                        .together(|| contents.take_listing(listing.writes, position));
+                    contents.settle();
                     self.confirm(source, begun_ms, listing.known_ms);
                     self.watch(position, &mut backoff).await;
                 }
@@ -87,7 +91,11 @@
                     known = known.max(position(&changes));
                     self.core.mirror.extend(&changes.writes, known);
                     let known_ms = changes.known_ms;
-                    self.contents.take_changes(changes.writes);
+                    let contents = &mut self.contents;
+                    self.core
+                        .roster
+                        .together(|| contents.take_changes(changes.writes));
+                    contents.settle();
                     self.confirm(source, begun_ms, known_ms);
                 }
                 Err(Error::Compacted(_)) => return,
--- a/crates/gateway/src/follow/contents.rs
+++ b/crates/gateway/src/follow/contents.rs
@@ -108,7 +108,6 @@
             }
         }
         self.shares.members.see(clock::now_ms());
-        self.shares.settle();
     }
 
     /// Takes in writes in the order of their revisions.
@@ -123,6 +122,10 @@
                 (None, None) => self.forget(&write.key),
             }
         }
+    }
+
+    /// Finds what this gateway may send to cold servers once all changes are in force.
+    pub(super) fn settle(&mut self) {
         self.shares.settle();
     }
 
--- a/crates/gateway/src/follow/shares.rs
+++ b/crates/gateway/src/follow/shares.rs
@@ -28,8 +28,8 @@
         let now = clock::now_ms();
         self.members.expire(now);
         let view = self.members.view(now);
-        let all = self.core.roster.all();
-        let cold = all
+        let used = self.core.roster.used();
+        let cold = used
             .iter()
             .filter(|backend| backend.cold.is_cold(now) && backend.cold.is_behind(view));
         let cold: Vec<&Arc<Backend>> = cold.collect();
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -71,6 +71,7 @@
         let beats = beats.map_err(|source| Error::Bind { address, source })?;
         let place = Place::new(&settings.zone, settings.processors);
         let exchange = Exchange::new(&settings.name, place);
+        let roster = Roster::new(&settings.name);
         let core = Arc::new(Core {
             budgets: Budgets::default(),
             settings: ArcSwap::from_pointee(settings),
@@ -78,7 +79,7 @@
             feed,
             logger,
             view: View::default(),
-            roster: Roster::default(),
+            roster,
             mirror: Mirror::new(),
             exchange,
             shares: Mutex::default(),
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -46,6 +46,10 @@
     };
     let (core, backend) = (Arc::clone(core), Arc::clone(backend));
     tokio::spawn(async move {
+        // By now all servers are known that were listed together.
+        if !core.roster.uses(&backend) {
+            return;
+        }
         let asked = timeout(LIST, ask(&core, &backend, path)).await;
         match asked.unwrap_or(Err(Error::Late)) {
             Ok(names) => {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -2,9 +2,12 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
+use mulberryyoke_decide::aggregate::rank;
 use mulberryyoke_decide::engine::Pace;
+use mulberryyoke_decide::sample::is_used;
 use mulberryyoke_model::{PoolId, ServerId};
 use parking_lot::Mutex;
 
@@ -13,18 +16,28 @@
 use crate::plan::Plan;
 use crate::server::Server;
 
-/// The servers by name and by pool.
+/// Servers of a pool that a node uses, about: of more it uses a part, so that what it does for a
+/// prompt, and the connections that it has, do not grow with them. Sixteen are looked at closely
+/// for each prompt.
+const USED: usize = 256;
+
+/// The servers by identity, and those of each pool that this node uses.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
-    names: HashMap<String, Arc<Backend>>,
     ids: HashMap<ServerId, Arc<Backend>>,
     pools: HashMap<PoolId, Vec<Arc<Backend>>>,
 }
 
 /// The servers that are registered, readable without a lock. One task alone changes it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Roster {
+    /// This node's rank, by which it uses other servers than other nodes.
+    node: u64,
     table: ArcSwap<Table>,
+    /// The servers by name, as the one task that changes them knows them.
+    names: Mutex<HashMap<String, Arc<Backend>>>,
+    /// Whether the table is to be made when all changes are known that came together.
+    is_held: AtomicBool,
     /// How fast servers read prompts and end requests, by pool.
     paces: Mutex<HashMap<PoolId, Arc<Mutex<Pace>>>>,
     /// Availability zones to whose servers nothing is to be sent.
@@ -32,15 +45,44 @@
 }
 
 impl Roster {
-    /// Reads the servers of a pool.
+    /// That of a node before it knows a server.
+    pub(crate) fn new(name: &str) -> Self {
+        Self {
+            node: rank(name),
+            table: ArcSwap::default(),
+            names: Mutex::default(),
+            is_held: AtomicBool::new(false),
+            paces: Mutex::default(),
+            evacuated: Mutex::default(),
+        }
+    }
+
+    /// Makes several changes at once: the table is made when they are done.
+    pub(crate) fn together<T>(&self, changes: impl FnOnce() -> T) -> T {
+        self.is_held.store(true, Ordering::Relaxed);
+        let done = changes();
+        self.is_held.store(false, Ordering::Relaxed);
+        self.publish();
+        done
+    }
+
+    /// Reads the servers of a pool that this node uses.
     pub(crate) fn of<T>(&self, pool: PoolId, read: impl FnOnce(&[Arc<Backend>]) -> T) -> T {
         let table = self.table.load();
         read(table.pools.get(&pool).map_or(&[], Vec::as_slice))
     }
 
+    /// Whether this node uses a server.
+    pub(crate) fn uses(&self, backend: &Backend) -> bool {
+        let id = backend.server.id;
+        self.of(backend.server.pool, |servers| {
+            servers.iter().any(|server| server.server.id == id)
+        })
+    }
+
     /// The server of a name.
     pub(crate) fn get(&self, name: &str) -> Option<Arc<Backend>> {
-        self.table.load().names.get(name).cloned()
+        self.names.lock().get(name).cloned()
     }
 
     /// The server of an identity.
@@ -48,12 +90,13 @@
         self.table.load().ids.get(&id).cloned()
     }
 
-    /// Every server.
-    pub(crate) fn all(&self) -> Vec<Arc<Backend>> {
-        self.table.load().names.values().cloned().collect()
+    /// The servers that this node uses.
+    pub(crate) fn used(&self) -> Vec<Arc<Backend>> {
+        let table = self.table.load();
+        table.pools.values().flatten().cloned().collect()
     }
 
-    /// The servers of each pool.
+    /// The servers of each pool, those that this node uses.
     pub(crate) fn pools(&self) -> Vec<Vec<ServerId>> {
         let table = self.table.load();
         let pools = table.pools.values();
@@ -61,7 +104,7 @@
         ids.collect()
     }
 
-    /// Time until the model servers would begin to read a prompt sent now, on average, in
+    /// Time until the model servers in use would begin to read a prompt sent now, on average, in
     /// milliseconds; 0 without any. Cold ones have little to do and cannot take more.
     pub(crate) fn mean_wait_ms(&self) -> f64 {
         let table = self.table.load();
@@ -123,8 +166,10 @@
             evacuated.remove(zone);
         }
         drop(evacuated);
-        let mut servers = self.all();
-        servers.retain(|backend| backend.server.zone == zone);
+        let names = self.names.lock();
+        let servers = names.values().filter(|backend| backend.server.zone == zone);
+        let servers: Vec<Arc<Backend>> = servers.cloned().collect();
+        drop(names);
         for backend in &servers {
             backend.evacuate(is_evacuated);
         }
@@ -132,18 +177,23 @@
     }
 
     fn change(&self, change: impl FnOnce(&mut HashMap<String, Arc<Backend>>)) {
-        let mut table = Table {
-            names: self.table.load().names.clone(),
-            ids: HashMap::new(),
-            pools: HashMap::new(),
-        };
-        change(&mut table.names);
-        for backend in table.names.values() {
+        change(&mut self.names.lock());
+        if !self.is_held.load(Ordering::Relaxed) {
+            self.publish();
+        }
+    }
+
+    /// Makes the table that requests read.
+    fn publish(&self) {
+        let mut table = Table::default();
+        for backend in self.names.lock().values() {
             let of_pool = table.pools.entry(backend.server.pool).or_default();
             of_pool.push(Arc::clone(backend));
             table.ids.insert(backend.server.id, Arc::clone(backend));
         }
         for of_pool in table.pools.values_mut() {
+            let count = of_pool.len();
+            of_pool.retain(|backend| is_used(self.node, backend.server.id, count, USED));
             of_pool.sort_by(|a, b| a.server.name.cmp(&b.server.name));
         }
         self.table.store(Arc::new(table));
