Handoff: two gateways agree on the configuration before one serves the other's caller; one request each

Cause, by reason: a node whose callers had been answered by a new configuration could hand the next connection on to one that had not learnt it, up to 400 ms later (two hops of 200 ms), and a caller would see a change undone. A connection carries one request again, so that no older agreement stays in use.

--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -1,18 +1,19 @@
 //! Handing callers' connections on to a larger gateway of the zone, byte by byte.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use mulberryyoke_event::{Event, log};
-use tokio::io::copy_bidirectional_with_sizes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional_with_sizes};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::core::Core;
 use crate::socket;
 
-/// Longest time to connect to another gateway: it is in the same zone.
+/// Longest time until another gateway has taken over a connection: it is in the same zone.
 const CONNECT: Duration = Duration::from_millis(100);
 
 /// Gateways that are asked before a connection is served here.
@@ -25,22 +26,46 @@
 /// A connection to a gateway that takes over one of a caller; `None` if there is none.
 pub(crate) async fn open(core: &Core) -> Option<TcpStream> {
     for target in core.exchange.larger().into_iter().take(ASKED) {
-        match timeout(CONNECT, TcpStream::connect(target)).await {
+        match timeout(CONNECT, ask(core, target)).await {
             Ok(Ok(stream)) => {
-                if let Err(error) = socket::tune(&stream) {
-                    note(core, target, &error.to_string());
-                    continue;
-                }
                 metrics::counter!("handed_on_total").increment(1);
                 return Some(stream);
             }
             Ok(Err(error)) => note(core, target, &error.to_string()),
-            Err(_) => note(core, target, "no connection in time"),
+            Err(_) => note(core, target, "no answer in time"),
         }
     }
     None
 }
 
+/// Asks a gateway to take over a connection. It does if its configuration is as new as what
+/// callers of this one were answered by, and tells its version: each node learns of a change at
+/// another moment, and a caller must not see it undone.
+async fn ask(core: &Core, target: SocketAddr) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(target).await?;
+    socket::tune(&stream)?;
+    stream.write_u64(core.view.latest()).await?;
+    let version = stream.read_u64().await?;
+    core.view.see(version);
+    Ok(stream)
+}
+
+/// Takes over a connection from another gateway; `false` if its callers were answered by a later
+/// configuration.
+pub(crate) async fn accept(core: &Core, stream: &mut TcpStream) -> bool {
+    let agreed = async {
+        let least = stream.read_u64().await?;
+        let version = core.view.plan().map_or(0, |plan| plan.version());
+        let may = version > 0 && version >= least && !core.view.is_overtaken();
+        if may {
+            stream.write_u64(version).await?;
+        }
+        Ok::<_, io::Error>(may)
+    };
+    // One that asks no further has served the connection itself.
+    matches!(timeout(CONNECT, agreed).await, Ok(Ok(true)))
+}
+
 fn note(core: &Core, target: SocketAddr, error: &str) {
     log!(core.logger, Event::HandoffFailed, "address" => target.to_string(), "error" => error);
 }
--- a/crates/gateway/src/listen/connection.rs
+++ b/crates/gateway/src/listen/connection.rs
@@ -1,7 +1,6 @@
 //! Serving a caller's connection, and whether it ends with an answer.
 
 use std::convert::Infallible;
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,7 +14,7 @@
 use hyper_util::server::graceful::Watcher;
 use mulberryyoke_event::{Event, log};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use super::way::Way;
 use crate::answer::Answer;
@@ -37,11 +36,6 @@
 /// Part of the file descriptors that callers' connections may have before some are closed.
 const CROWDED_PART: u64 = 8;
 
-/// Time for which a connection that was handed on takes requests. A gateway that stops hands
-/// on no more, so that after this time none come that would be cut off at its end: a kept one
-/// that had rested brought a request seconds after the stop.
-const HANDED_ON: Duration = Duration::from_secs(2);
-
 /// Serves a connection until it ends or the node does.
 pub(super) fn connect(core: &Arc<Core>, watcher: Watcher, stream: TcpStream, way: Way) {
     let plan = core.view.plan();
@@ -50,34 +44,21 @@
     let idle_ms = limits.map_or(IDLE_MS, |limits| limits.idle_ms);
     let service = {
         let core = Arc::clone(core);
-        service_fn(move |request| answer(Arc::clone(&core), request))
+        service_fn(move |request| answer(Arc::clone(&core), request, way))
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(head_bytes.max(LEAST_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
+    let connection = watcher.watch(connection);
     let end = core.stop.end.clone();
     core.connections.fetch_add(1, Ordering::Relaxed);
     let core = Arc::clone(core);
     tokio::spawn(async move {
-        // How a connection fails is seen in its requests.
-        let ended = async {
-            match way {
-                Way::Direct => drop(watcher.watch(connection).await),
-                Way::HandedOn => {
-                    let mut connection = pin!(connection);
-                    if timeout(HANDED_ON, connection.as_mut()).await.is_err() {
-                        connection.as_mut().graceful_shutdown();
-                        drop(connection.await);
-                    }
-                    // Until now it counts as open.
-                    drop(watcher);
-                }
-            }
-        };
         tokio::select! {
-            () = ended => {}
+            // How a connection fails is seen in its requests.
+            _ = connection => {}
             () = end.cancelled() => {}
         }
         core.connections.fetch_sub(1, Ordering::Relaxed);
@@ -87,6 +68,7 @@
 async fn answer(
     core: Arc<Core>,
     request: Request<Incoming>,
+    way: Way,
 ) -> Result<Response<Answer>, Infallible> {
     let since = Instant::now();
     metrics::counter!("requests_total").increment(1);
@@ -98,7 +80,7 @@
         }
         Err(refusal) => refuse(&core, "", since, refusal),
     };
-    if ends_connection(&core, response.status()) {
+    if way == Way::HandedOn || ends_connection(&core, response.status()) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/gateway/src/listen/port.rs
+++ b/crates/gateway/src/listen/port.rs
@@ -119,12 +119,22 @@
     tuned.is_ok()
 }
 
-/// Serves a connection, or has a larger gateway serve it while this one is behind.
-fn route(core: &Arc<Core>, shutdown: &GracefulShutdown, stream: TcpStream, way: Way) {
-    if way == Way::HandedOn || !core.strain.is_behind() || core.stop.leave.is_cancelled() {
-        return connect(core, shutdown.watcher(), stream, way);
-    }
+/// Serves a connection, or has a larger gateway serve it while this one is behind with its work
+/// or its configuration.
+fn route(core: &Arc<Core>, shutdown: &GracefulShutdown, mut stream: TcpStream, way: Way) {
     let (core, watcher) = (Arc::clone(core), shutdown.watcher());
+    if way == Way::HandedOn {
+        tokio::spawn(async move {
+            if handoff::accept(&core, &mut stream).await {
+                connect(&core, watcher, stream, way);
+            }
+        });
+        return;
+    }
+    let is_behind = core.strain.is_behind() || core.view.is_overtaken();
+    if !is_behind || core.stop.leave.is_cancelled() {
+        return connect(&core, watcher, stream, way);
+    }
     let tracker = core.handed_on.clone();
     tracker.spawn(async move {
         match handoff::open(&core).await {
--- a/crates/gateway/src/listen/way.rs
+++ b/crates/gateway/src/listen/way.rs
@@ -5,7 +5,7 @@
 pub(super) enum Way {
     /// From the balancer.
     Direct,
-    /// Handed on by another gateway, which may stop at any time: it ends after a while, or
-    /// with the answer that is due then.
+    /// Handed on by another gateway, which may stop at any time, and whose callers may have been
+    /// answered by a later configuration meanwhile: it carries one request.
     HandedOn,
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -17,6 +17,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct View {
     plan: ArcSwapOption<Plan>,
+    /// Latest version by which another gateway answers callers of this one.
+    seen: AtomicU64,
     confirmed_ms: AtomicU64,
     reached_ms: AtomicU64,
 }
@@ -37,6 +39,25 @@
         true
     }
 
+    /// The latest version by which callers of this node were answered, here or by another
+    /// gateway; 0 before the first.
+    pub(crate) fn latest(&self) -> u64 {
+        let held = self.plan.load().as_ref().map_or(0, |held| held.version());
+        held.max(self.seen.load(Ordering::Relaxed))
+    }
+
+    /// Notes that another gateway answers callers of this one by a version.
+    pub(crate) fn see(&self, version: u64) {
+        self.seen.fetch_max(version, Ordering::Relaxed);
+    }
+
+    /// Whether callers of this node were answered by a later version than the one in force here:
+    /// what that changed must not be as it was before.
+    pub(crate) fn is_overtaken(&self) -> bool {
+        let held = self.plan.load().as_ref().map_or(0, |held| held.version());
+        held < self.seen.load(Ordering::Relaxed)
+    }
+
     /// Notes that no newer configuration had been accepted at an instant, in
     /// milliseconds of this process's clock.
     pub(crate) fn confirm(&self, at_ms: u64) {
