--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -17,6 +17,9 @@
 /// Fewest and most faults of a run, for each gateway.
 const FAULTS: (usize, usize) = (5, 9);
 
+/// Part of the runs in which the store comes back from a copy.
+const RESTORES: f64 = 0.5;
+
 /// What goes wrong, or is planned.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Fault {
@@ -34,6 +37,8 @@
     Refuse,
     /// The store forgets its history.
     Compact,
+    /// The store comes back from a copy as old as the fault lasts.
+    Restore,
     /// The way to a server is harmed.
     Server(Way),
     /// The ways to all servers of a pool are harmed.
@@ -70,6 +75,13 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let count = rng.random_range(FAULTS.0..=FAULTS.1) * gates;
     let mut steps: Vec<Step> = (0..count).map(|_| step(&mut rng)).collect();
+    // Drawn last, so that the other steps of a seed stay as they were.
+    if rng.random_bool(RESTORES) {
+        steps.push(Step {
+            fault: Fault::Restore,
+            ..step(&mut rng)
+        });
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
--- a/crates/daemon/tests/soak/scene.rs
+++ b/crates/daemon/tests/soak/scene.rs
@@ -249,6 +249,13 @@
                 self.troubles.end(trouble);
             }
             Fault::Compact => self.store.compact(),
+            Fault::Restore => {
+                self.store.copy();
+                sleep(step.lasts).await;
+                let trouble = self.troubles.begin(Place::Stores);
+                self.store.restore();
+                self.troubles.end(trouble);
+            }
             Fault::Server(way) => {
                 let trouble = self.troubles.begin(Place::Server);
                 host.link.set(way);
