Quarantine: a server that ends in an evacuated zone is evidence as well

Cause: an evacuated server was taken for one that leaves as planned, whose end says nothing; a request that ends servers could so end more of them. Test red with the mistake, green without. A server that registers again is no longer remembered as gone.

--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -108,6 +108,7 @@
 
     fn register(&mut self, name: &str, value: &[u8], revision: Revision) {
         self.lapsing.remove(name);
+        self.gone.remove(name);
         let server = match self.core.protocol.server(name, value) {
             Ok(server) => server,
             Err(error) => {
@@ -172,7 +173,7 @@
             return;
         }
         let backend = self.core.roster.get(name);
-        self.lapse(backend.filter(|backend| backend.is_open()));
+        self.lapse(backend.filter(|backend| !backend.is_closed()));
         self.drop_server(name, "registration ended");
     }
 
--- a/crates/gateway/src/quarantine/witness.rs
+++ b/crates/gateway/src/quarantine/witness.rs
@@ -27,7 +27,7 @@
 /// no evidence.
 pub(crate) async fn witness(core: &Arc<Core>, call: &Call, running: &Running) {
     let backend = &running.backend;
-    if !backend.is_open() {
+    if backend.is_closed() {
         return;
     }
     let digest = call.digest();
--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -33,6 +33,9 @@
 /// Pause between two repeats of a caller; what one gateway saw is known to all by then.
 const PAUSE: Duration = Duration::from_millis(500);
 
+/// Time after its start in which a gateway knows too little of the fleet for cold servers.
+const KNOWN: Duration = Duration::from_millis(3_200);
+
 /// Most servers that a request may end which comes one at a time.
 const MOST: u32 = 3;
 
@@ -232,6 +235,34 @@
     expect_that!(heads.sum::<usize>(), eq(12));
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_server_that_ends_in_an_evacuated_zone_is_evidence_as_well() {
+    let fleet = Fleet::spawn(Name::New, 1, Way::Hang).await;
+    let request = caller::with_body("/once/", PROMPT, "any");
+    // Servers of a zone that was evacuated are cold, and it has to know the fleet for those.
+    sleep(KNOWN).await;
+    for _ in 0..MOST {
+        let before: Vec<usize> = fleet
+            .servers
+            .iter()
+            .map(|s| s.state.heads().len())
+            .collect();
+        let _caller = caller::open(fleet.nodes[0].callers, &request).await;
+        sleep(PAUSE).await;
+        fleet.service.set("evacuate/a", Some("{}"));
+        sleep(PAUSE).await;
+        let runs = fleet.servers.iter().zip(&before);
+        let mut runs = runs.filter(|(server, before)| server.state.heads().len() > **before);
+        runs.next().expect("a server runs it").0.kill();
+        sleep(PAUSE).await;
+        fleet.service.set("evacuate/a", None);
+        sleep(PAUSE).await;
+    }
+    let last = fleet.ask(0, "/once/", "any").await;
+    expect_that!(last.body, contains_substring("quarantined"));
+}
+
 #[gtest]
 #[tokio::test]
 async fn gateways_that_all_start_anew_know_it_and_an_operator_may_lift_it() {
