Followers: what a peer that lags tells is not taken for what is there

Cause: a listing of every key was taken as it came; one of a peer that lags lacked servers and evacuations that were written since. The revision is compared now within an era, for peers: the service itself is never behind. The taking of a listing is two functions.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -56,7 +56,7 @@
             let begun_ms = clock::now_ms();
             let source = self.sources.choose(&self.core);
             let listed = self.sources.list(source).await;
-            match listed.and_then(|listing| self.of_now(listing)) {
+            match listed.and_then(|listing| self.no_older(source, listing)) {
                 Ok(listing) => {
                     backoff.reset();
                     let position = position(&listing);
@@ -82,7 +82,7 @@
             let (begun, begun_ms) = (Instant::now(), clock::now_ms());
             let source = self.sources.choose(&self.core);
             let changes = self.sources.changes(source, known).await;
-            match changes.and_then(|changes| self.of_now(changes)) {
+            match changes.and_then(|changes| self.no_older(source, changes)) {
                 // Its revisions say nothing beside those of the era before.
                 Ok(changes) if changes.era > known.era => return,
                 Ok(changes) => {
@@ -94,8 +94,7 @@
                     let contents = &mut self.contents;
                     self.core
                         .roster
-                        .together(|| contents.take_changes(changes.writes));
-                    contents.settle();
+                        .together(|| contents.take_changes(changes.writes, known));
                     self.confirm(source, begun_ms, known_ms);
                 }
                 Err(Error::Compacted(_)) => return,
@@ -106,11 +105,16 @@
         }
     }
 
-    /// What a source told, unless it is of an earlier era than what is known here.
-    fn of_now(&self, relayed: Relayed) -> Result<Relayed, Error> {
-        let era = self.contents.era().unwrap_or(0);
-        if relayed.era < era {
-            let why = format!("it is of era {}, before {era}", relayed.era);
+    /// What a source told, unless that is older than what is known here: a peer may lag. Within
+    /// its era the service itself is never behind.
+    fn no_older(&self, source: Source, relayed: Relayed) -> Result<Relayed, Error> {
+        let (told, known) = (position(&relayed), self.contents.position());
+        let is_behind = match source {
+            Source::Store => told.era < known.era,
+            Source::Peer(_) => told < known,
+        };
+        if is_behind {
+            let why = format!("it tells {told}, before {known}");
             return Err(Error::Unknown(Cause::Unreadable(why)));
         }
         Ok(relayed)
--- a/crates/gateway/src/follow/contents.rs
+++ b/crates/gateway/src/follow/contents.rs
@@ -6,7 +6,7 @@
 
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::Digest;
-use mulberryyoke_platform::kv::{Era, Position, Revision};
+use mulberryyoke_platform::kv::{Position, Revision};
 use mulberryyoke_wire::relay::Write;
 use tokio::time::Instant;
 
@@ -27,8 +27,8 @@
 /// What is known of the service's contents beside what is in force.
 pub(super) struct Contents {
     core: Arc<Core>,
-    /// The service's era; `None` before the first contents.
-    era: Option<Era>,
+    /// How far the service's writes are known; `None` before the first contents.
+    position: Option<Position>,
     /// Keys that exist, but for those of servers.
     keys: HashSet<String>,
     /// When keys are taken to be gone that the service lacks since it came back from a copy.
@@ -42,7 +42,7 @@
     pub(super) fn new(core: &Arc<Core>) -> Self {
         Self {
             core: Arc::clone(core),
-            era: None,
+            position: None,
             keys: HashSet::new(),
             missing: HashMap::new(),
             servers: Servers::new(core),
@@ -51,9 +51,9 @@
         }
     }
 
-    /// The service's era; `None` before the first contents.
-    pub(super) const fn era(&self) -> Option<Era> {
-        self.era
+    /// How far the service's writes are known; the very beginning before the first contents.
+    pub(super) fn position(&self) -> Position {
+        self.position.unwrap_or_default()
     }
 
     /// Notes that a call to the service failed.
@@ -68,8 +68,8 @@
 
     /// Takes in every key.
     pub(super) fn take_listing(&mut self, writes: Vec<Write>, position: Position) {
-        let is_restored = self.era.is_some_and(|era| position.era > era);
-        self.era = Some(position.era);
+        let before = self.position.replace(position);
+        let is_restored = before.is_some_and(|before| position.era > before.era);
         if is_restored {
             log!(self.core.logger, Event::KvRestored,
                 "era" => position.era, "revision" => position.revision);
@@ -92,26 +92,33 @@
                 self.put(write);
             }
         }
-        for name in gone {
+        self.lose(&gone, &absent, is_restored);
+        self.shares.members.see(clock::now_ms());
+    }
+
+    /// Notes that servers and keys are no longer there: for good, or, if a copy lacks them from
+    /// which the service came back, until they had time to be written again.
+    fn lose(&mut self, servers: &HashSet<String>, keys: &HashSet<String>, is_restored: bool) {
+        let until = clock::after(Instant::now(), RESTORE_MS);
+        for name in servers {
             if is_restored {
-                self.servers.miss(&name);
+                self.servers.miss(name);
             } else {
-                self.servers.remove(&name);
+                self.servers.remove(name);
             }
         }
-        for key in absent {
+        for key in keys {
             if is_restored {
-                let until = clock::after(Instant::now(), RESTORE_MS);
-                self.missing.insert(key, until);
-            } else if !self.missing.contains_key(&key) {
-                self.forget(&key);
+                self.missing.insert(key.clone(), until);
+            } else if !self.missing.contains_key(key) {
+                self.forget(key);
             }
         }
-        self.shares.members.see(clock::now_ms());
     }
 
     /// Takes in writes in the order of their revisions.
-    pub(super) fn take_changes(&mut self, writes: Vec<Write>) {
+    pub(super) fn take_changes(&mut self, writes: Vec<Write>, position: Position) {
+        self.position = Some(position);
         let prefix = self.core.protocol.servers_prefix();
         for write in writes {
             let name = write.key.strip_prefix(prefix);
--- /dev/null
+++ b/crates/gateway/tests/gateway/lagging.rs
@@ -0,0 +1,76 @@
+//! A peer that is asked lags: it tells every key as it was before, and the key-value service
+//! hangs, which would tell otherwise.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use mulberryyoke_wire::relay::{Relayed, Write};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+use crate::backend::{Backend, Way, read_request};
+use crate::feed::Service;
+use crate::fleet::{Node, register};
+
+/// Gateways of the highest rank that the others ask.
+const WATCHERS: usize = 3;
+
+/// Time in which a node has asked them a dozen times.
+const ASKED: Duration = Duration::from_secs(2);
+
+/// Answers like a gateway that has lost its history and knows these keys up to this revision.
+async fn answer(listener: TcpListener, listing: Vec<u8>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let listing = listing.clone();
+        tokio::spawn(async move {
+            while let Some((head, _)) = read_request(&mut stream).await {
+                let (status, body) = if head.starts_with("get /relay/list ") {
+                    (200, listing.as_slice())
+                } else {
+                    (410, &[][..])
+                };
+                let length = body.len();
+                let text = format!("HTTP/1.1 {status} Any\r\ncontent-length: {length}\r\n\r\n");
+                let _ = stream.write_all(text.as_bytes()).await;
+                let _ = stream.write_all(body).await;
+            }
+        });
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_server_stays_in_use_that_a_peer_does_not_know_yet() {
+    let backend = Backend::spawn(Way::Answer).await;
+    let service = Service::new();
+    service.set("config", Some("5 secret"));
+    let before = service.revision();
+    let listing = Relayed {
+        known_ms: 0,
+        revision: before,
+        writes: vec![Write {
+            key: "config".to_owned(),
+            value: Some(b"5 secret".to_vec()),
+            revision: before,
+        }],
+        era: 0,
+    };
+    for index in 0..WATCHERS {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let peer = format!("{address} 9000 a");
+        service.set(&format!("mulberryyoke/gateways/s{index}"), Some(&peer));
+        tokio::spawn(answer(listener, listing.encode()));
+    }
+    register(&service, 0, &backend, "ready");
+    let node = Node::spawn(&service, "g0").await;
+    node.wait_ready().await;
+    node.way.silence(true);
+    let until = Instant::now() + ASKED;
+    let mut status = 200;
+    while Instant::now() < until && status == 200 {
+        status = node.ask("/once/", "").await.status;
+    }
+    expect_that!(status, eq(200));
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod handoff;
 mod kept;
+mod lagging;
 mod mortal;
 mod peers;
 mod protocol;
