Roster: the table is made only when something changed

Each poll of the key-value service, several a second, made and sorted the whole table although mostly nothing had come: found by reading, not measured apart.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -38,6 +38,8 @@
     names: Mutex<HashMap<String, Arc<Backend>>>,
     /// Whether the table is to be made when all changes are known that came together.
     is_held: AtomicBool,
+    /// Whether the table lacks changes.
+    is_stale: AtomicBool,
     /// How fast servers read prompts and end requests, by pool.
     paces: Mutex<HashMap<PoolId, Arc<Mutex<Pace>>>>,
     /// Availability zones to whose servers nothing is to be sent.
@@ -52,6 +54,7 @@
             table: ArcSwap::default(),
             names: Mutex::default(),
             is_held: AtomicBool::new(false),
+            is_stale: AtomicBool::new(false),
             paces: Mutex::default(),
             evacuated: Mutex::default(),
         }
@@ -178,13 +181,17 @@
 
     fn change(&self, change: impl FnOnce(&mut HashMap<String, Arc<Backend>>)) {
         change(&mut self.names.lock());
+        self.is_stale.store(true, Ordering::Relaxed);
         if !self.is_held.load(Ordering::Relaxed) {
             self.publish();
         }
     }
 
-    /// Makes the table that requests read.
+    /// Makes the table that requests read, if something changed.
     fn publish(&self) {
+        if !self.is_stale.swap(false, Ordering::Relaxed) {
+            return;
+        }
         let mut table = Table::default();
         for backend in self.names.lock().values() {
             let of_pool = table.pools.entry(backend.server.pool).or_default();
