Handoff: larger gateways are found when peers change, not for each connection and answer

A node that is behind ran through all gateways of its zone, with a map, a sort and three allocations, for each connection and for each answer: work on the path that is short of processor. Targets are a pure decision as before, and which are asked another one; the test of parts is exact now (33 of 99 each).

--- a/crates/decide/src/handoff.rs
+++ b/crates/decide/src/handoff.rs
@@ -9,8 +9,6 @@
 
 use mulberryyoke_model::Millis;
 
-use crate::rank::weight;
-
 /// Lateness of tasks from which connections are handed on, in milliseconds: a tenth of the
 /// shortest objective, and well before callers are sent elsewhere.
 const BEHIND_MS: u64 = 10;
@@ -23,6 +21,9 @@
 /// room for this node's callers beside its own, and nobody hands on in a circle.
 const LARGER: u32 = 2;
 
+/// Nodes that are asked to take over a connection before it is served here.
+const ASKED: usize = 2;
+
 /// Whether a node is behind with its work.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Behind {
@@ -44,11 +45,17 @@
     }
 }
 
-/// Nodes that may be handed connections, by rank and thousandths of a processor, in the order in
-/// which they are to be asked. `seed` is drawn for each connection, so that all get their part.
-pub fn targets(own: u32, nodes: impl Iterator<Item = (u64, u32)>, seed: u64) -> Vec<u64> {
+/// Nodes that may be handed connections, by rank and thousandths of a processor.
+pub fn targets(own: u32, nodes: impl Iterator<Item = (u64, u32)>) -> Vec<u64> {
     let larger = nodes.filter(|(_, thousandths)| *thousandths >= own.saturating_mul(LARGER));
     let mut larger: Vec<u64> = larger.map(|(rank, _)| rank).collect();
-    larger.sort_unstable_by_key(|rank| (weight(seed, *rank), *rank));
+    larger.sort_unstable();
     larger
 }
+
+/// Those of `targets` that are asked for one connection, by a number drawn evenly: all get their
+/// part, and the next one is asked where the first cannot be.
+pub fn asked<T: Copy>(targets: &[T], drawn: usize) -> impl Iterator<Item = T> {
+    let count = targets.len();
+    (0..count.min(ASKED)).map(move |next| targets[(drawn % count + next) % count])
+}
--- a/crates/decide/tests/handoff/main.rs
+++ b/crates/decide/tests/handoff/main.rs
@@ -12,7 +12,7 @@
 mod zone;
 
 use googletest::prelude::*;
-use mulberryyoke_decide::handoff::{Behind, targets};
+use mulberryyoke_decide::handoff::{Behind, asked, targets};
 
 use crate::zone::{Caller, Way, Zone};
 
@@ -42,17 +42,25 @@
 #[gtest]
 fn only_nodes_with_twice_as_much_of_a_processor_are_handed_connections() {
     let nodes = [(1, 500), (2, 90), (3, 180), (4, 179), (5, 500)];
-    let mut found = targets(90, nodes.into_iter(), 7);
-    found.sort_unstable();
+    let found = targets(90, nodes.into_iter());
     expect_that!(found, eq(&[1, 3, 5]));
-    expect_that!(targets(500, nodes.into_iter(), 7), is_empty());
-    let first: Vec<u64> = (0..100)
-        .map(|seed| targets(90, nodes.into_iter(), seed)[0])
-        .collect();
-    for target in [1, 3, 5] {
-        let part = first.iter().filter(|first| **first == target).count();
-        expect_that!(part, gt(15), "{target} gets its part");
+    expect_that!(targets(500, nodes.into_iter()), is_empty());
+}
+
+#[gtest]
+fn each_larger_node_gets_its_part_and_another_is_asked_where_one_cannot() {
+    let targets = [1, 3, 5];
+    let first = (0..99).filter_map(|drawn| asked(&targets, drawn).next());
+    let mut parts = [0; 6];
+    first.for_each(|target| parts[target] += 1);
+    expect_that!(parts, eq([0, 33, 0, 33, 0, 33]));
+    for drawn in 0..9 {
+        let two: Vec<usize> = asked(&targets, drawn).collect();
+        expect_that!(two.len(), eq(2));
+        expect_that!(two[0], not(eq(two[1])));
     }
+    expect_that!(asked(&[7], 3).collect::<Vec<usize>>(), eq(&[7]));
+    expect_that!(asked(&[0_u8; 0], 3).count(), eq(0));
 }
 
 #[gtest]
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,6 +12,7 @@
 
 use mulberryyoke_decide::aggregate::{Place, interval_ms};
 use mulberryyoke_decide::engine::Prompt;
+use mulberryyoke_decide::handoff::asked;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::{Digest, Incarnation, ServerId};
 use mulberryyoke_wire::beat::{Beat, Read};
@@ -44,24 +45,23 @@
 
     /// Notes where a peer is and takes messages, or that it is gone.
     pub(crate) fn set_peer(&self, name: &str, peer: Option<Peer>) {
-        self.inner.lock().peers.set(name, peer);
+        self.inner.lock().set_peer(name, peer);
     }
 
     /// Notes where a peer takes callers' connections that are handed on, or that it takes none.
     pub(crate) fn set_handoff(&self, name: &str, address: Option<SocketAddr>) {
-        self.inner.lock().peers.set_handoff(name, address);
+        self.inner.lock().set_handoff(name, address);
     }
 
     /// Whether a larger gateway of the zone takes connections that are handed on.
     pub(crate) fn has_larger(&self) -> bool {
-        !self.larger().is_empty()
+        !self.inner.lock().larger.is_empty()
     }
 
-    /// Where larger gateways of the zone take connections that are handed on, in the order in
-    /// which they are to be asked.
+    /// Where the larger gateways of the zone take connections that are asked for one, in their
+    /// order.
     pub(crate) fn larger(&self) -> Vec<SocketAddr> {
-        let inner = self.inner.lock();
-        inner.peers.larger(&inner.place, rand::random())
+        asked(&self.inner.lock().larger, rand::random_range(0..usize::MAX)).collect()
     }
 
     /// Whether this gateway is one of the few that ask the key-value service, and
--- a/crates/gateway/src/exchange/inner.rs
+++ b/crates/gateway/src/exchange/inner.rs
@@ -9,7 +9,7 @@
 use mulberryyoke_model::Incarnation;
 use mulberryyoke_wire::beat::{Beat, Scope};
 
-use super::peers::Peers;
+use super::peers::{Peer, Peers};
 use super::reads::Reads;
 use super::upstream::Upstream;
 use crate::core::Core;
@@ -28,6 +28,9 @@
     pub(super) name: String,
     pub(super) place: Place,
     pub(super) peers: Peers,
+    /// Where larger gateways of the zone take connections that are handed on; found when peers
+    /// change, as each connection and answer of a node that is behind asks for it.
+    pub(super) larger: Vec<SocketAddr>,
     pub(super) aggregate: Aggregate,
     pub(super) reads: Reads,
     upstream: Upstream,
@@ -50,6 +53,7 @@
             aggregate: Aggregate::new(origin, &place.zone),
             place,
             peers: Peers::default(),
+            larger: Vec::new(),
             reads: Reads::default(),
             upstream: Upstream::default(),
             wanting: HashMap::new(),
@@ -61,6 +65,16 @@
         }
     }
 
+    pub(super) fn set_peer(&mut self, name: &str, peer: Option<Peer>) {
+        self.peers.set(name, peer);
+        self.larger = self.peers.larger(&self.place);
+    }
+
+    pub(super) fn set_handoff(&mut self, name: &str, address: Option<SocketAddr>) {
+        self.peers.set_handoff(name, address);
+        self.larger = self.peers.larger(&self.place);
+    }
+
     /// Whether this gateway adds up what those of its zone have: as one of the zone's
     /// collectors, or because others found none of them.
     pub(super) fn collects(&self) -> bool {
--- a/crates/gateway/src/exchange/peers.rs
+++ b/crates/gateway/src/exchange/peers.rs
@@ -77,7 +77,7 @@
     }
 
     /// Where gateways of a zone take connections from one that is behind with its work.
-    pub(super) fn larger(&self, own: &Place, seed: u64) -> Vec<SocketAddr> {
+    pub(super) fn larger(&self, own: &Place) -> Vec<SocketAddr> {
         let names = self.zones.get(&own.zone).into_iter().flatten();
         let known = names.filter_map(|name| {
             let address = *self.handoffs.get(name)?;
@@ -88,7 +88,7 @@
         });
         let known: HashMap<u64, (u32, SocketAddr)> = known.collect();
         let sizes = known.iter().map(|(rank, (size, _))| (*rank, *size));
-        let targets = targets(own.thousandths, sizes, seed);
+        let targets = targets(own.thousandths, sizes);
         let addresses = targets.into_iter().filter_map(|rank| known.get(&rank));
         addresses.map(|(_, address)| *address).collect()
     }
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -21,16 +21,13 @@
 /// it had no room; with this time it did not fail once.
 const AGREE: Duration = Duration::from_millis(600);
 
-/// Gateways that are asked before a connection is served here.
-const ASKED: usize = 2;
-
 /// Buffers for what a caller sends and for what it gets, in bytes: a head with a short prompt,
 /// and some events.
 const BUFFERS: (usize, usize) = (2 << 10, 4 << 10);
 
 /// A connection to a gateway that takes over one of a caller; `None` if there is none.
 pub(crate) async fn open(core: &Core) -> Option<TcpStream> {
-    for target in core.exchange.larger().into_iter().take(ASKED) {
+    for target in core.exchange.larger() {
         match timeout(AGREE, ask(core, target)).await {
             Ok(Ok(stream)) => {
                 metrics::counter!("handed_on_total").increment(1);
--- a/crates/gateway/tests/gateway/handoff.rs
+++ b/crates/gateway/tests/gateway/handoff.rs
@@ -93,7 +93,6 @@
     let mut zone = Zone::new(Way::Answer).await;
     let gateway = zone.large.gateway.take().expect("it runs");
     gateway.stop().await;
-    drop(zone.service.keys(""));
     hold_up().await;
     let before = zone.backend.state.heads().len();
     expect_that!(zone.small.ask("/once/", "").await.status, eq(200));
