--- a/crates/decide/src/aggregate/collector.rs
+++ b/crates/decide/src/aggregate/collector.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 
+use mulberryyoke_model::whole_u32;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Gateways of a zone that add up what all of them have: one may be gone or cut off.
@@ -23,12 +24,7 @@
     /// A place with a part of a processor.
     #[must_use]
     pub fn new(zone: &str, processors: f64) -> Self {
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "the cast goes to the nearest bound"
-        )]
-        let thousandths = (processors * WHOLE).round() as u32;
+        let thousandths = whole_u32((processors * WHOLE).round());
         Self {
             zone: zone.to_owned(),
             thousandths,
--- a/crates/decide/src/cold.rs
+++ b/crates/decide/src/cold.rs
@@ -12,7 +12,7 @@
 mod members;
 mod window;
 
-use mulberryyoke_model::ServerId;
+use mulberryyoke_model::{ServerId, whole_u32};
 
 pub use self::members::Members;
 pub use self::window::Window;
@@ -40,13 +40,7 @@
     pub fn requests(self) -> u32 {
         let most = self.per_s * self.overage + self.slack;
         let most = self.per_s.min(most / VIEWS).max(0.0);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "the cast goes to the nearest bound"
-        )]
-        let whole = most as u32;
-        whole
+        whole_u32(most)
     }
 }
 
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -8,7 +8,7 @@
 use mulberryyoke_decide::share::Standing;
 use mulberryyoke_decide::shed::{self, Aim, Held};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::ServerId;
+use mulberryyoke_model::{ServerId, whole_u32};
 use rand::RngExt;
 use tokio::time::Instant;
 
@@ -17,7 +17,6 @@
 use crate::clock;
 use crate::core::Core;
 use crate::refusal::Refusal;
-use crate::round::whole;
 
 /// Chooses a server and counts the request there. Servers in `tried` are left out.
 /// One that `may_have_run` is not refused for what others have to do: that it has
@@ -155,15 +154,15 @@
         "request" => &call.id,
         "customer" => call.customer_name(),
         "server" => server,
-        "wait_ms" => whole(choice.wait_ms),
-        "read_ms" => whole(choice.read_ms),
+        "wait_ms" => whole_u32(choice.wait_ms),
+        "read_ms" => whole_u32(choice.read_ms),
         "uncached" => choice.uncached,
         "again" => choice.again,
-        "allowed_ms" => whole(held.allowed_ms),
-        "mean_wait_ms" => whole(choice.mean_wait_ms),
-        "of_portion" => whole(standing.of_portion * 100.0),
-        "of_given" => whole(standing.of_given * 100.0));
-    let retry_ms = whole(held.retry_ms);
+        "allowed_ms" => whole_u32(held.allowed_ms),
+        "mean_wait_ms" => whole_u32(choice.mean_wait_ms),
+        "of_portion" => whole_u32(standing.of_portion * 100.0),
+        "of_given" => whole_u32(standing.of_given * 100.0));
+    let retry_ms = whole_u32(held.retry_ms);
     if standing.of_portion > 1.0 {
         return Refusal::Share(retry_ms);
     }
--- a/crates/gateway/src/budgets.rs
+++ b/crates/gateway/src/budgets.rs
@@ -3,11 +3,9 @@
 use std::collections::HashMap;
 
 use mulberryyoke_decide::retry::Budget;
-use mulberryyoke_model::PoolId;
+use mulberryyoke_model::{PoolId, whole_u32};
 use parking_lot::Mutex;
 
-use crate::round::whole;
-
 /// Part of the fleet's ratio of retries that one node allows itself: the ratio
 /// holds in each window, and requests are counted late.
 const RATIO_PART: f64 = 0.8;
@@ -44,9 +42,9 @@
     /// Bounds the retries: the fleet may make `ratio` for each request and `slack`
     /// beyond, and this node is one of `nodes`.
     pub(crate) fn bound(&self, ratio: f64, slack: f64, nodes: usize) {
-        let percent = whole(ratio * RATIO_PART * 100.0);
+        let percent = whole_u32(ratio * RATIO_PART * 100.0);
         let nodes = u32::try_from(nodes).unwrap_or(u32::MAX).max(1);
-        let full = u64::from(whole(slack * SLACK_PART * 100.0 / f64::from(nodes)));
+        let full = u64::from(whole_u32(slack * SLACK_PART * 100.0 / f64::from(nodes)));
         let mut inner = self.inner.lock();
         if inner.percent != percent {
             inner.by_pool.clear();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,7 +33,6 @@
 mod ready;
 mod refusal;
 mod roster;
-mod round;
 mod server;
 mod socket;
 mod stop;
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -7,7 +7,7 @@
 use mulberryyoke_decide::engine::{Load, Part};
 use mulberryyoke_decide::quarantine::Suspect;
 use mulberryyoke_decide::share::Flow;
-use mulberryyoke_model::{CustomerId, Incarnation, ServerId};
+use mulberryyoke_model::{CustomerId, Incarnation, ServerId, whole_u32};
 use serde::{Deserialize, Serialize};
 
 pub use self::assembler::Assembler;
@@ -174,8 +174,8 @@
     fn new(id: CustomerId, flow: Flow) -> Self {
         Self {
             id,
-            asked: whole(flow.asked),
-            given: whole(flow.given),
+            asked: whole_u32(flow.asked),
+            given: whole_u32(flow.given),
         }
     }
 
@@ -187,14 +187,3 @@
         (self.id, flow)
     }
 }
-
-/// A number of tokens without its fraction; out of range, the nearest bound.
-fn whole(tokens: f64) -> u32 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the cast goes to the nearest bound"
-    )]
-    let whole = tokens as u32;
-    whole
-}
