--- a/crates/daemon/tests/soak/scene.rs
+++ b/crates/daemon/tests/soak/scene.rs
@@ -1,5 +1,7 @@
 //! A run: gateways, servers, the store, callers, and the faults that are played.
 
+mod step;
+
 use std::collections::{BTreeMap, HashMap};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -15,11 +17,11 @@
 use crate::audit::{Audit, audit};
 use crate::backend::{Arrival, Backend};
 use crate::forms::{Stage, registration, server_key};
-use crate::gate::{GRACE_MS, Gate};
-use crate::link::{Link, Way};
+use crate::gate::Gate;
+use crate::link::Link;
 use crate::load::{self, Record};
 use crate::operator::Operator;
-use crate::plan::{self, Fault, SPAN, Step};
+use crate::plan::{self, SPAN};
 use crate::store::Store;
 use crate::trouble::{Place, Troubles};
 
@@ -218,102 +220,6 @@
         }
     }
 
-    async fn play_step(self: Arc<Self>, step: Step, begun: Instant) {
-        sleep((begun + step.at).saturating_duration_since(Instant::now())).await;
-        let gate = step.target % self.gates.len();
-        let host = &self.hosts[step.target % self.hosts.len()];
-        match step.fault {
-            Fault::Kill => self.restart(gate, Signal::KILL).await,
-            Fault::Stop => self.restart(gate, Signal::TERM).await,
-            Fault::Freeze => {
-                let trouble = self.troubles.begin(Place::Gate(gate));
-                self.gates[gate].signal(Signal::STOP);
-                sleep(step.lasts).await;
-                self.gates[gate].signal(Signal::CONT);
-                self.troubles.end(trouble);
-            }
-            Fault::Reload => self.gates[gate].signal(Signal::HUP),
-            Fault::Store(way) => {
-                let trouble = self.troubles.begin(Place::Store(gate));
-                self.links[gate].set(way);
-                sleep(step.lasts).await;
-                self.links[gate].set(Way::Open);
-                self.troubles.end(trouble);
-            }
-            Fault::Refuse => {
-                let trouble = self.troubles.begin(Place::Stores);
-                self.store.set_refusing(true);
-                self.operator.revoke();
-                sleep(step.lasts).await;
-                self.store.set_refusing(false);
-                self.troubles.end(trouble);
-            }
-            Fault::Compact => self.store.compact(),
-            Fault::Restore => {
-                self.store.copy();
-                sleep(step.lasts).await;
-                let trouble = self.troubles.begin(Place::Stores);
-                self.store.restore();
-                self.troubles.end(trouble);
-            }
-            Fault::Server(way) => {
-                let trouble = self.troubles.begin(Place::Server);
-                host.link.set(way);
-                sleep(step.lasts).await;
-                host.link.set(Way::Open);
-                self.troubles.end(trouble);
-            }
-            Fault::Pool(way) => {
-                let trouble = self.troubles.begin(Place::Server);
-                let of_pool = self.hosts.iter().filter(|other| other.pool == host.pool);
-                of_pool.clone().for_each(|host| host.link.set(way));
-                // Long enough for repeats to exceed their budget, were there none.
-                sleep(2 * step.lasts).await;
-                of_pool.for_each(|host| host.link.set(Way::Open));
-                self.troubles.end(trouble);
-            }
-            Fault::Replace => self.replace(host).await,
-            Fault::Route => self.operator.turn_route(),
-            Fault::Revoke => self.operator.revoke(),
-        }
-    }
-
-    /// Ends a gateway and starts it again. A planned stop is no fault until the process
-    /// has ended.
-    async fn restart(&self, gate: usize, signal: Signal) {
-        let is_planned = signal == Signal::TERM;
-        let trouble = (!is_planned).then(|| self.troubles.begin(Place::Gate(gate)));
-        self.gates[gate].signal(signal);
-        let longest = Duration::from_millis(GRACE_MS + 1_000);
-        let ended = self.gates[gate].end(longest).await;
-        let trouble = trouble.unwrap_or_else(|| self.troubles.begin(Place::Gate(gate)));
-        if is_planned && ended.is_none() {
-            self.gates[gate].signal(Signal::KILL);
-            self.gates[gate].end(longest).await;
-        }
-        sleep(Duration::from_millis(200)).await;
-        self.gates[gate].start();
-        self.troubles.end(trouble);
-    }
-
-    /// A server leaves, and another takes its address.
-    async fn replace(&self, host: &Host) {
-        let name = host.backend.name();
-        if self.left.lock().contains_key(&name) {
-            return;
-        }
-        let value = registration(host.pool, host.link.address, Stage::Draining);
-        self.store.put(&server_key(&name), &value);
-        self.left.lock().insert(name.clone(), Instant::now());
-        sleep(Duration::from_secs(3)).await;
-        self.store.delete(&server_key(&name));
-        sleep(Duration::from_secs(1)).await;
-        let next = format!("n-{}", self.named.fetch_add(1, Ordering::Relaxed));
-        host.backend.rename(&next);
-        let value = registration(host.pool, host.link.address, Stage::Ready);
-        self.store.put(&server_key(&next), &value);
-    }
-
     /// Kills every gateway at once, starts them again, and tells the part of the requests
     /// that is served some seconds later.
     async fn kill_all(&self, begun: Instant) -> f64 {
--- a/crates/gateway/tests/suspension/main.rs
+++ b/crates/gateway/tests/suspension/main.rs
@@ -3,41 +3,22 @@
 //! The clock is the process's, so that these tests have a process of their own and run one
 //! after another.
 
-#[path = "../gateway/backend.rs"]
-#[allow(
+#![allow(
     dead_code,
-    reason = "shared with the tests of gateways that are never suspended"
+    reason = "what it needs is shared with the tests of gateways that are never suspended"
 )]
+
+#[path = "../gateway/backend.rs"]
 mod backend;
 #[path = "../gateway/caller.rs"]
-#[allow(
-    dead_code,
-    reason = "shared with the tests of gateways that are never suspended"
-)]
 mod caller;
 #[path = "../gateway/feed.rs"]
-#[allow(
-    dead_code,
-    reason = "shared with the tests of gateways that are never suspended"
-)]
 mod feed;
 #[path = "../gateway/fleet.rs"]
-#[allow(
-    dead_code,
-    reason = "shared with the tests of gateways that are never suspended"
-)]
 mod fleet;
 #[path = "../gateway/mortal.rs"]
-#[allow(
-    dead_code,
-    reason = "shared with the tests of gateways that are never suspended"
-)]
 mod mortal;
 #[path = "../gateway/protocol.rs"]
-#[allow(
-    dead_code,
-    reason = "shared with the tests of gateways that are never suspended"
-)]
 mod protocol;
 
 use std::time::Duration;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -56,9 +56,13 @@
     /// What is fixed for the life of a process: name, zone and addresses.
     #[must_use]
     pub fn place(&self) -> (&str, &str, [Option<SocketAddr>; 5]) {
-        let addresses = [self.callers, self.health, self.control, self.store].map(Some);
-        let [callers, health, control, store] = addresses;
-        let addresses = [callers, health, control, store, self.handoff];
+        let addresses = [
+            Some(self.callers),
+            Some(self.health),
+            Some(self.control),
+            self.handoff,
+            Some(self.store),
+        ];
         (&self.name, &self.zone, addresses)
     }
 
