--- a/crates/decide/src/cold.rs
+++ b/crates/decide/src/cold.rs
@@ -6,8 +6,8 @@
 //! shared out in whole requests to a few gateways, which all that know the same gateways agree
 //! on; the others send it nothing. Divided evenly among all, thirty gateways that each send one
 //! request at a time exceed a bound of 24 in a second; where they wait in turn, a second has up
-//! to 21 of the 12 that are shared out by luck alone (replay of 30, 100 and 300 gateways); so
-//! has 13 at most here, while others take the place of some that are cut off.
+//! to 21 of the 12 that are shared out, by luck alone. With a few that hold them it has 13 at
+//! most, while others take the place of some that are cut off (replay of 30, 100 and 300).
 
 mod members;
 mod window;
