--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -112,6 +112,10 @@
     Evacuated = 1033, Warning, "evacuation changed";
     /// A connection could not be handed on to a larger router.
     HandoffFailed = 1034, Info, "connection not handed on";
+    /// A server said with an answer that it leaves.
+    ServerLeaves = 1035, Warning, "server says that it leaves";
+    /// A server asked for a time without requests.
+    ServerRests = 1036, Warning, "server asks for rest";
     /// A sidecar reserved a slot for a customer's request at a router.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -39,6 +39,8 @@
     /// Requests under suspicion that run there apart from others.
     pub(crate) trials: AtomicU32,
     pub(crate) cold: Cold,
+    /// Whether it said that it leaves.
+    pub(crate) is_leaving: AtomicBool,
     is_closed: AtomicBool,
     /// Whether nothing is to be sent to its availability zone.
     is_evacuated: AtomicBool,
@@ -57,6 +59,7 @@
             seen: tokio::sync::Mutex::default(),
             trials: AtomicU32::new(0),
             cold: Cold::default(),
+            is_leaving: AtomicBool::new(false),
             is_evacuated: AtomicBool::new(false),
             is_closed: AtomicBool::new(server.is_leaving),
             server,
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -19,7 +19,7 @@
 use crate::header;
 use crate::outcome::Outcome;
 use crate::protocol::{Order, Proof, Reading};
-use crate::{clock, pass, pump, quarantine};
+use crate::{clock, notice, pass, pump, quarantine};
 
 /// Largest answer that is kept until it is whole, in bytes; larger ones are passed on as they come.
 const WHOLE_BYTES: usize = 256 << 10;
@@ -119,6 +119,7 @@
     if let Some(left_ms) = reading.cold_left_ms.filter(|left_ms| *left_ms > 0) {
         running.backend.cold.extend(clock::now_ms() + left_ms);
     }
+    notice::take(core, &running.backend, reading.proved(), &call.id);
     match reading.proof {
         Proof::Sealed if !head.headers.contains_key(CONTENT_ENCODING) => {}
         Proof::Sealed | Proof::Unproved => {
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -19,8 +19,8 @@
 
 use self::error::Error;
 use crate::backend::Backend;
-use crate::clock;
 use crate::core::Core;
+use crate::{clock, notice};
 
 /// Longest time that a list may take: a part that is read again meanwhile is known
 /// anyway, and parts that are not used for seconds yield.
@@ -74,12 +74,13 @@
     request.headers_mut().insert(HOST, host);
     let response = conn.sender.send_request(request).await?;
     let (head, body) = response.into_parts();
+    let reading = core.protocol.reading(&head, NO_REQUEST);
+    notice::take(core, backend, reading.proved(), NO_REQUEST);
     if head.status != StatusCode::OK {
         return Err(Error::Status(head.status));
     }
     let body = Limited::new(body, LIST_BYTES).collect().await;
     let body = body.map_err(Error::Body)?.to_bytes();
-    let reading = core.protocol.reading(&head, NO_REQUEST);
     if !reading.is_last {
         backend.conns.give(conn, reading.idle_ms);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod kept;
 mod listen;
 mod mirror;
+mod notice;
 mod outcome;
 mod pass;
 pub mod plan;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -1,6 +1,7 @@
 //! What callers and backend servers say, read by an adapter at the process's edge.
 
 mod ask;
+mod notice;
 mod order;
 mod reading;
 mod unreadable;
@@ -10,6 +11,7 @@
 use mulberryyoke_decide::engine::Name;
 
 pub use self::ask::Ask;
+pub use self::notice::Notice;
 pub use self::order::Order;
 pub use self::reading::{Proof, Reading};
 pub use self::unreadable::Unreadable;
--- a/crates/gateway/src/protocol/reading.rs
+++ b/crates/gateway/src/protocol/reading.rs
@@ -1,5 +1,7 @@
 //! What the head of a server's answer proves.
 
+use super::Notice;
+
 /// What the head of a server's answer proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reading {
@@ -11,6 +13,19 @@
     pub idle_ms: Option<u64>,
     /// How much longer the server is cold, in milliseconds, if it tells.
     pub cold_left_ms: Option<u64>,
+    /// What the server says of itself, whoever it is.
+    pub notice: Notice,
+}
+
+impl Reading {
+    /// What the server that was meant says of itself: nothing, if the answer may be another's.
+    #[must_use]
+    pub fn proved(&self) -> Notice {
+        match self.proof {
+            Proof::Sealed | Proof::NotRun => self.notice,
+            Proof::OtherServer | Proof::Crossed | Proof::Unproved => Notice::default(),
+        }
+    }
 }
 
 /// What became of a request.
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -6,7 +6,7 @@
 use mulberryyoke_decide::engine::{Name, Prompt};
 use mulberryyoke_gateway::Server;
 use mulberryyoke_gateway::plan::{Cold, Customer, Kind, Limits, Model, Plan, Pool, Route, Target};
-use mulberryyoke_gateway::protocol::{Ask, Order, Proof, Protocol, Reading, Unreadable};
+use mulberryyoke_gateway::protocol::{Ask, Notice, Order, Proof, Protocol, Reading, Unreadable};
 use mulberryyoke_model::{CustomerId, PoolId, ServerId};
 
 /// Time after which a caller is answered on every route, in milliseconds.
@@ -93,11 +93,16 @@
         } else {
             Proof::Unproved
         };
+        let rest_ms = headers.get("x-rest-ms").and_then(|ms| ms.to_str().ok());
         Reading {
             proof,
             is_last: false,
             idle_ms: None,
             cold_left_ms: None,
+            notice: Notice {
+                is_leaving: headers.contains_key("x-leaving"),
+                rest_ms: rest_ms.and_then(|ms| ms.parse().ok()),
+            },
         }
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 mod cause;
 pub mod http;
 pub mod kv;
+pub mod retry_after;
 pub mod vm;
 
 use std::pin::Pin;
