Leaving: a server that says so with an answer gets nothing new from there on

What callers saw: requests at a server up to 12 s after it had said that it leaves; it may end under them. The mend: a proved answer's word closes the server from the answer's head on, first or last of a stream, failure or refusal. It belongs to one life and is kept beside the registration, so that a lapse, a copy or a rewritten entry of that life opens nothing, and a new life starts open. Answers that may be another server's say nothing.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -2,6 +2,7 @@
 
 mod cold;
 mod health;
+mod life;
 mod running;
 mod seen;
 
@@ -13,6 +14,7 @@
 
 pub(crate) use self::cold::Cold;
 pub(crate) use self::health::Health;
+pub(crate) use self::life::Life;
 pub(crate) use self::running::Running;
 pub(crate) use self::seen::Seen;
 use crate::conn::Conns;
@@ -39,15 +41,20 @@
     /// Requests under suspicion that run there apart from others.
     pub(crate) trials: AtomicU32,
     pub(crate) cold: Cold,
-    /// Whether it said that it leaves.
-    pub(crate) is_leaving: AtomicBool,
+    pub(crate) life: Arc<Life>,
+    /// Whether its registration says that it leaves, or has ended.
     is_closed: AtomicBool,
     /// Whether nothing is to be sent to its availability zone.
     is_evacuated: AtomicBool,
 }
 
 impl Backend {
-    pub(crate) fn new(server: Server, model: Option<Model>, pace: Arc<Mutex<Pace>>) -> Self {
+    pub(crate) fn new(
+        server: Server,
+        model: Option<Model>,
+        pace: Arc<Mutex<Pace>>,
+        life: Arc<Life>,
+    ) -> Self {
         let cache_tokens = model.map_or(0, |model| model.memory_tokens / CACHE_PART);
         let slots = model.map_or(server.slots, |model| model.slots);
         Self {
@@ -59,7 +66,7 @@
             seen: tokio::sync::Mutex::default(),
             trials: AtomicU32::new(0),
             cold: Cold::default(),
-            is_leaving: AtomicBool::new(false),
+            life,
             is_evacuated: AtomicBool::new(false),
             is_closed: AtomicBool::new(server.is_leaving),
             server,
@@ -76,12 +83,13 @@
 
     /// Whether it may get new requests.
     pub(crate) fn is_open(&self) -> bool {
-        !self.is_closed.load(Ordering::Relaxed) && !self.is_evacuated.load(Ordering::Relaxed)
+        !self.is_closed() && !self.is_evacuated.load(Ordering::Relaxed)
     }
 
     /// Whether it leaves or is gone.
     pub(crate) fn is_closed(&self) -> bool {
-        self.is_closed.load(Ordering::Relaxed)
+        // What the server itself says counts at once: an outage may hold its registration back.
+        self.is_closed.load(Ordering::Relaxed) || self.life.is_leaving()
     }
 
     /// Lets it get no requests while its availability zone is evacuated, or again.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -1,5 +1,7 @@
 //! The servers that are registered.
 
+mod lives;
+
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -11,6 +13,7 @@
 use mulberryyoke_model::{PoolId, ServerId};
 use parking_lot::Mutex;
 
+use self::lives::Lives;
 use crate::backend::Backend;
 use crate::clock;
 use crate::plan::Plan;
@@ -44,6 +47,8 @@
     paces: Mutex<HashMap<PoolId, Arc<Mutex<Pace>>>>,
     /// Availability zones to whose servers nothing is to be sent.
     evacuated: Mutex<HashSet<String>>,
+    /// What lives of servers said of themselves.
+    pub(crate) lives: Lives,
 }
 
 impl Roster {
@@ -57,6 +62,7 @@
             is_stale: AtomicBool::new(false),
             paces: Mutex::default(),
             evacuated: Mutex::default(),
+            lives: Lives::default(),
         }
     }
 
@@ -135,12 +141,14 @@
             if is_same {
                 return closes;
             }
+            held.life.see(clock::now_ms());
         }
         let model = plan.and_then(|plan| plan.pool(server.pool)?.model);
         let name = server.name.clone();
         let pace = Arc::clone(self.paces.lock().entry(server.pool).or_default());
         let is_evacuated = self.evacuated.lock().contains(&server.zone);
-        let backend = Arc::new(Backend::new(server, model, pace));
+        let life = self.lives.of(server.id);
+        let backend = Arc::new(Backend::new(server, model, pace, life));
         backend.evacuate(is_evacuated);
         self.change(|servers| {
             servers.insert(name, backend);
@@ -154,6 +162,7 @@
             return false;
         };
         held.close();
+        held.life.see(clock::now_ms());
         self.change(|servers| {
             servers.remove(name);
         });
--- a/crates/gateway/tests/gateway/notices.rs
+++ b/crates/gateway/tests/gateway/notices.rs
@@ -2,6 +2,10 @@
 //!
 //! A model server that began to leave while the key-value service was away said so in each of its
 //! answers, and got requests from the gateways that had passed these answers on until 12 s later.
+//! Only its registration closed a server, and that came 13.1 s after the server had begun to
+//! leave: eight requests were routed to it at a `view_age_ms` of 48 to 345, so the configuration
+//! was fresh and the registration still said that it was ready.
+//!
 //! Four others turned every request away and asked for three seconds of rest, and one gateway
 //! sent one of them four requests in that time.
 
@@ -11,12 +15,20 @@
 use tokio::time::{Instant, sleep};
 
 use crate::backend::{Backend, Way};
-use crate::fleet::ready;
+use crate::caller;
+use crate::feed::Service;
+use crate::fleet::{Node, ready};
+
+/// Time within which a change is in force.
+const SOON: Duration = Duration::from_millis(600);
+
+/// Time within which an answer begins that waits for nothing.
+const AT_ONCE: Duration = Duration::from_millis(100);
 
 const LEAVING: &str = "x-leaving: 1\r\n";
 
 /// Time for which servers ask for rest, and the header that says so.
-const REST: Duration = Duration::from_millis(2_000);
+const REST: Duration = Duration::from_secs(2);
 const RESTING: &str = "x-rest-ms: 2000\r\n";
 
 /// Time after a server asked for rest in which requests that were on their way may reach it.
@@ -48,6 +60,126 @@
     expect_that!(came(&leaving), eq(1));
 }
 
+/// Registers the first server of the plain pool as a life that began then.
+fn register_life(service: &Service, backend: &Backend, born: u64) {
+    let value = format!("plain {} ready {born}", backend.address);
+    service.set("servers/plain-0", Some(&value));
+}
+
+/// Whether a server is sent requests; each of some that are asked is answered by one or another.
+async fn is_used(node: &Node, backend: &Backend) -> bool {
+    let before = came(backend);
+    for _ in 0..6 {
+        expect_that!(node.ask("/once/", "").await.status, eq(200));
+    }
+    came(backend) > before
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_server_that_leaves_stays_closed_whatever_is_written_of_its_life_and_the_next_is_open() {
+    let (leaving, stays) = (
+        Backend::spawn(Way::Answer).await,
+        Backend::spawn(Way::Answer).await,
+    );
+    let (service, node) = ready(&[&leaving, &stays]).await;
+    register_life(&service, &leaving, 5);
+    sleep(SOON).await;
+    leaving.state.turn(Way::Answer, LEAVING);
+    expect_that!(is_used(&node, &leaving).await, eq(true));
+    leaving.state.turn(Way::Answer, "");
+    expect_that!(is_used(&node, &leaving).await, eq(false));
+    service.copy();
+    register_life(&service, &leaving, 5);
+    sleep(SOON).await;
+    expect_that!(is_used(&node, &leaving).await, eq(false), "written again");
+    service.set("servers/plain-0", None);
+    sleep(SOON).await;
+    register_life(&service, &leaving, 5);
+    sleep(SOON).await;
+    expect_that!(is_used(&node, &leaving).await, eq(false), "lapsed and back");
+    service.restore();
+    sleep(SOON).await;
+    expect_that!(is_used(&node, &leaving).await, eq(false), "from a copy");
+    register_life(&service, &leaving, 6);
+    sleep(SOON).await;
+    expect_that!(is_used(&node, &leaving).await, eq(true), "a new life");
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_failure_and_the_head_of_a_stream_say_that_a_server_leaves_as_well() {
+    let table = [
+        (Way::Fail, "/once/", 500),
+        (Way::TurnAway, "/once/", 200),
+        (Way::Truncate, "/once/", 502),
+        (Way::HangStream, "/resumable/", 200),
+    ];
+    for (way, path, status) in table {
+        let [leaving, stays] = [(); 2].map(|()| Backend::spawn(Way::Stream));
+        let (leaving, stays) = (leaving.await, stays.await);
+        let (_service, node) = ready(&[&leaving, &stays]).await;
+        leaving.state.turn(way, LEAVING);
+        // Streams that run on are not waited for.
+        let mut begun = Vec::new();
+        while came(&leaving) == 0 {
+            let request = caller::request(path, "x-tokens: 10\r\n");
+            begun.push(caller::open(node.callers, &request).await);
+            sleep(AT_ONCE).await;
+        }
+        let last = begun.pop().expect("a request");
+        let mut head = [0; 64];
+        let read = last.peek(&mut head).await.expect("an answer begins");
+        expect_that!(caller::read(&head[..read]).status, eq(status), "{way:?}");
+        let before = came(&leaving);
+        for _ in 0..4 {
+            expect_that!(node.ask(path, "x-tokens: 10\r\n").await.status, eq(200));
+        }
+        expect_that!(came(&leaving), eq(before), "{way:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_that_may_be_another_servers_closes_nobody() {
+    for way in [Way::Cross, Way::Unsealed] {
+        let (first, second) = (Backend::spawn(way).await, Backend::spawn(way).await);
+        let (_service, node) = ready(&[&first, &second]).await;
+        for server in [&first, &second] {
+            server.state.turn(way, LEAVING);
+        }
+        for _ in 0..4 {
+            expect_that!(node.ask("/once/", "").await.status, eq(502), "{way:?}");
+        }
+        for server in [&first, &second] {
+            server.state.turn(Way::Answer, "");
+        }
+        sleep(SOON).await;
+        expect_that!(node.ask("/once/", "").await.status, eq(200), "{way:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn where_all_servers_leave_a_request_is_refused_at_once() {
+    let (first, second) = (
+        Backend::spawn(Way::Answer).await,
+        Backend::spawn(Way::Answer).await,
+    );
+    let (_service, node) = ready(&[&first, &second]).await;
+    for server in [&first, &second] {
+        server.state.turn(Way::Answer, LEAVING);
+    }
+    let statuses = [node.ask("/once/", "").await, node.ask("/once/", "").await];
+    expect_that!(statuses.map(|reply| reply.status), eq([200, 200]));
+    let begun = Instant::now();
+    let reply = node.ask("/once/", "").await;
+    expect_that!(reply.status, eq(503));
+    expect_that!(reply.head, contains_substring("retry-after"));
+    expect_that!(begun.elapsed(), lt(AT_ONCE));
+    expect_that!((came(&first), came(&second)), eq((1, 1)));
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_server_that_asks_for_rest_gets_at_most_two_requests_until_it_is_over() {
