Portions: a customer is not charged for a request that its server has not run

What callers saw: 429 (over_share) for a customer of which nothing had run, as each server that turned its request away was counted as given. Cause: a request is counted as it is placed, and was not taken back. The mend takes it back where the server says, or a failed connection shows, that it has not run; one that may have run elsewhere is not counted and not taken back. Test seen failing: 429 before, 503 (busy) after.

--- a/crates/decide/src/share.rs
+++ b/crates/decide/src/share.rs
@@ -86,6 +86,13 @@
         self.accounts.entry(customer).or_default().own.given += f64::from(tokens);
     }
 
+    /// Notes that a request was not run that was sent to a server just now.
+    pub fn take_back(&mut self, customer: CustomerId, tokens: u32) {
+        if let Some(account) = self.accounts.get_mut(&customer) {
+            account.own.given = (account.own.given - f64::from(tokens)).max(0.0);
+        }
+    }
+
     /// What customers asked of and were given by this router.
     pub fn own(&self) -> impl Iterator<Item = (CustomerId, Flow)> {
         self.accounts
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -9,7 +9,7 @@
 use mulberryyoke_decide::share::Standing;
 use mulberryyoke_decide::shed::{self, Aim, Held};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{PoolId, ServerId, whole_u32};
+use mulberryyoke_model::{CustomerId, PoolId, ServerId, whole_u32};
 use rand::RngExt;
 use tokio::time::Instant;
 
@@ -144,8 +144,10 @@
     let backend = named(open, Some(choice.server))?;
     let own = prompt.tokens - prompt.shared_tokens();
     let is_new = choice.uncached > own;
-    if let Some(customer) = call.customer.as_ref().filter(|_| standing.is_some()) {
-        core.shares.lock().give(customer.id, prompt.cost());
+    if standing.is_some() {
+        charge(call, |customer, tokens| {
+            core.shares.lock().give(customer, tokens);
+        });
     }
     core.exchange.note(choice.server, prompt, is_new);
     // What other nodes have servers read is not told; each is taken to do as this one does.
@@ -155,6 +157,20 @@
     Ok(Running::begin(backend, Some(prompt)))
 }
 
+/// Takes back what a customer was charged for a request that its server has not run.
+pub(crate) fn take_back(core: &Core, call: &Call) {
+    charge(call, |customer, tokens| {
+        core.shares.lock().take_back(customer, tokens);
+    });
+}
+
+/// What a request costs its customer, if it has both a prompt and a customer.
+fn charge(call: &Call, to: impl FnOnce(CustomerId, u32)) {
+    if let (Some(customer), Some(prompt)) = (&call.customer, &call.prompt) {
+        to(customer.id, prompt.cost());
+    }
+}
+
 /// What the customer was given, beside what it may have; a new request counts as asked.
 fn standing(core: &Core, call: &Call, is_new: bool) -> Standing {
     let (Some(customer), Some(prompt)) = (&call.customer, &call.prompt) else {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -70,7 +70,13 @@
         note(core, call, &running, self.ran + self.not_run);
         let outcome = send::send(core, call, running, self, resume_after).await;
         match outcome {
-            Outcome::TurnedAway | Outcome::OtherServer | Outcome::Unsent => self.not_run += 1,
+            Outcome::TurnedAway | Outcome::OtherServer | Outcome::Unsent => {
+                self.not_run += 1;
+                // One that may have run elsewhere was not charged for this server.
+                if self.ran == 0 {
+                    balance::take_back(core, call);
+                }
+            }
             _ => {
                 self.ran += 1;
                 self.is_admitted = false;
--- a/crates/gateway/tests/gateway/admission.rs
+++ b/crates/gateway/tests/gateway/admission.rs
@@ -54,3 +54,27 @@
     sleep(Duration::from_millis(200)).await;
     expect_that!(backend.state.heads().len(), eq(2));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_customer_is_not_charged_for_what_servers_turned_away() {
+    let backend = Backend::spawn(Way::TurnAway).await;
+    let (service, node) = ready(&[&backend]).await;
+    service.set("config", Some("6 tokens=1000 secret"));
+    sleep(Duration::from_millis(600)).await;
+    let keyed = "Authorization: Bearer secret\r\nx-tokens: 500\r\n";
+    for _ in 0..6 {
+        expect_that!(node.ask("/keyed/", keyed).await.status, eq(503));
+    }
+    backend.state.turn(Way::Hang, "");
+    let long = format!("x-tokens: {LONG_PROMPT}\r\n");
+    let _long = caller::open(node.callers, &caller::request("/once/", &long)).await;
+    sleep(Duration::from_millis(100)).await;
+    let reply = node.ask("/keyed/", keyed).await;
+    expect_that!(
+        reply.body,
+        contains_substring("busy"),
+        "it had nothing of its portion"
+    );
+    expect_that!(reply.status, eq(503));
+}
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -30,7 +30,7 @@
 /// Tokens of a prompt's shared part.
 const SHARED: u32 = 4_000;
 
-/// Values are words: `VERSION KEY...` for a configuration, `POOL ADDRESS STATE [BORN [COLD_MS
+/// Values are words: `VERSION [tokens=PER_S] KEY...` for a configuration, `POOL ADDRESS STATE [BORN [COLD_MS
 /// [ZONE]]]` for a server, which is cold for so long.
 #[derive(Debug)]
 pub(crate) struct Words {
@@ -123,10 +123,12 @@
         let mut words = text.split_whitespace();
         let version = words.next().and_then(|word| word.parse().ok());
         let version = version.ok_or_else(|| unreadable("configuration"))?;
+        let (numbers, keys): (Vec<&str>, Vec<&str>) = words.partition(|word| word.contains('='));
+        let tokens_per_s = numbers.iter().find_map(|word| word.strip_prefix("tokens="));
         let customer = Customer {
             id: CustomerId::of("noor"),
             name: "noor".to_owned(),
-            keys: words.map(str::to_owned).collect(),
+            keys: keys.into_iter().map(str::to_owned).collect(),
             priority: None,
         };
         let limits = Limits {
@@ -134,7 +136,7 @@
             body_bytes: 1_000,
             head_ms: 1_000,
             idle_ms: 5_000,
-            tokens_per_s: None,
+            tokens_per_s: tokens_per_s.and_then(|tokens| tokens.parse().ok()),
         };
         let routes = [
             ("/idempotent/", Kind::Idempotent, 2),
