Streams: one that broke off is offered to further servers where the first turns it away

What callers saw: a stream cut off for good though a server had room, as the one chosen to go on turned it away or could not be reached. Cause: going on asked one server once; the loop over servers was that of new requests alone. The mend: both go through the one loop, with its budget and bounds. Test seen failing: events 1 and 2 of 4 before, all four after.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -52,9 +52,52 @@
 }
 
 impl Trials {
-    /// Chooses the next server and sends the request there. `resume_after` is the
-    /// last event that the caller has, when its stream broke off.
-    pub(crate) async fn next(
+    /// Asks servers one after the other until one answers or no other may be asked.
+    /// `resume_after` is the last event that the caller has, when its stream broke off, and
+    /// `last` what became of the request before.
+    pub(crate) async fn run(
+        &mut self,
+        core: &Arc<Core>,
+        call: &Arc<Call>,
+        resume_after: Option<u64>,
+        mut last: Refusal,
+    ) -> Result<Response<Answer>, Refusal> {
+        loop {
+            let (outcome, server) = match self.next(core, call, resume_after).await {
+                Ok(sent) => sent,
+                Err(refusal) if self.ran == 0 => return Err(refusal),
+                Err(_) => return Err(last),
+            };
+            let word = outcome.word();
+            let (again, refusal) = match outcome {
+                Outcome::Answered(response) => return Ok(response),
+                Outcome::Failed(response) if !self.may_repeat(core, call) => return Ok(response),
+                Outcome::Failed(_) => (true, Refusal::Unknown),
+                Outcome::TurnedAway | Outcome::OtherServer | Outcome::Unsent => {
+                    let refusal = if self.ran == 0 {
+                        balance::resting(core, call.pool).unwrap_or(Refusal::TurnedAway)
+                    } else {
+                        last
+                    };
+                    (self.may_move(core, call), refusal)
+                }
+                Outcome::Unknown => (self.may_repeat(core, call), Refusal::Unknown),
+                Outcome::Garbled => (self.may_repeat(core, call), Refusal::Garbled),
+                Outcome::Stalled => (true, Refusal::TimedOut),
+                Outcome::TimedOut => (false, Refusal::TimedOut),
+            };
+            if !again {
+                return Err(refusal);
+            }
+            last = refusal;
+            log!(core.logger, Event::Retried,
+                "request" => &call.id, "cause" => word, "server" => server.0);
+            metrics::counter!("retries_total", "cause" => word).increment(1);
+        }
+    }
+
+    /// Chooses the next server and sends the request there.
+    async fn next(
         &mut self,
         core: &Arc<Core>,
         call: &Arc<Call>,
@@ -140,39 +183,7 @@
 ) -> Result<Response<Answer>, Refusal> {
     core.budgets.earn(call.pool);
     let mut trials = Trials::default();
-    let mut last = Refusal::NoServer;
-    loop {
-        let (outcome, server) = match trials.next(core, call, None).await {
-            Ok(sent) => sent,
-            Err(refusal) if trials.ran == 0 => return Err(refusal),
-            Err(_) => return Err(last),
-        };
-        let word = outcome.word();
-        let (again, refusal) = match outcome {
-            Outcome::Answered(response) => return Ok(response),
-            Outcome::Failed(response) if !trials.may_repeat(core, call) => return Ok(response),
-            Outcome::Failed(_) => (true, Refusal::Unknown),
-            Outcome::TurnedAway | Outcome::OtherServer | Outcome::Unsent => {
-                let refusal = if trials.ran == 0 {
-                    balance::resting(core, call.pool).unwrap_or(Refusal::TurnedAway)
-                } else {
-                    last
-                };
-                (trials.may_move(core, call), refusal)
-            }
-            Outcome::Unknown => (trials.may_repeat(core, call), Refusal::Unknown),
-            Outcome::Garbled => (trials.may_repeat(core, call), Refusal::Garbled),
-            Outcome::Stalled => (true, Refusal::TimedOut),
-            Outcome::TimedOut => (false, Refusal::TimedOut),
-        };
-        if !again {
-            return Err(refusal);
-        }
-        last = refusal;
-        log!(core.logger, Event::Retried,
-            "request" => &call.id, "cause" => word, "server" => server.0);
-        metrics::counter!("retries_total", "cause" => word).increment(1);
-    }
+    trials.run(core, call, None, Refusal::NoServer).await
 }
 
 fn note(core: &Core, call: &Call, running: &Running, attempt: u32) {
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -18,9 +18,9 @@
 use crate::conn::Conn;
 use crate::core::Core;
 use crate::dispatch::{Trials, fail, finish};
-use crate::outcome::Outcome;
 use crate::protocol::Reading;
 use crate::quarantine;
+use crate::refusal::Refusal;
 
 /// Pieces that wait for the caller's connection; more hold the server up.
 const PIECES: usize = 4;
@@ -141,14 +141,16 @@
         if end == End::Broken {
             quarantine::witness(core, call, &self.running).await;
         }
-        let next = self.trials.next(core, call, self.last_event);
-        let next: Pin<Box<dyn Future<Output = _> + Send + '_>> = Box::pin(next);
-        let outcome = next.await;
+        let rest = self
+            .trials
+            .run(core, call, self.last_event, Refusal::Unknown);
+        let rest: Pin<Box<dyn Future<Output = _> + Send + '_>> = Box::pin(rest);
+        let rest = rest.await;
         log!(core.logger, Event::Resumed,
             "request" => &call.id,
             "after" => self.last_event,
-            "outcome" => outcome.as_ref().map_or_else(|refusal| refusal.word(), |(o, _)| o.word()));
-        let Ok((Outcome::Answered(response), _)) = outcome else {
+            "outcome" => rest.as_ref().map_or_else(|refusal| refusal.word(), |_| "answered"));
+        let Ok(response) = rest else {
             // A caller that is gone has no use for it.
             let _ = self.pieces.send(Err(Broken::Server)).await;
             return;
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -145,3 +145,24 @@
     let heads = busy.state.heads();
     expect_that!(field(&heads[heads.len() - 1], "x-after"), some(eq("2")));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_stream_goes_on_where_it_is_taken_though_other_servers_turn_it_away() {
+    let (cut, free) = (
+        Backend::spawn(Way::CutStream).await,
+        Backend::spawn(Way::Stream).await,
+    );
+    let (away, also) = (
+        Backend::spawn(Way::TurnAway).await,
+        Backend::spawn(Way::TurnAway).await,
+    );
+    for _ in 0..4 {
+        let (_service, node) = ready(&[&cut, &away, &also, &free]).await;
+        let reply = node.ask("/resumable/", PROMPT).await;
+        expect_that!(
+            events(&reply),
+            elements_are![eq(&1), eq(&2), eq(&3), eq(&4)]
+        );
+    }
+}
