Handoff: a greeting is marked, so that a process that is no gateway is handed nothing and teaches nothing

What callers saw: 503 to everything from one node until it was started again, or another process's answer. Cause: the address of a gateway that has gone may belong to another process by then; the first eight bytes of its answer were taken for the version by which callers are answered, and no configuration is as new as that. The mend: both sides begin with a mark and read nothing else for a version. A gateway of an earlier release is handed nothing, and hands nothing on, until both are of this one.

--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use mulberryyoke_event::{Event, log};
+use mulberryyoke_wire::handoff::{self, Greeting};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional_with_sizes};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -46,21 +47,35 @@
 async fn ask(core: &Core, target: SocketAddr) -> io::Result<TcpStream> {
     let mut stream = timeout(CONNECT, TcpStream::connect(target)).await??;
     socket::tune(&stream)?;
-    stream.write_u64(core.view.latest()).await?;
-    let version = stream.read_u64().await?;
+    send(&mut stream, core.view.latest()).await?;
+    let version = receive(&mut stream).await?;
     core.view.see(version);
     Ok(stream)
 }
 
+async fn send(stream: &mut TcpStream, version: u64) -> io::Result<()> {
+    stream.write_all(&Greeting { version }.encode()).await
+}
+
+/// Reads a version. The address of a gateway that is gone may belong to a process that is none:
+/// what that says is no version.
+async fn receive(stream: &mut TcpStream) -> io::Result<u64> {
+    let mut bytes = [0; handoff::LENGTH];
+    stream.read_exact(&mut bytes).await?;
+    let greeting = Greeting::decode(bytes);
+    let greeting = greeting.ok_or_else(|| io::Error::other("what answered is no gateway"))?;
+    Ok(greeting.version)
+}
+
 /// Takes over a connection from another gateway; `false` if its callers were answered by a later
 /// configuration.
 pub(crate) async fn accept(core: &Core, stream: &mut TcpStream) -> bool {
     let agreed = async {
-        let least = stream.read_u64().await?;
+        let least = receive(stream).await?;
         let version = core.view.plan().map_or(0, |plan| plan.version());
         let may = version > 0 && version >= least && !core.view.is_overtaken();
         if may {
-            stream.write_u64(version).await?;
+            send(stream, version).await?;
         }
         Ok::<_, io::Error>(may)
     };
--- a/crates/gateway/tests/gateway/handoff.rs
+++ b/crates/gateway/tests/gateway/handoff.rs
@@ -1,11 +1,12 @@
 //! A node that is behind with its work hands callers' connections on to a larger one.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
 use crate::backend::{Backend, Way};
@@ -95,7 +96,8 @@
     gateway.stop().await;
     hold_up().await;
     let before = zone.backend.state.heads().len();
-    expect_that!(zone.small.ask("/once/", "").await.status, eq(200));
+    let reply = zone.small.ask("/once/", "").await;
+    expect_that!(reply.status, eq(200), "{}", reply.body);
     expect_that!(zone.backend.state.heads().len(), eq(before + 1));
 }
 
@@ -230,3 +232,40 @@
         "this one knows the key still"
     );
 }
+
+/// A process that is no gateway and answers whatever comes as an HTTP server does.
+async fn stranger() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answer = "HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n";
+            // One that asks no further has what it wanted to know.
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+/// The address of a gateway that is gone may belong to another process. The first bytes of its
+/// answer were taken for a version of the configuration, the rest passed on to the caller as an
+/// answer (400), and as no configuration is ever that new, the node refused everything (503) from
+/// there on.
+#[gtest]
+#[tokio::test]
+async fn a_process_that_is_no_gateway_is_handed_nothing_and_teaches_nothing() {
+    let mut zone = Zone::new(Way::Answer).await;
+    let gateway = zone.large.gateway.take().expect("it runs");
+    gateway.stop().await;
+    let stranger = stranger().await;
+    let address = Some(stranger.to_string());
+    zone.service
+        .set("mulberryyoke/handoffs/large", address.as_deref());
+    sleep(SOON).await;
+    hold_up().await;
+    for _ in 0..3 {
+        let reply = zone.small.ask("/once/", "").await;
+        expect_that!(reply.status, eq(200), "{}", reply.body);
+    }
+    expect_that!(zone.backend.state.heads().len(), eq(3));
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod beat;
 mod count;
 mod error;
+pub mod handoff;
 pub mod hop;
 mod link;
 pub mod relay;
