Sending: what was learnt of a server while a request waited for a connection binds it as well

A request is bound to a server before it has a connection there, for up to 300 ms, and longer on a node that is behind. A server that leaves, rests or is evacuated meanwhile was sent it all the same. Now it is chosen anew; as it was offered to nobody it uses no retry and no try. No test brings the moment about: a connection on one machine is there at once, and a full queue of them outlasts the time to connect.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -73,6 +73,7 @@
                 Outcome::Answered(response) => return Ok(response),
                 Outcome::Failed(response) if !self.may_repeat(core, call) => return Ok(response),
                 Outcome::Failed(_) => (true, Refusal::Unknown),
+                Outcome::Withheld => (call.left_ms() > 0, last),
                 Outcome::TurnedAway | Outcome::OtherServer | Outcome::Unsent => {
                     let refusal = if self.ran == 0 {
                         balance::resting(core, call.pool).unwrap_or(Refusal::TurnedAway)
@@ -113,8 +114,9 @@
         note(core, call, &running, self.ran + self.not_run);
         let outcome = send::send(core, call, running, self, resume_after).await;
         match outcome {
-            Outcome::TurnedAway | Outcome::OtherServer | Outcome::Unsent => {
-                self.not_run += 1;
+            Outcome::TurnedAway | Outcome::OtherServer | Outcome::Unsent | Outcome::Withheld => {
+                // What was not offered to a server uses up none of its tries.
+                self.not_run += u32::from(!matches!(outcome, Outcome::Withheld));
                 // One that may have run elsewhere was not charged for this server.
                 if self.ran == 0 {
                     balance::take_back(core, call);
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -51,6 +51,10 @@
             return Outcome::Unsent;
         }
     };
+    // What was learnt of the server while this request waited for a connection binds it as well.
+    if !backend.is_open() || backend.life.is_resting(clock::now_ms()) {
+        return Outcome::Withheld;
+    }
     let request = request(core, call, &running, resume_after);
     let mut sent = Box::pin(conn.sender.try_send_request(request));
     let mut stall = trials.stall(call);
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -15,6 +15,8 @@
     OtherServer,
     /// No byte of it left the router.
     Unsent,
+    /// The server left or asked for rest before anything of it was sent.
+    Withheld,
     /// The server failed, and its answer says so. It has run.
     Failed(Response<Answer>),
     /// It may run or have run; nothing more is known.
@@ -35,6 +37,7 @@
             Self::TurnedAway => "turned_away",
             Self::OtherServer => "other_server",
             Self::Unsent => "unsent",
+            Self::Withheld => "withheld",
             Self::Failed(_) => "failed",
             Self::Unknown => "unknown",
             Self::Garbled => "garbled",
