Leaving: gateways tell each other which servers said that they leave

Callers of a gateway that had not asked the server itself were sent there until it had, and until its registration said so. Two ways were weighed: closing by a peer's word, and leaving the server out while there are others. With the first a false word empties a pool (the test asks for that); the second is kept, as the rule binds the gateway that was told. 64 servers take less than 700 bytes; a gateway of an earlier release reads up to there. Tests seen failing before; beats without any leaving server have not changed.

--- a/crates/gateway/src/backend/life.rs
+++ b/crates/gateway/src/backend/life.rs
@@ -5,12 +5,18 @@
 use mulberryyoke_decide::rest::Rest;
 use parking_lot::Mutex;
 
+/// Time for which a word at second hand counts, in milliseconds: a server that leaves has ended by
+/// then, and one that has not is asked, and says so again.
+pub(crate) const TOLD_MS: u64 = 60_000;
+
 /// What one life of a server said of itself. It holds whatever the key-value service says of
 /// this life, and nothing of it holds for the next.
 #[derive(Debug, Default)]
 pub(crate) struct Life {
     /// When it first said that it leaves, in milliseconds of the boot clock; 0 if it has not.
     left_ms: AtomicU64,
+    /// When it said so to another gateway, by what that told last, likewise.
+    heard_ms: AtomicU64,
     /// When it last said anything, or was last registered, likewise.
     seen_ms: AtomicU64,
     /// Whether it asked for rest and has answered no request since: others are not looked at.
@@ -73,6 +79,25 @@
         self.rest.lock().wait_ms(now_ms)
     }
 
+    /// Notes that it said to another gateway that it leaves; `true` if that is new here.
+    pub(crate) fn hear(&self, at_ms: u64) -> bool {
+        self.see(at_ms);
+        self.heard_ms.fetch_max(at_ms.max(1), Ordering::Relaxed) == 0
+    }
+
+    /// When it last was known to have said that it leaves, here or to another gateway; 0 if it
+    /// has not.
+    pub(crate) fn told_ms(&self) -> u64 {
+        let left_ms = self.left_ms.load(Ordering::Relaxed);
+        left_ms.max(self.heard_ms.load(Ordering::Relaxed))
+    }
+
+    /// Whether another gateway told lately that it leaves: others are better asked.
+    pub(crate) fn is_avoided(&self, now_ms: u64) -> bool {
+        let heard_ms = self.heard_ms.load(Ordering::Relaxed);
+        heard_ms > 0 && now_ms.saturating_sub(heard_ms) < TOLD_MS
+    }
+
     /// Notes that it is there.
     pub(crate) fn see(&self, now_ms: u64) {
         self.seen_ms.fetch_max(now_ms, Ordering::Relaxed);
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -43,8 +43,13 @@
         if open.is_empty() {
             return Err(rest_of(servers, now_ms).unwrap_or(Refusal::NoServer));
         }
+        // What peers say of a server leaves it out while there are others: they may be wrong.
+        prefer(&mut open, |backend| !backend.life.is_avoided(now_ms));
         if is_apart {
-            keep_apart(&mut open);
+            // If one ends, only one request under suspicion is named.
+            prefer(&mut open, |backend| {
+                backend.trials.load(Ordering::Relaxed) == 0
+            });
         }
         if call.prompt.is_some() {
             let standing = standing(core, call, tried.is_empty());
@@ -81,12 +86,10 @@
     Some(Refusal::Resting(retry_ms(first_ms, rand::rng().random())))
 }
 
-/// Leaves out servers that run a request under suspicion, while there are others: if one ends,
-/// only one of them is named.
-fn keep_apart(open: &mut Vec<&Arc<Backend>>) {
-    let is_free = |backend: &Arc<Backend>| backend.trials.load(Ordering::Relaxed) == 0;
-    if open.iter().any(|backend| is_free(backend)) {
-        open.retain(|backend| is_free(backend));
+/// Leaves out servers that are not preferred, if any are.
+fn prefer(open: &mut Vec<&Arc<Backend>>, is_preferred: impl Fn(&Arc<Backend>) -> bool) {
+    if open.iter().any(|backend| is_preferred(backend)) {
+        open.retain(|backend| is_preferred(backend));
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -22,9 +22,8 @@
 use self::inner::{Inner, Outgoing, own};
 pub(crate) use self::peers::Peer;
 pub(crate) use self::run::run;
-use crate::clock;
 use crate::core::Core;
-use crate::quarantine;
+use crate::{clock, notice, quarantine};
 
 /// What this gateway exchanges with its peers.
 #[derive(Debug)]
@@ -118,9 +117,10 @@
             round.extend(inner.sums(self.origin, now));
         }
         drop(inner);
-        let suspects = core.quarantine.told();
+        let (suspects, leaving) = (core.quarantine.told(), core.roster.lives.told());
         for (beat, _) in &mut round {
             beat.suspects.clone_from(&suspects);
+            beat.leaving.clone_from(&leaving);
         }
         round
     }
@@ -130,6 +130,7 @@
             return;
         }
         quarantine::hear(core, &beat.suspects);
+        notice::hear(core, &beat.leaving);
         let now = clock::now_ms();
         let mut inner = self.inner.lock();
         let is_known = inner.aggregate.knows(beat.origin);
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -1,6 +1,9 @@
 //! What servers say of themselves with their answers.
 
+use std::sync::Arc;
+
 use mulberryyoke_event::{Event, log};
+use mulberryyoke_wire::beat::Leaving;
 
 use crate::backend::Backend;
 use crate::clock;
@@ -28,9 +31,25 @@
     }
     backend.close();
     core.roster.lives.keep(backend.server.id, &backend.life);
-    metrics::counter!("servers_leaving_total").increment(1);
+    metrics::counter!("servers_leaving_total", "source" => "answer").increment(1);
     log!(core.logger, Event::ServerLeaves,
-        "request" => request, "server" => &backend.server.name);
+        "request" => request, "server" => &backend.server.name, "source" => "answer");
+}
+
+/// Takes in which servers told other gateways that they leave.
+pub(crate) fn hear(core: &Core, leaving: &[Leaving]) {
+    for told in leaving {
+        let backend = core.roster.by_id(told.server);
+        let life = backend.as_ref().map(|backend| Arc::clone(&backend.life));
+        if !core.roster.lives.hear(*told, life) {
+            continue;
+        }
+        metrics::counter!("servers_leaving_total", "source" => "peer").increment(1);
+        log!(core.logger, Event::ServerLeaves,
+            "server" => backend.map(|backend| backend.server.name.clone()),
+            "source" => "peer",
+            "age_ms" => told.age_ms);
+    }
 }
 
 /// Sends a server nothing for as long as it asks.
--- a/crates/gateway/src/roster/lives.rs
+++ b/crates/gateway/src/roster/lives.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use mulberryyoke_model::ServerId;
+use mulberryyoke_wire::beat::Leaving;
 use parking_lot::Mutex;
 
-use crate::backend::Life;
+use crate::backend::{Life, TOLD_MS};
 use crate::clock;
 
 /// Time for which a life is remembered that is no longer registered, in milliseconds: one whose
@@ -14,6 +15,9 @@
 /// seconds, and one that leaves may serve on for as long.
 const KEPT_MS: u64 = 60_000;
 
+/// Lives that one message tells of: 64 take less than 700 bytes.
+const MOST_TOLD: usize = 64;
+
 /// Lives of servers that said something of themselves.
 #[derive(Debug, Default)]
 pub(crate) struct Lives {
@@ -37,4 +41,37 @@
         });
         lives.insert(server, Arc::clone(life));
     }
+
+    /// What other gateways are to be told: lives that lately said that they leave, the latest
+    /// first.
+    pub(crate) fn told(&self) -> Vec<Leaving> {
+        let lives = self.lives.lock();
+        if lives.is_empty() {
+            return Vec::new();
+        }
+        let now_ms = clock::now_ms();
+        let told = lives.iter().filter(|(_, life)| life.told_ms() > 0);
+        let told = told.map(|(&server, life)| Leaving {
+            server,
+            age_ms: now_ms.saturating_sub(life.told_ms()),
+        });
+        let mut told: Vec<Leaving> = told.filter(|told| told.age_ms < TOLD_MS).collect();
+        told.sort_by_key(|told| (told.age_ms, told.server));
+        told.truncate(MOST_TOLD);
+        told
+    }
+
+    /// Takes in what another gateway told of a life: the one that is registered, or one that may
+    /// be registered yet. `true` if it is new here.
+    pub(crate) fn hear(&self, told: Leaving, registered: Option<Arc<Life>>) -> bool {
+        if told.age_ms >= TOLD_MS {
+            return false;
+        }
+        let life = registered.unwrap_or_else(|| self.of(told.server));
+        let is_new = life.hear(clock::now_ms().saturating_sub(told.age_ms));
+        if is_new {
+            self.keep(told.server, &life);
+        }
+        is_new
+    }
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod handoff;
 mod kept;
 mod lagging;
+mod leaving;
 mod mortal;
 mod notices;
 mod peers;
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -56,6 +56,18 @@
     /// release that does not know them reads up to there.
     #[serde(skip)]
     pub suspects: Vec<Suspect>,
+    /// Servers that said that they leave. They follow the suspects, as these the rest.
+    #[serde(skip)]
+    pub leaving: Vec<Leaving>,
+}
+
+/// A server that said to a gateway that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leaving {
+    /// The life of the server.
+    pub server: ServerId,
+    /// Time since it said so, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// What gateways have at a server.
@@ -106,6 +118,7 @@
                 .collect(),
             reads,
             suspects: Vec::new(),
+            leaving: Vec::new(),
         }
     }
 
@@ -155,21 +168,34 @@
     fn decode(bytes: &[u8]) -> Result<Self, Unreadable> {
         let read = postcard::take_from_bytes::<Self>(bytes);
         let (mut beat, rest) = read.map_err(|_| Unreadable::Message)?;
-        if !rest.is_empty() {
-            beat.suspects = postcard::from_bytes(rest).map_err(|_| Unreadable::Message)?;
-        }
+        let rest = follow(rest, &mut beat.suspects)?;
+        follow(rest, &mut beat.leaving)?;
         Ok(beat)
     }
 
     fn bytes(&self) -> Vec<u8> {
         let mut bytes = postcard::to_stdvec(self).unwrap_or_default();
-        if !self.suspects.is_empty() {
+        let has_leaving = !self.leaving.is_empty();
+        if has_leaving || !self.suspects.is_empty() {
             bytes.extend(postcard::to_stdvec(&self.suspects).unwrap_or_default());
         }
+        if has_leaving {
+            bytes.extend(postcard::to_stdvec(&self.leaving).unwrap_or_default());
+        }
         bytes
     }
 }
 
+/// Reads what follows a message, if anything does; the rest is what follows that.
+fn follow<'a, T: Deserialize<'a>>(bytes: &'a [u8], to: &mut T) -> Result<&'a [u8], Unreadable> {
+    if bytes.is_empty() {
+        return Ok(bytes);
+    }
+    let (read, rest) = postcard::take_from_bytes(bytes).map_err(|_| Unreadable::Message)?;
+    *to = read;
+    Ok(rest)
+}
+
 impl Customer {
     fn new(id: CustomerId, flow: Flow) -> Self {
         Self {
--- a/crates/wire/tests/beat.rs
+++ b/crates/wire/tests/beat.rs
@@ -6,7 +6,7 @@
 use mulberryyoke_decide::quarantine::{End, Suspect};
 use mulberryyoke_decide::share::Flow;
 use mulberryyoke_model::{CustomerId, Digest, Incarnation, ServerId};
-use mulberryyoke_wire::beat::{Assembler, Beat, MAX_BYTES, Read, Scope, Unreadable};
+use mulberryyoke_wire::beat::{Assembler, Beat, Leaving, MAX_BYTES, Read, Scope, Unreadable};
 
 /// Bytes of a packet before its part of the message.
 const HEAD: usize = 15;
@@ -189,3 +189,30 @@
         eq(&suspects(64))
     );
 }
+
+#[gtest]
+fn servers_that_leave_follow_whatever_else_is_told_and_change_nothing_of_it() {
+    for count in [0, 2] {
+        let mut before = beat(7, 12, 16, 4);
+        before.suspects = suspects(count);
+        let mut told = before.clone();
+        let leaving = |index| Leaving {
+            server: ServerId(u32::MAX - index),
+            age_ms: 60_000,
+        };
+        told.leaving = (0..64).map(leaving).collect();
+        let (bare, packets) = (before.encode(), told.encode());
+        let length = bare[0].len();
+        // A release that does not know them reads the message up to there.
+        expect_that!(packets[0][HEAD..length] == bare[0][HEAD..], eq(true));
+        let bytes: usize = packets.iter().map(Vec::len).sum();
+        expect_that!(bytes - length, le(700), "bytes of 64 servers");
+        let mut assembler = Assembler::default();
+        let read = packets
+            .iter()
+            .filter_map(|packet| assembler.take(packet).expect("readable"));
+        let read = sorted(read.last().expect("whole"));
+        expect_that!(read.leaving, eq(&told.leaving));
+        expect_that!(read.suspects, eq(&told.suspects));
+    }
+}
