--- a/crates/daemon/tests/soak/audit.rs
+++ b/crates/daemon/tests/soak/audit.rs
@@ -1,5 +1,7 @@
 //! What callers and servers saw, held against what is promised.
 
+mod notice;
+
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -67,6 +69,8 @@
         }
     }
     retries(&mut audit, &records, &arrivals, &by_id);
+    notice::leaving(&mut audit, scene, &asked, &arrivals);
+    notice::rest(&mut audit, scene, &asked, &arrivals);
     audit
 }
 
--- /dev/null
+++ b/crates/daemon/tests/soak/audit/notice.rs
@@ -0,0 +1,86 @@
+//! What servers said of themselves, held against what they were sent.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::{Audit, DRAIN, SLACK};
+use crate::backend::Arrival;
+use crate::load::Record;
+use crate::scene::Scene;
+use crate::trouble::Place;
+
+/// Time after a server asked for rest in which requests that were on their way may reach it.
+const ON_THE_WAY: Duration = Duration::from_millis(500);
+
+/// Requests that may reach it from then until the end of its rest.
+const MOST_IN_REST: usize = 2;
+
+/// A gateway that has passed on a server's word that it leaves sends it nothing new, in touch or
+/// not.
+pub(super) fn leaving(
+    audit: &mut Audit,
+    scene: &Scene,
+    asked: &HashMap<&str, &Record>,
+    arrivals: &[Arrival],
+) {
+    let mut told: HashMap<(usize, &str), Instant> = HashMap::new();
+    let said = arrivals.iter().filter(|arrival| arrival.is_leaving);
+    for arrival in said {
+        let Some(record) = asked.get(&*arrival.id).filter(|record| record.is_sealed) else {
+            continue;
+        };
+        let at = told
+            .entry((record.gate, &arrival.server))
+            .or_insert(record.ended);
+        *at = record.ended.min(*at);
+    }
+    for arrival in arrivals {
+        let Some(record) = asked.get(&*arrival.id) else {
+            continue;
+        };
+        let Some(&at) = told.get(&(record.gate, &*arrival.server)) else {
+            continue;
+        };
+        let is_late = record.sent > at + DRAIN + SLACK && arrival.has_run;
+        let breaks = is_late
+            && scene
+                .troubles
+                .is_calm(Place::Gate(record.gate), at, arrival.at);
+        audit.check("server that said it leaves", !breaks, || {
+            format!("told {:?} before: {arrival:?} {record:?}", record.sent - at)
+        });
+    }
+}
+
+/// A server that asked a gateway for rest gets hardly anything from it until that is over.
+pub(super) fn rest(
+    audit: &mut Audit,
+    scene: &Scene,
+    asked: &HashMap<&str, &Record>,
+    arrivals: &[Arrival],
+) {
+    let gate = |arrival: &Arrival| asked.get(&*arrival.id).map(|record| record.gate);
+    for arrival in arrivals {
+        let (Some(rest), Some(of)) = (arrival.rest, gate(arrival)) else {
+            continue;
+        };
+        let (from, to) = (arrival.at + ON_THE_WAY, arrival.at + rest);
+        // An answer that did not come through said nothing.
+        let places = [Place::Gate(of), Place::Server];
+        let is_calm = |place| scene.troubles.is_calm(place, arrival.at, to);
+        if !places.into_iter().all(is_calm) {
+            continue;
+        }
+        let came = arrivals.iter().filter(|other| {
+            other.server == arrival.server
+                && (from..to).contains(&other.at)
+                && gate(other) == Some(of)
+        });
+        let count = came.count();
+        audit.check(
+            "rest that a server asked for",
+            count <= MOST_IN_REST,
+            || format!("{count} requests: {arrival:?}"),
+        );
+    }
+}
--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -20,6 +20,9 @@
 /// Part of the runs in which the store comes back from a copy.
 const RESTORES: f64 = 0.5;
 
+/// Part of the runs in which a server says that it leaves or asks for rest, for each.
+const NOTICES: f64 = 0.6;
+
 /// What goes wrong, or is planned.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Fault {
@@ -45,6 +48,12 @@
     Pool(Way),
     /// A server leaves as planned, and another takes its address.
     Replace,
+    /// As `Replace`, and the server's answers say so before its registration does.
+    Leave,
+    /// A server turns everything away and asks for rest.
+    Rest,
+    /// All servers of a pool do.
+    RestPool,
     /// The configuration gains or loses a route.
     Route,
     /// A key is taken away.
@@ -82,6 +91,12 @@
             ..step(&mut rng)
         });
     }
+    for fault in [Fault::Leave, Fault::Rest, Fault::RestPool] {
+        if rng.random_bool(NOTICES) {
+            let step = step(&mut rng);
+            steps.push(Step { fault, ..step });
+        }
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
--- a/crates/daemon/tests/soak/scene/step.rs
+++ b/crates/daemon/tests/soak/scene/step.rs
@@ -14,6 +14,9 @@
 use crate::plan::{Fault, Step};
 use crate::trouble::Place;
 
+/// Time for which servers ask for rest, each time that they turn a request away.
+const REST: Duration = Duration::from_secs(2);
+
 impl Scene {
     pub(super) async fn play_step(self: Arc<Self>, step: Step, begun: Instant) {
         sleep((begun + step.at).saturating_duration_since(Instant::now())).await;
@@ -69,7 +72,25 @@
                 of_pool.for_each(|host| host.link.set(Way::Open));
                 self.troubles.end(trouble);
             }
-            Fault::Replace => self.replace(host).await,
+            Fault::Replace => self.replace(host, Duration::ZERO).await,
+            Fault::Leave => {
+                host.backend.leave();
+                self.replace(host, step.lasts).await;
+            }
+            Fault::Rest => {
+                host.backend.rest(Some(REST));
+                sleep(step.lasts / 2).await;
+                host.backend.rest(None);
+            }
+            Fault::RestPool => {
+                let of_pool = self.hosts.iter().filter(|other| other.pool == host.pool);
+                of_pool
+                    .clone()
+                    .for_each(|host| host.backend.rest(Some(REST)));
+                // Over before it is looked whether requests are served again.
+                sleep(step.lasts / 2).await;
+                of_pool.for_each(|host| host.backend.rest(None));
+            }
             Fault::Route => self.operator.turn_route(),
             Fault::Revoke => self.operator.revoke(),
         }
@@ -93,9 +114,11 @@
         self.troubles.end(trouble);
     }
 
-    /// A server leaves, and another takes its address.
-    async fn replace(&self, host: &Host) {
+    /// A server leaves, which its registration says some time later, and another takes its
+    /// address.
+    async fn replace(&self, host: &Host, later: Duration) {
         let name = host.backend.name();
+        sleep(later).await;
         if self.left.lock().contains_key(&name) {
             return;
         }
