Leaving: a word at second hand grows old however often it is told

Found by reading: the time of a word was taken as the latest that anyone told. Messages take time, so it looked later with each of them, and two gateways that tell each other would have kept a server out for as long as both ran. The earliest counts now; the decision has a file of its own (decide::leaving).

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod handoff;
 pub mod home;
 pub mod key;
+pub mod leaving;
 pub mod limit;
 pub mod member;
 pub mod overload;
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -14,7 +14,7 @@
 
 pub(crate) use self::cold::Cold;
 pub(crate) use self::health::Health;
-pub(crate) use self::life::{Life, TOLD_MS};
+pub(crate) use self::life::Life;
 pub(crate) use self::running::Running;
 pub(crate) use self::seen::Seen;
 use crate::conn::Conns;
--- a/crates/gateway/src/backend/life.rs
+++ b/crates/gateway/src/backend/life.rs
@@ -2,21 +2,19 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use mulberryyoke_decide::leaving::Word;
 use mulberryyoke_decide::rest::Rest;
 use parking_lot::Mutex;
 
-/// Time for which a word at second hand counts, in milliseconds: a server that leaves has ended by
-/// then, and one that has not is asked, and says so again.
-pub(crate) const TOLD_MS: u64 = 60_000;
-
 /// What one life of a server said of itself. It holds whatever the key-value service says of
 /// this life, and nothing of it holds for the next.
 #[derive(Debug, Default)]
 pub(crate) struct Life {
-    /// When it first said that it leaves, in milliseconds of the boot clock; 0 if it has not.
-    left_ms: AtomicU64,
-    /// When it said so to another gateway, by what that told last, likewise.
-    heard_ms: AtomicU64,
+    word: Mutex<Word>,
+    /// Whether it said here that it leaves.
+    is_leaving: AtomicBool,
+    /// Until when others are better asked by what peers say, in milliseconds of the boot clock.
+    avoided_until_ms: AtomicU64,
     /// When it last said anything, or was last registered, likewise.
     seen_ms: AtomicU64,
     /// Whether it asked for rest and has answered no request since: others are not looked at.
@@ -28,15 +26,34 @@
     /// Notes that it says that it leaves; `true` if it did not before.
     pub(crate) fn leave(&self, now_ms: u64) -> bool {
         self.see(now_ms);
-        let left =
-            self.left_ms
-                .compare_exchange(0, now_ms.max(1), Ordering::Relaxed, Ordering::Relaxed);
-        left.is_ok()
+        self.is_leaving.store(true, Ordering::Relaxed);
+        self.word.lock().say(now_ms)
     }
 
-    /// Whether it said that it leaves.
+    /// Whether it said here that it leaves.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.left_ms.load(Ordering::Relaxed) > 0
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Notes that it said so to another gateway some time ago; `true` if that is new here.
+    pub(crate) fn hear(&self, age_ms: u64, now_ms: u64) -> bool {
+        let mut word = self.word.lock();
+        let is_new = word.hear(age_ms, now_ms);
+        let until_ms = word.until().unwrap_or(0);
+        self.avoided_until_ms.store(until_ms, Ordering::Relaxed);
+        drop(word);
+        self.see(now_ms.saturating_sub(age_ms));
+        is_new
+    }
+
+    /// Whether others are better asked by what peers say.
+    pub(crate) fn is_avoided(&self, now_ms: u64) -> bool {
+        now_ms < self.avoided_until_ms.load(Ordering::Relaxed)
+    }
+
+    /// Time since it said that it leaves, to tell other gateways.
+    pub(crate) fn told_ms(&self, now_ms: u64) -> Option<u64> {
+        self.word.lock().age_ms(now_ms)
     }
 
     /// Notes that it asks for so much rest from now on.
@@ -79,25 +96,6 @@
         self.rest.lock().wait_ms(now_ms)
     }
 
-    /// Notes that it said to another gateway that it leaves; `true` if that is new here.
-    pub(crate) fn hear(&self, at_ms: u64) -> bool {
-        self.see(at_ms);
-        self.heard_ms.fetch_max(at_ms.max(1), Ordering::Relaxed) == 0
-    }
-
-    /// When it last was known to have said that it leaves, here or to another gateway; 0 if it
-    /// has not.
-    pub(crate) fn told_ms(&self) -> u64 {
-        let left_ms = self.left_ms.load(Ordering::Relaxed);
-        left_ms.max(self.heard_ms.load(Ordering::Relaxed))
-    }
-
-    /// Whether another gateway told lately that it leaves: others are better asked.
-    pub(crate) fn is_avoided(&self, now_ms: u64) -> bool {
-        let heard_ms = self.heard_ms.load(Ordering::Relaxed);
-        heard_ms > 0 && now_ms.saturating_sub(heard_ms) < TOLD_MS
-    }
-
     /// Notes that it is there.
     pub(crate) fn see(&self, now_ms: u64) {
         self.seen_ms.fetch_max(now_ms, Ordering::Relaxed);
--- a/crates/gateway/src/roster/lives.rs
+++ b/crates/gateway/src/roster/lives.rs
@@ -7,7 +7,7 @@
 use mulberryyoke_wire::beat::Leaving;
 use parking_lot::Mutex;
 
-use crate::backend::{Life, TOLD_MS};
+use crate::backend::Life;
 use crate::clock;
 
 /// Time for which a life is remembered that is no longer registered, in milliseconds: one whose
@@ -50,12 +50,11 @@
             return Vec::new();
         }
         let now_ms = clock::now_ms();
-        let told = lives.iter().filter(|(_, life)| life.told_ms() > 0);
-        let told = told.map(|(&server, life)| Leaving {
-            server,
-            age_ms: now_ms.saturating_sub(life.told_ms()),
+        let told = lives.iter().filter_map(|(&server, life)| {
+            let age_ms = life.told_ms(now_ms)?;
+            Some(Leaving { server, age_ms })
         });
-        let mut told: Vec<Leaving> = told.filter(|told| told.age_ms < TOLD_MS).collect();
+        let mut told: Vec<Leaving> = told.collect();
         told.sort_by_key(|told| (told.age_ms, told.server));
         told.truncate(MOST_TOLD);
         told
@@ -64,11 +63,8 @@
     /// Takes in what another gateway told of a life: the one that is registered, or one that may
     /// be registered yet. `true` if it is new here.
     pub(crate) fn hear(&self, told: Leaving, registered: Option<Arc<Life>>) -> bool {
-        if told.age_ms >= TOLD_MS {
-            return false;
-        }
         let life = registered.unwrap_or_else(|| self.of(told.server));
-        let is_new = life.hear(clock::now_ms().saturating_sub(told.age_ms));
+        let is_new = life.hear(told.age_ms, clock::now_ms());
         if is_new {
             self.keep(told.server, &life);
         }
