Gateway: keeping a connection and noting a failure stand apart from the steps of a request

`fail` and `finish` belonged to none of send, pass and pump, which all used them: a failure has a file of its own, the end of a run belongs to the run, and keeping a connection to the server, in one copy. Passing on a large answer knows nothing of dispatch any more; an answer to a question of the gateway's own no longer keeps a connection to a server that has left. No test was changed.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -17,8 +17,9 @@
 pub(crate) use self::life::Life;
 pub(crate) use self::running::Running;
 pub(crate) use self::seen::Seen;
-use crate::conn::Conns;
+use crate::conn::{Conn, Conns};
 use crate::plan::Model;
+use crate::protocol::Reading;
 use crate::server::Server;
 
 /// Part of a model server's memory in which shared prompt parts are expected to
@@ -97,6 +98,13 @@
         self.is_evacuated.store(is_evacuated, Ordering::Relaxed);
     }
 
+    /// Keeps a connection whose answer was read whole, if another request may go there.
+    pub(crate) fn give(&self, conn: Conn, reading: Reading) {
+        if !reading.is_last && self.is_open() {
+            self.conns.give(conn, reading.idle_ms);
+        }
+    }
+
     /// Lets it get no more requests; those that run go on.
     pub(crate) fn close(&self) {
         self.is_closed.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/backend/running.rs
+++ b/crates/gateway/src/backend/running.rs
@@ -8,6 +8,8 @@
 
 use super::Backend;
 use crate::clock;
+use crate::conn::Conn;
+use crate::protocol::Reading;
 
 /// A request at a server, counted in what the server is believed to have until
 /// it is dropped.
@@ -63,6 +65,13 @@
         self.ahead
     }
 
+    /// Notes that its answer has come whole, and keeps the connection on which it came.
+    pub(crate) fn finish(mut self, conn: Conn, reading: Reading) {
+        self.first();
+        self.backend.health.lock().succeed(Instant::now());
+        self.backend.give(conn, reading);
+    }
+
     /// Notes that its answer has begun: its prompt is read.
     pub(crate) fn first(&mut self) {
         if self.begun.is_some() {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -10,7 +10,6 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-pub(crate) use self::send::{fail, finish};
 use crate::answer::Answer;
 use crate::backend::Running;
 use crate::balance;
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -7,8 +7,6 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Request, Response, StatusCode};
-use mulberryyoke_event::{Event, log};
-use tokio::time::Instant;
 
 use crate::answer::Answer;
 use crate::backend::Running;
@@ -16,9 +14,10 @@
 use crate::conn::Conn;
 use crate::core::Core;
 use crate::dispatch::Trials;
+use crate::failure::fail;
 use crate::header;
 use crate::outcome::Outcome;
-use crate::protocol::{Order, Proof, Reading};
+use crate::protocol::{Order, Proof};
 use crate::{clock, notice, pass, pump, quarantine};
 
 /// Largest answer that is kept until it is whole, in bytes; larger ones are passed on as they come.
@@ -167,7 +166,7 @@
     let answer = match collected {
         Ok(Collected::Whole(whole)) => {
             quarantine::survived(core, || call.digest());
-            finish(running, conn, reading);
+            running.finish(conn, reading);
             Answer::whole(whole)
         }
         Ok(Collected::Large(begun, rest)) => {
@@ -206,26 +205,3 @@
     }
     Ok(Collected::Whole(read.freeze()))
 }
-
-/// Keeps the connection after a whole answer.
-pub(crate) fn finish(mut running: Running, conn: Conn, reading: Reading) {
-    running.first();
-    let backend = &running.backend;
-    backend.health.lock().succeed(Instant::now());
-    if !reading.is_last && backend.is_open() {
-        backend.conns.give(conn, reading.idle_ms);
-    }
-}
-
-/// Notes a failure of a server.
-pub(crate) fn fail(core: &Core, call: &Call, running: &Running, what: &str, why: &str) {
-    let backend = &running.backend;
-    backend.health.lock().fail(Instant::now());
-    log!(core.logger, Event::BackendFailed,
-        "request" => &call.id,
-        "digest" => call.digest().to_string(),
-        "server" => &backend.server.name,
-        "what" => what,
-        "error" => why,
-        "elapsed_ms" => clock::between_ms(call.since, Instant::now()));
-}
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -83,8 +83,6 @@
     }
     let body = Limited::new(body, LIST_BYTES).collect().await;
     let body = body.map_err(Error::Body)?.to_bytes();
-    if !reading.is_last {
-        backend.conns.give(conn, reading.idle_ms);
-    }
+    backend.give(conn, reading);
     Ok(core.protocol.kept(&body)?)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod dispatch;
 mod error;
 mod exchange;
+mod failure;
 mod follow;
 mod handle;
 mod handoff;
--- a/crates/gateway/src/pass.rs
+++ b/crates/gateway/src/pass.rs
@@ -13,7 +13,7 @@
 use crate::clock;
 use crate::conn::Conn;
 use crate::core::Core;
-use crate::dispatch::{fail, finish};
+use crate::failure::fail;
 use crate::protocol::Reading;
 use crate::quarantine;
 
@@ -42,7 +42,7 @@
         match passed {
             Ok(()) => {
                 quarantine::survived(&core, || call.digest());
-                finish(running, conn, reading);
+                running.finish(conn, reading);
             }
             Err(broken) => {
                 fail(
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -17,7 +17,8 @@
 use crate::clock;
 use crate::conn::Conn;
 use crate::core::Core;
-use crate::dispatch::{Trials, fail, finish};
+use crate::dispatch::Trials;
+use crate::failure::fail;
 use crate::protocol::Reading;
 use crate::quarantine;
 use crate::refusal::Refusal;
@@ -122,7 +123,7 @@
         match end {
             End::Whole => {
                 quarantine::survived(&self.core, || self.call.digest());
-                finish(self.running, conn, reading);
+                self.running.finish(conn, reading);
             }
             End::Broken | End::Stalled => {
                 let (core, call) = (&self.core, &self.call);
