Quarantine: a conviction that a restored copy lacks is written again

What callers saw: after the key-value service came back from a copy and all gateways had started again, a request that ends servers ended one more. Cause: gateways remember a conviction that the copy lacks, and nobody wrote it. The gateway that decides about the request does now, within 1.5 s.

--- a/crates/gateway/src/follow/contents.rs
+++ b/crates/gateway/src/follow/contents.rs
@@ -110,6 +110,9 @@
         for key in keys {
             if is_restored {
                 self.missing.insert(key.clone(), until);
+                if let Some(digest) = quarantine::digest_of(key) {
+                    quarantine::write_again(&self.core, digest);
+                }
             } else if !self.missing.contains_key(key) {
                 self.forget(key);
             }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 pub(crate) use self::admit::{PATH, admit, answer};
-pub(crate) use self::conviction::{digest_of, read};
+pub(crate) use self::conviction::{digest_of, read, write_again};
 pub(crate) use self::witness::{lapsed, witness};
 use crate::clock;
 use crate::core::Core;
--- a/crates/gateway/src/quarantine/conviction.rs
+++ b/crates/gateway/src/quarantine/conviction.rs
@@ -9,6 +9,7 @@
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::{Digest, ServerId};
 use mulberryyoke_platform::kv::Error;
+use rand::RngExt;
 use tokio::time::sleep;
 
 use crate::core::Core;
@@ -22,6 +23,9 @@
 /// Pause after a failed write.
 const PAUSE: Duration = Duration::from_secs(1);
 
+/// Time over which what a copy lacks is written again, in milliseconds.
+const SPREAD_MS: u64 = 1_500;
+
 /// Times that a write is tried, so that an outage of a minute is waited for.
 const TRIES: u32 = 60;
 
@@ -70,6 +74,22 @@
     });
 }
 
+/// Writes what is known of a request there once more, as a copy lacks it from which the service
+/// came back: gateways that start later would let it end as many servers again. The gateway
+/// that decides about it does.
+pub(crate) fn write_again(core: &Arc<Core>, digest: Digest) {
+    if core.exchange.arbiter(digest).is_some() {
+        return;
+    }
+    let core = Arc::clone(core);
+    tokio::spawn(async move {
+        // All gateways register again at that time.
+        let pause_ms = rand::rng().random_range(0..SPREAD_MS);
+        sleep(Duration::from_millis(pause_ms)).await;
+        write(&core, digest);
+    });
+}
+
 async fn keep_trying(core: &Core, digest: Digest) {
     for _ in 0..TRIES {
         match put(core, digest).await {
--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -13,7 +13,6 @@
 //! "event":2007,"what":"could not connect","error":"Connection refused","server":"i-3fdeca0c65"
 //! ```
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -21,70 +20,17 @@
 use tokio::time::sleep;
 
 use crate::backend::Way;
-use crate::caller::{self, Reply};
-use crate::feed::Service;
-use crate::fleet::Node;
-use crate::mortal::{BAD, Luck, Mortal, Name, ended, unlucky};
+use crate::caller;
+use crate::mortal::{BAD, Mortal, Name, ended, unlucky};
+use crate::mortals::{Fleet, MOST, PAUSE, PROMPT};
 use crate::protocol::PANICS;
 
-/// Servers of a fleet: more than one request may end.
-const SERVERS: usize = 8;
-
-/// Pause between two repeats of a caller; what one gateway saw is known to all by then.
-const PAUSE: Duration = Duration::from_millis(500);
-
 /// Time after its start in which a gateway knows too little of the fleet for cold servers.
 const KNOWN: Duration = Duration::from_millis(3_200);
 
-/// Most servers that a request may end which comes one at a time.
-const MOST: u32 = 3;
-
 /// Most where copies of it arrive at several gateways at once.
 const MOST_RACING: u32 = 4;
 
-/// Prefix of the keys under which convictions lie.
-const CONVICTIONS: &str = "mulberryyoke/quarantine/";
-
-const PROMPT: &str = "x-tokens: 100\r\n";
-
-/// Gateways before servers that a bad request ends.
-struct Fleet {
-    service: Arc<Service>,
-    servers: Vec<Mortal>,
-    nodes: Vec<Node>,
-}
-
-impl Fleet {
-    async fn spawn(name: Name, nodes: usize, way: Way) -> Self {
-        let service = Service::new();
-        service.set("config", Some("5 secret"));
-        let luck = Luck::default();
-        let servers = (0..SERVERS).map(|index| {
-            let (service, luck) = (&service, &luck);
-            Mortal::spawn(service, index, name, way, luck)
-        });
-        let servers = join_all(servers).await;
-        let nodes = (0..nodes).map(async |index| {
-            let node = Node::spawn(&service, &format!("g{index}")).await;
-            node.wait_ready().await;
-            node
-        });
-        let nodes = join_all(nodes).await;
-        sleep(PAUSE).await;
-        Self {
-            service,
-            servers,
-            nodes,
-        }
-    }
-
-    /// Sends a request to a gateway.
-    async fn ask(&self, node: usize, path: &str, body: &str) -> Reply {
-        let request = caller::with_body(path, PROMPT, body);
-        caller::send(self.nodes[node % self.nodes.len()].callers, &request).await
-    }
-}
-
 /// The path of a kind of request, and how its servers answer others.
 const KINDS: [(&str, Way); 3] = [
     ("/resumable/", Way::Stream),
@@ -263,44 +209,6 @@
     expect_that!(last.body, contains_substring("quarantined"));
 }
 
-#[gtest]
-#[tokio::test]
-async fn gateways_that_all_start_anew_know_it_and_an_operator_may_lift_it() {
-    let mut fleet = Fleet::spawn(Name::New, 2, Way::Stream).await;
-    for round in 0..3 {
-        fleet.ask(round, "/resumable/", BAD).await;
-        sleep(PAUSE).await;
-    }
-    fleet.nodes.clear();
-    fleet.nodes.push(Node::spawn(&fleet.service, "g2").await);
-    fleet.nodes[0].wait_ready().await;
-    sleep(PAUSE).await;
-    let before = ended(&fleet.servers);
-    let refused = fleet.ask(0, "/resumable/", BAD).await;
-    expect_that!(refused.body, contains_substring("quarantined"));
-    expect_that!(ended(&fleet.servers), all!(eq(before), le(MOST)));
-    let keys = fleet.service.keys(CONVICTIONS);
-    expect_that!(keys, len(eq(1)));
-    fleet.service.set(&keys[0], None);
-    sleep(2 * PAUSE).await;
-    fleet.ask(0, "/resumable/", BAD).await;
-    expect_that!(ended(&fleet.servers), gt(before));
-}
-
-#[gtest]
-#[tokio::test]
-async fn without_the_key_value_service_gateways_tell_each_other() {
-    let fleet = Fleet::spawn(Name::New, 3, Way::Stream).await;
-    for node in &fleet.nodes {
-        node.way.cut(true);
-    }
-    for round in 0..6 {
-        fleet.ask(round, "/resumable/", BAD).await;
-        sleep(PAUSE).await;
-    }
-    expect_that!(ended(&fleet.servers), le(MOST));
-}
-
 #[gtest]
 #[tokio::test]
 async fn a_request_at_which_the_gateway_itself_fails_ends_its_own_connection_alone() {
