Portions: what cold or resting servers bear is not shared out while they do

What callers saw: with a third of the servers cold those who asked most took what there was, and small customers were refused as busy. Cause: portions went by the configured capacity. Now by the part of it that the servers have which take prompts.

--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -51,10 +51,11 @@
     let plan = core.view.plan();
     let capacity = plan.and_then(|plan| plan.limits().tokens_per_s);
     let capacity = capacity.map_or(f64::INFINITY, f64::from);
-    let wait_ms = core.roster.mean_wait_ms();
+    // What the others bear is not there to be shared out.
+    let models = core.roster.models();
     core.shares
         .lock()
-        .settle(capacity, wait_ms, clock::now_ms());
+        .settle(capacity * models.taking, models.wait_ms, clock::now_ms());
     let settings = core.settings.load();
     let nodes = core.exchange.gateways();
     core.budgets
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -1,6 +1,7 @@
 //! The servers that are registered.
 
 mod lives;
+mod models;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use parking_lot::Mutex;
 
 use self::lives::Lives;
+pub(crate) use self::models::Models;
 use crate::backend::Backend;
 use crate::clock;
 use crate::plan::Plan;
@@ -113,19 +115,27 @@
         ids.collect()
     }
 
-    /// Time until the model servers in use would begin to read a prompt sent now, on average, in
-    /// milliseconds; 0 without any. Cold ones and those that rest have little to do and cannot take
-    /// more.
-    pub(crate) fn mean_wait_ms(&self) -> f64 {
+    /// The model servers as a whole. Cold ones, those that rest and those of evacuated zones have
+    /// little to do and cannot take more.
+    pub(crate) fn models(&self) -> Models {
         let table = self.table.load();
         let now = clock::now_ms();
-        let models = table.ids.values().filter(|backend| {
+        let (mut all, mut taking, mut waits_ms) = (0_u32, 0_u32, 0.0);
+        let models = table.ids.values();
+        for backend in models.filter(|backend| backend.is_model && !backend.is_closed()) {
+            all += 1;
             let is_held = backend.cold.is_cold(now) || backend.life.is_resting(now);
-            backend.is_model && backend.is_open() && !is_held
-        });
-        let waits = models.map(|backend| backend.engine().wait_ms());
-        let (count, sum) = waits.fold((0_u32, 0.0), |(count, sum), wait| (count + 1, sum + wait));
-        sum / f64::from(count.max(1))
+            if backend.is_open() && !is_held {
+                taking += 1;
+                waits_ms += backend.engine().wait_ms();
+            }
+        }
+        // One at least, so that there is something to share out.
+        let some = f64::from(taking.max(1));
+        Models {
+            wait_ms: waits_ms / some,
+            taking: some / f64::from(all.max(1)),
+        }
     }
 
     /// Notes a registration; `true` if it changed what may be sent where.
--- a/crates/gateway/tests/gateway/admission.rs
+++ b/crates/gateway/tests/gateway/admission.rs
@@ -78,3 +78,36 @@
     );
     expect_that!(reply.status, eq(503));
 }
+
+/// What a customer is told whose prompts of 3,500 tokens were just run, while a long prompt is read.
+async fn told_after(tokens_per_s: u32, is_other_cold: bool) -> String {
+    let (busy, other) = (
+        Backend::spawn(Way::Answer).await,
+        Backend::spawn(Way::Answer).await,
+    );
+    let (service, node) = ready(&[&busy]).await;
+    let cold_ms = if is_other_cold { 30_000 } else { 0 };
+    let value = format!("model {} ready 5 {cold_ms}", other.address);
+    service.set("servers/model-1", Some(&value));
+    service.set("config", Some(&format!("6 tokens={tokens_per_s} secret")));
+    sleep(Duration::from_millis(600)).await;
+    let keyed = "Authorization: Bearer secret\r\nx-tokens: 500\r\n";
+    for _ in 0..7 {
+        expect_that!(node.ask("/keyed/", keyed).await.status, eq(200));
+    }
+    busy.state.turn(Way::Hang, "");
+    let long = format!("x-tokens: {LONG_PROMPT}\r\n");
+    let _long = caller::open(node.callers, &caller::request("/once/", &long)).await;
+    sleep(Duration::from_millis(100)).await;
+    node.ask("/keyed/", keyed).await.body
+}
+
+#[gtest]
+#[tokio::test]
+async fn portions_go_by_the_servers_that_take_prompts() {
+    expect_that!(told_after(2_000, false).await, contains_substring("busy"));
+    expect_that!(
+        told_after(2_000, true).await,
+        contains_substring("over_share")
+    );
+}
