Age cached parts by all tokens a server processes

Cause: the estimate of a server's prefix cache counted shared parts alone, in half of its memory (CACHE_DIVISOR). Every unshared prompt part and every generated token pushes cached parts out as well, and running requests take the rest. Gateways expected parts that busy servers had evicted.

Change: Cache is an LRU over all tokens, in the memory that running requests leave. Memory counts what requests take: own requests by prompt and expected output, those of other gateways by their number and the mean of a request. What other gateways' requests processed follows from their number and duration (Little's law), which replaces the assumption that each gateway prefills as much on the same server. Footprint learns the means and the ratio of generated to maximum tokens. Cache records which parts a server surely has, for transfers.

Tests of decide, gateway and adapter pass.

--- a/crates/decide/src/engine.rs
+++ b/crates/decide/src/engine.rs
@@ -4,22 +4,31 @@
 mod cache;
 mod choice;
 mod decayed_tokens;
+mod footprint;
+mod memory;
 mod pause;
 mod pool_stats;
 mod prompt;
+mod reservation;
 
 pub use self::cache::Cache;
 pub use self::choice::{Candidate, Choice, MAX_CANDIDATES, choose, choose_urgent, shortlist};
 pub use self::decayed_tokens::DecayedTokens;
+pub use self::footprint::Footprint;
+pub use self::memory::Memory;
 pub use self::pool_stats::{PoolStats, RelativeSpeed};
 pub use self::prompt::{Part, PartId, Prompt};
+pub use self::reservation::Reservation;
 
-use mulberryyoke_model::Millis;
+use mulberryyoke_model::{Millis, saturating_u32, saturating_u64};
 use serde::{Deserialize, Serialize};
 
 /// Time from the end of prefill to the first token: one decode step and a network round trip.
 const FIRST_TOKEN_OVERHEAD_MS: f64 = 20.0;
 
+/// Time after the first token of a prompt until its parts surely can be fetched from the server.
+const SETTLING_MS: u64 = 300;
+
 /// Estimated state of one model server.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -27,6 +36,10 @@
     pub slots: u32,
     /// Shared prompt parts in its prefix cache.
     pub cache: Cache,
+    /// Memory taken by its requests.
+    pub memory: Memory,
+    /// Average memory of requests in its pool.
+    pub footprint: Footprint,
     /// Average prefill speed and request duration in its pool.
     pub pool_stats: PoolStats,
     /// Its prefill speed relative to the pool.
@@ -37,6 +50,8 @@
     pub own: Load,
     /// Combined load from all other gateways.
     pub others: Load,
+    /// When `others` was set.
+    others_at: Option<Millis>,
 }
 
 /// Outstanding work at a model server.
@@ -51,6 +66,12 @@
 }
 
 impl Load {
+    /// Queued and running requests.
+    #[must_use]
+    pub const fn requests(&self) -> u32 {
+        self.queued.saturating_add(self.running)
+    }
+
     /// Adds the load from one gateway.
     pub const fn add(&mut self, load: Self) {
         self.prefill_tokens = self.prefill_tokens.saturating_add(load.prefill_tokens);
@@ -69,16 +90,70 @@
 impl Engine {
     /// An idle server with an empty cache.
     #[must_use]
-    pub fn new(slots: u32, cache_tokens: u32) -> Self {
+    pub fn new(slots: u32, memory_tokens: u32) -> Self {
         Self {
             slots,
-            cache: Cache::new(cache_tokens),
+            cache: Cache::new(memory_tokens),
+            memory: Memory::new(memory_tokens),
+            footprint: Footprint::default(),
             pool_stats: PoolStats::default(),
             relative_speed: RelativeSpeed::default(),
             recent_tokens: DecayedTokens::default(),
             own: Load::default(),
             others: Load::default(),
+            others_at: None,
+        }
+    }
+
+    /// Sets the load from all other gateways, and counts what their requests have processed since
+    /// it was last set: by Little's law, requests end at their number divided by their duration.
+    pub fn set_others(&mut self, others: Load, now: Millis) {
+        if let Some(at) = self.others_at.replace(now) {
+            #[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
+            let elapsed_ms = now.saturating_sub(at) as f64;
+            let duration_ms = self.wait_ms() + self.pool_stats.mean_hold_ms();
+            let ended = f64::from(self.others.requests()) * elapsed_ms / duration_ms;
+            self.cache
+                .record_unshared(ended * self.footprint.mean_unshared());
+        }
+        self.others = others;
+        // The queued prompts of others may be much longer than the mean.
+        let mean_tokens = self.footprint.mean_tokens();
+        let queued = (f64::from(others.queued) * mean_tokens).max(f64::from(others.prefill_tokens));
+        let running = f64::from(others.running) * mean_tokens;
+        self.memory.set_others(saturating_u32(queued + running));
+        self.cache.set_taken(self.memory.taken());
+    }
+
+    /// Records that another gateway sent the server a prompt with these shared parts.
+    pub fn record_peer_prefill(&mut self, shared: &[Part], now: Millis) {
+        let missing = shared.iter().filter(|part| !self.cache.contains(part));
+        let tokens = missing.map(|part| part.tokens).sum();
+        let prefill_ms = saturating_u64(self.wait_ms() + self.first_token_ms(tokens));
+        self.cache.insert(shared);
+        self.settle(shared, now + prefill_ms);
+    }
+
+    /// Records that the server prefills these shared parts by `at`.
+    pub fn settle(&mut self, shared: &[Part], at: Millis) {
+        self.cache.settle(shared, at + SETTLING_MS);
+    }
+
+    /// Counts the memory that a request is expected to take, until it is released.
+    pub fn reserve(&mut self, prompt: &Prompt) -> Reservation {
+        let reservation = self.footprint.reservation(prompt);
+        self.memory.acquire(reservation);
+        self.cache.set_taken(self.memory.taken());
+        reservation
+    }
+
+    /// Releases the memory of a request. If it `has_run`, what it leaves there is cached.
+    pub fn release(&mut self, reservation: Reservation, has_run: bool) {
+        self.memory.release(reservation);
+        if has_run {
+            self.cache.record_unshared(f64::from(reservation.unshared));
         }
+        self.cache.set_taken(self.memory.taken());
     }
 
     /// Prompt tokens waiting for prefill, from all gateways.
@@ -131,7 +206,6 @@
     pub fn record_send(&mut self, prompt: &Prompt, now: Millis) -> u32 {
         let tokens = prompt.tokens - self.cache.cached_tokens(prompt);
         self.cache.insert(&prompt.shared);
-        self.cache.record_prefill(tokens);
         self.recent_tokens.add(tokens, now);
         self.own.prefill_tokens += tokens;
         self.own.queued += 1;
--- a/crates/decide/src/engine/prompt.rs
+++ b/crates/decide/src/engine/prompt.rs
@@ -43,6 +43,8 @@
     pub tokens: u32,
     /// Maximum number of generated tokens.
     pub max_output_tokens: u32,
+    /// The client's estimate of the number of generated tokens.
+    pub expected_output_tokens: Option<u32>,
 }
 
 impl Prompt {
@@ -73,6 +75,7 @@
             part_ids,
             tokens,
             max_output_tokens,
+            expected_output_tokens: None,
         }
     }
 
--- a/crates/decide/tests/replay/workload.rs
+++ b/crates/decide/tests/replay/workload.rs
@@ -79,6 +79,8 @@
     pub(crate) immediate_retries: u32,
     /// Fraction of the long prompts that have 50,000 unshared tokens.
     pub(crate) huge: f64,
+    /// Memory of a server, in tokens.
+    pub(crate) memory_tokens: u32,
     /// Maximum number of concurrent requests per server.
     pub(crate) slots: u32,
 }
@@ -94,6 +96,7 @@
     reconnect_burst: false,
     immediate_retries: 0,
     huge: 0.0,
+    memory_tokens: 600_000,
     slots: 64,
 };
 
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
-use mulberryyoke_decide::engine::{Engine, PoolStats};
+use mulberryyoke_decide::engine::{Engine, Footprint, PoolStats};
 use parking_lot::{Mutex, MutexGuard};
 
 pub(crate) use self::cold_limiter::ColdLimiter;
@@ -22,10 +22,6 @@
 use crate::protocol::ResponseHead;
 use crate::server::Server;
 
-/// Divisor of a model server's memory that gives the size of its prompt cache; running requests
-/// use the rest.
-const CACHE_DIVISOR: u32 = 2;
-
 /// A backend server: its registration, connections and everything that the choice of a server
 /// depends on.
 #[derive(Debug)]
@@ -35,6 +31,8 @@
     pub(crate) engine: Mutex<Engine>,
     /// Prefill speed and request duration, averaged over the servers of the pool.
     pub(crate) pool_stats: Arc<Mutex<PoolStats>>,
+    /// Memory of requests, averaged over the requests of the pool.
+    pub(crate) footprint: Arc<Mutex<Footprint>>,
     pub(crate) health: Mutex<Health>,
     pub(crate) is_model: bool,
     /// Locked while the server is probed, so that concurrent failures share one probe.
@@ -54,14 +52,16 @@
         server: Server,
         model: Option<Model>,
         pool_stats: Arc<Mutex<PoolStats>>,
+        footprint: Arc<Mutex<Footprint>>,
         instance: Arc<Instance>,
     ) -> Self {
-        let cache_tokens = model.map_or(0, |model| model.memory_tokens / CACHE_DIVISOR);
+        let memory_tokens = model.map_or(0, |model| model.memory_tokens);
         let slots = model.map_or(server.slots, |model| model.slots);
         Self {
             conns: ConnectionPool::new(server.address),
-            engine: Mutex::new(Engine::new(slots, cache_tokens)),
+            engine: Mutex::new(Engine::new(slots, memory_tokens)),
             pool_stats,
+            footprint,
             health: Mutex::new(Health::default()),
             is_model: model.is_some(),
             liveness: tokio::sync::Mutex::default(),
@@ -74,11 +74,13 @@
         }
     }
 
-    /// Locks the engine model after copying the current pool statistics into it.
+    /// Locks the engine model after copying the current averages of its pool into it.
     pub(crate) fn engine(&self) -> MutexGuard<'_, Engine> {
         let pool_stats = *self.pool_stats.lock();
+        let footprint = *self.footprint.lock();
         let mut engine = self.engine.lock();
         engine.pool_stats = pool_stats;
+        engine.footprint = footprint;
         engine
     }
 
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use mulberryyoke_decide::engine::Prompt;
+use mulberryyoke_decide::engine::{Part, Prompt, Reservation};
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::Backend;
@@ -21,6 +22,12 @@
     queued_tokens: u32,
     /// Whether the server had a free slot when the request was sent.
     had_free_slot: bool,
+    /// Memory of the server that it is expected to take.
+    reservation: Reservation,
+    /// Shared parts of the prompt.
+    shared: SmallVec<[Part; 4]>,
+    /// Maximum number of generated tokens.
+    max_output_tokens: u32,
     pub(crate) sent_at: Instant,
     first_token_at: Option<Instant>,
     /// Whether it is a suspect request that is kept apart from other suspects.
@@ -31,19 +38,27 @@
     /// Counts a request, directly before it is sent.
     pub(crate) fn start(backend: &Arc<Backend>, prompt: Option<&Prompt>) -> Self {
         let empty = Prompt::default();
+        let prompt = prompt.unwrap_or(&empty);
         let now_ms = clock::now_ms();
         backend.cold.record_send(now_ms);
         backend.instance.record_send(now_ms);
-        let mut engine = backend.engine.lock();
+        let mut engine = backend.engine();
         let queued_tokens = engine.backlog();
         let had_free_slot = engine.excess_requests() == 0;
-        let prompt_tokens = engine.record_send(prompt.unwrap_or(&empty), now_ms);
+        let prompt_tokens = engine.record_send(prompt, now_ms);
+        let reservation = engine.reserve(prompt);
         drop(engine);
+        if prompt.tokens > 0 {
+            backend.footprint.lock().record_request(reservation);
+        }
         Self {
             backend: Arc::clone(backend),
             prompt_tokens,
             queued_tokens,
             had_free_slot,
+            reservation,
+            shared: prompt.shared.clone(),
+            max_output_tokens: prompt.max_output_tokens,
             sent_at: Instant::now(),
             first_token_at: None,
             is_isolated: false,
@@ -64,6 +79,12 @@
         self.queued_tokens
     }
 
+    /// Records the number of tokens that the server generated for the complete response.
+    pub(crate) fn record_output(&self, tokens: u32) {
+        let mut footprint = self.backend.footprint.lock();
+        footprint.record_output(tokens, self.max_output_tokens);
+    }
+
     /// Records a complete response and returns its connection to the pool.
     pub(crate) fn complete(mut self, conn: Connection, response_head: ResponseHead) {
         self.record_first_token();
@@ -80,6 +101,7 @@
         self.first_token_at = Some(now);
         let mut engine = self.backend.engine.lock();
         engine.record_first_token(self.prompt_tokens);
+        engine.settle(&self.shared, clock::now_ms());
         // Time spent waiting for a slot would distort the measured prefill speed.
         if self.had_free_slot {
             let elapsed = elapsed_ms(self.sent_at, now);
@@ -101,6 +123,7 @@
                 .fetch_sub(1, Ordering::Relaxed);
         }
         let mut engine = self.backend.engine.lock();
+        engine.release(self.reservation, self.first_token_at.is_some());
         let Some(first_token_at) = self.first_token_at else {
             return engine.record_abort(self.prompt_tokens);
         };
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -154,10 +154,6 @@
         });
     }
     core.exchange.record_prompt(choice.server, prompt, is_new);
-    // Gateways don't report their prefills to each other; peers are assumed to cause as many.
-    let peers = u32::try_from(core.exchange.gateway_count() - 1).unwrap_or(u32::MAX);
-    let prefilled = choice.uncached.saturating_mul(peers);
-    backend.engine.lock().cache.record_prefill(prefilled);
     Ok(InFlight::start(backend, Some(prompt)))
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -154,7 +154,7 @@
         drop(inner);
         for prefill in &message.prefills {
             if let Some(backend) = core.registry.get_by_id(prefill.server) {
-                backend.engine.lock().cache.insert(&prefill.shared);
+                backend.engine().record_peer_prefill(&prefill.shared, now);
             }
         }
     }
--- a/crates/gateway/src/exchange/inner.rs
+++ b/crates/gateway/src/exchange/inner.rs
@@ -228,7 +228,8 @@
         });
         for backend in &backends {
             let load = others.loads.get(&backend.server.id);
-            backend.engine.lock().others = load.copied().unwrap_or_default();
+            let load = load.copied().unwrap_or_default();
+            backend.engine().set_others(load, now);
         }
         core.shares.lock().set_remote(&others.flows);
     }
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -9,7 +9,7 @@
 
 use arc_swap::ArcSwap;
 use mulberryyoke_decide::aggregate::name_hash;
-use mulberryyoke_decide::engine::PoolStats;
+use mulberryyoke_decide::engine::{Footprint, PoolStats};
 use mulberryyoke_decide::sample::is_sampled;
 use mulberryyoke_model::{PoolId, ServerId};
 use parking_lot::Mutex;
@@ -46,6 +46,8 @@
     is_stale: AtomicBool,
     /// Speed statistics of the servers, by pool.
     pool_stats: Mutex<HashMap<PoolId, Arc<Mutex<PoolStats>>>>,
+    /// Average memory of requests, by pool.
+    footprints: Mutex<HashMap<PoolId, Arc<Mutex<Footprint>>>>,
     /// Evacuated availability zones.
     evacuated: Mutex<HashSet<String>>,
     /// Instances of servers that sent announcements or pushback.
@@ -62,6 +64,7 @@
             is_batching: AtomicBool::new(false),
             is_stale: AtomicBool::new(false),
             pool_stats: Mutex::default(),
+            footprints: Mutex::default(),
             evacuated: Mutex::default(),
             instances: Instances::default(),
         }
@@ -156,9 +159,10 @@
         let model = config.and_then(|config| config.pool(server.pool)?.model);
         let name = server.name.clone();
         let pool_stats = Arc::clone(self.pool_stats.lock().entry(server.pool).or_default());
+        let footprint = Arc::clone(self.footprints.lock().entry(server.pool).or_default());
         let is_evacuated = self.evacuated.lock().contains(&server.zone);
         let instance = self.instances.get_or_new(server.id);
-        let backend = Arc::new(Backend::new(server, model, pool_stats, instance));
+        let backend = Arc::new(Backend::new(server, model, pool_stats, footprint, instance));
         backend.set_evacuated(is_evacuated);
         self.update(|servers| {
             servers.insert(name, backend);
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -122,6 +122,11 @@
         match end {
             End::Complete => {
                 quarantine::record_success(&self.core, || self.call.digest());
+                // Events are numbered and carry about a token each.
+                if let Some(events) = self.last_event {
+                    let tokens = u32::try_from(events).unwrap_or(u32::MAX);
+                    self.in_flight.record_output(tokens);
+                }
                 self.in_flight.complete(conn, response_head);
             }
             End::Truncated | End::Stalled => {
