Fetch cached prompt parts from another server

Cause: each shared prompt part has one home. A busy home makes prompts wait, or the part is prefilled again elsewhere, though a copy of it takes a fraction of that time.

Change: choose weighs for each server whether it fetches the leading parts that it lacks from the server that surely has most of them: the transfer, plus a cost per token for the cache space of the copy, against the wait at the home and a second prefill. A part counts as surely cached 300 ms after the first token of a prompt with it, after its expected prefill if a peer reported it, or if the server itself reported it. Gateways prefer the same next server for a copy. A customer at its share gets a copy rather than a rejection, since this costs no prefill. The source is checked again when the request is sent, and is excluded for 5 s after two late first tokens in a row.

--- a/crates/decide/src/engine.rs
+++ b/crates/decide/src/engine.rs
@@ -4,12 +4,15 @@
 mod cache;
 mod choice;
 mod decayed_tokens;
+mod fetch;
 mod footprint;
 mod memory;
 mod pause;
 mod pool_stats;
 mod prompt;
 mod reservation;
+mod source;
+mod transfer;
 
 pub use self::cache::Cache;
 pub use self::choice::{Candidate, Choice, MAX_CANDIDATES, choose, choose_urgent, shortlist};
@@ -19,6 +22,8 @@
 pub use self::pool_stats::{PoolStats, RelativeSpeed};
 pub use self::prompt::{Part, PartId, Prompt};
 pub use self::reservation::Reservation;
+pub use self::source::Source;
+pub use self::transfer::Transfer;
 
 use mulberryyoke_model::{Millis, saturating_u32, saturating_u64};
 use serde::{Deserialize, Serialize};
@@ -38,6 +43,12 @@
     pub cache: Cache,
     /// Memory taken by its requests.
     pub memory: Memory,
+    /// Transfer of cached parts in its pool; `None` if its servers fetch nothing.
+    pub transfer: Option<Transfer>,
+    /// Whether other servers may fetch parts from it.
+    pub source: Source,
+    /// When the last transfer to it ends. It runs one at a time.
+    fetching_until: Millis,
     /// Average memory of requests in its pool.
     pub footprint: Footprint,
     /// Average prefill speed and request duration in its pool.
@@ -95,6 +106,9 @@
             slots,
             cache: Cache::new(memory_tokens),
             memory: Memory::new(memory_tokens),
+            transfer: None,
+            source: Source::default(),
+            fetching_until: 0,
             footprint: Footprint::default(),
             pool_stats: PoolStats::default(),
             relative_speed: RelativeSpeed::default(),
@@ -125,6 +139,30 @@
         self.cache.set_taken(self.memory.taken());
     }
 
+    /// Time until the server has fetched `tokens` prompt tokens, in milliseconds; `None` if its pool
+    /// has no transfers.
+    #[must_use]
+    pub fn fetch_ms(&self, tokens: u32, now: Millis) -> Option<f64> {
+        #[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
+        let queued_ms = self.fetching_until.saturating_sub(now) as f64;
+        let transfer = self.transfer?;
+        Some(queued_ms + transfer.duration_ms(tokens))
+    }
+
+    /// Records that the server fetches the `tokens` prompt tokens after those that it has cached.
+    /// Their parts count as cached for a prompt that is recorded afterwards.
+    pub fn record_fetch(&mut self, prompt: &Prompt, tokens: u32, now: Millis) {
+        let fetch_ms = self.fetch_ms(tokens, now).unwrap_or(0.0);
+        self.fetching_until = now + saturating_u64(fetch_ms);
+        let mut left = self.cache.cached_tokens(prompt) + tokens;
+        let fetched = prompt.shared.iter().take_while(|part| {
+            let is_fetched = part.tokens <= left;
+            left = left.saturating_sub(part.tokens);
+            is_fetched
+        });
+        self.cache.insert(&prompt.shared[..fetched.count()]);
+    }
+
     /// Records that another gateway sent the server a prompt with these shared parts.
     pub fn record_peer_prefill(&mut self, shared: &[Part], now: Millis) {
         let missing = shared.iter().filter(|part| !self.cache.contains(part));
--- a/crates/decide/src/engine/choice.rs
+++ b/crates/decide/src/engine/choice.rs
@@ -4,6 +4,7 @@
 
 use mulberryyoke_model::{Millis, ServerId};
 
+use super::fetch::{Fetch, Sources};
 use super::{Engine, Prompt, pause};
 use crate::placement::weight;
 
@@ -23,8 +24,9 @@
 /// parts on servers with little traffic.
 const RECENT_TOKEN_MS: f64 = 0.002;
 
-/// Bonus for the server of highest rendezvous weight if no server has the prompt cached, in
-/// milliseconds. Makes gateways agree without knowing each other's choices.
+/// Bonus for the server of highest rendezvous weight among those that lack a part of the prompt, in
+/// milliseconds, if no server has all of it or for a copy. Makes gateways agree without knowing each
+/// other's choices.
 const AFFINITY_MS: f64 = 40.0;
 
 /// A server eligible for a prompt.
@@ -43,14 +45,18 @@
 pub struct Choice {
     /// The server.
     pub server: ServerId,
-    /// Time until prefill starts, in milliseconds.
+    /// Time until prefill starts, in milliseconds. Includes a transfer.
     pub wait_ms: f64,
     /// Time from the start of prefill to the first token, in milliseconds.
     pub prefill_ms: f64,
-    /// Prompt tokens that are not cached.
+    /// Prompt tokens that are neither cached nor fetched.
     pub uncached: u32,
     /// Uncached tokens that another server has cached.
     pub recomputed: u32,
+    /// The server from which prompt parts are fetched.
+    pub fetch_from: Option<ServerId>,
+    /// Prompt tokens that are fetched.
+    pub fetched: u32,
     /// Mean waiting time over all candidates, in milliseconds.
     pub mean_wait_ms: f64,
 }
@@ -69,8 +75,8 @@
 /// evaluated all servers, all would pick the same one in the meantime.
 pub const MAX_CANDIDATES: usize = 16;
 
-/// Selects up to [`MAX_CANDIDATES`] servers: the server with affinity for the last shared part,
-/// those with most of the prompt cached, then random ones. `seed` differs between gateways, so
+/// Selects up to [`MAX_CANDIDATES`] servers: of those without the last shared part, the one with
+/// affinity for it, those with most of the prompt cached, then random ones. `seed` differs between gateways, so
 /// that they do not all pick the same server.
 #[must_use]
 pub fn shortlist<'a>(
@@ -90,8 +96,12 @@
             .map(|(_, _, candidate)| candidate)
             .collect();
     }
+    let shared = prompt.shared_tokens();
     let preferred = prompt.affinity_key().and_then(|key| {
-        let servers = ranked.iter().map(|(_, _, candidate)| candidate.server);
+        let lacking = ranked
+            .iter()
+            .filter(|(Reverse(cached), _, _)| *cached < shared);
+        let servers = lacking.map(|(_, _, candidate)| candidate.server);
         servers.max_by_key(|&server| weight(key, server))
     });
     ranked.sort_unstable_by_key(|(cached, rank, candidate)| {
@@ -139,10 +149,15 @@
         .map(|candidate| candidate.engine.cache.cached_tokens(prompt));
     let max_cached = max_cached.max().unwrap_or(0);
     let is_new = max_cached < prompt.shared_tokens();
-    let preferred = prompt.affinity_key().filter(|_| is_new).and_then(|key| {
-        let servers = candidates.clone().map(|candidate| candidate.server);
+    let shared = prompt.shared_tokens();
+    let preferred = prompt.affinity_key().and_then(|key| {
+        let lacking = candidates
+            .clone()
+            .filter(|candidate| candidate.engine.cache.cached_tokens(prompt) < shared);
+        let servers = lacking.map(|candidate| candidate.server);
         servers.max_by_key(|&server| weight(key, server))
     });
+    let sources = Sources::new(prompt, candidates.clone(), now);
     let waits = candidates
         .clone()
         .map(|candidate| candidate.engine.wait_ms());
@@ -150,20 +165,26 @@
     let mean_wait_ms = sum / f64::from(count.max(1));
     let mut best: Option<(f64, Choice)> = None;
     for candidate in candidates {
-        let choice = evaluate(prompt, &candidate, max_cached);
-        let mut cost = choice.wait_ms
-            + PREFILL_WEIGHT * choice.prefill_ms
-            + recompute_ms * f64::from(choice.recomputed)
-            + pause::cost_ms(candidate.engine, choice.uncached, max_pause_ms)
-            + candidate.penalty_ms;
-        if is_new {
-            cost += RECENT_TOKEN_MS * candidate.engine.recent_tokens.tokens(now);
-        }
-        if preferred == Some(candidate.server) {
-            cost -= AFFINITY_MS;
-        }
-        if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
-            best = Some((cost, choice));
+        let cached = candidate.engine.cache.cached_tokens(prompt);
+        let fetch = sources.fetch(&candidate, cached, now);
+        let fetches = [None, fetch];
+        for fetch in &fetches[..=usize::from(fetch.is_some())] {
+            let choice = evaluate(prompt, &candidate, max_cached, *fetch);
+            let mut cost = choice.wait_ms
+                + PREFILL_WEIGHT * choice.prefill_ms
+                + recompute_ms * f64::from(choice.recomputed)
+                + pause::cost_ms(candidate.engine, choice.uncached, max_pause_ms)
+                + candidate.penalty_ms
+                + fetch.map_or(0.0, |fetch| fetch.copy_cost_ms());
+            if is_new {
+                cost += RECENT_TOKEN_MS * candidate.engine.recent_tokens.tokens(now);
+            }
+            if preferred == Some(candidate.server) && (is_new || fetch.is_some()) {
+                cost -= AFFINITY_MS;
+            }
+            if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
+                best = Some((cost, choice));
+            }
         }
     }
     best.map(|(_, choice)| Choice {
@@ -174,16 +195,24 @@
 
 /// Expected latency of a prompt at a server. `max_cached` is the largest number of its tokens that
 /// any candidate has cached.
-fn evaluate(prompt: &Prompt, candidate: &Candidate<'_>, max_cached: u32) -> Choice {
+fn evaluate(
+    prompt: &Prompt,
+    candidate: &Candidate<'_>,
+    max_cached: u32,
+    fetch: Option<Fetch>,
+) -> Choice {
     let engine = candidate.engine;
-    let cached = engine.cache.cached_tokens(prompt);
-    let uncached = prompt.tokens - cached;
+    let fetched = fetch.map_or(0, |fetch| fetch.tokens);
+    let available = engine.cache.cached_tokens(prompt) + fetched;
+    let uncached = prompt.tokens - available;
     Choice {
         server: candidate.server,
-        wait_ms: engine.wait_ms(),
+        wait_ms: engine.wait_ms() + fetch.map_or(0.0, |fetch| fetch.duration_ms),
         prefill_ms: engine.first_token_ms(uncached),
         uncached,
-        recomputed: max_cached.saturating_sub(cached),
+        recomputed: max_cached.saturating_sub(available),
+        fetch_from: fetch.map(|fetch| fetch.source),
+        fetched,
         mean_wait_ms: 0.0,
     }
 }
--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -21,6 +21,11 @@
 /// the parts cached while others are idle.
 const RECOMPUTE_SHARE: f64 = 1.0;
 
+/// Whether all cached parts that a server lacks are fetched: this costs the servers no prefill.
+const fn is_copied(choice: &Choice) -> bool {
+    choice.fetched > 0 && choice.recomputed == 0
+}
+
 /// Chooses a server for a prompt of a customer with this usage, or rejects the prompt. Without
 /// usage data it is always accepted: a request that may already have run must not be rejected.
 /// `None` without candidates.
@@ -39,12 +44,11 @@
     if budget.allows(&choice, objective) {
         return Some(Ok(choice));
     }
-    if usage.of_portion < RECOMPUTE_SHARE {
-        let urgent = choose_urgent(prompt, candidates, objective.max_pause_ms, now);
-        let urgent = urgent.filter(|urgent| budget.allows(urgent, objective));
-        if let Some(urgent) = urgent {
-            return Some(Ok(urgent));
-        }
+    let urgent = choose_urgent(prompt, candidates, objective.max_pause_ms, now)
+        .filter(|urgent| budget.allows(urgent, objective))
+        .filter(|urgent| usage.of_portion < RECOMPUTE_SHARE || is_copied(urgent));
+    if let Some(urgent) = urgent {
+        return Some(Ok(urgent));
     }
     Some(Err(Rejection::new(choice, budget, objective)))
 }
--- a/crates/decide/tests/replay/gateway.rs
+++ b/crates/decide/tests/replay/gateway.rs
@@ -1,7 +1,7 @@
 //! A simulated gateway.
 
 use mulberryyoke_decide::engine::{
-    Candidate, Engine, Footprint, Part, PoolStats, Prompt, Reservation,
+    Candidate, Engine, Footprint, Part, PoolStats, Prompt, Reservation, Transfer,
 };
 use mulberryyoke_decide::share::Shares;
 use mulberryyoke_decide::shed::{self, Objective, Rejection};
@@ -23,6 +23,8 @@
     pub(crate) ahead: u32,
     /// Whether the server was estimated to have a free slot.
     pub(crate) had_slot: bool,
+    /// Server that prompt parts are fetched from.
+    pub(crate) fetch_from: Option<usize>,
     reservation: Reservation,
     prompt: Prompt,
 }
@@ -38,9 +40,16 @@
 }
 
 impl Gateway {
-    pub(crate) fn new(servers: usize, memory_tokens: u32, slots: u32) -> Self {
+    pub(crate) fn new(
+        servers: usize,
+        memory_tokens: u32,
+        slots: u32,
+        transfer: Option<Transfer>,
+    ) -> Self {
+        let mut engine = Engine::new(slots, memory_tokens);
+        engine.transfer = transfer;
         Self {
-            engines: vec![Engine::new(slots, memory_tokens); servers],
+            engines: vec![engine; servers],
             pool_stats: PoolStats::default(),
             footprint: Footprint::default(),
             shares: Shares::default(),
@@ -53,7 +62,7 @@
         let engine = &mut self.engines[dispatch.server];
         engine.record_first_token(dispatch.tokens);
         engine.settle(&dispatch.prompt.shared, now);
-        if dispatch.had_slot {
+        if dispatch.had_slot && dispatch.fetch_from.is_none() {
             let tokens = dispatch.ahead + dispatch.tokens;
             engine
                 .relative_speed
@@ -115,6 +124,9 @@
         let server = choice.server.0 as usize;
         let ahead = self.engines[server].backlog();
         let had_slot = self.engines[server].excess_requests() == 0;
+        if choice.fetched > 0 {
+            self.engines[server].record_fetch(&request.prompt, choice.fetched, now);
+        }
         let tokens = self.engines[server].record_send(&request.prompt, now);
         let reservation = self.engines[server].reserve(&request.prompt);
         self.footprint.record_request(reservation);
@@ -125,6 +137,7 @@
             tokens,
             ahead,
             had_slot,
+            fetch_from: choice.fetch_from.map(|source| source.0 as usize),
             reservation,
             prompt: request.prompt.clone(),
         })
--- a/crates/decide/tests/replay/report.rs
+++ b/crates/decide/tests/replay/report.rs
@@ -41,6 +41,9 @@
     tallies: Vec<[Tally; KINDS.len()]>,
     /// Tokens recomputed though another server had them cached.
     pub(crate) recomputed: u64,
+    /// Number of requests sent to servers, and the sum of their times to first token.
+    pub(crate) sent: u32,
+    pub(crate) first_token_ms: f64,
     /// Tokens prefilled.
     pub(crate) prefilled: u64,
     /// Tokens of these that the gateway expected to be cached.
--- a/crates/decide/tests/replay/scenarios.rs
+++ b/crates/decide/tests/replay/scenarios.rs
@@ -4,6 +4,8 @@
 
 use googletest::prelude::*;
 
+use mulberryyoke_decide::engine::Transfer;
+
 use crate::report::{Report, Tally};
 use crate::simulation::simulate;
 use crate::workload::{BASELINE, CUSTOMERS, Scenario};
@@ -94,6 +96,33 @@
     ..BASELINE
 };
 
+/// One part of 5,400 tokens with eight times the requests that its home can prefill: 60 prompts of
+/// 900 unshared tokens a second.
+const HOT_HOME: Scenario = Scenario {
+    per_s: 1_920.0,
+    seconds: 6,
+    only: Some(LONG),
+    hot_part: 1.0,
+    max_own_tokens: 1_000.0,
+    servers: 16,
+    capacity: 4_000_000.0,
+    memory_tokens: 1_200_000,
+    slots: 128,
+    ..BASELINE
+};
+
+/// Link of the servers in [`COPIED_HOME`].
+const TRANSFER: Transfer = Transfer {
+    token_bytes: 163_840,
+    link_mbps: 260_000,
+};
+
+/// As [`HOT_HOME`], with transfers.
+const COPIED_HOME: Scenario = Scenario {
+    transfer: Some(TRANSFER),
+    ..HOT_HOME
+};
+
 /// Mean of a metric over the seeds.
 fn mean(scenario: Scenario, metric: impl Fn(&Report) -> f64) -> f64 {
     mean_over(SEEDS, scenario, metric)
@@ -156,6 +185,25 @@
     expect_that!(missed, le(0.02));
 }
 
+#[gtest]
+fn a_hot_part_is_copied_to_as_many_servers_as_it_needs() {
+    // Without copies requests wait at the home for half a second, or the part is prefilled again
+    // elsewhere.
+    let first_token_ms = |report: &Report| report.first_token_ms / f64::from(report.sent);
+    let served = |report: &Report| report.sum(0..CUSTOMERS, &[LONG]).served();
+    let recomputed = |report: &Report| as_f64(report.recomputed);
+    expect_that!(mean(COPIED_HOME, first_token_ms), le(120.0));
+    expect_that!(
+        mean(COPIED_HOME, first_token_ms),
+        le(mean(HOT_HOME, first_token_ms) / 3.0)
+    );
+    expect_that!(mean(COPIED_HOME, served), ge(0.99));
+    expect_that!(
+        mean(COPIED_HOME, recomputed),
+        le(mean(HOT_HOME, recomputed))
+    );
+}
+
 #[gtest]
 fn prompts_are_not_diverted_for_acceptable_pauses() {
     // Not reached if streams count as late from half of the longest acceptable pause.
--- a/crates/decide/tests/replay/server.rs
+++ b/crates/decide/tests/replay/server.rs
@@ -1,9 +1,9 @@
 //! A simulated model server that prefills prompts in order of arrival.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashMap};
 
-use mulberryyoke_decide::engine::{Cache, Prompt};
+use mulberryyoke_decide::engine::{Cache, Prompt, Transfer};
 
 /// Prefill rate without attention cost.
 const TOKENS_PER_MS: f64 = 56.6;
@@ -35,6 +35,10 @@
     /// Running requests: when they end, in microseconds, and the tokens that they take.
     running: BinaryHeap<Reverse<(u64, u32, u32)>>,
     taken: u32,
+    /// Time at which each cached part was prefilled or fetched, in milliseconds.
+    ready_ms: HashMap<u64, f64>,
+    /// Time at which its link is idle, in milliseconds.
+    link_idle_at_ms: f64,
     /// Factor by which it is slower than usual.
     pub(crate) slowdown: f64,
     pub(crate) is_down: bool,
@@ -52,6 +56,8 @@
             cache: Cache::new(memory_tokens),
             running: BinaryHeap::new(),
             taken: 0,
+            ready_ms: HashMap::new(),
+            link_idle_at_ms: 0.0,
             slowdown: 1.0,
             is_down: false,
             idle_at_ms: 0.0,
@@ -60,20 +66,67 @@
         }
     }
 
-    /// Runs a prompt that arrives now. Prefill starts when a slot is free and all earlier prompts are
-    /// prefilled.
-    pub(crate) fn execute(&mut self, prompt: &Prompt, now_ms: f64, stream_ms: f64) -> Execution {
+    /// Leading tokens of a prompt that another server can fetch now.
+    pub(crate) fn ready_tokens(&self, prompt: &Prompt, now_ms: f64) -> u32 {
+        let cached = self.cache.cached_tokens(prompt);
+        let ready = prompt.shared.iter().take_while(|part| {
+            let ready_ms = self.ready_ms.get(&part.key);
+            ready_ms.is_some_and(|ready_ms| *ready_ms <= now_ms)
+        });
+        let ready: u32 = ready.map(|part| part.tokens).sum();
+        ready.min(cached)
+    }
+
+    /// Fetches leading tokens of a prompt of which the source has `ready` tokens. The link carries
+    /// one transfer at a time. Returns the time at which it ends and the number of tokens.
+    fn fetch(
+        &mut self,
+        prompt: &Prompt,
+        ready: u32,
+        transfer: Transfer,
+        now_ms: f64,
+    ) -> (f64, u32) {
+        let fetched = ready.saturating_sub(self.cache.cached_tokens(prompt));
+        if fetched == 0 {
+            return (now_ms, 0);
+        }
+        let start_ms = self.link_idle_at_ms.max(now_ms);
+        self.link_idle_at_ms = start_ms + transfer.duration_ms(fetched);
+        (self.link_idle_at_ms, fetched)
+    }
+
+    /// Runs a prompt that arrives now. Prefill starts when the parts that another server has ready
+    /// are fetched, a slot is free and all earlier prompts are prefilled.
+    pub(crate) fn execute(
+        &mut self,
+        prompt: &Prompt,
+        now_ms: f64,
+        stream_ms: f64,
+        fetch: Option<(u32, Transfer)>,
+    ) -> Execution {
         self.end_requests(now_ms);
-        let prefilled = prompt.tokens - self.cache.cached_tokens(prompt);
+        let (fetched_ms, fetched) = fetch.map_or((now_ms, 0), |(ready, transfer)| {
+            self.fetch(prompt, ready, transfer, now_ms)
+        });
+        let prefilled = prompt.tokens - self.cache.cached_tokens(prompt) - fetched;
+        for part in &prompt.shared {
+            if !self.cache.contains(part) {
+                self.ready_ms.remove(&part.key);
+            }
+        }
         self.cache.insert(&prompt.shared);
         let pairs = f64::from(prefilled) * (f64::from(prompt.tokens) - f64::from(prefilled) / 2.0);
         let prefill_ms =
             (f64::from(prefilled) / TOKENS_PER_MS + pairs * MS_PER_MEGAPAIR / 1e6) * self.slowdown;
         self.busy_ms += prefill_ms;
         let Reverse(slot_us) = self.slots.pop().expect("a server has slots");
-        let start_ms = self.idle_at_ms.max(now_ms).max(from_us(slot_us));
+        let start_ms = self.idle_at_ms.max(fetched_ms).max(from_us(slot_us));
         self.idle_at_ms = start_ms + prefill_ms;
         let first_ms = self.idle_at_ms + STEP_MS * self.slowdown;
+        for part in &prompt.shared {
+            let ready_ms = self.ready_ms.entry(part.key).or_insert(first_ms);
+            *ready_ms = ready_ms.min(first_ms);
+        }
         let end_us = to_us(first_ms + stream_ms);
         self.slots.push(Reverse(end_us));
         let tokens = prompt.tokens + OUTPUT_TOKENS;
--- a/crates/decide/tests/replay/simulation.rs
+++ b/crates/decide/tests/replay/simulation.rs
@@ -12,7 +12,6 @@
 use crate::server::Server;
 use crate::workload::{KINDS, Request, Scenario};
 
-const SERVERS: usize = 9;
 const GATEWAYS: usize = 6;
 
 /// Interval between exchanges of the gateways.
@@ -21,9 +20,6 @@
 /// Every how many exchanges the customers' usage is included.
 const USAGE_PERIOD: u64 = 5;
 
-/// Capacity of all servers, in tokens per second.
-const CAPACITY: f64 = 230_000.0;
-
 /// Time after the last arrival for which exchanges continue, long enough for all retries.
 const DRAIN_MS: f64 = 5_000.0;
 
@@ -60,9 +56,16 @@
 pub(crate) fn simulate(scenario: Scenario, seed: u64) -> Report {
     let mut simulation = Simulation {
         scenario,
-        servers: vec![Server::new(scenario.memory_tokens, scenario.slots); SERVERS],
+        servers: vec![Server::new(scenario.memory_tokens, scenario.slots); scenario.servers],
         gateways: (0..GATEWAYS)
-            .map(|_| Gateway::new(SERVERS, scenario.memory_tokens, scenario.slots))
+            .map(|_| {
+                Gateway::new(
+                    scenario.servers,
+                    scenario.memory_tokens,
+                    scenario.slots,
+                    scenario.transfer,
+                )
+            })
             .collect(),
         queue: BinaryHeap::new(),
         events: HashMap::new(),
@@ -128,7 +131,8 @@
             }
         }
         let busy: f64 = self.servers.iter().map(|server| server.busy_ms).sum();
-        self.report.utilisation = busy / end_ms / f64::from(u32::try_from(SERVERS).unwrap_or(1));
+        self.report.utilisation =
+            busy / end_ms / f64::from(u32::try_from(self.scenario.servers).unwrap_or(1));
         self.report
     }
 
@@ -158,14 +162,24 @@
             .max()
             .unwrap_or(0);
         let pause_ms = self.servers[server].pause_ms(now_ms);
-        let execution =
-            self.servers[server].execute(&request.prompt, now_ms, KINDS[request.kind].stream_ms);
+        let fetch = dispatch.fetch_from.and_then(|source| {
+            let ready = self.servers[source].ready_tokens(&request.prompt, now_ms);
+            Some((ready, self.scenario.transfer?))
+        });
+        let execution = self.servers[server].execute(
+            &request.prompt,
+            now_ms,
+            KINDS[request.kind].stream_ms,
+            fetch,
+        );
         let cached = request.prompt.tokens - execution.prefilled;
         self.report.recomputed += u64::from(max_cached.saturating_sub(cached));
         self.report.prefilled += u64::from(execution.prefilled);
         self.report.missed += u64::from(dispatch.tokens.saturating_sub(execution.prefilled));
         self.report.unexpected += u64::from(execution.prefilled.saturating_sub(dispatch.tokens));
         let kind = &KINDS[request.kind];
+        self.report.sent += 1;
+        self.report.first_token_ms += execution.first_ms - now_ms;
         let is_late = execution.first_ms - now_ms > kind.objective_ms || pause_ms > MAX_PAUSE_MS;
         let tally = self.report.tally(request.customer, request.kind);
         tally.tokens.1 += u64::from(request.prompt.tokens);
@@ -235,7 +249,9 @@
         }
         for gateway in &mut self.gateways {
             let wait_ms = gateway.mean_wait_ms();
-            gateway.shares.rebalance(CAPACITY, wait_ms, now);
+            gateway
+                .shares
+                .rebalance(self.scenario.capacity, wait_ms, now);
         }
         if now_ms >= 6_000.0 {
             self.apply_faults();
@@ -264,7 +280,7 @@
     fn apply_faults(&mut self) {
         for (index, server) in self.servers.iter_mut().enumerate() {
             let position = f64::from(u32::try_from(index).unwrap_or(0))
-                / f64::from(u32::try_from(SERVERS).unwrap_or(1));
+                / f64::from(u32::try_from(self.scenario.servers).unwrap_or(1));
             server.is_down = position < self.scenario.down;
             server.slowdown = if position >= 0.6 {
                 self.scenario.slowdown
--- a/crates/decide/tests/replay/workload.rs
+++ b/crates/decide/tests/replay/workload.rs
@@ -1,6 +1,7 @@
 //! Seeded workloads: the requests of all customers over time.
 
-use mulberryyoke_decide::engine::Prompt;
+use mulberryyoke_decide::engine::{Prompt, Transfer};
+use mulberryyoke_model::saturating_u32;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -79,6 +80,15 @@
     pub(crate) immediate_retries: u32,
     /// Fraction of the long prompts that have 50,000 unshared tokens.
     pub(crate) huge: f64,
+    /// The only kind of requests; `None` for all.
+    pub(crate) only: Option<usize>,
+    /// Maximum number of unshared tokens of a prompt.
+    pub(crate) max_own_tokens: f64,
+    pub(crate) servers: usize,
+    /// Capacity of all servers that customers share, in tokens per second.
+    pub(crate) capacity: f64,
+    /// Transfers between the servers.
+    pub(crate) transfer: Option<Transfer>,
     /// Memory of a server, in tokens.
     pub(crate) memory_tokens: u32,
     /// Maximum number of concurrent requests per server.
@@ -96,6 +106,11 @@
     reconnect_burst: false,
     immediate_retries: 0,
     huge: 0.0,
+    only: None,
+    max_own_tokens: f64::INFINITY,
+    servers: 9,
+    capacity: 230_000.0,
+    transfer: None,
     memory_tokens: 600_000,
     slots: 64,
 };
@@ -115,7 +130,8 @@
             for kind in 0..KINDS.len() {
                 for customer in 0..CUSTOMERS {
                     let mean = self.rate(kind, customer, at_ms) * step_ms / 1_000.0;
-                    if rng.random::<f64>() < mean {
+                    let extra = rng.random::<f64>() < mean.fract();
+                    for _ in 0..saturating_u32(mean) + u32::from(extra) {
                         let at_ms = at_ms + rng.random::<f64>() * step_ms;
                         let at_ms = if self.reconnect_burst {
                             at_ms.max(3_000.0)
@@ -141,6 +157,9 @@
     /// Requests per second of a kind and customer.
     fn rate(&self, kind: usize, customer: u32, at_ms: f64) -> f64 {
         let weights: f64 = (0..CUSTOMERS).map(weight).sum();
+        if self.only.is_some_and(|only| kind != only) {
+            return 0.0;
+        }
         let mut rate = self.per_s * KINDS[kind].fraction * weight(customer) / weights;
         if customer == 0 {
             rate *= self.hot;
@@ -168,6 +187,7 @@
         if kind == 0 && rng.random::<f64>() < self.huge {
             own = 50_000.0;
         }
+        own = own.min(self.max_own_tokens);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,6 +1,7 @@
 //! Per-server state of the gateway.
 
 mod cold_limiter;
+mod fetch;
 mod health;
 mod in_flight;
 mod instance;
@@ -13,6 +14,7 @@
 use parking_lot::{Mutex, MutexGuard};
 
 pub(crate) use self::cold_limiter::ColdLimiter;
+pub(crate) use self::fetch::Fetch;
 pub(crate) use self::health::Health;
 pub(crate) use self::in_flight::InFlight;
 pub(crate) use self::instance::Instance;
@@ -57,9 +59,11 @@
     ) -> Self {
         let memory_tokens = model.map_or(0, |model| model.memory_tokens);
         let slots = model.map_or(server.slots, |model| model.slots);
+        let mut engine = Engine::new(slots, memory_tokens);
+        engine.transfer = model.and_then(|model| model.transfer);
         Self {
             conns: ConnectionPool::new(server.address),
-            engine: Mutex::new(Engine::new(slots, memory_tokens)),
+            engine: Mutex::new(engine),
             pool_stats,
             footprint,
             health: Mutex::new(Health::default()),
@@ -89,6 +93,21 @@
         !self.is_closed() && !self.is_evacuated.load(Ordering::Relaxed)
     }
 
+    /// Whether other servers may fetch cached prompt parts from this one now.
+    pub(crate) fn can_supply(&self, now_ms: u64) -> bool {
+        self.is_open()
+            && !self.instance.is_pushing_back(now_ms)
+            && self.unsuited_until_ms() <= now_ms
+            && self.engine.lock().source.is_available(now_ms)
+    }
+
+    /// End of the time for which the server is cold or avoided and supplies nothing, in milliseconds
+    /// of the boot clock.
+    pub(crate) fn unsuited_until_ms(&self) -> u64 {
+        let avoided_until_ms = self.instance.avoided_until_ms();
+        self.cold.until_ms().max(avoided_until_ms)
+    }
+
     /// Whether the server is leaving or no longer registered.
     pub(crate) fn is_closed(&self) -> bool {
         // An announcement by the server counts without its registration, which an outage of the
--- a/crates/gateway/src/backend/cold_limiter.rs
+++ b/crates/gateway/src/backend/cold_limiter.rs
@@ -24,8 +24,13 @@
         self.until_ms.fetch_max(until_ms, Ordering::Relaxed);
     }
 
+    /// End of the cold period, in milliseconds of the boot clock.
+    pub(crate) fn until_ms(&self) -> u64 {
+        self.until_ms.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn is_cold(&self, now_ms: u64) -> bool {
-        now_ms < self.until_ms.load(Ordering::Relaxed)
+        now_ms < self.until_ms()
     }
 
     /// Whether the share was computed from a different fleet membership.
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -7,7 +7,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::Backend;
+use super::{Backend, Fetch};
 use crate::clock;
 use crate::connection_pool::Connection;
 use crate::protocol::ResponseHead;
@@ -22,6 +22,8 @@
     queued_tokens: u32,
     /// Whether the server had a free slot when the request was sent.
     had_free_slot: bool,
+    /// Transfer of prompt parts to the server.
+    fetch: Option<Fetch>,
     /// Memory of the server that it is expected to take.
     reservation: Reservation,
     /// Shared parts of the prompt.
@@ -36,7 +38,11 @@
 
 impl InFlight {
     /// Counts a request, directly before it is sent.
-    pub(crate) fn start(backend: &Arc<Backend>, prompt: Option<&Prompt>) -> Self {
+    pub(crate) fn start(
+        backend: &Arc<Backend>,
+        prompt: Option<&Prompt>,
+        fetch: Option<Fetch>,
+    ) -> Self {
         let empty = Prompt::default();
         let prompt = prompt.unwrap_or(&empty);
         let now_ms = clock::now_ms();
@@ -45,6 +51,9 @@
         let mut engine = backend.engine();
         let queued_tokens = engine.backlog();
         let had_free_slot = engine.excess_requests() == 0;
+        if let Some(fetch) = &fetch {
+            engine.record_fetch(prompt, fetch.tokens, now_ms);
+        }
         let prompt_tokens = engine.record_send(prompt, now_ms);
         let reservation = engine.reserve(prompt);
         drop(engine);
@@ -56,6 +65,7 @@
             prompt_tokens,
             queued_tokens,
             had_free_slot,
+            fetch,
             reservation,
             shared: prompt.shared.clone(),
             max_output_tokens: prompt.max_output_tokens,
@@ -74,6 +84,18 @@
         self
     }
 
+    /// The server from which prompt parts are fetched, and the number of their tokens.
+    pub(crate) fn fetch(&self) -> Option<(&Backend, u32)> {
+        let fetch = self.fetch.as_ref()?;
+        Some((&*fetch.source, fetch.tokens))
+    }
+
+    /// Cancels the transfer if its source is no longer suitable. The server then prefills the parts.
+    pub(crate) fn recheck_source(&mut self, now_ms: u64) {
+        let is_unsuitable = |fetch: &mut Fetch| !fetch.source.can_supply(now_ms);
+        self.fetch.take_if(is_unsuitable);
+    }
+
     /// Prompt tokens queued at the server when the request was sent.
     pub(crate) const fn queued_tokens(&self) -> u32 {
         self.queued_tokens
@@ -99,11 +121,14 @@
         }
         let now = Instant::now();
         self.first_token_at = Some(now);
+        if let Some(fetch) = &self.fetch {
+            fetch.record_first_token(now);
+        }
         let mut engine = self.backend.engine.lock();
         engine.record_first_token(self.prompt_tokens);
         engine.settle(&self.shared, clock::now_ms());
-        // Time spent waiting for a slot would distort the measured prefill speed.
-        if self.had_free_slot {
+        // Time spent waiting for a slot or a transfer would distort the measured prefill speed.
+        if self.had_free_slot && self.fetch.is_none() {
             let elapsed = elapsed_ms(self.sent_at, now);
             let tokens = self.queued_tokens + self.prompt_tokens;
             let mut pool_stats = self.backend.pool_stats.lock();
--- a/crates/gateway/src/backend/instance.rs
+++ b/crates/gateway/src/backend/instance.rs
@@ -49,7 +49,12 @@
 
     /// Whether other servers are preferred because of a relayed announcement.
     pub(crate) fn is_avoided(&self, now_ms: u64) -> bool {
-        now_ms < self.avoided_until_ms.load(Ordering::Relaxed)
+        now_ms < self.avoided_until_ms()
+    }
+
+    /// End of the time for which other servers are preferred, in milliseconds of the boot clock.
+    pub(crate) fn avoided_until_ms(&self) -> u64 {
+        self.avoided_until_ms.load(Ordering::Relaxed)
     }
 
     /// Age of the announcement for relaying it, or `None` once it is too old.
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -13,7 +13,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
-use crate::backend::{Backend, InFlight};
+use crate::backend::{Backend, Fetch, InFlight};
 use crate::call::Call;
 use crate::clock;
 use crate::core::Core;
@@ -63,7 +63,7 @@
             penalty_ms: backend.health.lock().penalty_ms(now),
         });
         let backend = find_server(&open, plain::choose(candidates))?;
-        Ok(InFlight::start(backend, None))
+        Ok(InFlight::start(backend, None, None))
     })?;
     if is_isolated {
         return Ok(in_flight.isolate());
@@ -113,7 +113,12 @@
     now: Instant,
 ) -> Result<InFlight, Refusal> {
     let prompt = call.prompt.as_ref().ok_or(Refusal::NoServer)?;
-    let engines: Vec<_> = open.iter().map(|backend| backend.engine()).collect();
+    let engines = open.iter().map(|backend| {
+        let mut engine = backend.engine();
+        engine.source.exclude(backend.unsuited_until_ms());
+        engine
+    });
+    let engines: Vec<_> = engines.collect();
     let candidates = open.iter().zip(&engines).map(|(backend, engine)| {
         let engine: &Engine = engine;
         Candidate {
@@ -154,7 +159,12 @@
         });
     }
     core.exchange.record_prompt(choice.server, prompt, is_new);
-    Ok(InFlight::start(backend, Some(prompt)))
+    let fetch = choice.fetch_from.and_then(|source| {
+        let source = find_server(open, Some(source)).ok()?;
+        let prefill_ms = backend.engine().prefill_ms(choice.fetched);
+        Some(Fetch::new(source, &choice, prefill_ms))
+    });
+    Ok(InFlight::start(backend, Some(prompt), fetch))
 }
 
 /// Refunds the customer's charge for a request that its server has not run.
--- a/crates/gateway/src/config/pool.rs
+++ b/crates/gateway/src/config/pool.rs
@@ -1,5 +1,6 @@
 //! Server pools.
 
+use mulberryyoke_decide::engine::Transfer;
 use mulberryyoke_model::PoolId;
 
 /// A set of interchangeable servers.
@@ -35,4 +36,6 @@
     pub slots: u32,
     /// Size of the KV cache, in tokens.
     pub memory_tokens: u32,
+    /// Transfer of cached prompt parts between the servers; `None` if they fetch nothing.
+    pub transfer: Option<Transfer>,
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -197,6 +197,11 @@
 }
 
 fn log_routed(core: &Core, call: &Call, in_flight: &InFlight, attempt: u32) {
+    let (fetch_from, fetched) = in_flight.fetch().unzip();
+    if let Some(fetched) = fetched {
+        metrics::counter!("fetches_total").increment(1);
+        metrics::counter!("fetched_tokens_total").increment(u64::from(fetched));
+    }
     log!(core.logger, Event::Routed,
         "request" => &call.id,
         "attempt" => attempt,
@@ -205,6 +210,8 @@
         "server" => &in_flight.backend.server.name,
         "unread" => in_flight.queued_tokens(),
         "uncached" => in_flight.prompt_tokens,
+        "fetched" => fetched.unwrap_or(0),
+        "fetch_from" => fetch_from.map(|source| &*source.server.name),
         "view_age_ms" => core.view.age_ms(),
         "elapsed_ms" => clock::between_ms(call.received_at, Instant::now()));
 }
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -26,7 +26,7 @@
 pub(super) async fn send(
     core: &Arc<Core>,
     call: &Arc<Call>,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
     attempts: &Attempts,
     resume_after: Option<u64>,
 ) -> Outcome {
@@ -52,6 +52,8 @@
     if !backend.is_open() || backend.instance.is_pushing_back(clock::now_ms()) {
         return Outcome::Withheld;
     }
+    // So may the source of a transfer.
+    in_flight.recheck_source(clock::now_ms());
     let request = build_request(core, call, &in_flight, resume_after);
     let mut sent = Box::pin(conn.sender.try_send_request(request));
     let mut stall = attempts.stall_deadline(call);
@@ -101,6 +103,7 @@
         server: &in_flight.backend.server.name,
         customer: call.customer_name(),
         resume_after,
+        fetch_from: in_flight.fetch().map(|(source, _)| source.server.address),
     };
     core.protocol.rewrite_headers(&mut headers, &forwarding);
     *request.headers_mut() = headers;
--- a/crates/gateway/src/protocol/forwarding.rs
+++ b/crates/gateway/src/protocol/forwarding.rs
@@ -1,5 +1,7 @@
 //! Values of the headers that a gateway sets on a forwarded request.
 
+use std::net::SocketAddr;
+
 /// Values of the headers that a gateway sets on a forwarded request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Forwarding<'a> {
@@ -11,4 +13,6 @@
     pub customer: Option<&'a str>,
     /// ID of the event after which to resume the stream; `None` leaves the header of the caller.
     pub resume_after: Option<u64>,
+    /// Address of the server from which to fetch cached prompt parts.
+    pub fetch_from: Option<SocketAddr>,
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod evacuation;
 mod exchange;
 mod feed;
+mod fetches;
 mod fleet;
 mod handoff;
 mod lagging;
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -3,7 +3,7 @@
 use hyper::HeaderMap;
 use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::http::{request, response};
-use mulberryyoke_decide::engine::{PartId, Prompt};
+use mulberryyoke_decide::engine::{PartId, Prompt, Transfer};
 use mulberryyoke_gateway::Server;
 use mulberryyoke_gateway::config::{
     ColdStart, Config, Customer, Limits, Model, Pool, RequestKind, Route, Target,
@@ -34,7 +34,7 @@
 /// Length of the shared part of a prompt, in tokens.
 const SHARED_TOKENS: u32 = 4_000;
 
-/// Protocol with space-separated values: `VERSION [tokens=PER_S] KEY...` for a configuration and
+/// Protocol with space-separated values: `VERSION [tokens=PER_S] [link=MBPS] KEY...` for a configuration and
 /// `POOL ADDRESS STATE [STARTED [COLD_MS [ZONE]]]` for a server.
 #[derive(Debug)]
 pub(crate) struct TestProtocol {
@@ -68,10 +68,12 @@
     fn rewrite_headers(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>) {
         headers.remove(AUTHORIZATION);
         headers.insert("x-left-ms", HeaderValue::from(forwarding.remaining_ms));
+        let fetch_from = forwarding.fetch_from.map(|address| address.to_string());
         for (name, text) in [
             ("x-by", Some(self.gateway.as_str())),
             ("x-server", Some(forwarding.server)),
             ("x-customer", forwarding.customer),
+            ("x-fetch", fetch_from.as_deref()),
         ] {
             headers.remove(name);
             if let Some(value) = text.and_then(|text| HeaderValue::from_str(text).ok()) {
@@ -128,9 +130,9 @@
         let version = fields.next().and_then(|field| field.parse().ok());
         let version = version.ok_or_else(|| parse_error("configuration"))?;
         let (numbers, keys): (Vec<&str>, Vec<&str>) = fields.partition(|field| field.contains('='));
-        let tokens_per_s = numbers
-            .iter()
-            .find_map(|field| field.strip_prefix("tokens="));
+        let number = |prefix| numbers.iter().find_map(|field| field.strip_prefix(prefix));
+        let tokens_per_s = number("tokens=");
+        let link_mbps = number("link=").and_then(|mbps| mbps.parse().ok());
         let customer = Customer {
             id: CustomerId::of("noor"),
             name: "noor".to_owned(),
@@ -152,7 +154,7 @@
             ("/keyed/", RequestKind::Idempotent, 2),
         ];
         let routes = routes.map(|(prefix, kind, attempts)| route(prefix, kind, attempts));
-        let pools = vec![pool("plain", None), pool("model", Some(model()))];
+        let pools = vec![pool("plain", None), pool("model", Some(model(link_mbps)))];
         Ok(Config::new(
             version,
             limits,
@@ -240,9 +242,13 @@
     }
 }
 
-const fn model() -> Model {
+fn model(link_mbps: Option<u32>) -> Model {
     Model {
         slots: 8,
         memory_tokens: 100_000,
+        transfer: link_mbps.map(|link_mbps| Transfer {
+            token_bytes: 30_000,
+            link_mbps,
+        }),
     }
 }
