--- a/crates/gateway/src/backend/fetch.rs
+++ b/crates/gateway/src/backend/fetch.rs
@@ -37,9 +37,11 @@
 
     /// Records the first token of the request, which shows whether the transfer was in time.
     pub(super) fn record_first_token(&self, now: Instant) {
+        let is_late = now >= self.late_at;
+        if is_late {
+            metrics::counter!("fetches_late_total").increment(1);
+        }
         let mut engine = self.source.engine.lock();
-        engine
-            .source
-            .record_fetch(now >= self.late_at, clock::now_ms());
+        engine.source.record_fetch(is_late, clock::now_ms());
     }
 }
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -155,7 +155,7 @@
     };
     let backend = find_server(open, Some(choice.server))?;
     let unshared = prompt.tokens - prompt.shared_tokens();
-    let is_new = choice.uncached > unshared;
+    let is_new = choice.uncached + choice.fetched > unshared;
     if usage.is_some() {
         with_cost(call, |customer, tokens| {
             core.shares.lock().record_grant(customer, tokens);
--- a/crates/gateway/tests/gateway/backend.rs
+++ b/crates/gateway/tests/gateway/backend.rs
@@ -46,6 +46,8 @@
     HangStream,
     /// As `Stream`, with a long pause after event 2.
     SlowStream,
+    /// As `Stream`, after a pause.
+    LateStream,
     /// Responds with a seal and [`LARGE_BODY_BYTES`] bytes.
     Large,
 }
@@ -218,6 +220,10 @@
             let remaining = "f\r\nid: 3\ndata: a\n\n\r\nf\r\nid: 4\ndata: a\n\n\r\n0\r\n\r\n";
             return stream.write_all(remaining.as_bytes()).await.is_ok();
         }
+        Behavior::LateStream => {
+            sleep(Duration::from_millis(150)).await;
+            return events(stream, &sealed, head, 4).await;
+        }
         Behavior::HangStream => {
             events(stream, &sealed, head, 2).await;
             hang(stream, state).await;
--- a/crates/gateway/tests/gateway/fetches.rs
+++ b/crates/gateway/tests/gateway/fetches.rs
@@ -27,7 +27,7 @@
 /// Prompt that occupies the server with the shared part for half a second.
 const LONG_PROMPT: &str = "x-tokens: 30000\r\nx-shared: 7\r\n";
 
-/// A server that has part 7 cached and never responds, and another that is idle.
+/// A server that has parts 7 to 9 cached and never responds, and another that is idle.
 struct Fleet {
     service: Arc<Service>,
     node: Node,
@@ -39,7 +39,7 @@
 impl Fleet {
     async fn spawn(config: &str) -> Self {
         let home = Backend::spawn(Behavior::Hang).await;
-        home.state.set_cached_parts("7");
+        home.state.set_cached_parts("7 8 9");
         let idle = Backend::spawn(Behavior::Stream).await;
         let service = Service::new();
         service.set("config", Some(config));
@@ -82,6 +82,23 @@
     expect_that!(field(&heads[1], "x-fetch"), none());
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_source_is_not_named_after_two_late_first_events() {
+    // It may have evicted the parts, or be unreachable for the other server.
+    let fleet = Fleet::spawn(CONFIG).await;
+    fleet.idle.state.set_behavior(Behavior::LateStream, "");
+    for part in 7..=9 {
+        let header_lines = format!("x-tokens: 100\r\nx-shared: {part}\r\n");
+        let response = fleet.node.send("/stream/", &header_lines).await;
+        expect_that!(response.status, eq(200));
+    }
+    let heads = fleet.idle.state.heads();
+    let is_fetched = heads.iter().map(|head| field(head, "x-fetch").is_some());
+    let is_fetched: Vec<bool> = is_fetched.collect();
+    expect_that!(is_fetched, eq(&[true, true, false]));
+}
+
 #[gtest]
 #[tokio::test]
 async fn without_a_configured_link_nothing_is_fetched() {
