Latency: fit fixed part and rate of the first token

Cause: PoolStats counted the whole time to first token, less 20 ms, as prefill. Where the first token comes 60 ms after prefill, short prompts made 92 tokens per ms look like 40, and waits were overestimated. Change: Latency fits a line with decay and a weak prior, per pool. It limits late samples to 1.2 times the expected time plus three deviations, so that a stalled server moves it by little. Samples of all lengths count.

--- a/crates/decide/src/engine.rs
+++ b/crates/decide/src/engine.rs
@@ -4,22 +4,23 @@
 mod cache;
 mod choice;
 mod decayed_tokens;
+mod latency;
 mod pause;
 mod pool_stats;
 mod prompt;
+mod relative_speed;
 
 pub use self::cache::Cache;
 pub use self::choice::{Candidate, Choice, MAX_CANDIDATES, choose, choose_urgent, shortlist};
 pub use self::decayed_tokens::DecayedTokens;
-pub use self::pool_stats::{PoolStats, RelativeSpeed};
+pub use self::latency::Latency;
+pub use self::pool_stats::PoolStats;
 pub use self::prompt::{Part, PartId, Prompt};
+pub use self::relative_speed::RelativeSpeed;
 
 use mulberryyoke_model::Millis;
 use serde::{Deserialize, Serialize};
 
-/// Time from the end of prefill to the first token: one decode step and a network round trip.
-const FIRST_TOKEN_OVERHEAD_MS: f64 = 20.0;
-
 /// Estimated state of one model server.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -27,9 +28,9 @@
     pub slots: u32,
     /// Shared prompt parts in its prefix cache.
     pub cache: Cache,
-    /// Average prefill speed and request duration in its pool.
+    /// Time to first token and request duration in its pool.
     pub pool_stats: PoolStats,
-    /// Its prefill speed relative to the pool.
+    /// Its speed relative to the pool.
     pub relative_speed: RelativeSpeed,
     /// Prompt tokens sent to it recently, by any gateway.
     pub recent_tokens: DecayedTokens,
@@ -118,13 +119,15 @@
     /// Prefill time for `tokens` prompt tokens, in milliseconds.
     #[must_use]
     pub fn prefill_ms(&self, tokens: u32) -> f64 {
-        f64::from(tokens) / (self.pool_stats.tokens_per_ms() * self.relative_speed.ratio())
+        let tokens_per_ms = self.pool_stats.latency().tokens_per_ms();
+        f64::from(tokens) / (tokens_per_ms * self.relative_speed.ratio())
     }
 
     /// Time from the start of prefill to the first token, in milliseconds.
     #[must_use]
     pub fn first_token_ms(&self, tokens: u32) -> f64 {
-        self.prefill_ms(tokens) + FIRST_TOKEN_OVERHEAD_MS
+        let fixed_ms = self.pool_stats.latency().fixed_ms();
+        self.prefill_ms(tokens) + fixed_ms / self.relative_speed.ratio()
     }
 
     /// Records a prompt sent to the server and returns the number of tokens to prefill.
--- a/crates/decide/src/engine/pool_stats.rs
+++ b/crates/decide/src/engine/pool_stats.rs
@@ -1,10 +1,6 @@
-//! Observed prefill speed and request duration of the servers in a pool.
+//! Observed latency and request duration of the servers in a pool.
 
-/// Initial prefill rate, in tokens per millisecond.
-const INITIAL_TOKENS_PER_MS: f64 = 60.0;
-
-/// Lowest and highest accepted prefill rate, in tokens per millisecond.
-const TOKENS_PER_MS_BOUNDS: (f64, f64) = (6.0, 100.0);
+use super::Latency;
 
 /// Initial slot hold time: a stream of a few hundred tokens on a loaded server.
 const INITIAL_HOLD_MS: f64 = 2_000.0;
@@ -12,43 +8,34 @@
 /// Shortest and longest accepted slot hold time.
 const HOLD_BOUNDS_MS: (f64, f64) = (20.0, 20_000.0);
 
-/// Smoothing factor of the pool averages, for about ten observed requests per second.
-const POOL_SMOOTHING: f64 = 0.03;
-
-/// Smoothing factor of a server's relative speed.
-const SPEED_SMOOTHING: f64 = 0.1;
-
-/// Lowest and highest relative speed of a server.
-const SPEED_BOUNDS: (f64, f64) = (0.3, 2.0);
+/// Smoothing factor of the hold time, for about ten observed requests per second.
+const HOLD_SMOOTHING: f64 = 0.03;
 
-/// Smallest prefill that yields a rate sample; shorter ones are dominated by network latency.
-const MIN_SAMPLE_TOKENS: u32 = 1_500;
-
-/// Moving averages of prefill rate and slot hold time over observed requests.
+/// Time to first token and slot hold time over observed requests.
 ///
 /// Kept per pool because a single gateway sees too few requests of each server to follow changes
 /// in load. The hold time is learnt because it decides the waiting time where slots run out
 /// before prefill capacity does.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolStats {
-    tokens_per_ms: f64,
+    latency: Latency,
     mean_hold_ms: f64,
 }
 
 impl Default for PoolStats {
     fn default() -> Self {
         Self {
-            tokens_per_ms: INITIAL_TOKENS_PER_MS,
+            latency: Latency::default(),
             mean_hold_ms: INITIAL_HOLD_MS,
         }
     }
 }
 
 impl PoolStats {
-    /// Prefill rate, in tokens per millisecond.
+    /// Time to first token of a server of usual speed.
     #[must_use]
-    pub const fn tokens_per_ms(self) -> f64 {
-        self.tokens_per_ms
+    pub const fn latency(self) -> Latency {
+        self.latency
     }
 
     /// Mean time that a request holds a slot, in milliseconds.
@@ -60,48 +47,11 @@
     /// Records how long a request held its slot, in milliseconds.
     pub fn record_hold(&mut self, ms: f64) {
         let ms = ms.clamp(HOLD_BOUNDS_MS.0, HOLD_BOUNDS_MS.1);
-        self.mean_hold_ms += (ms - self.mean_hold_ms) * POOL_SMOOTHING;
+        self.mean_hold_ms += (ms - self.mean_hold_ms) * HOLD_SMOOTHING;
     }
 
-    /// Records that a server took `ms` to the first token after prefilling `tokens`.
-    pub fn record_prefill(&mut self, tokens: u32, ms: f64) {
-        if let Some(rate) = sample_rate(tokens, ms) {
-            self.tokens_per_ms += (rate - self.tokens_per_ms) * POOL_SMOOTHING;
-        }
-    }
-}
-
-/// Prefill speed of one server relative to its pool.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RelativeSpeed(f64);
-
-impl Default for RelativeSpeed {
-    fn default() -> Self {
-        Self(1.0)
-    }
-}
-
-impl RelativeSpeed {
-    /// Its prefill rate as a multiple of the pool average.
-    #[must_use]
-    pub const fn ratio(self) -> f64 {
-        self.0
-    }
-
-    /// Records that the server took `ms` to the first token after prefilling `tokens`.
-    pub fn record_prefill(&mut self, tokens: u32, ms: f64, pool: PoolStats) {
-        if let Some(rate) = sample_rate(tokens, ms) {
-            let ratio = (rate / pool.tokens_per_ms).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
-            self.0 += (ratio - self.0) * SPEED_SMOOTHING;
-        }
-    }
-}
-
-/// Prefill rate observed in a request, in tokens per millisecond; `None` if it is too short.
-fn sample_rate(tokens: u32, ms: f64) -> Option<f64> {
-    let ms = ms - super::FIRST_TOKEN_OVERHEAD_MS;
-    if tokens < MIN_SAMPLE_TOKENS || ms <= 0.0 {
-        return None;
+    /// Records that a server took `ms` to the first token with `tokens` to prefill.
+    pub fn record_first_token(&mut self, tokens: u32, ms: f64) {
+        self.latency.record(tokens, ms);
     }
-    Some((f64::from(tokens) / ms).clamp(TOKENS_PER_MS_BOUNDS.0, TOKENS_PER_MS_BOUNDS.1))
 }
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -87,8 +87,8 @@
             let mut pool_stats = self.backend.pool_stats.lock();
             engine
                 .relative_speed
-                .record_prefill(tokens, elapsed, *pool_stats);
-            pool_stats.record_prefill(tokens, elapsed);
+                .record_first_token(tokens, elapsed, pool_stats.latency());
+            pool_stats.record_first_token(tokens, elapsed);
         }
     }
 }
