Backlog: count down the prefill of prompts in flight

Cause: a prompt counted in full until its first token, even when most of its prefill was done or only the fixed part was left. A stalled server looked like a busy one. Change: Backlog keeps the own prompts without a first token and counts their prefill down at the server's speed. Each gateway counts down its fraction of the whole backlog, so that all together count down what the server prefills. Overdue first tokens add to the wait at that server, but not to the mean wait that indicates contention. Only the first event of a stream gives a latency sample: the end of another response includes the generation of its output.

The isolated gateway's test sends 6,000 tokens instead of 2,000, which ten gateways' servers prefill before the second prompt comes.

--- a/crates/decide/src/engine.rs
+++ b/crates/decide/src/engine.rs
@@ -1,12 +1,14 @@
 //! A gateway's estimate of a model server's state: prefill backlog, running requests and
 //! cached prompt prefixes.
 
+mod backlog;
 mod cache;
 mod choice;
 mod decayed_tokens;
 mod latency;
 mod pause;
 mod pool_stats;
+mod position;
 mod prompt;
 mod relative_speed;
 
@@ -15,12 +17,15 @@
 pub use self::decayed_tokens::DecayedTokens;
 pub use self::latency::Latency;
 pub use self::pool_stats::PoolStats;
+pub use self::position::Position;
 pub use self::prompt::{Part, PartId, Prompt};
 pub use self::relative_speed::RelativeSpeed;
 
-use mulberryyoke_model::Millis;
+use mulberryyoke_model::{Millis, saturating_u32};
 use serde::{Deserialize, Serialize};
 
+use self::backlog::{Backlog, Expectation};
+
 /// Estimated state of one model server.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -34,10 +39,14 @@
     pub relative_speed: RelativeSpeed,
     /// Prompt tokens sent to it recently, by any gateway.
     pub recent_tokens: DecayedTokens,
-    /// Load from this gateway.
+    /// Load from this gateway, as of the last [`Self::advance`].
     pub own: Load,
     /// Combined load from all other gateways.
     pub others: Load,
+    /// This gateway's prompts without a first token.
+    prompts: Backlog,
+    /// The time that estimates refer to.
+    now: Millis,
 }
 
 /// Outstanding work at a model server.
@@ -79,7 +88,29 @@
             recent_tokens: DecayedTokens::default(),
             own: Load::default(),
             others: Load::default(),
+            prompts: Backlog::default(),
+            now: 0,
+        }
+    }
+
+    /// Sets the time that estimates refer to, and counts down the prefill that is expected to be
+    /// done by then. Of the server's speed, this gateway's prompts get their fraction of the whole
+    /// backlog, so that all gateways together count down what the server prefills, even if they
+    /// learn of each other's prompts after sending their own.
+    pub fn advance(&mut self, now: Millis) {
+        let elapsed_ms = as_f64(now.saturating_sub(self.now));
+        self.now = self.now.max(now);
+        let own = self.prompts.tokens_left();
+        if own > 0.0 && elapsed_ms > 0.0 {
+            let fraction = own / (own + f64::from(self.others.prefill_tokens));
+            let tokens = elapsed_ms / self.prefill_ms(1) * fraction;
+            self.prompts.prefill(tokens, self.now);
         }
+        self.update_prefill();
+    }
+
+    fn update_prefill(&mut self) {
+        self.own.prefill_tokens = saturating_u32(self.prompts.tokens_left().round());
     }
 
     /// Prompt tokens waiting for prefill, from all gateways.
@@ -109,11 +140,24 @@
         (self.requests() + 1).saturating_sub(self.slots)
     }
 
-    /// Expected time until prefill of a new prompt starts, in milliseconds.
+    /// Expected time until prefill of a new prompt starts, in milliseconds: that of the queue, and
+    /// the time by which a first token is overdue. A late first token shows that the server is
+    /// slower than estimated, or stalled.
     #[must_use]
     pub fn wait_ms(&self) -> f64 {
+        self.queue_ms() + self.prompts.overdue_ms(self.now)
+    }
+
+    /// Time in which the queue is expected to be prefilled and to get slots, in milliseconds.
+    #[must_use]
+    pub fn queue_ms(&self) -> f64 {
+        self.prefill_ms(self.backlog()) + self.slot_ms()
+    }
+
+    /// Expected time until a new request gets a slot, in milliseconds.
+    fn slot_ms(&self) -> f64 {
         let slot_ms = self.pool_stats.mean_hold_ms() / f64::from(self.slots.max(1));
-        self.prefill_ms(self.backlog()) + f64::from(self.excess_requests()) * slot_ms
+        f64::from(self.excess_requests()) * slot_ms
     }
 
     /// Prefill time for `tokens` prompt tokens, in milliseconds.
@@ -130,20 +174,32 @@
         self.prefill_ms(tokens) + fixed_ms / self.relative_speed.ratio()
     }
 
-    /// Records a prompt sent to the server and returns the number of tokens to prefill.
-    pub fn record_send(&mut self, prompt: &Prompt, now: Millis) -> u32 {
+    /// Records a prompt sent to the server and returns its place in the backlog.
+    pub fn record_send(&mut self, prompt: &Prompt, now: Millis) -> Position {
+        self.advance(now);
         let tokens = prompt.tokens - self.cache.cached_tokens(prompt);
         self.cache.insert(&prompt.shared);
         self.cache.record_prefill(tokens);
         self.recent_tokens.add(tokens, now);
-        self.own.prefill_tokens += tokens;
+        let expected = Expectation {
+            slot_ms: self.slot_ms(),
+            first_token_ms: self.wait_ms() + self.first_token_ms(tokens),
+        };
+        let position = self.prompts.add(tokens, expected, self.now);
+        self.update_prefill();
         self.own.queued += 1;
-        tokens
+        position
     }
 
-    /// Records the first token of a request that had `tokens` to prefill.
-    pub const fn record_first_token(&mut self, tokens: u32) {
-        self.record_abort(tokens);
+    /// Excludes a request whose first token is not observed, because its response is no stream,
+    /// from the overdue ones.
+    pub fn set_unobserved(&mut self, position: Position) {
+        self.prompts.set_unobserved(position);
+    }
+
+    /// Records the first token of a request.
+    pub fn record_first_token(&mut self, position: Position) {
+        self.record_abort(position);
         self.own.running += 1;
     }
 
@@ -153,8 +209,14 @@
     }
 
     /// Records a request that ended before its first token.
-    pub const fn record_abort(&mut self, tokens: u32) {
-        self.own.prefill_tokens = self.own.prefill_tokens.saturating_sub(tokens);
+    pub fn record_abort(&mut self, position: Position) {
+        self.prompts.remove(position);
+        self.update_prefill();
         self.own.queued = self.own.queued.saturating_sub(1);
     }
 }
+
+#[expect(clippy::cast_precision_loss, reason = "some seconds in milliseconds")]
+const fn as_f64(ms: Millis) -> f64 {
+    ms as f64
+}
--- a/crates/decide/src/engine/choice.rs
+++ b/crates/decide/src/engine/choice.rs
@@ -51,7 +51,7 @@
     pub uncached: u32,
     /// Uncached tokens that another server has cached.
     pub recomputed: u32,
-    /// Mean waiting time over all candidates, in milliseconds.
+    /// Mean waiting time over all candidates, in milliseconds. A stalled server does not raise it.
     pub mean_wait_ms: f64,
 }
 
@@ -145,7 +145,7 @@
     });
     let waits = candidates
         .clone()
-        .map(|candidate| candidate.engine.wait_ms());
+        .map(|candidate| candidate.engine.queue_ms());
     let (count, sum) = waits.fold((0_u32, 0.0), |(count, sum), wait| (count + 1, sum + wait));
     let mean_wait_ms = sum / f64::from(count.max(1));
     let mut best: Option<(f64, Choice)> = None;
--- a/crates/decide/tests/engine.rs
+++ b/crates/decide/tests/engine.rs
@@ -158,7 +158,7 @@
     let prompt = prompt(5, 1_000);
     let first = engine.record_send(&prompt, 0);
     let second = engine.record_send(&prompt, 0);
-    expect_that!((first, second), eq((1_600, 500)));
+    expect_that!((first.tokens, second.tokens), eq((1_600, 500)));
     expect_that!(engine.backlog(), eq(2_100));
     engine.record_first_token(first);
     expect_that!(engine.requests(), eq(2));
--- a/crates/decide/tests/replay/gateway.rs
+++ b/crates/decide/tests/replay/gateway.rs
@@ -1,6 +1,6 @@
 //! A simulated gateway.
 
-use mulberryyoke_decide::engine::{Candidate, Engine, Part, PoolStats};
+use mulberryyoke_decide::engine::{Candidate, Engine, Part, PoolStats, Position};
 use mulberryyoke_decide::share::Shares;
 use mulberryyoke_decide::shed::{self, Objective, Rejection};
 use mulberryyoke_model::{CustomerId, Millis, ServerId};
@@ -14,8 +14,8 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Dispatch {
     pub(crate) server: usize,
-    /// Estimated prefill tokens of the request.
-    pub(crate) tokens: u32,
+    /// Place in the server's backlog, with the estimated prefill tokens.
+    pub(crate) position: Position,
     /// Estimated prefill tokens queued before it.
     pub(crate) ahead: u32,
     /// Whether the server was estimated to have a free slot.
@@ -42,11 +42,12 @@
     }
 
     /// Records the first event of a request.
-    pub(crate) fn record_first_token(&mut self, dispatch: &Dispatch, elapsed_ms: f64) {
+    pub(crate) fn record_first_token(&mut self, dispatch: &Dispatch, elapsed_ms: f64, now: Millis) {
         let engine = &mut self.engines[dispatch.server];
-        engine.record_first_token(dispatch.tokens);
+        engine.advance(now);
+        engine.record_first_token(dispatch.position);
         if dispatch.had_slot {
-            let tokens = dispatch.ahead + dispatch.tokens;
+            let tokens = dispatch.ahead + dispatch.position.tokens;
             engine
                 .relative_speed
                 .record_first_token(tokens, elapsed_ms, self.pool_stats.latency());
@@ -60,7 +61,7 @@
         let engine = &mut self.engines[dispatch.server];
         engine.record_completion();
         self.pool_stats
-            .record_hold(engine.first_token_ms(dispatch.tokens) + stream_ms);
+            .record_hold(engine.first_token_ms(dispatch.position.tokens) + stream_ms);
         self.update_engines();
     }
 
@@ -70,9 +71,16 @@
         }
     }
 
+    /// Sets the time that the estimates refer to.
+    pub(crate) fn advance(&mut self, now: Millis) {
+        for engine in &mut self.engines {
+            engine.advance(now);
+        }
+    }
+
     /// Estimated mean waiting time over the servers, in milliseconds.
     pub(crate) fn mean_wait_ms(&self) -> f64 {
-        let waits: f64 = self.engines.iter().map(Engine::wait_ms).sum();
+        let waits: f64 = self.engines.iter().map(Engine::queue_ms).sum();
         waits / f64::from(u32::try_from(self.engines.len()).unwrap_or(u32::MAX))
     }
 
@@ -83,6 +91,7 @@
         is_down: &[bool],
         now: Millis,
     ) -> Result<Dispatch, Rejection> {
+        self.advance(now);
         let customer = CustomerId(request.customer);
         self.shares.record_request(customer, request.prompt.cost());
         let usage = self.shares.usage(customer);
@@ -103,12 +112,12 @@
         let server = choice.server.0 as usize;
         let ahead = self.engines[server].backlog();
         let had_slot = self.engines[server].excess_requests() == 0;
-        let tokens = self.engines[server].record_send(&request.prompt, now);
+        let position = self.engines[server].record_send(&request.prompt, now);
         let shared = request.prompt.shared.to_vec();
-        self.prefills.push((server, shared, tokens));
+        self.prefills.push((server, shared, position.tokens));
         Ok(Dispatch {
             server,
-            tokens,
+            position,
             ahead,
             had_slot,
         })
--- a/crates/decide/tests/replay/scenarios.rs
+++ b/crates/decide/tests/replay/scenarios.rs
@@ -155,8 +155,20 @@
             report.lines(),
             report.gap(SMALL)
         );
+        if name == "reconnect burst" {
+            // See the next test.
+            continue;
+        }
         let gap = mean(scenario, |report| report.gap(SMALL));
         let max = if name == "huge prompts" { 0.45 } else { 0.28 };
         expect_that!(gap, le(max), "{name}");
     }
 }
+
+#[gtest]
+fn small_customers_are_served_evenly_after_a_reconnect_burst() {
+    // A customer has few requests in the burst, and one rejected long prompt changes the gap of a
+    // seed by up to 0.7, so this is averaged over more seeds than the other scenarios.
+    let gaps = (1..=40).map(|seed| simulate(RECONNECT_BURST, seed).gap(SMALL));
+    expect_that!(gaps.sum::<f64>() / 40.0, le(0.22));
+}
--- a/crates/decide/tests/replay/simulation.rs
+++ b/crates/decide/tests/replay/simulation.rs
@@ -106,7 +106,11 @@
                     sent_ms,
                     stream_ms,
                 }) => {
-                    self.gateways[gateway].record_first_token(&dispatch, now_ms - sent_ms);
+                    self.gateways[gateway].record_first_token(
+                        &dispatch,
+                        now_ms - sent_ms,
+                        millis(now_ms),
+                    );
                     let completion = Event::Completion {
                         gateway,
                         dispatch,
@@ -195,6 +199,9 @@
     fn exchange(&mut self, now_ms: f64) {
         self.exchanges += 1;
         let now = millis(now_ms);
+        for gateway in &mut self.gateways {
+            gateway.advance(now);
+        }
         let own: Vec<Vec<Load>> = self
             .gateways
             .iter()
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -17,6 +17,7 @@
 pub(crate) use self::in_flight::InFlight;
 pub(crate) use self::instance::Instance;
 pub(crate) use self::liveness::Liveness;
+use crate::clock;
 use crate::config::Model;
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::protocol::ResponseHead;
@@ -74,11 +75,13 @@
         }
     }
 
-    /// Locks the engine model after copying the current pool statistics into it.
+    /// Locks the engine model after copying the current pool statistics into it and advancing it
+    /// to the current time.
     pub(crate) fn engine(&self) -> MutexGuard<'_, Engine> {
         let pool_stats = *self.pool_stats.lock();
         let mut engine = self.engine.lock();
         engine.pool_stats = pool_stats;
+        engine.advance(clock::now_ms());
         engine
     }
 
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use mulberryyoke_decide::engine::Prompt;
+use mulberryyoke_decide::engine::{Position, Prompt};
 use tokio::time::Instant;
 
 use super::Backend;
@@ -15,8 +15,8 @@
 #[derive(Debug)]
 pub(crate) struct InFlight {
     pub(crate) backend: Arc<Backend>,
-    /// Prompt tokens of the request that the server has not cached.
-    pub(crate) prompt_tokens: u32,
+    /// Place in the server's backlog, with the prompt tokens that it has not cached.
+    position: Position,
     /// Prompt tokens queued at the server when the request was sent.
     queued_tokens: u32,
     /// Whether the server had a free slot when the request was sent.
@@ -28,20 +28,24 @@
 }
 
 impl InFlight {
-    /// Counts a request, directly before it is sent.
-    pub(crate) fn start(backend: &Arc<Backend>, prompt: Option<&Prompt>) -> Self {
+    /// Counts a request, directly before it is sent. The first token of a response that is no
+    /// stream is not observed.
+    pub(crate) fn start(backend: &Arc<Backend>, prompt: Option<&Prompt>, is_stream: bool) -> Self {
         let empty = Prompt::default();
         let now_ms = clock::now_ms();
         backend.cold.record_send(now_ms);
         backend.instance.record_send(now_ms);
-        let mut engine = backend.engine.lock();
+        let mut engine = backend.engine();
         let queued_tokens = engine.backlog();
         let had_free_slot = engine.excess_requests() == 0;
-        let prompt_tokens = engine.record_send(prompt.unwrap_or(&empty), now_ms);
+        let position = engine.record_send(prompt.unwrap_or(&empty), now_ms);
+        if prompt.is_none() || !is_stream {
+            engine.set_unobserved(position);
+        }
         drop(engine);
         Self {
             backend: Arc::clone(backend),
-            prompt_tokens,
+            position,
             queued_tokens,
             had_free_slot,
             sent_at: Instant::now(),
@@ -64,26 +68,28 @@
         self.queued_tokens
     }
 
+    /// Prompt tokens of the request that the server has not cached.
+    pub(crate) const fn prompt_tokens(&self) -> u32 {
+        self.position.tokens
+    }
+
     /// Records a complete response and returns its connection to the pool.
     pub(crate) fn complete(mut self, conn: Connection, response_head: ResponseHead) {
-        self.record_first_token();
+        self.record_response_start();
         self.backend.health.lock().record_success(Instant::now());
         self.backend.release_conn(conn, response_head);
     }
 
-    /// Records the start of the response, which means that the prompt has been processed.
+    /// Records the first event of a stream, which means that the prompt has been processed.
     pub(crate) fn record_first_token(&mut self) {
-        if self.first_token_at.is_some() {
+        let Some(now) = self.record_response_start() else {
             return;
-        }
-        let now = Instant::now();
-        self.first_token_at = Some(now);
-        let mut engine = self.backend.engine.lock();
-        engine.record_first_token(self.prompt_tokens);
-        // Time spent waiting for a slot would distort the measured prefill speed.
+        };
+        // Time spent waiting for a slot would distort the measured latency.
         if self.had_free_slot {
             let elapsed = elapsed_ms(self.sent_at, now);
-            let tokens = self.queued_tokens + self.prompt_tokens;
+            let tokens = self.queued_tokens + self.position.tokens;
+            let mut engine = self.backend.engine.lock();
             let mut pool_stats = self.backend.pool_stats.lock();
             engine
                 .relative_speed
@@ -91,6 +97,17 @@
             pool_stats.record_first_token(tokens, elapsed);
         }
     }
+
+    /// Counts the request as running and returns the time, if it is the first call.
+    fn record_response_start(&mut self) -> Option<Instant> {
+        if self.first_token_at.is_some() {
+            return None;
+        }
+        let now = Instant::now();
+        self.first_token_at = Some(now);
+        self.backend.engine().record_first_token(self.position);
+        Some(now)
+    }
 }
 
 impl Drop for InFlight {
@@ -100,13 +117,13 @@
                 .isolated_requests
                 .fetch_sub(1, Ordering::Relaxed);
         }
-        let mut engine = self.backend.engine.lock();
+        let mut engine = self.backend.engine();
         let Some(first_token_at) = self.first_token_at else {
-            return engine.record_abort(self.prompt_tokens);
+            return engine.record_abort(self.position);
         };
         engine.record_completion();
-        let held_ms =
-            engine.first_token_ms(self.prompt_tokens) + elapsed_ms(first_token_at, Instant::now());
+        let held_ms = engine.first_token_ms(self.position.tokens)
+            + elapsed_ms(first_token_at, Instant::now());
         drop(engine);
         self.backend.pool_stats.lock().record_hold(held_ms);
     }
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -63,7 +63,7 @@
             penalty_ms: backend.health.lock().penalty_ms(now),
         });
         let backend = find_server(&open, plain::choose(candidates))?;
-        Ok(InFlight::start(backend, None))
+        Ok(InFlight::start(backend, None, call.route.kind.is_stream()))
     })?;
     if is_isolated {
         return Ok(in_flight.isolate());
@@ -158,7 +158,11 @@
     let peers = u32::try_from(core.exchange.gateway_count() - 1).unwrap_or(u32::MAX);
     let prefilled = choice.uncached.saturating_mul(peers);
     backend.engine.lock().cache.record_prefill(prefilled);
-    Ok(InFlight::start(backend, Some(prompt)))
+    Ok(InFlight::start(
+        backend,
+        Some(prompt),
+        call.route.kind.is_stream(),
+    ))
 }
 
 /// Refunds the customer's charge for a request that its server has not run.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -204,7 +204,7 @@
         "route" => &call.route.name,
         "server" => &in_flight.backend.server.name,
         "unread" => in_flight.queued_tokens(),
-        "uncached" => in_flight.prompt_tokens,
+        "uncached" => in_flight.prompt_tokens(),
         "view_age_ms" => core.view.age_ms(),
         "elapsed_ms" => clock::between_ms(call.received_at, Instant::now()));
 }
--- a/crates/gateway/src/exchange/inner.rs
+++ b/crates/gateway/src/exchange/inner.rs
@@ -238,7 +238,7 @@
 pub(super) fn local_state(core: &Core) -> State {
     let backends = core.registry.subset();
     let loads = backends.iter().filter_map(|backend| {
-        let load = backend.engine.lock().own;
+        let load = backend.engine().own;
         (load != Load::default()).then_some((backend.server.id, load))
     });
     let loads = loads.collect();
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -126,7 +126,8 @@
             let is_limited = backend.cold.is_cold(now) || backend.instance.is_pushing_back(now);
             if backend.is_open() && !is_limited {
                 accepting += 1;
-                waits_ms += backend.engine().wait_ms();
+                // A stalled server is no sign of contention.
+                waits_ms += backend.engine().queue_ms();
             }
         }
         // At least one, so that the shared capacity is never zero.
--- a/crates/gateway/tests/gateway/exchange.rs
+++ b/crates/gateway/tests/gateway/exchange.rs
@@ -105,10 +105,12 @@
         }
         let node = Node::spawn(&service, "g0").await;
         node.wait_ready().await;
-        let request = caller::request("/stream/", "x-tokens: 2000\r\n");
-        let _first = caller::open(node.callers, &request).await;
+        // Long enough that ten gateways' prompts are not prefilled when the second one comes.
+        let first = caller::request("/stream/", "x-tokens: 6000\r\n");
+        let _first = caller::open(node.callers, &first).await;
         sleep(Duration::from_millis(200)).await;
-        let second = caller::send(node.callers, &request);
+        let second = caller::request("/stream/", "x-tokens: 2000\r\n");
+        let second = caller::send(node.callers, &second);
         let second = tokio::time::timeout(Duration::from_millis(300), second).await;
         let refusal = second.ok().map(|response| response.status);
         expect_that!(refusal, eq(status), "{peers} peers");
