Server load: read reports, and learn each server's speed

Cause: a server's speed was learned from a tenth of each sample of 1,500 tokens or more, so that servers at 0.55 of the usual speed looked like the others, and the load that servers report was not read. Change: server_load::Report holds the figures of Mulberryyoke-Server-Load, which count in responses of verified origin only. Speed replaces RelativeSpeed: the ratio of the sums of expected and observed times, from 500 tokens on, times the reported slowdown while the report is less than a second old. Samples are corrected by the slowdown, so that a neighbour on the machine is not learned as the server's own speed. Event 1038 and two counters tell of slow servers and of unreadable reports.

--- a/crates/decide/src/engine.rs
+++ b/crates/decide/src/engine.rs
@@ -10,7 +10,8 @@
 mod pool_stats;
 mod position;
 mod prompt;
-mod relative_speed;
+mod reading;
+mod speed;
 
 pub use self::cache::Cache;
 pub use self::choice::{Candidate, Choice, MAX_CANDIDATES, choose, choose_urgent, shortlist};
@@ -19,7 +20,8 @@
 pub use self::pool_stats::PoolStats;
 pub use self::position::Position;
 pub use self::prompt::{Part, PartId, Prompt};
-pub use self::relative_speed::RelativeSpeed;
+pub use self::reading::Reading;
+pub use self::speed::Speed;
 
 use mulberryyoke_model::{Millis, saturating_u32};
 use serde::{Deserialize, Serialize};
@@ -36,7 +38,7 @@
     /// Time to first token and request duration in its pool.
     pub pool_stats: PoolStats,
     /// Its speed relative to the pool.
-    pub relative_speed: RelativeSpeed,
+    pub speed: Speed,
     /// Prompt tokens sent to it recently, by any gateway.
     pub recent_tokens: DecayedTokens,
     /// Load from this gateway, as of the last [`Self::advance`].
@@ -84,7 +86,7 @@
             slots,
             cache: Cache::new(cache_tokens),
             pool_stats: PoolStats::default(),
-            relative_speed: RelativeSpeed::default(),
+            speed: Speed::default(),
             recent_tokens: DecayedTokens::default(),
             own: Load::default(),
             others: Load::default(),
@@ -164,14 +166,14 @@
     #[must_use]
     pub fn prefill_ms(&self, tokens: u32) -> f64 {
         let tokens_per_ms = self.pool_stats.latency().tokens_per_ms();
-        f64::from(tokens) / (tokens_per_ms * self.relative_speed.ratio())
+        f64::from(tokens) / (tokens_per_ms * self.speed.ratio(self.now))
     }
 
     /// Time from the start of prefill to the first token, in milliseconds.
     #[must_use]
     pub fn first_token_ms(&self, tokens: u32) -> f64 {
         let fixed_ms = self.pool_stats.latency().fixed_ms();
-        self.prefill_ms(tokens) + fixed_ms / self.relative_speed.ratio()
+        self.prefill_ms(tokens) + fixed_ms / self.speed.ratio(self.now)
     }
 
     /// Records a prompt sent to the server and returns its place in the backlog.
--- /dev/null
+++ b/crates/decide/src/engine/speed.rs
@@ -0,0 +1,187 @@
+//! Speed of one server relative to the usual of its pool.
+
+use mulberryyoke_model::Millis;
+
+use super::{Latency, Reading};
+use crate::server_load::MAX_AGE_MS;
+
+/// Lowest and highest learned ratio.
+const BOUNDS: (f64, f64) = (0.3, 2.0);
+
+/// Smallest prefill that yields a sample; shorter ones are dominated by network latency.
+const MIN_SAMPLE_TOKENS: u32 = 500;
+
+/// Factor by which a sample's weight falls with each later one. A gateway sends a server about one
+/// request every two seconds.
+const DECAY: f64 = 0.9;
+
+/// Time to first token for which the usual speed is assumed before the first sample, in
+/// milliseconds: about one sample.
+const PRIOR_MS: f64 = 100.0;
+
+/// Weight of what peers learned, in milliseconds of samples: about half of the own samples.
+const PEER_WEIGHT_MS: f64 = 500.0;
+
+/// Weight of a newer figure from a peer against the earlier ones.
+const PEER_SMOOTHING: f64 = 0.3;
+
+/// Time for which a learned ratio counts without newer samples, in milliseconds.
+const RETENTION_MS: Millis = 30_000;
+
+/// Number of samples, with decay, from which a learned ratio is told to peers.
+const MIN_SAMPLES: f64 = 2.5;
+
+/// Speed of one server relative to the usual of its pool: the learned ratio of expected to
+/// observed time to first token, and the slowdown that the server reported.
+///
+/// The learned ratio is that of the sums over samples, so that long prompts, which tell more,
+/// count for more. What peers learned counts like a few own samples.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Speed {
+    /// Decayed sums over own samples, and their number. A pseudo-sample of usual speed precedes them.
+    expected_ms: f64,
+    observed_ms: f64,
+    samples: f64,
+    /// When the last own sample was taken.
+    sampled_at: Millis,
+    /// Smoothed ratio that peers learned, and its latest sample.
+    peers: Option<Reading>,
+    /// Last reported slowdown, as a factor.
+    slowdown: Option<Reading>,
+    /// Whether that report came to this gateway, not to a peer.
+    is_own_report: bool,
+    /// When the last report of an unusual slowdown expires, in milliseconds.
+    unusual_until: Millis,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self {
+            expected_ms: PRIOR_MS,
+            observed_ms: PRIOR_MS,
+            samples: 0.0,
+            sampled_at: 0,
+            peers: None,
+            slowdown: None,
+            is_own_report: false,
+            unusual_until: 0,
+        }
+    }
+}
+
+impl Speed {
+    /// Expected speed at `now` as a multiple of the usual one.
+    #[must_use]
+    pub fn ratio(&self, now: Millis) -> f64 {
+        self.learned(now) / self.slowdown(now)
+    }
+
+    /// Slowdown of the last report, as a factor; 1 without a recent one.
+    #[must_use]
+    pub fn slowdown(&self, now: Millis) -> f64 {
+        self.recent_slowdown(now)
+            .map_or(1.0, |reading| reading.value)
+    }
+
+    /// Learned ratio of expected to observed time.
+    #[must_use]
+    pub fn learned(&self, now: Millis) -> f64 {
+        let (mut expected_ms, mut observed_ms) = (PRIOR_MS, PRIOR_MS);
+        if now < self.sampled_at.saturating_add(RETENTION_MS) {
+            (expected_ms, observed_ms) = (self.expected_ms, self.observed_ms);
+        }
+        if let Some(peers) = self.recent_peers(now) {
+            expected_ms += PEER_WEIGHT_MS;
+            observed_ms += PEER_WEIGHT_MS / peers.value;
+        }
+        (expected_ms / observed_ms).clamp(BOUNDS.0, BOUNDS.1)
+    }
+
+    /// Records that the server took `ms` to the first token with `tokens` to prefill, less any
+    /// reported slowdown.
+    pub fn record_first_token(&mut self, tokens: u32, ms: f64, pool: Latency, now: Millis) {
+        if tokens < MIN_SAMPLE_TOKENS || ms <= 0.0 {
+            return;
+        }
+        if now >= self.sampled_at.saturating_add(RETENTION_MS) {
+            (self.expected_ms, self.observed_ms, self.samples) = (PRIOR_MS, PRIOR_MS, 0.0);
+        }
+        let expected_ms = pool.first_token_ms(tokens);
+        let observed_ms = ms.clamp(expected_ms / BOUNDS.1, expected_ms / BOUNDS.0);
+        self.expected_ms = self.expected_ms * DECAY + expected_ms;
+        self.observed_ms = self.observed_ms * DECAY + observed_ms;
+        self.samples = self.samples * DECAY + 1.0;
+        self.sampled_at = now;
+    }
+
+    /// Records a slowdown that the server reported to this gateway.
+    pub fn record_slowdown(&mut self, percent: u32, now: Millis) {
+        let value = f64::from(percent) / 100.0;
+        self.set_slowdown(Reading { value, at: now });
+        self.is_own_report = true;
+    }
+
+    /// Records a slowdown that the server reported to a peer, if it is newer than the last report.
+    pub fn receive_slowdown(&mut self, reading: Reading) {
+        if self.slowdown.is_none_or(|last| last.at < reading.at) {
+            self.set_slowdown(reading);
+            self.is_own_report = false;
+        }
+    }
+
+    /// Records a ratio that a peer learned, if it is newer than the last one.
+    pub fn receive_learned(&mut self, reading: Reading) {
+        let value = reading.value.clamp(BOUNDS.0, BOUNDS.1);
+        let smoothed = match self.recent_peers(reading.at) {
+            Some(last) if last.at >= reading.at => return,
+            Some(last) => last.value + (value - last.value) * PEER_SMOOTHING,
+            None => value,
+        };
+        self.peers = Some(Reading {
+            value: smoothed,
+            at: reading.at,
+        });
+    }
+
+    /// The learned ratio for peers, if it differs from the usual: that of own samples, or with
+    /// `relays`, what peers learned if that is newer.
+    #[must_use]
+    pub fn learned_for_peers(&self, relays: bool, now: Millis) -> Option<Reading> {
+        let is_recent = now < self.sampled_at.saturating_add(RETENTION_MS);
+        let own = (is_recent && self.samples >= MIN_SAMPLES).then(|| Reading {
+            value: (self.expected_ms / self.observed_ms).clamp(BOUNDS.0, BOUNDS.1),
+            at: self.sampled_at,
+        });
+        let peers = self.recent_peers(now).filter(|_| relays);
+        let readings = [own, peers].into_iter().flatten();
+        let readings = readings.filter(|reading| reading.differs());
+        readings.max_by_key(|reading| reading.at)
+    }
+
+    /// The reported slowdown for peers, if it differs from the usual or ends one that did; with
+    /// `relays`, also one that was reported to a peer.
+    #[must_use]
+    pub fn slowdown_for_peers(&self, relays: bool, now: Millis) -> Option<Reading> {
+        let reading = self.recent_slowdown(now)?;
+        let is_news = reading.differs() || now < self.unusual_until;
+        (is_news && (relays || self.is_own_report)).then_some(reading)
+    }
+
+    fn set_slowdown(&mut self, reading: Reading) {
+        let is_unusual = reading.differs() || self.slowdown.is_some_and(Reading::differs);
+        if is_unusual {
+            self.unusual_until = reading.at.saturating_add(MAX_AGE_MS);
+        }
+        self.slowdown = Some(reading);
+    }
+
+    fn recent_slowdown(&self, now: Millis) -> Option<Reading> {
+        let reading = self.slowdown?;
+        (now < reading.at.saturating_add(MAX_AGE_MS)).then_some(reading)
+    }
+
+    fn recent_peers(&self, now: Millis) -> Option<Reading> {
+        let reading = self.peers?;
+        (now < reading.at.saturating_add(RETENTION_MS)).then_some(reading)
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -25,6 +25,7 @@
 pub(crate) mod rendezvous;
 pub mod retry;
 pub mod sample;
+pub mod server_load;
 pub mod share;
 pub mod shed;
 pub mod subset;
--- a/crates/decide/tests/engine.rs
+++ b/crates/decide/tests/engine.rs
@@ -216,18 +216,16 @@
     let (mut engine, pace) = (Engine::new(16, 100_000), PoolStats::default());
     for _ in 0..100 {
         let pool = pace.latency();
-        engine
-            .relative_speed
-            .record_first_token(10_000, 520.0, pool);
+        engine.speed.record_first_token(10_000, 520.0, pool, 0);
     }
     expect_that!(engine.first_token_ms(10_000), near(520.0, 5.0));
     for _ in 0..200 {
         let pool = pace.latency();
         engine
-            .relative_speed
-            .record_first_token(10_000, 1_000_000.0, pool);
+            .speed
+            .record_first_token(10_000, 1_000_000.0, pool, 0);
     }
-    expect_that!(engine.relative_speed.ratio(), ge(0.29));
+    expect_that!(engine.speed.ratio(0), ge(0.29));
 }
 
 /// Servers of which only `cached_on` have the shared parts of the prompt cached.
--- a/crates/decide/tests/replay/gateway.rs
+++ b/crates/decide/tests/replay/gateway.rs
@@ -49,8 +49,8 @@
         if dispatch.had_slot {
             let tokens = dispatch.ahead + dispatch.position.tokens;
             engine
-                .relative_speed
-                .record_first_token(tokens, elapsed_ms, self.pool_stats.latency());
+                .speed
+                .record_first_token(tokens, elapsed_ms, self.pool_stats.latency(), now);
             self.pool_stats.record_first_token(tokens, elapsed_ms);
         }
         self.update_engines();
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use mulberryyoke_decide::engine::{Engine, PoolStats};
+use mulberryyoke_decide::server_load::Queue;
 use parking_lot::{Mutex, MutexGuard};
 
 pub(crate) use self::cold_limiter::ColdLimiter;
@@ -34,7 +35,9 @@
     pub(crate) server: Server,
     pub(crate) conns: ConnectionPool,
     pub(crate) engine: Mutex<Engine>,
-    /// Prefill speed and request duration, averaged over the servers of the pool.
+    /// Queue by the server's last report.
+    pub(crate) queue: Mutex<Queue>,
+    /// Latency and request duration, averaged over the servers of the pool.
     pub(crate) pool_stats: Arc<Mutex<PoolStats>>,
     pub(crate) health: Mutex<Health>,
     pub(crate) is_model: bool,
@@ -62,6 +65,7 @@
         Self {
             conns: ConnectionPool::new(server.address),
             engine: Mutex::new(Engine::new(slots, cache_tokens)),
+            queue: Mutex::default(),
             pool_stats,
             health: Mutex::new(Health::default()),
             is_model: model.is_some(),
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -21,6 +21,8 @@
     queued_tokens: u32,
     /// Whether the server had a free slot when the request was sent.
     had_free_slot: bool,
+    /// Slowdown that the server had reported when the request was sent, as a factor.
+    slowdown: f64,
     pub(crate) sent_at: Instant,
     first_token_at: Option<Instant>,
     /// Whether it is a suspect request that is kept apart from other suspects.
@@ -38,16 +40,19 @@
         let mut engine = backend.engine();
         let queued_tokens = engine.backlog();
         let had_free_slot = engine.excess_requests() == 0;
+        let slowdown = engine.speed.slowdown(now_ms);
         let position = engine.record_send(prompt.unwrap_or(&empty), now_ms);
         if prompt.is_none() || !is_stream {
             engine.set_unobserved(position);
         }
         drop(engine);
+        backend.queue.lock().record_send();
         Self {
             backend: Arc::clone(backend),
             position,
             queued_tokens,
             had_free_slot,
+            slowdown,
             sent_at: Instant::now(),
             first_token_at: None,
             is_isolated: false,
@@ -87,13 +92,18 @@
         };
         // Time spent waiting for a slot would distort the measured latency.
         if self.had_free_slot {
-            let elapsed = elapsed_ms(self.sent_at, now);
-            let tokens = self.queued_tokens + self.position.tokens;
+            let now_ms = clock::now_ms();
             let mut engine = self.backend.engine.lock();
+            // The slowdown changes many times a second; the mean of both ends stands for the time
+            // between them.
+            let slowdown = f64::midpoint(self.slowdown, engine.speed.slowdown(now_ms));
+            let elapsed = elapsed_ms(self.sent_at, now) / slowdown;
+            let tokens = self.queued_tokens + self.position.tokens;
             let mut pool_stats = self.backend.pool_stats.lock();
+            let latency = pool_stats.latency();
             engine
-                .relative_speed
-                .record_first_token(tokens, elapsed, pool_stats.latency());
+                .speed
+                .record_first_token(tokens, elapsed, latency, now_ms);
             pool_stats.record_first_token(tokens, elapsed);
         }
     }
--- a/crates/gateway/src/backend/instance.rs
+++ b/crates/gateway/src/backend/instance.rs
@@ -6,6 +6,10 @@
 use mulberryyoke_decide::pushback::Pushback;
 use parking_lot::Mutex;
 
+/// Slowdowns from which a server counts as slow, and up to which as no longer slow, in percent of
+/// the normal time. Apart, so that figures between them are not logged again and again.
+const SLOW_PERCENT: (u32, u32) = (150, 115);
+
 /// State that one instance of a server reported in its responses, directly or through other
 /// gateways. It overrides the registration of this instance and does not apply to the next one.
 #[derive(Debug, Default)]
@@ -21,6 +25,8 @@
     /// Whether a pushback has not ended yet. Avoids locking `pushback` for all other instances.
     has_pushback: AtomicBool,
     pushback: Mutex<Pushback>,
+    /// Whether the last reported slowdown counts as slow.
+    is_slow: AtomicBool,
 }
 
 impl Instance {
@@ -97,6 +103,18 @@
         self.pushback.lock().wait_ms(now_ms)
     }
 
+    /// Records a reported slowdown; whether the server counts as slow, if that changed.
+    pub(crate) fn record_slowdown(&self, percent: u32) -> Option<bool> {
+        let was_slow = self.is_slow.load(Ordering::Relaxed);
+        let is_slow = if was_slow {
+            percent > SLOW_PERCENT.1
+        } else {
+            percent >= SLOW_PERCENT.0
+        };
+        let was_slow = self.is_slow.swap(is_slow, Ordering::Relaxed);
+        (was_slow != is_slow).then_some(is_slow)
+    }
+
     /// Records that the instance was seen.
     pub(crate) fn touch(&self, now_ms: u64) {
         self.last_seen_ms.fetch_max(now_ms, Ordering::Relaxed);
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use mulberryyoke_decide::server_load::{InvalidReport, Report};
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_wire::aggregate::Leaving;
 
@@ -12,6 +13,9 @@
 
 /// Applies the status that a server reported with a response.
 pub(crate) fn apply(core: &Core, backend: &Backend, response_head: ResponseHead, request: &str) {
+    if let Some(reported) = response_head.verified_server_load() {
+        apply_server_load(core, backend, reported, request);
+    }
     let notice = response_head.verified_notice();
     if notice.is_leaving {
         apply_leaving(core, backend, request);
@@ -26,6 +30,35 @@
     }
 }
 
+/// Applies the load that a server reported.
+fn apply_server_load(
+    core: &Core,
+    backend: &Backend,
+    reported: Result<Report, InvalidReport>,
+    request: &str,
+) {
+    let Ok(report) = reported else {
+        metrics::counter!("server_loads_unreadable_total").increment(1);
+        return;
+    };
+    let now_ms = clock::now_ms();
+    backend.queue.lock().record_report(report, now_ms);
+    let percent = report.slowdown_percent;
+    backend.engine.lock().speed.record_slowdown(percent, now_ms);
+    let Some(is_slow) = backend.instance.record_slowdown(percent) else {
+        return;
+    };
+    metrics::counter!("server_slowdowns_total").increment(u64::from(is_slow));
+    log!(core.logger, Event::ServerSlowed,
+        "request" => request,
+        "server" => &backend.server.name,
+        "slow" => is_slow,
+        "percent" => percent,
+        "running" => report.running,
+        "waiting" => report.waiting,
+        "slots" => report.slots);
+}
+
 /// Closes a server that announced that it is leaving.
 fn apply_leaving(core: &Core, backend: &Backend, request: &str) {
     if !backend.instance.record_announcement(clock::now_ms()) {
--- a/crates/gateway/src/protocol/response_head.rs
+++ b/crates/gateway/src/protocol/response_head.rs
@@ -1,5 +1,7 @@
 //! Parsed head of a server's response.
 
+use mulberryyoke_decide::server_load::{InvalidReport, Report};
+
 use super::Notice;
 
 /// Parsed head of a server's response.
@@ -15,6 +17,8 @@
     pub cold_left_ms: Option<u64>,
     /// Reported status, which may come from another server. See [`Self::verified_notice`].
     pub notice: Notice,
+    /// Reported load, which may come from another server. See [`Self::verified_server_load`].
+    pub server_load: Option<Result<Report, InvalidReport>>,
 }
 
 impl ResponseHead {
@@ -22,10 +26,24 @@
     /// otherwise.
     #[must_use]
     pub fn verified_notice(&self) -> Notice {
+        if self.is_verified() {
+            self.notice
+        } else {
+            Notice::default()
+        }
+    }
+
+    /// The reported load if the response is known to come from the intended server.
+    #[must_use]
+    pub fn verified_server_load(&self) -> Option<Result<Report, InvalidReport>> {
+        self.server_load.filter(|_| self.is_verified())
+    }
+
+    const fn is_verified(&self) -> bool {
         match self.verification {
-            Verification::Sealed | Verification::NotExecuted => self.notice,
+            Verification::Sealed | Verification::NotExecuted => true,
             Verification::WrongServer | Verification::Mismatched | Verification::Unverified => {
-                Notice::default()
+                false
             }
         }
     }
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -4,6 +4,7 @@
 use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::http::{request, response};
 use mulberryyoke_decide::engine::{PartId, Prompt};
+use mulberryyoke_decide::server_load::{InvalidReport, Report};
 use mulberryyoke_gateway::Server;
 use mulberryyoke_gateway::config::{
     ColdStart, Config, Customer, Limits, Model, Pool, RequestKind, Route, Target,
@@ -42,6 +43,19 @@
     pub(crate) gateway: String,
 }
 
+/// Load in a header `x-load: RUNNING,WAITING,SLOTS,SLOWDOWN`.
+fn server_load(headers: &HeaderMap) -> Option<std::result::Result<Report, InvalidReport>> {
+    let text = headers.get("x-load")?.to_str().unwrap_or_default();
+    let figures: Vec<u32> = text
+        .split(',')
+        .filter_map(|text| text.parse().ok())
+        .collect();
+    let report = <[u32; 4]>::try_from(figures).map_err(|_| InvalidReport);
+    Some(report.map(|[running, waiting, slots, slowdown]| {
+        Report::new(running, waiting, slots, Some(slowdown))
+    }))
+}
+
 impl Protocol for TestProtocol {
     fn parse_request(&self, head: &request::Parts) -> Result<RequestHead, ParseError> {
         let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
@@ -107,6 +121,7 @@
                 is_leaving: headers.contains_key("x-leaving"),
                 pushback_ms: pushback_ms.and_then(|ms| ms.parse().ok()),
             },
+            server_load: server_load(headers),
         }
     }
 
