Exchange: tell peers of servers of unusual speed

Cause: each gateway learned a server's speed alone, from one request in two seconds, and a reported slowdown expired before its next request there. Change: messages carry, after the leaving servers, learned ratios and reported slowdowns of up to 64 servers, those that differ most from the usual first, with ages. Gateways tell what they observed; collectors forward the latest figure for each server. The report that ends a slowdown is told for a second. Result: 64 servers take less than 1,150 bytes; the bytes before the field are the same as without it, with and without suspects and leaving servers.

--- a/crates/decide/src/engine/speed.rs
+++ b/crates/decide/src/engine/speed.rs
@@ -2,12 +2,15 @@
 
 use mulberryyoke_model::Millis;
 
-use super::{Latency, Reading};
+use super::{Latency, News, Reading};
 use crate::server_load::MAX_AGE_MS;
 
 /// Lowest and highest learned ratio.
 const BOUNDS: (f64, f64) = (0.3, 2.0);
 
+/// Lowest and highest accepted slowdown, as factors.
+const SLOWDOWN_BOUNDS: (f64, f64) = (0.5, 10.0);
+
 /// Smallest prefill that yields a sample; shorter ones are dominated by network latency.
 const MIN_SAMPLE_TOKENS: u32 = 500;
 
@@ -122,7 +125,8 @@
     }
 
     /// Records a slowdown that the server reported to a peer, if it is newer than the last report.
-    pub fn receive_slowdown(&mut self, reading: Reading) {
+    pub fn receive_slowdown(&mut self, mut reading: Reading) {
+        reading.value = reading.value.clamp(SLOWDOWN_BOUNDS.0, SLOWDOWN_BOUNDS.1);
         if self.slowdown.is_none_or(|last| last.at < reading.at) {
             self.set_slowdown(reading);
             self.is_own_report = false;
@@ -143,25 +147,31 @@
         });
     }
 
-    /// The learned ratio for peers, if it differs from the usual: that of own samples, or with
-    /// `relays`, what peers learned if that is newer.
+    /// What differs from the usual, for peers: own figures, or with `relays`, the latest of own and
+    /// peers'. `None` if nothing does.
     #[must_use]
-    pub fn learned_for_peers(&self, relays: bool, now: Millis) -> Option<Reading> {
+    pub fn news(&self, relays: bool, now: Millis) -> Option<News> {
+        let news = News {
+            learned: self.learned_news(relays, now),
+            slowdown: self.slowdown_news(relays, now),
+        };
+        (news.learned.is_some() || news.slowdown.is_some()).then_some(news)
+    }
+
+    fn learned_news(&self, relays: bool, now: Millis) -> Option<Reading> {
         let is_recent = now < self.sampled_at.saturating_add(RETENTION_MS);
         let own = (is_recent && self.samples >= MIN_SAMPLES).then(|| Reading {
             value: (self.expected_ms / self.observed_ms).clamp(BOUNDS.0, BOUNDS.1),
             at: self.sampled_at,
         });
         let peers = self.recent_peers(now).filter(|_| relays);
-        let readings = [own, peers].into_iter().flatten();
-        let readings = readings.filter(|reading| reading.differs());
-        readings.max_by_key(|reading| reading.at)
+        let latest = [own, peers].into_iter().flatten();
+        let latest = latest.max_by_key(|reading| reading.at)?;
+        latest.differs().then_some(latest)
     }
 
-    /// The reported slowdown for peers, if it differs from the usual or ends one that did; with
-    /// `relays`, also one that was reported to a peer.
-    #[must_use]
-    pub fn slowdown_for_peers(&self, relays: bool, now: Millis) -> Option<Reading> {
+    /// Includes the report that ends an unusual slowdown.
+    fn slowdown_news(&self, relays: bool, now: Millis) -> Option<Reading> {
         let reading = self.recent_slowdown(now)?;
         let is_news = reading.differs() || now < self.unusual_until;
         (is_news && (relays || self.is_own_report)).then_some(reading)
--- a/crates/decide/tests/speed.rs
+++ b/crates/decide/tests/speed.rs
@@ -141,53 +141,52 @@
 fn peers_are_told_of_unusual_figures_and_of_their_end() {
     let latency = latency();
     let mut speed = Speed::default();
-    expect_that!(speed.slowdown_for_peers(true, 0), none());
-    expect_that!(speed.learned_for_peers(true, 0), none());
+    let slowdown = |speed: &Speed, now| speed.news(false, now).and_then(|news| news.slowdown);
+    expect_that!(speed.news(true, 0), none());
     speed.record_slowdown(100, 1_000);
-    expect_that!(speed.slowdown_for_peers(true, 1_000), none(), "usual");
+    expect_that!(speed.news(true, 1_000), none(), "usual");
     speed.record_slowdown(250, 1_100);
-    let told = speed.slowdown_for_peers(false, 1_200);
-    expect_that!(
-        told,
-        some(eq(Reading {
-            value: 2.5,
-            at: 1_100
-        }))
-    );
+    let told = Reading {
+        value: 2.5,
+        at: 1_100,
+    };
+    expect_that!(slowdown(&speed, 1_200), some(eq(told)));
+    // Without the end, peers would hold the slowdown for a second.
     speed.record_slowdown(100, 1_300);
-    let told = speed.slowdown_for_peers(false, 1_400);
-    expect_that!(
-        told,
-        some(eq(Reading {
-            value: 1.0,
-            at: 1_300
-        }))
-    );
+    let told = Reading {
+        value: 1.0,
+        at: 1_300,
+    };
+    expect_that!(slowdown(&speed, 1_400), some(eq(told)));
     speed.record_slowdown(100, 2_400);
-    expect_that!(speed.slowdown_for_peers(false, 2_450), none(), "long ended");
+    expect_that!(speed.news(true, 2_450), none(), "ended long ago");
     for samples in 1..=4 {
         speed.record_first_token(2_400, first_token_ms(2_400, 0.55), latency, 3_000);
-        let told = speed.learned_for_peers(false, 3_000).is_some();
-        expect_that!(told, eq(samples >= 3), "{samples} samples");
+        let told = speed.news(false, 3_000).and_then(|news| news.learned);
+        expect_that!(told.is_some(), eq(samples >= 3), "{samples} samples");
     }
 }
 
 #[gtest]
 fn only_collectors_relay_what_peers_told() {
-    let reading = Reading {
+    let slowdown = Reading {
         value: 2.5,
         at: 1_000,
     };
-    let mut speed = Speed::default();
-    speed.receive_slowdown(reading);
-    speed.receive_learned(Reading {
+    let learned = Reading {
         value: 0.5,
         at: 1_000,
-    });
-    expect_that!(speed.slowdown_for_peers(false, 1_100), none());
-    expect_that!(speed.learned_for_peers(false, 1_100), none());
-    expect_that!(speed.slowdown_for_peers(true, 1_100), some(eq(reading)));
-    expect_that!(speed.learned_for_peers(true, 1_100), some(anything()));
+    };
+    let mut speed = Speed::default();
+    speed.receive_slowdown(slowdown);
+    speed.receive_learned(learned);
+    expect_that!(speed.news(false, 1_100), none());
+    let relayed = speed.news(true, 1_100).expect("news");
+    expect_that!(
+        (relayed.learned, relayed.slowdown),
+        eq((Some(learned), Some(slowdown)))
+    );
+    expect_that!(relayed.difference(), near(2.5_f64.ln(), 0.001));
 }
 
 #[gtest]
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -7,6 +7,7 @@
 mod prefix_queue;
 mod registration;
 mod run;
+mod speeds;
 
 use std::net::SocketAddr;
 
@@ -15,7 +16,7 @@
 use mulberryyoke_decide::handoff::candidates;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::{Digest, Incarnation, ServerId};
-use mulberryyoke_wire::aggregate::{Message, Prefill};
+use mulberryyoke_wire::aggregate::{Message, Prefill, Scope};
 use parking_lot::Mutex;
 
 use self::inner::{Inner, Outgoing, local_state};
@@ -126,7 +127,19 @@
             core.quarantine.updates(),
             core.registry.instances.announcements(),
         );
+        let own_speeds = speeds::for_peers(core, false);
+        let all_speeds = if messages.iter().all(|(message, _)| is_own(message)) {
+            Vec::new()
+        } else {
+            speeds::for_peers(core, true)
+        };
         for (message, _) in &mut messages {
+            let speeds = if is_own(message) {
+                &own_speeds
+            } else {
+                &all_speeds
+            };
+            message.speeds.clone_from(speeds);
             message.suspects.clone_from(&suspects);
             message.leaving.clone_from(&leaving);
         }
@@ -140,6 +153,7 @@
         }
         quarantine::receive(core, &message.suspects);
         notice::receive(core, &message.leaving);
+        speeds::receive(core, &message.speeds);
         let now = clock::now_ms();
         let mut inner = self.inner.lock();
         let is_known = inner.aggregate.knows(message.origin);
@@ -171,3 +185,8 @@
         inner.apply_if_due(core, now);
     }
 }
+
+/// Whether a message carries the state of its sender alone.
+const fn is_own(message: &Message) -> bool {
+    matches!(message.scope, Scope::Node { .. })
+}
--- a/crates/wire/src/aggregate.rs
+++ b/crates/wire/src/aggregate.rs
@@ -60,6 +60,30 @@
     /// reason.
     #[serde(skip)]
     pub leaving: Vec<Leaving>,
+    /// Servers whose speed differs from the usual. Encoded after the leaving servers for the same
+    /// reason.
+    #[serde(skip)]
+    pub speeds: Vec<Speed>,
+}
+
+/// What a gateway knows of a server's speed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Speed {
+    /// Instance of the server.
+    pub server: ServerId,
+    /// Learned ratio of expected to observed time.
+    pub learned: Option<Figure>,
+    /// Slowdown that the server reported.
+    pub slowdown: Option<Figure>,
+}
+
+/// A figure with its age.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Figure {
+    /// The figure, in percent of the usual.
+    pub percent: u32,
+    /// Time since it was observed, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// A server that announced to a gateway that it is leaving.
@@ -120,6 +144,7 @@
             prefills,
             suspects: Vec::new(),
             leaving: Vec::new(),
+            speeds: Vec::new(),
         }
     }
 
@@ -170,19 +195,25 @@
         let decoded = postcard::take_from_bytes::<Self>(bytes);
         let (mut message, rest) = decoded.map_err(|_| DecodeError::Message)?;
         let rest = decode_trailing(rest, &mut message.suspects)?;
-        decode_trailing(rest, &mut message.leaving)?;
+        let rest = decode_trailing(rest, &mut message.leaving)?;
+        decode_trailing(rest, &mut message.speeds)?;
         Ok(message)
     }
 
     fn to_bytes(&self) -> Vec<u8> {
         let mut bytes = postcard::to_stdvec(self).unwrap_or_default();
-        let has_leaving = !self.leaving.is_empty();
+        // A field can be decoded only after those before it.
+        let has_speeds = !self.speeds.is_empty();
+        let has_leaving = has_speeds || !self.leaving.is_empty();
         if has_leaving || !self.suspects.is_empty() {
             bytes.extend(postcard::to_stdvec(&self.suspects).unwrap_or_default());
         }
         if has_leaving {
             bytes.extend(postcard::to_stdvec(&self.leaving).unwrap_or_default());
         }
+        if has_speeds {
+            bytes.extend(postcard::to_stdvec(&self.speeds).unwrap_or_default());
+        }
         bytes
     }
 }
--- a/crates/wire/tests/aggregate.rs
+++ b/crates/wire/tests/aggregate.rs
@@ -7,7 +7,7 @@
 use mulberryyoke_decide::share::Flow;
 use mulberryyoke_model::{CustomerId, Digest, Incarnation, ServerId};
 use mulberryyoke_wire::aggregate::{
-    Assembler, DecodeError, Leaving, MAX_BYTES, Message, Prefill, Scope,
+    Assembler, DecodeError, Figure, Leaving, MAX_BYTES, Message, Prefill, Scope, Speed,
 };
 
 /// Length of the packet header.
@@ -224,3 +224,61 @@
         expect_that!(received.suspects, eq(&sent.suspects));
     }
 }
+
+/// What a gateway tells of a server whose learned speed and report differ from the usual.
+fn speed(index: u32) -> Speed {
+    let figure = |percent| Figure {
+        percent,
+        age_ms: 30_000,
+    };
+    Speed {
+        server: ServerId(u32::MAX - index),
+        learned: Some(figure(55)),
+        slowdown: Some(figure(250)),
+    }
+}
+
+#[gtest]
+fn speeds_round_trip_after_an_unchanged_message() {
+    let leaving = Leaving {
+        server: ServerId(7),
+        age_ms: 3,
+    };
+    for (suspect_count, leaving) in [(0, vec![]), (2, vec![]), (0, vec![leaving])] {
+        let mut plain = message(7, 12, 16, 4);
+        plain.suspects = suspects(suspect_count);
+        plain.leaving = leaving;
+        let mut sent = plain.clone();
+        sent.speeds = (0..64).map(speed).collect();
+        let (prefix, packets) = (plain.encode(), sent.encode());
+        // Releases before this field decode only this prefix. Empty fields precede it explicitly.
+        let length = prefix[0].len();
+        expect_that!(
+            packets[0][HEADER_BYTES..length] == prefix[0][HEADER_BYTES..],
+            eq(true)
+        );
+        let bytes: usize = packets.iter().map(Vec::len).sum();
+        expect_that!(bytes - length, le(1_150), "bytes of 64 servers");
+        let mut assembler = Assembler::default();
+        let received = packets
+            .iter()
+            .filter_map(|packet| assembler.receive(packet).expect("the packet is valid"));
+        let received = sorted(received.last().expect("the message is complete"));
+        expect_that!(received.speeds, eq(&sent.speeds));
+        expect_that!(received.leaving, eq(&sent.leaving));
+        expect_that!(received.suspects, eq(&sent.suspects));
+    }
+}
+
+#[gtest]
+fn a_message_of_an_older_release_has_no_speeds() {
+    // Encoded without the field, as releases before it do; the message must not grow either.
+    let mut sent = message(7, 12, 16, 4);
+    let length = sent.encode()[0].len();
+    sent.speeds = Vec::new();
+    let packets = sent.encode();
+    expect_that!(packets[0].len(), eq(length));
+    let received = Assembler::default().receive(&packets[0]);
+    let received = received.expect("the packet is valid").expect("one packet");
+    expect_that!(received.speeds, is_empty());
+}
