--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use mulberryyoke_decide::engine::{Engine, PoolStats};
+use mulberryyoke_decide::server_load::Queue;
 use parking_lot::{Mutex, MutexGuard};
 
 pub(crate) use self::cold_limiter::ColdLimiter;
@@ -17,6 +18,7 @@
 pub(crate) use self::in_flight::InFlight;
 pub(crate) use self::instance::Instance;
 pub(crate) use self::liveness::Liveness;
+use crate::clock;
 use crate::config::Model;
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::protocol::ResponseHead;
@@ -33,7 +35,9 @@
     pub(crate) server: Server,
     pub(crate) conns: ConnectionPool,
     pub(crate) engine: Mutex<Engine>,
-    /// Prefill speed and request duration, averaged over the servers of the pool.
+    /// Queue by the server's last report.
+    pub(crate) queue: Mutex<Queue>,
+    /// Latency and request duration, averaged over the servers of the pool.
     pub(crate) pool_stats: Arc<Mutex<PoolStats>>,
     pub(crate) health: Mutex<Health>,
     pub(crate) is_model: bool,
@@ -61,6 +65,7 @@
         Self {
             conns: ConnectionPool::new(server.address),
             engine: Mutex::new(Engine::new(slots, cache_tokens)),
+            queue: Mutex::default(),
             pool_stats,
             health: Mutex::new(Health::default()),
             is_model: model.is_some(),
@@ -74,11 +79,13 @@
         }
     }
 
-    /// Locks the engine model after copying the current pool statistics into it.
+    /// Locks the engine model after copying the current pool statistics into it and advancing it
+    /// to the current time.
     pub(crate) fn engine(&self) -> MutexGuard<'_, Engine> {
         let pool_stats = *self.pool_stats.lock();
         let mut engine = self.engine.lock();
         engine.pool_stats = pool_stats;
+        engine.advance(clock::now_ms());
         engine
     }
 
