Setting memory_mb of the gateway

A gateway does not know how much memory it may use, so it cannot bound what it holds for callers. Nothing uses it yet.

--- a/crates/gateway/examples/cost.rs
+++ b/crates/gateway/examples/cost.rs
@@ -138,6 +138,7 @@
         cold_slack: 0.0,
         processors: 1.0,
         descriptors: 4_096,
+        memory_mb: None,
     };
     let logger = mulberryyoke_event::open_stdout("g0");
     let runtime = Builder::new_current_thread().enable_all().build();
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -68,6 +68,7 @@
             cold_slack: COLD_SLACK,
             processors: cpus,
             descriptors: 1_024,
+            memory_mb: None,
         };
         let logger = Logger::root(Discard, o!());
         let feed = Arc::clone(&kv);
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -24,6 +24,9 @@
 /// Minimum number of file descriptors of a gateway, in addition to those for files.
 const MIN_DESCRIPTORS: u64 = 256;
 
+/// Maximum memory of a gateway, in megabytes: one terabyte.
+const MAX_MEMORY_MB: u64 = 1 << 20;
+
 /// Number of hexadecimal digits of a key hash.
 const HASH_HEX_DIGITS: usize = 64;
 
@@ -61,6 +64,9 @@
     check_range("grace_ms", gateway.grace_ms, 0..=MAX_DRAIN_MS)?;
     let max = u64::from(u32::MAX);
     check_range("descriptors", gateway.descriptors, MIN_DESCRIPTORS..=max)?;
+    if let Some(memory_mb) = gateway.memory_mb {
+        check_range("memory_mb", memory_mb, 1..=MAX_MEMORY_MB)?;
+    }
     if gateway.retry_slack < 0.0 {
         return Err(InvalidField::new("retry_slack", "must not be negative"));
     }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -51,6 +51,10 @@
     /// Maximum number of open file descriptors of the process.
     #[serde(default = "descriptors", deserialize_with = "number::truncated")]
     pub descriptors: u64,
+    /// Memory of the process, in megabytes of 2^20 bytes. A fraction of it is the budget for bytes
+    /// held for callers. Without it, each response holds a fixed number of chunks.
+    #[serde(default, deserialize_with = "number::optional_truncated")]
+    pub memory_mb: Option<u64>,
 }
 
 impl Gateway {
--- a/crates/settings/tests/check/gateway.rs
+++ b/crates/settings/tests/check/gateway.rs
@@ -44,6 +44,7 @@
             "keys_fresh_ms: 0 is out of range; must be from 1 to 60000",
         ),
         ("/descriptors", json!(12), "descriptors: 12 is out of range"),
+        ("/memory_mb", json!(0.5), "memory_mb: 0 is out of range"),
         (
             "/retry_ratio",
             json!(1.5),
@@ -69,6 +70,7 @@
         "retry_slack": 36.176_470_588,
         "processors": 0.09,
         "descriptors": 4_100.0,
+        "memory_mb": 119.5,
     });
     let mut settings = gateway();
     for (field, value) in fractional.as_object().expect("an object") {
@@ -80,6 +82,15 @@
     expect_that!(gateway.grace_ms, eq(8_250));
     expect_that!(gateway.retry_slack, near(36.176, 0.001));
     expect_that!(gateway.descriptors, eq(4_100));
+    expect_that!(gateway.memory_mb, some(eq(119)));
+}
+
+#[gtest]
+fn memory_is_optional() {
+    // Guards against platforms without the value: their gateways keep the fixed channels.
+    let file = File::new("memory", &gateway().to_string());
+    let gateway = read_gateway(&file.0).expect("the settings are valid");
+    expect_that!(gateway.memory_mb, none());
 }
 
 #[gtest]
