--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod account;
 pub mod admission;
 pub mod aggregate;
+pub mod buffer;
 pub mod cas;
 pub mod cold;
 pub mod declare;
