Gateway: hold unread responses within a budget, cut callers that read too slowly

A relay took four chunks and then stopped reading its server, so that a slow caller held the server; nothing counted what a node held. With memory_mb, relays read on while decide::buffer allows and account each byte until the caller's connection has taken it. A cut closes the caller's connection and the server's, and is logged (1045) and counted. Held chunks are copies, since a part of a read buffer would keep the whole of it. Without memory_mb the channel of four chunks stays.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -118,6 +118,8 @@
     PushbackRequested = 1036, Warning, "server requested pushback";
     /// A server answered a request after asking for pushback.
     PushbackEnded = 1037, Info, "server pushback ended";
+    /// A caller that read too slowly was cut off.
+    CallerCut = 1045, Warning, "slow caller cut off";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/body_relay.rs
+++ b/crates/gateway/src/body_relay.rs
@@ -2,12 +2,11 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 
 use crate::backend::InFlight;
+use crate::buffers::{Chunk, Inlet, Outlet};
 use crate::call::Call;
 use crate::connection_pool::Connection;
 use crate::core::Core;
@@ -15,9 +14,6 @@
 use crate::response_body::BodyError;
 use crate::{clock, failure, quarantine};
 
-/// Maximum number of chunks buffered for the caller before the server is slowed down.
-const CHANNEL_CAPACITY: usize = 4;
-
 /// Spawns a task that relays a response body to its end, or until the receiver is dropped.
 /// `prefix` is the part that has been read already.
 pub(crate) fn spawn(
@@ -25,10 +21,10 @@
     call: &Arc<Call>,
     in_flight: InFlight,
     (conn, response_head): (Connection, ResponseHead),
-    prefix: Bytes,
+    prefix: Chunk,
     remaining: Incoming,
-) -> mpsc::Receiver<Result<Bytes, BodyError>> {
-    let (chunks, receiver) = mpsc::channel(CHANNEL_CAPACITY);
+) -> Inlet {
+    let (chunks, inlet) = Outlet::new(call.account.as_ref());
     let (core, call) = (Arc::clone(core), Arc::clone(call));
     tokio::spawn(async move {
         let relayed = tokio::select! {
@@ -50,29 +46,25 @@
                     "response truncated",
                     &error.to_string(),
                 );
-                // The receiver may be gone.
-                let _ = chunks.send(Err(error)).await;
+                chunks.fail(error).await;
                 if error == BodyError::Truncated {
                     quarantine::record_failure(&core, &call, &in_flight).await;
                 }
             }
         }
     });
-    receiver
+    inlet
 }
 
-async fn relay(
-    chunks: &mpsc::Sender<Result<Bytes, BodyError>>,
-    prefix: Bytes,
-    mut remaining: Incoming,
-) -> Result<(), BodyError> {
-    let mut chunk = Some(prefix);
-    while let Some(bytes) = chunk {
-        // The calling task detects a dropped receiver.
-        let _ = chunks.send(Ok(bytes)).await;
+async fn relay(chunks: &Outlet, prefix: Chunk, mut remaining: Incoming) -> Result<(), BodyError> {
+    // The calling task detects a dropped receiver.
+    let _ = chunks.forward(Ok(prefix)).await;
+    loop {
+        chunks.wait_until_readable().await;
         let frame = remaining.frame().await.transpose();
-        let frame = frame.map_err(|_| BodyError::Truncated)?;
-        chunk = frame.map(|frame| frame.into_data().unwrap_or_default());
+        let Some(frame) = frame.map_err(|_| BodyError::Truncated)? else {
+            return Ok(());
+        };
+        let _ = chunks.send(frame.into_data().unwrap_or_default()).await;
     }
-    Ok(())
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,6 +9,7 @@
 use mulberryyoke_model::{Digest, PoolId};
 use tokio::time::Instant;
 
+use crate::buffers::Account;
 use crate::clock;
 use crate::config::{Customer, Route};
 
@@ -35,6 +36,8 @@
     /// End-to-end headers of the caller.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Account of what the request and its response hold; `None` without a budget.
+    pub(crate) account: Option<Arc<Account>>,
     /// Computed on first use, since bodies may be large.
     pub(crate) digest: OnceLock<Digest>,
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use tokio_util::task::TaskTracker;
 
+use crate::buffers::Buffers;
 use crate::exchange::Exchange;
 use crate::mirror::Mirror;
 use crate::overload::Overload;
@@ -38,6 +39,7 @@
     /// Number of callers' open connections.
     pub(crate) connections: AtomicU32,
     pub(crate) overload: Overload,
+    pub(crate) buffers: Arc<Buffers>,
     /// Tasks that forward handed-off connections.
     pub(crate) handoffs: TaskTracker,
     pub(crate) shutdown: Shutdown,
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -4,11 +4,12 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Request, Response, StatusCode};
 
 use crate::backend::InFlight;
+use crate::buffers::{Account, Chunk, Hold};
 use crate::call::Call;
 use crate::connection_pool::Connection;
 use crate::core::Core;
@@ -168,17 +169,20 @@
         return Outcome::Completed(Response::from_parts(head, ResponseBody::Stream(chunks)));
     }
     let collected = tokio::select! {
-        collected = collect(body) => collected,
+        collected = collect(body, call.account.as_ref()) => collected,
         () = clock::wait_until(call.deadline_ms) => {
             failure::record(core, call, &in_flight, "response body timed out", "");
             return Outcome::TimedOut;
         }
     };
     let body = match collected {
-        Ok(Collected::Complete(bytes)) => {
+        Ok(Collected::Complete(chunk)) => {
             quarantine::record_success(core, || call.digest());
             in_flight.complete(conn, response_head);
-            ResponseBody::full(bytes)
+            if let Some(account) = &call.account {
+                account.offer();
+            }
+            ResponseBody::chunk(chunk)
         }
         Ok(Collected::Partial(prefix, remaining)) => {
             let chunks = body_relay::spawn(
@@ -212,19 +216,30 @@
 
 /// A response body, buffered up to [`MAX_BUFFERED_BYTES`].
 enum Collected {
-    Complete(Bytes),
+    Complete(Chunk),
     /// The buffered prefix and the remaining body.
-    Partial(Bytes, Incoming),
+    Partial(Chunk, Incoming),
 }
 
 /// Buffers a body to its end, or until it exceeds [`MAX_BUFFERED_BYTES`].
-async fn collect(mut body: Incoming) -> Result<Collected, hyper::Error> {
-    let mut buffer = BytesMut::new();
+async fn collect(
+    mut body: Incoming,
+    account: Option<&Arc<Account>>,
+) -> Result<Collected, hyper::Error> {
+    let length = body.size_hint().exact();
+    let length = length.and_then(|length| usize::try_from(length).ok());
+    let length = length.filter(|length| *length <= MAX_BUFFERED_BYTES);
+    let mut buffer = BytesMut::with_capacity(length.unwrap_or(0));
+    let mut hold = account.map(|account| Hold::new(account, 0));
     while let Some(frame) = body.frame().await {
-        buffer.extend_from_slice(&frame?.into_data().unwrap_or_default());
+        let data = frame?.into_data().unwrap_or_default();
+        buffer.extend_from_slice(&data);
+        if let Some(hold) = &mut hold {
+            hold.add(data.len());
+        }
         if buffer.len() > MAX_BUFFERED_BYTES {
-            return Ok(Collected::Partial(buffer.freeze(), body));
+            return Ok(Collected::Partial(Chunk::new(buffer.freeze(), hold), body));
         }
     }
-    Ok(Collected::Complete(buffer.freeze()))
+    Ok(Collected::Complete(Chunk::new(buffer.freeze(), hold)))
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
+use crate::buffers::{self, Buffers};
 use crate::core::Core;
 use crate::error::Error;
 use crate::exchange::{self, Exchange};
@@ -71,6 +72,7 @@
         let placement = Placement::new(&settings.zone, settings.processors);
         let exchange = Exchange::new(&settings.name, placement);
         let registry = Registry::new(&settings.name);
+        let buffers = Arc::new(Buffers::new(logger.clone(), settings.memory_mb));
         let core = Arc::new(Core {
             retry_budgets: RetryBudgets::default(),
             settings: ArcSwap::from_pointee(settings),
@@ -85,6 +87,7 @@
             quarantine: Quarantine::new(),
             connections: AtomicU32::new(0),
             overload: Overload::default(),
+            buffers,
             handoffs: TaskTracker::new(),
             shutdown: Shutdown::default(),
         });
@@ -95,6 +98,7 @@
         core.retry_budgets.set_limits(ratio, slack, 1);
         tokio::spawn(exchange::register(Arc::clone(&core)));
         tokio::spawn(overload::monitor(Arc::clone(&core)));
+        tokio::spawn(buffers::monitor(Arc::clone(&core)));
         tokio::spawn(exchange::run(Arc::clone(&core), exchange_socket));
         tokio::spawn(follow::run(Arc::clone(&core)));
         tokio::spawn(readiness::serve(
@@ -119,6 +123,7 @@
         let needs_restart = previous.identity() != settings.identity();
         log!(core.logger, Event::Reloaded, "needs_restart" => needs_restart);
         let settings = settings.with_identity_of(&previous);
+        core.buffers.set_memory(settings.memory_mb);
         core.settings.store(Arc::new(settings));
     }
 
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -11,6 +11,7 @@
 use hyper::http::uri::PathAndQuery;
 use mulberryyoke_event::{Event, log};
 use rand::RngExt;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::call::Call;
@@ -32,11 +33,17 @@
     received_ms: u64,
     parts: Parts,
     body: Incoming,
+    /// Closes the caller's connection when notified.
+    connection: Arc<Notify>,
 }
 
 impl Inbound {
     /// Parses a request's head.
-    pub(crate) fn parse(core: &Core, request: Request<Incoming>) -> Result<Self, Refusal> {
+    pub(crate) fn parse(
+        core: &Core,
+        request: Request<Incoming>,
+        connection: Arc<Notify>,
+    ) -> Result<Self, Refusal> {
         let received_at = Instant::now();
         let (parts, body) = request.into_parts();
         let head = core.protocol.parse_request(&parts);
@@ -50,6 +57,7 @@
             received_ms: clock::now_ms(),
             parts,
             body,
+            connection,
         })
     }
 
@@ -68,6 +76,10 @@
         let deadline_ms = self
             .received_ms
             .saturating_add(timeout_ms.min(route.timeout_ms));
+        let payer = customer
+            .as_ref()
+            .map(|customer| (customer.id, &*customer.name));
+        let account = core.buffers.open(&self.head.id, payer, &self.connection);
         let body = read_body(self.body, config.limits().max_body_bytes);
         let body = tokio::select! {
             body = body => body,
@@ -86,6 +98,7 @@
             path: path(&self.parts.uri),
             headers: self.parts.headers,
             body,
+            account,
             digest: OnceLock::new(),
             route,
         })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod backend;
 mod balance;
 mod body_relay;
+mod buffers;
 mod cache_report;
 mod call;
 pub mod clock;
--- a/crates/gateway/src/listen/connection.rs
+++ b/crates/gateway/src/listen/connection.rs
@@ -14,6 +14,7 @@
 use hyper_util::server::graceful::Watcher;
 use mulberryyoke_event::{Event, log};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::origin::Origin;
@@ -43,9 +44,10 @@
     let limits = config.as_ref().map(|config| config.limits());
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.max_head_bytes);
     let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |limits| limits.idle_timeout_ms);
+    let cut = Arc::new(Notify::new());
     let service = {
-        let core = Arc::clone(core);
-        service_fn(move |request| handle(Arc::clone(&core), request, origin))
+        let (core, cut) = (Arc::clone(core), Arc::clone(&cut));
+        service_fn(move |request| handle(Arc::clone(&core), request, origin, Arc::clone(&cut)))
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -60,6 +62,7 @@
         tokio::select! {
             // Errors are reported by the connection's requests.
             _ = connection => {}
+            () = cut.notified() => {}
             () = terminate.cancelled() => {}
         }
         core.connections.fetch_sub(1, Ordering::Relaxed);
@@ -70,10 +73,11 @@
     core: Arc<Core>,
     request: Request<Incoming>,
     origin: Origin,
+    cut: Arc<Notify>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let received_at = Instant::now();
     metrics::counter!("requests_total").increment(1);
-    let mut response = match Inbound::parse(&core, request) {
+    let mut response = match Inbound::parse(&core, request, cut) {
         Ok(inbound) => {
             let id = inbound.head.id.clone();
             let result = run(&core, inbound).await;
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -45,6 +45,7 @@
     let contact_age_s = Duration::from_millis(core.view.kv_contact_age_ms()).as_secs_f64();
     metrics::gauge!("kv_reached_age_seconds").set(contact_age_s);
     metrics::gauge!("callers_connections").set(core.connections.load(Ordering::Relaxed));
+    core.buffers.record_metrics();
     let config = core.view.config();
     let version = config.map_or(0, |config| config.version());
     #[expect(clippy::cast_precision_loss, reason = "gauges are floating-point")]
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -3,15 +3,14 @@
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_wire::sse::{self, EventBuffer};
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::backend::InFlight;
+use crate::buffers::{Inlet, Outlet};
 use crate::call::Call;
 use crate::connection_pool::Connection;
 use crate::core::Core;
@@ -21,9 +20,6 @@
 use crate::response_body::{BodyError, ResponseBody};
 use crate::{clock, failure, quarantine};
 
-/// Maximum number of chunks buffered for the caller before the server is slowed down.
-const CHANNEL_CAPACITY: usize = 4;
-
 /// Pause after which a stream is resumed on another server, as a multiple of the route's maximum
 /// gap between events. A server restarts a preempted request within this time.
 const STALL_GAPS: u64 = 3;
@@ -38,6 +34,8 @@
     TimedOut,
     /// The caller closed the connection.
     CallerClosed,
+    /// The gateway closed the caller's connection, because the caller reads too slowly.
+    CallerCut,
     Stopping,
 }
 
@@ -49,6 +47,7 @@
             Self::Stalled => "stalled",
             Self::TimedOut => "late",
             Self::CallerClosed => "hung_up",
+            Self::CallerCut => "cut",
             Self::Stopping => "stopping",
         }
     }
@@ -61,7 +60,7 @@
     in_flight: InFlight,
     body: Incoming,
     events: EventBuffer,
-    chunks: mpsc::Sender<Result<Bytes, BodyError>>,
+    chunks: Outlet,
     relayed: u32,
     relayed_at: Instant,
     /// Longest pause between chunks, in milliseconds.
@@ -79,8 +78,8 @@
     attempts: Attempts,
     (conn, response_head): (Connection, ResponseHead),
     body: Incoming,
-) -> mpsc::Receiver<Result<Bytes, BodyError>> {
-    let (chunks, receiver) = mpsc::channel(CHANNEL_CAPACITY);
+) -> Inlet {
+    let (chunks, inlet) = Outlet::new(call.account.as_ref());
     let relay = StreamRelay {
         core: Arc::clone(core),
         call: Arc::clone(call),
@@ -95,7 +94,7 @@
         attempts,
     };
     tokio::spawn(relay.run(conn, response_head));
-    receiver
+    inlet
 }
 
 impl StreamRelay {
@@ -109,15 +108,14 @@
             return self.resume(end).await;
         }
         let error = match end {
-            End::Complete | End::CallerClosed => None,
+            End::Complete | End::CallerClosed | End::CallerCut => None,
             End::Truncated | End::Stalled => Some(BodyError::Truncated),
             End::TimedOut => Some(BodyError::TimedOut),
             End::Stopping => Some(BodyError::Stopping),
         };
         self.log_end(end);
         if let Some(error) = error {
-            // The receiver may be gone.
-            let _ = self.chunks.send(Err(error)).await;
+            self.chunks.fail(error).await;
         }
         match end {
             End::Complete => {
@@ -129,7 +127,7 @@
                 failure::record(core, call, &self.in_flight, "stream truncated", "");
                 quarantine::record_failure(core, call, &self.in_flight).await;
             }
-            End::TimedOut | End::CallerClosed | End::Stopping => drop(conn),
+            End::TimedOut | End::CallerClosed | End::CallerCut | End::Stopping => drop(conn),
         }
     }
 
@@ -151,12 +149,11 @@
             "after" => self.last_event,
             "outcome" => resumed.as_ref().map_or_else(|refusal| refusal.code(), |_| "answered"));
         let Ok(response) = resumed else {
-            // The receiver may be gone.
-            let _ = self.chunks.send(Err(BodyError::Truncated)).await;
+            self.chunks.fail(BodyError::Truncated).await;
             return;
         };
         let ResponseBody::Stream(mut remaining) = response.into_body() else {
-            let _ = self.chunks.send(Err(BodyError::Truncated)).await;
+            self.chunks.fail(BodyError::Truncated).await;
             return;
         };
         loop {
@@ -166,7 +163,8 @@
                 chunk = remaining.recv() => chunk,
             };
             let Some(chunk) = chunk else { return };
-            if self.chunks.send(chunk).await.is_err() {
+            // The account is the same, so the relay that sends these chunks pauses if it must.
+            if self.chunks.forward(chunk).await.is_err() {
                 return;
             }
         }
@@ -183,9 +181,21 @@
         let mut stall_deadline = self.stall_deadline();
         let mut stalled = pin!(clock::sleep_until_opt(stall_deadline));
         loop {
+            if !self.chunks.may_read() {
+                tokio::select! {
+                    biased;
+                    () = &mut closed => return self.caller_end(),
+                    () = &mut timed_out => return End::TimedOut,
+                    () = &mut stopping => return End::Stopping,
+                    () = chunks.wait_until_readable() => {}
+                }
+                // The server was not read meanwhile, so it has not stalled.
+                stall_deadline = self.stall_deadline();
+                stalled.set(clock::sleep_until_opt(stall_deadline));
+            }
             let frame = tokio::select! {
                 biased;
-                () = &mut closed => return End::CallerClosed,
+                () = &mut closed => return self.caller_end(),
                 frame = self.body.frame() => frame,
                 () = &mut timed_out => return End::TimedOut,
                 () = &mut stalled => {
@@ -219,12 +229,21 @@
             self.in_flight.record_first_token();
             self.record_relayed();
             self.last_event = sse::last_id(&events).or(self.last_event);
-            if self.chunks.send(Ok(events)).await.is_err() {
-                return End::CallerClosed;
+            if self.chunks.send(events).await.is_err() {
+                return self.caller_end();
             }
         }
     }
 
+    /// Returns why the caller's connection closed.
+    fn caller_end(&self) -> End {
+        let account = self.call.account.as_ref();
+        if account.is_some_and(|account| account.is_cut()) {
+            return End::CallerCut;
+        }
+        End::CallerClosed
+    }
+
     fn record_relayed(&mut self) {
         let now = Instant::now();
         if self.relayed > 0 {
--- a/crates/gateway/tests/gateway/backend.rs
+++ b/crates/gateway/tests/gateway/backend.rs
@@ -48,6 +48,12 @@
     SlowStream,
     /// Responds with a seal and [`LARGE_BODY_BYTES`] bytes.
     Large,
+    /// Responds with a seal and [`FLOOD_BYTES`] bytes.
+    FloodBody,
+    /// Streams [`FLOOD_BYTES`] bytes of events without pauses, and ends the stream.
+    Flood,
+    /// As `Flood`, without an end.
+    EndlessFlood,
 }
 
 /// Number of events of a long stream.
@@ -56,6 +62,12 @@
 /// Length of a large response, in bytes.
 pub(crate) const LARGE_BODY_BYTES: usize = 1_000_000;
 
+/// Length of a flood, in bytes. The socket buffers between a server and a caller hold a part of it.
+pub(crate) const FLOOD_BYTES: usize = 12_000_000;
+
+/// Length of an event of a flood, in bytes.
+const FLOOD_EVENT_BYTES: usize = 16_000;
+
 /// A running server that applies a [`Behavior`] to each request.
 #[derive(Debug)]
 pub(crate) struct Backend {
@@ -73,6 +85,8 @@
     header_lines: Mutex<String>,
     heads: Mutex<Vec<String>>,
     disconnects: AtomicU32,
+    /// Number of floods that were sent completely.
+    finished_floods: AtomicU32,
     /// Number of requests for the list of cached prompt parts.
     cached_parts_requests: AtomicU32,
 }
@@ -85,6 +99,7 @@
             header_lines: Mutex::default(),
             heads: Mutex::default(),
             disconnects: AtomicU32::new(0),
+            finished_floods: AtomicU32::new(0),
             cached_parts_requests: AtomicU32::new(0),
         }
     }
@@ -118,6 +133,14 @@
     }
 }
 
+impl State {
+    /// Number of floods that were sent completely.
+    #[allow(dead_code, reason = "not used by every test binary")]
+    pub(crate) fn finished_floods(&self) -> u32 {
+        self.finished_floods.load(Ordering::Relaxed)
+    }
+}
+
 impl Backend {
     pub(crate) async fn spawn(behavior: Behavior) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -212,6 +235,18 @@
         }
         Behavior::Large => full_response(200, &sealed, LARGE_BODY_BYTES)
             .replace("done", &"x".repeat(LARGE_BODY_BYTES)),
+        Behavior::FloodBody => {
+            let head = full_response(200, &sealed, FLOOD_BYTES).replace("done", "");
+            let _ = stream.write_all(head.as_bytes()).await;
+            return flood(stream, state, &"x".repeat(FLOOD_EVENT_BYTES), true).await;
+        }
+        Behavior::Flood | Behavior::EndlessFlood => {
+            let _ = stream.write_all(stream_head(&sealed).as_bytes()).await;
+            let text = format!("data: {}\n\n", "x".repeat(FLOOD_EVENT_BYTES - 8));
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            let is_sent = flood(stream, state, &chunk, behavior == Behavior::Flood).await;
+            return is_sent && stream.write_all(b"0\r\n\r\n").await.is_ok();
+        }
         Behavior::SlowStream => {
             events(stream, &sealed, head, 2).await;
             sleep(Duration::from_millis(600)).await;
@@ -239,14 +274,32 @@
     state.disconnects.fetch_add(1, Ordering::Relaxed);
 }
 
+fn stream_head(sealed: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\n{sealed}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+}
+
+/// Sends a text again and again, up to [`FLOOD_BYTES`] if the flood ends; `false` if the connection
+/// is closed before.
+async fn flood(stream: &mut TcpStream, state: &State, text: &str, ends: bool) -> bool {
+    let mut sent = 0;
+    while !ends || sent < FLOOD_BYTES {
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            state.disconnects.fetch_add(1, Ordering::Relaxed);
+            return false;
+        }
+        sent += FLOOD_EVENT_BYTES;
+    }
+    state.finished_floods.fetch_add(1, Ordering::Relaxed);
+    true
+}
+
 /// Sends the events up to `last`. The stream ends only after the fourth event, or the last of a
 /// long stream.
 async fn events(stream: &mut TcpStream, sealed: &str, head: &str, last: u64) -> bool {
     let after = field(head, "x-after").and_then(|event| event.parse().ok());
-    let response_head = format!(
-        "HTTP/1.1 200 OK\r\n{sealed}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-    );
-    let _ = stream.write_all(response_head.as_bytes()).await;
+    let _ = stream.write_all(stream_head(sealed).as_bytes()).await;
     for event in after.unwrap_or(0) + 1..=last {
         let text = format!("id: {event}\ndata: t{event}\n\n");
         let chunk = format!("{:x}\r\n{text}\r\n", text.len());
--- a/crates/gateway/tests/gateway/caller.rs
+++ b/crates/gateway/tests/gateway/caller.rs
@@ -4,12 +4,15 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 /// Time limit for a response.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Receive buffer of a slow caller, in bytes.
+const SLOW_BUFFER_BYTES: u32 = 16 << 10;
+
 /// A response, possibly incomplete.
 #[derive(Debug)]
 pub(crate) struct Response {
@@ -56,6 +59,32 @@
     stream
 }
 
+/// As [`open`], with a small receive buffer, for callers that stop reading.
+#[allow(dead_code, reason = "not used by every test binary")]
+pub(crate) async fn open_slow(gateway: SocketAddr, request: &str) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .set_recv_buffer_size(SLOW_BUFFER_BYTES)
+        .expect("a small buffer is allowed");
+    let mut stream = socket.connect(gateway).await.expect("the gateway listens");
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("the gateway reads");
+    stream
+}
+
+/// Reads to the end of a connection.
+#[allow(dead_code, reason = "not used by every test binary")]
+pub(crate) async fn read_to_end(stream: &mut TcpStream) -> Response {
+    let mut bytes = Vec::new();
+    // A reset is not an error: the data received before it is evaluated.
+    let _ = timeout(TIMEOUT, stream.read_to_end(&mut bytes))
+        .await
+        .expect("the connection ends in time");
+    parse(&bytes)
+}
+
 /// Parses a response.
 pub(crate) fn parse(bytes: &[u8]) -> Response {
     let text = String::from_utf8_lossy(bytes).into_owned();
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -29,6 +29,7 @@
     pub(crate) gateway: Option<Gateway>,
     pub(crate) callers: SocketAddr,
     pub(crate) health: SocketAddr,
+    pub(crate) control: SocketAddr,
     pub(crate) kv: Arc<Client>,
 }
 
@@ -40,16 +41,31 @@
 
     /// As [`Node::spawn`], with this number of CPUs.
     pub(crate) async fn spawn_with_cpus(service: &Arc<Service>, name: &str, cpus: f64) -> Self {
+        Self::spawn_with(service, name, cpus, None).await
+    }
+
+    /// As [`Node::spawn`], with this number of CPUs and this much memory, in megabytes.
+    pub(crate) async fn spawn_with(
+        service: &Arc<Service>,
+        name: &str,
+        cpus: f64,
+        memory_mb: Option<u64>,
+    ) -> Self {
         // Another test may bind an address before the gateway does.
         for _ in 0..MAX_ATTEMPTS {
-            if let Some(node) = Self::try_spawn(service, name, cpus).await {
+            if let Some(node) = Self::try_spawn(service, name, cpus, memory_mb).await {
                 return node;
             }
         }
         panic!("the gateway found no free addresses");
     }
 
-    async fn try_spawn(service: &Arc<Service>, name: &str, cpus: f64) -> Option<Self> {
+    async fn try_spawn(
+        service: &Arc<Service>,
+        name: &str,
+        cpus: f64,
+        memory_mb: Option<u64>,
+    ) -> Option<Self> {
         let kv = Client::new(service);
         let [callers, health, control, handoff, store] = [(); 5].map(|()| free_address());
         let settings = settings::Gateway {
@@ -68,7 +84,7 @@
             cold_slack: COLD_SLACK,
             processors: cpus,
             descriptors: 1_024,
-            memory_mb: None,
+            memory_mb,
         };
         let logger = Logger::root(Discard, o!());
         let feed = Arc::clone(&kv);
@@ -84,6 +100,7 @@
             gateway: Some(gateway),
             callers,
             health,
+            control,
             kv,
         })
     }
@@ -99,6 +116,12 @@
         caller::send(self.health, request).await.status
     }
 
+    /// Metrics of the process, which all tests of a binary share.
+    pub(crate) async fn metrics(&self) -> String {
+        let request = "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        caller::send(self.control, request).await.body
+    }
+
     /// Waits until the gateway is ready.
     pub(crate) async fn wait_ready(&self) {
         let until = Instant::now() + Duration::from_secs(8);
@@ -111,12 +134,20 @@
 
 /// A ready gateway with a configuration and these servers in both pools.
 pub(crate) async fn ready(backends: &[&Backend]) -> (Arc<Service>, Node) {
+    ready_with(backends, None).await
+}
+
+/// As [`ready`], with this much memory, in megabytes.
+pub(crate) async fn ready_with(
+    backends: &[&Backend],
+    memory_mb: Option<u64>,
+) -> (Arc<Service>, Node) {
     let service = Service::new();
     service.set("config", Some("5 secret"));
     for (index, backend) in backends.iter().enumerate() {
         register(&service, index, backend, "ready");
     }
-    let node = Node::spawn(&service, "g0").await;
+    let node = Node::spawn_with(&service, "g0", 1.0, memory_mb).await;
     node.wait_ready().await;
     (service, node)
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -25,4 +25,5 @@
 mod restore;
 mod retries;
 mod shutdown;
+mod slow;
 mod streams;
