Gateway: account request bodies, release them once no attempt can need them

Bodies were held until the end of the stream and not counted. They now count in the budget as they arrive and are released with the head of a response after which no retry or resumption is allowed. Without room a request is refused before its body is read (503 memory_short, not run, with a retry time); its body is discarded for 100 ms, because closing with unread data resets the connection and the caller may lose the response.

Tests: bodies.rs; without the release its first test fails.

--- a/crates/decide/src/buffer.rs
+++ b/crates/decide/src/buffer.rs
@@ -32,6 +32,10 @@
 /// customer gets an equal share.
 pub const UNSHARED_DIVISOR: u64 = 2;
 
+/// Minimum time after which a caller should retry a request that was refused for lack of room, in
+/// milliseconds. Most request bodies are released within half a second, with the response head.
+pub const RETRY_AFTER_MS: u64 = 250;
+
 /// Divisor of the responses' part above which it is short, and shares apply.
 pub const SHORT_DIVISOR: u64 = 2;
 
--- a/crates/gateway/src/buffers.rs
+++ b/crates/gateway/src/buffers.rs
@@ -5,6 +5,7 @@
 mod hold;
 mod inlet;
 mod outlet;
+mod request_hold;
 
 use std::collections::HashMap;
 use std::sync::{Arc, Weak};
@@ -23,6 +24,7 @@
 pub(crate) use self::hold::Hold;
 pub(crate) use self::inlet::Inlet;
 pub(crate) use self::outlet::Outlet;
+pub(crate) use self::request_hold::RequestHold;
 use crate::clock;
 use crate::core::Core;
 
@@ -86,6 +88,12 @@
         Some(account)
     }
 
+    /// Returns whether a request body of this length may be received.
+    pub(crate) fn admits_request(&self, customer: Option<CustomerId>, bytes: u64) -> bool {
+        let admits = self.query(|budget| budget.admits_request(customer, bytes));
+        admits.unwrap_or(true)
+    }
+
     /// Changes the budget, if there is one, and carries out the cuts that follow.
     fn update(&self, change: impl FnOnce(&mut Budget, Millis) -> Vec<Cut>) {
         let now = self.now_ms();
--- a/crates/gateway/src/buffers/account.rs
+++ b/crates/gateway/src/buffers/account.rs
@@ -74,6 +74,26 @@
         self.taken.notify_one();
     }
 
+    /// Records that the request body takes this many more bytes, if there is room for them.
+    pub(super) fn hold_request(&self, bytes: usize) -> bool {
+        let bytes = count(bytes);
+        let mut is_held = true;
+        self.buffers.update(|budget, _| {
+            is_held = budget.hold_request(self.key, bytes);
+            Vec::new()
+        });
+        is_held
+    }
+
+    /// Records that this many bytes of the request body were released.
+    pub(super) fn release_request(&self, bytes: usize) {
+        let bytes = count(bytes);
+        self.buffers.update(|budget, _| {
+            budget.release_request(self.key, bytes);
+            Vec::new()
+        });
+    }
+
     /// Records that the response is offered to the caller.
     pub(crate) fn offer(&self) {
         self.buffers.update(|budget, now| {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,7 +2,6 @@
 
 use std::sync::{Arc, OnceLock};
 
-use bytes::Bytes;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method};
 use mulberryyoke_decide::engine::Prompt;
@@ -12,6 +11,7 @@
 use crate::buffers::Account;
 use crate::clock;
 use crate::config::{Customer, Route};
+use crate::request_body::RequestBody;
 
 /// A request that was read completely, routed and authorized.
 #[derive(Debug)]
@@ -35,7 +35,7 @@
     pub(crate) path: PathAndQuery,
     /// End-to-end headers of the caller.
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
     /// Account of what the request and its response hold; `None` without a budget.
     pub(crate) account: Option<Arc<Account>>,
     /// Computed on first use, since bodies may be large.
@@ -53,6 +53,13 @@
         self.deadline_ms.saturating_sub(clock::now_ms())
     }
 
+    /// Releases the body. No attempt may follow.
+    pub(crate) fn release_body(&self) {
+        // Failures that are recorded later need it.
+        self.digest();
+        self.body.release();
+    }
+
     /// Identifies the request across retries.
     pub(crate) fn digest(&self) -> Digest {
         *self.digest.get_or_init(|| {
@@ -61,7 +68,7 @@
                 self.method.as_str(),
                 self.path.as_str(),
                 customer,
-                &self.body,
+                &self.body.bytes(),
             )
         })
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -135,7 +135,7 @@
     }
 
     /// Returns the attempts with the last server counted as having run the request.
-    fn after_run(&self) -> Self {
+    pub(crate) fn after_run(&self) -> Self {
         Self {
             possible_runs: self.possible_runs + 1,
             is_admitted: false,
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::CONTENT_ENCODING;
+use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 
 use crate::backend::InFlight;
@@ -15,7 +16,7 @@
 use crate::core::Core;
 use crate::dispatch::Attempts;
 use crate::outcome::Outcome;
-use crate::protocol::{Forwarding, Verification};
+use crate::protocol::{Forwarding, ResponseHead, Verification};
 use crate::response_body::ResponseBody;
 use crate::{body_relay, clock, failure, header, notice, quarantine, stream_relay};
 
@@ -93,7 +94,7 @@
     in_flight: &InFlight,
     resume_after: Option<u64>,
 ) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(Full::new(call.body.bytes()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.path.clone().into();
     let mut headers = call.headers.clone();
@@ -160,14 +161,28 @@
             return Outcome::Rejected;
         }
     }
+    let run = attempts.after_run();
+    if !run.has_attempts_left(call) {
+        call.release_body();
+    }
     let is_success = head.status.is_success();
     header::strip_hop_by_hop(&mut head.headers);
     if call.route.kind.is_stream() && is_success {
-        let attempts = attempts.after_run();
-        let chunks =
-            stream_relay::spawn(core, call, in_flight, attempts, (conn, response_head), body);
+        let chunks = stream_relay::spawn(core, call, in_flight, run, (conn, response_head), body);
         return Outcome::Completed(Response::from_parts(head, ResponseBody::Stream(chunks)));
     }
+    read_body(core, call, in_flight, (conn, response_head), head, body).await
+}
+
+/// Reads the body of a verified response that is not a stream.
+async fn read_body(
+    core: &Arc<Core>,
+    call: &Arc<Call>,
+    in_flight: InFlight,
+    (conn, response_head): (Connection, ResponseHead),
+    head: Parts,
+    body: Incoming,
+) -> Outcome {
     let collected = tokio::select! {
         collected = collect(body, call.account.as_ref()) => collected,
         () = clock::wait_until(call.deadline_ms) => {
@@ -185,6 +200,10 @@
             ResponseBody::chunk(chunk)
         }
         Ok(Collected::Partial(prefix, remaining)) => {
+            // Only a server error is retried once its head has been received.
+            if head.status < StatusCode::INTERNAL_SERVER_ERROR {
+                call.release_body();
+            }
             let chunks = body_relay::spawn(
                 core,
                 call,
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -1,30 +1,38 @@
 //! Receiving a caller's request: route, customer, limits and body.
 
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::BytesMut;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Request;
-use hyper::body::Incoming;
-use hyper::header::HOST;
+use hyper::body::{Body, Incoming};
+use hyper::header::{EXPECT, HOST};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
+use mulberryyoke_decide::buffer::RETRY_AFTER_MS;
+use mulberryyoke_decide::pushback;
 use mulberryyoke_event::{Event, log};
 use rand::RngExt;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
+use crate::buffers::{Account, RequestHold};
 use crate::call::Call;
 use crate::config::{Config, Customer, Route};
 use crate::core::Core;
 use crate::protocol::RequestHead;
 use crate::refusal::Refusal;
+use crate::request_body::RequestBody;
 use crate::{clock, header};
 
 /// Configuration age above which a request is not denied on its basis, in milliseconds: a newer
 /// configuration may allow the request.
 const MAX_DENY_AGE_MS: u64 = 2_500;
 
+/// Time for which the body of a refused request is read and discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A request whose head has been parsed and whose body has not been read.
 pub(crate) struct Inbound {
     pub(crate) head: RequestHead,
@@ -79,8 +87,18 @@
         let payer = customer
             .as_ref()
             .map(|customer| (customer.id, &*customer.name));
+        let max_bytes = config.limits().max_body_bytes;
+        let body = Limited::new(self.body, max_bytes);
+        let bytes = body.size_hint().exact().unwrap_or(1);
+        if !core.buffers.admits_request(payer.map(|(id, _)| id), bytes) {
+            // A caller that asks first has not sent its body.
+            if !self.parts.headers.contains_key(EXPECT) {
+                discard(body).await;
+            }
+            return Err(memory_short());
+        }
         let account = core.buffers.open(&self.head.id, payer, &self.connection);
-        let body = read_body(self.body, config.limits().max_body_bytes);
+        let body = read_body(body, account.as_ref());
         let body = tokio::select! {
             body = body => body,
             () = clock::wait_until(deadline_ms) => Err(Refusal::BodyTimeout),
@@ -151,10 +169,50 @@
     path.unwrap_or_else(|| PathAndQuery::from_static("/"))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Err(_) => Err(Refusal::BodyTruncated),
+/// Reads a request body, which counts as it arrives.
+async fn read_body(
+    mut body: Limited<Incoming>,
+    account: Option<&Arc<Account>>,
+) -> Result<RequestBody, Refusal> {
+    let length = body.size_hint().exact();
+    let length = length.and_then(|length| usize::try_from(length).ok());
+    let mut hold = account.map(RequestHold::new);
+    let mut buffer = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                Refusal::BodyTooLarge
+            } else {
+                Refusal::BodyTruncated
+            }
+        })?;
+        let data = frame.into_data().unwrap_or_default();
+        if let Some(hold) = &mut hold
+            && !hold.try_add(data.len())
+        {
+            drop((data, buffer));
+            discard(body).await;
+            return Err(memory_short());
+        }
+        // Reserves the rest once, since growth by doubling would take up to twice the length.
+        buffer.reserve(length.unwrap_or(0).saturating_sub(buffer.len()));
+        buffer.extend_from_slice(&data);
     }
+    Ok(RequestBody::new(buffer.freeze(), hold))
+}
+
+/// Reads and discards what is left of a refused request's body for a short time. Otherwise the
+/// connection would be reset, and a caller that is still sending would not get the response.
+async fn discard(mut body: Limited<Incoming>) {
+    let rest = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A caller that takes longer gets the response at once.
+    let _ = timeout(DISCARD_TIMEOUT, rest).await;
+}
+
+/// The refusal of a request for whose body there is no room.
+fn memory_short() -> Refusal {
+    Refusal::MemoryShort(pushback::retry_after_ms(
+        RETRY_AFTER_MS,
+        rand::rng().random(),
+    ))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod readiness;
 mod refusal;
 mod registry;
+mod request_body;
 mod response_body;
 mod retry_budgets;
 mod server;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -30,6 +30,8 @@
     Busy(u32),
     /// The customer exceeds its share; with the retry delay in milliseconds.
     OverShare(u32),
+    /// There is no room to hold the request's body; with the retry delay in milliseconds.
+    MemoryShort(u32),
     /// Servers rejected the request and no attempt is left.
     Rejected,
     /// The gateway is shutting down.
@@ -61,6 +63,7 @@
             | Self::NoServer
             | Self::Pushback(_)
             | Self::Busy(_)
+            | Self::MemoryShort(_)
             | Self::Rejected
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             // A quarantined request has run under an earlier ID, which rules out 503.
@@ -85,6 +88,7 @@
             Self::Pushback(_) => "resting",
             Self::Busy(_) => "busy",
             Self::OverShare(_) => "over_share",
+            Self::MemoryShort(_) => "memory_short",
             Self::Rejected => "turned_away",
             Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
@@ -97,7 +101,9 @@
     /// Delay before the caller should retry, in milliseconds.
     pub(crate) const fn retry_after_ms(self) -> Option<u32> {
         match self {
-            Self::Pushback(ms) | Self::Busy(ms) | Self::OverShare(ms) => Some(ms),
+            Self::Pushback(ms) | Self::Busy(ms) | Self::OverShare(ms) | Self::MemoryShort(ms) => {
+                Some(ms)
+            }
             Self::NoConfiguration | Self::NoServer | Self::Rejected | Self::Stopping => {
                 Some(FAULT_RETRY_AFTER_MS)
             }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod backend;
+mod bodies;
 mod cache_report;
 mod caller;
 mod cold;
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -31,10 +31,13 @@
 /// Header that makes parsing of the request head panic.
 pub(crate) const PANIC_HEADER: &str = "x-panics: 1\r\n";
 
+/// Maximum size of a request body, in bytes, unless the configuration states it.
+const MAX_BODY_BYTES: usize = 1_000;
+
 /// Length of the shared part of a prompt, in tokens.
 const SHARED_TOKENS: u32 = 4_000;
 
-/// Protocol with space-separated values: `VERSION [tokens=PER_S] KEY...` for a configuration and
+/// Protocol with space-separated values: `VERSION [tokens=PER_S] [body=BYTES] KEY...` for a configuration and
 /// `POOL ADDRESS STATE [STARTED [COLD_MS [ZONE]]]` for a server.
 #[derive(Debug)]
 pub(crate) struct TestProtocol {
@@ -131,6 +134,8 @@
         let tokens_per_s = numbers
             .iter()
             .find_map(|field| field.strip_prefix("tokens="));
+        let max_body_bytes = numbers.iter().find_map(|field| field.strip_prefix("body="));
+        let max_body_bytes = max_body_bytes.and_then(|bytes| bytes.parse().ok());
         let customer = Customer {
             id: CustomerId::of("noor"),
             name: "noor".to_owned(),
@@ -139,7 +144,7 @@
         };
         let limits = Limits {
             max_head_bytes: 16_384,
-            max_body_bytes: 1_000,
+            max_body_bytes: max_body_bytes.unwrap_or(MAX_BODY_BYTES),
             head_timeout_ms: 1_000,
             idle_timeout_ms: 5_000,
             tokens_per_s: tokens_per_s.and_then(|tokens| tokens.parse().ok()),
