--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -120,6 +120,8 @@
     PushbackEnded = 1037, Info, "server pushback ended";
     /// A server reported that its machine is slow, or no longer slow.
     ServerSlowed = 1038, Info, "server slowdown changed";
+    /// A caller that read too slowly was cut off.
+    CallerCut = 1041, Warning, "slow caller cut off";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -4,17 +4,19 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::CONTENT_ENCODING;
+use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 
 use crate::backend::InFlight;
+use crate::buffers::{Account, Chunk, Hold};
 use crate::call::Call;
 use crate::connection_pool::Connection;
 use crate::core::Core;
 use crate::dispatch::Attempts;
 use crate::outcome::Outcome;
-use crate::protocol::{Forwarding, Verification};
+use crate::protocol::{Forwarding, ResponseHead, Verification};
 use crate::response_body::ResponseBody;
 use crate::{body_relay, clock, failure, header, notice, quarantine, stream_relay};
 
@@ -92,7 +94,7 @@
     in_flight: &InFlight,
     resume_after: Option<u64>,
 ) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(Full::new(call.body.bytes()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.path.clone().into();
     let mut headers = call.headers.clone();
@@ -159,28 +161,49 @@
             return Outcome::Rejected;
         }
     }
+    let run = attempts.after_run();
+    if !run.has_attempts_left(call) {
+        call.release_body();
+    }
     let is_success = head.status.is_success();
     header::strip_hop_by_hop(&mut head.headers);
     if call.route.kind.is_stream() && is_success {
-        let attempts = attempts.after_run();
-        let chunks =
-            stream_relay::spawn(core, call, in_flight, attempts, (conn, response_head), body);
+        let chunks = stream_relay::spawn(core, call, in_flight, run, (conn, response_head), body);
         return Outcome::Completed(Response::from_parts(head, ResponseBody::Stream(chunks)));
     }
+    read_body(core, call, in_flight, (conn, response_head), head, body).await
+}
+
+/// Reads the body of a verified response that is not a stream.
+async fn read_body(
+    core: &Arc<Core>,
+    call: &Arc<Call>,
+    in_flight: InFlight,
+    (conn, response_head): (Connection, ResponseHead),
+    head: Parts,
+    body: Incoming,
+) -> Outcome {
     let collected = tokio::select! {
-        collected = collect(body) => collected,
+        collected = collect(body, call.account.as_ref()) => collected,
         () = clock::wait_until(call.deadline_ms) => {
             failure::record(core, call, &in_flight, "response body timed out", "");
             return Outcome::TimedOut;
         }
     };
     let body = match collected {
-        Ok(Collected::Complete(bytes)) => {
+        Ok(Collected::Complete(chunk)) => {
             quarantine::record_success(core, || call.digest());
             in_flight.complete(conn, response_head);
-            ResponseBody::full(bytes)
+            if let Some(account) = &call.account {
+                account.offer();
+            }
+            ResponseBody::chunk(chunk)
         }
         Ok(Collected::Partial(prefix, remaining)) => {
+            // Only a server error is retried once its head has been received.
+            if head.status < StatusCode::INTERNAL_SERVER_ERROR {
+                call.release_body();
+            }
             let chunks = body_relay::spawn(
                 core,
                 call,
@@ -212,19 +235,30 @@
 
 /// A response body, buffered up to [`MAX_BUFFERED_BYTES`].
 enum Collected {
-    Complete(Bytes),
+    Complete(Chunk),
     /// The buffered prefix and the remaining body.
-    Partial(Bytes, Incoming),
+    Partial(Chunk, Incoming),
 }
 
 /// Buffers a body to its end, or until it exceeds [`MAX_BUFFERED_BYTES`].
-async fn collect(mut body: Incoming) -> Result<Collected, hyper::Error> {
-    let mut buffer = BytesMut::new();
+async fn collect(
+    mut body: Incoming,
+    account: Option<&Arc<Account>>,
+) -> Result<Collected, hyper::Error> {
+    let length = body.size_hint().exact();
+    let length = length.and_then(|length| usize::try_from(length).ok());
+    let length = length.filter(|length| *length <= MAX_BUFFERED_BYTES);
+    let mut buffer = BytesMut::with_capacity(length.unwrap_or(0));
+    let mut hold = account.map(|account| Hold::new(account, 0));
     while let Some(frame) = body.frame().await {
-        buffer.extend_from_slice(&frame?.into_data().unwrap_or_default());
+        let data = frame?.into_data().unwrap_or_default();
+        buffer.extend_from_slice(&data);
+        if let Some(hold) = &mut hold {
+            hold.add(data.len());
+        }
         if buffer.len() > MAX_BUFFERED_BYTES {
-            return Ok(Collected::Partial(buffer.freeze(), body));
+            return Ok(Collected::Partial(Chunk::new(buffer.freeze(), hold), body));
         }
     }
-    Ok(Collected::Complete(buffer.freeze()))
+    Ok(Collected::Complete(Chunk::new(buffer.freeze(), hold)))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod backend;
 mod balance;
 mod body_relay;
+mod buffers;
 mod cache_report;
 mod call;
 pub mod clock;
@@ -32,6 +33,7 @@
 mod readiness;
 mod refusal;
 mod registry;
+mod request_body;
 mod response_body;
 mod retry_budgets;
 mod server;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod backend;
+mod bodies;
 mod cache_report;
 mod caller;
 mod cold;
@@ -25,4 +26,5 @@
 mod restore;
 mod retries;
 mod shutdown;
+mod slow;
 mod streams;
