Retry times that follow what the refused request waits for

A refused caller was told the excess of the best server's wait, or 200 ms for a pool without servers for as long as that lasted, without a random part: callers refused together came back together, and too early.

decide::retry_after derives the time: for a customer above its share until its usage has decayed to it, for full servers until the best one is within what is allowed, for a pool of which no server can be used half the time that this has lasted, from 200 ms to 3 s. The time is spread by up to half and bounded by a third of the time that the caller has left, which is all that callers honour. The gateway keeps per pool since when no server can be used; the exchange tick ends an outage as soon as one can.

Tests: decide retry_after, shed, replay; gateway outages (the time was 200 ms throughout before), admission, notices.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod queue;
 pub(crate) mod rendezvous;
 pub mod retry;
+pub mod retry_after;
 pub mod sample;
 pub mod share;
 pub mod shed;
--- a/crates/decide/src/share.rs
+++ b/crates/decide/src/share.rs
@@ -5,7 +5,7 @@
 use mulberryyoke_model::{CustomerId, Millis};
 
 /// Half-life of the token counts, in milliseconds.
-const HALF_LIFE_MS: f64 = 1_500.0;
+pub(crate) const HALF_LIFE_MS: f64 = 1_500.0;
 
 /// Decayed count of a steady flow, in seconds of the flow: the half-life over ln 2.
 const DECAYED_S: f64 = HALF_LIFE_MS / 1_000.0 / std::f64::consts::LN_2;
--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -46,5 +46,5 @@
             return Some(Ok(urgent));
         }
     }
-    Some(Err(Rejection::new(choice, budget, objective)))
+    Some(Err(Rejection::new(choice, budget, objective, usage)))
 }
--- a/crates/decide/src/shed/rejection.rs
+++ b/crates/decide/src/shed/rejection.rs
@@ -3,10 +3,8 @@
 use super::Objective;
 use super::budget::Budget;
 use crate::engine::Choice;
-
-/// Shortest and longest retry delay: the prefill time of a short prompt and the half-life of
-/// customers' recorded usage.
-const RETRY_AFTER_MS: (f64, f64) = (100.0, 1_500.0);
+use crate::retry_after;
+use crate::share::Usage;
 
 /// A rejected prompt.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -15,19 +13,22 @@
     pub choice: Choice,
     /// Time to first token allowed for this customer, in milliseconds.
     pub allowed_ms: f64,
-    /// Delay before the client should retry, in milliseconds: the time by which the best server
-    /// exceeds `allowed_ms`, within bounds.
+    /// Time after which the prompt is expected to be admitted, in milliseconds: for a customer above
+    /// its share, when its usage has decayed to it; for others, when the best server is within what
+    /// is allowed.
     pub retry_after_ms: f64,
 }
 
 impl Rejection {
-    pub(super) fn new(choice: Choice, budget: Budget, objective: Objective) -> Self {
-        let allowed_ms = budget.allowed_ms(objective);
-        let excess_ms = choice.ttft_ms() - allowed_ms;
+    pub(super) fn new(choice: Choice, budget: Budget, objective: Objective, usage: Usage) -> Self {
         Self {
             choice,
-            allowed_ms,
-            retry_after_ms: excess_ms.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1),
+            allowed_ms: budget.allowed_ms(objective),
+            retry_after_ms: if usage.of_portion > 1.0 {
+                retry_after::over_share_ms(usage)
+            } else {
+                retry_after::busy_ms(budget.excess_ms(&choice, objective))
+            },
         }
     }
 }
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -6,6 +6,7 @@
 use mulberryyoke_decide::engine::{Candidate, Engine, shortlist};
 use mulberryyoke_decide::plain;
 use mulberryyoke_decide::pushback::retry_after_ms;
+use mulberryyoke_decide::retry_after;
 use mulberryyoke_decide::share::Usage;
 use mulberryyoke_decide::shed::{self, Objective, Rejection};
 use mulberryyoke_event::{Event, log};
@@ -34,13 +35,12 @@
         let (now_ms, is_view_fresh) = (clock::now_ms(), core.view.is_fresh());
         let mut open: Vec<&Arc<Backend>> = servers
             .iter()
-            .filter(|backend| backend.is_open() && !tried.contains(&backend.server.id))
-            // A server that asked for pushback is idle and would otherwise rank first.
-            .filter(|backend| backend.instance.wait_ms(now_ms) == 0)
-            .filter(|backend| backend.cold.has_capacity(now_ms, is_view_fresh))
+            .filter(|backend| !tried.contains(&backend.server.id))
+            .filter(|backend| is_usable(backend, now_ms, is_view_fresh))
             .collect();
         if open.is_empty() {
-            return Err(pushback(servers, now_ms).unwrap_or(Refusal::NoServer));
+            let refusal = pushback(servers, now_ms);
+            return Err(refusal.unwrap_or_else(|| no_server(core, call, servers)));
         }
         // Announcements relayed by peers may be wrong, so they only lower a server's priority.
         prefer(&mut open, |backend| !backend.instance.is_avoided(now_ms));
@@ -78,6 +78,44 @@
         .with_pool(pool, |servers| pushback(servers, now_ms))
 }
 
+/// Returns whether a request may be sent to a server now.
+fn is_usable(backend: &Backend, now_ms: u64, is_view_fresh: bool) -> bool {
+    // A server that asked for pushback is idle and would otherwise rank first.
+    backend.is_open()
+        && backend.instance.wait_ms(now_ms) == 0
+        && backend.cold.has_capacity(now_ms, is_view_fresh)
+}
+
+/// Ends the outages of pools of which a server can be used again.
+pub(crate) fn end_outages(core: &Core) {
+    let (now_ms, is_view_fresh) = (clock::now_ms(), core.view.is_fresh());
+    core.outages.end_if(|pool| {
+        core.registry.with_pool(pool, |servers| {
+            let mut servers = servers.iter();
+            servers.any(|backend| is_usable(backend, now_ms, is_view_fresh))
+        })
+    });
+}
+
+/// Returns the refusal of a request for which no server is left.
+fn no_server(core: &Core, call: &Call, servers: &[Arc<Backend>]) -> Refusal {
+    let (now_ms, is_view_fresh) = (clock::now_ms(), core.view.is_fresh());
+    let mut servers = servers.iter();
+    let since = if servers.any(|backend| is_usable(backend, now_ms, is_view_fresh)) {
+        // All servers that can be used have been tried.
+        now_ms
+    } else {
+        core.outages.start(call.pool, now_ms)
+    };
+    let expected_ms = retry_after::outage_ms(since, now_ms);
+    Refusal::NoServer(spread(call, expected_ms))
+}
+
+/// Returns the retry delay that the caller is told instead of `expected_ms`, in milliseconds.
+fn spread(call: &Call, expected_ms: f64) -> u32 {
+    retry_after::spread(expected_ms, call.remaining_ms(), rand::rng().random())
+}
+
 fn pushback(servers: &[Arc<Backend>], now_ms: u64) -> Option<Refusal> {
     let open = servers.iter().filter(|backend| backend.is_open());
     let waits = open.map(|backend| backend.instance.wait_ms(now_ms));
@@ -102,7 +140,7 @@
     let found = open
         .iter()
         .find(|backend| Some(backend.server.id) == server);
-    found.copied().ok_or(Refusal::NoServer)
+    found.copied().ok_or(Refusal::NO_SERVER)
 }
 
 fn assign_prompt(
@@ -112,7 +150,7 @@
     usage: Option<Usage>,
     now: Instant,
 ) -> Result<InFlight, Refusal> {
-    let prompt = call.prompt.as_ref().ok_or(Refusal::NoServer)?;
+    let prompt = call.prompt.as_ref().ok_or(Refusal::NO_SERVER)?;
     let engines: Vec<_> = open.iter().map(|backend| backend.engine()).collect();
     let candidates = open.iter().zip(&engines).map(|(backend, engine)| {
         let engine: &Engine = engine;
@@ -134,7 +172,7 @@
         usage,
         clock::now_ms(),
     );
-    let admitted = admitted.ok_or(Refusal::NoServer)?;
+    let admitted = admitted.ok_or(Refusal::NO_SERVER)?;
     drop(candidates);
     drop(engines);
     let choice = match admitted {
@@ -202,7 +240,7 @@
         "mean_wait_ms" => saturating_u32(choice.mean_wait_ms),
         "of_portion" => saturating_u32(usage.of_portion * 100.0),
         "of_given" => saturating_u32(usage.of_given * 100.0));
-    let retry_after_ms = saturating_u32(rejection.retry_after_ms);
+    let retry_after_ms = spread(call, rejection.retry_after_ms);
     if usage.of_portion > 1.0 {
         return Refusal::OverShare(retry_after_ms);
     }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -14,6 +14,7 @@
 
 use crate::exchange::Exchange;
 use crate::mirror::Mirror;
+use crate::outages::Outages;
 use crate::overload::Overload;
 use crate::protocol::Protocol;
 use crate::quarantine::Quarantine;
@@ -35,6 +36,7 @@
     pub(crate) shares: Mutex<Shares>,
     pub(crate) quarantine: Quarantine,
     pub(crate) retry_budgets: RetryBudgets,
+    pub(crate) outages: Outages,
     /// Number of callers' open connections.
     pub(crate) connections: AtomicU32,
     pub(crate) overload: Overload,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -193,7 +193,7 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     core.retry_budgets.deposit(call.pool);
     let mut attempts = Attempts::default();
-    attempts.run(core, call, None, Refusal::NoServer).await
+    attempts.run(core, call, None, Refusal::NO_SERVER).await
 }
 
 fn log_routed(core: &Core, call: &Call, in_flight: &InFlight, attempt: u32) {
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -9,8 +9,8 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::clock;
 use crate::core::Core;
+use crate::{balance, clock};
 
 /// Timer resolution, and the minimum interval between two rounds, in milliseconds.
 const TICK_MS: u64 = 20;
@@ -30,6 +30,7 @@
                 clock::last_resume_ms();
                 core.exchange.expire(&core);
                 core.quarantine.expire();
+                balance::end_outages(&core);
                 rebalance(&core);
                 let now = Instant::now();
                 if now >= due {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::error::Error;
 use crate::exchange::{self, Exchange};
 use crate::mirror::Mirror;
+use crate::outages::Outages;
 use crate::overload::Overload;
 use crate::protocol::Protocol;
 use crate::quarantine::Quarantine;
@@ -81,6 +82,7 @@
             registry,
             mirror: Mirror::new(),
             exchange,
+            outages: Outages::default(),
             shares: Mutex::default(),
             quarantine: Quarantine::new(),
             connections: AtomicU32::new(0),
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -63,7 +63,7 @@
         let customer = self.customer(core, &config, &route)?;
         let pool = route
             .select_pool(rand::rng().random())
-            .ok_or(Refusal::NoServer)?;
+            .ok_or(Refusal::NO_SERVER)?;
         let timeout_ms = self.head.timeout_ms.unwrap_or(u64::MAX);
         let deadline_ms = self
             .received_ms
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod listen;
 mod mirror;
 mod notice;
+mod outages;
 mod outcome;
 mod overload;
 pub mod protocol;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -22,8 +22,8 @@
     UnknownCustomer,
     /// No configuration is known, or it is too old.
     NoConfiguration,
-    /// No server of the pool is available.
-    NoServer,
+    /// No server of the pool is available; with the retry delay in milliseconds.
+    NoServer(u32),
     /// Every server of the pool asks for pushback; with the retry delay in milliseconds.
     Pushback(u32),
     /// No server can meet the latency objective; with the retry delay in milliseconds.
@@ -48,6 +48,9 @@
 const FAULT_RETRY_AFTER_MS: u32 = 200;
 
 impl Refusal {
+    /// No server is available for a reason that is expected to be short.
+    pub(crate) const NO_SERVER: Self = Self::NoServer(FAULT_RETRY_AFTER_MS);
+
     /// Status code. 429 and 503 promise that the request has not run and never will.
     pub(crate) const fn status(self) -> StatusCode {
         match self {
@@ -58,7 +61,7 @@
             Self::UnknownCustomer => StatusCode::UNAUTHORIZED,
             Self::OverShare(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfiguration
-            | Self::NoServer
+            | Self::NoServer(_)
             | Self::Pushback(_)
             | Self::Busy(_)
             | Self::Rejected
@@ -81,7 +84,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownCustomer => "no_customer",
             Self::NoConfiguration => "no_configuration",
-            Self::NoServer => "no_server",
+            Self::NoServer(_) => "no_server",
             Self::Pushback(_) => "resting",
             Self::Busy(_) => "busy",
             Self::OverShare(_) => "over_share",
@@ -97,10 +100,10 @@
     /// Delay before the caller should retry, in milliseconds.
     pub(crate) const fn retry_after_ms(self) -> Option<u32> {
         match self {
-            Self::Pushback(ms) | Self::Busy(ms) | Self::OverShare(ms) => Some(ms),
-            Self::NoConfiguration | Self::NoServer | Self::Rejected | Self::Stopping => {
-                Some(FAULT_RETRY_AFTER_MS)
+            Self::NoServer(ms) | Self::Pushback(ms) | Self::Busy(ms) | Self::OverShare(ms) => {
+                Some(ms)
             }
+            Self::NoConfiguration | Self::Rejected | Self::Stopping => Some(FAULT_RETRY_AFTER_MS),
             _ => None,
         }
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod lagging;
 mod leaving;
 mod notices;
+mod outages;
 mod overload;
 mod peers;
 mod protocol;
