Bounded queue of prompts that wait for admission

A gateway placed or rejected a prompt on arrival. After a burst that the servers absorb within some ten milliseconds, most of it had been rejected.

decide::waiting decides who may wait (admission expected within an eighth of the objective, first token still in time), in which order prompts are tried (customers with the lowest usage first; then priority, deadline, size), and which one is refused when the queue is full (the last in the order of those whose customers take more than an equal part). decide::queue is not reused: it has three classes with promotion instead of priorities, pins requests to servers, does not order by size, and leaves the order among customers to sidecars.

Rejection gains the expected time to admission, without bounds.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod shed;
 pub mod subset;
 pub mod view;
+pub mod waiting;
--- a/crates/decide/src/retry_after.rs
+++ b/crates/decide/src/retry_after.rs
@@ -5,7 +5,7 @@
 
 use mulberryyoke_model::{Millis, saturating_u32};
 
-use crate::share::{HALF_LIFE_MS, Usage};
+use crate::share::Usage;
 
 /// Shortest and longest time for full servers, in milliseconds: the prefill time of a short prompt
 /// and the half-life of customers' recorded usage.
@@ -32,8 +32,7 @@
 /// milliseconds.
 #[must_use]
 pub fn over_share_ms(usage: Usage) -> f64 {
-    let excess = usage.of_portion.max(usage.of_given).max(1.0);
-    (HALF_LIFE_MS * excess.log2()).clamp(OVER_SHARE_MS.0, OVER_SHARE_MS.1)
+    usage.decay_ms().clamp(OVER_SHARE_MS.0, OVER_SHARE_MS.1)
 }
 
 /// Time until the best server, which exceeds the allowed wait by `excess_ms`, is within it, in
--- a/crates/decide/src/share.rs
+++ b/crates/decide/src/share.rs
@@ -5,7 +5,7 @@
 use mulberryyoke_model::{CustomerId, Millis};
 
 /// Half-life of the token counts, in milliseconds.
-pub(crate) const HALF_LIFE_MS: f64 = 1_500.0;
+const HALF_LIFE_MS: f64 = 1_500.0;
 
 /// Decayed count of a steady flow, in seconds of the flow: the half-life over ln 2.
 const DECAYED_S: f64 = HALF_LIFE_MS / 1_000.0 / std::f64::consts::LN_2;
@@ -73,6 +73,20 @@
     pub of_given: f64,
 }
 
+impl Usage {
+    /// Whether the customer has got more than its fair share.
+    #[must_use]
+    pub fn is_over_share(self) -> bool {
+        self.of_portion > 1.0
+    }
+
+    /// Time until the usage has decayed to the fair share, in milliseconds.
+    #[must_use]
+    pub fn decay_ms(self) -> f64 {
+        HALF_LIFE_MS * self.of_portion.max(self.of_given).max(1.0).log2()
+    }
+}
+
 impl Shares {
     /// Counts a request.
     pub fn record_request(&mut self, customer: CustomerId, tokens: u32) {
--- a/crates/decide/src/shed/budget.rs
+++ b/crates/decide/src/shed/budget.rs
@@ -55,12 +55,15 @@
 
     /// Whether a prompt with this expected latency is within the budget.
     pub(super) fn allows(self, choice: &Choice, objective: Objective) -> bool {
-        self.0 > 0.0 && self.excess_ms(choice, objective) <= 0.0
+        self.excess_ms(choice, objective) <= 0.0
     }
 
     /// Time by which a server has to become faster for a prompt to be within the budget, in
-    /// milliseconds; not positive if it is.
+    /// milliseconds; not positive if it is, infinite if no speed suffices.
     pub(super) fn excess_ms(self, choice: &Choice, objective: Objective) -> f64 {
+        if self.0 <= 0.0 {
+            return f64::INFINITY;
+        }
         let max_wait_ms = objective.first_token_ms * WAIT_FRACTION * self.0.min(1.0);
         let excess_ms = choice.ttft_ms() - self.allowed_ms(objective);
         excess_ms.min(choice.wait_ms - max_wait_ms)
--- a/crates/decide/src/shed/rejection.rs
+++ b/crates/decide/src/shed/rejection.rs
@@ -13,22 +13,29 @@
     pub choice: Choice,
     /// Time to first token allowed for this customer, in milliseconds.
     pub allowed_ms: f64,
-    /// Time after which the prompt is expected to be admitted, in milliseconds: for a customer above
-    /// its share, when its usage has decayed to it; for others, when the best server is within what
-    /// is allowed.
+    /// Time after which the prompt is expected to be admitted if nothing else changes, in
+    /// milliseconds.
+    pub admission_ms: f64,
+    /// Delay before the client should retry, in milliseconds: for a customer above its share, the
+    /// time until its usage has decayed to it; for others, the time until the best server is within
+    /// what is allowed; each within bounds.
     pub retry_after_ms: f64,
 }
 
 impl Rejection {
     pub(super) fn new(choice: Choice, budget: Budget, objective: Objective, usage: Usage) -> Self {
+        let excess_ms = budget.excess_ms(&choice, objective);
+        let (admission_ms, retry_after_ms) = if usage.is_over_share() {
+            let admission_ms = usage.decay_ms().min(excess_ms);
+            (admission_ms, retry_after::over_share_ms(usage))
+        } else {
+            (excess_ms, retry_after::busy_ms(excess_ms))
+        };
         Self {
             choice,
             allowed_ms: budget.allowed_ms(objective),
-            retry_after_ms: if usage.of_portion > 1.0 {
-                retry_after::over_share_ms(usage)
-            } else {
-                retry_after::busy_ms(budget.excess_ms(&choice, objective))
-            },
+            admission_ms,
+            retry_after_ms,
         }
     }
 }
--- a/crates/decide/tests/replay/gateway.rs
+++ b/crates/decide/tests/replay/gateway.rs
@@ -3,6 +3,7 @@
 use mulberryyoke_decide::engine::{Candidate, Engine, Part, PoolStats};
 use mulberryyoke_decide::share::Shares;
 use mulberryyoke_decide::shed::{self, Objective, Rejection};
+use mulberryyoke_decide::waiting::{self, Entry, Limits, Obstacle, Queue};
 use mulberryyoke_model::{CustomerId, Millis, ServerId};
 
 use crate::workload::{KINDS, Request};
@@ -10,6 +11,15 @@
 /// Longest acceptable pause of a stream.
 pub(crate) const MAX_PAUSE_MS: f64 = 600.0;
 
+/// Limits of a gateway's queue.
+const LIMITS: Limits = Limits {
+    requests: 32,
+    bytes: usize::MAX,
+};
+
+/// Time for which a caller waits for the first token.
+const PATIENCE_MS: Millis = 6_000;
+
 /// A request sent to a server.
 #[derive(Clone, Copy)]
 pub(crate) struct Dispatch {
@@ -29,6 +39,7 @@
     pub(crate) shares: Shares,
     /// Shared parts sent to servers since the last exchange with peers, with the prefill tokens.
     pub(crate) prefills: Vec<(usize, Vec<Part>, u32)>,
+    queue: Queue<Request>,
 }
 
 impl Gateway {
@@ -38,6 +49,7 @@
             pool_stats: PoolStats::default(),
             shares: Shares::default(),
             prefills: Vec::new(),
+            queue: Queue::default(),
         }
     }
 
@@ -85,6 +97,83 @@
     ) -> Result<Dispatch, Rejection> {
         let customer = CustomerId(request.customer);
         self.shares.record_request(customer, request.prompt.cost());
+        self.admit(request, is_down, now)
+    }
+
+    /// Puts a rejected request into the queue, and returns until when it may wait; `None` if it may
+    /// not. Also returns the requests to reject.
+    pub(crate) fn enqueue(
+        &mut self,
+        request: Request,
+        rejection: &Rejection,
+        now: Millis,
+    ) -> (Option<Millis>, Vec<Request>) {
+        let objective = objective(&request);
+        let until = waiting::until(rejection, objective, 0.0, now + PATIENCE_MS, now);
+        let Some(until) = until else {
+            return (None, vec![request]);
+        };
+        let entry = Entry {
+            customer: CustomerId(request.customer),
+            priority: 1,
+            deadline: now + PATIENCE_MS,
+            until,
+            tokens: request.prompt.tokens,
+            bytes: 0,
+            payload: request,
+        };
+        let usage = |customer| self.shares.usage(customer).of_portion;
+        let (_, removed) = self.queue.push(entry, LIMITS, usage);
+        let removed = removed.into_iter().map(|entry| entry.payload);
+        (Some(until), removed.collect())
+    }
+
+    /// Sends waiting requests, and returns those that leave the queue.
+    pub(crate) fn serve(
+        &mut self,
+        is_down: &[bool],
+        now: Millis,
+    ) -> Vec<(Request, Result<Dispatch, Rejection>)> {
+        let mut queue = std::mem::take(&mut self.queue);
+        let mut left = Vec::new();
+        for entry in queue.expire(now) {
+            let result = self.admit(&entry.payload, is_down, now);
+            left.push((entry.payload, result));
+        }
+        let gateway = std::cell::RefCell::new(&mut *self);
+        let served = queue.serve(
+            |customer| gateway.borrow().shares.usage(customer).of_portion,
+            |entry| {
+                let request = &entry.payload;
+                let mut gateway = gateway.borrow_mut();
+                let rejection = match gateway.admit(request, is_down, now) {
+                    Ok(dispatch) => return Ok(Ok(dispatch)),
+                    Err(rejection) => rejection,
+                };
+                #[expect(clippy::cast_precision_loss, reason = "some milliseconds")]
+                let elapsed_ms = now as f64 - request.at_ms;
+                if !waiting::is_in_time(&rejection, objective(request), elapsed_ms) {
+                    return Ok(Err(rejection));
+                }
+                if gateway.shares.usage(entry.customer).is_over_share() {
+                    return Err(Obstacle::Share);
+                }
+                Err(Obstacle::Room)
+            },
+        );
+        let served = served.into_iter();
+        left.extend(served.map(|(entry, result)| (entry.payload, result)));
+        self.queue = queue;
+        left
+    }
+
+    fn admit(
+        &mut self,
+        request: &Request,
+        is_down: &[bool],
+        now: Millis,
+    ) -> Result<Dispatch, Rejection> {
+        let customer = CustomerId(request.customer);
         let usage = self.shares.usage(customer);
         let engines = self.engines.iter().enumerate();
         let up = engines.filter(|(index, _)| !is_down[*index]);
@@ -93,10 +182,7 @@
             engine,
             penalty_ms: 0.0,
         });
-        let objective = Objective {
-            first_token_ms: KINDS[request.kind].objective_ms,
-            max_pause_ms: MAX_PAUSE_MS,
-        };
+        let objective = objective(request);
         let admitted = shed::admit(&request.prompt, candidates, objective, Some(usage), now);
         let choice = admitted.expect("a server is up")?;
         self.shares.record_grant(customer, request.prompt.cost());
@@ -114,3 +200,10 @@
         })
     }
 }
+
+fn objective(request: &Request) -> Objective {
+    Objective {
+        first_token_ms: KINDS[request.kind].objective_ms,
+        max_pause_ms: MAX_PAUSE_MS,
+    }
+}
--- a/crates/decide/tests/replay/report.rs
+++ b/crates/decide/tests/replay/report.rs
@@ -12,6 +12,8 @@
     /// On time in a later attempt.
     pub(crate) on_time_after_retry: u32,
     pub(crate) late: u32,
+    /// Rejected in the first attempt.
+    pub(crate) refused: u32,
     /// Rejected in the last attempt.
     pub(crate) rejected: u32,
     /// Tokens of all prompts and of those sent to servers.
@@ -29,6 +31,7 @@
         self.on_time += other.on_time;
         self.on_time_after_retry += other.on_time_after_retry;
         self.late += other.late;
+        self.refused += other.refused;
         self.rejected += other.rejected;
         self.tokens.0 += other.tokens.0;
         self.tokens.1 += other.tokens.1;
@@ -41,6 +44,10 @@
     tallies: Vec<[Tally; KINDS.len()]>,
     /// Tokens recomputed though another server had them cached.
     pub(crate) recomputed: u64,
+    /// Requests sent after they had waited in a gateway.
+    pub(crate) sent_after_wait: u32,
+    /// Longest wait in a gateway, as a fraction of the objective.
+    pub(crate) longest_wait: f64,
     /// Fraction of the time that servers spent on prefill.
     pub(crate) utilisation: f64,
 }
--- a/crates/decide/tests/replay/scenarios.rs
+++ b/crates/decide/tests/replay/scenarios.rs
@@ -42,6 +42,19 @@
     ..BASELINE
 };
 
+/// Three times the capacity for 100 ms of every second.
+const PULSES: Scenario = Scenario {
+    per_s: 60.0,
+    pulses: 8.0,
+    ..BASELINE
+};
+
+/// One customer sends ten times its usual requests.
+const VERY_HOT: Scenario = Scenario {
+    hot: 10.0,
+    ..BASELINE
+};
+
 const SCENARIOS: [(&str, Scenario); 10] = [
     ("baseline", BASELINE),
     ("hot customer", HOT),
@@ -160,3 +173,60 @@
         expect_that!(gap, le(max), "{name}");
     }
 }
+
+const fn with_queue(scenario: Scenario) -> Scenario {
+    Scenario {
+        has_queue: true,
+        ..scenario
+    }
+}
+
+/// Mean fraction of the small customers' requests that are served, and of those that are late.
+fn small_served_and_late(scenario: Scenario) -> (f64, f64) {
+    let served = mean(scenario, |report| small_customers(report, &ALL).served());
+    let late = mean(scenario, |report| {
+        let small = small_customers(report, &ALL);
+        f64::from(small.late) / f64::from(small.total)
+    });
+    (served, late)
+}
+
+#[gtest]
+fn short_bursts_are_refused_less_often_with_a_queue() {
+    let refused = |report: &Report| f64::from(report.sum(0..CUSTOMERS, &ALL).refused);
+    let (without, with) = (mean(PULSES, refused), mean(with_queue(PULSES), refused));
+    expect_that!(with, le(without * 0.75), "{with} {without}");
+    let served = |report: &Report| report.sum(0..CUSTOMERS, &ALL).served();
+    expect_that!(
+        mean(with_queue(PULSES), served),
+        ge(mean(PULSES, served) + 0.02)
+    );
+}
+
+#[gtest]
+fn a_queue_does_not_delay_small_customers() {
+    for (name, scenario) in [("pulses", PULSES), ("very hot", VERY_HOT)] {
+        let (served, late) = small_served_and_late(scenario);
+        let (queue_served, queue_late) = small_served_and_late(with_queue(scenario));
+        expect_that!(queue_served, ge(served - 0.005), "{name}");
+        expect_that!(queue_late, le(late + 0.005), "{name}");
+    }
+}
+
+#[gtest]
+fn no_request_waits_longer_than_an_eighth_of_its_objective() {
+    for scenario in [PULSES, VERY_HOT] {
+        let report = simulate(with_queue(scenario), 1);
+        expect_that!(report.sent_after_wait, gt(0));
+        expect_that!(report.longest_wait, le(0.125));
+    }
+}
+
+#[gtest]
+fn every_request_ends_once_with_a_queue() {
+    for scenario in [PULSES, VERY_HOT, RECONNECT_BURST] {
+        let all = simulate(with_queue(scenario), 9).sum(0..CUSTOMERS, &ALL);
+        let ended = all.on_time + all.on_time_after_retry + all.late + all.rejected;
+        expect_that!(ended, eq(all.total));
+    }
+}
--- a/crates/decide/tests/replay/simulation.rs
+++ b/crates/decide/tests/replay/simulation.rs
@@ -46,6 +46,10 @@
         stream_ms: f64,
     },
     Exchange,
+    /// The time of a waiting request is up.
+    Expiry {
+        gateway: usize,
+    },
 }
 
 pub(crate) struct Simulation {
@@ -113,16 +117,24 @@
                         stream_ms,
                     };
                     self.push(now_ms + stream_ms, completion);
+                    self.serve(gateway, now_ms);
                 }
                 Some(Event::Completion {
                     gateway,
                     dispatch,
                     stream_ms,
-                }) => self.gateways[gateway].record_completion(&dispatch, stream_ms),
+                }) => {
+                    self.gateways[gateway].record_completion(&dispatch, stream_ms);
+                    self.serve(gateway, now_ms);
+                }
                 Some(Event::Exchange) if now_ms < end_ms + DRAIN_MS => {
                     self.exchange(now_ms);
+                    for gateway in 0..GATEWAYS {
+                        self.serve(gateway, now_ms);
+                    }
                     self.push(now_ms + EXCHANGE_MS, Event::Exchange);
                 }
+                Some(Event::Expiry { gateway }) => self.serve(gateway, now_ms),
                 Some(Event::Exchange) | None => {}
             }
         }
@@ -131,17 +143,53 @@
         self.report
     }
 
-    fn arrive(&mut self, request: Request, now_ms: f64) {
+    fn arrive(&mut self, mut request: Request, now_ms: f64) {
+        request.at_ms = now_ms;
         let gateway = usize::try_from(self.next_event).unwrap_or(0) % GATEWAYS;
         let tally = self.report.tally(request.customer, request.kind);
         if request.attempt == 0 {
             tally.total += 1;
             tally.tokens.0 += u64::from(request.prompt.tokens);
         }
-        let is_down: Vec<bool> = self.servers.iter().map(|server| server.is_down).collect();
-        match self.gateways[gateway].dispatch(&request, &is_down, millis(now_ms)) {
-            Ok(dispatch) => self.send(gateway, &dispatch, &request, now_ms),
-            Err(rejection) => self.reject(request, rejection.retry_after_ms, now_ms),
+        let is_down = self.is_down();
+        let now = millis(now_ms);
+        let rejection = match self.gateways[gateway].dispatch(&request, &is_down, now) {
+            Ok(dispatch) => return self.send(gateway, &dispatch, &request, now_ms),
+            Err(rejection) => rejection,
+        };
+        let retry_after_ms = rejection.retry_after_ms;
+        if !self.scenario.has_queue {
+            return self.reject(request, retry_after_ms, now_ms);
+        }
+        let (until, removed) = self.gateways[gateway].enqueue(request, &rejection, now);
+        if let Some(until) = until {
+            #[expect(clippy::cast_precision_loss, reason = "seconds in milliseconds")]
+            let until_ms = until as f64;
+            self.push(until_ms, Event::Expiry { gateway });
+        }
+        for request in removed {
+            self.reject(request, retry_after_ms, now_ms);
+        }
+    }
+
+    fn is_down(&self) -> Vec<bool> {
+        self.servers.iter().map(|server| server.is_down).collect()
+    }
+
+    /// Sends or rejects the requests that leave a gateway's queue now.
+    fn serve(&mut self, gateway: usize, now_ms: f64) {
+        let is_down = self.is_down();
+        let left = self.gateways[gateway].serve(&is_down, millis(now_ms));
+        for (request, result) in left {
+            let wait = (now_ms - request.at_ms) / KINDS[request.kind].objective_ms;
+            self.report.longest_wait = self.report.longest_wait.max(wait);
+            match result {
+                Ok(dispatch) => {
+                    self.report.sent_after_wait += 1;
+                    self.send(gateway, &dispatch, &request, now_ms);
+                }
+                Err(rejection) => self.reject(request, rejection.retry_after_ms, now_ms),
+            }
         }
     }
 
@@ -159,7 +207,8 @@
         let cached = request.prompt.tokens - execution.prefilled;
         self.report.recomputed += u64::from(max_cached.saturating_sub(cached));
         let kind = &KINDS[request.kind];
-        let is_late = execution.first_ms - now_ms > kind.objective_ms || pause_ms > MAX_PAUSE_MS;
+        let is_late =
+            execution.first_ms - request.at_ms > kind.objective_ms || pause_ms > MAX_PAUSE_MS;
         let tally = self.report.tally(request.customer, request.kind);
         tally.tokens.1 += u64::from(request.prompt.tokens);
         match (is_late, request.attempt) {
@@ -178,6 +227,9 @@
 
     fn reject(&mut self, mut request: Request, retry_after_ms: f64, now_ms: f64) {
         let tally = self.report.tally(request.customer, request.kind);
+        if request.attempt == 0 {
+            tally.refused += 1;
+        }
         request.attempt += 1;
         if request.attempt > self.scenario.immediate_retries.max(1) {
             tally.rejected += 1;
--- a/crates/decide/tests/replay/workload.rs
+++ b/crates/decide/tests/replay/workload.rs
@@ -67,6 +67,10 @@
     pub(crate) hot: f64,
     /// A kind, and the multiple of its request rate from 4 to 8 s.
     pub(crate) burst: (usize, f64),
+    /// Multiple of all request rates during the first 100 ms of each second.
+    pub(crate) pulses: f64,
+    /// Whether prompts may wait in the gateways.
+    pub(crate) has_queue: bool,
     /// Fraction of the long requests that use the same shared part.
     pub(crate) hot_part: f64,
     /// Fraction of the servers that are down from 6 s on.
@@ -88,6 +92,8 @@
     seconds: 20,
     hot: 1.0,
     burst: (0, 1.0),
+    pulses: 1.0,
+    has_queue: false,
     hot_part: 0.0,
     down: 0.0,
     slowdown: 1.0,
@@ -145,6 +151,9 @@
         if kind == self.burst.0 && (4_000.0..8_000.0).contains(&at_ms) {
             rate *= self.burst.1;
         }
+        if at_ms % 1_000.0 < 100.0 {
+            rate *= self.pulses;
+        }
         rate
     }
 
--- a/crates/decide/tests/retry_after.rs
+++ b/crates/decide/tests/retry_after.rs
@@ -4,6 +4,8 @@
 use mulberryyoke_decide::retry_after::{busy_ms, outage_ms, over_share_ms, spread};
 use mulberryyoke_decide::share::{Shares, Usage};
 use mulberryyoke_model::CustomerId;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 const LARGE: CustomerId = CustomerId(1);
 const OTHER: CustomerId = CustomerId(2);
@@ -87,3 +89,76 @@
     expect_that!(spread(1_000.0, 1_800, 0.0), eq(400));
     expect_that!(spread(1_000.0, 1_800, 1.0), eq(600));
 }
+
+/// Callers that arrive every 50 ms at a pool that has no servers for 20 s. Each has 6 s and retries
+/// up to `retries` times. Returns the number of requests during the outage and of callers served.
+fn outage(retries: u32, retry_ms: impl Fn(u64, u64, f64) -> u32) -> (u32, u32) {
+    const END: u64 = 20_000;
+    const PATIENCE_MS: u64 = 6_000;
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    let (mut refused, mut served) = (0, 0);
+    for arrival in (0..END).step_by(50) {
+        let (mut now, mut left) = (arrival, retries);
+        loop {
+            if now >= END {
+                served += 1;
+                break;
+            }
+            refused += 1;
+            let remaining_ms = (arrival + PATIENCE_MS).saturating_sub(now);
+            if left == 0 || remaining_ms < 100 {
+                break;
+            }
+            left -= 1;
+            now += u64::from(retry_ms(now, remaining_ms, rng.random()).max(1));
+        }
+    }
+    (refused, served)
+}
+
+#[gtest]
+fn callers_ask_less_often_during_an_outage_and_more_of_them_outlast_it() {
+    let growing = |now, remaining_ms, random| spread(outage_ms(0, now), remaining_ms, random);
+    let constant = |_, _, _| 200;
+    // Callers that retry once: with a constant time, only those of the last 200 ms are served.
+    let (_, few) = outage(1, constant);
+    let (_, more) = outage(1, growing);
+    expect_that!((few, more), (le(4), ge(20)));
+    // Callers that retry until their time is up.
+    let (often, _) = outage(u32::MAX, constant);
+    let (seldom, _) = outage(u32::MAX, growing);
+    expect_that!(seldom * 2, le(often), "{seldom} {often}");
+}
+
+#[gtest]
+fn a_pool_is_used_within_a_second_after_an_outage() {
+    // Callers that were refused during an outage of 20 s; some of them return within a second.
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let end = 20_000;
+    let returns = (end - 2_000..end).step_by(50).map(|now| {
+        let told = spread(outage_ms(0, now), 6_000, rng.random());
+        now + u64::from(told)
+    });
+    let first = returns.filter(|&at| at >= end).min();
+    expect_that!(first, some(le(end + 1_000)));
+    // The first refusals of a later outage are short again.
+    expect_that!(spread(outage_ms(30_000, 30_100), 6_000, 1.0), le(300));
+}
+
+#[gtest]
+fn callers_refused_together_do_not_return_together() {
+    let mut rng = ChaCha8Rng::seed_from_u64(6);
+    for expected in [200.0, 1_000.0, 3_500.0] {
+        let mut windows = [0; 10];
+        for _ in 0..1_000 {
+            let told = f64::from(spread(expected, 6_000, rng.random()));
+            let base = expected.min(6_000.0 / 3.0 / 1.5);
+            let index = (0..10_u32)
+                .rev()
+                .find(|&index| told >= base * (1.0 + f64::from(index) / 20.0) - 1.0);
+            windows[index.unwrap_or(0) as usize] += 1;
+        }
+        // Ten windows of equal length get about a tenth of the callers each.
+        expect_that!(windows, each(all![ge(50), le(150)]), "{expected}");
+    }
+}
