Prompts wait in the gateway for admission that is near

A prompt that shed::admit rejects in its first attempt now waits in the gateway if decide::waiting expects its admission in time, instead of being refused at once. One task offers the waiting prompts to the normal admission after a first token or an end at this gateway, news from peers, or 10 ms, and before an arriving prompt is placed.

Requests are recorded as requested once. Suspects of the quarantine do not wait, and a prompt that has waited passes the quarantine again.

The rejection (event 1019) is logged when the request is refused, not at each admission.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -118,6 +118,10 @@
     PushbackRequested = 1036, Warning, "server requested pushback";
     /// A server answered a request after asking for pushback.
     PushbackEnded = 1037, Info, "server pushback ended";
+    /// A gateway keeps a rejected request for a short time, in which its admission is expected.
+    WaitStarted = 1038, Info, "request waiting";
+    /// A request no longer waits in a gateway.
+    WaitEnded = 1039, Info, "request wait ended";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
@@ -186,6 +190,8 @@
                 | Self::Streamed
                 | Self::Refused
                 | Self::HeldBack
+                | Self::WaitStarted
+                | Self::WaitEnded
                 | Self::Malformed
                 | Self::Withheld
         )
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -20,6 +20,7 @@
 use crate::config::Model;
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::protocol::ResponseHead;
+use crate::room::Room;
 use crate::server::Server;
 
 /// Divisor of a model server's memory that gives the size of its prompt cache; running requests
@@ -43,6 +44,8 @@
     pub(crate) isolated_requests: AtomicU32,
     pub(crate) cold: ColdLimiter,
     pub(crate) instance: Arc<Instance>,
+    /// Told when the server may have room for another request.
+    pub(crate) room: Arc<Room>,
     /// Whether the server is registered as leaving, or no longer registered.
     is_closed: AtomicBool,
     /// Whether its availability zone is being evacuated.
@@ -55,6 +58,7 @@
         model: Option<Model>,
         pool_stats: Arc<Mutex<PoolStats>>,
         instance: Arc<Instance>,
+        room: Arc<Room>,
     ) -> Self {
         let cache_tokens = model.map_or(0, |model| model.memory_tokens / CACHE_DIVISOR);
         let slots = model.map_or(server.slots, |model| model.slots);
@@ -68,6 +72,7 @@
             isolated_requests: AtomicU32::new(0),
             cold: ColdLimiter::default(),
             instance,
+            room,
             is_evacuated: AtomicBool::new(false),
             is_closed: AtomicBool::new(server.is_leaving),
             server,
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -90,6 +90,7 @@
                 .record_prefill(tokens, elapsed, *pool_stats);
             pool_stats.record_prefill(tokens, elapsed);
         }
+        self.backend.room.notify();
     }
 }
 
@@ -100,6 +101,7 @@
                 .isolated_requests
                 .fetch_sub(1, Ordering::Relaxed);
         }
+        self.backend.room.notify();
         let mut engine = self.backend.engine.lock();
         let Some(first_token_at) = self.first_token_at else {
             return engine.record_abort(self.prompt_tokens);
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -8,7 +8,7 @@
 use mulberryyoke_decide::pushback::retry_after_ms;
 use mulberryyoke_decide::retry_after;
 use mulberryyoke_decide::share::Usage;
-use mulberryyoke_decide::shed::{self, Objective, Rejection};
+use mulberryyoke_decide::shed::{self, Objective};
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::{CustomerId, PoolId, ServerId, saturating_u32};
 use rand::RngExt;
@@ -18,6 +18,7 @@
 use crate::call::Call;
 use crate::clock;
 use crate::core::Core;
+use crate::denial::Denial;
 use crate::refusal::Refusal;
 
 /// Selects a server that is not in `tried` and counts the request there. A request that
@@ -29,7 +30,25 @@
     tried: &[ServerId],
     may_have_run: bool,
     is_isolated: bool,
-) -> Result<InFlight, Refusal> {
+) -> Result<InFlight, Denial> {
+    let is_new = tried.is_empty();
+    select(core, call, tried, is_new, may_have_run, is_isolated)
+}
+
+/// As [`assign`], for a request that was rejected in its first attempt and has waited since. It is
+/// not recorded as requested again.
+pub(crate) fn assign_waiting(core: &Core, call: &Call) -> Result<InFlight, Denial> {
+    select(core, call, &[], false, false, false)
+}
+
+fn select(
+    core: &Core,
+    call: &Call,
+    tried: &[ServerId],
+    is_new: bool,
+    may_have_run: bool,
+    is_isolated: bool,
+) -> Result<InFlight, Denial> {
     let in_flight = core.registry.with_pool(call.pool, |servers| {
         let now = Instant::now();
         let (now_ms, is_view_fresh) = (clock::now_ms(), core.view.is_fresh());
@@ -40,7 +59,8 @@
             .collect();
         if open.is_empty() {
             let refusal = pushback(servers, now_ms);
-            return Err(refusal.unwrap_or_else(|| no_server(core, call, servers)));
+            let refusal = refusal.unwrap_or_else(|| no_server(core, call, servers));
+            return Err(Denial::Refused(refusal));
         }
         // Announcements relayed by peers may be wrong, so they only lower a server's priority.
         prefer(&mut open, |backend| !backend.instance.is_avoided(now_ms));
@@ -51,7 +71,7 @@
             });
         }
         if call.prompt.is_some() {
-            let usage = usage(core, call, tried.is_empty());
+            let usage = usage(core, call, is_new);
             let usage = (!may_have_run).then_some(usage);
             return assign_prompt(core, call, &open, usage, now);
         }
@@ -149,7 +169,7 @@
     open: &[&Arc<Backend>],
     usage: Option<Usage>,
     now: Instant,
-) -> Result<InFlight, Refusal> {
+) -> Result<InFlight, Denial> {
     let prompt = call.prompt.as_ref().ok_or(Refusal::NO_SERVER)?;
     let engines: Vec<_> = open.iter().map(|backend| backend.engine()).collect();
     let candidates = open.iter().zip(&engines).map(|(backend, engine)| {
@@ -161,14 +181,10 @@
         }
     });
     let candidates = shortlist(prompt, candidates, rand::rng().random());
-    let objective = Objective {
-        first_token_ms: as_f64(call.route.objective_ms),
-        max_pause_ms: call.route.max_gap_ms.map_or(f64::INFINITY, as_f64),
-    };
     let admitted = shed::admit(
         prompt,
         candidates.iter().copied(),
-        objective,
+        objective(call),
         usage,
         clock::now_ms(),
     );
@@ -179,8 +195,7 @@
         Ok(choice) => choice,
         Err(rejection) => {
             let usage = usage.unwrap_or_default();
-            let backend = find_server(open, Some(rejection.choice.server))?;
-            return Err(refuse(core, call, &rejection, usage, &backend.server.name));
+            return Err(Denial::Rejected { rejection, usage });
         }
     };
     let backend = find_server(open, Some(choice.server))?;
@@ -199,6 +214,14 @@
     Ok(InFlight::start(backend, Some(prompt)))
 }
 
+/// Latency objective of a request.
+pub(crate) fn objective(call: &Call) -> Objective {
+    Objective {
+        first_token_ms: as_f64(call.route.objective_ms),
+        max_pause_ms: call.route.max_gap_ms.map_or(f64::INFINITY, as_f64),
+    }
+}
+
 /// Refunds the customer's charge for a request that its server has not run.
 pub(crate) fn refund(core: &Core, call: &Call) {
     with_cost(call, |customer, tokens| {
@@ -225,13 +248,18 @@
     shares.usage(customer.id)
 }
 
-/// Logs the rejection of a prompt and returns its refusal; `server` names the best server.
-fn refuse(core: &Core, call: &Call, rejection: &Rejection, usage: Usage, server: &str) -> Refusal {
+/// Returns the refusal of a request that is not sent. Logs the reason if it is load.
+pub(crate) fn refuse(core: &Core, call: &Call, denial: Denial) -> Refusal {
+    let (rejection, usage) = match denial {
+        Denial::Refused(refusal) => return refusal,
+        Denial::Rejected { rejection, usage } => (rejection, usage),
+    };
     let choice = &rejection.choice;
+    let backend = core.registry.get_by_id(choice.server);
     log!(core.logger, Event::HeldBack,
         "request" => &call.id,
         "customer" => call.customer_name(),
-        "server" => server,
+        "server" => backend.as_ref().map(|backend| &*backend.server.name),
         "wait_ms" => saturating_u32(choice.wait_ms),
         "read_ms" => saturating_u32(choice.prefill_ms),
         "uncached" => choice.uncached,
@@ -241,7 +269,7 @@
         "of_portion" => saturating_u32(usage.of_portion * 100.0),
         "of_given" => saturating_u32(usage.of_given * 100.0));
     let retry_after_ms = spread(call, rejection.retry_after_ms);
-    if usage.of_portion > 1.0 {
+    if usage.is_over_share() {
         return Refusal::OverShare(retry_after_ms);
     }
     Refusal::Busy(retry_after_ms)
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,6 +22,7 @@
 use crate::retry_budgets::RetryBudgets;
 use crate::shutdown::Shutdown;
 use crate::view::View;
+use crate::waiting::Waiting;
 
 /// State of a gateway.
 pub(crate) struct Core {
@@ -37,6 +38,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) outages: Outages,
+    pub(crate) waiting: Waiting,
     /// Number of callers' open connections.
     pub(crate) connections: AtomicU32,
     pub(crate) overload: Overload,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -15,10 +15,12 @@
 use crate::call::Call;
 use crate::clock;
 use crate::core::Core;
+use crate::denial::Denial;
 use crate::outcome::Outcome;
 use crate::quarantine;
 use crate::refusal::Refusal;
 use crate::response_body::ResponseBody;
+use crate::waiting;
 
 /// Maximum number of servers tried that did not run the request.
 const MAX_NOT_RUN: u32 = 3;
@@ -107,12 +109,16 @@
         call: &Arc<Call>,
         resume_after: Option<u64>,
     ) -> Result<(Outcome, ServerId), Refusal> {
-        let verdict = quarantine::admit(core, call, self.is_admitted).await?;
-        self.is_suspect = verdict.crashes() > 0;
-        self.is_admitted = self.is_suspect;
-        let is_isolated = verdict.crashes() >= ISOLATION_CRASHES;
-        let in_flight =
-            balance::assign(core, call, &self.tried, self.possible_runs > 0, is_isolated)?;
+        let is_isolated = self.admit(core, call).await?;
+        if self.tried.is_empty() {
+            waiting::serve_if_changed(core);
+        }
+        let assigned =
+            balance::assign(core, call, &self.tried, self.possible_runs > 0, is_isolated);
+        let in_flight = match assigned {
+            Ok(in_flight) => in_flight,
+            Err(denial) => self.wait(core, call, denial).await?,
+        };
         let server = in_flight.backend.server.id;
         self.tried.push(server);
         log_routed(core, call, &in_flight, self.possible_runs + self.not_run);
@@ -134,6 +140,38 @@
         Ok((outcome, server))
     }
 
+    /// Admits the request to the quarantine's rules; `true` if it is to be isolated from other
+    /// suspects.
+    async fn admit(&mut self, core: &Arc<Core>, call: &Arc<Call>) -> Result<bool, Refusal> {
+        let verdict = quarantine::admit(core, call, self.is_admitted).await?;
+        self.is_suspect = verdict.crashes() > 0;
+        self.is_admitted = self.is_suspect;
+        Ok(verdict.crashes() >= ISOLATION_CRASHES)
+    }
+
+    /// Waits for a server after the first attempt was rejected because of load, or returns the
+    /// refusal.
+    async fn wait(
+        &mut self,
+        core: &Arc<Core>,
+        call: &Arc<Call>,
+        denial: Denial,
+    ) -> Result<InFlight, Refusal> {
+        if !self.tried.is_empty() || self.is_suspect {
+            return Err(balance::refuse(core, call, denial));
+        }
+        let in_flight = waiting::wait(core, call, denial).await?;
+        // Another copy of the request may have crashed a server in the meantime.
+        match self.admit(core, call).await {
+            Ok(true) => Ok(in_flight.isolate()),
+            Ok(false) => Ok(in_flight),
+            Err(refusal) => {
+                balance::refund(core, call);
+                Err(refusal)
+            }
+        }
+    }
+
     /// Returns the attempts with the last server counted as having run the request.
     fn after_run(&self) -> Self {
         Self {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -152,6 +152,7 @@
         }
         inner.apply_if_due(core, now);
         drop(inner);
+        core.registry.room.notify();
         for prefill in &message.prefills {
             if let Some(backend) = core.registry.get_by_id(prefill.server) {
                 backend.engine.lock().cache.insert(&prefill.shared);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::retry_budgets::RetryBudgets;
 use crate::shutdown::Shutdown;
 use crate::view::View;
+use crate::waiting::{self, Waiting};
 use crate::{control, follow, listen, overload, readiness};
 
 /// Time after the start of a shutdown in which requests are still accepted: the balancer keeps
@@ -83,6 +84,7 @@
             mirror: Mirror::new(),
             exchange,
             outages: Outages::default(),
+            waiting: Waiting::default(),
             shares: Mutex::default(),
             quarantine: Quarantine::new(),
             connections: AtomicU32::new(0),
@@ -98,6 +100,7 @@
         tokio::spawn(exchange::register(Arc::clone(&core)));
         tokio::spawn(overload::monitor(Arc::clone(&core)));
         tokio::spawn(exchange::run(Arc::clone(&core), exchange_socket));
+        tokio::spawn(waiting::run(Arc::clone(&core)));
         tokio::spawn(follow::run(Arc::clone(&core)));
         tokio::spawn(readiness::serve(
             Arc::clone(&core),
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -46,6 +46,14 @@
     metrics::gauge!("kv_reached_age_seconds").set(contact_age_s);
     metrics::gauge!("callers_connections").set(core.connections.load(Ordering::Relaxed));
     let config = core.view.config();
+    for (pool, count) in core.waiting.counts() {
+        let pool = config.as_ref().and_then(|config| config.pool(pool));
+        if let Some(pool) = pool {
+            let name = pool.name.clone();
+            #[expect(clippy::cast_precision_loss, reason = "gauges are floating-point")]
+            metrics::gauge!("waiting_requests", "pool" => name).set(count as f64);
+        }
+    }
     let version = config.map_or(0, |config| config.version());
     #[expect(clippy::cast_precision_loss, reason = "gauges are floating-point")]
     metrics::gauge!("configuration_version").set(version as f64);
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -19,6 +19,7 @@
 use crate::backend::Backend;
 use crate::clock;
 use crate::config::Config;
+use crate::room::Room;
 use crate::server::Server;
 
 /// Approximate maximum number of servers of a pool that a gateway uses. It uses a subset of larger
@@ -50,6 +51,8 @@
     evacuated: Mutex<HashSet<String>>,
     /// Instances of servers that sent announcements or pushback.
     pub(crate) instances: Instances,
+    /// Told when a server may have room for another request.
+    pub(crate) room: Arc<Room>,
 }
 
 impl Registry {
@@ -64,6 +67,7 @@
             pool_stats: Mutex::default(),
             evacuated: Mutex::default(),
             instances: Instances::default(),
+            room: Arc::default(),
         }
     }
 
@@ -158,7 +162,13 @@
         let pool_stats = Arc::clone(self.pool_stats.lock().entry(server.pool).or_default());
         let is_evacuated = self.evacuated.lock().contains(&server.zone);
         let instance = self.instances.get_or_new(server.id);
-        let backend = Arc::new(Backend::new(server, model, pool_stats, instance));
+        let backend = Arc::new(Backend::new(
+            server,
+            model,
+            pool_stats,
+            instance,
+            Arc::clone(&self.room),
+        ));
         backend.set_evacuated(is_evacuated);
         self.update(|servers| {
             servers.insert(name, backend);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -27,3 +27,4 @@
 mod retries;
 mod shutdown;
 mod streams;
+mod waiting;
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -16,9 +16,18 @@
 /// Timeout of every route, in milliseconds.
 pub(crate) const TIMEOUT_MS: u64 = 1_500;
 
-/// Latency objective of every route, in milliseconds.
+/// Latency objective of the other routes, in milliseconds.
 pub(crate) const OBJECTIVE_MS: u64 = 200;
 
+/// Prefix of a route for customers whose objective lets prompts wait in the gateway.
+pub(crate) const WAITING_PREFIX: &str = "/waiting/";
+
+/// Prefix of a public route with the same objective.
+pub(crate) const PATIENT_PREFIX: &str = "/patient/";
+
+/// Latency objective of these two routes, in milliseconds. Prompts wait for up to an eighth of it.
+pub(crate) const LONG_OBJECTIVE_MS: u64 = 4_000;
+
 /// Length of a prompt that misses the objective if queued behind another, in tokens.
 pub(crate) const LONG_PROMPT: u32 = 60_000;
 
@@ -150,6 +159,8 @@
             ("/stream/", RequestKind::Stream, 1),
             ("/resumable/", RequestKind::Resumable, 2),
             ("/keyed/", RequestKind::Idempotent, 2),
+            (WAITING_PREFIX, RequestKind::Stream, 1),
+            (PATIENT_PREFIX, RequestKind::Stream, 1),
         ];
         let routes = routes.map(|(prefix, kind, attempts)| route(prefix, kind, attempts));
         let pools = vec![pool("plain", None), pool("model", Some(model()))];
@@ -213,9 +224,13 @@
         host: "host.example".to_owned(),
         prefix: prefix.to_owned(),
         kind,
-        is_public: prefix != "/keyed/",
+        is_public: !["/keyed/", WAITING_PREFIX].contains(&prefix),
         timeout_ms: TIMEOUT_MS,
-        objective_ms: OBJECTIVE_MS,
+        objective_ms: if [WAITING_PREFIX, PATIENT_PREFIX].contains(&prefix) {
+            LONG_OBJECTIVE_MS
+        } else {
+            OBJECTIVE_MS
+        },
         max_gap_ms: kind.is_stream().then_some(100),
         max_attempts: attempts,
         priority: 1,
