--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -120,6 +120,10 @@
     PushbackEnded = 1037, Info, "server pushback ended";
     /// A server reported that its machine is slow, or no longer slow.
     ServerSlowed = 1038, Info, "server slowdown changed";
+    /// A gateway keeps a rejected request for a short time, in which its admission is expected.
+    WaitStarted = 1039, Info, "request waiting";
+    /// A request no longer waits in a gateway.
+    WaitEnded = 1040, Info, "request wait ended";
     /// A caller that read too slowly was cut off.
     CallerCut = 1041, Warning, "slow caller cut off";
     /// A sidecar granted a router a slot for a customer's request.
@@ -190,6 +194,8 @@
                 | Self::Streamed
                 | Self::Refused
                 | Self::HeldBack
+                | Self::WaitStarted
+                | Self::WaitEnded
                 | Self::Malformed
                 | Self::Withheld
         )
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -116,6 +116,7 @@
         let now = Instant::now();
         self.first_token_at = Some(now);
         self.backend.engine().record_first_token(self.position);
+        self.backend.room.notify();
         Some(now)
     }
 }
@@ -127,6 +128,7 @@
                 .isolated_requests
                 .fetch_sub(1, Ordering::Relaxed);
         }
+        self.backend.room.notify();
         let mut engine = self.backend.engine();
         let Some(first_token_at) = self.first_token_at else {
             return engine.record_abort(self.position);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -15,6 +15,7 @@
 use crate::buffers::Buffers;
 use crate::exchange::Exchange;
 use crate::mirror::Mirror;
+use crate::outages::Outages;
 use crate::overload::Overload;
 use crate::protocol::Protocol;
 use crate::quarantine::Quarantine;
@@ -22,6 +23,7 @@
 use crate::retry_budgets::RetryBudgets;
 use crate::shutdown::Shutdown;
 use crate::view::View;
+use crate::waiting::Waiting;
 
 /// State of a gateway.
 pub(crate) struct Core {
@@ -36,6 +38,8 @@
     pub(crate) shares: Mutex<Shares>,
     pub(crate) quarantine: Quarantine,
     pub(crate) retry_budgets: RetryBudgets,
+    pub(crate) outages: Outages,
+    pub(crate) waiting: Waiting,
     /// Number of callers' open connections.
     pub(crate) connections: AtomicU32,
     pub(crate) overload: Overload,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::error::Error;
 use crate::exchange::{self, Exchange};
 use crate::mirror::Mirror;
+use crate::outages::Outages;
 use crate::overload::Overload;
 use crate::protocol::Protocol;
 use crate::quarantine::Quarantine;
@@ -28,6 +29,7 @@
 use crate::retry_budgets::RetryBudgets;
 use crate::shutdown::Shutdown;
 use crate::view::View;
+use crate::waiting::{self, Waiting};
 use crate::{control, follow, listen, overload, readiness};
 
 /// Time after the start of a shutdown in which requests are still accepted: the balancer keeps
@@ -83,6 +85,8 @@
             registry,
             mirror: Mirror::new(),
             exchange,
+            outages: Outages::default(),
+            waiting: Waiting::default(),
             shares: Mutex::default(),
             quarantine: Quarantine::new(),
             connections: AtomicU32::new(0),
@@ -100,6 +104,7 @@
         tokio::spawn(overload::monitor(Arc::clone(&core)));
         tokio::spawn(buffers::monitor(Arc::clone(&core)));
         tokio::spawn(exchange::run(Arc::clone(&core), exchange_socket));
+        tokio::spawn(waiting::run(Arc::clone(&core)));
         tokio::spawn(follow::run(Arc::clone(&core)));
         tokio::spawn(readiness::serve(
             Arc::clone(&core),
