--- a/crates/decide/src/retry_after.rs
+++ b/crates/decide/src/retry_after.rs
@@ -42,6 +42,18 @@
     excess_ms.clamp(BUSY_MS.0, BUSY_MS.1)
 }
 
+/// Time until a retry that can still meet the objective, which counts from the first attempt, if it
+/// is shorter than `expected_ms`. `first_token_ms` is the expected time to first token without a
+/// queue. If no retry can meet the objective, the expected time is kept.
+#[must_use]
+pub fn within_objective_ms(expected_ms: f64, objective_ms: f64, first_token_ms: f64) -> f64 {
+    let latest_ms = (objective_ms - first_token_ms) / (1.0 + SPREAD);
+    if latest_ms < BUSY_MS.0 {
+        return expected_ms;
+    }
+    expected_ms.min(latest_ms)
+}
+
 /// Time after which to ask again for a pool of which no server can be used since `since`, in
 /// milliseconds.
 #[must_use]
--- a/crates/decide/src/shed/rejection.rs
+++ b/crates/decide/src/shed/rejection.rs
@@ -18,7 +18,7 @@
     pub admission_ms: f64,
     /// Delay before the client should retry, in milliseconds: for a customer above its share, the
     /// time until its usage has decayed to it; for others, the time until the best server is within
-    /// what is allowed; each within bounds.
+    /// what is allowed; each within bounds, and not so long that the retry misses the objective.
     pub retry_after_ms: f64,
 }
 
@@ -31,6 +31,11 @@
         } else {
             (excess_ms, retry_after::busy_ms(excess_ms))
         };
+        let retry_after_ms = retry_after::within_objective_ms(
+            retry_after_ms,
+            objective.first_token_ms,
+            choice.prefill_ms,
+        );
         Self {
             choice,
             allowed_ms: budget.allowed_ms(objective),
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -111,7 +111,7 @@
         deadline: call.deadline_ms,
         until,
         tokens: call.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
-        bytes: call.body.len() + HEAD_BYTES,
+        bytes: call.body.bytes().len() + HEAD_BYTES,
         payload: Waiter::new(call, denial, sender),
     };
     let mut queues = core.waiting.0.lock();
