Plain services: choose by the expected time of a request

Cause: each request at a server cost 10 ms, whatever its slots, speed and the service, so that a server whose machine was slowed 2.5 times, and which answered few requests, looked best. Change: plain::choose estimates the time from requests, slots and slowdown, and the learned service time of the pool. Requests are those of a report of at most 300 ms and what was sent since, else the known counts of all gateways. The zone cost and the failure penalty stay. Of equal servers each gateway chooses another one. Result: gateway tests: a slowed server gets nothing from its first report until the report expires or another says so, at the gateway that got it and at its peers.

--- a/crates/decide/src/engine/pool_stats.rs
+++ b/crates/decide/src/engine/pool_stats.rs
@@ -1,6 +1,7 @@
 //! Observed latency and request duration of the servers in a pool.
 
 use super::Latency;
+use crate::plain::Service;
 
 /// Initial slot hold time: a stream of a few hundred tokens on a loaded server.
 const INITIAL_HOLD_MS: f64 = 2_000.0;
@@ -20,6 +21,8 @@
 pub struct PoolStats {
     latency: Latency,
     mean_hold_ms: f64,
+    /// Of a plain pool only.
+    service: Service,
 }
 
 impl Default for PoolStats {
@@ -27,6 +30,7 @@
         Self {
             latency: Latency::default(),
             mean_hold_ms: INITIAL_HOLD_MS,
+            service: Service::default(),
         }
     }
 }
@@ -44,6 +48,18 @@
         self.mean_hold_ms
     }
 
+    /// Service time of a plain pool.
+    #[must_use]
+    pub const fn service(self) -> Service {
+        self.service
+    }
+
+    /// Records that a plain request took `ms` at a server with this slowdown, which had `slots` and
+    /// this number of `requests` when it was sent.
+    pub fn record_service(&mut self, ms: f64, slowdown: f64, requests: u32, slots: u32) {
+        self.service.record(ms, slowdown, requests, slots);
+    }
+
     /// Records how long a request held its slot, in milliseconds.
     pub fn record_hold(&mut self, ms: f64) {
         let ms = ms.clamp(HOLD_BOUNDS_MS.0, HOLD_BOUNDS_MS.1);
--- a/crates/decide/src/server_load.rs
+++ b/crates/decide/src/server_load.rs
@@ -8,6 +8,5 @@
 
 use mulberryyoke_model::Millis;
 
-/// Time for which a report counts, in milliseconds. Queues and slowdowns change many times a
-/// second.
+/// Time for which a reported slowdown counts, in milliseconds. It changes many times a second.
 pub const MAX_AGE_MS: Millis = 1_000;
--- a/crates/decide/src/server_load/queue.rs
+++ b/crates/decide/src/server_load/queue.rs
@@ -2,7 +2,11 @@
 
 use mulberryyoke_model::Millis;
 
-use super::{MAX_AGE_MS, Report};
+use super::Report;
+
+/// Time for which a reported queue counts, in milliseconds. What gateways tell each other of their
+/// requests is about as old, and plain requests take less.
+const MAX_AGE_MS: Millis = 300;
 
 /// Queue of one server by its last report, and what this gateway has sent since.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -89,6 +89,14 @@
         engine
     }
 
+    /// Requests at the server and its slots: by its last report while that is recent, else by what
+    /// the gateways know of each other.
+    pub(crate) fn occupancy(&self, engine: &Engine, now_ms: u64) -> (u32, u32) {
+        let queue = *self.queue.lock();
+        let requests = queue.requests(now_ms).unwrap_or_else(|| engine.requests());
+        (requests, queue.slots().unwrap_or(engine.slots))
+    }
+
     /// Whether new requests may be sent to the server.
     pub(crate) fn is_open(&self) -> bool {
         !self.is_closed() && !self.is_evacuated.load(Ordering::Relaxed)
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -21,6 +21,8 @@
     queued_tokens: u32,
     /// Whether the server had a free slot when the request was sent.
     had_free_slot: bool,
+    /// Requests at the server and its slots when the request was sent.
+    occupancy: (u32, u32),
     /// Slowdown that the server had reported when the request was sent, as a factor.
     slowdown: f64,
     pub(crate) sent_at: Instant,
@@ -40,6 +42,7 @@
         let mut engine = backend.engine();
         let queued_tokens = engine.backlog();
         let had_free_slot = engine.excess_requests() == 0;
+        let occupancy = backend.occupancy(&engine, now_ms);
         let slowdown = engine.speed.slowdown(now_ms);
         let position = engine.record_send(prompt.unwrap_or(&empty), now_ms);
         if prompt.is_none() || !is_stream {
@@ -52,6 +55,7 @@
             position,
             queued_tokens,
             had_free_slot,
+            occupancy,
             slowdown,
             sent_at: Instant::now(),
             first_token_at: None,
@@ -81,6 +85,9 @@
     /// Records a complete response and returns its connection to the pool.
     pub(crate) fn complete(mut self, conn: Connection, response_head: ResponseHead) {
         self.record_response_start();
+        if !self.backend.is_model {
+            self.record_service();
+        }
         self.backend.health.lock().record_success(Instant::now());
         self.backend.release_conn(conn, response_head);
     }
@@ -108,6 +115,17 @@
         }
     }
 
+    /// Records the time of a complete plain request.
+    fn record_service(&self) {
+        let engine = self.backend.engine.lock();
+        let slowdown = f64::midpoint(self.slowdown, engine.speed.slowdown(clock::now_ms()));
+        drop(engine);
+        let elapsed = elapsed_ms(self.sent_at, Instant::now());
+        let (requests, slots) = self.occupancy;
+        let mut pool_stats = self.backend.pool_stats.lock();
+        pool_stats.record_service(elapsed, slowdown, requests, slots);
+    }
+
     /// Counts the request as running and returns the time, if it is the first call.
     fn record_response_start(&mut self) -> Option<Instant> {
         if self.first_token_at.is_some() {
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -56,13 +56,26 @@
             return assign_prompt(core, call, &open, usage, now);
         }
         let zone = &core.settings.load().zone;
-        let candidates = open.iter().map(|backend| plain::Candidate {
-            server: backend.server.id,
-            requests: backend.engine.lock().requests(),
-            is_same_zone: backend.server.zone == *zone,
-            penalty_ms: backend.health.lock().penalty_ms(now),
+        // Gateways that know of the same load would otherwise all choose the first server.
+        let first = rand::rng().random_range(0..open.len());
+        open.rotate_left(first);
+        let service = open
+            .first()
+            .map(|backend| backend.pool_stats.lock().service());
+        let candidates = open.iter().map(|backend| {
+            let engine = backend.engine();
+            let (requests, slots) = backend.occupancy(&engine, now_ms);
+            plain::Candidate {
+                server: backend.server.id,
+                requests,
+                slots,
+                slowdown: engine.speed.slowdown(now_ms),
+                is_same_zone: backend.server.zone == *zone,
+                penalty_ms: backend.health.lock().penalty_ms(now),
+            }
         });
-        let backend = find_server(&open, plain::choose(candidates))?;
+        let chosen = plain::choose(candidates, service.unwrap_or_default());
+        let backend = find_server(&open, chosen)?;
         Ok(InFlight::start(backend, None, call.route.kind.is_stream()))
     })?;
     if is_isolated {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -24,5 +24,6 @@
 mod responses;
 mod restore;
 mod retries;
+mod server_load;
 mod shutdown;
 mod streams;
