--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -21,6 +21,8 @@
     queued_tokens: u32,
     /// Whether the server had a free slot when the request was sent.
     had_free_slot: bool,
+    /// Expected time from the sending to the first token, in milliseconds.
+    expected_ms: f64,
     /// Requests at the server and its slots when the request was sent.
     occupancy: (u32, u32),
     /// Slowdown that the server had reported when the request was sent, as a factor.
@@ -44,7 +46,9 @@
         let had_free_slot = engine.excess_requests() == 0;
         let occupancy = backend.occupancy(&engine, now_ms);
         let slowdown = engine.speed.slowdown(now_ms);
+        let wait_ms = engine.wait_ms();
         let position = engine.record_send(prompt.unwrap_or(&empty), now_ms);
+        let expected_ms = wait_ms + engine.first_token_ms(position.tokens);
         if prompt.is_none() || !is_stream {
             engine.set_unobserved(position);
         }
@@ -55,6 +59,7 @@
             position,
             queued_tokens,
             had_free_slot,
+            expected_ms,
             occupancy,
             slowdown,
             sent_at: Instant::now(),
@@ -82,6 +87,17 @@
         self.position.tokens
     }
 
+    /// Expected time from the sending to the first token, in milliseconds.
+    pub(crate) const fn expected_ms(&self) -> f64 {
+        self.expected_ms
+    }
+
+    /// Time from the sending to the first token, in milliseconds; `None` before it.
+    pub(crate) fn first_token_ms(&self) -> Option<u64> {
+        let first_token_at = self.first_token_at?;
+        Some(clock::between_ms(self.sent_at, first_token_at))
+    }
+
     /// Records a complete response and returns its connection to the pool.
     pub(crate) fn complete(mut self, conn: Connection, response_head: ResponseHead) {
         self.record_response_start();
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,7 +6,7 @@
 
 use hyper::Response;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::ServerId;
+use mulberryyoke_model::{ServerId, saturating_u32};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -197,6 +197,8 @@
 }
 
 fn log_routed(core: &Core, call: &Call, in_flight: &InFlight, attempt: u32) {
+    let speed = in_flight.backend.engine().speed;
+    let (now_ms, percent) = (clock::now_ms(), 100.0);
     log!(core.logger, Event::Routed,
         "request" => &call.id,
         "attempt" => attempt,
@@ -205,6 +207,9 @@
         "server" => &in_flight.backend.server.name,
         "unread" => in_flight.queued_tokens(),
         "uncached" => in_flight.prompt_tokens(),
+        "expected_ms" => saturating_u32(in_flight.expected_ms()),
+        "learned_speed" => saturating_u32(speed.learned(now_ms) * percent),
+        "slowdown" => saturating_u32(speed.slowdown(now_ms) * percent),
         "view_age_ms" => core.view.age_ms(),
         "elapsed_ms" => clock::between_ms(call.received_at, Instant::now()));
 }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -46,6 +46,20 @@
     metrics::gauge!("kv_reached_age_seconds").set(contact_age_s);
     metrics::gauge!("callers_connections").set(core.connections.load(Ordering::Relaxed));
     let config = core.view.config();
+    for (id, stats) in core.registry.pool_stats() {
+        let Some(pool) = config.as_ref().and_then(|config| config.pool(id)) else {
+            continue;
+        };
+        let pool_name = pool.name.clone();
+        if pool.model.is_some() {
+            let latency = stats.latency();
+            metrics::gauge!("prefill_tokens_per_ms", "pool" => pool_name.clone())
+                .set(latency.tokens_per_ms());
+            metrics::gauge!("first_token_fixed_ms", "pool" => pool_name).set(latency.fixed_ms());
+        } else {
+            metrics::gauge!("service_ms", "pool" => pool_name).set(stats.service().mean_ms());
+        }
+    }
     let version = config.map_or(0, |config| config.version());
     #[expect(clippy::cast_precision_loss, reason = "gauges are floating-point")]
     metrics::gauge!("configuration_version").set(version as f64);
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -114,6 +114,13 @@
         ids.collect()
     }
 
+    /// Latency statistics of all pools.
+    pub(crate) fn pool_stats(&self) -> Vec<(PoolId, PoolStats)> {
+        let pools = self.pool_stats.lock();
+        let stats = pools.iter().map(|(&id, stats)| (id, *stats.lock()));
+        stats.collect()
+    }
+
     /// Statistics of all model servers. The wait leaves out servers that accept little or nothing:
     /// cold ones, those with active pushback and those of evacuated zones.
     pub(crate) fn model_stats(&self) -> ModelStats {
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::saturating_u32;
 use mulberryyoke_wire::sse::{self, EventBuffer};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -249,6 +250,8 @@
             "server" => &self.in_flight.backend.server.name,
             "end" => end.label(),
             "pieces" => self.relayed,
+            "expected_ms" => saturating_u32(self.in_flight.expected_ms()),
+            "first_token_ms" => self.in_flight.first_token_ms(),
             "pause_ms" => self.max_pause_ms,
             "elapsed_ms" => elapsed_ms);
         metrics::counter!("streams_total", "end" => end.label()).increment(1);
