Replay: servers of the second fleet

Cause: no replay had a fixed part of the time to first token, or servers that are slower than the others at all times. Change: a scenario with 60 ms from prefill to the first token and three of nine servers at 0.55 of the usual speed, at two loads.

--- a/crates/decide/tests/replay/scenarios.rs
+++ b/crates/decide/tests/replay/scenarios.rs
@@ -86,6 +86,15 @@
     ),
 ];
 
+/// The first token comes 60 ms after prefill, and servers at indexes 0, 4 and 8 run at 0.55 of the
+/// usual speed.
+const SECOND_FLEET: Scenario = Scenario {
+    per_s: 110.0,
+    fixed_ms: 60.0,
+    slow_quarter: 1.0 / 0.55,
+    ..BASELINE
+};
+
 /// Mean of a metric over the seeds.
 fn mean(scenario: Scenario, metric: impl Fn(&Report) -> f64) -> f64 {
     let values: Vec<f64> = SEEDS
@@ -172,3 +181,28 @@
     let gaps = (1..=40).map(|seed| simulate(RECONNECT_BURST, seed).gap(SMALL));
     expect_that!(gaps.sum::<f64>() / 40.0, le(0.22));
 }
+
+#[gtest]
+fn servers_of_the_second_fleet_are_used() {
+    // Guards against rejections at idle servers: with the fixed part counted as prefill, and
+    // prompts counted in full until their first token, 0.91, 0.90 and 0.77 were served.
+    let table = [
+        (75.0, 1.0, 0.93),
+        (75.0, SECOND_FLEET.slow_quarter, 0.93),
+        (110.0, SECOND_FLEET.slow_quarter, 0.79),
+    ];
+    for (per_s, slow_quarter, min) in table {
+        let scenario = Scenario {
+            per_s,
+            slow_quarter,
+            ..SECOND_FLEET
+        };
+        let all = |report: &Report| report.sum(0..CUSTOMERS, &ALL);
+        let served = mean(scenario, |report| all(report).served());
+        expect_that!(served, ge(min), "{per_s} per second, {slow_quarter}");
+        let late = mean(scenario, |report| {
+            f64::from(all(report).late) / f64::from(all(report).total)
+        });
+        expect_that!(late, le(0.02), "{per_s} per second, {slow_quarter}");
+    }
+}
--- a/crates/decide/tests/replay/server.rs
+++ b/crates/decide/tests/replay/server.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
     pub(crate) cache: Cache,
+    /// Time from the end of prefill to the first token, beyond a decode step, in milliseconds.
+    pub(crate) fixed_ms: f64,
     /// Factor by which it is slower than usual.
     pub(crate) slowdown: f64,
     pub(crate) is_down: bool,
@@ -44,6 +46,7 @@
     pub(crate) fn new(cache_tokens: u32, slots: u32) -> Self {
         Self {
             cache: Cache::new(cache_tokens),
+            fixed_ms: 0.0,
             slowdown: 1.0,
             is_down: false,
             idle_at_ms: 0.0,
@@ -64,7 +67,7 @@
         let Reverse(slot_us) = self.slots.pop().expect("a server has slots");
         let start_ms = self.idle_at_ms.max(now_ms).max(from_us(slot_us));
         self.idle_at_ms = start_ms + prefill_ms;
-        let first_ms = self.idle_at_ms + STEP_MS * self.slowdown;
+        let first_ms = self.idle_at_ms + STEP_MS * self.slowdown + self.fixed_ms;
         self.slots.push(Reverse(to_us(first_ms + stream_ms)));
         Execution {
             first_ms,
--- a/crates/decide/tests/replay/simulation.rs
+++ b/crates/decide/tests/replay/simulation.rs
@@ -73,6 +73,12 @@
         exchanges: 0,
         report: Report::new(),
     };
+    for (index, server) in simulation.servers.iter_mut().enumerate() {
+        server.fixed_ms = scenario.fixed_ms;
+        if index % 4 == 0 {
+            server.slowdown = scenario.slow_quarter;
+        }
+    }
     for request in scenario.requests(seed) {
         simulation.push(request.at_ms, Event::Arrival(request));
     }
@@ -266,11 +272,9 @@
             let position = f64::from(u32::try_from(index).unwrap_or(0))
                 / f64::from(u32::try_from(SERVERS).unwrap_or(1));
             server.is_down = position < self.scenario.down;
-            server.slowdown = if position >= 0.6 {
-                self.scenario.slowdown
-            } else {
-                1.0
-            };
+            if position >= 0.6 && self.scenario.slowdown > 1.0 {
+                server.slowdown = self.scenario.slowdown;
+            }
         }
     }
 }
--- a/crates/decide/tests/replay/workload.rs
+++ b/crates/decide/tests/replay/workload.rs
@@ -81,6 +81,10 @@
     pub(crate) huge: f64,
     /// Maximum number of concurrent requests per server.
     pub(crate) slots: u32,
+    /// Time from the end of prefill to the first token, beyond a decode step, in milliseconds.
+    pub(crate) fixed_ms: f64,
+    /// Factor by which a quarter of the servers are slower than the others at all times.
+    pub(crate) slow_quarter: f64,
 }
 
 pub(crate) const BASELINE: Scenario = Scenario {
@@ -95,6 +99,8 @@
     immediate_retries: 0,
     huge: 0.0,
     slots: 64,
+    fixed_ms: 0.0,
+    slow_quarter: 1.0,
 };
 
 /// Number of customers. The usual request rate halves from each to the next, down to a floor.
