Backlog: a stuck prompt is no sign of a stalled server

Cause: one prompt without a first token raised the wait at its server until it timed out, also while later prompts there were answered. Change: a first token clears the due time of the prompts sent before it.

--- a/crates/decide/src/engine.rs
+++ b/crates/decide/src/engine.rs
@@ -203,6 +203,7 @@
 
     /// Records the first token of a request.
     pub fn record_first_token(&mut self, position: Position) {
+        self.prompts.record_first_token(position);
         self.record_abort(position);
         self.own.running += 1;
     }
--- a/crates/decide/src/engine/backlog.rs
+++ b/crates/decide/src/engine/backlog.rs
@@ -80,6 +80,17 @@
         }
     }
 
+    /// Records that a prompt has produced its first token. Servers prefill in order, so that prompts
+    /// sent before it that lack theirs say nothing of the server's speed any more.
+    pub(super) fn record_first_token(&mut self, position: Position) {
+        for entry in &mut self.entries {
+            if entry.position.id < position.id {
+                entry.due = Millis::MAX;
+            }
+        }
+        self.remove(position);
+    }
+
     /// Removes a prompt that has produced its first token, or ended without.
     pub(super) fn remove(&mut self, position: Position) {
         self.entries
--- a/crates/decide/tests/backlog.rs
+++ b/crates/decide/tests/backlog.rs
@@ -129,6 +129,20 @@
     expect_that!(stalled.wait_ms(), eq(0.0));
 }
 
+#[gtest]
+fn a_single_stuck_prompt_does_not_make_its_server_look_stalled() {
+    // Otherwise the only server of a pool rejects everyone until the stuck request times out.
+    let mut engine = engine();
+    engine.record_send(&prompt(800), 0);
+    let second = engine.record_send(&prompt(800), 400);
+    engine.advance(440);
+    expect_that!(engine.wait_ms(), ge(300.0));
+    engine.record_first_token(second);
+    expect_that!(engine.wait_ms(), eq(0.0));
+    engine.advance(5_000);
+    expect_that!(engine.wait_ms(), eq(0.0));
+}
+
 #[gtest]
 fn a_prompt_behind_others_is_not_overdue_while_they_are_prefilled() {
     let mut engine = engine();
