--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -21,6 +21,10 @@
     queued_tokens: u32,
     /// Whether the server had a free slot when the request was sent.
     had_free_slot: bool,
+    /// Expected time from the sending to the first token, in milliseconds.
+    expected_ms: f64,
+    /// Requests at the server and its slots when the request was sent.
+    occupancy: (u32, u32),
     /// Slowdown that the server had reported when the request was sent, as a factor.
     slowdown: f64,
     pub(crate) sent_at: Instant,
@@ -40,8 +44,11 @@
         let mut engine = backend.engine();
         let queued_tokens = engine.backlog();
         let had_free_slot = engine.excess_requests() == 0;
+        let occupancy = backend.occupancy(&engine, now_ms);
         let slowdown = engine.speed.slowdown(now_ms);
+        let wait_ms = engine.wait_ms();
         let position = engine.record_send(prompt.unwrap_or(&empty), now_ms);
+        let expected_ms = wait_ms + engine.first_token_ms(position.tokens);
         if prompt.is_none() || !is_stream {
             engine.set_unobserved(position);
         }
@@ -52,6 +59,8 @@
             position,
             queued_tokens,
             had_free_slot,
+            expected_ms,
+            occupancy,
             slowdown,
             sent_at: Instant::now(),
             first_token_at: None,
@@ -78,9 +87,23 @@
         self.position.tokens
     }
 
+    /// Expected time from the sending to the first token, in milliseconds.
+    pub(crate) const fn expected_ms(&self) -> f64 {
+        self.expected_ms
+    }
+
+    /// Time from the sending to the first token, in milliseconds; `None` before it.
+    pub(crate) fn first_token_ms(&self) -> Option<u64> {
+        let first_token_at = self.first_token_at?;
+        Some(clock::between_ms(self.sent_at, first_token_at))
+    }
+
     /// Records a complete response and returns its connection to the pool.
     pub(crate) fn complete(mut self, conn: Connection, response_head: ResponseHead) {
         self.record_response_start();
+        if !self.backend.is_model {
+            self.record_service();
+        }
         self.backend.health.lock().record_success(Instant::now());
         self.backend.release_conn(conn, response_head);
     }
@@ -108,6 +131,17 @@
         }
     }
 
+    /// Records the time of a complete plain request.
+    fn record_service(&self) {
+        let engine = self.backend.engine.lock();
+        let slowdown = f64::midpoint(self.slowdown, engine.speed.slowdown(clock::now_ms()));
+        drop(engine);
+        let elapsed = elapsed_ms(self.sent_at, Instant::now());
+        let (requests, slots) = self.occupancy;
+        let mut pool_stats = self.backend.pool_stats.lock();
+        pool_stats.record_service(elapsed, slowdown, requests, slots);
+    }
+
     /// Counts the request as running and returns the time, if it is the first call.
     fn record_response_start(&mut self) -> Option<Instant> {
         if self.first_token_at.is_some() {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod responses;
 mod restore;
 mod retries;
+mod server_load;
 mod shutdown;
 mod slow;
 mod streams;
