Queue: up to four prompts of a customer above its share are tried in a pass

A customer above its share was passed over after its first prompt that was not admitted, though a smaller or cached one of its prompts might have been.

Up to four are tried now.

Tests: decide waiting, shed, share, replay (release build); gateway waiting, outages, admission.

--- a/crates/decide/src/waiting/queue.rs
+++ b/crates/decide/src/waiting/queue.rs
@@ -5,10 +5,15 @@
 
 use mulberryyoke_model::{CustomerId, Millis};
 use slotmap::SlotMap;
+use smallvec::SmallVec;
 
 use super::{Entry, Limits, Obstacle};
 use crate::queue::EntryKey;
 
+/// Number of prompts of a customer above its share that are attempted in one pass. A smaller one or
+/// one with a cached prefix may be admitted where the first is not.
+const MAX_ATTEMPTS: usize = 4;
+
 /// Prompts of one pool that wait in one gateway.
 ///
 /// Customers with the lowest usage of their share come first. Among the prompts of a customer, the
@@ -85,20 +90,21 @@
     }
 
     /// Attempts to send the waiting prompts in their order, and returns those that are done, with
-    /// the results. Stops at the first that has to wait for room; prompts of a customer above its
-    /// share are passed over.
+    /// the results. Stops at the first that has to wait for room; those of customers above their
+    /// share are passed over, and so are a customer's others after a few of them.
     pub fn serve<A>(
         &mut self,
         usage: impl Fn(CustomerId) -> f64,
         mut attempt: impl FnMut(&Entry<T>) -> Result<A, Obstacle>,
     ) -> Vec<(Entry<T>, A)> {
         let mut done = Vec::new();
-        let mut blocked = Vec::new();
-        while let Some(key) = self.first(&usage, &blocked) {
+        let mut passed_over: HashMap<CustomerId, SmallVec<[EntryKey; MAX_ATTEMPTS]>> =
+            HashMap::new();
+        while let Some(key) = self.first(&usage, &passed_over) {
             let (_, entry) = &self.entries[key];
             match attempt(entry) {
                 Ok(result) => done.extend(self.remove(key).map(|entry| (entry, result))),
-                Err(Obstacle::Share) => blocked.push(entry.customer),
+                Err(Obstacle::Share) => passed_over.entry(entry.customer).or_default().push(key),
                 Err(Obstacle::Room) => break,
             }
         }
@@ -124,14 +130,16 @@
         self.entries.values().map(|(_, entry)| entry.until).min()
     }
 
-    /// The first prompt in the order, of customers that are not blocked.
+    /// The first prompt in the order that is not passed over.
     fn first(
         &self,
         usage: &impl Fn(CustomerId) -> f64,
-        blocked: &[CustomerId],
+        passed_over: &HashMap<CustomerId, SmallVec<[EntryKey; MAX_ATTEMPTS]>>,
     ) -> Option<EntryKey> {
-        let entries = self.entries.iter();
-        let entries = entries.filter(|(_, (_, entry))| !blocked.contains(&entry.customer));
+        let entries = self.entries.iter().filter(|(key, (_, entry))| {
+            let keys = passed_over.get(&entry.customer);
+            keys.is_none_or(|keys| keys.len() < MAX_ATTEMPTS && !keys.contains(key))
+        });
         let first = entries.min_by(|(_, a), (_, b)| compare(a, b, usage));
         first.map(|(key, _)| key)
     }
--- a/crates/decide/tests/waiting.rs
+++ b/crates/decide/tests/waiting.rs
@@ -140,24 +140,24 @@
 #[gtest]
 fn full_servers_end_a_pass_and_a_customer_above_its_share_does_not() {
     let mut queue = Queue::default();
-    for (customer, name) in [(1, 10), (1, 11), (2, 20), (3, 30), (4, 40)] {
-        queue.push(entry(customer, name), UNLIMITED, usage);
+    for name in [10, 11, 12, 13, 14, 15, 20, 30, 40] {
+        queue.push(entry(name / 10, name), UNLIMITED, usage);
     }
     let mut attempts = Vec::new();
     let served = queue.serve(usage, |entry| {
         attempts.push(entry.payload);
         match entry.customer.0 {
-            1 => Err(Obstacle::Share),
+            1 if entry.payload != 11 => Err(Obstacle::Share),
             3 => Err(Obstacle::Room),
             _ => Ok(()),
         }
     });
     expect_that!(
         names(served.into_iter().map(|(entry, ())| entry)),
-        eq(&vec![20])
+        eq(&vec![11, 20])
     );
-    expect_that!(attempts, eq(&vec![10, 20, 30]));
-    expect_that!(queue.len(), eq(4));
+    expect_that!(attempts, eq(&vec![10, 11, 12, 13, 14, 20, 30]));
+    expect_that!(queue.len(), eq(7));
 }
 
 #[gtest]
