Waiting: the rest after a pass is bounded; one replay run for two claims

The rest after a pass over the queues is 20 times the pass, to bound the processor time. A pass that took long because the process was suspended, as on nodes with a small part of a core, would have left the queues unserved for seconds; the rest is now at most 20 ms.

The replay test of the queue simulates each scenario once for both claims, and also bounds the refusals of the customer with ten times its load (90 % of those without a queue; bursts stay at 75 %).

--- a/crates/decide/tests/replay/report.rs
+++ b/crates/decide/tests/replay/report.rs
@@ -26,7 +26,7 @@
         f64::from(self.on_time + self.on_time_after_retry) / f64::from(self.total.max(1))
     }
 
-    fn add(&mut self, other: &Self) {
+    pub(crate) fn add(&mut self, other: &Self) {
         self.total += other.total;
         self.on_time += other.on_time;
         self.on_time_after_retry += other.on_time_after_retry;
--- a/crates/decide/tests/replay/scenarios.rs
+++ b/crates/decide/tests/replay/scenarios.rs
@@ -181,35 +181,29 @@
     }
 }
 
-/// Mean fraction of the small customers' requests that are served, and of those that are late.
-fn small_served_and_late(scenario: Scenario) -> (f64, f64) {
-    let served = mean(scenario, |report| small_customers(report, &ALL).served());
-    let late = mean(scenario, |report| {
-        let small = small_customers(report, &ALL);
-        f64::from(small.late) / f64::from(small.total)
-    });
-    (served, late)
-}
-
-#[gtest]
-fn short_bursts_are_refused_less_often_with_a_queue() {
-    let refused = |report: &Report| f64::from(report.sum(0..CUSTOMERS, &ALL).refused);
-    let (without, with) = (mean(PULSES, refused), mean(with_queue(PULSES), refused));
-    expect_that!(with, le(without * 0.75), "{with} {without}");
-    let served = |report: &Report| report.sum(0..CUSTOMERS, &ALL).served();
-    expect_that!(
-        mean(with_queue(PULSES), served),
-        ge(mean(PULSES, served) + 0.02)
-    );
+/// Sums over the seeds for all customers and for the small ones.
+fn tallies(scenario: Scenario) -> [Tally; 2] {
+    let mut sums = [Tally::default(); 2];
+    for report in SEEDS.map(|seed| simulate(scenario, seed)) {
+        sums[0].add(&report.sum(0..CUSTOMERS, &ALL));
+        sums[1].add(&report.sum(SMALL, &ALL));
+    }
+    sums
 }
 
 #[gtest]
-fn a_queue_does_not_delay_small_customers() {
-    for (name, scenario) in [("pulses", PULSES), ("very hot", VERY_HOT)] {
-        let (served, late) = small_served_and_late(scenario);
-        let (queue_served, queue_late) = small_served_and_late(with_queue(scenario));
-        expect_that!(queue_served, ge(served - 0.005), "{name}");
-        expect_that!(queue_late, le(late + 0.005), "{name}");
+fn with_a_queue_fewer_are_refused_and_small_customers_are_not_delayed() {
+    // The demand of the second stays far above the capacity.
+    for (name, scenario, max_percent) in [("pulses", PULSES, 75), ("very hot", VERY_HOT, 90)] {
+        let [all, small] = tallies(scenario);
+        let [queue_all, queue_small] = tallies(with_queue(scenario));
+        let max_refused = all.refused * max_percent / 100;
+        expect_that!(queue_all.refused, le(max_refused), "{name}");
+        expect_that!(queue_all.served(), ge(all.served() + 0.02), "{name}");
+        expect_that!(queue_small.served(), ge(small.served() - 0.005), "{name}");
+        // At most 0.5 % more.
+        let max_late = small.late + small.total / 200;
+        expect_that!(queue_small.late, le(max_late), "{name}");
     }
 }
 
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -42,6 +42,9 @@
 /// Shortest time between two passes.
 const MIN_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Longest rest after a pass, which may have taken long only because the process was suspended.
+const MAX_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time between two passes, as a multiple of the time that the first took. It bounds the processor
 /// time spent on requests that are rejected again.
 const REST_FACTOR: u32 = 20;
@@ -227,7 +230,7 @@
     core.registry.room.set_waiting(queues.len());
     let ended_at = Instant::now();
     let rest = (ended_at - started_at) * REST_FACTOR;
-    queues.next_pass = Some(ended_at + rest.max(MIN_INTERVAL));
+    queues.next_pass = Some(ended_at + rest.clamp(MIN_INTERVAL, MAX_INTERVAL));
     let expiries = queues.by_pool.values().filter_map(Queue::next_expiry);
     Some(expiries.min()?.min(now_ms + TICK_MS))
 }
