Test of an unreachable backend: keep its address bound

Cause: forward::unreachable_backend_is_reported_and_gets_no_grants freed an address and bound it again about a second later. Sockets of other tests of the process took it in between.

Ruled out: a fault of the sidecar.

Change: the test binds a socket that does not listen, which refuses connections and keeps its port, and makes the same socket listen where it bound anew. What it checks is as before.

--- a/crates/daemon/tests/sidecar/forward.rs
+++ b/crates/daemon/tests/sidecar/forward.rs
@@ -1,12 +1,18 @@
 //! Forwarding of requests to the backend and of responses to the router.
 
+use std::net::{Ipv4Addr, SocketAddr};
+
 use googletest::prelude::*;
 use http_body_util::BodyExt;
 use mulberryyoke_model::{CustomerId, Kind, Outcome};
+use tokio::net::TcpSocket;
 
 use crate::backend::Backend;
 use crate::node::{Node, body_text, context, settings, ticket, verdict};
 
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: u32 = 16;
+
 #[gtest]
 #[tokio::test]
 async fn forwards_request_and_streams_response() -> Result<()> {
@@ -119,16 +125,17 @@
 #[gtest]
 #[tokio::test]
 async fn unreachable_backend_is_reported_and_gets_no_grants() -> Result<()> {
-    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    // A bound socket that does not listen refuses connections and keeps its port from other sockets.
+    let closed = TcpSocket::new_v4()?;
+    closed.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
     let address = closed.local_addr()?;
-    drop(closed);
     let node = Node::spawn(settings(address, Kind::Service, 1)).await;
     let first = node.send(&ticket(1)).await;
     expect_that!(verdict(&first), some(eq("unreachable")));
     expect_that!(verdict(&node.send(&ticket(2)).await), some(eq("busy")));
     node.declare(CustomerId::of("acme"), 1).await;
     expect_that!(node.poll(0).await.grants.len(), eq(0));
-    let _restored = tokio::net::TcpListener::bind(address).await?;
+    let _restored = closed.listen(BACKLOG)?;
     expect_that!(node.wait_grants().await.len(), eq(1));
     Ok(())
 }
