Key-value client: send a read again if its connection is lost

A restore closes all connections of the service. The router listed the keys for the next command on a pooled connection that the service was closing; a read is tried again at another endpoint, but with one endpoint the command failed. Traced with a scratch edit of the stand-in that closes connections 0.5 s after it has stopped serving them: failed in three of three runs.

Ruled out: the operators' client, which opens a connection per command; writes, which are repeated until their outcome is known.

Change: calls that may be repeated (reads, watches, renewals of leases) are sent once more, on a new connection, if the connection is lost before a response. Writes are not. The new test faults::only_reads_are_repeated_on_a_new_connection_after_a_reset fails without the change.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -50,7 +50,10 @@
 /// HTTP/1.1 client with a connection pool.
 #[derive(Debug)]
 pub struct Http {
-    client: Client<HttpConnector, Full<Bytes>>,
+    /// Reuses idle connections.
+    pooled: Client<HttpConnector, Full<Bytes>>,
+    /// Opens a connection per request.
+    unpooled: Client<HttpConnector, Full<Bytes>>,
 }
 
 impl Http {
@@ -62,11 +65,14 @@
         connector.set_connect_timeout(Some(Duration::from_millis(connect_timeout_ms)));
         connector.set_keepalive(Some(Duration::from_millis(KEEPALIVE_INTERVAL_MS)));
         connector.set_keepalive_interval(Some(Duration::from_millis(KEEPALIVE_INTERVAL_MS)));
-        let client = Client::builder(TokioExecutor::new())
+        let pooled = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS))
+            .build(connector.clone());
+        let unpooled = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
             .build(connector);
-        Self { client }
+        Self { pooled, unpooled }
     }
 
     /// Sends a request and returns the response with its body unread.
@@ -79,16 +85,29 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, Failure> {
-        let Ok(response) = timeout_at(deadline.into(), self.client.request(request)).await else {
-            return Err(Failure::after_sending(HttpError::TimedOut));
-        };
-        response.map_err(|error| {
-            let text = error.source().map_or(error.to_string(), error_chain);
-            if error.is_connect() {
-                return Failure::before_sending(text);
-            }
-            Failure::after_sending(HttpError::Disconnected(text))
-        })
+        send(&self.pooled, request, deadline).await
+    }
+
+    /// Sends a request that may be repeated and returns the response with its body unread. If the
+    /// connection is lost before a response, the request is sent once more on a new connection:
+    /// the server may have been closing a pooled one.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] when no response starts before the deadline.
+    pub async fn send_idempotent(
+        &self,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, Failure> {
+        let result = send(&self.pooled, request.clone(), deadline).await;
+        match result {
+            Err(Failure {
+                cause: HttpError::Disconnected(_),
+                ..
+            }) => send(&self.unpooled, request, deadline).await,
+            _ => result,
+        }
     }
 
     /// Sends a request and returns the body of a response with status 200.
@@ -112,6 +131,23 @@
     }
 }
 
+async fn send(
+    client: &Client<HttpConnector, Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+    deadline: Instant,
+) -> Result<Response<Incoming>, Failure> {
+    let Ok(response) = timeout_at(deadline.into(), client.request(request)).await else {
+        return Err(Failure::after_sending(HttpError::TimedOut));
+    };
+    response.map_err(|error| {
+        let text = error.source().map_or(error.to_string(), error_chain);
+        if error.is_connect() {
+            return Failure::before_sending(text);
+        }
+        Failure::after_sending(HttpError::Disconnected(text))
+    })
+}
+
 /// Builds a request to an endpoint, with content type JSON.
 ///
 /// # Panics
--- a/crates/platform/src/kv/etcd/transport.rs
+++ b/crates/platform/src/kv/etcd/transport.rs
@@ -135,7 +135,11 @@
                 .headers_mut()
                 .insert(REQUIRE_LEADER, HeaderValue::from_static("true"));
         }
-        let result = self.http.send(request, deadline).await;
+        let result = if method.is_idempotent() {
+            self.http.send_idempotent(request, deadline).await
+        } else {
+            self.http.send(request, deadline).await
+        };
         let response = result.map_err(classify)?;
         let status = response.status();
         if status == StatusCode::OK {
--- a/crates/platform/tests/faults.rs
+++ b/crates/platform/tests/faults.rs
@@ -58,6 +58,27 @@
     address
 }
 
+/// Serves connections that are reset when a second request arrives on them.
+async fn spawn_endpoint_with_resets(response: &'static str) -> SocketAddr {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = TcpListener::bind(address).await.expect("port");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("connection");
+            tokio::spawn(async move {
+                let read = stream.read(&mut [0; 4_096]).await.expect("request");
+                assert!(read > 0, "connection closed before a request");
+                let written = stream.write_all(response.as_bytes()).await;
+                written.expect("written");
+                // Closing a socket with unread data resets the connection.
+                stream.peek(&mut [0]).await.expect("second request");
+            });
+        }
+    });
+    address
+}
+
 /// Returns an address that refuses connections.
 async fn unused_address() -> SocketAddr {
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -192,3 +213,20 @@
         expect_that!(writer.get("k").await, ok(none()), "{reaction:?}");
     }
 }
+
+/// Fails if a read is lost with a pooled connection that the service closes, or if a write, which
+/// the service may have executed, is repeated.
+#[gtest]
+#[tokio::test]
+async fn only_reads_are_repeated_on_a_new_connection_after_a_reset() {
+    let found = "HTTP/1.1 200 OK\r\ncontent-length: 25\r\n\r\n{\"header\":{\"revision\":7}}";
+    let reader = Etcd::new(vec![spawn_endpoint_with_resets(found).await], OPTIONS);
+    let writer = Etcd::new(vec![spawn_endpoint_with_resets(found).await], OPTIONS);
+    for client in [&reader, &writer] {
+        expect_that!(client.get("k").await, ok(none()));
+    }
+    expect_that!(reader.get("k").await, ok(none()));
+    let swap = writer.swap("k", Expect::Any, None, None).await;
+    let lost = pat!(kv::Error::Unknown(pat!(HttpError::Disconnected(_))));
+    expect_that!(swap, err(lost));
+}
