Test of late responses: wait until the sidecar is stopped

Cause: responses::late_responses_are_dropped_or_their_attempts_withdrawn found no retried request (1005) at times. A sidecar that gets SIGSTOP runs on until one of its threads has handled it, which takes tens of milliseconds on a busy machine; it answered the requests with heads in that time, so that none was retried. Traced in a run at load 30: all five requests at the suspended sidecar were truncated 2.8 s later. With the suspension 40 ms after the requests it failed in six of six runs, in the same way. It failed as well, in four of four runs, with requests 1 s after the suspension, which the router sends to the other server.

Ruled out: late log lines. Three seconds later there was no 1005 either.

Change: Node::suspend waits until the system reports that the process is stopped, here and in the other tests of the target. In this test a relay holds the requests, which are sent before the suspension, until then. All that it checked it checks as before.

--- a/crates/daemon/tests/proof/common/node.rs
+++ b/crates/daemon/tests/proof/common/node.rs
@@ -45,8 +45,11 @@
         self.process.terminate(Signal::TERM)
     }
 
-    pub(crate) fn suspend(&self) {
+    /// Suspends the process and waits until it is: on a busy machine, its threads run on for a
+    /// while after the signal.
+    pub(crate) async fn suspend(&self) {
         self.process.signal(Signal::STOP);
+        wait::until_true("suspension", || self.process.is_stopped()).await;
     }
 
     pub(crate) fn resume(&self) {
--- a/crates/daemon/tests/proof/leaving.rs
+++ b/crates/daemon/tests/proof/leaving.rs
@@ -180,7 +180,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn server_drained_while_its_sidecar_is_suspended_gets_no_new_requests() {
     let fleet = spawn_two_servers().await;
-    fleet.sidecars[0].suspend();
+    fleet.sidecars[0].suspend().await;
     fleet.run_command(0, "server drain assistant-0").await;
     wait_known_leaving(&fleet).await;
     fleet.sidecars[0].resume();
--- a/crates/daemon/tests/proof/outcomes.rs
+++ b/crates/daemon/tests/proof/outcomes.rs
@@ -194,7 +194,7 @@
     let request = Request::booking("slot");
     let pending = request.spawn(fleet.caller_address(0));
     fleet.sidecars[0].wait_event(Event::Started, |_| true).await;
-    fleet.sidecars[0].suspend();
+    fleet.sidecars[0].suspend().await;
     // The connection is established, but the suspended sidecar sends nothing.
     fleet.unblock_backend(0).await;
     let response = pending.await.unwrap();
@@ -210,7 +210,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn outcomes_are_correct_after_the_sidecar_is_suspended_before_admission() {
     let fleet = Fleet::spawn(one_service()).await;
-    fleet.sidecars[0].suspend();
+    fleet.sidecars[0].suspend().await;
     let requests: Vec<Request> = (0..8).map(|n| Request::booking(&format!("{n}"))).collect();
     let responses = join_all(
         requests
@@ -298,7 +298,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn repeated_key_runs_once_after_a_router_crash_while_the_sidecar_is_suspended() {
     let fleet = Fleet::spawn(one_service()).await;
-    fleet.sidecars[0].suspend();
+    fleet.sidecars[0].suspend().await;
     let request = Request::booking("slot").with_key();
     let pending = request.spawn(fleet.caller_address(0));
     fleet.routers[0].wait_event(Event::Routed, |_| true).await;
--- a/crates/daemon/tests/proof/responses.rs
+++ b/crates/daemon/tests/proof/responses.rs
@@ -124,15 +124,24 @@
     let fleet = Fleet::spawn(Setup {
         slots: 8,
         router_settings: json!({"heartbeat_ms": 250}),
+        with_sidecar_relays: true,
         ..with_engines(2)
     })
     .await;
-    fleet.sidecars[0].suspend();
+    // The router sends nothing to a sidecar that is silent, so the requests are sent before the
+    // suspension and reach the sidecar during it.
+    let [_, data_relay] = &fleet.sidecar_relays[0];
+    data_relay.buffer();
     let requests: Vec<Request> = (0..8).map(|n| Request::chat(&format!("{n}"), 8)).collect();
     let pending: Vec<_> = requests
         .iter()
         .map(|request| request.spawn(fleet.caller_address(0)))
         .collect();
+    fleet.routers[0]
+        .wait_event(Event::Routed, |line| line["server"] == "assistant-0")
+        .await;
+    fleet.sidecars[0].suspend().await;
+    data_relay.resume();
     let responses = join_all(pending).await;
     for response in responses {
         let response = response.unwrap();
@@ -174,7 +183,7 @@
         .map(|(n, request)| request.spawn(fleet.caller_address(n % 2)))
         .collect();
     wait_streaming(&fleet, 0).await;
-    fleet.sidecars[0].suspend();
+    fleet.sidecars[0].suspend().await;
     wait_streaming(&fleet, 1).await;
     fleet.sidecars[1].kill().await;
     fleet.routers[0]
--- a/crates/standin/src/fleet/process.rs
+++ b/crates/standin/src/fleet/process.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 use serde_json::Value;
 use tokio::net::TcpSocket;
 use tokio::process::{Child, Command};
@@ -126,6 +126,14 @@
         }
     }
 
+    /// Whether all threads of the process are stopped by a signal.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        let options = WaitIdOptions::STOPPED | WaitIdOptions::NOHANG | WaitIdOptions::NOWAIT;
+        let pid = *self.pid.lock();
+        pid.is_some_and(|pid| matches!(waitid(WaitId::Pid(pid), options), Ok(Some(_))))
+    }
+
     /// Sends a terminating signal, waits for the process and returns its exit code, if any.
     pub async fn terminate(&self, signal: Signal) -> Option<i32> {
         self.signal(signal);
