Gateway: do not keep read buffers and finished futures while a stream runs

The headers and the path of a request are parts of the read buffer of its connection, which stayed allocated with them while a second one was filled; they are copied before the body is read. Hyper keeps the memory of a request's future until its connection closes; the large part of it is now boxed.

--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -1,5 +1,6 @@
 //! Receiving a caller's request: route, customer, limits and body.
 
+use std::str::FromStr;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -70,7 +71,7 @@
     }
 
     /// Determines route and customer, then reads the body.
-    pub(crate) async fn into_call(mut self, core: &Core) -> Result<Call, Refusal> {
+    pub(crate) async fn into_call(self, core: &Core) -> Result<Call, Refusal> {
         if core.view.predates_suspension() || core.view.is_superseded() {
             return Err(Refusal::NoConfiguration);
         }
@@ -97,13 +98,23 @@
             }
             return Err(memory_short());
         }
+        let Parts {
+            method,
+            uri,
+            mut headers,
+            ..
+        } = self.parts;
+        let path = path(&uri);
+        // Nothing else keeps the read buffer of the head, which the body is read into next.
+        drop(uri);
+        header::strip_hop_by_hop(&mut headers);
+        header::compact(&mut headers);
         let account = core.buffers.open(&self.head.id, payer, &self.connection);
         let body = read_body(body, account.as_ref());
         let body = tokio::select! {
             body = body => body,
             () = clock::wait_until(deadline_ms) => Err(Refusal::BodyTimeout),
         }?;
-        header::strip_hop_by_hop(&mut self.parts.headers);
         Ok(Call {
             id: self.head.id,
             pool,
@@ -112,9 +123,9 @@
             resume_after: self.head.resume_after,
             received_at: self.received_at,
             deadline_ms,
-            method: self.parts.method,
-            path: path(&self.parts.uri),
-            headers: self.parts.headers,
+            method,
+            path,
+            headers,
             body,
             account,
             digest: OnceLock::new(),
@@ -165,7 +176,9 @@
 }
 
 fn path(uri: &hyper::Uri) -> PathAndQuery {
-    let path = uri.path_and_query().cloned();
+    let path = uri.path_and_query().map(PathAndQuery::as_str);
+    // A copy, since the original is a part of the connection's read buffer.
+    let path = path.and_then(|path| PathAndQuery::from_str(path).ok());
     path.unwrap_or_else(|| PathAndQuery::from_static("/"))
 }
 
--- a/crates/gateway/src/listen/connection.rs
+++ b/crates/gateway/src/listen/connection.rs
@@ -80,7 +80,8 @@
     let mut response = match Inbound::parse(&core, request, cut) {
         Ok(inbound) => {
             let id = inbound.head.id.clone();
-            let result = run(&core, inbound).await;
+            // Hyper keeps the memory of this future until the connection closes.
+            let result = Box::pin(run(&core, inbound)).await;
             result.unwrap_or_else(|refusal| refuse(&core, &id, received_at, refusal))
         }
         Err(refusal) => refuse(&core, "", received_at, refusal),
