Gateway: read callers' connections in parts that leave the read buffer small

A read that fills Hyper's read buffer doubles it, up to the limit of a request head, and the larger one stays while the response runs. Reads are now one byte shorter than the initial buffer, at the price of more of them for a body above 8 kB.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod response_body;
 mod retry_budgets;
 mod server;
+mod short_read;
 mod shutdown;
 mod socket;
 mod stream_relay;
--- a/crates/gateway/src/listen/connection.rs
+++ b/crates/gateway/src/listen/connection.rs
@@ -22,6 +22,7 @@
 use crate::inbound::Inbound;
 use crate::refusal::Refusal;
 use crate::response_body::ResponseBody;
+use crate::short_read::ShortRead;
 use crate::{clock, dispatch};
 
 /// Default maximum size of a request head, in bytes, until a configuration has been loaded.
@@ -53,7 +54,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(ShortRead::new(stream)), service);
     let connection = watcher.watch(connection);
     let terminate = core.shutdown.terminate.clone();
     core.connections.fetch_add(1, Ordering::Relaxed);
