--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod retry_budgets;
 mod room;
 mod server;
+mod short_read;
 mod shutdown;
 mod socket;
 mod stream_relay;
