Tests of transfers beside counted-down prefill

The home in the tests of fetches was occupied for half a second by estimate. Prefill is now counted down, so that its queue was nearly empty when the third prompt of a test came, which was sent there instead of the idle server. The occupying prompt takes a second; what is expected of the prompts is unchanged. A prompt with a transfer is tested not to be overdue while parts are fetched.

--- a/crates/gateway/tests/gateway/fetches.rs
+++ b/crates/gateway/tests/gateway/fetches.rs
@@ -24,8 +24,9 @@
 
 const PROMPT: &str = "x-tokens: 100\r\nx-shared: 7\r\n";
 
-/// Prompt that occupies the server with the shared part for half a second.
-const LONG_PROMPT: &str = "x-tokens: 30000\r\nx-shared: 7\r\n";
+/// Prompt that occupies the server with the shared part for a second. The gateway counts its prefill
+/// down, and two late first events take 300 ms.
+const LONG_PROMPT: &str = "x-tokens: 60000\r\nx-shared: 7\r\n";
 
 /// A server that has parts 7 to 9 cached and never responds, and another that is idle.
 struct Fleet {
