Admission: prompts count in full, small speed differences do not, over-share prompts do not wait

Cause: with prompts counted down at the expected speed, with retry times beyond the objective for customers above their share, and with their prompts waiting in the queue, servers got more than they could answer in time. Change: a prompt counts until its first token; learned speeds from 0.8 to 1.25 count as usual; a rejected caller is told the time by which the best server exceeds what is allowed, as before; prompts of a customer above its share do not wait.

--- a/crates/decide/src/engine/backlog.rs
+++ b/crates/decide/src/engine/backlog.rs
@@ -14,29 +14,15 @@
 /// chunk each.
 const TOLERANCE_MS: f64 = 30.0;
 
-/// Expected times of a prompt at its server, in milliseconds from its sending.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Expectation {
-    /// When it gets a slot.
-    pub(super) slot_ms: f64,
-    /// When its first token arrives.
-    pub(super) first_token_ms: f64,
-}
-
 /// A prompt that has not produced its first token.
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     position: Position,
-    /// Tokens whose prefill is not expected to be done.
-    tokens_left: f64,
-    /// When its prefill may start.
-    start: Millis,
     /// When its first token is overdue.
     due: Millis,
 }
 
-/// This gateway's prompts at one server that have not produced their first token. Their prefill
-/// is counted down in the order of sending at the speed of the server.
+/// This gateway's prompts at one server that have not produced their first token.
 #[derive(Clone, Debug, Default)]
 pub struct Backlog {
     entries: Vec<Entry>,
@@ -44,34 +30,21 @@
 }
 
 impl Backlog {
-    /// Adds a prompt sent at `now`.
-    pub(super) fn add(&mut self, tokens: u32, expected: Expectation, now: Millis) -> Position {
+    /// Adds a prompt sent at `now`, whose first token is expected after `first_token_ms`.
+    pub(super) fn add(&mut self, tokens: u32, first_token_ms: f64, now: Millis) -> Position {
         let position = Position {
             id: self.next_id,
             tokens,
         };
         self.next_id += 1;
-        let tolerance_ms = TOLERANCE_MS + TOLERANCE_FRACTION * expected.first_token_ms;
+        let tolerance_ms = TOLERANCE_MS + TOLERANCE_FRACTION * first_token_ms;
         self.entries.push(Entry {
             position,
-            tokens_left: f64::from(tokens),
-            start: after(now, expected.slot_ms),
-            due: after(now, expected.first_token_ms + tolerance_ms),
+            due: after(now, first_token_ms + tolerance_ms),
         });
         position
     }
 
-    /// Counts down `tokens` that the server is expected to have prefilled by `now`.
-    pub(super) fn prefill(&mut self, mut tokens: f64, now: Millis) {
-        for entry in &mut self.entries {
-            if entry.start <= now {
-                let done = entry.tokens_left.min(tokens);
-                entry.tokens_left -= done;
-                tokens -= done;
-            }
-        }
-    }
-
     /// Excludes a prompt whose first token is not observed from the overdue ones.
     pub(super) fn set_unobserved(&mut self, position: Position) {
         let mut entries = self.entries.iter_mut();
@@ -97,9 +70,11 @@
             .retain(|entry| entry.position.id != position.id);
     }
 
-    /// Prompt tokens whose prefill is not expected to be done.
-    pub(super) fn tokens_left(&self) -> f64 {
-        self.entries.iter().map(|entry| entry.tokens_left).sum()
+    /// Tokens of these prompts. Each counts in full until its first token: how far its prefill has
+    /// come is uncertain, and counting less admitted more than the servers could answer in time.
+    pub(super) fn tokens(&self) -> u32 {
+        let tokens = self.entries.iter().map(|entry| entry.position.tokens);
+        tokens.fold(0, u32::saturating_add)
     }
 
     /// How long the most overdue first token has been overdue at `now`, in milliseconds.
--- a/crates/decide/src/engine/speed.rs
+++ b/crates/decide/src/engine/speed.rs
@@ -5,6 +5,10 @@
 use super::{Latency, News, Reading};
 use crate::server_load::MAX_AGE_MS;
 
+/// Learned ratios that count as the usual speed: queues that this gateway does not see cause as
+/// much between equal servers.
+const USUAL: (f64, f64) = (0.8, 1.25);
+
 /// Lowest and highest learned ratio.
 const BOUNDS: (f64, f64) = (0.3, 2.0);
 
@@ -76,7 +80,10 @@
     /// Expected speed at `now` as a multiple of the usual one.
     #[must_use]
     pub fn ratio(&self, now: Millis) -> f64 {
-        self.learned(now) / self.slowdown(now)
+        let learned = self.learned(now);
+        let is_usual = (USUAL.0..=USUAL.1).contains(&learned);
+        let learned = if is_usual { 1.0 } else { learned };
+        learned / self.slowdown(now)
     }
 
     /// Slowdown of the last report, as a factor; 1 without a recent one.
--- a/crates/decide/src/retry_after.rs
+++ b/crates/decide/src/retry_after.rs
@@ -5,16 +5,10 @@
 
 use mulberryyoke_model::{Millis, saturating_u32};
 
-use crate::share::Usage;
-
-/// Shortest and longest time for full servers, in milliseconds: the prefill time of a short prompt
-/// and the half-life of customers' recorded usage.
+/// Shortest and longest time for a rejected prompt, in milliseconds: the prefill time of a short
+/// prompt and the half-life of customers' recorded usage.
 const BUSY_MS: (f64, f64) = (100.0, 1_500.0);
 
-/// Shortest and longest time for a customer above its share, in milliseconds. The recorded usage is
-/// capped at five times the share, which takes 3.5 s to decay.
-const OVER_SHARE_MS: (f64, f64) = (100.0, 3_500.0);
-
 /// Shortest and longest time for a pool of which no server can be used, in milliseconds. A server
 /// that comes back is used within this time.
 const OUTAGE_MS: (f64, f64) = (200.0, 3_000.0);
@@ -28,13 +22,6 @@
 /// Callers honour at most this fraction of the time that they have left.
 const MAX_FRACTION_OF_REMAINING: f64 = 1.0 / 3.0;
 
-/// Time until the recorded usage of a customer above its share has decayed to its share, in
-/// milliseconds.
-#[must_use]
-pub fn over_share_ms(usage: Usage) -> f64 {
-    usage.decay_ms().clamp(OVER_SHARE_MS.0, OVER_SHARE_MS.1)
-}
-
 /// Time until the best server, which exceeds the allowed wait by `excess_ms`, is within it, in
 /// milliseconds.
 #[must_use]
@@ -42,18 +29,6 @@
     excess_ms.clamp(BUSY_MS.0, BUSY_MS.1)
 }
 
-/// Time until a retry that can still meet the objective, which counts from the first attempt, if it
-/// is shorter than `expected_ms`. `first_token_ms` is the expected time to first token without a
-/// queue. If no retry can meet the objective, the expected time is kept.
-#[must_use]
-pub fn within_objective_ms(expected_ms: f64, objective_ms: f64, first_token_ms: f64) -> f64 {
-    let latest_ms = (objective_ms - first_token_ms) / (1.0 + SPREAD);
-    if latest_ms < BUSY_MS.0 {
-        return expected_ms;
-    }
-    expected_ms.min(latest_ms)
-}
-
 /// Time after which to ask again for a pool of which no server can be used since `since`, in
 /// milliseconds.
 #[must_use]
--- a/crates/decide/src/shed/rejection.rs
+++ b/crates/decide/src/shed/rejection.rs
@@ -16,31 +16,27 @@
     /// Time after which the prompt is expected to be admitted if nothing else changes, in
     /// milliseconds.
     pub admission_ms: f64,
-    /// Delay before the client should retry, in milliseconds: for a customer above its share, the
-    /// time until its usage has decayed to it; for others, the time until the best server is within
-    /// what is allowed; each within bounds, and not so long that the retry misses the objective.
+    /// Delay before the client should retry, in milliseconds: the time by which the best server
+    /// exceeds what is allowed, within bounds. A customer above its share is told no more: shares
+    /// are recomputed all the time, and once its usage has decayed the retry would miss the
+    /// objective, which counts from the first attempt.
     pub retry_after_ms: f64,
 }
 
 impl Rejection {
     pub(super) fn new(choice: Choice, budget: Budget, objective: Objective, usage: Usage) -> Self {
+        let allowed_ms = budget.allowed_ms(objective);
         let excess_ms = budget.excess_ms(&choice, objective);
-        let (admission_ms, retry_after_ms) = if usage.is_over_share() {
-            let admission_ms = usage.decay_ms().min(excess_ms);
-            (admission_ms, retry_after::over_share_ms(usage))
+        let admission_ms = if usage.is_over_share() {
+            usage.decay_ms().min(excess_ms)
         } else {
-            (excess_ms, retry_after::busy_ms(excess_ms))
+            excess_ms
         };
-        let retry_after_ms = retry_after::within_objective_ms(
-            retry_after_ms,
-            objective.first_token_ms,
-            choice.prefill_ms,
-        );
         Self {
             choice,
-            allowed_ms: budget.allowed_ms(objective),
+            allowed_ms,
             admission_ms,
-            retry_after_ms,
+            retry_after_ms: retry_after::busy_ms(choice.ttft_ms() - allowed_ms),
         }
     }
 }
--- a/crates/decide/tests/shed.rs
+++ b/crates/decide/tests/shed.rs
@@ -139,3 +139,16 @@
         expect_that!(chosen, eq(server.map(ServerId)));
     }
 }
+
+#[gtest]
+fn a_customer_above_its_share_can_still_meet_the_objective_when_it_retries() {
+    // Guards against times after which the first answer would come late however idle the servers:
+    // the objective counts from the first attempt.
+    for of_portion in [1.3, 2.0, 5.0] {
+        let rejection = admit(&[cached(6_000)], 400, Some(usage(of_portion)));
+        let rejection = rejection.expect_err("contended servers");
+        let in_time_ms = OBJECTIVE.first_token_ms - rejection.choice.prefill_ms;
+        expect_that!(rejection.retry_after_ms, le(in_time_ms), "{of_portion}");
+        expect_that!(rejection.retry_after_ms, ge(100.0), "{of_portion}");
+    }
+}
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -285,7 +285,9 @@
         "mean_wait_ms" => saturating_u32(choice.mean_wait_ms),
         "of_portion" => saturating_u32(usage.of_portion * 100.0),
         "of_given" => saturating_u32(usage.of_given * 100.0));
-    let retry_after_ms = spread(call, rejection.retry_after_ms);
+    // Not spread: the expected latencies differ from request to request, and a later retry would miss
+    // the objective.
+    let retry_after_ms = retry_after::spread(rejection.retry_after_ms, call.remaining_ms(), 0.0);
     if usage.is_over_share() {
         return Refusal::OverShare(retry_after_ms);
     }
