--- a/crates/decide/src/waiting.rs
+++ b/crates/decide/src/waiting.rs
@@ -14,7 +14,6 @@
 pub use self::limits::Limits;
 pub use self::obstacle::Obstacle;
 pub use self::queue::Queue;
-use crate::share::Usage;
 use crate::shed::{Objective, Rejection};
 
 /// Longest wait, as a fraction of the latency objective. Callers that are refused after it have
@@ -24,19 +23,18 @@
 /// Returns until when a prompt may wait that was rejected `elapsed_ms` after it was received, or
 /// `None` if it is not expected to be admitted in time. `deadline` is when its caller gives up.
 ///
-/// Prompts of a customer above its share do not wait: they would take every moment of room from
-/// prompts of others that are about to arrive.
+/// Prompts of a customer that may get nothing more at present do not wait: they would take every
+/// moment of room from prompts of others that are about to arrive.
 #[must_use]
 pub fn until(
     rejection: &Rejection,
-    usage: Usage,
     objective: Objective,
     elapsed_ms: f64,
     deadline: Millis,
     now: Millis,
 ) -> Option<Millis> {
     let longest_ms = objective.first_token_ms * MAX_WAIT_FRACTION;
-    if usage.is_over_share() {
+    if rejection.allowed_ms <= 0.0 {
         return None;
     }
     if rejection.admission_ms > longest_ms || !is_in_time(rejection, objective, elapsed_ms) {
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -102,7 +102,6 @@
     let now_ms = clock::now_ms();
     let until = waiting::until(
         &rejection,
-        usage,
         balance::objective(call),
         elapsed_ms(call),
         call.deadline_ms,
