--- a/crates/daemon/tests/proof/responses.rs
+++ b/crates/daemon/tests/proof/responses.rs
@@ -80,17 +80,21 @@
     let requests: Vec<Request> = (0..2)
         .map(|n| Request::chat(&format!("{n}"), RESPONSE_TOKENS))
         .collect();
-    let pending: Vec<_> = requests
-        .iter()
-        .map(|request| request.spawn(fleet.caller_address(0)))
-        .collect();
-    wait_streaming(&fleet, 0).await;
+    // A stream of which nothing has reached the sidecar is not resumed but runs again.
+    let streams = requests.iter().map(async |request| {
+        let mut stream = Stream::open(request, fleet.caller_address(0)).await;
+        stream.read_tokens(3).await;
+        stream
+    });
+    let streams = join_all(streams).await;
     fleet.backends[0].relay.block();
     fleet.backends[0].relay.unblock();
-    for response in join_all(pending).await {
-        expect_that!(response.unwrap().call_outcome, eq(CallOutcome::Complete));
+    for (request, stream) in requests.iter().zip(streams) {
+        let body = stream.read_to_end().await;
+        let outcome = body.map(|body| request.classify_body(&body));
+        expect_that!(outcome, ok(eq(&CallOutcome::Complete)));
     }
-    expect_that!(fleet.sidecars[0].events(Event::Resumed), not(is_empty()));
+    expect_that!(fleet.sidecars[0].events(Event::Resumed).len(), eq(2));
     for request in &requests {
         expect_that!(fleet.start_count(&request.op), eq(1));
     }
@@ -124,15 +128,24 @@
     let fleet = Fleet::spawn(Setup {
         slots: 8,
         router_settings: json!({"heartbeat_ms": 250}),
+        with_sidecar_relays: true,
         ..with_engines(2)
     })
     .await;
-    fleet.sidecars[0].suspend();
+    // The router sends nothing to a sidecar that is silent, so the requests are sent before the
+    // suspension and reach the sidecar during it.
+    let [_, data_relay] = &fleet.sidecar_relays[0];
+    data_relay.buffer();
     let requests: Vec<Request> = (0..8).map(|n| Request::chat(&format!("{n}"), 8)).collect();
     let pending: Vec<_> = requests
         .iter()
         .map(|request| request.spawn(fleet.caller_address(0)))
         .collect();
+    fleet.routers[0]
+        .wait_event(Event::Routed, |line| line["server"] == "assistant-0")
+        .await;
+    fleet.sidecars[0].suspend().await;
+    data_relay.resume();
     let responses = join_all(pending).await;
     for response in responses {
         let response = response.unwrap();
@@ -174,7 +187,7 @@
         .map(|(n, request)| request.spawn(fleet.caller_address(n % 2)))
         .collect();
     wait_streaming(&fleet, 0).await;
-    fleet.sidecars[0].suspend();
+    fleet.sidecars[0].suspend().await;
     wait_streaming(&fleet, 1).await;
     fleet.sidecars[1].kill().await;
     fleet.routers[0]
--- a/crates/decide/src/shed.rs
+++ b/crates/decide/src/shed.rs
@@ -21,8 +21,14 @@
 /// the parts cached while others are idle.
 const RECOMPUTE_SHARE: f64 = 1.0;
 
+/// Whether all cached parts that a server lacks are fetched: this costs the servers no prefill.
+const fn is_copied(choice: &Choice) -> bool {
+    choice.fetched > 0 && choice.recomputed == 0
+}
+
 /// Chooses a server for a prompt of a customer with this usage, or rejects the prompt. Without
 /// usage data it is always accepted: a request that may already have run must not be rejected.
+/// A prompt that no server has memory for is rejected whatever the usage.
 /// `None` without candidates.
 pub fn admit<'a>(
     prompt: &Prompt,
@@ -35,16 +41,18 @@
     let Some(usage) = usage else {
         return Some(Ok(choice));
     };
+    if choice.room_ms > 0.0 {
+        return Some(Err(Rejection::without_room(choice)));
+    }
     let budget = Budget::new(usage, choice.mean_wait_ms);
     if budget.allows(&choice, objective) {
         return Some(Ok(choice));
     }
-    if usage.of_portion < RECOMPUTE_SHARE {
-        let urgent = choose_urgent(prompt, candidates, objective.max_pause_ms, now);
-        let urgent = urgent.filter(|urgent| budget.allows(urgent, objective));
-        if let Some(urgent) = urgent {
-            return Some(Ok(urgent));
-        }
+    let urgent = choose_urgent(prompt, candidates, objective.max_pause_ms, now)
+        .filter(|urgent| budget.allows(urgent, objective))
+        .filter(|urgent| usage.of_portion < RECOMPUTE_SHARE || is_copied(urgent));
+    if let Some(urgent) = urgent {
+        return Some(Ok(urgent));
     }
-    Some(Err(Rejection::new(choice, budget, objective)))
+    Some(Err(Rejection::new(choice, budget, objective, usage)))
 }
--- a/crates/decide/tests/replay/report.rs
+++ b/crates/decide/tests/replay/report.rs
@@ -12,6 +12,8 @@
     /// On time in a later attempt.
     pub(crate) on_time_after_retry: u32,
     pub(crate) late: u32,
+    /// Rejected in the first attempt.
+    pub(crate) refused: u32,
     /// Rejected in the last attempt.
     pub(crate) rejected: u32,
     /// Tokens of all prompts and of those sent to servers.
@@ -24,11 +26,12 @@
         f64::from(self.on_time + self.on_time_after_retry) / f64::from(self.total.max(1))
     }
 
-    fn add(&mut self, other: &Self) {
+    pub(crate) fn add(&mut self, other: &Self) {
         self.total += other.total;
         self.on_time += other.on_time;
         self.on_time_after_retry += other.on_time_after_retry;
         self.late += other.late;
+        self.refused += other.refused;
         self.rejected += other.rejected;
         self.tokens.0 += other.tokens.0;
         self.tokens.1 += other.tokens.1;
@@ -41,6 +44,21 @@
     tallies: Vec<[Tally; KINDS.len()]>,
     /// Tokens recomputed though another server had them cached.
     pub(crate) recomputed: u64,
+    /// Number of requests sent to servers, and the sum of their times to first token.
+    pub(crate) sent: u32,
+    /// Number of these that exceeded their server's memory.
+    pub(crate) overfull: u32,
+    pub(crate) first_token_ms: f64,
+    /// Tokens prefilled.
+    pub(crate) prefilled: u64,
+    /// Tokens of these that the gateway expected to be cached.
+    pub(crate) unexpected: u64,
+    /// Tokens that were cached, but that the gateway expected to be prefilled.
+    pub(crate) missed: u64,
+    /// Requests sent after they had waited in a gateway.
+    pub(crate) sent_after_wait: u32,
+    /// Longest wait in a gateway, as a fraction of the objective.
+    pub(crate) longest_wait: f64,
     /// Fraction of the time that servers spent on prefill.
     pub(crate) utilisation: f64,
 }
@@ -104,7 +122,10 @@
         }
         let _ = writeln!(
             lines,
-            "recomputed {}, utilisation {:.2}, gap {:.3}",
+            "prefilled {}, unexpected {}, missed {}, recomputed {}, utilisation {:.2}, gap {:.3}",
+            self.prefilled,
+            self.unexpected,
+            self.missed,
             self.recomputed,
             self.utilisation,
             self.gap(1..CUSTOMERS)
--- a/crates/decide/tests/replay/simulation.rs
+++ b/crates/decide/tests/replay/simulation.rs
@@ -12,21 +12,12 @@
 use crate::server::Server;
 use crate::workload::{KINDS, Request, Scenario};
 
-const SERVERS: usize = 9;
-const GATEWAYS: usize = 6;
-
-/// Prefix cache of a server, in tokens.
-const CACHE_TOKENS: u32 = 300_000;
-
 /// Interval between exchanges of the gateways.
 const EXCHANGE_MS: f64 = 20.0;
 
 /// Every how many exchanges the customers' usage is included.
 const USAGE_PERIOD: u64 = 5;
 
-/// Capacity of all servers, in tokens per second.
-const CAPACITY: f64 = 230_000.0;
-
 /// Time after the last arrival for which exchanges continue, long enough for all retries.
 const DRAIN_MS: f64 = 5_000.0;
 
@@ -46,6 +37,10 @@
         stream_ms: f64,
     },
     Exchange,
+    /// The time of a waiting request is up.
+    Expiry {
+        gateway: usize,
+    },
 }
 
 pub(crate) struct Simulation {
@@ -63,9 +58,16 @@
 pub(crate) fn simulate(scenario: Scenario, seed: u64) -> Report {
     let mut simulation = Simulation {
         scenario,
-        servers: vec![Server::new(CACHE_TOKENS, scenario.slots); SERVERS],
-        gateways: (0..GATEWAYS)
-            .map(|_| Gateway::new(SERVERS, CACHE_TOKENS, scenario.slots))
+        servers: vec![Server::new(scenario.memory_tokens, scenario.slots); scenario.servers],
+        gateways: (0..scenario.gateways)
+            .map(|_| {
+                Gateway::new(
+                    scenario.servers,
+                    scenario.memory_tokens,
+                    scenario.slots,
+                    scenario.transfer,
+                )
+            })
             .collect(),
         queue: BinaryHeap::new(),
         events: HashMap::new(),
@@ -73,6 +75,12 @@
         exchanges: 0,
         report: Report::new(),
     };
+    for (index, server) in simulation.servers.iter_mut().enumerate() {
+        server.fixed_ms = scenario.fixed_ms;
+        if index % 4 == 0 {
+            server.slowdown = scenario.slow_quarter;
+        }
+    }
     for request in scenario.requests(seed) {
         simulation.push(request.at_ms, Event::Arrival(request));
     }
@@ -106,47 +114,99 @@
                     sent_ms,
                     stream_ms,
                 }) => {
-                    self.gateways[gateway].record_first_token(&dispatch, now_ms - sent_ms);
+                    self.gateways[gateway].record_first_token(
+                        &dispatch,
+                        now_ms - sent_ms,
+                        millis(now_ms),
+                    );
                     let completion = Event::Completion {
                         gateway,
                         dispatch,
                         stream_ms,
                     };
                     self.push(now_ms + stream_ms, completion);
+                    self.serve(gateway, now_ms);
                 }
                 Some(Event::Completion {
                     gateway,
                     dispatch,
                     stream_ms,
-                }) => self.gateways[gateway].record_completion(&dispatch, stream_ms),
+                }) => {
+                    self.gateways[gateway].record_completion(&dispatch, stream_ms);
+                    self.serve(gateway, now_ms);
+                }
                 Some(Event::Exchange) if now_ms < end_ms + DRAIN_MS => {
                     self.exchange(now_ms);
+                    for gateway in 0..self.scenario.gateways {
+                        self.serve(gateway, now_ms);
+                    }
                     self.push(now_ms + EXCHANGE_MS, Event::Exchange);
                 }
+                Some(Event::Expiry { gateway }) => self.serve(gateway, now_ms),
                 Some(Event::Exchange) | None => {}
             }
         }
         let busy: f64 = self.servers.iter().map(|server| server.busy_ms).sum();
-        self.report.utilisation = busy / end_ms / f64::from(u32::try_from(SERVERS).unwrap_or(1));
+        self.report.utilisation =
+            busy / end_ms / f64::from(u32::try_from(self.scenario.servers).unwrap_or(1));
         self.report
     }
 
-    fn arrive(&mut self, request: Request, now_ms: f64) {
-        let gateway = usize::try_from(self.next_event).unwrap_or(0) % GATEWAYS;
+    fn arrive(&mut self, mut request: Request, now_ms: f64) {
+        request.at_ms = now_ms;
+        let gateway = usize::try_from(self.next_event).unwrap_or(0) % self.scenario.gateways;
         let tally = self.report.tally(request.customer, request.kind);
         if request.attempt == 0 {
             tally.total += 1;
             tally.tokens.0 += u64::from(request.prompt.tokens);
         }
-        let is_down: Vec<bool> = self.servers.iter().map(|server| server.is_down).collect();
-        match self.gateways[gateway].dispatch(&request, &is_down, millis(now_ms)) {
-            Ok(dispatch) => self.send(gateway, &dispatch, &request, now_ms),
-            Err(rejection) => self.reject(request, rejection.retry_after_ms, now_ms),
+        let is_down = self.is_down();
+        let now = millis(now_ms);
+        let rejection = match self.gateways[gateway].dispatch(&request, &is_down, now) {
+            Ok(dispatch) => return self.send(gateway, &dispatch, &request, now_ms),
+            Err(rejection) => rejection,
+        };
+        let retry_after_ms = rejection.retry_after_ms;
+        if !self.scenario.has_queue {
+            return self.reject(request, retry_after_ms, now_ms);
+        }
+        let (until, removed) = self.gateways[gateway].enqueue(request, &rejection, now);
+        if let Some(until) = until {
+            #[expect(clippy::cast_precision_loss, reason = "seconds in milliseconds")]
+            let until_ms = until as f64;
+            self.push(until_ms, Event::Expiry { gateway });
+        }
+        for request in removed {
+            self.reject(request, retry_after_ms, now_ms);
+        }
+    }
+
+    fn is_down(&self) -> Vec<bool> {
+        self.servers.iter().map(|server| server.is_down).collect()
+    }
+
+    /// Sends or rejects the requests that leave a gateway's queue now.
+    fn serve(&mut self, gateway: usize, now_ms: f64) {
+        let is_down = self.is_down();
+        let left = self.gateways[gateway].serve(&is_down, millis(now_ms));
+        for (request, result) in left {
+            let wait = (now_ms - request.at_ms) / KINDS[request.kind].objective_ms;
+            self.report.longest_wait = self.report.longest_wait.max(wait);
+            match result {
+                Ok(dispatch) => {
+                    self.report.sent_after_wait += 1;
+                    self.send(gateway, &dispatch, &request, now_ms);
+                }
+                Err(rejection) => self.reject(request, rejection.retry_after_ms, now_ms),
+            }
         }
     }
 
     fn send(&mut self, gateway: usize, dispatch: &Dispatch, request: &Request, now_ms: f64) {
         let server = dispatch.server;
+        for server in &mut self.servers {
+            server.end_requests(now_ms);
+        }
         let max_cached = self
             .servers
             .iter()
@@ -154,12 +214,25 @@
             .max()
             .unwrap_or(0);
         let pause_ms = self.servers[server].pause_ms(now_ms);
-        let execution =
-            self.servers[server].execute(&request.prompt, now_ms, KINDS[request.kind].stream_ms);
+        let fetch = dispatch.fetch_from.and_then(|source| {
+            let ready = self.servers[source].ready_tokens(&request.prompt, now_ms);
+            Some((ready, self.scenario.transfer?))
+        });
+        let stream_ms = KINDS[request.kind].stream_ms * self.scenario.stream_factor;
+        let execution = self.servers[server].execute(&request.prompt, now_ms, stream_ms, fetch);
         let cached = request.prompt.tokens - execution.prefilled;
         self.report.recomputed += u64::from(max_cached.saturating_sub(cached));
+        self.report.prefilled += u64::from(execution.prefilled);
+        self.report.missed +=
+            u64::from(dispatch.position.tokens.saturating_sub(execution.prefilled));
+        self.report.unexpected +=
+            u64::from(execution.prefilled.saturating_sub(dispatch.position.tokens));
         let kind = &KINDS[request.kind];
-        let is_late = execution.first_ms - now_ms > kind.objective_ms || pause_ms > MAX_PAUSE_MS;
+        self.report.sent += 1;
+        self.report.overfull += u32::from(execution.is_overfull);
+        self.report.first_token_ms += execution.first_ms - now_ms;
+        let is_late =
+            execution.first_ms - request.at_ms > kind.objective_ms || pause_ms > MAX_PAUSE_MS;
         let tally = self.report.tally(request.customer, request.kind);
         tally.tokens.1 += u64::from(request.prompt.tokens);
         match (is_late, request.attempt) {
@@ -169,15 +242,18 @@
         }
         let first = Event::FirstToken {
             gateway,
-            dispatch: *dispatch,
+            dispatch: dispatch.clone(),
             sent_ms: now_ms,
-            stream_ms: kind.stream_ms,
+            stream_ms,
         };
         self.push(execution.first_ms, first);
     }
 
     fn reject(&mut self, mut request: Request, retry_after_ms: f64, now_ms: f64) {
         let tally = self.report.tally(request.customer, request.kind);
+        if request.attempt == 0 {
+            tally.refused += 1;
+        }
         request.attempt += 1;
         if request.attempt > self.scenario.immediate_retries.max(1) {
             tally.rejected += 1;
@@ -195,6 +271,9 @@
     fn exchange(&mut self, now_ms: f64) {
         self.exchanges += 1;
         let now = millis(now_ms);
+        for gateway in &mut self.gateways {
+            gateway.advance(now);
+        }
         let own: Vec<Vec<Load>> = self
             .gateways
             .iter()
@@ -211,7 +290,7 @@
                 for (_, loads) in own.iter().enumerate().filter(|(other, _)| *other != index) {
                     others.add(loads[server]);
                 }
-                engine.others = others;
+                engine.set_others(others, now);
             }
             let others = prefills
                 .iter()
@@ -219,7 +298,7 @@
                 .filter(|(other, _)| *other != index);
             for (server, shared, tokens) in others.flat_map(|(_, prefills)| prefills) {
                 let engine = &mut gateway.engines[*server];
-                engine.cache.insert(shared);
+                engine.record_peer_prefill(shared, now);
                 engine.recent_tokens.add(*tokens, now);
             }
         }
@@ -228,7 +307,9 @@
         }
         for gateway in &mut self.gateways {
             let wait_ms = gateway.mean_wait_ms();
-            gateway.shares.rebalance(CAPACITY, wait_ms, now);
+            gateway
+                .shares
+                .rebalance(self.scenario.capacity, wait_ms, now);
         }
         if now_ms >= 6_000.0 {
             self.apply_faults();
@@ -257,13 +338,11 @@
     fn apply_faults(&mut self) {
         for (index, server) in self.servers.iter_mut().enumerate() {
             let position = f64::from(u32::try_from(index).unwrap_or(0))
-                / f64::from(u32::try_from(SERVERS).unwrap_or(1));
+                / f64::from(u32::try_from(self.scenario.servers).unwrap_or(1));
             server.is_down = position < self.scenario.down;
-            server.slowdown = if position >= 0.6 {
-                self.scenario.slowdown
-            } else {
-                1.0
-            };
+            if position >= 0.6 && self.scenario.slowdown > 1.0 {
+                server.slowdown = self.scenario.slowdown;
+            }
         }
     }
 }
--- a/crates/decide/tests/replay/workload.rs
+++ b/crates/decide/tests/replay/workload.rs
@@ -1,6 +1,7 @@
 //! Seeded workloads: the requests of all customers over time.
 
-use mulberryyoke_decide::engine::Prompt;
+use mulberryyoke_decide::engine::{Prompt, Transfer};
+use mulberryyoke_model::saturating_u32;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -67,6 +68,10 @@
     pub(crate) hot: f64,
     /// A kind, and the multiple of its request rate from 4 to 8 s.
     pub(crate) burst: (usize, f64),
+    /// Multiple of all request rates during the first 100 ms of each second.
+    pub(crate) pulses: f64,
+    /// Whether prompts may wait in the gateways.
+    pub(crate) has_queue: bool,
     /// Fraction of the long requests that use the same shared part.
     pub(crate) hot_part: f64,
     /// Fraction of the servers that are down from 6 s on.
@@ -79,8 +84,26 @@
     pub(crate) immediate_retries: u32,
     /// Fraction of the long prompts that have 50,000 unshared tokens.
     pub(crate) huge: f64,
+    /// The only kind of requests; `None` for all.
+    pub(crate) only: Option<usize>,
+    /// Multiple of the usual duration of streams.
+    pub(crate) stream_factor: f64,
+    /// Maximum number of unshared tokens of a prompt.
+    pub(crate) max_own_tokens: f64,
+    pub(crate) gateways: usize,
+    pub(crate) servers: usize,
+    /// Capacity of all servers that customers share, in tokens per second.
+    pub(crate) capacity: f64,
+    /// Transfers between the servers.
+    pub(crate) transfer: Option<Transfer>,
+    /// Memory of a server, in tokens.
+    pub(crate) memory_tokens: u32,
     /// Maximum number of concurrent requests per server.
     pub(crate) slots: u32,
+    /// Time from the end of prefill to the first token, beyond a decode step, in milliseconds.
+    pub(crate) fixed_ms: f64,
+    /// Factor by which a quarter of the servers are slower than the others at all times.
+    pub(crate) slow_quarter: f64,
 }
 
 pub(crate) const BASELINE: Scenario = Scenario {
@@ -88,13 +111,25 @@
     seconds: 20,
     hot: 1.0,
     burst: (0, 1.0),
+    pulses: 1.0,
+    has_queue: false,
     hot_part: 0.0,
     down: 0.0,
     slowdown: 1.0,
     reconnect_burst: false,
     immediate_retries: 0,
     huge: 0.0,
+    only: None,
+    stream_factor: 1.0,
+    max_own_tokens: f64::INFINITY,
+    gateways: 6,
+    servers: 9,
+    capacity: 230_000.0,
+    transfer: None,
+    memory_tokens: 600_000,
     slots: 64,
+    fixed_ms: 0.0,
+    slow_quarter: 1.0,
 };
 
 /// Number of customers. The usual request rate halves from each to the next, down to a floor.
@@ -112,7 +147,8 @@
             for kind in 0..KINDS.len() {
                 for customer in 0..CUSTOMERS {
                     let mean = self.rate(kind, customer, at_ms) * step_ms / 1_000.0;
-                    if rng.random::<f64>() < mean {
+                    let extra = rng.random::<f64>() < mean.fract();
+                    for _ in 0..saturating_u32(mean) + u32::from(extra) {
                         let at_ms = at_ms + rng.random::<f64>() * step_ms;
                         let at_ms = if self.reconnect_burst {
                             at_ms.max(3_000.0)
@@ -138,6 +174,9 @@
     /// Requests per second of a kind and customer.
     fn rate(&self, kind: usize, customer: u32, at_ms: f64) -> f64 {
         let weights: f64 = (0..CUSTOMERS).map(weight).sum();
+        if self.only.is_some_and(|only| kind != only) {
+            return 0.0;
+        }
         let mut rate = self.per_s * KINDS[kind].fraction * weight(customer) / weights;
         if customer == 0 {
             rate *= self.hot;
@@ -145,6 +184,9 @@
         if kind == self.burst.0 && (4_000.0..8_000.0).contains(&at_ms) {
             rate *= self.burst.1;
         }
+        if at_ms % 1_000.0 < 100.0 {
+            rate *= self.pulses;
+        }
         rate
     }
 
@@ -165,6 +207,7 @@
         if kind == 0 && rng.random::<f64>() < self.huge {
             own = 50_000.0;
         }
+        own = own.min(self.max_own_tokens);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,6 +1,7 @@
 //! Per-server state of the gateway.
 
 mod cold_limiter;
+mod fetch;
 mod health;
 mod in_flight;
 mod instance;
@@ -9,23 +10,23 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
-use mulberryyoke_decide::engine::{Engine, PoolStats};
+use mulberryyoke_decide::engine::{Engine, Footprint, PoolStats};
+use mulberryyoke_decide::server_load::Queue;
 use parking_lot::{Mutex, MutexGuard};
 
 pub(crate) use self::cold_limiter::ColdLimiter;
+pub(crate) use self::fetch::Fetch;
 pub(crate) use self::health::Health;
 pub(crate) use self::in_flight::InFlight;
 pub(crate) use self::instance::Instance;
 pub(crate) use self::liveness::Liveness;
+use crate::clock;
 use crate::config::Model;
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::protocol::ResponseHead;
+use crate::room::Room;
 use crate::server::Server;
 
-/// Divisor of a model server's memory that gives the size of its prompt cache; running requests
-/// use the rest.
-const CACHE_DIVISOR: u32 = 2;
-
 /// A backend server: its registration, connections and everything that the choice of a server
 /// depends on.
 #[derive(Debug)]
@@ -33,8 +34,12 @@
     pub(crate) server: Server,
     pub(crate) conns: ConnectionPool,
     pub(crate) engine: Mutex<Engine>,
-    /// Prefill speed and request duration, averaged over the servers of the pool.
+    /// Queue by the server's last report.
+    pub(crate) queue: Mutex<Queue>,
+    /// Latency and request duration, averaged over the servers of the pool.
     pub(crate) pool_stats: Arc<Mutex<PoolStats>>,
+    /// Memory of requests, averaged over the requests of the pool.
+    pub(crate) footprint: Arc<Mutex<Footprint>>,
     pub(crate) health: Mutex<Health>,
     pub(crate) is_model: bool,
     /// Locked while the server is probed, so that concurrent failures share one probe.
@@ -43,6 +48,8 @@
     pub(crate) isolated_requests: AtomicU32,
     pub(crate) cold: ColdLimiter,
     pub(crate) instance: Arc<Instance>,
+    /// Told when the server may have room for another request.
+    pub(crate) room: Arc<Room>,
     /// Whether the server is registered as leaving, or no longer registered.
     is_closed: AtomicBool,
     /// Whether its availability zone is being evacuated.
@@ -54,39 +61,73 @@
         server: Server,
         model: Option<Model>,
         pool_stats: Arc<Mutex<PoolStats>>,
+        footprint: Arc<Mutex<Footprint>>,
         instance: Arc<Instance>,
+        room: Arc<Room>,
     ) -> Self {
-        let cache_tokens = model.map_or(0, |model| model.memory_tokens / CACHE_DIVISOR);
+        let memory_tokens = model.map_or(0, |model| model.memory_tokens);
         let slots = model.map_or(server.slots, |model| model.slots);
+        let mut engine = Engine::new(slots, memory_tokens);
+        engine.transfer = model.and_then(|model| model.transfer);
         Self {
             conns: ConnectionPool::new(server.address),
-            engine: Mutex::new(Engine::new(slots, cache_tokens)),
+            engine: Mutex::new(engine),
+            queue: Mutex::default(),
             pool_stats,
+            footprint,
             health: Mutex::new(Health::default()),
             is_model: model.is_some(),
             liveness: tokio::sync::Mutex::default(),
             isolated_requests: AtomicU32::new(0),
             cold: ColdLimiter::default(),
             instance,
+            room,
             is_evacuated: AtomicBool::new(false),
             is_closed: AtomicBool::new(server.is_leaving),
             server,
         }
     }
 
-    /// Locks the engine model after copying the current pool statistics into it.
+    /// Locks the engine model after copying the current averages of its pool into it and advancing
+    /// it to the current time.
     pub(crate) fn engine(&self) -> MutexGuard<'_, Engine> {
         let pool_stats = *self.pool_stats.lock();
+        let footprint = *self.footprint.lock();
         let mut engine = self.engine.lock();
         engine.pool_stats = pool_stats;
+        engine.footprint = footprint;
+        engine.advance(clock::now_ms());
         engine
     }
 
+    /// Requests at the server and its slots: by its last report while that is recent, else by what
+    /// the gateways know of each other.
+    pub(crate) fn occupancy(&self, engine: &Engine, now_ms: u64) -> (u32, u32) {
+        let queue = *self.queue.lock();
+        let requests = queue.requests(now_ms).unwrap_or_else(|| engine.requests());
+        (requests, queue.slots().unwrap_or(engine.slots))
+    }
+
     /// Whether new requests may be sent to the server.
     pub(crate) fn is_open(&self) -> bool {
         !self.is_closed() && !self.is_evacuated.load(Ordering::Relaxed)
     }
 
+    /// Whether other servers may fetch cached prompt parts from this one now.
+    pub(crate) fn can_supply(&self, now_ms: u64) -> bool {
+        self.is_open()
+            && !self.instance.is_pushing_back(now_ms)
+            && self.unsuited_until_ms() <= now_ms
+            && self.engine.lock().source.is_available(now_ms)
+    }
+
+    /// End of the time for which the server is cold or avoided and supplies nothing, in milliseconds
+    /// of the boot clock.
+    pub(crate) fn unsuited_until_ms(&self) -> u64 {
+        let avoided_until_ms = self.instance.avoided_until_ms();
+        self.cold.until_ms().max(avoided_until_ms)
+    }
+
     /// Whether the server is leaving or no longer registered.
     pub(crate) fn is_closed(&self) -> bool {
         // An announcement by the server counts without its registration, which an outage of the
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -6,6 +6,7 @@
 use mulberryyoke_decide::engine::{Candidate, Engine, shortlist};
 use mulberryyoke_decide::plain;
 use mulberryyoke_decide::pushback::retry_after_ms;
+use mulberryyoke_decide::retry_after;
 use mulberryyoke_decide::share::Usage;
 use mulberryyoke_decide::shed::{self, Objective, Rejection};
 use mulberryyoke_event::{Event, log};
@@ -13,10 +14,11 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
-use crate::backend::{Backend, InFlight};
+use crate::backend::{Backend, Fetch, InFlight};
 use crate::call::Call;
 use crate::clock;
 use crate::core::Core;
+use crate::denial::Denial;
 use crate::refusal::Refusal;
 
 /// Selects a server that is not in `tried` and counts the request there. A request that
@@ -28,19 +30,37 @@
     tried: &[ServerId],
     may_have_run: bool,
     is_isolated: bool,
-) -> Result<InFlight, Refusal> {
+) -> Result<InFlight, Denial> {
+    let is_new = tried.is_empty();
+    select(core, call, tried, is_new, may_have_run, is_isolated)
+}
+
+/// As [`assign`], for a request that was rejected in its first attempt and has waited since. It is
+/// not recorded as requested again.
+pub(crate) fn assign_waiting(core: &Core, call: &Call) -> Result<InFlight, Denial> {
+    select(core, call, &[], false, false, false)
+}
+
+fn select(
+    core: &Core,
+    call: &Call,
+    tried: &[ServerId],
+    is_new: bool,
+    may_have_run: bool,
+    is_isolated: bool,
+) -> Result<InFlight, Denial> {
     let in_flight = core.registry.with_pool(call.pool, |servers| {
         let now = Instant::now();
         let (now_ms, is_view_fresh) = (clock::now_ms(), core.view.is_fresh());
         let mut open: Vec<&Arc<Backend>> = servers
             .iter()
-            .filter(|backend| backend.is_open() && !tried.contains(&backend.server.id))
-            // A server that asked for pushback is idle and would otherwise rank first.
-            .filter(|backend| backend.instance.wait_ms(now_ms) == 0)
-            .filter(|backend| backend.cold.has_capacity(now_ms, is_view_fresh))
+            .filter(|backend| !tried.contains(&backend.server.id))
+            .filter(|backend| is_usable(backend, now_ms, is_view_fresh))
             .collect();
         if open.is_empty() {
-            return Err(pushback(servers, now_ms).unwrap_or(Refusal::NoServer));
+            let refusal = pushback(servers, now_ms);
+            let refusal = refusal.unwrap_or_else(|| no_server(core, call, servers));
+            return Err(Denial::Refused(refusal));
         }
         // Announcements relayed by peers may be wrong, so they only lower a server's priority.
         prefer(&mut open, |backend| !backend.instance.is_avoided(now_ms));
@@ -51,19 +71,33 @@
             });
         }
         if call.prompt.is_some() {
-            let usage = usage(core, call, tried.is_empty());
+            let usage = usage(core, call, is_new);
             let usage = (!may_have_run).then_some(usage);
             return assign_prompt(core, call, &open, usage, now);
         }
         let zone = &core.settings.load().zone;
-        let candidates = open.iter().map(|backend| plain::Candidate {
-            server: backend.server.id,
-            requests: backend.engine.lock().requests(),
-            is_same_zone: backend.server.zone == *zone,
-            penalty_ms: backend.health.lock().penalty_ms(now),
+        // Gateways that know of the same load would otherwise all choose the first server.
+        let first = rand::rng().random_range(0..open.len());
+        open.rotate_left(first);
+        let service = open
+            .first()
+            .map(|backend| backend.pool_stats.lock().service());
+        let candidates = open.iter().map(|backend| {
+            let engine = backend.engine();
+            let (requests, slots) = backend.occupancy(&engine, now_ms);
+            plain::Candidate {
+                server: backend.server.id,
+                requests,
+                slots,
+                slowdown: engine.speed.slowdown(now_ms),
+                is_same_zone: backend.server.zone == *zone,
+                penalty_ms: backend.health.lock().penalty_ms(now),
+            }
         });
-        let backend = find_server(&open, plain::choose(candidates))?;
-        Ok(InFlight::start(backend, None))
+        let chosen = plain::choose(candidates, service.unwrap_or_default());
+        let backend = find_server(&open, chosen)?;
+        let is_stream = call.route.kind.is_stream();
+        Ok(InFlight::start(backend, None, None, is_stream))
     })?;
     if is_isolated {
         return Ok(in_flight.isolate());
@@ -78,6 +112,44 @@
         .with_pool(pool, |servers| pushback(servers, now_ms))
 }
 
+/// Returns whether a request may be sent to a server now.
+fn is_usable(backend: &Backend, now_ms: u64, is_view_fresh: bool) -> bool {
+    // A server that asked for pushback is idle and would otherwise rank first.
+    backend.is_open()
+        && backend.instance.wait_ms(now_ms) == 0
+        && backend.cold.has_capacity(now_ms, is_view_fresh)
+}
+
+/// Ends the outages of pools of which a server can be used again.
+pub(crate) fn end_outages(core: &Core) {
+    let (now_ms, is_view_fresh) = (clock::now_ms(), core.view.is_fresh());
+    core.outages.end_if(|pool| {
+        core.registry.with_pool(pool, |servers| {
+            let mut servers = servers.iter();
+            servers.any(|backend| is_usable(backend, now_ms, is_view_fresh))
+        })
+    });
+}
+
+/// Returns the refusal of a request for which no server is left.
+fn no_server(core: &Core, call: &Call, servers: &[Arc<Backend>]) -> Refusal {
+    let (now_ms, is_view_fresh) = (clock::now_ms(), core.view.is_fresh());
+    let mut servers = servers.iter();
+    let since = if servers.any(|backend| is_usable(backend, now_ms, is_view_fresh)) {
+        // All servers that can be used have been tried.
+        now_ms
+    } else {
+        core.outages.start(call.pool, now_ms)
+    };
+    let expected_ms = retry_after::outage_ms(since, now_ms);
+    Refusal::NoServer(spread(call, expected_ms))
+}
+
+/// Returns the retry delay that the caller is told instead of `expected_ms`, in milliseconds.
+fn spread(call: &Call, expected_ms: f64) -> u32 {
+    retry_after::spread(expected_ms, call.remaining_ms(), rand::rng().random())
+}
+
 fn pushback(servers: &[Arc<Backend>], now_ms: u64) -> Option<Refusal> {
     let open = servers.iter().filter(|backend| backend.is_open());
     let waits = open.map(|backend| backend.instance.wait_ms(now_ms));
@@ -102,7 +174,7 @@
     let found = open
         .iter()
         .find(|backend| Some(backend.server.id) == server);
-    found.copied().ok_or(Refusal::NoServer)
+    found.copied().ok_or(Refusal::NO_SERVER)
 }
 
 fn assign_prompt(
@@ -111,9 +183,14 @@
     open: &[&Arc<Backend>],
     usage: Option<Usage>,
     now: Instant,
-) -> Result<InFlight, Refusal> {
-    let prompt = call.prompt.as_ref().ok_or(Refusal::NoServer)?;
-    let engines: Vec<_> = open.iter().map(|backend| backend.engine()).collect();
+) -> Result<InFlight, Denial> {
+    let prompt = call.prompt.as_ref().ok_or(Refusal::NO_SERVER)?;
+    let engines = open.iter().map(|backend| {
+        let mut engine = backend.engine();
+        engine.source.exclude(backend.unsuited_until_ms());
+        engine
+    });
+    let engines: Vec<_> = engines.collect();
     let candidates = open.iter().zip(&engines).map(|(backend, engine)| {
         let engine: &Engine = engine;
         Candidate {
@@ -123,42 +200,47 @@
         }
     });
     let candidates = shortlist(prompt, candidates, rand::rng().random());
-    let objective = Objective {
-        first_token_ms: as_f64(call.route.objective_ms),
-        max_pause_ms: call.route.max_gap_ms.map_or(f64::INFINITY, as_f64),
-    };
     let admitted = shed::admit(
         prompt,
         candidates.iter().copied(),
-        objective,
+        objective(call),
         usage,
         clock::now_ms(),
     );
-    let admitted = admitted.ok_or(Refusal::NoServer)?;
+    let admitted = admitted.ok_or(Refusal::NO_SERVER)?;
     drop(candidates);
     drop(engines);
     let choice = match admitted {
         Ok(choice) => choice,
         Err(rejection) => {
             let usage = usage.unwrap_or_default();
-            let backend = find_server(open, Some(rejection.choice.server))?;
-            return Err(refuse(core, call, &rejection, usage, &backend.server.name));
+            return Err(Denial::Rejected { rejection, usage });
         }
     };
     let backend = find_server(open, Some(choice.server))?;
     let unshared = prompt.tokens - prompt.shared_tokens();
-    let is_new = choice.uncached > unshared;
+    let is_new = choice.uncached + choice.fetched > unshared;
     if usage.is_some() {
         with_cost(call, |customer, tokens| {
             core.shares.lock().record_grant(customer, tokens);
         });
     }
     core.exchange.record_prompt(choice.server, prompt, is_new);
-    // Gateways don't report their prefills to each other; peers are assumed to cause as many.
-    let peers = u32::try_from(core.exchange.gateway_count() - 1).unwrap_or(u32::MAX);
-    let prefilled = choice.uncached.saturating_mul(peers);
-    backend.engine.lock().cache.record_prefill(prefilled);
-    Ok(InFlight::start(backend, Some(prompt)))
+    let fetch = choice.fetch_from.and_then(|source| {
+        let source = find_server(open, Some(source)).ok()?;
+        let prefill_ms = backend.engine().prefill_ms(choice.fetched);
+        Some(Fetch::new(source, &choice, prefill_ms))
+    });
+    let is_stream = call.route.kind.is_stream();
+    Ok(InFlight::start(backend, Some(prompt), fetch, is_stream))
+}
+
+/// Latency objective of a request.
+pub(crate) fn objective(call: &Call) -> Objective {
+    Objective {
+        first_token_ms: as_f64(call.route.objective_ms),
+        max_pause_ms: call.route.max_gap_ms.map_or(f64::INFINITY, as_f64),
+    }
 }
 
 /// Refunds the customer's charge for a request that its server has not run.
@@ -187,13 +269,55 @@
     shares.usage(customer.id)
 }
 
-/// Logs the rejection of a prompt and returns its refusal; `server` names the best server.
-fn refuse(core: &Core, call: &Call, rejection: &Rejection, usage: Usage, server: &str) -> Refusal {
+/// Logs the rejection of a prompt that no server has memory for and returns its refusal; `first` is
+/// the server that has it first.
+fn refuse_without_room(
+    core: &Core,
+    call: &Call,
+    rejection: &Rejection,
+    first: Option<&Backend>,
+) -> Refusal {
+    let memory = first.map(|first| {
+        let engine = first.engine();
+        let prompt = call.prompt.as_ref();
+        let reservation = prompt.map(|prompt| engine.footprint.reservation(prompt));
+        (
+            reservation.unwrap_or_default().tokens,
+            engine.memory.free(),
+            engine.memory.taken(),
+        )
+    });
+    let room_ms = saturating_u32(rejection.retry_after_ms);
+    log!(core.logger, Event::NoRoom,
+        "request" => &call.id,
+        "customer" => call.customer_name(),
+        "server" => first.map(|first| &*first.server.name),
+        "tokens" => memory.map(|(needed, _, _)| needed),
+        "free" => memory.map(|(_, free, _)| free),
+        "taken" => memory.map(|(_, _, taken)| taken),
+        "room_ms" => (!rejection.is_too_large()).then_some(room_ms));
+    if rejection.is_too_large() {
+        return Refusal::TooLarge;
+    }
+    metrics::counter!("no_room_total").increment(1);
+    Refusal::Busy(spread(call, rejection.retry_after_ms))
+}
+
+/// Returns the refusal of a request that is not sent. Logs the reason if it is load.
+pub(crate) fn refuse(core: &Core, call: &Call, denial: Denial) -> Refusal {
+    let (rejection, usage) = match denial {
+        Denial::Refused(refusal) => return refusal,
+        Denial::Rejected { rejection, usage } => (rejection, usage),
+    };
     let choice = &rejection.choice;
+    let backend = core.registry.get_by_id(choice.server);
+    if rejection.lacks_room() {
+        return refuse_without_room(core, call, &rejection, backend.as_deref());
+    }
     log!(core.logger, Event::HeldBack,
         "request" => &call.id,
         "customer" => call.customer_name(),
-        "server" => server,
+        "server" => backend.as_ref().map(|backend| &*backend.server.name),
         "wait_ms" => saturating_u32(choice.wait_ms),
         "read_ms" => saturating_u32(choice.prefill_ms),
         "uncached" => choice.uncached,
@@ -202,8 +326,10 @@
         "mean_wait_ms" => saturating_u32(choice.mean_wait_ms),
         "of_portion" => saturating_u32(usage.of_portion * 100.0),
         "of_given" => saturating_u32(usage.of_given * 100.0));
-    let retry_after_ms = saturating_u32(rejection.retry_after_ms);
-    if usage.of_portion > 1.0 {
+    // Not spread: the expected latencies differ from request to request, and a later retry would miss
+    // the objective.
+    let retry_after_ms = retry_after::spread(rejection.retry_after_ms, call.remaining_ms(), 0.0);
+    if usage.is_over_share() {
         return Refusal::OverShare(retry_after_ms);
     }
     Refusal::Busy(retry_after_ms)
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,7 +6,7 @@
 
 use hyper::Response;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::ServerId;
+use mulberryyoke_model::{ServerId, saturating_u32};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -15,10 +15,12 @@
 use crate::call::Call;
 use crate::clock;
 use crate::core::Core;
+use crate::denial::Denial;
 use crate::outcome::Outcome;
 use crate::quarantine;
 use crate::refusal::Refusal;
 use crate::response_body::ResponseBody;
+use crate::waiting;
 
 /// Maximum number of servers tried that did not run the request.
 const MAX_NOT_RUN: u32 = 3;
@@ -107,12 +109,16 @@
         call: &Arc<Call>,
         resume_after: Option<u64>,
     ) -> Result<(Outcome, ServerId), Refusal> {
-        let verdict = quarantine::admit(core, call, self.is_admitted).await?;
-        self.is_suspect = verdict.crashes() > 0;
-        self.is_admitted = self.is_suspect;
-        let is_isolated = verdict.crashes() >= ISOLATION_CRASHES;
-        let in_flight =
-            balance::assign(core, call, &self.tried, self.possible_runs > 0, is_isolated)?;
+        let is_isolated = self.admit(core, call).await?;
+        if self.tried.is_empty() {
+            waiting::serve_if_changed(core);
+        }
+        let assigned =
+            balance::assign(core, call, &self.tried, self.possible_runs > 0, is_isolated);
+        let in_flight = match assigned {
+            Ok(in_flight) => in_flight,
+            Err(denial) => self.wait(core, call, denial).await?,
+        };
         let server = in_flight.backend.server.id;
         self.tried.push(server);
         log_routed(core, call, &in_flight, self.possible_runs + self.not_run);
@@ -134,8 +140,40 @@
         Ok((outcome, server))
     }
 
+    /// Admits the request to the quarantine's rules; `true` if it is to be isolated from other
+    /// suspects.
+    async fn admit(&mut self, core: &Arc<Core>, call: &Arc<Call>) -> Result<bool, Refusal> {
+        let verdict = quarantine::admit(core, call, self.is_admitted).await?;
+        self.is_suspect = verdict.crashes() > 0;
+        self.is_admitted = self.is_suspect;
+        Ok(verdict.crashes() >= ISOLATION_CRASHES)
+    }
+
+    /// Waits for a server after the first attempt was rejected because of load, or returns the
+    /// refusal.
+    async fn wait(
+        &mut self,
+        core: &Arc<Core>,
+        call: &Arc<Call>,
+        denial: Denial,
+    ) -> Result<InFlight, Refusal> {
+        if !self.tried.is_empty() || self.is_suspect {
+            return Err(balance::refuse(core, call, denial));
+        }
+        let in_flight = waiting::wait(core, call, denial).await?;
+        // Another copy of the request may have crashed a server in the meantime.
+        match self.admit(core, call).await {
+            Ok(true) => Ok(in_flight.isolate()),
+            Ok(false) => Ok(in_flight),
+            Err(refusal) => {
+                balance::refund(core, call);
+                Err(refusal)
+            }
+        }
+    }
+
     /// Returns the attempts with the last server counted as having run the request.
-    fn after_run(&self) -> Self {
+    pub(crate) fn after_run(&self) -> Self {
         Self {
             possible_runs: self.possible_runs + 1,
             is_admitted: false,
@@ -193,10 +231,17 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     core.retry_budgets.deposit(call.pool);
     let mut attempts = Attempts::default();
-    attempts.run(core, call, None, Refusal::NoServer).await
+    attempts.run(core, call, None, Refusal::NO_SERVER).await
 }
 
 fn log_routed(core: &Core, call: &Call, in_flight: &InFlight, attempt: u32) {
+    let (fetch_from, fetched) = in_flight.fetch().unzip();
+    if let Some(fetched) = fetched {
+        metrics::counter!("fetches_total").increment(1);
+        metrics::counter!("fetched_tokens_total").increment(u64::from(fetched));
+    }
+    let speed = in_flight.backend.engine().speed;
+    let (now_ms, percent) = (clock::now_ms(), 100.0);
     log!(core.logger, Event::Routed,
         "request" => &call.id,
         "attempt" => attempt,
@@ -204,7 +249,12 @@
         "route" => &call.route.name,
         "server" => &in_flight.backend.server.name,
         "unread" => in_flight.queued_tokens(),
-        "uncached" => in_flight.prompt_tokens,
+        "uncached" => in_flight.prompt_tokens(),
+        "fetched" => fetched.unwrap_or(0),
+        "fetch_from" => fetch_from.map(|source| &*source.server.name),
+        "expected_ms" => saturating_u32(in_flight.expected_ms()),
+        "learned_speed" => saturating_u32(speed.learned(now_ms) * percent),
+        "slowdown" => saturating_u32(speed.slowdown(now_ms) * percent),
         "view_age_ms" => core.view.age_ms(),
         "elapsed_ms" => clock::between_ms(call.received_at, Instant::now()));
 }
--- a/crates/gateway/src/exchange/inner.rs
+++ b/crates/gateway/src/exchange/inner.rs
@@ -228,7 +228,8 @@
         });
         for backend in &backends {
             let load = others.loads.get(&backend.server.id);
-            backend.engine.lock().others = load.copied().unwrap_or_default();
+            let load = load.copied().unwrap_or_default();
+            backend.engine().set_others(load, now);
         }
         core.shares.lock().set_remote(&others.flows);
     }
@@ -238,7 +239,7 @@
 pub(super) fn local_state(core: &Core) -> State {
     let backends = core.registry.subset();
     let loads = backends.iter().filter_map(|backend| {
-        let load = backend.engine.lock().own;
+        let load = backend.engine().own;
         (load != Load::default()).then_some((backend.server.id, load))
     });
     let loads = loads.collect();
--- a/crates/gateway/src/listen/connection.rs
+++ b/crates/gateway/src/listen/connection.rs
@@ -14,6 +14,7 @@
 use hyper_util::server::graceful::Watcher;
 use mulberryyoke_event::{Event, log};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::origin::Origin;
@@ -21,6 +22,7 @@
 use crate::inbound::Inbound;
 use crate::refusal::Refusal;
 use crate::response_body::ResponseBody;
+use crate::short_read::ShortRead;
 use crate::{clock, dispatch};
 
 /// Default maximum size of a request head, in bytes, until a configuration has been loaded.
@@ -43,15 +45,16 @@
     let limits = config.as_ref().map(|config| config.limits());
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.max_head_bytes);
     let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |limits| limits.idle_timeout_ms);
+    let cut = Arc::new(Notify::new());
     let service = {
-        let core = Arc::clone(core);
-        service_fn(move |request| handle(Arc::clone(&core), request, origin))
+        let (core, cut) = (Arc::clone(core), Arc::clone(&cut));
+        service_fn(move |request| handle(Arc::clone(&core), request, origin, Arc::clone(&cut)))
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(ShortRead::new(stream)), service);
     let connection = watcher.watch(connection);
     let terminate = core.shutdown.terminate.clone();
     core.connections.fetch_add(1, Ordering::Relaxed);
@@ -60,6 +63,7 @@
         tokio::select! {
             // Errors are reported by the connection's requests.
             _ = connection => {}
+            () = cut.notified() => {}
             () = terminate.cancelled() => {}
         }
         core.connections.fetch_sub(1, Ordering::Relaxed);
@@ -70,13 +74,15 @@
     core: Arc<Core>,
     request: Request<Incoming>,
     origin: Origin,
+    cut: Arc<Notify>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let received_at = Instant::now();
     metrics::counter!("requests_total").increment(1);
-    let mut response = match Inbound::parse(&core, request) {
+    let mut response = match Inbound::parse(&core, request, cut) {
         Ok(inbound) => {
             let id = inbound.head.id.clone();
-            let result = run(&core, inbound).await;
+            // Hyper keeps the memory of this future until the connection closes.
+            let result = Box::pin(run(&core, inbound)).await;
             result.unwrap_or_else(|refusal| refuse(&core, &id, received_at, refusal))
         }
         Err(refusal) => refuse(&core, "", received_at, refusal),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -22,14 +22,18 @@
     UnknownCustomer,
     /// No configuration is known, or it is too old.
     NoConfiguration,
-    /// No server of the pool is available.
-    NoServer,
+    /// No server of the pool is available; with the retry delay in milliseconds.
+    NoServer(u32),
     /// Every server of the pool asks for pushback; with the retry delay in milliseconds.
     Pushback(u32),
     /// No server can meet the latency objective; with the retry delay in milliseconds.
     Busy(u32),
+    /// The prompt is larger than the memory of any server.
+    TooLarge,
     /// The customer exceeds its share; with the retry delay in milliseconds.
     OverShare(u32),
+    /// There is no room to hold the request's body; with the retry delay in milliseconds.
+    MemoryShort(u32),
     /// Servers rejected the request and no attempt is left.
     Rejected,
     /// The gateway is shutting down.
@@ -48,6 +52,9 @@
 const FAULT_RETRY_AFTER_MS: u32 = 200;
 
 impl Refusal {
+    /// No server is available for a reason that is expected to be short.
+    pub(crate) const NO_SERVER: Self = Self::NoServer(FAULT_RETRY_AFTER_MS);
+
     /// Status code. 429 and 503 promise that the request has not run and never will.
     pub(crate) const fn status(self) -> StatusCode {
         match self {
@@ -58,9 +65,11 @@
             Self::UnknownCustomer => StatusCode::UNAUTHORIZED,
             Self::OverShare(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfiguration
-            | Self::NoServer
+            | Self::NoServer(_)
             | Self::Pushback(_)
             | Self::Busy(_)
+            | Self::TooLarge
+            | Self::MemoryShort(_)
             | Self::Rejected
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             // A quarantined request has run under an earlier ID, which rules out 503.
@@ -81,10 +90,12 @@
             Self::NoRoute => "no_route",
             Self::UnknownCustomer => "no_customer",
             Self::NoConfiguration => "no_configuration",
-            Self::NoServer => "no_server",
+            Self::NoServer(_) => "no_server",
             Self::Pushback(_) => "resting",
             Self::Busy(_) => "busy",
+            Self::TooLarge => "too_large",
             Self::OverShare(_) => "over_share",
+            Self::MemoryShort(_) => "memory_short",
             Self::Rejected => "turned_away",
             Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
@@ -97,10 +108,12 @@
     /// Delay before the caller should retry, in milliseconds.
     pub(crate) const fn retry_after_ms(self) -> Option<u32> {
         match self {
-            Self::Pushback(ms) | Self::Busy(ms) | Self::OverShare(ms) => Some(ms),
-            Self::NoConfiguration | Self::NoServer | Self::Rejected | Self::Stopping => {
-                Some(FAULT_RETRY_AFTER_MS)
-            }
+            Self::NoServer(ms)
+            | Self::Pushback(ms)
+            | Self::Busy(ms)
+            | Self::OverShare(ms)
+            | Self::MemoryShort(ms) => Some(ms),
+            Self::NoConfiguration | Self::Rejected | Self::Stopping => Some(FAULT_RETRY_AFTER_MS),
             _ => None,
         }
     }
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -3,7 +3,8 @@
 use hyper::HeaderMap;
 use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::http::{request, response};
-use mulberryyoke_decide::engine::{PartId, Prompt};
+use mulberryyoke_decide::engine::{PartId, Prompt, Transfer};
+use mulberryyoke_decide::server_load::{InvalidReport, Report};
 use mulberryyoke_gateway::Server;
 use mulberryyoke_gateway::config::{
     ColdStart, Config, Customer, Limits, Model, Pool, RequestKind, Route, Target,
@@ -13,12 +14,21 @@
 };
 use mulberryyoke_model::{CustomerId, PoolId, ServerId};
 
-/// Timeout of every route, in milliseconds.
+/// Timeout of every route, in milliseconds, unless the configuration states it.
 pub(crate) const TIMEOUT_MS: u64 = 1_500;
 
-/// Latency objective of every route, in milliseconds.
+/// Latency objective of the other routes, in milliseconds.
 pub(crate) const OBJECTIVE_MS: u64 = 200;
 
+/// Prefix of a route for customers whose objective lets prompts wait in the gateway.
+pub(crate) const WAITING_PREFIX: &str = "/waiting/";
+
+/// Prefix of a public route with the same objective.
+pub(crate) const PATIENT_PREFIX: &str = "/patient/";
+
+/// Latency objective of these two routes, in milliseconds. Prompts wait for up to an eighth of it.
+pub(crate) const LONG_OBJECTIVE_MS: u64 = 4_000;
+
 /// Length of a prompt that misses the objective if queued behind another, in tokens.
 pub(crate) const LONG_PROMPT: u32 = 60_000;
 
@@ -31,10 +41,14 @@
 /// Header that makes parsing of the request head panic.
 pub(crate) const PANIC_HEADER: &str = "x-panics: 1\r\n";
 
+/// Maximum size of a request body, in bytes, unless the configuration states it.
+const MAX_BODY_BYTES: usize = 1_000;
+
 /// Length of the shared part of a prompt, in tokens.
 const SHARED_TOKENS: u32 = 4_000;
 
-/// Protocol with space-separated values: `VERSION [tokens=PER_S] KEY...` for a configuration and
+/// Protocol with space-separated values: `VERSION [tokens=PER_S] [link=MBPS] [body=BYTES] [timeout=MS] KEY...`
+/// for a configuration and
 /// `POOL ADDRESS STATE [STARTED [COLD_MS [ZONE]]]` for a server.
 #[derive(Debug)]
 pub(crate) struct TestProtocol {
@@ -42,6 +56,19 @@
     pub(crate) gateway: String,
 }
 
+/// Load in a header `x-load: RUNNING,WAITING,SLOTS,SLOWDOWN`.
+fn server_load(headers: &HeaderMap) -> Option<std::result::Result<Report, InvalidReport>> {
+    let text = headers.get("x-load")?.to_str().unwrap_or_default();
+    let figures: Vec<u32> = text
+        .split(',')
+        .filter_map(|text| text.parse().ok())
+        .collect();
+    let report = <[u32; 4]>::try_from(figures).map_err(|_| InvalidReport);
+    Some(report.map(|[running, waiting, slots, slowdown]| {
+        Report::new(running, waiting, slots, Some(slowdown))
+    }))
+}
+
 impl Protocol for TestProtocol {
     fn parse_request(&self, head: &request::Parts) -> Result<RequestHead, ParseError> {
         let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
@@ -68,10 +95,12 @@
     fn rewrite_headers(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>) {
         headers.remove(AUTHORIZATION);
         headers.insert("x-left-ms", HeaderValue::from(forwarding.remaining_ms));
+        let fetch_from = forwarding.fetch_from.map(|address| address.to_string());
         for (name, text) in [
             ("x-by", Some(self.gateway.as_str())),
             ("x-server", Some(forwarding.server)),
             ("x-customer", forwarding.customer),
+            ("x-fetch", fetch_from.as_deref()),
         ] {
             headers.remove(name);
             if let Some(value) = text.and_then(|text| HeaderValue::from_str(text).ok()) {
@@ -107,6 +136,7 @@
                 is_leaving: headers.contains_key("x-leaving"),
                 pushback_ms: pushback_ms.and_then(|ms| ms.parse().ok()),
             },
+            server_load: server_load(headers),
         }
     }
 
@@ -128,9 +158,11 @@
         let version = fields.next().and_then(|field| field.parse().ok());
         let version = version.ok_or_else(|| parse_error("configuration"))?;
         let (numbers, keys): (Vec<&str>, Vec<&str>) = fields.partition(|field| field.contains('='));
-        let tokens_per_s = numbers
-            .iter()
-            .find_map(|field| field.strip_prefix("tokens="));
+        let number = |prefix| numbers.iter().find_map(|field| field.strip_prefix(prefix));
+        let tokens_per_s = number("tokens=");
+        let link_mbps = number("link=").and_then(|mbps| mbps.parse().ok());
+        let max_body_bytes = number("body=").and_then(|bytes| bytes.parse().ok());
+        let timeout_ms = number("timeout=").and_then(|ms| ms.parse().ok());
         let customer = Customer {
             id: CustomerId::of("noor"),
             name: "noor".to_owned(),
@@ -139,7 +171,7 @@
         };
         let limits = Limits {
             max_head_bytes: 16_384,
-            max_body_bytes: 1_000,
+            max_body_bytes: max_body_bytes.unwrap_or(MAX_BODY_BYTES),
             head_timeout_ms: 1_000,
             idle_timeout_ms: 5_000,
             tokens_per_s: tokens_per_s.and_then(|tokens| tokens.parse().ok()),
@@ -150,9 +182,14 @@
             ("/stream/", RequestKind::Stream, 1),
             ("/resumable/", RequestKind::Resumable, 2),
             ("/keyed/", RequestKind::Idempotent, 2),
+            (WAITING_PREFIX, RequestKind::Stream, 1),
+            (PATIENT_PREFIX, RequestKind::Stream, 1),
         ];
-        let routes = routes.map(|(prefix, kind, attempts)| route(prefix, kind, attempts));
-        let pools = vec![pool("plain", None), pool("model", Some(model()))];
+        let routes = routes.map(|(prefix, kind, attempts)| Route {
+            timeout_ms: timeout_ms.unwrap_or(TIMEOUT_MS),
+            ..route(prefix, kind, attempts)
+        });
+        let pools = vec![pool("plain", None), pool("model", Some(model(link_mbps)))];
         Ok(Config::new(
             version,
             limits,
@@ -213,9 +250,13 @@
         host: "host.example".to_owned(),
         prefix: prefix.to_owned(),
         kind,
-        is_public: prefix != "/keyed/",
+        is_public: !["/keyed/", WAITING_PREFIX].contains(&prefix),
         timeout_ms: TIMEOUT_MS,
-        objective_ms: OBJECTIVE_MS,
+        objective_ms: if [WAITING_PREFIX, PATIENT_PREFIX].contains(&prefix) {
+            LONG_OBJECTIVE_MS
+        } else {
+            OBJECTIVE_MS
+        },
         max_gap_ms: kind.is_stream().then_some(100),
         max_attempts: attempts,
         priority: 1,
@@ -240,9 +281,13 @@
     }
 }
 
-const fn model() -> Model {
+fn model(link_mbps: Option<u32>) -> Model {
     Model {
         slots: 8,
         memory_tokens: 100_000,
+        transfer: link_mbps.map(|link_mbps| Transfer {
+            token_bytes: 30_000,
+            link_mbps,
+        }),
     }
 }
