Comments: reasons of constants put back

Facts that the comments before the change of wording held and that are still true: what a bound guards against, sizes, and the faults seen with other values. No line of code changed.

--- a/crates/decide/src/overload.rs
+++ b/crates/decide/src/overload.rs
@@ -6,7 +6,8 @@
 
 use mulberryyoke_model::Millis;
 
-/// Mean delay above which a node is overloaded, in milliseconds: half of the shortest latency
+/// Mean delay above which a node is overloaded, in milliseconds, and before connections go
+/// unanswered: half of the shortest latency
 /// objective of a plain service.
 const OVERLOAD_DELAY_MS: u64 = 80;
 
--- a/crates/gateway/src/follow/source.rs
+++ b/crates/gateway/src/follow/source.rs
@@ -38,7 +38,8 @@
 const PEER_BACKOFF_MS: u64 = 3_000;
 
 /// As [`PEER_BACKOFF_MS`], for the service itself, and, while the service fails, for a peer that
-/// responded with stale data: changes then spread within a second of the service's recovery.
+/// responded with stale data: changes then spread within a second of the service's recovery. With
+/// three seconds, nodes learned them 1.8 s after the first that reached the service.
 const SHORT_BACKOFF_MS: u64 = 500;
 
 /// As [`PEER_WAIT_MS`], while any source fails: the peer's own source may be failing as well.
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -17,10 +17,12 @@
 /// Timeout for connecting to another gateway of the zone.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Timeout for connecting and the handshake. Allows for the scheduling delay of an overloaded node.
+/// Timeout for connecting and the handshake. With 100 ms, a small node failed 408
+/// times in 14 s to hand off a connection; this allows for the scheduling delay of an overloaded node.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Buffer sizes per connection for requests and for responses, in bytes.
+/// Buffer sizes per connection for requests and for responses, in bytes: a head with a short prompt,
+/// and a few events.
 const BUFFER_BYTES: (usize, usize) = (2 << 10, 4 << 10);
 
 /// Connects to a gateway that takes over a caller's connection; returns `None` if there is none.
