Read-through: cancelled transfers give no latency sample, bodies above the limit are refused for it

A request whose transfer was cancelled before it was sent was timed as if its parts had been fetched. A body above the size limit could be refused for memory, with a time to retry. Sums of a peer's token counts saturate.

--- a/crates/decide/src/engine.rs
+++ b/crates/decide/src/engine.rs
@@ -182,7 +182,8 @@
     /// Records that another gateway sent the server a prompt with these shared parts.
     pub fn record_peer_prefill(&mut self, shared: &[Part], now: Millis) {
         let missing = shared.iter().filter(|part| !self.cache.contains(part));
-        let tokens = missing.map(|part| part.tokens).sum();
+        let tokens = missing.map(|part| part.tokens);
+        let tokens = tokens.fold(0, u32::saturating_add);
         let prefill_ms = saturating_u64(self.wait_ms() + self.first_token_ms(tokens));
         self.cache.insert(shared);
         self.settle(shared, now + prefill_ms);
--- a/crates/decide/src/engine/backlog.rs
+++ b/crates/decide/src/engine/backlog.rs
@@ -78,8 +78,8 @@
             .retain(|entry| entry.position.id != position.id);
     }
 
-    /// Tokens of these prompts. Each counts in full until its first token: how far its prefill has
-    /// come is uncertain, and counting less admitted more than the servers could answer in time.
+    /// Tokens of these prompts. Each counts in full until its first token, since how far its prefill
+    /// has come is uncertain; counting less admits more than the servers can answer in time.
     pub(super) fn tokens(&self) -> u32 {
         let tokens = self.entries.iter().map(|entry| entry.position.tokens);
         tokens.fold(0, u32::saturating_add)
--- a/crates/decide/src/engine/latency.rs
+++ b/crates/decide/src/engine/latency.rs
@@ -37,7 +37,7 @@
 const DEVIATION_SMOOTHING: f64 = 0.2;
 
 /// Multiples of the deviation and of the expected time by which a sample may exceed the latter.
-/// With wider limits, samples that waited for a slot raised the line in the replay of few slots.
+/// With wider limits, samples that waited for a slot would raise the line.
 const EXCESS_LIMITS: (f64, f64) = (3.0, 0.2);
 
 /// A line through observed pairs of prompt tokens, queued ahead and own, and milliseconds to the
--- a/crates/decide/src/engine/pause.rs
+++ b/crates/decide/src/engine/pause.rs
@@ -6,7 +6,8 @@
 
 /// Prefill backlog at which the first streams, and at which all streams, are late, as fractions of
 /// the longest acceptable pause. Lower bounds divert prompts although no stream would be late:
-/// prefill delays an event by no more than that event's own steps.
+/// the server interleaves prefill with generation, so an event waits only for the prefill in its own
+/// steps.
 const LATE_FRACTIONS: (f64, f64) = (0.7, 1.2);
 
 /// Cost of one late stream, in milliseconds of waiting: about that of recomputing 800 tokens.
--- a/crates/decide/src/engine/speed.rs
+++ b/crates/decide/src/engine/speed.rs
@@ -107,8 +107,8 @@
         (expected_ms / observed_ms).clamp(BOUNDS.0, BOUNDS.1)
     }
 
-    /// Records that the server took `ms` to the first token with `tokens` to prefill, less any
-    /// reported slowdown.
+    /// Records that the server took `ms` to the first token with `tokens` to prefill. The
+    /// caller has divided the time by any reported slowdown.
     pub fn record_first_token(&mut self, tokens: u32, ms: f64, pool: Latency, now: Millis) {
         if tokens < MIN_SAMPLE_TOKENS || ms <= 0.0 {
             return;
--- a/crates/decide/src/overload.rs
+++ b/crates/decide/src/overload.rs
@@ -6,8 +6,8 @@
 
 use mulberryyoke_model::Millis;
 
-/// Mean delay above which a node is overloaded, in milliseconds, and before connections go
-/// unanswered: half of the shortest latency
+/// Mean delay above which a node is overloaded, in milliseconds: less than the delay at which
+/// connections go unanswered, and half of the shortest latency
 /// objective of a plain service.
 const OVERLOAD_DELAY_MS: u64 = 80;
 
--- a/crates/decide/src/waiting.rs
+++ b/crates/decide/src/waiting.rs
@@ -24,7 +24,8 @@
 /// `None` if it is not expected to be admitted in time. `deadline` is when its caller gives up.
 ///
 /// Prompts of a customer that may get nothing more at present do not wait: they would take every
-/// moment of room from prompts of others that are about to arrive.
+/// moment of room from prompts of others that are about to arrive. Neither do prompts that no server
+/// has memory for. Both have an allowed time of 0.
 #[must_use]
 pub fn until(
     rejection: &Rejection,
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -124,9 +124,10 @@
     WaitStarted = 1039, Info, "request waiting";
     /// A request no longer waits in a gateway.
     WaitEnded = 1040, Info, "request wait ended";
-    /// A caller that read too slowly was cut off.
+    /// A caller was cut off because it took nothing for too long, or held most when the budget was
+    /// exceeded.
     CallerCut = 1041, Warning, "slow caller cut off";
-    /// A router refused a prompt that no server has memory for.
+    /// A gateway refused a prompt that no server has memory for.
     NoRoom = 1042, Info, "no memory for prompt";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
--- a/crates/gateway/src/backend/health.rs
+++ b/crates/gateway/src/backend/health.rs
@@ -7,7 +7,7 @@
 /// Penalty per failure, in milliseconds of queueing time.
 const FAILURE_MS: f64 = 300.0;
 
-/// Upper limit of the penalty, in milliseconds. Above it, any queue elsewhere is shorter.
+/// Upper limit of the penalty, in milliseconds. Longer than any queue, so that a larger one would change no choice.
 const MAX_PENALTY_MS: f64 = 3_000.0;
 
 /// Half-life of the penalty, in milliseconds. A restarted server gets requests again within
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -24,6 +24,9 @@
     had_free_slot: bool,
     /// Transfer of prompt parts to the server.
     fetch: Option<Fetch>,
+    /// Whether a transfer was cancelled before the request was sent. The server then prefills more
+    /// than was expected.
+    is_fetch_cancelled: bool,
     /// Memory of the server that it is expected to take.
     reservation: Reservation,
     /// Shared parts of the prompt.
@@ -84,6 +87,7 @@
             queued_tokens,
             had_free_slot,
             fetch,
+            is_fetch_cancelled: false,
             reservation,
             shared: prompt.shared.clone(),
             max_output_tokens: prompt.max_output_tokens,
@@ -114,7 +118,7 @@
     /// Cancels the transfer if its source is no longer suitable. The server then prefills the parts.
     pub(crate) fn recheck_source(&mut self, now_ms: u64) {
         let is_unsuitable = |fetch: &mut Fetch| !fetch.source.can_supply(now_ms);
-        self.fetch.take_if(is_unsuitable);
+        self.is_fetch_cancelled |= self.fetch.take_if(is_unsuitable).is_some();
     }
 
     /// Prompt tokens queued at the server when the request was sent.
@@ -162,8 +166,9 @@
         if let Some(fetch) = &self.fetch {
             fetch.record_first_token(now);
         }
-        // Time spent waiting for a slot or a transfer would distort the measured latency.
-        if self.had_free_slot && self.fetch.is_none() {
+        // Time spent waiting for a slot, or on a transfer or its cancellation, would distort the
+        // measured latency.
+        if self.had_free_slot && self.fetch.is_none() && !self.is_fetch_cancelled {
             let now_ms = clock::now_ms();
             let mut engine = self.backend.engine.lock();
             // The slowdown changes many times a second; the mean of both ends stands for the time
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -89,9 +89,11 @@
             .as_ref()
             .map(|customer| (customer.id, &*customer.name));
         let max_bytes = config.limits().max_body_bytes;
+        let bytes = self.body.size_hint().exact().unwrap_or(1);
         let body = Limited::new(self.body, max_bytes);
-        let bytes = body.size_hint().exact().unwrap_or(1);
-        if !core.buffers.admits_request(payer.map(|(id, _)| id), bytes) {
+        // A body above the limit is refused for its length, which no retry changes.
+        let is_too_large = bytes > max_bytes as u64;
+        if !is_too_large && !core.buffers.admits_request(payer.map(|(id, _)| id), bytes) {
             // A caller that asks first has not sent its body.
             if !self.parts.headers.contains_key(EXPECT) {
                 discard(body).await;
--- a/crates/gateway/src/outages.rs
+++ b/crates/gateway/src/outages.rs
@@ -5,7 +5,7 @@
 use mulberryyoke_model::PoolId;
 use parking_lot::Mutex;
 
-/// Pools of which no server can be used, with the time of the first request refused for it, in
+/// Pools of which no server can be used, each with the time of the first request refused since, in
 /// milliseconds of [`crate::clock::now_ms`].
 #[derive(Debug, Default)]
 pub(crate) struct Outages(Mutex<HashMap<PoolId, u64>>);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,7 +26,8 @@
     NoServer(u32),
     /// Every server of the pool asks for pushback; with the retry delay in milliseconds.
     Pushback(u32),
-    /// No server can meet the latency objective; with the retry delay in milliseconds.
+    /// No server can meet the latency objective, or none has memory for the prompt now; with the retry
+    /// delay in milliseconds.
     Busy(u32),
     /// The prompt is larger than the memory of any server.
     TooLarge,
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -45,7 +45,7 @@
     is_batching: AtomicBool,
     /// Whether the snapshot lacks changes.
     is_stale: AtomicBool,
-    /// Speed statistics of the servers, by pool.
+    /// Latency statistics of the servers, by pool.
     pool_stats: Mutex<HashMap<PoolId, Arc<Mutex<PoolStats>>>>,
     /// Average memory of requests, by pool.
     footprints: Mutex<HashMap<PoolId, Arc<Mutex<Footprint>>>>,
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -155,7 +155,7 @@
     (longest_ms, waiting): (u64, usize),
 ) {
     let backend = core.registry.get_by_id(rejection.choice.server);
-    let cause = if usage.is_over_share() && !rejection.lacks_room() {
+    let cause = if usage.is_over_share() {
         "over_share"
     } else {
         "busy"
