--- a/crates/decide/src/engine/speed.rs
+++ b/crates/decide/src/engine/speed.rs
@@ -7,7 +7,7 @@
 
 /// Learned ratios that count as the usual speed: queues that this gateway does not see cause as
 /// much between equal servers.
-const USUAL: (f64, f64) = (0.65, 1.5);
+const USUAL: (f64, f64) = (0.8, 1.25);
 
 /// Lowest and highest learned ratio.
 const BOUNDS: (f64, f64) = (0.3, 2.0);
