Crashes that are not counted against requests are logged

The logs could not tell an end that was not seen from one that was left out of account. 1043 tells each that is, with the reason: the server was leaving, or several others crashed at the same time. No decision changes.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -120,6 +120,14 @@
             .collect()
     }
 
+    /// Returns whether a server instance crashed together with several others, so that its crash
+    /// is no evidence.
+    #[must_use]
+    pub fn is_mass_crash(&self, server: ServerId) -> bool {
+        let at = self.crashes.time_of(server);
+        at.is_some_and(|at| self.crashes.is_mass_crash(at, |other| other == server))
+    }
+
     /// Records that a request succeeded, which clears it. Returns the number of crashes that
     /// counted against it.
     pub fn record_success(&mut self, digest: Digest, now: Millis) -> u32 {
--- a/crates/decide/src/quarantine/crashes.rs
+++ b/crates/decide/src/quarantine/crashes.rs
@@ -35,6 +35,13 @@
         }
     }
 
+    /// Returns when a server instance crashed, if its crash is known.
+    pub(super) fn time_of(&self, server: ServerId) -> Option<Millis> {
+        let mut entries = self.entries.iter();
+        let (_, at) = entries.find(|(known, _)| *known == server)?;
+        Some(*at)
+    }
+
     /// Returns whether a mass crash happened around `at`, ignoring the servers that match
     /// `is_own`. A request running on one of many servers killed together is not the cause.
     pub(super) fn is_mass_crash(&self, at: Millis, is_own: impl Fn(ServerId) -> bool) -> bool {
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -277,3 +277,24 @@
     let innocent: usize = runs.iter().map(|(_, convicted)| convicted).sum();
     expect_that!(innocent, le(3), "convicted in 100 runs");
 }
+
+#[gtest]
+fn a_crash_together_with_three_others_is_told_apart() {
+    let (mut quarantine, mut now) = (Quarantine::default(), 1_000);
+    crash(&mut quarantine, 1, &[POISON], &mut now);
+    expect_that!(quarantine.is_mass_crash(ServerId(1)), eq(false));
+    now += 3_000;
+    for server in 2..=5 {
+        let at = now;
+        crash(
+            &mut quarantine,
+            server,
+            &[Digest(u128::from(server))],
+            &mut now,
+        );
+        now = at + 5;
+    }
+    expect_that!(quarantine.is_mass_crash(ServerId(5)), eq(true));
+    expect_that!(quarantine.is_mass_crash(ServerId(1)), eq(false));
+    expect_that!(quarantine.is_mass_crash(ServerId(9)), eq(false));
+}
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -129,6 +129,8 @@
     CallerCut = 1041, Warning, "slow caller cut off";
     /// A gateway refused a prompt that no server has memory for.
     NoRoom = 1042, Info, "no memory for prompt";
+    /// The end of a server instance is not held against the requests that were running on it.
+    CrashNotCounted = 1043, Info, "server crash not counted";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -127,9 +127,13 @@
 /// Records a crash, which makes suspects of the requests that failed there.
 fn record_crash(core: &Arc<Core>, server: ServerId, name: &str) {
     let now = clock::now_ms();
-    let suspects = core
-        .quarantine
-        .update(|records| records.record_crash(server, now));
+    let (suspects, is_mass_crash) = core.quarantine.update(|records| {
+        let suspects = records.record_crash(server, now);
+        (suspects, records.is_mass_crash(server))
+    });
+    if is_mass_crash {
+        log!(core.logger, Event::CrashNotCounted, "server" => name, "why" => "mass_crash");
+    }
     for (digest, verdict) in suspects {
         log!(core.logger, Event::Suspected,
             "digest" => digest.to_string(),
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -24,10 +24,12 @@
 /// server that is leaving are ignored, as it may exit with requests in flight.
 pub(crate) async fn record_failure(core: &Arc<Core>, call: &Call, in_flight: &InFlight) {
     let backend = &in_flight.backend;
+    let digest = call.digest();
     if backend.is_closed() {
+        log!(core.logger, Event::CrashNotCounted,
+            "server" => &backend.server.name, "why" => "leaving", "digest" => digest.to_string());
         return;
     }
-    let digest = call.digest();
     let mut liveness = backend.liveness.lock().await;
     let has_crashed =
         liveness.has_crashed_since(in_flight.sent_at) || probe(core, backend, &mut liveness).await;
