Test that fails: a request under which servers go dark reaches them all

A server whose machine falls silent under a request breaks no connection and refuses none. Its end is known when its registration lapses, seconds later, and by then nothing is held against what ran there: a run that stalls, times out or loses its caller leaves no record. The stand-in of a crashing server can fall silent, and can be back at once.

--- a/crates/gateway/tests/gateway/crash_fleet.rs
+++ b/crates/gateway/tests/gateway/crash_fleet.rs
@@ -8,7 +8,7 @@
 
 use crate::backend::Behavior;
 use crate::caller::{self, Response};
-use crate::crashing_server::{CrashCounts, CrashingServer, RestartName};
+use crate::crashing_server::{CrashCounts, CrashingServer, Mode};
 use crate::feed::Service;
 use crate::fleet::Node;
 
@@ -31,15 +31,16 @@
 }
 
 impl Fleet {
-    pub(crate) async fn spawn(name: RestartName, nodes: usize, behavior: Behavior) -> Self {
+    pub(crate) async fn spawn(mode: impl Into<Mode>, nodes: usize, behavior: Behavior) -> Self {
+        let mode = mode.into();
         let service = Service::new();
         service.set("config", Some("5 secret"));
         let crash_counts = CrashCounts::default();
         let servers = (0..SERVERS).map(|index| {
             let (service, crash_counts) = (&service, &crash_counts);
-            CrashingServer::spawn(service, index, name, behavior, crash_counts)
+            CrashingServer::spawn(service, index, mode, behavior, crash_counts)
         });
-        let servers = join_all(servers).await;
+        let servers = servers.collect();
         let nodes = (0..nodes).map(async |index| {
             let node = Node::spawn(&service, &format!("g{index}")).await;
             node.wait_ready().await;
--- a/crates/gateway/tests/gateway/crashing_server.rs
+++ b/crates/gateway/tests/gateway/crashing_server.rs
@@ -1,15 +1,17 @@
 //! Servers that crash when they run a marked request, and restart as a new instance.
 
 use std::collections::HashMap;
+use std::future::pending;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::backend::{Behavior, State, read_request, respond};
@@ -35,6 +37,41 @@
 /// Time for which a marked request runs before the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(40);
 
+/// Time from a silent crash until the registration lapses.
+const SILENT_LAPSE_DELAY: Duration = Duration::from_secs(3);
+
+/// Time after which an attempt to connect gets no response.
+const FILL_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Length of the queue of connections that a server has not accepted.
+const ACCEPT_QUEUE: u32 = 16;
+
+/// How a server crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(dead_code, reason = "not used by every test binary")]
+pub(crate) enum Crash {
+    /// The process ends: its connections are closed, and new ones are refused.
+    Process,
+    /// The machine goes dark: its connections fall silent, and attempts to connect get no response.
+    Silent,
+    /// The process ends, and the next instance accepts connections at once.
+    QuickRestart,
+}
+
+/// How a server crashes and restarts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Mode {
+    pub(crate) crash: Crash,
+    pub(crate) name: RestartName,
+}
+
+impl From<RestartName> for Mode {
+    fn from(name: RestartName) -> Self {
+        let crash = Crash::Process;
+        Self { crash, name }
+    }
+}
+
 /// Whether a server restarts under a new name or the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RestartName {
@@ -70,14 +107,14 @@
 
 impl CrashingServer {
     /// Starts a server and registers it in both pools. `crash_counts` is shared by the fleet.
-    pub(crate) async fn spawn(
+    pub(crate) fn spawn(
         service: &Arc<Service>,
         index: usize,
-        name: RestartName,
+        mode: Mode,
         behavior: Behavior,
         crash_counts: &CrashCounts,
     ) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)));
         let server = Self {
             state: Arc::new(State::new(behavior)),
             crashes: Arc::default(),
@@ -87,7 +124,7 @@
             service: Arc::clone(service),
             address: listener.local_addr().expect("an address"),
             index,
-            name,
+            mode,
             number: 1,
             crash_counts: Arc::clone(crash_counts),
         };
@@ -124,7 +161,7 @@
     service: Arc<Service>,
     address: SocketAddr,
     index: usize,
-    name: RestartName,
+    mode: Mode,
     number: u32,
     crash_counts: CrashCounts,
 }
@@ -132,7 +169,7 @@
 impl Instance {
     fn keys(&self) -> [(&'static str, String); 2] {
         ["plain", "model"].map(|pool| {
-            let key = match self.name {
+            let key = match self.mode.name {
                 RestartName::New => format!("servers/{pool}-{}-{}", self.index, self.number),
                 RestartName::Same => format!("servers/{pool}-{}", self.index),
             };
@@ -142,7 +179,7 @@
 
     fn register(&self) {
         for (pool, key) in self.keys() {
-            let started = match self.name {
+            let started = match self.mode.name {
                 RestartName::New => String::new(),
                 RestartName::Same => self.number.to_string(),
             };
@@ -156,6 +193,33 @@
             self.service.set(&key, None);
         }
     }
+
+    /// Ends the registration, and starts the next instance some time later.
+    async fn restart(&mut self) -> TcpListener {
+        self.lapse();
+        sleep(RESTART_DELAY).await;
+        self.number += 1;
+        let listener = listen(self.address);
+        self.register();
+        listener
+    }
+
+    /// Registers the next instance at once. The registration of the earlier one ends later.
+    fn restart_at_once(&mut self) {
+        let earlier = self.keys();
+        self.number += 1;
+        self.register();
+        if self.mode.name == RestartName::Same {
+            return;
+        }
+        let service = Arc::clone(&self.service);
+        tokio::spawn(async move {
+            sleep(LAPSE_DELAY).await;
+            for (_, key) in earlier {
+                service.set(&key, None);
+            }
+        });
+    }
 }
 
 async fn run(
@@ -168,40 +232,89 @@
     loop {
         let crash = CancellationToken::new();
         *crash_token.lock().expect("no panic") = crash.clone();
-        serve(listener, &state, &instance.crash_counts, &crash).await;
+        let mut conns = JoinSet::new();
+        serve(
+            &listener,
+            &mut conns,
+            &state,
+            &instance.crash_counts,
+            &crash,
+        )
+        .await;
         crashes.fetch_add(1, Ordering::Relaxed);
-        sleep(LAPSE_DELAY).await;
-        instance.lapse();
-        sleep(RESTART_DELAY).await;
-        instance.number += 1;
-        listener = TcpListener::bind(instance.address).await.expect("its port");
-        instance.register();
+        listener = match instance.mode.crash {
+            Crash::Process => {
+                drop((listener, conns));
+                sleep(LAPSE_DELAY).await;
+                instance.restart().await
+            }
+            Crash::Silent => {
+                let fillers = fill_accept_queue(instance.address).await;
+                sleep(SILENT_LAPSE_DELAY).await;
+                drop((listener, conns, fillers));
+                instance.restart().await
+            }
+            Crash::QuickRestart => {
+                drop(conns);
+                instance.restart_at_once();
+                listener
+            }
+        };
     }
 }
 
-/// Serves until the crash, which closes all connections and the listener.
+/// Serves until the crash.
 async fn serve(
-    listener: TcpListener,
+    listener: &TcpListener,
+    conns: &mut JoinSet<()>,
     state: &Arc<State>,
     crash_counts: &CrashCounts,
     crash: &CancellationToken,
 ) {
-    let mut conns = JoinSet::new();
     loop {
         tokio::select! {
             () = crash.cancelled() => return,
             Ok((stream, _)) = listener.accept() => {
-                conns.spawn(handle(
+                let handled = handle(
                     stream,
                     Arc::clone(state),
                     Arc::clone(crash_counts),
                     crash.clone(),
-                ));
+                );
+                conns.spawn(run_until_crash(handled, crash.clone()));
             }
         }
     }
 }
 
+/// Runs a connection until the crash, after which it is open and silent until it is dropped.
+async fn run_until_crash(handled: impl Future<Output = ()>, crash: CancellationToken) {
+    let mut handled = pin!(handled);
+    tokio::select! {
+        () = &mut handled => return,
+        () = crash.cancelled() => {}
+    }
+    pending::<()>().await;
+}
+
+/// Listens with a short queue, which can be filled.
+fn listen(address: SocketAddr) -> TcpListener {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_reuseaddr(true).expect("addresses are reusable");
+    socket.bind(address).expect("its port");
+    socket.listen(ACCEPT_QUEUE).expect("it listens")
+}
+
+/// Fills the queue of a listener that accepts nothing, so that further attempts to connect get no
+/// response.
+async fn fill_accept_queue(address: SocketAddr) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    while let Ok(Ok(stream)) = timeout(FILL_TIMEOUT, TcpStream::connect(address)).await {
+        streams.push(stream);
+    }
+    streams
+}
+
 async fn handle(
     mut stream: TcpStream,
     state: Arc<State>,
@@ -219,7 +332,7 @@
             }
             sleep(CRASH_DELAY).await;
             crash.cancel();
-            return;
+            return pending().await;
         }
         if !respond(&mut stream, &state, &head).await {
             return;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod retries;
 mod server_load;
 mod shutdown;
+mod silent_crashes;
 mod slow;
 mod streams;
 mod waiting;
--- a/crates/gateway/tests/suspension/main.rs
+++ b/crates/gateway/tests/suspension/main.rs
@@ -156,16 +156,13 @@
     let mut servers = Vec::new();
     for index in 0..5 {
         let crash_counts = CrashCounts::default();
-        servers.push(
-            CrashingServer::spawn(
-                &service,
-                index,
-                RestartName::New,
-                Behavior::Answer,
-                &crash_counts,
-            )
-            .await,
-        );
+        servers.push(CrashingServer::spawn(
+            &service,
+            index,
+            RestartName::New.into(),
+            Behavior::Answer,
+            &crash_counts,
+        ));
     }
     let node = Node::spawn(&service, "g0").await;
     node.wait_ready().await;
