Quarantine: servers that fall silent under a request are evidence against it

Callers saw a request end server after server although three had ended under it. Cause: only a response that breaks off was recorded against a request. A machine that goes dark breaks nothing: its runs stall, time out or lose their caller, and when its registration lapsed seconds later nothing was held against what had run there.

Now a server that has sent nothing to any run for 100 ms is probed when one of them stalls, times out or is abandoned; two connections without an answer, or one refused, count as its crash, dated to when it fell silent. Where it accepts, the silence counts only if its registration ends and it has sent nothing since. A suspect is checked as well, although it is not given up for another server. No response is ended for it.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -10,6 +10,7 @@
 //! of a pool, along with everyone else's streams there.
 
 mod crashes;
+mod failure;
 mod record;
 mod suspect;
 mod verdict;
@@ -19,6 +20,7 @@
 use mulberryyoke_model::{Digest, Millis, ServerId};
 
 use self::crashes::Crashes;
+pub use self::failure::Failure;
 pub use self::record::CONVICTION_THRESHOLD;
 use self::record::Record;
 pub use self::suspect::{Crash, Suspect};
@@ -64,7 +66,7 @@
 pub struct Quarantine {
     records: HashMap<Digest, Record>,
     /// Requests that failed on servers not yet known to have crashed.
-    failures: HashMap<ServerId, Vec<(Digest, Millis)>>,
+    failures: HashMap<ServerId, Vec<Failure>>,
     /// Crashes of all servers, whatever they were running.
     crashes: Crashes,
 }
@@ -90,30 +92,36 @@
     }
 
     /// Records that a request failed while running on a server instance.
-    pub fn record_failure(&mut self, server: ServerId, digest: Digest, now: Millis) {
+    pub fn record_failure(&mut self, server: ServerId, failure: Failure) {
         let failures = self.failures.entry(server).or_default();
-        let is_known = failures.iter().any(|(known, _)| *known == digest);
+        let is_known = failures.iter().any(|known| known.digest == failure.digest);
         if !is_known && failures.len() < MAX_FAILURES {
-            failures.push((digest, now));
+            failures.push(failure);
         }
     }
 
     /// Records that a server instance crashed, dated to the first of its recent request
-    /// failures. Returns the requests that now have more than one crash.
-    pub fn record_crash(&mut self, server: ServerId, now: Millis) -> Vec<(Digest, Verdict)> {
+    /// failures; `heard_at` is when it last responded to anything. Returns the requests that now
+    /// have more than one crash.
+    pub fn record_crash(
+        &mut self,
+        server: ServerId,
+        heard_at: Millis,
+        now: Millis,
+    ) -> Vec<(Digest, Verdict)> {
         let failures = self.failures.remove(&server).unwrap_or_default();
-        let recent = failures
-            .into_iter()
-            .filter(|(_, at)| now.saturating_sub(*at) < DETECTION_MS);
-        let recent: Vec<(Digest, Millis)> = recent.collect();
-        let Some(at) = recent.iter().map(|(_, at)| *at).min() else {
+        let recent = failures.into_iter().filter(|failure| {
+            now.saturating_sub(failure.at) < DETECTION_MS && failure.may_be_cause(heard_at)
+        });
+        let recent: Vec<Failure> = recent.collect();
+        let Some(at) = recent.iter().map(|failure| failure.at).min() else {
             return Vec::new();
         };
         self.crashes.record(server, at);
-        for (digest, _) in &recent {
-            self.record(*digest).record_crash(server, at, now);
+        for failure in &recent {
+            self.record(failure.digest).record_crash(server, at, now);
         }
-        let digests = recent.into_iter().map(|(digest, _)| digest);
+        let digests = recent.into_iter().map(|failure| failure.digest);
         let verdicts = digests.map(|digest| (digest, self.verdict(digest, now)));
         verdicts
             .filter(|(_, verdict)| verdict.crashes() > 1)
@@ -201,7 +209,7 @@
         self.records.retain(|_, record| !record.is_expired(now));
         self.crashes.expire(now);
         self.failures.retain(|_, failures| {
-            failures.retain(|(_, at)| now.saturating_sub(*at) < DETECTION_MS);
+            failures.retain(|failure| now.saturating_sub(failure.at) < DETECTION_MS);
             !failures.is_empty()
         });
     }
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use mulberryyoke_decide::quarantine::{
-    CONVICTION_THRESHOLD, Quarantine, Suspect, Verdict, arbiter,
+    CONVICTION_THRESHOLD, Failure, Quarantine, Suspect, Verdict, arbiter,
 };
 use mulberryyoke_model::{Digest, ServerId};
 use rand::seq::IndexedRandom;
@@ -16,12 +16,21 @@
 /// Initial quarantine time, in milliseconds.
 const BASE_QUARANTINE_MS: u64 = 60_000;
 
+/// The failure of a request whose response broke off.
+const fn broken(digest: Digest, at: u64) -> Failure {
+    Failure {
+        digest,
+        at,
+        is_silence: false,
+    }
+}
+
 /// Crashes a server that is running these requests and advances the time by 100 ms.
 fn crash(quarantine: &mut Quarantine, server: u32, requests: &[Digest], now: &mut u64) {
     for digest in requests {
-        quarantine.record_failure(ServerId(server), *digest, *now);
+        quarantine.record_failure(ServerId(server), broken(*digest, *now));
     }
-    quarantine.record_crash(ServerId(server), *now);
+    quarantine.record_crash(ServerId(server), *now, *now);
     *now += 100;
 }
 
@@ -29,7 +38,7 @@
 fn the_third_crash_convicts_and_a_failure_without_a_crash_is_no_evidence() {
     let (mut quarantine, mut now) = (Quarantine::default(), 1_000);
     for server in 0..9 {
-        quarantine.record_failure(ServerId(100 + server), POISON, now);
+        quarantine.record_failure(ServerId(100 + server), broken(POISON, now));
     }
     expect_that!(quarantine.verdict(POISON, now), eq(Verdict::Clear));
     for crashes in 1..CONVICTION_THRESHOLD {
@@ -87,8 +96,8 @@
         let at = now;
         for server in 0..4 {
             let request = Digest(u128::from(server) + 1);
-            quarantine.record_failure(ServerId(10 * kill + server), request, now);
-            quarantine.record_crash(ServerId(10 * kill + server), now);
+            quarantine.record_failure(ServerId(10 * kill + server), broken(request, now));
+            quarantine.record_crash(ServerId(10 * kill + server), now, now);
             now += 5;
         }
         now = at + 3_000;
@@ -298,3 +307,19 @@
     expect_that!(quarantine.is_mass_crash(ServerId(1)), eq(false));
     expect_that!(quarantine.is_mass_crash(ServerId(9)), eq(false));
 }
+
+#[gtest]
+fn silence_is_evidence_unless_the_server_responds_after_it() {
+    for (heard_at, crashes) in [(900, 1), (1_000, 1), (1_400, 0)] {
+        let mut quarantine = Quarantine::default();
+        let failure = Failure {
+            digest: POISON,
+            at: 1_000,
+            is_silence: true,
+        };
+        quarantine.record_failure(ServerId(1), failure);
+        quarantine.record_crash(ServerId(1), heard_at, 5_000);
+        let verdict = quarantine.verdict(POISON, 5_000);
+        expect_that!(verdict.crashes(), eq(crashes), "{heard_at}");
+    }
+}
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -131,6 +131,8 @@
     NoRoom = 1042, Info, "no memory for prompt";
     /// The end of a server instance is not held against the requests that were running on it.
     CrashNotCounted = 1043, Info, "server crash not counted";
+    /// A server fell silent with requests in flight and accepts no connection.
+    ServerSilent = 1044, Warning, "server is silent";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -8,7 +8,7 @@
 mod liveness;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
 use mulberryyoke_decide::engine::{Engine, Footprint, PoolStats};
 use mulberryyoke_decide::server_load::Queue;
@@ -44,6 +44,8 @@
     pub(crate) is_model: bool,
     /// Locked while the server is probed, so that concurrent failures share one probe.
     pub(crate) liveness: tokio::sync::Mutex<Liveness>,
+    /// When the server last sent anything, in milliseconds of the boot clock.
+    heard_ms: AtomicU64,
     /// Suspect requests in flight; at most one runs on a server while others are free.
     pub(crate) isolated_requests: AtomicU32,
     pub(crate) cold: ColdLimiter,
@@ -78,6 +80,7 @@
             health: Mutex::new(Health::default()),
             is_model: model.is_some(),
             liveness: tokio::sync::Mutex::default(),
+            heard_ms: AtomicU64::new(0),
             isolated_requests: AtomicU32::new(0),
             cold: ColdLimiter::default(),
             instance,
@@ -108,6 +111,16 @@
         (requests, queue.slots().unwrap_or(engine.slots))
     }
 
+    /// Records that the server sent something.
+    pub(crate) fn record_heard(&self) {
+        self.heard_ms.store(clock::now_ms(), Ordering::Relaxed);
+    }
+
+    /// When the server last sent anything, in milliseconds of the boot clock.
+    pub(crate) fn heard_ms(&self) -> u64 {
+        self.heard_ms.load(Ordering::Relaxed)
+    }
+
     /// Whether new requests may be sent to the server.
     pub(crate) fn is_open(&self) -> bool {
         !self.is_closed() && !self.is_evacuated.load(Ordering::Relaxed)
--- a/crates/gateway/src/backend/liveness.rs
+++ b/crates/gateway/src/backend/liveness.rs
@@ -3,6 +3,8 @@
 use mulberryyoke_model::ServerId;
 use tokio::time::Instant;
 
+use crate::clock;
+
 /// Crashes of a server under one registration. There can be several, as a restarted server is
 /// reachable before its new registration is known if the key-value service is unavailable.
 #[derive(Clone, Copy, Debug, Default)]
@@ -11,12 +13,15 @@
     pub(crate) last_alive: Option<Instant>,
     /// Time at which a crash was last detected.
     pub(crate) last_crash: Option<Instant>,
+    /// The same in milliseconds of the boot clock.
+    last_crash_ms: u64,
     crashes: u32,
 }
 
 impl Liveness {
     pub(crate) fn record_crash(&mut self, now: Instant) {
         self.last_crash = Some(now);
+        self.last_crash_ms = clock::now_ms();
         self.crashes += 1;
     }
 
@@ -35,6 +40,12 @@
         self.last_crash.is_some_and(|crash| crash >= sent_at)
     }
 
+    /// Whether a crash was detected and the server, which last sent something at `heard_ms`, has been
+    /// silent since.
+    pub(crate) const fn is_down(&self, heard_ms: u64) -> bool {
+        self.last_crash.is_some() && heard_ms <= self.last_crash_ms
+    }
+
     /// ID of the instance that crashed last, or, if `is_next`, of its successor.
     pub(crate) fn instance_id(&self, server: ServerId, is_next: bool) -> ServerId {
         match self.crashes + u32::from(is_next) {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -25,14 +25,6 @@
 /// Maximum number of servers tried that did not run the request.
 const MAX_NOT_RUN: u32 = 3;
 
-/// Time to the response head after which a request is retried elsewhere, in percent of the
-/// latency objective. It leaves the second server time to meet the objective.
-const STALL_PERCENT: u64 = 60;
-
-/// Like [`STALL_PERCENT`], for streams. With a full queue the first event may take the whole
-/// objective, and a second server would have to start over.
-const STREAM_STALL_PERCENT: u64 = 130;
-
 /// Number of crashes from which a suspect is isolated from other suspects. A single crash
 /// implicates up to 64 concurrent requests, too many to isolate.
 const ISOLATION_CRASHES: u32 = 2;
@@ -199,21 +191,11 @@
         self.has_attempts_left(call) && !self.is_suspect
     }
 
-    /// Returns when the current server counts as stalled, or `None` if no other may be tried.
-    /// The current server must not be counted yet.
-    fn stall_deadline(&self, call: &Call) -> Option<Instant> {
+    /// Whether the current server, which must not be counted yet, may be given up for another.
+    fn may_give_up(&self, call: &Call) -> bool {
         let is_last =
             !call.route.kind.is_retryable() || self.possible_runs + 1 >= call.route.max_attempts;
-        if is_last || self.is_suspect {
-            return None;
-        }
-        let percent = if call.route.kind.is_stream() {
-            STREAM_STALL_PERCENT
-        } else {
-            STALL_PERCENT
-        };
-        let ms = call.route.objective_ms * percent / 100;
-        Some(clock::after(Instant::now(), ms))
+        !is_last && !self.is_suspect
     }
 
     /// Reserves another attempt after a server that did not run the request; `false` if none is
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -8,6 +8,7 @@
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
+use tokio::time::Instant;
 
 use crate::backend::InFlight;
 use crate::buffers::{Account, Chunk, Hold};
@@ -17,12 +18,21 @@
 use crate::dispatch::Attempts;
 use crate::outcome::Outcome;
 use crate::protocol::{Forwarding, ResponseHead, Verification};
+use crate::quarantine::Watch;
 use crate::response_body::ResponseBody;
 use crate::{body_relay, clock, failure, header, notice, quarantine, stream_relay};
 
 /// Maximum size of a buffered response body, in bytes. Larger bodies are relayed as they arrive.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
+/// Time to the response head after which a request is retried elsewhere, in percent of the
+/// latency objective. It leaves the second server time to meet the objective.
+const STALL_PERCENT: u64 = 60;
+
+/// Like [`STALL_PERCENT`], for streams. With a full queue the first event may take the whole
+/// objective, and a second server would have to start over.
+const STREAM_STALL_PERCENT: u64 = 130;
+
 /// Sends a request to its assigned server and waits for the response: up to the head of a stream
 /// or large response, else to the end of the body.
 pub(super) async fn send(
@@ -58,7 +68,8 @@
     in_flight.recheck_source(clock::now_ms());
     let request = build_request(core, call, &in_flight, resume_after);
     let mut sent = Box::pin(conn.sender.try_send_request(request));
-    let mut stall = attempts.stall_deadline(call);
+    let watch = Watch::start(core, call, &in_flight);
+    let mut stall = Some(stall_deadline(call));
     let sent = loop {
         tokio::select! {
             sent = &mut sent => break sent,
@@ -69,11 +80,15 @@
             () = clock::sleep_until_opt(stall) => {}
         }
         stall = None;
-        if core.retry_budgets.try_withdraw(call.pool) {
+        if attempts.may_give_up(call) && core.retry_budgets.try_withdraw(call.pool) {
             failure::record(core, call, &in_flight, "response stalled", "");
+            quarantine::check_silence(core, call, &in_flight).await;
+            watch.resolve();
             return Outcome::Stalled;
         }
+        quarantine::spawn_silence_check(core, call, &in_flight);
     };
+    watch.resolve();
     let response = match sent {
         Ok(response) => response,
         Err(error) => {
@@ -90,6 +105,17 @@
     read_response(core, call, in_flight, attempts, conn, response).await
 }
 
+/// Returns when a server counts as stalled that has not responded.
+fn stall_deadline(call: &Call) -> Instant {
+    let percent = if call.route.kind.is_stream() {
+        STREAM_STALL_PERCENT
+    } else {
+        STALL_PERCENT
+    };
+    let ms = call.route.objective_ms * percent / 100;
+    clock::after(Instant::now(), ms)
+}
+
 fn build_request(
     core: &Core,
     call: &Call,
@@ -121,6 +147,7 @@
     response: Response<Incoming>,
 ) -> Outcome {
     let (mut head, body) = response.into_parts();
+    in_flight.backend.record_heard();
     let response_head = core.protocol.parse_response(&head, &call.id);
     if let Some(left_ms) = response_head.cold_left_ms.filter(|left_ms| *left_ms > 0) {
         in_flight.backend.cold.extend(clock::now_ms() + left_ms);
@@ -190,6 +217,7 @@
         collected = collect(body, call.account.as_ref()) => collected,
         () = clock::wait_until(call.deadline_ms) => {
             failure::record(core, call, &in_flight, "response body timed out", "");
+            quarantine::record_abandoned(core, call, &in_flight);
             return Outcome::TimedOut;
         }
     };
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod conviction;
 mod probe;
+mod silence;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -17,6 +18,8 @@
 pub(crate) use self::admit::{PATH, admit, handle_admit};
 pub(crate) use self::conviction::{digest_of, parse, rewrite};
 pub(crate) use self::probe::{record_failure, record_lapse};
+pub(crate) use self::silence::{Watch, check_silence, record_abandoned, spawn_silence_check};
+use crate::backend::Backend;
 use crate::clock;
 use crate::core::Core;
 
@@ -125,19 +128,19 @@
 }
 
 /// Records a crash, which makes suspects of the requests that failed there.
-fn record_crash(core: &Arc<Core>, server: ServerId, name: &str) {
+fn record_crash(core: &Arc<Core>, server: ServerId, backend: &Backend) {
     let now = clock::now_ms();
     let (suspects, is_mass_crash) = core.quarantine.update(|records| {
-        let suspects = records.record_crash(server, now);
+        let suspects = records.record_crash(server, backend.heard_ms(), now);
         (suspects, records.is_mass_crash(server))
     });
     if is_mass_crash {
-        log!(core.logger, Event::CrashNotCounted, "server" => name, "why" => "mass_crash");
+        log!(core.logger, Event::CrashNotCounted, "server" => &backend.server.name, "why" => "mass_crash");
     }
     for (digest, verdict) in suspects {
         log!(core.logger, Event::Suspected,
             "digest" => digest.to_string(),
-            "server" => name,
+            "server" => &backend.server.name,
             "ended" => verdict.crashes());
         if matches!(verdict, Verdict::Convicted { .. }) {
             log_conviction(core, digest, Verdict::Clear, verdict);
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mulberryyoke_decide::quarantine::Failure;
 use mulberryyoke_event::{Event, log};
 use tokio::time::{Instant, timeout};
 
@@ -31,14 +32,19 @@
         return;
     }
     let mut liveness = backend.liveness.lock().await;
-    let has_crashed =
-        liveness.has_crashed_since(in_flight.sent_at) || probe(core, backend, &mut liveness).await;
+    let has_crashed = liveness.has_crashed_since(in_flight.sent_at)
+        || probe(core, backend, &mut liveness, ALIVE_TTL_MS).await == Reply::Refused;
     let instance = liveness.instance_id(backend.server.id, !has_crashed);
     drop(liveness);
+    let failure = Failure {
+        digest,
+        at: clock::now_ms(),
+        is_silence: false,
+    };
     core.quarantine
-        .update(|records| records.record_failure(instance, digest, clock::now_ms()));
+        .update(|records| records.record_failure(instance, failure));
     if has_crashed {
-        record_crash(core, instance, &backend.server.name);
+        record_crash(core, instance, backend);
     }
 }
 
@@ -49,31 +55,48 @@
         .lock()
         .await
         .instance_id(backend.server.id, true);
-    record_crash(&core, instance, &backend.server.name);
+    record_crash(&core, instance, &backend);
 }
 
-/// Whether the server refuses connections, and thus has crashed. Concurrent failures share one
-/// probe.
-async fn probe(core: &Core, backend: &Backend, liveness: &mut Liveness) -> bool {
+/// How a server reacts to a connection attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reply {
+    Accepted,
+    /// No process listens, so the server has crashed.
+    Refused,
+    /// The machine does not respond.
+    Nothing,
+    /// The attempt failed for another reason, which shows nothing.
+    Unknown,
+}
+
+/// Connects to a server. Concurrent failures share one probe, and a successful one is reused for
+/// `alive_ttl_ms`.
+pub(super) async fn probe(
+    core: &Core,
+    backend: &Backend,
+    liveness: &mut Liveness,
+    alive_ttl_ms: u64,
+) -> Reply {
     let now = Instant::now();
     let is_alive = liveness
         .last_alive
-        .is_some_and(|at| clock::between_ms(at, now) < ALIVE_TTL_MS);
+        .is_some_and(|at| clock::between_ms(at, now) < alive_ttl_ms);
     if is_alive {
-        return false;
+        return Reply::Accepted;
     }
     match timeout(PROBE_TIMEOUT, backend.conns.connect()).await {
         Ok(Ok(conn)) => {
             liveness.last_alive = Some(Instant::now());
             backend.conns.release(conn, None);
-            false
+            Reply::Accepted
         }
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
             liveness.record_crash(Instant::now());
             log!(core.logger, Event::ServerCrashed, "server" => &backend.server.name);
-            true
+            Reply::Refused
         }
-        // Other errors do not show whether the server crashed.
-        Ok(Err(_)) | Err(_) => false,
+        Ok(Err(_)) => Reply::Unknown,
+        Err(_) => Reply::Nothing,
     }
 }
--- /dev/null
+++ b/crates/gateway/src/quarantine/silence.rs
@@ -0,0 +1,185 @@
+//! Detection of servers that fell silent while running requests.
+//!
+//! A machine that goes dark breaks no connection. A request that gets no response from it is
+//! evidence only if the server has sent nothing to any request since, and accepts no connection.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mulberryyoke_decide::quarantine::Failure;
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::Digest;
+use tokio::runtime::Handle;
+use tokio::time::{Instant, sleep};
+
+use super::probe::{Reply, probe};
+use super::record_crash;
+use crate::backend::{Backend, InFlight, Liveness};
+use crate::call::Call;
+use crate::clock;
+use crate::core::Core;
+
+/// Shortest time without a response that counts as silence, in milliseconds. Streams send events
+/// several times as often.
+const MIN_SILENCE_MS: u64 = 100;
+
+/// Delay after which the server of an abandoned request is checked.
+const ABANDONED_CHECK_DELAY: Duration = Duration::from_millis(400);
+
+/// Probes of a silent server. A single lost packet must not count as a crash.
+const PROBES: u32 = 2;
+
+/// Time for which a successful probe of a silent server is reused, in milliseconds. Servers with
+/// long prompts are silent again and again.
+const ALIVE_TTL_MS: u64 = 500;
+
+/// A request that got no response from a silent server, without the resources that it held.
+#[derive(Debug)]
+struct Run {
+    digest: Digest,
+    backend: Arc<Backend>,
+    sent_at: Instant,
+}
+
+impl Run {
+    /// Returns the run of a request; `None` if its server responded recently.
+    fn new(call: &Call, backend: &Arc<Backend>, sent_at: Instant) -> Option<Self> {
+        Self::silence(backend, sent_at)?;
+        Some(Self {
+            digest: call.digest(),
+            backend: Arc::clone(backend),
+            sent_at,
+        })
+    }
+
+    /// Returns since when the server has been silent during the run, in milliseconds of the boot
+    /// clock, and for how long; `None` if it responded recently.
+    fn silence(backend: &Backend, sent_at: Instant) -> Option<(u64, u64)> {
+        let now_ms = clock::now_ms();
+        let sent_ms = now_ms.saturating_sub(clock::between_ms(sent_at, Instant::now()));
+        let since_ms = sent_ms.max(backend.heard_ms());
+        let silent_ms = now_ms.saturating_sub(since_ms);
+        (silent_ms >= MIN_SILENCE_MS).then_some((since_ms, silent_ms))
+    }
+}
+
+/// Checks whether the server of a request crashed, if it is silent.
+pub(crate) async fn check_silence(core: &Arc<Core>, call: &Call, in_flight: &InFlight) {
+    if let Some(run) = Run::new(call, &in_flight.backend, in_flight.sent_at) {
+        check(core, &run).await;
+    }
+}
+
+/// As [`check_silence`], in the background.
+pub(crate) fn spawn_silence_check(core: &Arc<Core>, call: &Call, in_flight: &InFlight) {
+    if let Some(run) = Run::new(call, &in_flight.backend, in_flight.sent_at) {
+        let core = Arc::clone(core);
+        tokio::spawn(async move { check(&core, &run).await });
+    }
+}
+
+/// As [`check_silence`], some time after a request was abandoned.
+pub(crate) fn record_abandoned(core: &Arc<Core>, call: &Call, in_flight: &InFlight) {
+    if let Some(run) = Run::new(call, &in_flight.backend, in_flight.sent_at) {
+        spawn_delayed_check(core, run);
+    }
+}
+
+fn spawn_delayed_check(core: &Arc<Core>, run: Run) {
+    // There is no runtime while the process exits.
+    let Ok(runtime) = Handle::try_current() else {
+        return;
+    };
+    let core = Arc::clone(core);
+    runtime.spawn(async move {
+        sleep(ABANDONED_CHECK_DELAY).await;
+        check(&core, &run).await;
+    });
+}
+
+async fn check(core: &Arc<Core>, run: &Run) {
+    let backend = &run.backend;
+    let Some((since_ms, _)) = Run::silence(backend, run.sent_at) else {
+        return;
+    };
+    // One that is leaving may end at any time.
+    if backend.is_closed() {
+        return;
+    }
+    let mut liveness = backend.liveness.lock().await;
+    let has_crashed = liveness.has_crashed_since(run.sent_at);
+    if !has_crashed && liveness.is_down(backend.heard_ms()) {
+        // It crashed before the request was sent.
+        return;
+    }
+    let has_crashed = has_crashed || is_unreachable(core, run, &mut liveness).await;
+    let instance = liveness.instance_id(backend.server.id, !has_crashed);
+    drop(liveness);
+    let failure = Failure {
+        digest: run.digest,
+        at: since_ms,
+        is_silence: true,
+    };
+    core.quarantine
+        .update(|records| records.record_failure(instance, failure));
+    if has_crashed {
+        record_crash(core, instance, backend);
+    }
+}
+
+/// Whether a silent server refuses connections or does not respond to them.
+async fn is_unreachable(core: &Core, run: &Run, liveness: &mut Liveness) -> bool {
+    for _ in 0..PROBES {
+        match probe(core, &run.backend, liveness, ALIVE_TTL_MS).await {
+            Reply::Refused => return true,
+            Reply::Accepted | Reply::Unknown => return false,
+            Reply::Nothing => {}
+        }
+    }
+    liveness.record_crash(Instant::now());
+    let silence = Run::silence(&run.backend, run.sent_at);
+    log!(core.logger, Event::ServerSilent,
+        "server" => &run.backend.server.name,
+        "digest" => run.digest.to_string(),
+        "silent_ms" => silence.map(|(_, silent_ms)| silent_ms));
+    true
+}
+
+/// Watches a request from its sending to the head of its response. If it is dropped before, the
+/// request was abandoned, and its server is checked some time later.
+#[derive(Debug)]
+pub(crate) struct Watch {
+    core: Arc<Core>,
+    call: Arc<Call>,
+    backend: Arc<Backend>,
+    sent_at: Instant,
+    is_resolved: bool,
+}
+
+impl Watch {
+    pub(crate) fn start(core: &Arc<Core>, call: &Arc<Call>, in_flight: &InFlight) -> Self {
+        Self {
+            core: Arc::clone(core),
+            call: Arc::clone(call),
+            backend: Arc::clone(&in_flight.backend),
+            sent_at: in_flight.sent_at,
+            is_resolved: false,
+        }
+    }
+
+    /// Ends the watch, as the server responded or the failure has been recorded.
+    pub(crate) fn resolve(mut self) {
+        self.is_resolved = true;
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if self.is_resolved {
+            return;
+        }
+        if let Some(run) = Run::new(&self.call, &self.backend, self.sent_at) {
+            spawn_delayed_check(&self.core, run);
+        }
+    }
+}
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -133,7 +133,11 @@
                 failure::record(core, call, &self.in_flight, "stream truncated", "");
                 quarantine::record_failure(core, call, &self.in_flight).await;
             }
-            End::TimedOut | End::CallerClosed | End::CallerCut | End::Stopping => drop(conn),
+            End::TimedOut | End::CallerClosed | End::CallerCut => {
+                drop(conn);
+                quarantine::record_abandoned(&self.core, &self.call, &self.in_flight);
+            }
+            End::Stopping => drop(conn),
         }
     }
 
@@ -144,6 +148,8 @@
         failure::record(core, call, &self.in_flight, "stream truncated", "resuming");
         if end == End::Truncated {
             quarantine::record_failure(core, call, &self.in_flight).await;
+        } else {
+            quarantine::check_silence(core, call, &self.in_flight).await;
         }
         let resumed = self
             .attempts
@@ -206,9 +212,11 @@
                 () = &mut timed_out => return End::TimedOut,
                 () = &mut stalled => {
                     if stall_deadline.is_some_and(|at| at <= Instant::now()) {
-                        if self.attempts.try_reserve_retry(&core, &self.call) {
+                        let may_abandon = self.attempts.may_abandon(&self.call);
+                        if may_abandon && self.attempts.try_reserve_retry(&core, &self.call) {
                             return End::Stalled;
                         }
+                        quarantine::spawn_silence_check(&core, &self.call, &self.in_flight);
                         // No retry is left, and a slow response is better than none.
                         stall_deadline = None;
                     }
@@ -223,6 +231,7 @@
                 None if self.events.flush().is_empty() => return End::Complete,
                 None | Some(Err(_)) => return End::Truncated,
             };
+            self.in_flight.backend.record_heard();
             let is_timer_set = stall_deadline.is_some();
             stall_deadline = self.stall_deadline();
             if !is_timer_set {
@@ -260,11 +269,10 @@
         self.relayed_at = now;
     }
 
-    /// Returns when the stream counts as stalled, or `None` if it may not be resumed elsewhere.
+    /// Returns when the stream counts as stalled, or `None` if its route allows pauses of any length.
     fn stall_deadline(&self) -> Option<Instant> {
         let gap_ms = self.call.route.max_gap_ms?;
-        let may_abandon = self.attempts.may_abandon(&self.call);
-        may_abandon.then(|| clock::after(Instant::now(), STALL_GAPS * gap_ms))
+        Some(clock::after(Instant::now(), STALL_GAPS * gap_ms))
     }
 
     fn log_end(&self, end: End) {
