Quarantine: registrations that lapse in an outage end lives as well

Callers saw a request end server after server. Cause: a registration that ended while the key-value service had failed was kept for a grace period, and then removed without a record of the crash, so that a server which was back before it was probed was never evidence. Now the removal after the grace period records the end as any other does, unless the server was leaving.

Tests of crashes, convictions, restores and configuration passed.

--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -175,9 +175,15 @@
             self.lapsing.entry(name.to_owned()).or_insert(removed_at);
             return;
         }
+        self.end_server(name, "registration ended");
+    }
+
+    /// Removes a server that has ended, which is evidence against what broke off there unless it
+    /// was leaving.
+    fn end_server(&mut self, name: &str, reason: &str) {
         let backend = self.core.registry.get(name);
         self.record_end(backend.filter(|backend| !backend.is_closed()));
-        self.remove_server(name, "registration ended");
+        self.remove_server(name, reason);
     }
 
     /// Removes servers that have not registered again within the grace period.
@@ -187,7 +193,7 @@
         let expired: Vec<String> = expired.map(|(name, _)| name.clone()).collect();
         for name in expired {
             self.lapsing.remove(&name);
-            self.remove_server(&name, "registration lapsed");
+            self.end_server(&name, "registration lapsed");
         }
         self.removed
             .retain(|_, at| clock::between_ms(*at, now) < REMOVED_RETENTION_MS);
