--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use mulberryyoke_model::{PoolId, ServerId};
+use mulberryyoke_model::{PoolId, ServerId, VersionId};
 
 /// Registration of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +17,8 @@
     pub address: SocketAddr,
     /// Availability zone in which it runs.
     pub zone: String,
+    /// Version of its software. Servers that state none share a version of their own.
+    pub version: VersionId,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Start time in milliseconds since the Unix epoch, if reported. A later instance of the same
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -12,7 +12,7 @@
 use mulberryyoke_gateway::protocol::{
     Forwarding, Notice, ParseError, Protocol, RequestHead, ResponseHead, Verification,
 };
-use mulberryyoke_model::{CustomerId, PoolId, ServerId};
+use mulberryyoke_model::{CustomerId, PoolId, ServerId, VersionId};
 
 /// Timeout of every route, in milliseconds, unless the configuration states it.
 pub(crate) const TIMEOUT_MS: u64 = 1_500;
@@ -41,6 +41,9 @@
 /// Header that makes parsing of the request head panic.
 pub(crate) const PANIC_HEADER: &str = "x-panics: 1\r\n";
 
+/// Prefix of the version in a server's registration.
+const VERSION_PREFIX: &str = "version=";
+
 /// Maximum size of a request body, in bytes, unless the configuration states it.
 const MAX_BODY_BYTES: usize = 1_000;
 
@@ -49,7 +52,7 @@
 
 /// Protocol with space-separated values: `VERSION [tokens=PER_S] [link=MBPS] [body=BYTES] [timeout=MS] KEY...`
 /// for a configuration and
-/// `POOL ADDRESS STATE [STARTED [COLD_MS [ZONE]]]` for a server.
+/// `POOL ADDRESS STATE [STARTED [COLD_MS [ZONE]]] [version=VERSION]` for a server.
 #[derive(Debug)]
 pub(crate) struct TestProtocol {
     /// Name of the gateway, sent to servers.
@@ -214,7 +217,10 @@
 
     fn parse_server(&self, name: &str, value: &[u8]) -> Result<Server, ParseError> {
         let text = String::from_utf8_lossy(value);
-        let fields: Vec<&str> = text.split_whitespace().collect();
+        let fields = text.split_whitespace();
+        let (versions, fields): (Vec<&str>, Vec<&str>) =
+            fields.partition(|field| field.starts_with(VERSION_PREFIX));
+        let version = versions.first().map(|field| &field[VERSION_PREFIX.len()..]);
         let [pool, address, state, ..] = fields[..] else {
             return Err(parse_error(name));
         };
@@ -228,6 +234,7 @@
             pool: PoolId::of(pool),
             address: address.parse().map_err(|_| parse_error(name))?,
             zone: zone.to_owned(),
+            version: VersionId::of(version.unwrap_or_default()),
             slots: 8,
             started_ms: started_ms.transpose()?,
             cold_left_ms: cold.parse().map_err(|_| parse_error(name))?,
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -36,6 +36,10 @@
     /// A backend server.
     ServerId
 );
+name_id!(
+    /// A version of the software of backend servers. Versions have no order.
+    VersionId
+);
 
 /// Identifier of a process instance, chosen at random at startup.
 #[derive(
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -27,7 +27,7 @@
 pub use customer::{Customer, KeyHash};
 pub use digest::Digest;
 pub use grant::Grant;
-pub use id::{CustomerId, Incarnation, KeyId, PoolId, ServerId};
+pub use id::{CustomerId, Incarnation, KeyId, PoolId, ServerId, VersionId};
 pub use interest::Interest;
 pub use load::Load;
 pub use outcome::Outcome;
