Test that fails: a request that crashes the servers of one version only

A run that ends well anywhere clears all crashes that were held against a request. One that crashes the servers of a new version and runs well at the old one is cleared by each retry and crashes the next.

--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -13,7 +13,7 @@
 use crate::caller;
 use crate::crash_fleet::{Fleet, MAX_CRASHES, PROMPT, RETRY_PAUSE};
 use crate::crashing_server::{
-    CRASH_BODY, CrashingServer, RestartName, crash_count, crash_times_body,
+    CRASH_BODY, CRASH_NEW_VERSION_BODY, CrashingServer, RestartName, crash_count, crash_times_body,
 };
 use crate::protocol::PANIC_HEADER;
 
@@ -59,6 +59,20 @@
     join_all(cases).await;
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_request_that_crashes_one_version_only_crashes_at_most_three_servers() {
+    let cases = KINDS.map(async |(path, behavior)| {
+        let fleet = Fleet::spawn(RestartName::New, 3, behavior).await;
+        for round in 0..20 {
+            fleet.send(round, path, CRASH_NEW_VERSION_BODY).await;
+            sleep(RETRY_PAUSE).await;
+        }
+        expect_that!(crash_count(&fleet.servers), le(MAX_CRASHES), "{path}");
+    });
+    join_all(cases).await;
+}
+
 #[gtest]
 #[tokio::test]
 async fn concurrent_copies_at_several_gateways_crash_at_most_four_servers() {
--- a/crates/gateway/tests/gateway/crashing_server.rs
+++ b/crates/gateway/tests/gateway/crashing_server.rs
@@ -20,6 +20,9 @@
 /// Body of a request that crashes every server on which it runs.
 pub(crate) const CRASH_BODY: &str = "bad";
 
+/// Body of a request that crashes the servers of the new version only.
+pub(crate) const CRASH_NEW_VERSION_BODY: &str = "bad for new";
+
 /// Body of a request that crashes the first `times` servers on which it runs. `name` makes it
 /// unique.
 pub(crate) fn crash_times_body(times: u32, name: &str) -> String {
@@ -90,9 +93,12 @@
 /// Number of runs of requests that crash a limited number of servers, by request body.
 pub(crate) type CrashCounts = Arc<std::sync::Mutex<HashMap<Vec<u8>, u32>>>;
 
-/// Counts a run of a request, and decides whether it crashes the server.
-fn crashes_server(body: &[u8], crash_counts: &CrashCounts) -> bool {
+/// Counts a run of a request, and decides whether it crashes a server of the new or old version.
+fn crashes_server(body: &[u8], is_new: bool, crash_counts: &CrashCounts) -> bool {
     let text = std::str::from_utf8(body).unwrap_or("");
+    if text == CRASH_NEW_VERSION_BODY {
+        return is_new;
+    }
     let Some((times, _)) = text
         .strip_prefix(CRASH_TIMES_PREFIX)
         .and_then(|rest| rest.split_once(' '))
@@ -177,13 +183,19 @@
         })
     }
 
+    /// Whether it runs the new version of the software, as every other server does.
+    const fn is_new(&self) -> bool {
+        self.index.is_multiple_of(2)
+    }
+
     fn register(&self) {
+        let version = if self.is_new() { "new" } else { "old" };
         for (pool, key) in self.keys() {
             let started = match self.mode.name {
                 RestartName::New => String::new(),
                 RestartName::Same => self.number.to_string(),
             };
-            let value = format!("{pool} {} ready {started}", self.address);
+            let value = format!("{pool} {} ready {started} version={version}", self.address);
             self.service.set(&key, Some(&value));
         }
     }
@@ -233,14 +245,7 @@
         let crash = CancellationToken::new();
         *crash_token.lock().expect("no panic") = crash.clone();
         let mut conns = JoinSet::new();
-        serve(
-            &listener,
-            &mut conns,
-            &state,
-            &instance.crash_counts,
-            &crash,
-        )
-        .await;
+        serve(&listener, &mut conns, &state, &instance, &crash).await;
         crashes.fetch_add(1, Ordering::Relaxed);
         listener = match instance.mode.crash {
             Crash::Process => {
@@ -268,7 +273,7 @@
     listener: &TcpListener,
     conns: &mut JoinSet<()>,
     state: &Arc<State>,
-    crash_counts: &CrashCounts,
+    instance: &Instance,
     crash: &CancellationToken,
 ) {
     loop {
@@ -278,7 +283,8 @@
                 let handled = handle(
                     stream,
                     Arc::clone(state),
-                    Arc::clone(crash_counts),
+                    instance.is_new(),
+                    Arc::clone(&instance.crash_counts),
                     crash.clone(),
                 );
                 conns.spawn(run_until_crash(handled, crash.clone()));
@@ -318,11 +324,12 @@
 async fn handle(
     mut stream: TcpStream,
     state: Arc<State>,
+    is_new: bool,
     crash_counts: CrashCounts,
     crash: CancellationToken,
 ) {
     while let Some((head, body)) = read_request(&mut stream).await {
-        if crashes_server(&body, &crash_counts) {
+        if crashes_server(&body, is_new, &crash_counts) {
             let is_stream =
                 head.starts_with("post /stream/") || head.starts_with("post /resumable/");
             if is_stream {
