Quarantine: a good run clears the crashes of servers of the same version only

Callers saw a request end server after server. Cause: a run that ended well anywhere cleared all crashes, so that a request which crashes the servers of one version, and runs well at the other, was never convicted. Now crashes keep the version of their server, and a success clears those of its own version. After a success at another version the request runs as any other until the next crash, which counts together with the earlier ones. What is told to other gateways is encoded as before.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -3,8 +3,9 @@
 //! A request is identified by its digest, so that a retry through any gateway counts as the same
 //! request. Evidence against it is the crash of a server instance while the request was running
 //! there; a broken response alone is none. Since up to 63 other requests run on the same server,
-//! two rules separate the culprit from them: a request that succeeds anywhere is cleared at once,
-//! and a suspect runs in one copy at a time, isolated from other suspects.
+//! two rules separate the culprit from them: a request that succeeds may run until the next crash,
+//! and a suspect runs in one copy at a time, isolated from other suspects. A success clears the
+//! crashes of servers of the same version only, as another version may not crash.
 //!
 //! This guards against a customer retrying one poison request until it has crashed every server
 //! of a pool, along with everyone else's streams there.
@@ -12,12 +13,13 @@
 mod crashes;
 mod failure;
 mod record;
+mod successes;
 mod suspect;
 mod verdict;
 
 use std::collections::HashMap;
 
-use mulberryyoke_model::{Digest, Millis, ServerId};
+use mulberryyoke_model::{Digest, Millis, ServerId, VersionId};
 
 use self::crashes::Crashes;
 pub use self::failure::Failure;
@@ -100,12 +102,12 @@
         }
     }
 
-    /// Records that a server instance crashed, dated to the first of its recent request
+    /// Records that a server instance of a version crashed, dated to the first of its recent request
     /// failures; `heard_at` is when it last responded to anything. Returns the requests that now
     /// have more than one crash.
     pub fn record_crash(
         &mut self,
-        server: ServerId,
+        (server, version): (ServerId, VersionId),
         heard_at: Millis,
         now: Millis,
     ) -> Vec<(Digest, Verdict)> {
@@ -119,6 +121,7 @@
         };
         self.crashes.record(server, at);
         for failure in &recent {
+            let server = (server, Some(version));
             self.record(failure.digest).record_crash(server, at, now);
         }
         let digests = recent.into_iter().map(|failure| failure.digest);
@@ -136,17 +139,36 @@
         at.is_some_and(|at| self.crashes.is_mass_crash(at, |other| other == server))
     }
 
-    /// Records that a request succeeded, which clears it. Returns the number of crashes that
-    /// counted against it.
-    pub fn record_success(&mut self, digest: Digest, now: Millis) -> u32 {
+    /// Records that a request succeeded on a server of a version. Returns the number of crashes that
+    /// counted against it, if that cleared all of them.
+    pub fn record_success(&mut self, digest: Digest, version: VersionId, now: Millis) -> u32 {
         let Some(record) = self.records.get_mut(&digest) else {
             return 0;
         };
-        let crashes = record.verdict(&self.crashes, now).crashes();
+        let crashes = record.counted_servers(&self.crashes).len();
+        if crashes == 0 || !record.record_success(version, now) {
+            return 0;
+        }
+        u32::try_from(crashes).unwrap_or(u32::MAX)
+    }
+
+    /// Clears a request of all crashes. Returns the number of those that counted against it.
+    pub fn clear(&mut self, digest: Digest, now: Millis) -> u32 {
+        let Some(record) = self.records.get_mut(&digest) else {
+            return 0;
+        };
+        let crashes = record.counted_servers(&self.crashes).len();
         if crashes > 0 {
-            record.record_success(now, now);
+            record.clear(now, now);
         }
-        crashes
+        u32::try_from(crashes).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the server instances whose crashes count against a request.
+    #[must_use]
+    pub fn counted_servers(&self, digest: Digest) -> Vec<ServerId> {
+        let record = self.records.get(&digest);
+        record.map_or_else(Vec::new, |record| record.counted_servers(&self.crashes))
     }
 
     /// Returns whether a copy of the request may run now. For a suspect this starts a probe that
@@ -172,8 +194,14 @@
         )
     }
 
-    /// Merges a report from another gateway; returns `true` if that changed the record.
-    pub fn merge(&mut self, suspect: &Suspect, now: Millis) -> bool {
+    /// Merges a report from another gateway; returns `true` if that changed the record. `version`
+    /// tells the version of a server, if known.
+    pub fn merge(
+        &mut self,
+        suspect: &Suspect,
+        version: impl Fn(ServerId) -> Option<VersionId>,
+        now: Millis,
+    ) -> bool {
         if suspect.is_empty() {
             return false;
         }
@@ -182,7 +210,7 @@
                 .record(crash.server, now.saturating_sub(crash.age_ms));
         }
         let record = self.record(suspect.digest);
-        record.merge(suspect, now)
+        record.merge(suspect, version, now)
     }
 
     /// Returns reports on the recently changed records, those with the most crashes first.
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -6,13 +6,16 @@
 use mulberryyoke_decide::quarantine::{
     CONVICTION_THRESHOLD, Failure, Quarantine, Suspect, Verdict, arbiter,
 };
-use mulberryyoke_model::{Digest, ServerId};
+use mulberryyoke_model::{Digest, ServerId, VersionId};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 const POISON: Digest = Digest(1);
 
+const OLD: VersionId = VersionId(1);
+const NEW: VersionId = VersionId(2);
+
 /// Initial quarantine time, in milliseconds.
 const BASE_QUARANTINE_MS: u64 = 60_000;
 
@@ -25,12 +28,22 @@
     }
 }
 
-/// Crashes a server that is running these requests and advances the time by 100 ms.
+/// Crashes a server of the old version that is running these requests and advances the time by
+/// 100 ms.
 fn crash(quarantine: &mut Quarantine, server: u32, requests: &[Digest], now: &mut u64) {
+    crash_on(quarantine, (server, OLD), requests, now);
+}
+
+fn crash_on(
+    quarantine: &mut Quarantine,
+    (server, version): (u32, VersionId),
+    requests: &[Digest],
+    now: &mut u64,
+) {
     for digest in requests {
         quarantine.record_failure(ServerId(server), broken(*digest, *now));
     }
-    quarantine.record_crash(ServerId(server), *now, *now);
+    quarantine.record_crash((ServerId(server), version), *now, *now);
     *now += 100;
 }
 
@@ -67,12 +80,12 @@
     crash(&mut local, 1, &[POISON], &mut now);
     crash(&mut local, 2, &[POISON], &mut now);
     let early = local.snapshot(POISON, now);
-    remote.merge(&early, now);
+    remote.merge(&early, |_| Some(OLD), now);
     expect_that!(remote.verdict(POISON, now).crashes(), eq(2));
     now += 500;
-    expect_that!(local.record_success(POISON, now), eq(2));
-    remote.merge(&local.snapshot(POISON, now), now);
-    remote.merge(&early, now + 49);
+    expect_that!(local.record_success(POISON, OLD, now), eq(2));
+    remote.merge(&local.snapshot(POISON, now), |_| Some(OLD), now);
+    remote.merge(&early, |_| Some(OLD), now + 49);
     now += 50;
     expect_that!(remote.verdict(POISON, now), eq(Verdict::Clear));
     crash(&mut remote, 3, &[POISON], &mut now);
@@ -84,7 +97,7 @@
     let (mut quarantine, mut now) = (Quarantine::default(), 1_000);
     for server in 0..200 {
         crash(&mut quarantine, server, &[POISON], &mut now);
-        quarantine.record_success(POISON, now);
+        quarantine.record_success(POISON, OLD, now);
         expect_that!(quarantine.verdict(POISON, now), eq(Verdict::Clear));
     }
 }
@@ -97,7 +110,7 @@
         for server in 0..4 {
             let request = Digest(u128::from(server) + 1);
             quarantine.record_failure(ServerId(10 * kill + server), broken(request, now));
-            quarantine.record_crash(ServerId(10 * kill + server), now, now);
+            quarantine.record_crash((ServerId(10 * kill + server), OLD), now, now);
             now += 5;
         }
         now = at + 3_000;
@@ -117,12 +130,12 @@
     // A late report of a crash caused by another copy does not end the probe.
     let mut other = Quarantine::default();
     crash(&mut other, 2, &[POISON], &mut (now - 50));
-    quarantine.merge(&other.snapshot(POISON, now), now);
+    quarantine.merge(&other.snapshot(POISON, now), |_| Some(OLD), now);
     expect_that!(quarantine.admit(POISON, now), eq(false));
     // The probing copy crashes a server itself.
     crash(&mut quarantine, 3, &[POISON], &mut now);
     expect_that!(quarantine.verdict(POISON, now).crashes(), eq(3));
-    quarantine.record_success(POISON, now);
+    quarantine.record_success(POISON, OLD, now);
     expect_that!(quarantine.admit(POISON, now), eq(true));
     expect_that!(quarantine.admit(POISON, now), eq(true));
 }
@@ -166,7 +179,7 @@
     for order in [[0, 1, 2], [2, 1, 0], [1, 1, 0]] {
         let mut receiver = Quarantine::default();
         for index in order.into_iter().chain([2, 0]) {
-            receiver.merge(&reports[index], now);
+            receiver.merge(&reports[index], |_| Some(OLD), now);
         }
         expect_that!(receiver.verdict(POISON, now).crashes(), eq(3), "{order:?}");
         expect_that!(receiver.updates(now), len(eq(1)));
@@ -228,17 +241,19 @@
 /// Simulates a pool of twelve servers with forty requests each for ten seconds, while a poison
 /// request arrives four times a second. Requests run for one to five seconds; after a crash they
 /// are retried on another server, and isolated from the second crash on. Returns the number of
-/// crashes and of wrongly convicted requests.
-fn simulate(seed: u64) -> (u32, usize) {
+/// crashes and of wrongly convicted requests. Every other server has the new version if there are
+/// `versions`.
+fn simulate(seed: u64, versions: &[VersionId]) -> (u32, usize) {
+    let version_of = |server: usize| versions[server % versions.len()];
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut quarantine = Quarantine::default();
     let mut servers: Vec<Vec<Run>> = vec![Vec::new(); 12];
     let (mut now, mut next, mut crashes) = (1_000, 1_000, 0);
     for step in 0..400 {
         now += 25;
-        for server in &mut servers {
+        for (index, server) in servers.iter_mut().enumerate() {
             for run in server.extract_if(.., |run| run.until <= now) {
-                quarantine.record_success(run.digest, now);
+                quarantine.record_success(run.digest, version_of(index), now);
             }
             while server.len() < 40 {
                 next += 1;
@@ -257,7 +272,8 @@
         let neighbours: Vec<Digest> = servers[index].drain(..).map(|run| run.digest).collect();
         crashes += 1;
         let failed: Vec<Digest> = neighbours.iter().copied().chain([POISON]).collect();
-        crash(&mut quarantine, crashes, &failed, &mut now);
+        let server = (crashes, version_of(index));
+        crash_on(&mut quarantine, server, &failed, &mut now);
         for digest in neighbours {
             if quarantine.admit(digest, now) {
                 let is_isolated = quarantine.verdict(digest, now).crashes() >= 2;
@@ -280,11 +296,55 @@
 
 #[gtest]
 fn few_innocent_requests_are_convicted() {
-    let runs: Vec<(u32, usize)> = (0..100).map(simulate).collect();
-    let most = runs.iter().map(|(crashes, _)| *crashes).max();
-    expect_that!(most, some(le(CONVICTION_THRESHOLD)));
-    let innocent: usize = runs.iter().map(|(_, convicted)| convicted).sum();
-    expect_that!(innocent, le(3), "convicted in 100 runs");
+    for versions in [&[OLD][..], &[OLD, NEW]] {
+        let runs = (0..100).map(|seed| simulate(seed, versions));
+        let runs: Vec<(u32, usize)> = runs.collect();
+        let most = runs.iter().map(|(crashes, _)| *crashes).max();
+        expect_that!(most, some(le(CONVICTION_THRESHOLD)));
+        let innocent: usize = runs.iter().map(|(_, convicted)| convicted).sum();
+        expect_that!(innocent, le(3), "convicted in 100 runs, {versions:?}");
+    }
+}
+
+#[gtest]
+fn a_success_on_another_version_permits_runs_until_the_next_crash_and_clears_nothing() {
+    let (mut quarantine, mut now) = (Quarantine::default(), 1_000);
+    for crashes in 1..CONVICTION_THRESHOLD {
+        crash_on(&mut quarantine, (crashes, NEW), &[POISON], &mut now);
+        let verdict = quarantine.verdict(POISON, now);
+        expect_that!(verdict, eq(Verdict::Suspect { crashes }));
+        expect_that!(quarantine.record_success(POISON, OLD, now), eq(0));
+        expect_that!(quarantine.verdict(POISON, now), eq(Verdict::Clear));
+        now += 100;
+    }
+    crash_on(&mut quarantine, (9, NEW), &[POISON], &mut now);
+    let verdict = quarantine.verdict(POISON, now);
+    expect_that!(verdict.crashes(), eq(CONVICTION_THRESHOLD));
+    expect_that!(quarantine.admit(POISON, now), eq(false));
+    // Another gateway that learns of the crashes counts them together as well.
+    let mut other = Quarantine::default();
+    other.merge(&quarantine.snapshot(POISON, now), |_| Some(NEW), now);
+    expect_that!(
+        other.verdict(POISON, now).crashes(),
+        eq(CONVICTION_THRESHOLD)
+    );
+    expect_that!(
+        quarantine.record_success(POISON, NEW, now),
+        eq(CONVICTION_THRESHOLD)
+    );
+    expect_that!(quarantine.verdict(POISON, now), eq(Verdict::Clear));
+    other.merge(&quarantine.snapshot(POISON, now), |_| Some(NEW), now);
+    expect_that!(other.verdict(POISON, now), eq(Verdict::Clear));
+}
+
+#[gtest]
+fn a_crash_of_a_server_of_unknown_version_is_cleared_by_any_success() {
+    let mut now = 1_000;
+    let (mut source, mut quarantine) = (Quarantine::default(), Quarantine::default());
+    crash_on(&mut source, (1, NEW), &[POISON], &mut now);
+    quarantine.merge(&source.snapshot(POISON, now), |_| None, now);
+    expect_that!(quarantine.record_success(POISON, OLD, now), eq(1));
+    expect_that!(quarantine.verdict(POISON, now), eq(Verdict::Clear));
 }
 
 #[gtest]
@@ -318,7 +378,7 @@
             is_silence: true,
         };
         quarantine.record_failure(ServerId(1), failure);
-        quarantine.record_crash(ServerId(1), heard_at, 5_000);
+        quarantine.record_crash((ServerId(1), OLD), heard_at, 5_000);
         let verdict = quarantine.verdict(POISON, 5_000);
         expect_that!(verdict.crashes(), eq(crashes), "{heard_at}");
     }
--- a/crates/gateway/src/body_relay.rs
+++ b/crates/gateway/src/body_relay.rs
@@ -35,7 +35,7 @@
         };
         match relayed {
             Ok(()) => {
-                quarantine::record_success(&core, || call.digest());
+                quarantine::record_success(&core, &call, &in_flight.backend);
                 in_flight.complete(conn, response_head);
             }
             Err(error) => {
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -223,7 +223,7 @@
     };
     let body = match collected {
         Ok(Collected::Complete(chunk)) => {
-            quarantine::record_success(core, || call.digest());
+            quarantine::record_success(core, call, &in_flight.backend);
             in_flight.complete(conn, response_head);
             if let Some(account) = &call.account {
                 account.offer();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -10,7 +10,7 @@
 
 use mulberryyoke_decide::quarantine::{Quarantine as Records, Suspect, Verdict};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{Digest, ServerId};
+use mulberryyoke_model::{Digest, ServerId, VersionId};
 use mulberryyoke_platform::http::Http;
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -20,6 +20,7 @@
 pub(crate) use self::probe::{record_failure, record_lapse};
 pub(crate) use self::silence::{Watch, check_silence, record_abandoned, spawn_silence_check};
 use crate::backend::Backend;
+use crate::call::Call;
 use crate::clock;
 use crate::core::Core;
 
@@ -67,6 +68,11 @@
         self.records.lock().verdict(digest, clock::now_ms())
     }
 
+    /// Server instances whose crashes count against a request.
+    fn counted_servers(&self, digest: Digest) -> Vec<ServerId> {
+        self.records.lock().counted_servers(digest)
+    }
+
     /// Record of a request, to send to another gateway.
     fn snapshot(&self, digest: Digest) -> Suspect {
         self.records.lock().snapshot(digest, clock::now_ms())
@@ -104,13 +110,19 @@
         let now = clock::now_ms();
         let (before, after) = core.quarantine.update(|records| {
             let before = records.verdict(suspect.digest, now);
-            records.merge(suspect, now);
+            records.merge(suspect, |server| version_of(core, server), now);
             (before, records.verdict(suspect.digest, now))
         });
         log_conviction(core, suspect.digest, before, after);
     }
 }
 
+/// Version of a registered server.
+fn version_of(core: &Core, server: ServerId) -> Option<VersionId> {
+    let backend = core.registry.get_by_id(server)?;
+    Some(backend.server.version)
+}
+
 /// Records that another gateway detected a crash: later failures there belong to another
 /// instance, and until then other servers are preferred.
 fn receive_crash(core: &Core, server: ServerId) {
@@ -131,7 +143,8 @@
 fn record_crash(core: &Arc<Core>, server: ServerId, backend: &Backend) {
     let now = clock::now_ms();
     let (suspects, is_mass_crash) = core.quarantine.update(|records| {
-        let suspects = records.record_crash(server, backend.heard_ms(), now);
+        let crashed = (server, backend.server.version);
+        let suspects = records.record_crash(crashed, backend.heard_ms(), now);
         (suspects, records.is_mass_crash(server))
     });
     if is_mass_crash {
@@ -149,16 +162,16 @@
     }
 }
 
-/// Records that a request ran without a crash.
-pub(crate) fn record_success(core: &Arc<Core>, digest: impl FnOnce() -> Digest) {
+/// Records that a request ran on a server without a crash.
+pub(crate) fn record_success(core: &Arc<Core>, call: &Call, backend: &Backend) {
     if core.quarantine.is_empty() {
         return;
     }
-    let digest = digest();
-    let now = clock::now_ms();
+    let digest = call.digest();
+    let (version, now) = (backend.server.version, clock::now_ms());
     let crashes_before = core
         .quarantine
-        .update(|records| records.record_success(digest, now));
+        .update(|records| records.record_success(digest, version, now));
     if crashes_before == 0 {
         return;
     }
@@ -171,9 +184,7 @@
 /// Clears a request on behalf of an operator.
 pub(crate) fn release(core: &Core, digest: Digest) {
     let now = clock::now_ms();
-    let crashes_before = core
-        .quarantine
-        .update(|records| records.record_success(digest, now));
+    let crashes_before = core.quarantine.update(|records| records.clear(digest, now));
     if crashes_before > 0 {
         log_cleared(core, digest, crashes_before, "released");
     }
--- a/crates/gateway/src/quarantine/conviction.rs
+++ b/crates/gateway/src/quarantine/conviction.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use mulberryyoke_decide::quarantine::{Crash, Suspect, Verdict};
+use mulberryyoke_decide::quarantine::{Crash, Suspect};
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::{Digest, ServerId};
 use mulberryyoke_platform::kv::Error;
@@ -117,18 +117,9 @@
         .await
 }
 
-/// Instances that crashed while running the request since its last successful run; empty if it was
-/// cleared.
+/// Instances whose crashes count against the request; empty if it was cleared.
 fn encode(core: &Core, digest: Digest) -> String {
-    if core.quarantine.verdict(digest) == Verdict::Clear {
-        return String::new();
-    }
-    let suspect = core.quarantine.snapshot(digest);
-    let success_age_ms = suspect.success_age_ms.unwrap_or(u64::MAX);
-    let crashes = suspect
-        .crashes
-        .iter()
-        .filter(|crash| crash.age_ms < success_age_ms);
-    let instances: Vec<String> = crashes.map(|crash| crash.server.0.to_string()).collect();
+    let servers = core.quarantine.counted_servers(digest).into_iter();
+    let instances: Vec<String> = servers.map(|server| server.0.to_string()).collect();
     instances.join(" ")
 }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -120,7 +120,7 @@
         }
         match end {
             End::Complete => {
-                quarantine::record_success(&self.core, || self.call.digest());
+                quarantine::record_success(&self.core, &self.call, &self.in_flight.backend);
                 // Events are numbered and carry about a token each.
                 if let Some(events) = self.last_event {
                     let tokens = u32::try_from(events).unwrap_or(u32::MAX);
