Tests that fail: streams go on at another version of the server's software

Streams of a pool with two versions hold events of both: within one answer that breaks off, and where the caller takes the stream up itself, at another gateway, after its gateway was killed, in an outage of the key-value service, and when the second version came after the stream began. Streams of unknown version are sent to any server.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -32,4 +32,5 @@
 mod silent_crashes;
 mod slow;
 mod streams;
+mod versions;
 mod waiting;
