Streams: a resumption that breaks off before an event goes on after the last one

Callers of routes with three attempts or more got events twice: a stream that was resumed, and broke off again before its server had sent an event, was begun anew, since each relay started from what the caller had named and not from what it had received. The attempts of a response now keep the last event.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -37,6 +37,8 @@
     possible_runs: u32,
     /// Number of servers known not to have run it.
     not_run: u32,
+    /// Last event that the caller received of a stream that was truncated in this response.
+    resume_after: Option<u64>,
     /// Whether the request is suspected of crashing servers.
     is_suspect: bool,
     /// Whether the quarantine admitted this copy and it has not run since. Servers that are
@@ -45,18 +47,32 @@
 }
 
 impl Attempts {
+    /// Resumes a stream that was truncated after this event, as [`Attempts::run`] does.
+    pub(crate) async fn resume(
+        &mut self,
+        core: &Arc<Core>,
+        call: &Arc<Call>,
+        last_event: Option<u64>,
+    ) -> Result<Response<ResponseBody>, Refusal> {
+        self.resume_after = last_event;
+        self.run(core, call, Refusal::OutcomeUnknown).await
+    }
+
+    /// Last event that the caller has received.
+    pub(crate) fn last_event(&self, call: &Call) -> Option<u64> {
+        self.resume_after.or(call.resume_after)
+    }
+
     /// Sends the request to one server after another until one responds or no attempt is left.
-    /// `resume_after` is the last event that the caller received of a truncated stream; `last`
-    /// is the refusal that describes the previous attempt.
-    pub(crate) async fn run(
+    /// `last` is the refusal that describes the previous attempt.
+    async fn run(
         &mut self,
         core: &Arc<Core>,
         call: &Arc<Call>,
-        resume_after: Option<u64>,
         mut last: Refusal,
     ) -> Result<Response<ResponseBody>, Refusal> {
         loop {
-            let (outcome, server) = match self.try_next(core, call, resume_after).await {
+            let (outcome, server) = match self.try_next(core, call).await {
                 Ok(sent) => sent,
                 Err(refusal) if self.possible_runs == 0 => return Err(refusal),
                 Err(_) => return Err(last),
@@ -99,7 +115,6 @@
         &mut self,
         core: &Arc<Core>,
         call: &Arc<Call>,
-        resume_after: Option<u64>,
     ) -> Result<(Outcome, ServerId), Refusal> {
         let is_isolated = self.admit(core, call).await?;
         if self.tried.is_empty() {
@@ -114,7 +129,7 @@
         let server = in_flight.backend.server.id;
         self.tried.push(server);
         log_routed(core, call, &in_flight, self.possible_runs + self.not_run);
-        let outcome = send::send(core, call, in_flight, self, resume_after).await;
+        let outcome = send::send(core, call, in_flight, self).await;
         match outcome {
             Outcome::Rejected | Outcome::WrongServer | Outcome::NotSent | Outcome::Withheld => {
                 // A withheld request was not sent, so it doesn't count as an attempt.
@@ -213,7 +228,7 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     core.retry_budgets.deposit(call.pool);
     let mut attempts = Attempts::default();
-    attempts.run(core, call, None, Refusal::NO_SERVER).await
+    attempts.run(core, call, Refusal::NO_SERVER).await
 }
 
 fn log_routed(core: &Core, call: &Call, in_flight: &InFlight, attempt: u32) {
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -40,7 +40,6 @@
     call: &Arc<Call>,
     mut in_flight: InFlight,
     attempts: &Attempts,
-    resume_after: Option<u64>,
 ) -> Outcome {
     let backend = Arc::clone(&in_flight.backend);
     let opened = tokio::select! {
@@ -66,7 +65,7 @@
     }
     // So may the source of a transfer.
     in_flight.recheck_source(clock::now_ms());
-    let request = build_request(core, call, &in_flight, resume_after);
+    let request = build_request(core, call, &in_flight, attempts.last_event(call));
     let mut sent = Box::pin(conn.sender.try_send_request(request));
     let watch = Watch::start(core, call, &in_flight);
     let mut stall = Some(stall_deadline(call));
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -17,7 +17,6 @@
 use crate::core::Core;
 use crate::dispatch::Attempts;
 use crate::protocol::ResponseHead;
-use crate::refusal::Refusal;
 use crate::response_body::{BodyError, ResponseBody};
 use crate::{clock, failure, quarantine};
 
@@ -91,7 +90,7 @@
         relayed: 0,
         relayed_at: Instant::now(),
         max_pause_ms: 0,
-        last_event: call.resume_after,
+        last_event: attempts.last_event(call),
         attempts,
     };
     tokio::spawn(relay.run(conn, response_head));
@@ -151,9 +150,7 @@
         } else {
             quarantine::check_silence(core, call, &self.in_flight).await;
         }
-        let resumed = self
-            .attempts
-            .run(core, call, self.last_event, Refusal::OutcomeUnknown);
+        let resumed = self.attempts.resume(core, call, self.last_event);
         let resumed: Pin<Box<dyn Future<Output = _> + Send + '_>> = Box::pin(resumed);
         let resumed = resumed.await;
         log!(core.logger, Event::Resumed,
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -184,6 +184,7 @@
             ("/once/", RequestKind::Once, 1),
             ("/stream/", RequestKind::Stream, 1),
             ("/resumable/", RequestKind::Resumable, 2),
+            ("/thrice/", RequestKind::Resumable, 3),
             ("/keyed/", RequestKind::Idempotent, 2),
             (WAITING_PREFIX, RequestKind::Stream, 1),
             (PATIENT_PREFIX, RequestKind::Stream, 1),
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -65,6 +65,26 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_resumed_stream_that_breaks_off_before_an_event_is_not_begun_anew() {
+    let backends = [(); 3].map(|()| Backend::spawn(Behavior::CutStream));
+    let [a, b, c] = futures::future::join_all(backends)
+        .await
+        .try_into()
+        .expect("three servers");
+    let (_service, node) = ready(&[&a, &b, &c]).await;
+    let response = node.send("/thrice/", PROMPT).await;
+    expect_that!(event_ids(&response), elements_are![eq(&1), eq(&2)]);
+    expect_that!(response.is_complete, eq(false));
+    let servers = [&a, &b, &c];
+    let resumed = servers
+        .iter()
+        .flat_map(|server| server.state.heads())
+        .filter(|head| field(head, "x-after") == Some("2"));
+    expect_that!(resumed.count(), eq(2));
+}
+
 #[gtest]
 #[tokio::test]
 async fn resumable_stream_continues_after_the_last_whole_event() {
