Streams go on within one answer only at the version that began them

Callers got streams with events of two versions of a server's software. Cause, within one answer: a stream that broke off or stalled went on at any server of its pool. Now the version of the server that sent the first event binds the rest of the attempts; where no server of it may be used the stream ends as broken, at once, as it does without a server. A registration whose version changes is another server.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -19,32 +19,33 @@
 use crate::clock;
 use crate::core::Core;
 use crate::denial::Denial;
+use crate::eligibility::Eligibility;
 use crate::refusal::Refusal;
 
-/// Selects a server that is not in `tried` and counts the request there. A request that
+/// Selects one of the eligible servers and counts the request there. A request that
 /// `may_have_run` is not refused because of load: such a refusal states that the request has not
 /// run. One that `is_isolated` gets a server without other isolated suspects if there is one.
 pub(crate) fn assign(
     core: &Core,
     call: &Call,
-    tried: &[ServerId],
+    eligible: Eligibility<'_>,
     may_have_run: bool,
     is_isolated: bool,
 ) -> Result<InFlight, Denial> {
-    let is_new = tried.is_empty();
-    select(core, call, tried, is_new, may_have_run, is_isolated)
+    let is_new = eligible.tried.is_empty();
+    select(core, call, eligible, is_new, may_have_run, is_isolated)
 }
 
 /// As [`assign`], for a request that was rejected in its first attempt and has waited since. It is
 /// not recorded as requested again.
 pub(crate) fn assign_waiting(core: &Core, call: &Call) -> Result<InFlight, Denial> {
-    select(core, call, &[], false, false, false)
+    select(core, call, Eligibility::default(), false, false, false)
 }
 
 fn select(
     core: &Core,
     call: &Call,
-    tried: &[ServerId],
+    eligible: Eligibility<'_>,
     is_new: bool,
     may_have_run: bool,
     is_isolated: bool,
@@ -54,7 +55,7 @@
         let (now_ms, is_view_fresh) = (clock::now_ms(), core.view.is_fresh());
         let mut open: Vec<&Arc<Backend>> = servers
             .iter()
-            .filter(|backend| !tried.contains(&backend.server.id))
+            .filter(|backend| eligible.allows(&backend.server))
             .filter(|backend| is_usable(backend, now_ms, is_view_fresh))
             .collect();
         if open.is_empty() {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,7 +6,7 @@
 
 use hyper::Response;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{ServerId, saturating_u32};
+use mulberryyoke_model::{ServerId, VersionId, saturating_u32};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::core::Core;
 use crate::denial::Denial;
+use crate::eligibility::Eligibility;
 use crate::outcome::Outcome;
 use crate::quarantine;
 use crate::refusal::Refusal;
@@ -37,6 +38,9 @@
     possible_runs: u32,
     /// Number of servers known not to have run it.
     not_run: u32,
+    /// Version of the server that sent the first event of a stream; only servers of this version
+    /// may go on with it.
+    version: Option<VersionId>,
     /// Last event that the caller received of a stream that was truncated in this response.
     resume_after: Option<u64>,
     /// Whether the request is suspected of crashing servers.
@@ -58,6 +62,11 @@
         self.run(core, call, Refusal::OutcomeUnknown).await
     }
 
+    /// Records that a server of this version sent an event, which binds the rest of the stream.
+    pub(crate) fn bind_version(&mut self, version: VersionId) {
+        self.version.get_or_insert(version);
+    }
+
     /// Last event that the caller has received.
     pub(crate) fn last_event(&self, call: &Call) -> Option<u64> {
         self.resume_after.or(call.resume_after)
@@ -120,8 +129,12 @@
         if self.tried.is_empty() {
             waiting::serve_if_changed(core);
         }
-        let assigned =
-            balance::assign(core, call, &self.tried, self.possible_runs > 0, is_isolated);
+        let eligible = Eligibility {
+            tried: &self.tried,
+            version: self.version,
+        };
+        let may_have_run = self.possible_runs > 0;
+        let assigned = balance::assign(core, call, eligible, may_have_run, is_isolated);
         let in_flight = match assigned {
             Ok(in_flight) => in_flight,
             Err(denial) => self.wait(core, call, denial).await?,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod core;
 mod denial;
 mod dispatch;
+mod eligibility;
 mod error;
 mod exchange;
 mod failure;
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -260,5 +260,6 @@
 /// Whether two registrations are of one instance that has not resumed after leaving.
 fn is_same(current: &Server, new: &Server) -> bool {
     (current.id, current.pool, current.address) == (new.id, new.pool, new.address)
+        && current.version == new.version
         && (!current.is_leaving || new.is_leaving)
 }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -239,6 +239,8 @@
                 continue;
             }
             self.in_flight.record_first_token();
+            let version = self.in_flight.backend.server.version;
+            self.attempts.bind_version(version);
             self.record_relayed();
             self.last_event = sse::last_id(&events).or(self.last_event);
             if self.chunks.send(events).await.is_err() {
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -179,6 +179,24 @@
     );
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_version_that_changes_under_one_registration_is_another_version() {
+    let servers = [(Behavior::HangStream, "1"), (Behavior::Stream, "1")];
+    for changes in [false, true] {
+        let fleet = Fleet::spawn(1, &servers).await;
+        let callers = fleet.nodes[0].callers;
+        let mut stream = caller::open(callers, &request("q", "")).await;
+        read_until(&mut stream, "id: 2").await;
+        if changes {
+            register(&fleet.service, 1, &fleet.servers[1].0, "2");
+        }
+        let rest = caller::read_to_end(&mut stream).await;
+        let is_resumed = !fleet.servers[1].0.state.heads().is_empty();
+        expect_that!(is_resumed, eq(!changes), "{}", rest.head);
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_caller_resumes_at_another_gateway_on_the_first_version() {
