Streams that callers resume go on only at the version that began them

Cause: what a caller names as the attempt that brought the first event was not read, and nothing kept on which version a stream had begun, so that each resumption went to any server of the pool.

Now each gateway keeps the versions of its recent streams. While a pool has, or recently had, several versions it tells two other gateways before the first event is relayed, and who is to resume a stream of another gateway asks three. A stream goes on at its version, or is refused at once where that is gone or not known. A pool of one version tells and asks nothing.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod server_load;
 pub mod share;
 pub mod shed;
+pub mod stream;
 pub mod subset;
 pub mod view;
 pub mod waiting;
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -133,6 +133,13 @@
     CrashNotCounted = 1043, Info, "server crash not counted";
     /// A server fell silent with requests in flight and accepts no connection.
     ServerSilent = 1044, Warning, "server is silent";
+    /// A caller's resumption was refused, since no server is known to be of the version that began
+    /// the stream.
+    ResumeRefused = 1045, Info, "resumption refused";
+    /// The pools that have, or recently had, servers of several versions changed.
+    VersionsMixed = 1046, Info, "pools with several versions changed";
+    /// A gateway that may know the version that began a stream could not be asked.
+    OriginCallFailed = 1047, Warning, "gateway not asked for stream";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -50,7 +50,7 @@
     may_have_run: bool,
     is_isolated: bool,
 ) -> Result<InFlight, Denial> {
-    let in_flight = core.registry.with_pool(call.pool, |servers| {
+    let in_flight = with_servers(core, call.pool, eligible, |servers| {
         let now = Instant::now();
         let (now_ms, is_view_fresh) = (clock::now_ms(), core.view.is_fresh());
         let mut open: Vec<&Arc<Backend>> = servers
@@ -58,6 +58,12 @@
             .filter(|backend| eligible.allows(&backend.server))
             .filter(|backend| is_usable(backend, now_ms, is_view_fresh))
             .collect();
+        let is_left = |backend: &Arc<Backend>| {
+            !backend.is_closed() && eligible.allows_version_of(&backend.server)
+        };
+        if eligible.version.is_some() && !servers.iter().any(is_left) {
+            return Err(Denial::Refused(Refusal::VersionGone));
+        }
         if open.is_empty() {
             let refusal = pushback(servers, now_ms);
             let refusal = refusal.unwrap_or_else(|| no_server(core, call, servers));
@@ -106,6 +112,25 @@
     Ok(in_flight)
 }
 
+/// Calls a function with the servers of a pool that this gateway uses: its subset, or, for a version
+/// that the subset lacks, all servers of that version.
+fn with_servers<T>(
+    core: &Core,
+    pool: PoolId,
+    eligible: Eligibility<'_>,
+    read: impl FnOnce(&[Arc<Backend>]) -> T,
+) -> T {
+    let registry = &core.registry;
+    let is_allowed = |backend: &Arc<Backend>| eligible.allows_version_of(&backend.server);
+    if registry.with_pool(pool, |servers| servers.iter().any(is_allowed)) {
+        return registry.with_pool(pool, read);
+    }
+    match eligible.version {
+        Some(version) => read(&registry.of_version(pool, version)),
+        None => registry.with_pool(pool, read),
+    }
+}
+
 /// Returns the refusal while every open server of the pool asks for pushback, `None` otherwise.
 pub(crate) fn pool_pushback(core: &Core, pool: PoolId) -> Option<Refusal> {
     let now_ms = clock::now_ms();
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,7 +5,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method};
 use mulberryyoke_decide::engine::Prompt;
-use mulberryyoke_model::{Digest, PoolId};
+use mulberryyoke_model::{Digest, PoolId, StreamId};
 use tokio::time::Instant;
 
 use crate::buffers::Account;
@@ -27,6 +27,8 @@
     pub(crate) prompt: Option<Prompt>,
     /// Last event that the caller received of a stream to be resumed.
     pub(crate) resume_after: Option<u64>,
+    /// The stream to be resumed, if the caller names it.
+    pub(crate) resumed_stream: Option<StreamId>,
     /// When the head was received.
     pub(crate) received_at: Instant,
     /// Earlier of the caller's and the route's timeout, in milliseconds of the boot clock.
@@ -60,6 +62,11 @@
         self.body.release();
     }
 
+    /// Identifies the stream that this attempt of the caller begins.
+    pub(crate) fn stream(&self) -> StreamId {
+        StreamId::of(self.customer_name().unwrap_or_default(), &self.id)
+    }
+
     /// Identifies the request across retries.
     pub(crate) fn digest(&self) -> Digest {
         *self.digest.get_or_init(|| {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -10,9 +10,10 @@
 use hyper::{Request, Response, StatusCode};
 use mulberryyoke_platform::kv::Position;
 use mulberryyoke_wire::relay::{Batch, CHANGES, LIST};
+use mulberryyoke_wire::stream;
 
 use crate::core::Core;
-use crate::{clock, quarantine, readiness};
+use crate::{clock, quarantine, readiness, streams};
 
 const METRICS: &str = "/metrics";
 
@@ -34,6 +35,7 @@
         METRICS => Response::new(Full::new(Bytes::from(readiness::render_metrics(&core)))),
         LIST => relay_response(core.mirror.list(core.view.confirmed_since_ms(received_ms))),
         quarantine::PATH => quarantine::handle_admit(&core, request).await,
+        stream::PATH => streams::handle_ask(&core, request).await,
         CHANGES => changes(&core, uri.query().unwrap_or(""), received_ms).await,
         _ => status_response(StatusCode::NOT_FOUND),
     };
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,6 +22,7 @@
 use crate::registry::Registry;
 use crate::retry_budgets::RetryBudgets;
 use crate::shutdown::Shutdown;
+use crate::streams::Streams;
 use crate::view::View;
 use crate::waiting::Waiting;
 
@@ -37,6 +38,7 @@
     pub(crate) exchange: Exchange,
     pub(crate) shares: Mutex<Shares>,
     pub(crate) quarantine: Quarantine,
+    pub(crate) streams: Streams,
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) outages: Outages,
     pub(crate) waiting: Waiting,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,7 +21,7 @@
 use crate::quarantine;
 use crate::refusal::Refusal;
 use crate::response_body::ResponseBody;
-use crate::waiting;
+use crate::{streams, waiting};
 
 /// Maximum number of servers tried that did not run the request.
 const MAX_NOT_RUN: u32 = 3;
@@ -240,7 +240,10 @@
     call: &Arc<Call>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     core.retry_budgets.deposit(call.pool);
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts {
+        version: streams::required_version(core, call).await?,
+        ..Attempts::default()
+    };
     attempts.run(core, call, Refusal::NO_SERVER).await
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,7 +15,7 @@
 use mulberryyoke_decide::engine::Prompt;
 use mulberryyoke_decide::handoff::candidates;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{Digest, Incarnation, ServerId};
+use mulberryyoke_model::{Digest, Incarnation, ServerId, StreamId};
 use mulberryyoke_wire::aggregate::{Message, Prefill, Scope};
 use parking_lot::Mutex;
 
@@ -81,6 +81,12 @@
         inner.peers.arbiter(digest, &inner.name)
     }
 
+    /// Returns the addresses of the gateways, at most `count` and without this one, that keep the
+    /// origin of a stream.
+    pub(crate) fn replicas(&self, stream: StreamId, count: usize) -> Vec<SocketAddr> {
+        self.inner.lock().peers.replicas(stream, count)
+    }
+
     /// Returns the number of known gateways, including this one.
     pub(crate) fn gateway_count(&self) -> usize {
         self.inner.lock().peers.len() + 1
@@ -127,6 +133,7 @@
             core.quarantine.updates(),
             core.registry.instances.announcements(),
         );
+        let versions = core.streams.versions_for_peers();
         let own_speeds = speeds::for_peers(core, false);
         let all_speeds = if messages.iter().all(|(message, _)| is_own(message)) {
             Vec::new()
@@ -142,6 +149,7 @@
             message.speeds.clone_from(speeds);
             message.suspects.clone_from(&suspects);
             message.leaving.clone_from(&leaving);
+            message.versions.clone_from(&versions);
         }
         messages
     }
@@ -154,6 +162,7 @@
         quarantine::receive(core, &message.suspects);
         notice::receive(core, &message.leaving);
         speeds::receive(core, &message.speeds);
+        core.streams.receive_versions(&message.versions);
         let now = clock::now_ms();
         let mut inner = self.inner.lock();
         let is_known = inner.aggregate.knows(message.origin);
--- a/crates/gateway/src/exchange/peers.rs
+++ b/crates/gateway/src/exchange/peers.rs
@@ -6,7 +6,8 @@
 use mulberryyoke_decide::aggregate::{COLLECTORS_PER_ZONE, Placement, name_hash, rank_by_cpu};
 use mulberryyoke_decide::handoff::targets;
 use mulberryyoke_decide::quarantine::arbiter;
-use mulberryyoke_model::Digest;
+use mulberryyoke_decide::stream::replicas;
+use mulberryyoke_model::{Digest, StreamId};
 
 /// Number of gateways that watch the key-value service; tolerates the failure of any two.
 const WATCHERS: usize = 3;
@@ -155,6 +156,14 @@
         self.by_name.get(arbiter).map(|peer| peer.address)
     }
 
+    /// Returns the addresses of the peers, at most `count`, that keep the origin of a stream.
+    pub(super) fn replicas(&self, stream: StreamId, count: usize) -> Vec<SocketAddr> {
+        let names = self.by_name.keys().map(String::as_str);
+        let names = replicas(stream, names, count).into_iter();
+        let peers = names.filter_map(|name| self.by_name.get(name));
+        peers.map(|peer| peer.address).collect()
+    }
+
     /// Returns the names of the gateways of this one's zone, itself included, collectors first.
     fn ranked<'a>(&'a self, (name, placement): (&'a str, &'a Placement)) -> Vec<&'a str> {
         let names = self.zones.get(&placement.zone);
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -6,17 +6,18 @@
 use std::time::Duration;
 
 use mulberryyoke_wire::aggregate::{self, Assembler};
+use mulberryyoke_wire::stream;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::core::Core;
-use crate::{balance, clock};
+use crate::{balance, clock, streams};
 
 /// Timer resolution, and the minimum interval between two rounds, in milliseconds.
 const TICK_MS: u64 = 20;
 
 /// Sends and receives messages until the gateway terminates.
-pub(crate) async fn run(core: Arc<Core>, socket: UdpSocket) {
+pub(crate) async fn run(core: Arc<Core>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; 2 * aggregate::MAX_BYTES];
     let mut assembler = Assembler::default();
     let mut ticks = interval(Duration::from_millis(TICK_MS));
@@ -30,6 +31,7 @@
                 clock::last_resume_ms();
                 core.exchange.expire(&core);
                 core.quarantine.expire();
+                streams::update(&core);
                 balance::end_outages(&core);
                 rebalance(&core);
                 let now = Instant::now();
@@ -93,7 +95,11 @@
     let Ok((length, from)) = received else {
         return;
     };
-    match assembler.receive(&buffer[..*length]) {
+    let packet = &buffer[..*length];
+    if stream::is_marked(packet) {
+        return streams::receive(core, packet);
+    }
+    match assembler.receive(packet) {
         Ok(Some(message)) => core.exchange.receive(core, &message, *from),
         Ok(None) => {}
         Err(error) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::registry::Registry;
 use crate::retry_budgets::RetryBudgets;
 use crate::shutdown::Shutdown;
+use crate::streams::Streams;
 use crate::view::View;
 use crate::waiting::{self, Waiting};
 use crate::{control, follow, listen, overload, readiness};
@@ -71,6 +72,7 @@
         let address = settings.control;
         let exchange_socket = UdpSocket::bind(address).await;
         let exchange_socket = exchange_socket.map_err(|source| Error::Bind { address, source })?;
+        let exchange_socket = Arc::new(exchange_socket);
         let placement = Placement::new(&settings.zone, settings.processors);
         let exchange = Exchange::new(&settings.name, placement);
         let registry = Registry::new(&settings.name);
@@ -89,6 +91,7 @@
             waiting: Waiting::default(),
             shares: Mutex::default(),
             quarantine: Quarantine::new(),
+            streams: Streams::new(&exchange_socket),
             connections: AtomicU32::new(0),
             overload: Overload::default(),
             buffers,
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -14,6 +14,7 @@
 use mulberryyoke_decide::buffer::RETRY_AFTER_MS;
 use mulberryyoke_decide::pushback;
 use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::StreamId;
 use rand::RngExt;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
@@ -117,9 +118,13 @@
             body = body => body,
             () = clock::wait_until(deadline_ms) => Err(Refusal::BodyTimeout),
         }?;
+        let customer_name = customer.as_ref().map_or("", |customer| &customer.name);
+        let first_attempt = self.head.first_attempt.as_deref();
+        let resumed_stream = first_attempt.map(|first| StreamId::of(customer_name, first));
         Ok(Call {
             id: self.head.id,
             pool,
+            resumed_stream,
             customer,
             prompt: self.head.prompt,
             resume_after: self.head.resume_after,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod shutdown;
 mod socket;
 mod stream_relay;
+mod streams;
 mod view;
 mod waiting;
 
--- a/crates/gateway/src/protocol/request_head.rs
+++ b/crates/gateway/src/protocol/request_head.rs
@@ -15,4 +15,6 @@
     pub prompt: Option<Prompt>,
     /// ID of the last event received, if the caller resumes a stream.
     pub resume_after: Option<u64>,
+    /// ID of the attempt that brought the first event of that stream.
+    pub first_attempt: Option<String>,
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -35,6 +35,10 @@
     OverShare(u32),
     /// There is no room to hold the request's body; with the retry delay in milliseconds.
     MemoryShort(u32),
+    /// The version that began the stream is not known, and servers of several versions may have.
+    VersionUnknown,
+    /// No server of the version that began the stream is left.
+    VersionGone,
     /// Servers rejected the request and no attempt is left.
     Rejected,
     /// The gateway is shutting down.
@@ -71,6 +75,8 @@
             | Self::Busy(_)
             | Self::TooLarge
             | Self::MemoryShort(_)
+            | Self::VersionUnknown
+            | Self::VersionGone
             | Self::Rejected
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             // A quarantined request has run under an earlier ID, which rules out 503.
@@ -97,6 +103,8 @@
             Self::TooLarge => "too_large",
             Self::OverShare(_) => "over_share",
             Self::MemoryShort(_) => "memory_short",
+            Self::VersionUnknown => "version_unknown",
+            Self::VersionGone => "version_gone",
             Self::Rejected => "turned_away",
             Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -11,7 +11,7 @@
 use mulberryyoke_decide::aggregate::name_hash;
 use mulberryyoke_decide::engine::{Footprint, PoolStats};
 use mulberryyoke_decide::sample::is_sampled;
-use mulberryyoke_model::{PoolId, ServerId};
+use mulberryyoke_model::{PoolId, ServerId, VersionId};
 use parking_lot::Mutex;
 
 use self::instances::Instances;
@@ -31,6 +31,8 @@
 pub(crate) struct Snapshot {
     ids: HashMap<ServerId, Arc<Backend>>,
     pools: HashMap<PoolId, Vec<Arc<Backend>>>,
+    /// Versions of all registered servers, by pool.
+    versions: HashSet<(PoolId, VersionId)>,
 }
 
 /// Registered servers, readable without a lock. Only one task changes it.
@@ -107,6 +109,15 @@
         self.snapshot.load().ids.get(&id).cloned()
     }
 
+    /// All servers of a pool that have a version.
+    pub(crate) fn of_version(&self, pool: PoolId, version: VersionId) -> Vec<Arc<Backend>> {
+        let snapshot = self.snapshot.load();
+        let servers = snapshot.ids.values();
+        let servers = servers
+            .filter(|backend| (backend.server.pool, backend.server.version) == (pool, version));
+        servers.cloned().collect()
+    }
+
     /// This gateway's subset of all pools.
     pub(crate) fn subset(&self) -> Vec<Arc<Backend>> {
         let snapshot = self.snapshot.load();
@@ -121,6 +132,11 @@
         ids.collect()
     }
 
+    /// Versions of all registered servers, by pool.
+    pub(crate) fn versions(&self) -> Vec<(PoolId, VersionId)> {
+        self.snapshot.load().versions.iter().copied().collect()
+    }
+
     /// Latency statistics of all pools.
     pub(crate) fn pool_stats(&self) -> Vec<(PoolId, PoolStats)> {
         let pools = self.pool_stats.lock();
@@ -239,6 +255,8 @@
             let subset = snapshot.pools.entry(backend.server.pool).or_default();
             subset.push(Arc::clone(backend));
             snapshot.ids.insert(backend.server.id, Arc::clone(backend));
+            let version = (backend.server.pool, backend.server.version);
+            snapshot.versions.insert(version);
         }
         for subset in snapshot.pools.values_mut() {
             let count = subset.len();
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -18,7 +18,7 @@
 use crate::dispatch::Attempts;
 use crate::protocol::ResponseHead;
 use crate::response_body::{BodyError, ResponseBody};
-use crate::{clock, failure, quarantine};
+use crate::{clock, failure, quarantine, streams};
 
 /// Pause after which a stream is resumed on another server, as a multiple of the route's maximum
 /// gap between events. A server restarts a preempted request within this time.
@@ -239,8 +239,9 @@
                 continue;
             }
             self.in_flight.record_first_token();
-            let version = self.in_flight.backend.server.version;
-            self.attempts.bind_version(version);
+            if self.relayed == 0 {
+                self.record_origin();
+            }
             self.record_relayed();
             self.last_event = sse::last_id(&events).or(self.last_event);
             if self.chunks.send(events).await.is_err() {
@@ -258,6 +259,13 @@
         End::CallerClosed
     }
 
+    /// Records on which version the stream goes on, which binds all that follows.
+    fn record_origin(&mut self) {
+        let server = &self.in_flight.backend.server;
+        self.attempts.bind_version(server.version);
+        streams::record_origin(&self.core, &self.call, server);
+    }
+
     fn record_relayed(&mut self) {
         let now = Instant::now();
         if self.relayed > 0 {
--- /dev/null
+++ b/crates/gateway/src/streams.rs
@@ -0,0 +1,268 @@
+//! Which version of a server's software began a stream, kept so that callers can resume it.
+//!
+//! Every gateway keeps the origins of its own recent streams. While a pool has, or recently had,
+//! servers of several versions, it also tells them to two other gateways, before the first event is
+//! relayed, and a gateway that is to resume a stream of another one asks three. Nothing is told or
+//! asked about a pool of one version.
+
+mod ask;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use mulberryyoke_decide::stream::{Origin, Origins, Sighting, Versions};
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::{PoolId, StreamId, VersionId};
+use mulberryyoke_platform::http::Http;
+use mulberryyoke_wire::aggregate;
+use mulberryyoke_wire::stream::{self, Entry};
+use parking_lot::Mutex;
+use tokio::net::UdpSocket;
+
+pub(crate) use self::ask::handle_ask;
+use crate::call::Call;
+use crate::clock;
+use crate::config::RequestKind;
+use crate::core::Core;
+use crate::refusal::Refusal;
+use crate::server::Server;
+
+/// Number of gateways that are told the origin of a stream, beside the one that relays it.
+const REPLICAS: usize = 2;
+
+/// Time after the deadline of an attempt for which its stream may still be resumed, in
+/// milliseconds. Callers resume within the time that they wait for the whole response.
+const LINGER_MS: u64 = 10_000;
+
+/// Interval between expiry runs, in milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 1_000;
+
+/// Timeout for connecting to another gateway, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 100;
+
+/// Origins of recent streams, and the versions of each pool.
+#[derive(Debug)]
+pub(crate) struct Streams {
+    inner: Mutex<Inner>,
+    /// Socket from which origins are sent to other gateways.
+    socket: Arc<UdpSocket>,
+    http: Http,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    origins: Origins,
+    versions: Versions,
+    /// Pools whose streams are told to other gateways.
+    mixed: Vec<PoolId>,
+    expires_ms: u64,
+}
+
+impl Streams {
+    pub(crate) fn new(socket: &Arc<UdpSocket>) -> Self {
+        Self {
+            inner: Mutex::default(),
+            socket: Arc::clone(socket),
+            http: Http::new(CONNECT_TIMEOUT_MS),
+        }
+    }
+
+    /// Versions of pools that recently had several, for other gateways.
+    pub(crate) fn versions_for_peers(&self) -> Vec<aggregate::Sighting> {
+        let inner = self.inner.lock();
+        if inner.mixed.is_empty() {
+            return Vec::new();
+        }
+        let now_ms = clock::now_ms();
+        let sightings = inner.versions.observed(&inner.mixed).into_iter();
+        let versions = sightings.map(|sighting| aggregate::Sighting {
+            pool: sighting.pool,
+            version: sighting.version,
+            age_ms: now_ms.saturating_sub(sighting.at),
+        });
+        versions.collect()
+    }
+
+    /// Merges the versions that another gateway saw.
+    pub(crate) fn receive_versions(&self, versions: &[aggregate::Sighting]) {
+        if versions.is_empty() {
+            return;
+        }
+        let now_ms = clock::now_ms();
+        let mut inner = self.inner.lock();
+        for told in versions {
+            inner.versions.merge(Sighting {
+                pool: told.pool,
+                version: told.version,
+                at: now_ms.saturating_sub(told.age_ms),
+            });
+        }
+    }
+
+    fn get(&self, stream: StreamId) -> Option<Origin> {
+        self.inner.lock().origins.get(stream, clock::now_ms())
+    }
+
+    fn is_mixed(&self, pool: PoolId) -> bool {
+        self.inner.lock().versions.is_mixed(pool, clock::now_ms())
+    }
+
+    /// Records the origin of streams of this gateway; whether other gateways are to be told.
+    fn record_own(&self, streams: &[StreamId], origin: Origin, until_ms: u64) -> bool {
+        let now_ms = clock::now_ms();
+        let mut inner = self.inner.lock();
+        for stream in streams {
+            let is_kept = inner
+                .origins
+                .record(*stream, origin, until_ms, true, now_ms);
+            if !is_kept {
+                metrics::counter!("stream_origins_dropped_total").increment(1);
+            }
+        }
+        inner.mixed.contains(&origin.pool)
+    }
+}
+
+/// Records that a server sent the first event of a stream, or of the rest of a stream that the
+/// caller resumed.
+pub(crate) fn record_origin(core: &Core, call: &Call, server: &Server) {
+    if call.route.kind != RequestKind::Resumable {
+        return;
+    }
+    let origin = Origin {
+        pool: call.pool,
+        version: server.version,
+    };
+    let until_ms = call.deadline_ms.saturating_add(LINGER_MS);
+    let resumed = call.resumed_stream.filter(|_| call.resume_after.is_some());
+    let streams: Vec<StreamId> = [Some(call.stream()), resumed]
+        .into_iter()
+        .flatten()
+        .collect();
+    if core.streams.record_own(&streams, origin, until_ms) {
+        let left_ms = until_ms.saturating_sub(clock::now_ms());
+        let entries = streams.into_iter().map(|stream| Entry {
+            stream,
+            origin,
+            left_ms,
+        });
+        send(core, entries);
+    }
+}
+
+/// Returns the version on which the request must run, if it resumes a stream.
+pub(crate) async fn required_version(
+    core: &Arc<Core>,
+    call: &Call,
+) -> Result<Option<VersionId>, Refusal> {
+    if call.resume_after.is_none() || call.route.kind != RequestKind::Resumable {
+        return Ok(None);
+    }
+    let known = call
+        .resumed_stream
+        .and_then(|stream| core.streams.get(stream));
+    let is_mixed = core.streams.is_mixed(call.pool);
+    let origin = match (known, call.resumed_stream) {
+        (Some(origin), _) => Some(origin),
+        (None, Some(stream)) if is_mixed => ask::ask(core, stream).await,
+        (None, _) => None,
+    };
+    let (refusal, outcome) = match origin {
+        Some(origin) if origin.pool == call.pool => {
+            count_resume(if known.is_some() { "known" } else { "asked" });
+            return Ok(Some(origin.version));
+        }
+        // The route has been moved to another pool.
+        Some(_) => (Refusal::VersionGone, "moved"),
+        None if !is_mixed => {
+            count_resume("one_version");
+            return Ok(None);
+        }
+        None => (Refusal::VersionUnknown, "unknown"),
+    };
+    count_resume(outcome);
+    log!(core.logger, Event::ResumeRefused,
+        "request" => &call.id,
+        "code" => refusal.code(),
+        "after" => call.resume_after,
+        "named" => call.resumed_stream.is_some());
+    Err(refusal)
+}
+
+fn count_resume(outcome: &'static str) {
+    metrics::counter!("stream_resumes_total", "outcome" => outcome).increment(1);
+}
+
+/// Observes the versions of all registered servers. Once a pool has several, other gateways are
+/// told the origins of the streams that began before.
+pub(crate) fn update(core: &Core) {
+    let now_ms = clock::now_ms();
+    let registered = core.registry.versions();
+    let mut inner = core.streams.inner.lock();
+    for (pool, version) in registered {
+        inner.versions.observe(pool, version, now_ms);
+    }
+    if now_ms >= inner.expires_ms {
+        inner.expires_ms = now_ms + EXPIRY_INTERVAL_MS;
+        inner.origins.expire(now_ms);
+        inner.versions.expire(now_ms);
+    }
+    let mixed = inner.versions.mixed(now_ms);
+    if mixed == inner.mixed {
+        return;
+    }
+    let before = std::mem::replace(&mut inner.mixed, mixed.clone());
+    let started = mixed.iter().filter(|pool| !before.contains(pool));
+    let entries = started.flat_map(|pool| inner.origins.own(*pool));
+    let entries = entries.map(|(stream, origin, until_ms)| Entry {
+        stream,
+        origin,
+        left_ms: until_ms.saturating_sub(now_ms),
+    });
+    let entries: Vec<Entry> = entries.collect();
+    drop(inner);
+    log!(core.logger, Event::VersionsMixed,
+        "pools" => mixed.len(), "before" => before.len(), "streams" => entries.len());
+    send(core, entries.into_iter());
+}
+
+/// Sends origins to the gateways that keep them.
+fn send(core: &Core, entries: impl Iterator<Item = Entry>) {
+    let mut by_address: HashMap<SocketAddr, Vec<Entry>> = HashMap::new();
+    for entry in entries {
+        for address in core.exchange.replicas(entry.stream, REPLICAS) {
+            by_address.entry(address).or_default().push(entry);
+        }
+    }
+    for (address, entries) in by_address {
+        for packet in stream::encode(&entries) {
+            if let Err(error) = core.streams.socket.try_send_to(&packet, address) {
+                let kind = error.kind().to_string();
+                metrics::counter!("stream_origins_unsent_total", "kind" => kind).increment(1);
+            }
+        }
+    }
+}
+
+/// Keeps the origins that another gateway sent.
+pub(crate) fn receive(core: &Core, packet: &[u8]) {
+    let Some(entries) = stream::decode(packet) else {
+        metrics::counter!("beats_unreadable_total", "why" => "stream").increment(1);
+        return;
+    };
+    let now_ms = clock::now_ms();
+    let mut inner = core.streams.inner.lock();
+    for entry in entries {
+        let until_ms = now_ms.saturating_add(entry.left_ms);
+        let Entry { stream, origin, .. } = entry;
+        inner
+            .origins
+            .record(stream, origin, until_ms, false, now_ms);
+        inner.versions.merge(Sighting {
+            pool: origin.pool,
+            version: origin.version,
+            at: now_ms,
+        });
+    }
+}
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -92,6 +92,7 @@
                 Prompt::from_parts("m", shared.into_iter().chain([(1, tokens)]), 10)
             }),
             resume_after: text("x-after").and_then(|event| event.parse().ok()),
+            first_attempt: text("x-resumes").map(str::to_owned),
         })
     }
 
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -1,16 +1,19 @@
 //! Streams go on only on servers of the software version that began them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use futures::future::join_all;
 use googletest::prelude::*;
+use mulberryyoke_wire::stream::is_marked;
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::runtime::Runtime;
 use tokio::time::{sleep, timeout};
 
-use crate::backend::{Backend, Behavior, field};
+use crate::backend::{Backend, Behavior, field, read_request};
 use crate::caller::{self, Response};
 use crate::feed::Service;
 use crate::fleet::Node;
@@ -240,6 +243,55 @@
         .await;
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_stream_that_is_resumed_twice_names_its_first_attempt() {
+    let mut fleet = Fleet::spawn(3, &MIXED).await;
+    let ids: Vec<String> = (0..4).map(|index| index.to_string()).collect();
+    let begun = ids
+        .iter()
+        .map(async |id| fleet.begin(0, &format!("a{id}")).await);
+    join_all(begun).await;
+    fleet.kill_first();
+    for id in &ids {
+        let [first, next, last] = ["a", "b", "c"].map(|attempt| format!("{attempt}{id}"));
+        let lines = format!("x-after: 2\r\nx-resumes: {first}\r\n");
+        let mut stream = caller::open(fleet.nodes[1].callers, &request(&next, &lines)).await;
+        read_until(&mut stream, "id: 3").await;
+        drop(stream);
+        let lines = format!("x-after: 3\r\nx-resumes: {first}\r\n");
+        let response = caller::send(fleet.nodes[2].callers, &request(&last, &lines)).await;
+        expect_that!(response.status, eq(200), "{}", response.body);
+        let versions = [&first, &next, &last].map(|id| fleet.version_of(id));
+        expect_that!(versions[0], some(anything()));
+        expect_that!(versions, each(eq(versions[0])), "{id}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn streams_of_a_pool_of_one_version_are_neither_told_nor_asked_for() {
+    let peer = Peer::spawn().await;
+    let fleet = Fleet::spawn(1, &[(Behavior::SlowStream, "1"); 2]).await;
+    fleet
+        .service
+        .set("mulberryyoke/gateways/peer", Some(&peer.registration()));
+    sleep(PROPAGATION).await;
+    fleet.begin(0, "a").await;
+    fleet.resume(0, "b", Some("a")).await;
+    fleet.resume(0, "c", Some("never")).await;
+    expect_that!(peer.counts(), eq((0, 0)));
+    register(&fleet.service, 1, &fleet.servers[1].0, "2");
+    sleep(PROPAGATION).await;
+    let (told, _) = peer.counts();
+    expect_that!(told, ge(1), "the streams that began before");
+    fleet.begin(0, "d").await;
+    fleet.resume(0, "e", Some("unseen")).await;
+    let (told_later, asked) = peer.counts();
+    expect_that!(told_later, gt(told));
+    expect_that!(asked, eq(1));
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_stream_of_unknown_version_is_refused_while_versions_are_mixed() {
@@ -277,6 +329,57 @@
     expect_that!(fleet.version_of("g1"), none());
 }
 
+/// A peer that counts what it is told and asked, and answers nothing.
+struct Peer {
+    address: SocketAddr,
+    told: Arc<AtomicU32>,
+    asked: Arc<AtomicU32>,
+}
+
+impl Peer {
+    async fn spawn() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let socket = UdpSocket::bind(address).await.expect("the same port");
+        let (told, asked) = (Arc::<AtomicU32>::default(), Arc::<AtomicU32>::default());
+        let counter = Arc::clone(&told);
+        tokio::spawn(async move {
+            let mut buffer = [0; 2_000];
+            while let Ok(length) = socket.recv(&mut buffer).await {
+                counter.fetch_add(u32::from(is_marked(&buffer[..length])), Ordering::Relaxed);
+            }
+        });
+        let counter = Arc::clone(&asked);
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let counter = Arc::clone(&counter);
+                tokio::spawn(async move {
+                    let request = read_request(&mut stream).await;
+                    let is_ask =
+                        request.is_some_and(|(head, _)| head.starts_with("post /streams/"));
+                    counter.fetch_add(u32::from(is_ask), Ordering::Relaxed);
+                });
+            }
+        });
+        Self {
+            address,
+            told,
+            asked,
+        }
+    }
+
+    fn registration(&self) -> String {
+        format!("{} 1000 a", self.address)
+    }
+
+    /// Number of packets with origins, and of questions.
+    fn counts(&self) -> (u32, u32) {
+        let counters = [&self.told, &self.asked];
+        let [told, asked] = counters.map(|counter| counter.load(Ordering::Relaxed));
+        (told, asked)
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         if let Some(runtime) = self.runtime.take() {
--- a/crates/wire/src/aggregate.rs
+++ b/crates/wire/src/aggregate.rs
@@ -7,7 +7,7 @@
 use mulberryyoke_decide::engine::{Load, Part};
 use mulberryyoke_decide::quarantine::Suspect;
 use mulberryyoke_decide::share::Flow;
-use mulberryyoke_model::{CustomerId, Incarnation, ServerId, saturating_u32};
+use mulberryyoke_model::{CustomerId, Incarnation, PoolId, ServerId, VersionId, saturating_u32};
 use serde::{Deserialize, Serialize};
 
 pub use self::assembler::Assembler;
@@ -64,6 +64,20 @@
     /// reason.
     #[serde(skip)]
     pub speeds: Vec<Speed>,
+    /// Versions of pools that recently had several. Encoded after the speeds for the same reason.
+    #[serde(skip)]
+    pub versions: Vec<Sighting>,
+}
+
+/// A version of the servers' software that a gateway saw in a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// The pool.
+    pub pool: PoolId,
+    /// The version.
+    pub version: VersionId,
+    /// Time since a server of it was registered, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// What a gateway knows of a server's speed.
@@ -145,6 +159,7 @@
             suspects: Vec::new(),
             leaving: Vec::new(),
             speeds: Vec::new(),
+            versions: Vec::new(),
         }
     }
 
@@ -196,14 +211,16 @@
         let (mut message, rest) = decoded.map_err(|_| DecodeError::Message)?;
         let rest = decode_trailing(rest, &mut message.suspects)?;
         let rest = decode_trailing(rest, &mut message.leaving)?;
-        decode_trailing(rest, &mut message.speeds)?;
+        let rest = decode_trailing(rest, &mut message.speeds)?;
+        decode_trailing(rest, &mut message.versions)?;
         Ok(message)
     }
 
     fn to_bytes(&self) -> Vec<u8> {
         let mut bytes = postcard::to_stdvec(self).unwrap_or_default();
         // A field can be decoded only after those before it.
-        let has_speeds = !self.speeds.is_empty();
+        let has_versions = !self.versions.is_empty();
+        let has_speeds = has_versions || !self.speeds.is_empty();
         let has_leaving = has_speeds || !self.leaving.is_empty();
         if has_leaving || !self.suspects.is_empty() {
             bytes.extend(postcard::to_stdvec(&self.suspects).unwrap_or_default());
@@ -214,6 +231,9 @@
         if has_speeds {
             bytes.extend(postcard::to_stdvec(&self.speeds).unwrap_or_default());
         }
+        if has_versions {
+            bytes.extend(postcard::to_stdvec(&self.versions).unwrap_or_default());
+        }
         bytes
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,6 +15,7 @@
 mod router;
 mod sidecar;
 pub mod sse;
+pub mod stream;
 pub mod ticket;
 pub mod verdict;
 
--- a/crates/wire/tests/aggregate.rs
+++ b/crates/wire/tests/aggregate.rs
@@ -5,9 +5,9 @@
 use mulberryyoke_decide::engine::{Load, Part};
 use mulberryyoke_decide::quarantine::{Crash, Suspect};
 use mulberryyoke_decide::share::Flow;
-use mulberryyoke_model::{CustomerId, Digest, Incarnation, ServerId};
+use mulberryyoke_model::{CustomerId, Digest, Incarnation, PoolId, ServerId, VersionId};
 use mulberryyoke_wire::aggregate::{
-    Assembler, DecodeError, Figure, Leaving, MAX_BYTES, Message, Prefill, Scope, Speed,
+    Assembler, DecodeError, Figure, Leaving, MAX_BYTES, Message, Prefill, Scope, Sighting, Speed,
 };
 
 /// Length of the packet header.
@@ -282,3 +282,30 @@
     let received = received.expect("the packet is valid").expect("one packet");
     expect_that!(received.speeds, is_empty());
 }
+
+#[gtest]
+fn versions_round_trip_after_an_unchanged_message() {
+    for speed_count in [0, 3] {
+        let mut plain = message(7, 12, 16, 4);
+        plain.speeds = (0..speed_count).map(speed).collect();
+        let mut sent = plain.clone();
+        sent.versions = (0..2)
+            .map(|version| Sighting {
+                pool: PoolId(9),
+                version: VersionId(version),
+                age_ms: 250,
+            })
+            .collect();
+        let (prefix, packets) = (plain.encode(), sent.encode());
+        // Releases before this field decode only this prefix.
+        let length = prefix[0].len();
+        expect_that!(
+            packets[0][HEADER_BYTES..length] == prefix[0][HEADER_BYTES..],
+            eq(true)
+        );
+        let received = Assembler::default().receive(&packets[0]);
+        let received = received.expect("the packet is valid").expect("one packet");
+        expect_that!(received.versions, eq(&sent.versions));
+        expect_that!(received.speeds, eq(&sent.speeds));
+    }
+}
