Resumptions: servers that have just been registered count at once

A caller of a gateway that had started 16 ms before got events of two versions: the versions of a pool were observed every 20 ms, and until the first time a pool had none, so that a stream which nobody knew went on anywhere. They are now observed before each resumption as well. The test of a gateway that has just started failed before with 200 for each resumption in that time.

--- a/crates/daemon/tests/soak/audit.rs
+++ b/crates/daemon/tests/soak/audit.rs
@@ -1,6 +1,7 @@
 //! Checks of the observations of callers and servers against the guarantees of the gateways.
 
 mod notice;
+mod version;
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -71,6 +72,7 @@
         }
     }
     check_retries(&mut audit, &calls, &recorded, &by_id);
+    version::check(&mut audit, &calls, &by_id);
     notice::check_leaving(&mut audit, run, &calls_by_id, &recorded);
     notice::check_pushback(&mut audit, run, &calls_by_id, &recorded);
     audit
@@ -107,15 +109,10 @@
     if call.status != 200 || !matches!(call.kind, "stream" | "resume") {
         return;
     }
-    let events = call
-        .body
-        .split_inclusive("\n\n")
-        .filter(|event| event.ends_with("\n\n"));
-    let ids = events.filter_map(|event| event.lines().next()?.strip_prefix("id: "));
-    let ids: Vec<u64> = ids.filter_map(|id| id.parse().ok()).collect();
-    let in_order = ids.iter().copied().eq(1..=ids.len() as u64);
-    let is_complete =
-        call.completion != Completion::Complete || ids.len() as u64 == EVENTS_PER_STREAM;
+    let ids = call.event_ids();
+    let last = call.after + ids.len() as u64;
+    let in_order = ids.iter().copied().eq(call.after + 1..=last);
+    let is_complete = call.completion != Completion::Complete || last == EVENTS_PER_STREAM;
     audit.check("event order", in_order && is_complete, || {
         format!("{call:?}")
     });
--- /dev/null
+++ b/crates/daemon/tests/soak/audit/version.rs
@@ -0,0 +1,44 @@
+//! Checks that streams go on only on servers of the version that began them.
+
+use std::collections::HashMap;
+
+use super::Audit;
+use crate::backend::RecordedRequest;
+use crate::load::Call;
+use crate::store_values::version_of;
+
+/// All runs of a stream, over the attempts of its caller, are on servers of one version once it has
+/// had an event.
+pub(super) fn check(
+    audit: &mut Audit,
+    calls: &[Call],
+    by_id: &HashMap<&str, Vec<&RecordedRequest>>,
+) {
+    for call in calls.iter().filter(|call| call.kind == "resume") {
+        let first = call.first.as_ref().unwrap_or(&call.id);
+        let runs_of = |id: &str| {
+            let runs = by_id.get(id).into_iter().flatten();
+            runs.filter(|run| run.executed)
+                .map(|run| (run.after.unwrap_or(0), version_of(&run.server)))
+                .collect::<Vec<_>>()
+        };
+        let begun = runs_of(first).into_iter().filter(|(after, _)| *after == 0);
+        let begun: Vec<&str> = begun.map(|(_, version)| version).collect();
+        for (after, version) in runs_of(&call.id) {
+            if after > 0 {
+                audit.check("version of a stream", begun.contains(&version), || {
+                    format!("{version} after event {after}, begun on {begun:?}: {call:?}")
+                });
+            }
+        }
+        if call.first.is_some() {
+            // Only counted: a resumption may be refused.
+            let guarantee = if call.status == 200 {
+                "resumptions that went on"
+            } else {
+                "resumptions that did not"
+            };
+            audit.check(guarantee, true, String::new);
+        }
+    }
+}
--- a/crates/daemon/tests/soak/load.rs
+++ b/crates/daemon/tests/soak/load.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::caller::{RequestSpec, is_sealed, keep_alive_request};
+use crate::caller::{RequestSpec, Resumption, is_sealed, keep_alive_request};
 use crate::run::Run;
 
 /// Deadline of a request, and how much longer a caller waits for a late response.
@@ -47,6 +47,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
     pub(crate) id: String,
+    /// Attempt that brought the first event of the stream, if this one resumes it.
+    pub(crate) first: Option<String>,
+    /// Last event that the caller had before.
+    pub(crate) after: u64,
     pub(crate) kind: &'static str,
     pub(crate) key: Option<String>,
     pub(crate) gateway: usize,
@@ -62,6 +66,22 @@
     pub(crate) fn is_served(&self) -> bool {
         self.status == 200 && self.completion == Completion::Complete
     }
+
+    /// IDs of the complete events of a stream.
+    pub(crate) fn event_ids(&self) -> Vec<u64> {
+        let events = self.body.split_inclusive("\n\n");
+        let events = events.filter(|event| event.ends_with("\n\n"));
+        let ids = events.filter_map(|event| event.lines().next()?.strip_prefix("id: "));
+        ids.filter_map(|id| id.parse().ok()).collect()
+    }
+
+    /// The stream that the caller resumes after this attempt, if it may and has received a part.
+    fn resumption(&self) -> Option<(String, u64)> {
+        let is_broken = self.kind == "resume" && self.status == 200 && !self.is_served();
+        let last = self.event_ids().last().copied().filter(|_| is_broken)?;
+        let first = self.first.as_ref().unwrap_or(&self.id);
+        Some((first.clone(), last))
+    }
 }
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(0);
@@ -70,6 +90,7 @@
 pub(crate) async fn run_caller(run: Arc<Run>, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut connection: Option<(usize, SendRequest<Full<Bytes>>)> = None;
+    let mut resumption: Option<(String, u64)> = None;
     while !run.is_finished() {
         sleep(Duration::from_millis(rng.random_range(1..MAX_PAUSE_MS))).await;
         connection =
@@ -82,9 +103,14 @@
         let Some((gateway, sender)) = &mut connection else {
             continue;
         };
-        let kind = KINDS[rng.random_range(0..KINDS.len())];
+        let kind = match resumption {
+            Some(_) => "resume",
+            None => KINDS[rng.random_range(0..KINDS.len())],
+        };
         let key = (kind == "keyed").then(|| run.operator.pick_key(rng.random_range(0..64)));
-        let (call, is_reusable) = send(sender, *gateway, kind, key).await;
+        let resumed = resumption.take();
+        let (call, is_reusable) = send(sender, *gateway, kind, key, resumed).await;
+        resumption = call.resumption();
         run.calls.lock().push(call);
         if !is_reusable {
             connection = None;
@@ -108,19 +134,28 @@
     gateway: usize,
     kind: &'static str,
     key: Option<String>,
+    resumed: Option<(String, u64)>,
 ) -> (Call, bool) {
     let id = format!("q{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
     let timeout_ms = u64::try_from(RESPONSE_TIMEOUT.as_millis()).unwrap_or(0);
+    let resumption = resumed.as_ref().map(|(first, after)| Resumption {
+        first,
+        after: *after,
+    });
     let request = keep_alive_request(&RequestSpec {
         id: &id,
         path: &format!("/{kind}/{id}"),
         key: key.as_deref(),
         is_prompt: matches!(kind, "stream" | "resume"),
         timeout_ms,
+        resumption,
     });
     let sent_at = Instant::now();
+    let (first, after) = resumed.unzip();
     let mut call = Call {
         id,
+        first,
+        after: after.unwrap_or(0),
         kind,
         key,
         gateway,
--- a/crates/daemon/tests/soak/run.rs
+++ b/crates/daemon/tests/soak/run.rs
@@ -149,7 +149,7 @@
             };
             let backend = Backend::spawn(&format!("s-{index}"), Arc::clone(&recorded)).await;
             let proxy = Proxy::spawn(backend.address).await;
-            let value = registration(pool, proxy.address, ServerState::Ready);
+            let value = registration(pool, &backend.name(), proxy.address, ServerState::Ready);
             store.put(&server_key(&backend.name()), &value);
             servers.push(Server {
                 backend,
--- a/crates/daemon/tests/soak/run/inject.rs
+++ b/crates/daemon/tests/soak/run/inject.rs
@@ -145,7 +145,12 @@
         if self.draining_since.lock().contains_key(&name) {
             return;
         }
-        let value = registration(server.pool, server.proxy.address, ServerState::Draining);
+        let value = registration(
+            server.pool,
+            &name,
+            server.proxy.address,
+            ServerState::Draining,
+        );
         self.store.put(&server_key(&name), &value);
         self.draining_since
             .lock()
@@ -155,7 +160,7 @@
         sleep(Duration::from_secs(1)).await;
         let next = format!("n-{}", self.next_server.fetch_add(1, Ordering::Relaxed));
         server.backend.replace(&next);
-        let value = registration(server.pool, server.proxy.address, ServerState::Ready);
+        let value = registration(server.pool, &next, server.proxy.address, ServerState::Ready);
         self.store.put(&server_key(&next), &value);
     }
 }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -159,6 +159,8 @@
     if call.resume_after.is_none() || call.route.kind != RequestKind::Resumable {
         return Ok(None);
     }
+    // Servers may have been registered since the last update.
+    update(core);
     let known = call
         .resumed_stream
         .and_then(|stream| core.streams.get(stream));
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -312,6 +312,26 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_gateway_that_has_just_started_knows_that_versions_are_mixed() {
+    let fleet = Fleet::spawn(1, &MIXED).await;
+    for round in 0..3 {
+        let node = Node::spawn(&fleet.service, &format!("n{round}")).await;
+        for attempt in 0..200 {
+            let text = request(
+                &format!("s{round}-{attempt}"),
+                "x-after: 2\r\nx-resumes: a\r\n",
+            );
+            let response = caller::send(node.callers, &text).await;
+            expect_that!(response.status, eq(503), "{attempt}");
+            if response.body.contains("version_unknown") {
+                break;
+            }
+        }
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_stream_whose_version_is_gone_is_refused_at_once() {
