Test of leaving servers: enough requests to tell chance from a closed server

notices::a_leaving_server_stays_closed_until_a_new_instance_registers failed once in a run of all tests of the gateway. Traced: each of six requests goes to either of two equal servers at random, so that a usable server gets none of them once in 64 times, twice in the test. 24 requests are sent now, which makes the checks that a closed server gets none stricter as well.

--- a/crates/gateway/tests/gateway/notices.rs
+++ b/crates/gateway/tests/gateway/notices.rs
@@ -20,6 +20,10 @@
 /// Time within which an immediate response starts.
 const IMMEDIATE: Duration = Duration::from_millis(100);
 
+/// Requests of which a usable server gets at least one: each goes to either of two equal servers at
+/// random.
+const REQUESTS: u32 = 24;
+
 const LEAVING_HEADER: &str = "x-leaving: 1\r\n";
 
 /// Duration of a pushback, and the header that requests it.
@@ -64,7 +68,7 @@
 /// Whether a server gets requests. All requests must succeed.
 async fn gets_requests(node: &Node, backend: &Backend) -> bool {
     let before = request_count(backend);
-    for _ in 0..6 {
+    for _ in 0..REQUESTS {
         expect_that!(node.send("/once/", "").await.status, eq(200));
     }
     request_count(backend) > before
