--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod outages;
 mod outcome;
 mod overload;
+mod peer_call;
 pub mod protocol;
 mod quarantine;
 mod readiness;
--- a/crates/gateway/src/quarantine/admit.rs
+++ b/crates/gateway/src/quarantine/admit.rs
@@ -5,18 +5,18 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use mulberryyoke_decide::quarantine::{Suspect, Verdict};
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::Digest;
-use mulberryyoke_platform::http;
 
 use super::{conviction, receive};
 use crate::call::Call;
 use crate::clock;
 use crate::core::Core;
+use crate::peer_call;
 use crate::refusal::Refusal;
 
 /// Path of the endpoint that decides for other gateways whether a copy of a request may run.
@@ -25,9 +25,6 @@
 /// Timeout of a call to that endpoint.
 const CALL_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Maximum size of a message, in bytes. A suspect takes a few hundred.
-const MAX_MESSAGE_BYTES: usize = 4 << 10;
-
 /// Maximum crashes with which a request may run if the arbiter does not answer. A single crash may
 /// have been caused by another request on the same server.
 const MAX_UNARBITRATED_CRASHES: u32 = 1;
@@ -73,16 +70,9 @@
 /// Asks the arbiter for admission. `None` if it gives no decision.
 async fn request_admission(core: &Core, arbiter: SocketAddr, digest: Digest) -> Option<bool> {
     let suspect = core.quarantine.snapshot(digest);
-    let body = Bytes::from(postcard::to_stdvec(&suspect).unwrap_or_default());
-    let request = http::request(Method::POST, arbiter, PATH, body);
     let deadline = Instant::now() + CALL_TIMEOUT;
-    let call = async {
-        let response = core.quarantine.http.send(request, deadline).await?;
-        let status = response.status();
-        let body = http::read_body(response, MAX_MESSAGE_BYTES, deadline).await?;
-        Ok::<_, http::Failure>((status, body))
-    };
-    match call.await {
+    let client = &core.quarantine.http;
+    match peer_call::send(client, arbiter, PATH, &suspect, deadline).await {
         Ok((status, body)) => {
             if let Ok(snapshot) = postcard::from_bytes::<Suspect>(&body) {
                 receive(core, &[snapshot]);
@@ -108,15 +98,8 @@
     core: &Arc<Core>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
-    let suspect = match body.await {
-        Ok(body) => postcard::from_bytes::<Suspect>(&body.to_bytes()).ok(),
-        Err(_) => None,
-    };
-    let Some(suspect) = suspect else {
-        let mut response = Response::new(Full::default());
-        *response.status_mut() = StatusCode::BAD_REQUEST;
-        return response;
+    let Some(suspect) = peer_call::read::<Suspect>(request).await else {
+        return peer_call::bad_request();
     };
     let digest = suspect.digest;
     let before = core.quarantine.verdict(digest);
@@ -127,11 +110,10 @@
     if is_new {
         conviction::write(core, digest);
     }
-    let snapshot = core.quarantine.snapshot(digest);
-    let snapshot = postcard::to_stdvec(&snapshot).unwrap_or_default();
-    let mut response = Response::new(Full::new(Bytes::from(snapshot)));
-    if !is_allowed {
-        *response.status_mut() = StatusCode::CONFLICT;
-    }
-    response
+    let status = if is_allowed {
+        StatusCode::OK
+    } else {
+        StatusCode::CONFLICT
+    };
+    peer_call::response(status, &core.quarantine.snapshot(digest))
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -32,5 +32,6 @@
 mod silent_crashes;
 mod slow;
 mod streams;
+mod version_fleet;
 mod versions;
 mod waiting;
--- /dev/null
+++ b/crates/gateway/tests/gateway/version_fleet.rs
@@ -0,0 +1,204 @@
+//! Gateways before model servers of several versions, and a peer that counts messages.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use futures::future::join_all;
+use googletest::prelude::*;
+use mulberryyoke_wire::stream::is_marked;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::runtime::Runtime;
+use tokio::time::{sleep, timeout};
+
+use crate::backend::{Backend, Behavior, field, read_request};
+use crate::caller::{self, Response};
+use crate::feed::Service;
+use crate::fleet::Node;
+
+/// Number of streams that are resumed, more than there are servers.
+pub(crate) const STREAMS: usize = 8;
+
+/// Time for a change to reach every gateway.
+pub(crate) const PROPAGATION: Duration = Duration::from_millis(600);
+
+/// Gateways, and model servers of several versions.
+pub(crate) struct Fleet {
+    pub(crate) service: Arc<Service>,
+    pub(crate) nodes: Vec<Node>,
+    /// Runtime of the first gateway, which ends with it.
+    runtime: Option<Runtime>,
+    pub(crate) servers: Vec<(Backend, &'static str)>,
+}
+
+impl Fleet {
+    pub(crate) async fn spawn(nodes: usize, servers: &[(Behavior, &'static str)]) -> Self {
+        let service = Service::new();
+        service.set("config", Some("5 secret"));
+        let servers = servers.iter().map(async |&(behavior, version)| {
+            let backend = Backend::spawn(behavior).await;
+            (backend, version)
+        });
+        let servers = join_all(servers).await;
+        for (index, (backend, version)) in servers.iter().enumerate() {
+            register(&service, index, backend, version);
+        }
+        let runtime = Runtime::new().expect("a runtime");
+        let first = {
+            let service = Arc::clone(&service);
+            runtime.spawn(async move { Node::spawn(&service, "g0").await })
+        };
+        let mut fleet = Self {
+            nodes: vec![first.await.expect("no panic")],
+            service,
+            runtime: Some(runtime),
+            servers,
+        };
+        for index in 1..nodes {
+            let node = Node::spawn(&fleet.service, &format!("g{index}")).await;
+            fleet.nodes.push(node);
+        }
+        for node in &fleet.nodes {
+            node.wait_ready().await;
+        }
+        sleep(PROPAGATION).await;
+        fleet
+    }
+
+    /// Kills the first gateway.
+    pub(crate) fn kill_first(&mut self) {
+        let runtime = self.runtime.take().expect("it runs");
+        runtime.shutdown_background();
+    }
+
+    /// Version of the server that ran the request with an ID; `None` if none did.
+    pub(crate) fn version_of(&self, id: &str) -> Option<&'static str> {
+        let ran = |head: &String| field(head, "x-id") == Some(id);
+        let mut servers = self.servers.iter();
+        let (_, version) = servers.find(|(backend, _)| backend.state.heads().iter().any(ran))?;
+        Some(version)
+    }
+
+    /// Begins a stream, and ends its connection after the second event.
+    pub(crate) async fn begin(&self, node: usize, id: &str) {
+        let text = request(id, "");
+        let mut stream = caller::open(self.nodes[node].callers, &text).await;
+        read_until(&mut stream, "id: 2").await;
+    }
+
+    /// Resumes a stream after its second event.
+    pub(crate) async fn resume(&self, node: usize, id: &str, first: Option<&str>) -> Response {
+        let resumes = first.map_or(String::new(), |first| format!("x-resumes: {first}\r\n"));
+        let text = request(id, &format!("x-after: 2\r\n{resumes}"));
+        caller::send(self.nodes[node].callers, &text).await
+    }
+
+    /// Begins streams at the first gateway, resumes them at another, and expects that each goes on
+    /// at its version. `between` runs in between.
+    pub(crate) async fn expect_resumes(
+        &mut self,
+        name: &str,
+        between: impl AsyncFnOnce(&mut Self),
+    ) {
+        let ids = (0..STREAMS).map(|index| (format!("{name}a{index}"), format!("{name}b{index}")));
+        let ids: Vec<(String, String)> = ids.collect();
+        join_all(ids.iter().map(|(first, _)| self.begin(0, first))).await;
+        between(self).await;
+        let resumed = ids.iter().enumerate().map(|(index, (first, next))| {
+            let node = 1 + index % (self.nodes.len() - 1);
+            self.resume(node, next, Some(first))
+        });
+        for (response, (first, next)) in join_all(resumed).await.into_iter().zip(&ids) {
+            let result = (response.status, response.is_complete);
+            expect_that!(result, eq((200, true)), "{name} {next}: {}", response.body);
+            let version = self.version_of(first);
+            expect_that!(self.version_of(next), eq(version), "{name} {next}");
+        }
+    }
+}
+
+pub(crate) fn register(service: &Service, index: usize, backend: &Backend, version: &str) {
+    let value = format!("model {} ready version={version}", backend.address);
+    service.set(&format!("servers/model-{index}"), Some(&value));
+}
+
+pub(crate) fn request(id: &str, header_lines: &str) -> String {
+    format!(
+        "POST /resumable/ HTTP/1.1\r\nHost: host.example\r\nx-id: {id}\r\nx-tokens: 100\r\n\
+         Connection: close\r\n{header_lines}Content-Length: 2\r\n\r\nhi"
+    )
+}
+
+pub(crate) async fn read_until(stream: &mut TcpStream, text: &str) {
+    let mut received = String::new();
+    let mut buffer = [0; 1_024];
+    while !received.contains(text) {
+        let read = timeout(Duration::from_secs(5), stream.read(&mut buffer)).await;
+        let length = read
+            .expect("events arrive")
+            .expect("the connection is open");
+        assert!(length > 0, "the stream ended after {received:?}");
+        received.push_str(&String::from_utf8_lossy(&buffer[..length]));
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// A peer that counts what it is told and asked, and answers nothing.
+pub(crate) struct Peer {
+    address: SocketAddr,
+    told: Arc<AtomicU32>,
+    asked: Arc<AtomicU32>,
+}
+
+impl Peer {
+    pub(crate) async fn spawn() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let socket = UdpSocket::bind(address).await.expect("the same port");
+        let (told, asked) = (Arc::<AtomicU32>::default(), Arc::<AtomicU32>::default());
+        let counter = Arc::clone(&told);
+        tokio::spawn(async move {
+            let mut buffer = [0; 2_000];
+            while let Ok(length) = socket.recv(&mut buffer).await {
+                counter.fetch_add(u32::from(is_marked(&buffer[..length])), Ordering::Relaxed);
+            }
+        });
+        let counter = Arc::clone(&asked);
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let counter = Arc::clone(&counter);
+                tokio::spawn(async move {
+                    let request = read_request(&mut stream).await;
+                    let is_ask =
+                        request.is_some_and(|(head, _)| head.starts_with("post /streams/"));
+                    counter.fetch_add(u32::from(is_ask), Ordering::Relaxed);
+                });
+            }
+        });
+        Self {
+            address,
+            told,
+            asked,
+        }
+    }
+
+    pub(crate) fn registration(&self) -> String {
+        format!("{} 1000 a", self.address)
+    }
+
+    /// Number of packets with origins, and of questions.
+    pub(crate) fn counts(&self) -> (u32, u32) {
+        let counters = [&self.told, &self.asked];
+        let [told, asked] = counters.map(|counter| counter.load(Ordering::Relaxed));
+        (told, asked)
+    }
+}
