Quarantine: gateways that start later are told of earlier crashes

Callers saw a request end server after server although three had ended. Cause: gateways told each other of a crash for two seconds and a conviction alone was written, so that a gateway which started later, after a kill or a restart, knew of no crash below the third and sent the request on as any other. A gateway that hears of a peer it did not know now tells all crashes that count once more.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -232,6 +232,13 @@
             .collect()
     }
 
+    /// Tells other gateways of all crashes that count once more, as one of them has just started.
+    pub fn tell_again(&mut self, now: Millis) {
+        let records = self.records.values_mut();
+        let suspects = records.filter(|record| !record.counted_servers(&self.crashes).is_empty());
+        suspects.for_each(|record| record.touch(now));
+    }
+
     /// Drops expired records, crashes and failures.
     pub fn expire(&mut self, now: Millis) {
         self.records.retain(|_, record| !record.is_expired(now));
--- a/crates/decide/src/quarantine/record.rs
+++ b/crates/decide/src/quarantine/record.rs
@@ -200,6 +200,11 @@
         (self.crashes.len(), self.changed_at)
     }
 
+    /// Marks the record as changed, so that other gateways are told of it.
+    pub(super) const fn touch(&mut self, now: Millis) {
+        self.changed_at = now;
+    }
+
     pub(super) const fn changed_at(&self) -> Millis {
         self.changed_at
     }
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -383,3 +383,16 @@
         expect_that!(verdict.crashes(), eq(crashes), "{heard_at}");
     }
 }
+
+#[gtest]
+fn a_gateway_that_starts_later_is_told_of_crashes_that_count() {
+    let (mut quarantine, mut now) = (Quarantine::default(), 1_000);
+    crash(&mut quarantine, 1, &[POISON, Digest(2)], &mut now);
+    quarantine.record_success(Digest(2), OLD, now);
+    now += 10_000;
+    expect_that!(quarantine.updates(now), is_empty());
+    quarantine.tell_again(now);
+    let told = quarantine.updates(now);
+    expect_that!(told, len(eq(1)));
+    expect_that!(told[0].digest, eq(POISON));
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -172,6 +172,7 @@
         inner.is_dirty = true;
         if !is_known {
             log!(core.logger, Event::PeerUp, "peer" => message.origin.0, "address" => from.to_string());
+            core.quarantine.tell_again();
         }
         inner.apply_if_due(core, now);
         drop(inner);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -86,6 +86,13 @@
         self.records.lock().updates(clock::now_ms())
     }
 
+    /// Sends all records of crashes to other gateways once more, as one of them has just started.
+    pub(crate) fn tell_again(&self) {
+        if !self.is_empty() {
+            self.records.lock().tell_again(clock::now_ms());
+        }
+    }
+
     /// Removes expired records.
     pub(crate) fn expire(&self) {
         let now = clock::now_ms();
