Quarantine: a conviction that follows from what several gateways saw is written

Callers saw a request end servers again after gateways were killed. Cause: a conviction was written only by a gateway that saw the third crash and knew the two before it. Where each gateway saw other crashes they convicted by what they told each other, wrote nothing, and forgot it when they were killed. Now every gateway that learns of a conviction so sees to its writing: the arbiter of the request at once, the others some time later if it is not yet there.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,6 +10,7 @@
 mod speeds;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use mulberryyoke_decide::aggregate::{Placement, interval_ms};
 use mulberryyoke_decide::engine::Prompt;
@@ -155,7 +156,7 @@
     }
 
     /// Merges a peer's message and applies what it changes.
-    fn receive(&self, core: &Core, message: &Message, from: SocketAddr) {
+    fn receive(&self, core: &Arc<Core>, message: &Message, from: SocketAddr) {
         if message.origin == self.origin {
             return;
         }
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -86,7 +86,7 @@
 }
 
 fn receive(
-    core: &Core,
+    core: &Arc<Core>,
     assembler: &mut Assembler,
     buffer: &[u8],
     received: &io::Result<(usize, SocketAddr)>,
--- a/crates/gateway/src/follow/applier.rs
+++ b/crates/gateway/src/follow/applier.rs
@@ -115,6 +115,7 @@
             if is_restored {
                 self.missing.insert(key.clone(), expires_at);
                 if let Some(digest) = quarantine::digest_of(key) {
+                    quarantine::forget_written(&self.core, digest);
                     quarantine::rewrite(&self.core, digest);
                 }
             } else if !self.missing.contains_key(key) {
@@ -184,7 +185,9 @@
             self.zones.restore(zone);
         } else if let Some(digest) = quarantine::digest_of(key) {
             // A conviction expires by itself; its loss in a restore does not clear it.
-            if !was_missing {
+            if was_missing {
+                quarantine::forget_written(&self.core, digest);
+            } else {
                 quarantine::release(&self.core, digest);
             }
         } else if let Some(name) = key.strip_prefix(exchange::PEERS_PREFIX) {
@@ -199,7 +202,7 @@
     fn apply_conviction(&self, digest: Digest, value: &[u8], revision: Revision) {
         match quarantine::parse(digest, value) {
             Some(suspect) if suspect.crashes.is_empty() => quarantine::release(&self.core, digest),
-            Some(suspect) => quarantine::receive(&self.core, &[suspect]),
+            Some(suspect) => quarantine::receive_conviction(&self.core, &suspect),
             None => {
                 let error = ParseError {
                     subject: "crashes under a request".to_owned(),
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -5,6 +5,7 @@
 mod probe;
 mod silence;
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
@@ -40,6 +41,8 @@
     http: Http,
     /// Convictions being written to the key-value service.
     pending_writes: AtomicUsize,
+    /// Convictions known to be in the key-value service.
+    written: Mutex<HashSet<Digest>>,
 }
 
 impl Quarantine {
@@ -50,6 +53,7 @@
             last_expiry_ms: AtomicU64::new(0),
             http: Http::new(CONNECT_TIMEOUT_MS),
             pending_writes: AtomicUsize::new(0),
+            written: Mutex::default(),
         }
     }
 
@@ -108,22 +112,36 @@
     }
 }
 
-/// Merges records of another gateway.
-pub(crate) fn receive(core: &Core, suspects: &[Suspect]) {
+/// Merges records of another gateway. A conviction that follows from them is written, as the gateways
+/// that saw the crashes need not have known of all of them.
+pub(crate) fn receive(core: &Arc<Core>, suspects: &[Suspect]) {
     for suspect in suspects {
-        for crash in &suspect.crashes {
-            receive_crash(core, crash.server);
+        if merge(core, suspect) {
+            conviction::ensure_written(core, suspect.digest);
         }
-        let now = clock::now_ms();
-        let (before, after) = core.quarantine.update(|records| {
-            let before = records.verdict(suspect.digest, now);
-            records.merge(suspect, |server| version_of(core, server), now);
-            (before, records.verdict(suspect.digest, now))
-        });
-        log_conviction(core, suspect.digest, before, after);
     }
 }
 
+/// Merges a conviction of the key-value service.
+pub(crate) fn receive_conviction(core: &Core, suspect: &Suspect) {
+    core.quarantine.written.lock().insert(suspect.digest);
+    merge(core, suspect);
+}
+
+/// Merges a record of another gateway; `true` if that convicts the request.
+fn merge(core: &Core, suspect: &Suspect) -> bool {
+    for crash in &suspect.crashes {
+        receive_crash(core, crash.server);
+    }
+    let now = clock::now_ms();
+    let (before, after) = core.quarantine.update(|records| {
+        let before = records.verdict(suspect.digest, now);
+        records.merge(suspect, |server| version_of(core, server), now);
+        (before, records.verdict(suspect.digest, now))
+    });
+    log_conviction(core, suspect.digest, before, after)
+}
+
 /// Version of a registered server.
 fn version_of(core: &Core, server: ServerId) -> Option<VersionId> {
     let backend = core.registry.get_by_id(server)?;
@@ -188,8 +206,14 @@
     }
 }
 
+/// Records that a conviction is no longer in the key-value service.
+pub(crate) fn forget_written(core: &Core, digest: Digest) {
+    core.quarantine.written.lock().remove(&digest);
+}
+
 /// Clears a request on behalf of an operator.
 pub(crate) fn release(core: &Core, digest: Digest) {
+    forget_written(core, digest);
     let now = clock::now_ms();
     let crashes_before = core.quarantine.update(|records| records.clear(digest, now));
     if crashes_before > 0 {
@@ -206,17 +230,18 @@
         "digest" => digest.to_string(), "ended" => crashes_before, "why" => reason);
 }
 
-/// Logs a conviction that is new to this gateway.
-fn log_conviction(core: &Core, digest: Digest, before: Verdict, after: Verdict) {
+/// Logs a conviction that is new to this gateway; `false` if there is none.
+fn log_conviction(core: &Core, digest: Digest, before: Verdict, after: Verdict) -> bool {
     let Verdict::Convicted { crashes, until } = after else {
-        return;
+        return false;
     };
     if matches!(before, Verdict::Convicted { .. }) {
-        return;
+        return false;
     }
     metrics::counter!("quarantine_convictions_total").increment(1);
     log!(core.logger, Event::Convicted,
         "digest" => digest.to_string(),
         "ended" => crashes,
         "for_ms" => until.saturating_sub(clock::now_ms()));
+    true
 }
--- a/crates/gateway/src/quarantine/admit.rs
+++ b/crates/gateway/src/quarantine/admit.rs
@@ -12,7 +12,7 @@
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::Digest;
 
-use super::{conviction, receive};
+use super::receive;
 use crate::call::Call;
 use crate::clock;
 use crate::core::Core;
@@ -32,7 +32,11 @@
 /// Decides whether a request may be sent to a server, and returns the verdict on it. At most one
 /// copy of a suspect runs in the fleet at a time, which one gateway, the arbiter, enforces. If
 /// `is_admitted`, the request was admitted before and has not run since.
-pub(crate) async fn admit(core: &Core, call: &Call, is_admitted: bool) -> Result<Verdict, Refusal> {
+pub(crate) async fn admit(
+    core: &Arc<Core>,
+    call: &Call,
+    is_admitted: bool,
+) -> Result<Verdict, Refusal> {
     if core.quarantine.is_empty() {
         return Ok(Verdict::Clear);
     }
@@ -68,7 +72,7 @@
 }
 
 /// Asks the arbiter for admission. `None` if it gives no decision.
-async fn request_admission(core: &Core, arbiter: SocketAddr, digest: Digest) -> Option<bool> {
+async fn request_admission(core: &Arc<Core>, arbiter: SocketAddr, digest: Digest) -> Option<bool> {
     let suspect = core.quarantine.snapshot(digest);
     let deadline = Instant::now() + CALL_TIMEOUT;
     let client = &core.quarantine.http;
@@ -102,14 +106,8 @@
         return peer_call::bad_request();
     };
     let digest = suspect.digest;
-    let before = core.quarantine.verdict(digest);
     receive(core, &[suspect]);
     let is_allowed = admit_locally(core, digest);
-    let after = core.quarantine.verdict(digest);
-    let is_new = matches!(after, Verdict::Convicted { .. }) && before.crashes() < after.crashes();
-    if is_new {
-        conviction::write(core, digest);
-    }
     let status = if is_allowed {
         StatusCode::OK
     } else {
--- a/crates/gateway/src/quarantine/conviction.rs
+++ b/crates/gateway/src/quarantine/conviction.rs
@@ -27,6 +27,13 @@
 /// milliseconds.
 const REWRITE_JITTER_MS: u64 = 1_500;
 
+/// Time for the arbiter to write a conviction, after which other gateways do, in milliseconds.
+const ARBITER_TIME_MS: u64 = 1_000;
+
+/// Random delay of the others, per gateway, in milliseconds: in a large fleet few write before they
+/// learn that one has.
+const SPREAD_PER_GATEWAY_MS: u64 = 20;
+
 /// Maximum attempts of a write, which span an outage of a minute.
 const MAX_ATTEMPTS: u32 = 60;
 
@@ -96,6 +103,24 @@
     });
 }
 
+/// Writes a conviction that several gateways learn at the same time: the arbiter of the request at
+/// once, the others if it has not been written some time later.
+pub(super) fn ensure_written(core: &Arc<Core>, digest: Digest) {
+    let core = Arc::clone(core);
+    tokio::spawn(async move {
+        if core.exchange.arbiter(digest).is_some() {
+            let gateways = u64::try_from(core.exchange.gateway_count()).unwrap_or(u64::MAX);
+            let spread_ms = gateways.saturating_mul(SPREAD_PER_GATEWAY_MS).max(1);
+            let delay_ms = ARBITER_TIME_MS + rand::rng().random_range(0..spread_ms);
+            sleep(Duration::from_millis(delay_ms)).await;
+        }
+        let is_written = core.quarantine.written.lock().contains(&digest);
+        if !is_written {
+            write(&core, digest);
+        }
+    });
+}
+
 async fn put_with_retries(core: &Core, digest: Digest) {
     for _ in 0..MAX_ATTEMPTS {
         match put(core, digest).await {
