--- a/crates/gateway/src/quarantine/silence.rs
+++ b/crates/gateway/src/quarantine/silence.rs
@@ -44,7 +44,7 @@
 impl Run {
     /// Returns the run of a request; `None` if its server responded recently.
     fn new(call: &Call, backend: &Arc<Backend>, sent_at: Instant) -> Option<Self> {
-        Self::silence(backend, sent_at)?;
+        Silence::of(backend, sent_at)?;
         Some(Self {
             digest: call.digest(),
             backend: Arc::clone(backend),
@@ -52,14 +52,31 @@
         })
     }
 
-    /// Returns since when the server has been silent during the run, in milliseconds of the boot
-    /// clock, and for how long; `None` if it responded recently.
-    fn silence(backend: &Backend, sent_at: Instant) -> Option<(u64, u64)> {
+    fn silence(&self) -> Option<Silence> {
+        Silence::of(&self.backend, self.sent_at)
+    }
+}
+
+/// Time in which a server has sent nothing although it runs a request.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    /// Its start, in milliseconds of the boot clock.
+    since_ms: u64,
+    /// Its length so far, in milliseconds.
+    length_ms: u64,
+}
+
+impl Silence {
+    /// Returns the silence of a server since a request was sent; `None` if it responded recently.
+    fn of(backend: &Backend, sent_at: Instant) -> Option<Self> {
         let now_ms = clock::now_ms();
         let sent_ms = now_ms.saturating_sub(clock::between_ms(sent_at, Instant::now()));
         let since_ms = sent_ms.max(backend.heard_ms());
-        let silent_ms = now_ms.saturating_sub(since_ms);
-        (silent_ms >= MIN_SILENCE_MS).then_some((since_ms, silent_ms))
+        let length_ms = now_ms.saturating_sub(since_ms);
+        (length_ms >= MIN_SILENCE_MS).then_some(Self {
+            since_ms,
+            length_ms,
+        })
     }
 }
 
@@ -99,7 +116,7 @@
 
 async fn check(core: &Arc<Core>, run: &Run) {
     let backend = &run.backend;
-    let Some((since_ms, _)) = Run::silence(backend, run.sent_at) else {
+    let Some(Silence { since_ms, .. }) = run.silence() else {
         return;
     };
     // One that is leaving may end at any time.
@@ -137,11 +154,10 @@
         }
     }
     liveness.record_crash(Instant::now());
-    let silence = Run::silence(&run.backend, run.sent_at);
     log!(core.logger, Event::ServerSilent,
         "server" => &run.backend.server.name,
         "digest" => run.digest.to_string(),
-        "silent_ms" => silence.map(|(_, silent_ms)| silent_ms));
+        "silent_ms" => run.silence().map(|silence| silence.length_ms));
     true
 }
 
