Tests: callers open a connection again that an overloaded gateway resets

Callers of the tests connect again, for 10 s at most; what the tests expect of responses is unchanged, and the test of overload connects itself.

--- a/crates/gateway/tests/gateway/caller.rs
+++ b/crates/gateway/tests/gateway/caller.rs
@@ -1,15 +1,19 @@
 //! HTTP client of the gateway's tests.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time limit for a response.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Delay after which a connection that was reset is opened again.
+const RECONNECT_DELAY: Duration = Duration::from_millis(50);
+
 /// Receive buffer of a slow caller, in bytes.
 const SLOW_BUFFER_BYTES: u32 = 16 << 10;
 
@@ -49,9 +53,7 @@
 
 /// Sends a request without reading the response.
 pub(crate) async fn open(gateway: SocketAddr, request: &str) -> TcpStream {
-    let mut stream = TcpStream::connect(gateway)
-        .await
-        .expect("the gateway listens");
+    let mut stream = connect(gateway).await;
     stream
         .write_all(request.as_bytes())
         .await
@@ -59,6 +61,25 @@
     stream
 }
 
+/// Opens a connection. A gateway resets it while the machine is so busy that the gateway counts as
+/// overloaded, and accepts it some time later.
+async fn connect(gateway: SocketAddr) -> TcpStream {
+    let until = Instant::now() + TIMEOUT;
+    loop {
+        match TcpStream::connect(gateway).await {
+            Ok(stream) => return stream,
+            Err(error) => {
+                let is_reset = error.kind() == ErrorKind::ConnectionReset;
+                assert!(
+                    is_reset && Instant::now() < until,
+                    "could not connect: {error}"
+                );
+            }
+        }
+        sleep(RECONNECT_DELAY).await;
+    }
+}
+
 /// As [`open`], with a small receive buffer, for callers that stop reading.
 #[allow(dead_code, reason = "not used by every test binary")]
 pub(crate) async fn open_slow(gateway: SocketAddr, request: &str) -> TcpStream {
