Remove what nothing reads, and give signal errors a variant of their own

The condition of a waiting request, the time of the last contact of a member and a second check of one limit had no reader; the launcher told of a failed signal handler as of settings.

--- a/crates/daemon/src/router/inspect.rs
+++ b/crates/daemon/src/router/inspect.rs
@@ -29,8 +29,6 @@
     pub position: usize,
     /// The server it is pinned to, if any.
     pub server: Option<String>,
-    /// Condition for its dispatch.
-    pub waits_for: String,
 }
 
 /// A customer as seen by this router.
@@ -115,7 +113,6 @@
                         deadline: entry.deadline,
                         since: entry.arrived_at,
                         position: queue.position(entry),
-                        waits_for: dispatch_condition(server.as_deref()),
                         server,
                     });
                 }
@@ -173,13 +170,6 @@
     }
 }
 
-fn dispatch_condition(server: Option<&str>) -> String {
-    match server {
-        Some(server) => format!("a free slot at {server}, home of its key"),
-        None => "a free slot at any server of the pool, at its customer's turn".to_owned(),
-    }
-}
-
 fn server(link: &Link) -> Server {
     let load = link.status.load();
     Server {
--- a/crates/decide/src/member/table.rs
+++ b/crates/decide/src/member/table.rs
@@ -81,12 +81,6 @@
         is_suspect && !std::mem::replace(&mut entry.is_suspicion_reported, true)
     }
 
-    /// Time of the last call from or answered by a router.
-    #[must_use]
-    pub fn last_contact_at(&self, name: &str) -> Option<Millis> {
-        self.entries.get(name)?.last_contact_at
-    }
-
     /// Whether a router is suspect or unknown.
     #[must_use]
     pub fn is_suspect(&self, name: &str, now: Millis) -> bool {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -190,7 +190,6 @@
         1..=u32_max,
     )?;
     check_range("limits.head_ms", limits.head_ms, 1..=MAX_PERIOD_MS)?;
-    check_range("limits.stall_ms", limits.stall_ms, 1..=MAX_RETENTION_MS)?;
     check_range("limits.stall_ms", limits.stall_ms, 1..=MAX_DRAIN_MS)?;
     check_range(
         "limits.deadline_ms",
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -64,8 +64,8 @@
 ///
 /// See [`Error`].
 pub async fn run(flags: Flags) -> Result<Report, Error> {
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Settings)?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Settings)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Signal)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
     tokio::select! {
         report = launch(flags) => report,
         _ = interrupt.recv() => Err(Error::Interrupted),
--- a/crates/standin/src/fleet/error.rs
+++ b/crates/standin/src/fleet/error.rs
@@ -33,6 +33,8 @@
     },
     /// failed to write settings: {0}
     Settings(io::Error),
+    /// failed to register a signal handler: {0}
+    Signal(io::Error),
     /// interrupted by a signal
     Interrupted,
 }
