Tests: answers of any framing, and answers that do not end

Answers and streams with a length, with chunks and with neither: whole, reset, ended inside an event, between two, in the middle of a character, after a lone CR; and heads, chunk extensions, trailers, bodies, events and lists of cached parts without end.

--- /dev/null
+++ b/crates/gateway/tests/gateway/answer_shapes.rs
@@ -0,0 +1,213 @@
+//! Answers with a length, with chunks and with neither, whole and broken off.
+
+use googletest::prelude::*;
+
+use crate::backend::{Backend, Behavior};
+use crate::caller::Response;
+use crate::fleet::{Node, ready_at};
+use crate::shaped_server::{End, Script, ShapedServer};
+
+const PROMPT: &str = "x-tokens: 100\r\n";
+
+/// Length of an event that no read buffer holds, in bytes.
+const LARGE_EVENT_BYTES: usize = 100_000;
+
+/// Length of a body that is relayed as it arrives, in bytes.
+const LARGE_BODY_BYTES: usize = 400_000;
+
+/// How the end of a body is recognized.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Length,
+    Chunks,
+    Neither,
+}
+
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Neither];
+
+/// Returns the script of an answer of `whole`, of which only `sent` bytes are sent.
+fn script(framing: Framing, whole: &[u8], sent: usize, end: End) -> Script {
+    let part = &whole[..sent];
+    let is_whole = sent == whole.len();
+    let header = match framing {
+        Framing::Length => format!("content-length: {}\r\n", whole.len()),
+        Framing::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
+        Framing::Neither => String::new(),
+    };
+    let head = format!("HTTP/1.1 200 OK\r\nx-id: q1\r\nx-seal: s\r\n{header}\r\n");
+    let mut parts = vec![head.into_bytes()];
+    if framing == Framing::Chunks {
+        if !part.is_empty() {
+            let chunk = [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat();
+            parts.push(chunk);
+        }
+        if is_whole {
+            parts.push(b"0\r\n\r\n".to_vec());
+        }
+    } else {
+        parts.push(part.to_vec());
+    }
+    Script { parts, end }
+}
+
+fn events(last: u64) -> String {
+    let events = (1..=last).map(|event| format!("id: {event}\ndata: t{event}\n\n"));
+    events.collect::<Vec<String>>().concat()
+}
+
+/// Returns the IDs of the received events.
+fn event_ids(response: &Response) -> Vec<u64> {
+    let lines = response.body.lines();
+    let ids = lines.filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
+
+/// Sends a request to a gateway whose only server sends this script.
+async fn send_alone(script: Script, path: &str) -> Response {
+    let server = ShapedServer::spawn(script).await;
+    let (_service, node) = ready_at(&[server.address], None).await;
+    node.send(path, PROMPT).await
+}
+
+/// Sends requests to a gateway with a server that sends this script and another that is sound, until
+/// the former has received one. Returns its response.
+async fn send_beside_sound(script: Script, path: &str) -> Response {
+    let server = ShapedServer::spawn(script).await;
+    let sound = Backend::spawn(Behavior::Stream).await;
+    if path == "/idempotent/" {
+        sound.state.set_behavior(Behavior::Answer, "");
+    }
+    let (_service, node) = ready_at(&[server.address, sound.address], None).await;
+    until_received(&node, &server, path).await
+}
+
+async fn until_received(node: &Node, server: &ShapedServer, path: &str) -> Response {
+    for _ in 0..60 {
+        let response = node.send(path, PROMPT).await;
+        if server.requests() > 0 {
+            return response;
+        }
+    }
+    panic!("the server received no request");
+}
+
+#[gtest]
+#[tokio::test]
+async fn whole_streams_are_complete_in_every_framing() {
+    let crlf = events(4).replace('\n', "\r\n");
+    let large = format!("id: 1\ndata: {}\n\n", "x".repeat(LARGE_EVENT_BYTES)) + &events(4)[14..];
+    for whole in [events(4), crlf, large] {
+        for framing in FRAMINGS {
+            let script = script(framing, whole.as_bytes(), whole.len(), End::Close);
+            let response = send_alone(script, "/resumable/").await;
+            expect_that!(event_ids(&response), eq(&[1, 2, 3, 4]), "{framing:?}");
+            expect_that!(response.is_complete, eq(true), "{framing:?}");
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn streams_that_end_inside_an_event_are_broken_off_and_resumed() {
+    let (two, four) = (events(2), events(4));
+    let tails: [&[u8]; 6] = [
+        b"i",
+        b"id: 3\nda",
+        b"id: 3\ndata: t3\n",
+        b"id: 3\ndata: t3\r\n\r",
+        b"id: 3\ndata: \xe2\x82",
+        b"id: 3\ndata: t3\n\r",
+    ];
+    for tail in tails {
+        for (framing, end) in [
+            (Framing::Length, End::Close),
+            (Framing::Chunks, End::Close),
+            (Framing::Neither, End::Close),
+            (Framing::Neither, End::Reset),
+        ] {
+            let name = format!("{} {framing:?} {end:?}", String::from_utf8_lossy(tail));
+            let whole = [two.as_bytes(), tail, four.as_bytes()].concat();
+            let sent = two.len() + tail.len();
+            let script = script(framing, &whole, sent, end);
+            let response = send_alone(script.clone(), "/stream/").await;
+            expect_that!(event_ids(&response), eq(&[1, 2]), "{name}");
+            expect_that!(response.is_complete, eq(false), "{name}");
+            let response = send_beside_sound(script, "/resumable/").await;
+            expect_that!(event_ids(&response), eq(&[1, 2, 3, 4]), "{name}");
+            expect_that!(response.is_complete, eq(true), "{name}");
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn streams_that_end_between_events_are_whole_only_if_nothing_says_otherwise() {
+    let (two, four) = (events(2), events(4));
+    for (framing, end, is_whole) in [
+        (Framing::Length, End::Close, false),
+        (Framing::Chunks, End::Close, false),
+        (Framing::Neither, End::Close, true),
+        (Framing::Neither, End::Reset, false),
+    ] {
+        let name = format!("{framing:?} {end:?}");
+        let script = script(framing, four.as_bytes(), two.len(), end);
+        let response = send_alone(script.clone(), "/stream/").await;
+        expect_that!(event_ids(&response), eq(&[1, 2]), "{name}");
+        expect_that!(response.is_complete, eq(is_whole), "{name}");
+        let response = send_beside_sound(script, "/resumable/").await;
+        let last = if is_whole { 2 } else { 4 };
+        let ids: Vec<u64> = (1..=last).collect();
+        expect_that!(event_ids(&response), eq(&ids), "{name}");
+        expect_that!(response.is_complete, eq(true), "{name}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn empty_streams_whose_end_is_marked_are_whole() {
+    for framing in [Framing::Length, Framing::Chunks] {
+        let response = send_alone(script(framing, b"", 0, End::Keep), "/stream/").await;
+        expect_that!(response.status, eq(200), "{framing:?}");
+        expect_that!(response.is_complete, eq(true), "{framing:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn plain_answers_are_whole_unless_their_framing_or_a_reset_says_otherwise() {
+    let large = "x".repeat(LARGE_BODY_BYTES);
+    for (framing, sent, end, is_whole) in [
+        (Framing::Length, 4, End::Close, true),
+        (Framing::Length, 3, End::Close, false),
+        (Framing::Chunks, 4, End::Close, true),
+        (Framing::Chunks, 3, End::Close, false),
+        (Framing::Neither, 4, End::Close, true),
+        (Framing::Neither, 4, End::Reset, false),
+        (Framing::Neither, 0, End::Reset, false),
+    ] {
+        let name = format!("{framing:?} {sent} {end:?}");
+        let script = script(framing, b"DONE", sent, end);
+        let response = send_alone(script.clone(), "/once/").await;
+        let status = if is_whole { 200 } else { 502 };
+        expect_that!(response.status, eq(status), "{name}");
+        expect_that!(response.is_complete, eq(true), "{name}");
+        let response = send_beside_sound(script, "/idempotent/").await;
+        expect_that!(response.status, eq(200), "{name}");
+        let body = if is_whole { "DONE" } else { "done" };
+        expect_that!(response.body, eq(body), "{name}");
+    }
+    for (framing, sent, end, is_whole) in [
+        (Framing::Length, large.len(), End::Close, true),
+        (Framing::Length, large.len() - 1, End::Close, false),
+        (Framing::Chunks, large.len(), End::Close, true),
+        (Framing::Chunks, large.len() - 1, End::Close, false),
+        (Framing::Neither, large.len(), End::Close, true),
+        (Framing::Neither, large.len(), End::Reset, false),
+    ] {
+        let name = format!("{framing:?} {sent} {end:?}");
+        let script = script(framing, large.as_bytes(), sent, end);
+        let response = send_alone(script, "/once/").await;
+        expect_that!(response.status, eq(200), "{name}");
+        expect_that!(response.is_complete, eq(is_whole), "{name}");
+    }
+}
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -141,11 +141,20 @@
 pub(crate) async fn ready_with(
     backends: &[&Backend],
     memory_mb: Option<u64>,
+) -> (Arc<Service>, Node) {
+    let addresses: Vec<SocketAddr> = backends.iter().map(|backend| backend.address).collect();
+    ready_at(&addresses, memory_mb).await
+}
+
+/// As [`ready_with`], with servers at these addresses.
+pub(crate) async fn ready_at(
+    addresses: &[SocketAddr],
+    memory_mb: Option<u64>,
 ) -> (Arc<Service>, Node) {
     let service = Service::new();
     service.set("config", Some("5 secret"));
-    for (index, backend) in backends.iter().enumerate() {
-        register(&service, index, backend, "ready");
+    for (index, address) in addresses.iter().enumerate() {
+        register_address(&service, index, *address, "ready");
     }
     let node = Node::spawn_with(&service, "g0", 1.0, memory_mb).await;
     node.wait_ready().await;
@@ -154,9 +163,14 @@
 
 /// Registers a server in both pools.
 pub(crate) fn register(service: &Service, index: usize, backend: &Backend, state: &str) {
+    register_address(service, index, backend.address, state);
+}
+
+/// Registers a server at this address in both pools.
+pub(crate) fn register_address(service: &Service, index: usize, address: SocketAddr, state: &str) {
     for pool in ["plain", "model"] {
         let key = format!("servers/{pool}-{index}");
-        let value = format!("{pool} {} {state}", backend.address);
+        let value = format!("{pool} {address} {state}");
         service.set(&key, Some(&value));
     }
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of gateways against simulated callers, backend servers, peers and key-value service.
 
 mod admission;
+mod answer_shapes;
 mod backend;
 mod bodies;
 mod cache_report;
@@ -11,6 +12,7 @@
 mod crash_fleet;
 mod crashes;
 mod crashing_server;
+mod endless_answers;
 mod evacuation;
 mod exchange;
 mod feed;
@@ -28,6 +30,7 @@
 mod restore;
 mod retries;
 mod server_load;
+mod shaped_server;
 mod shutdown;
 mod silent_crashes;
 mod slow;
