Mend: a stream that ends before its first event was passed on as whole

Callers saw a 200 whose event stream had no event and its proper last chunk, where a server had sent the head of a stream with neither a length nor chunks and closed the connection. A route that may be resumed was not sent elsewhere.

Cause: the end of a connection was taken for the end of the answer whenever no half event was left, also if there had been no event at all. With a length or chunks the framing says that an empty stream is whole; without, nothing does.

The framing of the answer is now known to the relay. Without one an end before the first event of this server counts as broken off: resumed elsewhere where that is allowed, else the caller's connection is closed without the last chunk. Where a stream is resumed after its very last event and the second server closes without a word, it counts as broken as well: that an answer is not whole may be wrong there, the reverse never is.

--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -16,6 +16,7 @@
 use crate::connection_pool::Connection;
 use crate::core::Core;
 use crate::dispatch::Attempts;
+use crate::framing::Framing;
 use crate::outcome::Outcome;
 use crate::protocol::{Forwarding, ResponseHead, Verification};
 use crate::quarantine::Watch;
@@ -195,8 +196,10 @@
         call.release_body();
     }
     let is_success = head.status.is_success();
+    let framing = Framing::of(&head.headers);
     header::strip_hop_by_hop(&mut head.headers);
     if call.route.kind.is_stream() && is_success {
+        let body = (body, framing);
         let chunks = stream_relay::spawn(core, call, in_flight, run, (conn, response_head), body);
         return Outcome::Completed(Response::from_parts(head, ResponseBody::Stream(chunks)));
     }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -1,5 +1,7 @@
 //! Relays an event stream to the caller and resumes it on another server when it is truncated.
 
+mod end;
+
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 
@@ -10,12 +12,14 @@
 use mulberryyoke_wire::sse::{self, EventBuffer};
 use tokio::time::Instant;
 
+use self::end::End;
 use crate::backend::InFlight;
 use crate::buffers::{Inlet, Outlet};
 use crate::call::Call;
 use crate::connection_pool::Connection;
 use crate::core::Core;
 use crate::dispatch::Attempts;
+use crate::framing::Framing;
 use crate::protocol::ResponseHead;
 use crate::response_body::{BodyError, ResponseBody};
 use crate::{clock, failure, quarantine, streams};
@@ -24,41 +28,13 @@
 /// gap between events. A server restarts a preempted request within this time.
 const STALL_GAPS: u64 = 3;
 
-/// Why a stream ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
-    Complete,
-    Truncated,
-    /// No events until the stall deadline; another server is tried.
-    Stalled,
-    TimedOut,
-    /// The caller closed the connection.
-    CallerClosed,
-    /// The gateway closed the caller's connection, because the caller reads too slowly.
-    CallerCut,
-    Stopping,
-}
-
-impl End {
-    const fn label(self) -> &'static str {
-        match self {
-            Self::Complete => "whole",
-            Self::Truncated => "broken",
-            Self::Stalled => "stalled",
-            Self::TimedOut => "late",
-            Self::CallerClosed => "hung_up",
-            Self::CallerCut => "cut",
-            Self::Stopping => "stopping",
-        }
-    }
-}
-
 /// A stream that is relayed from a server to the caller.
 struct StreamRelay {
     core: Arc<Core>,
     call: Arc<Call>,
     in_flight: InFlight,
     body: Incoming,
+    framing: Framing,
     events: EventBuffer,
     chunks: Outlet,
     relayed: u32,
@@ -77,7 +53,7 @@
     in_flight: InFlight,
     attempts: Attempts,
     (conn, response_head): (Connection, ResponseHead),
-    body: Incoming,
+    (body, framing): (Incoming, Framing),
 ) -> Inlet {
     let (chunks, inlet) = Outlet::new(call.account.as_ref());
     let relay = StreamRelay {
@@ -85,6 +61,7 @@
         call: Arc::clone(call),
         in_flight,
         body,
+        framing,
         events: EventBuffer::default(),
         chunks,
         relayed: 0,
@@ -225,8 +202,8 @@
             };
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                None if self.events.flush().is_empty() => return End::Complete,
-                None | Some(Err(_)) => return End::Truncated,
+                None => return self.end_of_body(),
+                Some(Err(_)) => return End::Truncated,
             };
             self.in_flight.backend.record_heard();
             let is_timer_set = stall_deadline.is_some();
@@ -250,6 +227,16 @@
         }
     }
 
+    /// Returns how a stream ended whose body has ended without an error. A connection that closes
+    /// before the first event proves nothing.
+    fn end_of_body(&self) -> End {
+        let is_begun = self.relayed > 0 || self.framing == Framing::Delimited;
+        if is_begun && self.events.is_empty() {
+            return End::Complete;
+        }
+        End::Truncated
+    }
+
     /// Returns why the caller's connection closed.
     fn caller_end(&self) -> End {
         let account = self.call.account.as_ref();
--- a/crates/gateway/tests/gateway/answer_shapes.rs
+++ b/crates/gateway/tests/gateway/answer_shapes.rs
@@ -162,6 +162,29 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn streams_without_an_event_that_end_with_their_connection_are_broken_off() {
+    let whole = events(4);
+    for text in ["", ": half a comm"] {
+        for (framing, end) in [
+            (Framing::Length, End::Close),
+            (Framing::Chunks, End::Close),
+            (Framing::Neither, End::Close),
+            (Framing::Neither, End::Reset),
+        ] {
+            let name = format!("{text} {framing:?} {end:?}");
+            let whole = format!("{text}{whole}");
+            let script = script(framing, whole.as_bytes(), text.len(), end);
+            let response = send_alone(script.clone(), "/stream/").await;
+            expect_that!(response.is_complete, eq(false), "{name}");
+            let response = send_beside_sound(script, "/resumable/").await;
+            expect_that!(event_ids(&response), eq(&[1, 2, 3, 4]), "{name}");
+            expect_that!(response.is_complete, eq(true), "{name}");
+        }
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn empty_streams_whose_end_is_marked_are_whole() {
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -37,6 +37,12 @@
         self.partial.split().freeze()
     }
 
+    /// Whether there is no data after the last complete event.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.partial.is_empty()
+    }
+
     /// Discards the data after the last complete event.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
