Mend: parts of a large event were joined with another run of the stream

Callers saw the beginning of an event of more than 64 KiB followed by events of another server, or by those of the next life of the stream, where a server broke off or fell silent inside it. Where it broke off exactly at the end of such a part, the stream had its proper last chunk.

Cause: an event that is larger than the buffer was passed on in parts, and the relay took the end of a part for the end of an event: nothing was left over, so an end was whole, and a resumption went on after the last event although half of the next one had been passed on.

The sidecar, which does not resume after a part, is as it was. The search for the end of an event begins where the last one ended, so that an event in many small parts costs no more than its length. The connection is closed before the server is looked at.

--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -79,14 +79,14 @@
         let end = self.relay().await;
         let is_stalled = end == End::Stalled;
         if is_stalled
-            || (end == End::Truncated && self.attempts.try_reserve_retry(&self.core, &self.call))
+            || (end.is_broken() && self.attempts.try_reserve_retry(&self.core, &self.call))
         {
             drop(conn);
             return self.resume(end).await;
         }
         let error = match end {
             End::Complete | End::CallerClosed | End::CallerCut => None,
-            End::Truncated | End::Stalled => Some(BodyError::Truncated),
+            End::Truncated | End::Garbled | End::Stalled => Some(BodyError::Truncated),
             End::TimedOut => Some(BodyError::TimedOut),
             End::Stopping => Some(BodyError::Stopping),
         };
@@ -104,9 +104,10 @@
                 }
                 self.in_flight.complete(conn, response_head);
             }
-            End::Truncated | End::Stalled => {
+            End::Truncated | End::Garbled | End::Stalled => {
+                drop(conn);
                 let (core, call) = (&self.core, &self.call);
-                failure::record(core, call, &self.in_flight, "stream truncated", "");
+                failure::record(core, call, &self.in_flight, end.failure(), "");
                 quarantine::record_failure(core, call, &self.in_flight).await;
             }
             End::TimedOut | End::CallerClosed | End::CallerCut => {
@@ -121,8 +122,10 @@
     async fn resume(mut self, end: End) {
         self.log_end(end);
         let (core, call) = (&Arc::clone(&self.core), &Arc::clone(&self.call));
-        failure::record(core, call, &self.in_flight, "stream truncated", "resuming");
-        if end == End::Truncated {
+        failure::record(core, call, &self.in_flight, end.failure(), "resuming");
+        // What was received of an event is of no use, and the relay waits for the other server's end.
+        self.events = EventBuffer::default();
+        if end.is_broken() {
             quarantine::record_failure(core, call, &self.in_flight).await;
         } else {
             quarantine::check_silence(core, call, &self.in_flight).await;
@@ -211,7 +214,9 @@
             if !is_timer_set {
                 stalled.set(clock::sleep_until_opt(stall_deadline));
             }
-            let events = self.events.push(data);
+            let Some(events) = self.events.push_whole(data) else {
+                return End::Garbled;
+            };
             if events.is_empty() {
                 continue;
             }
--- a/crates/gateway/src/stream_relay/end.rs
+++ b/crates/gateway/src/stream_relay/end.rs
@@ -5,6 +5,8 @@
 pub(super) enum End {
     Complete,
     Truncated,
+    /// The server sends bytes that are no events.
+    Garbled,
     /// No events until the stall deadline; another server is tried.
     Stalled,
     TimedOut,
@@ -21,6 +23,7 @@
         match self {
             Self::Complete => "whole",
             Self::Truncated => "broken",
+            Self::Garbled => "garbled",
             Self::Stalled => "stalled",
             Self::TimedOut => "late",
             Self::CallerClosed => "hung_up",
@@ -28,4 +31,17 @@
             Self::Stopping => "stopping",
         }
     }
+
+    /// Whether the server ended the stream before its last event, or has to be taken to have done so.
+    pub(super) const fn is_broken(self) -> bool {
+        matches!(self, Self::Truncated | Self::Garbled)
+    }
+
+    /// What the server did, in the log of its failures.
+    pub(super) const fn failure(self) -> &'static str {
+        match self {
+            Self::Garbled => "stream garbled",
+            _ => "stream truncated",
+        }
+    }
 }
--- a/crates/gateway/tests/gateway/answer_shapes.rs
+++ b/crates/gateway/tests/gateway/answer_shapes.rs
@@ -12,6 +12,9 @@
 /// Length of an event that no read buffer holds, in bytes.
 const LARGE_EVENT_BYTES: usize = 100_000;
 
+/// Limits of event buffers after which an end may go unnoticed, in bytes.
+const BUFFER_BYTES: [usize; 2] = [64 << 10, 128 << 10];
+
 /// Length of a body that is relayed as it arrives, in bytes.
 const LARGE_BODY_BYTES: usize = 400_000;
 
@@ -195,6 +198,35 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn parts_of_a_large_event_are_not_joined_with_another_run() {
+    let begin = "id: 1\ndata: t1\n\nid: 2\ndata: ";
+    let sizes = BUFFER_BYTES
+        .iter()
+        .flat_map(|limit| [limit - 1, *limit, limit + 1, limit + 16, 2 * limit]);
+    for size in sizes {
+        // The second event has this size when the connection ends.
+        let text = "x".repeat(size - "id: 2\ndata: ".len());
+        let sent = begin.len() + text.len();
+        let whole = format!("{begin}{text}\n\n");
+        for (framing, end) in [
+            (Framing::Chunks, End::Close),
+            (Framing::Neither, End::Close),
+            (Framing::Chunks, End::Keep),
+        ] {
+            let name = format!("{size} {framing:?} {end:?}");
+            let script = script(framing, whole.as_bytes(), sent, end);
+            let response = send_alone(script.clone(), "/stream/").await;
+            expect_that!(response.is_complete, eq(false), "{name}");
+            expect_that!(event_ids(&response), eq(&[1]), "{name}");
+            let response = send_beside_sound(script, "/resumable/").await;
+            expect_that!(event_ids(&response), eq(&[1, 2, 3, 4]), "{name}");
+            expect_that!(response.body.contains('x'), eq(false), "{name}");
+        }
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn plain_answers_are_whole_unless_their_framing_or_a_reset_says_otherwise() {
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -5,6 +5,9 @@
 /// Maximum size of a buffered event; longer ones are passed on in parts.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
+/// Maximum size of an event that is passed on whole or not at all.
+const MAX_WHOLE_EVENT_BYTES: usize = 128 << 10;
+
 /// Splits a stream at event boundaries, so that the output consists of complete events
 /// and the stream can be resumed after any of them.
 #[derive(Debug, Default)]
@@ -17,18 +20,32 @@
     /// Appends a chunk of the stream and returns the events that it completes.
     #[must_use]
     pub fn push(&mut self, data: Bytes) -> Bytes {
+        let events = self.append(data);
+        if !events.is_empty() || self.partial.len() <= MAX_EVENT_BYTES {
+            return events;
+        }
+        self.split = true;
+        self.flush()
+    }
+
+    /// Like [`EventBuffer::push`], but passes no event on in parts. Returns `None` if an event
+    /// exceeds the maximum size.
+    #[must_use]
+    pub fn push_whole(&mut self, data: Bytes) -> Option<Bytes> {
+        let events = self.append(data);
+        (self.partial.len() <= MAX_WHOLE_EVENT_BYTES).then_some(events)
+    }
+
+    fn append(&mut self, data: Bytes) -> Bytes {
         if self.partial.is_empty() && data.ends_with(b"\n\n") {
             return data;
         }
+        let searched = self.partial.len();
         self.partial.extend_from_slice(&data);
-        if let Some(end) = last_end(&self.partial) {
-            return self.partial.split_to(end).freeze();
-        }
-        if self.partial.len() <= MAX_EVENT_BYTES {
+        let Some(end) = last_end(&self.partial, searched) else {
             return Bytes::new();
-        }
-        self.split = true;
-        self.flush()
+        };
+        self.partial.split_to(end).freeze()
     }
 
     /// Takes the data after the last complete event.
@@ -55,9 +72,10 @@
     }
 }
 
-/// End of the last complete event, which an empty line terminates.
-fn last_end(text: &[u8]) -> Option<usize> {
-    (1..=text.len()).rev().find(|end| {
+/// End of the last complete event, which an empty line terminates. The first `searched` bytes
+/// contain none.
+fn last_end(text: &[u8], searched: usize) -> Option<usize> {
+    (searched + 1..=text.len()).rev().find(|end| {
         let head = &text[..*end];
         head.ends_with(b"\n\n") || head.ends_with(b"\n\r\n")
     })
