Mend: bytes that are no events counted as the service of a stream

Callers of a server that sends comments, empty lines or half an event without end held a stream without an event until its deadline, although another server could have gone on with it: the stream was neither ended nor resumed.

Cause: whatever came from a server moved the time at which its stream counts as stalled, and any complete lines counted as the first token, bound the stream to the server's version and proved that it had begun.

Only an event, a data or an id field, counts as one now. Comments are passed on as before.

That no first token is recorded is by reading.

--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -1,6 +1,7 @@
 //! Relays an event stream to the caller and resumes it on another server when it is truncated.
 
 mod end;
+mod events;
 
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -9,10 +10,11 @@
 use hyper::body::Incoming;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::saturating_u32;
-use mulberryyoke_wire::sse::{self, EventBuffer};
+use mulberryyoke_wire::sse;
 use tokio::time::Instant;
 
 use self::end::End;
+use self::events::Events;
 use crate::backend::InFlight;
 use crate::buffers::{Inlet, Outlet};
 use crate::call::Call;
@@ -35,7 +37,7 @@
     in_flight: InFlight,
     body: Incoming,
     framing: Framing,
-    events: EventBuffer,
+    events: Events,
     chunks: Outlet,
     relayed: u32,
     relayed_at: Instant,
@@ -62,7 +64,7 @@
         in_flight,
         body,
         framing,
-        events: EventBuffer::default(),
+        events: Events::default(),
         chunks,
         relayed: 0,
         relayed_at: Instant::now(),
@@ -124,7 +126,7 @@
         let (core, call) = (&Arc::clone(&self.core), &Arc::clone(&self.call));
         failure::record(core, call, &self.in_flight, end.failure(), "resuming");
         // What was received of an event is of no use, and the relay waits for the other server's end.
-        self.events = EventBuffer::default();
+        self.events = Events::default();
         if end.is_broken() {
             quarantine::record_failure(core, call, &self.in_flight).await;
         } else {
@@ -209,29 +211,36 @@
                 Some(Err(_)) => return End::Truncated,
             };
             self.in_flight.backend.record_heard();
-            let is_timer_set = stall_deadline.is_some();
-            stall_deadline = self.stall_deadline();
-            if !is_timer_set {
-                stalled.set(clock::sleep_until_opt(stall_deadline));
-            }
-            let Some(events) = self.events.push_whole(data) else {
+            let Some(events) = self.events.push(data) else {
                 return End::Garbled;
             };
             if events.is_empty() {
                 continue;
             }
-            self.in_flight.record_first_token();
-            if self.relayed == 0 {
-                self.record_origin();
+            if sse::has_event(&events) {
+                let is_timer_set = stall_deadline.is_some();
+                stall_deadline = self.stall_deadline();
+                if !is_timer_set {
+                    stalled.set(clock::sleep_until_opt(stall_deadline));
+                }
+                self.record_events(&events);
             }
-            self.record_relayed();
-            self.last_event = sse::last_id(&events).or(self.last_event);
             if self.chunks.send(events).await.is_err() {
                 return self.caller_end();
             }
         }
     }
 
+    fn record_events(&mut self, events: &[u8]) {
+        self.in_flight.record_first_token();
+        if self.relayed == 0 {
+            self.record_origin();
+        }
+        self.record_relayed();
+        self.events.record_event();
+        self.last_event = sse::last_id(events).or(self.last_event);
+    }
+
     /// Returns how a stream ended whose body has ended without an error. A connection that closes
     /// before the first event proves nothing.
     fn end_of_body(&self) -> End {
--- a/crates/gateway/tests/gateway/answer_shapes.rs
+++ b/crates/gateway/tests/gateway/answer_shapes.rs
@@ -169,7 +169,7 @@
 #[tokio::test]
 async fn streams_without_an_event_that_end_with_their_connection_are_broken_off() {
     let whole = events(4);
-    for text in ["", ": half a comm"] {
+    for text in ["", ": comment\n\n", ": half a comm"] {
         for (framing, end) in [
             (Framing::Length, End::Close),
             (Framing::Chunks, End::Close),
--- a/crates/gateway/tests/gateway/endless_answers.rs
+++ b/crates/gateway/tests/gateway/endless_answers.rs
@@ -56,6 +56,24 @@
     ]
 }
 
+/// Streams without end that have no event after the second.
+fn eventless(begin: &str) -> Vec<(&'static str, Script)> {
+    let head = format!("{SEALED}content-type: text/event-stream\r\n\r\n{begin}");
+    vec![
+        ("one event", endless(&format!("{head}id: 3\ndata: "), "x")),
+        ("no empty line", endless(&head, "data: t\n")),
+        ("comments", endless(&head, ": comment\n\n")),
+        ("empty lines", endless(&head, "\n\n")),
+        ("no line", endless(&head, "\0")),
+    ]
+}
+
+fn event_ids(response: &Response) -> Vec<u64> {
+    let lines = response.body.lines();
+    let ids = lines.filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
+
 /// Expects that the connections of all requests were closed before long.
 async fn expect_closed(server: &ShapedServer, name: &str) {
     sleep(CLOSE_TIME).await;
@@ -123,6 +141,57 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn endless_bytes_that_are_no_events_end_a_stream() {
+    for begin in ["", "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n"] {
+        for (name, script) in eventless(begin) {
+            let server = ShapedServer::spawn(script).await;
+            let (_service, node) = ready_at(&[server.address], None).await;
+            let start = Instant::now();
+            let response = node.send("/stream/", PROMPT).await;
+            expect_that!(start.elapsed(), lt(IMMEDIATE), "{name}");
+            expect_that!(response.is_complete, eq(false), "{name}");
+            let count = if begin.is_empty() { 0 } else { 2 };
+            expect_that!(event_ids(&response).len(), eq(count), "{name}");
+            expect_closed(&server, name).await;
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stream_goes_on_elsewhere_where_a_server_sends_endless_bytes_that_are_no_events() {
+    for begin in ["", "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n"] {
+        for (name, script) in eventless(begin) {
+            let server = ShapedServer::spawn(script).await;
+            let sound = Backend::spawn(Behavior::Stream).await;
+            let (_service, node) = ready_at(&[server.address, sound.address], None).await;
+            let response = until_received(&node, &server, "/resumable/").await;
+            expect_that!(event_ids(&response), eq(&[1, 2, 3, 4]), "{name}");
+            expect_that!(response.is_complete, eq(true), "{name}");
+            expect_closed(&server, name).await;
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn bytes_that_are_no_events_do_not_keep_a_stream_from_stalling() {
+    for repeated in [": comment\n\n", "data: t\n", "\0"] {
+        let script = Script {
+            parts: vec![format!("{SEALED}\r\n").into_bytes()],
+            end: End::Endless(repeated.as_bytes().to_vec()),
+        };
+        let server = ShapedServer::spawn(script).await;
+        let sound = Backend::spawn(Behavior::Stream).await;
+        let (_service, node) = ready_at(&[server.address, sound.address], None).await;
+        let response = until_received(&node, &server, "/resumable/").await;
+        expect_that!(event_ids(&response), eq(&[1, 2, 3, 4]), "{repeated:?}");
+        expect_that!(response.is_complete, eq(true), "{repeated:?}");
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn endless_events_are_broken_off_at_the_deadline() {
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -81,6 +81,13 @@
     })
 }
 
+/// Whether a chunk of a stream contains an event: a `data` or an `id` field.
+#[must_use]
+pub fn has_event(events: &[u8]) -> bool {
+    let mut lines = events.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"data:") || line.starts_with(b"id:"))
+}
+
 /// Values of the `data` fields in a chunk of a stream.
 pub fn data(events: &[u8]) -> impl Iterator<Item = &[u8]> {
     let lines = events.split(|byte| *byte == b'\n');
--- a/crates/wire/tests/sse.rs
+++ b/crates/wire/tests/sse.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use mulberryyoke_wire::sse::EventBuffer;
+use mulberryyoke_wire::sse::{self, EventBuffer};
 
 /// Events with all forms of line ends that end an event.
 const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\r\n";
@@ -46,3 +46,16 @@
     expect_that!(buffer.push(large).len(), eq(LARGE_BYTES));
     expect_that!(buffer.is_split(), eq(true));
 }
+
+#[gtest]
+fn comments_are_no_events() {
+    for (text, has_event) in [
+        (": comment\n\n", false),
+        ("\n\n", false),
+        ("retry: 5\n\n", false),
+        ("id: 1\n\n", true),
+        (": comment\r\n\r\ndata: a\r\n\r\n", true),
+    ] {
+        expect_that!(sse::has_event(text.as_bytes()), eq(has_event), "{text:?}");
+    }
+}
