Mend: informational responses without end held a request until its deadline

Callers of a server that sends 1xx responses without end got 504 at the end of their time, where a request may not be sent twice, and else a second server only when the first counted as stalled; meanwhile the gateway read whatever came. A call to the key-value service or to another gateway, a watch too, read on until its deadline.

Cause: no limit of a head's size applies to informational responses, which are skipped one by one.

More than 32 before a response are a failure at once (2007 response garbled): the connection is closed, the outcome is that of an answer that belongs to no request (502, or another server where that is allowed). The same counter is in the client of the key-value service, the VM list and other gateways, and in the fetch of a list of cached prompt parts.

Buffering a body moved to a file of its own.

--- a/crates/gateway/src/cache_report.rs
+++ b/crates/gateway/src/cache_report.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, StatusCode};
 use mulberryyoke_decide::engine::PartId;
 use mulberryyoke_event::{Event, log};
+use mulberryyoke_platform::Informational;
 use tokio::time::timeout;
 
 use self::error::Error;
@@ -71,7 +72,11 @@
     let address = backend.server.address.to_string();
     let host = HeaderValue::from_str(&address).expect("an address is a header value");
     request.headers_mut().insert(HOST, host);
-    let response = conn.sender.send_request(request).await?;
+    let informational = Informational::count(&mut request);
+    let response = tokio::select! {
+        response = conn.sender.send_request(request) => response?,
+        () = informational.exceeded() => return Err(Error::Informational),
+    };
     let (head, body) = response.into_parts();
     let response_head = core.protocol.parse_response(&head, NO_REQUEST_ID);
     notice::apply(core, backend, response_head, NO_REQUEST_ID);
--- a/crates/gateway/src/cache_report/error.rs
+++ b/crates/gateway/src/cache_report/error.rs
@@ -14,6 +14,8 @@
     Connect(io::Error),
     /// could not send request: {0}
     Request(hyper::Error),
+    /// too many informational responses
+    Informational,
     /// server responded with status {0}
     Status(StatusCode),
     /// could not read response body: {0}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Dispatch of a validated request: server selection, sending and retries.
 
+mod collected;
 mod send;
 
 use std::sync::Arc;
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -2,16 +2,17 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
+use mulberryyoke_platform::Informational;
 use tokio::time::Instant;
 
+use super::collected::{Collected, collect};
 use crate::backend::InFlight;
-use crate::buffers::{Account, Chunk, Hold};
 use crate::call::Call;
 use crate::connection_pool::Connection;
 use crate::core::Core;
@@ -23,9 +24,6 @@
 use crate::response_body::ResponseBody;
 use crate::{body_relay, clock, failure, header, notice, quarantine, stream_relay};
 
-/// Maximum size of a buffered response body, in bytes. Larger bodies are relayed as they arrive.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
-
 /// Time to the response head after which a request is retried elsewhere, in percent of the
 /// latency objective. It leaves the second server time to meet the objective.
 const STALL_PERCENT: u64 = 60;
@@ -66,7 +64,8 @@
     }
     // So may the source of a transfer.
     in_flight.recheck_source(clock::now_ms());
-    let request = build_request(core, call, &in_flight, attempts.last_event(call));
+    let mut request = build_request(core, call, &in_flight, attempts.last_event(call));
+    let informational = Informational::count(&mut request);
     let mut sent = Box::pin(conn.sender.try_send_request(request));
     let watch = Watch::start(core, call, &in_flight);
     let mut stall = Some(stall_deadline(call));
@@ -77,6 +76,12 @@
                 failure::record(core, call, &in_flight, "response timed out", "");
                 return Outcome::TimedOut;
             }
+            () = informational.exceeded() => {
+                let text = "too many informational responses";
+                failure::record(core, call, &in_flight, "response garbled", text);
+                watch.resolve();
+                return Outcome::InvalidResponse;
+            }
             () = clock::sleep_until_opt(stall) => {}
         }
         stall = None;
@@ -265,33 +270,3 @@
     }
     Outcome::Completed(response)
 }
-
-/// A response body, buffered up to [`MAX_BUFFERED_BYTES`].
-enum Collected {
-    Complete(Chunk),
-    /// The buffered prefix and the remaining body.
-    Partial(Chunk, Incoming),
-}
-
-/// Buffers a body to its end, or until it exceeds [`MAX_BUFFERED_BYTES`].
-async fn collect(
-    mut body: Incoming,
-    account: Option<&Arc<Account>>,
-) -> Result<Collected, hyper::Error> {
-    let length = body.size_hint().exact();
-    let length = length.and_then(|length| usize::try_from(length).ok());
-    let length = length.filter(|length| *length <= MAX_BUFFERED_BYTES);
-    let mut buffer = BytesMut::with_capacity(length.unwrap_or(0));
-    let mut hold = account.map(|account| Hold::new(account, 0));
-    while let Some(frame) = body.frame().await {
-        let data = frame?.into_data().unwrap_or_default();
-        buffer.extend_from_slice(&data);
-        if let Some(hold) = &mut hold {
-            hold.add(data.len());
-        }
-        if buffer.len() > MAX_BUFFERED_BYTES {
-            return Ok(Collected::Partial(Chunk::new(buffer.freeze(), hold), body));
-        }
-    }
-    Ok(Collected::Complete(Chunk::new(buffer.freeze(), hold)))
-}
--- a/crates/gateway/tests/gateway/endless_answers.rs
+++ b/crates/gateway/tests/gateway/endless_answers.rs
@@ -43,7 +43,9 @@
 fn malformed() -> Vec<(&'static str, Script)> {
     let chunked = format!("{SEALED}transfer-encoding: chunked\r\n\r\n");
     let trailers = format!("{chunked}4\r\ndone\r\n0\r\n");
+    let informational = "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n";
     vec![
+        ("informational responses", endless("", informational)),
         ("header lines", endless(SEALED, "x-more: 1\r\n")),
         (
             "one header line",
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -12,9 +12,9 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use tokio::time::timeout_at;
+use tokio::time::{sleep_until, timeout_at};
 
-use crate::HttpError;
+use crate::{HttpError, Informational};
 
 /// Maximum length of an error message taken from a response body, in characters.
 const MAX_MESSAGE_CHARS: usize = 200;
@@ -133,11 +133,19 @@
 
 async fn send(
     client: &Client<HttpConnector, Full<Bytes>>,
-    request: Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
     deadline: Instant,
 ) -> Result<Response<Incoming>, Failure> {
-    let Ok(response) = timeout_at(deadline.into(), client.request(request)).await else {
-        return Err(Failure::after_sending(HttpError::TimedOut));
+    let informational = Informational::count(&mut request);
+    let response = tokio::select! {
+        response = client.request(request) => response,
+        () = informational.exceeded() => {
+            let text = "too many informational responses".to_owned();
+            return Err(Failure::after_sending(HttpError::Malformed(text)));
+        }
+        () = sleep_until(deadline.into()) => {
+            return Err(Failure::after_sending(HttpError::TimedOut));
+        }
     };
     response.map_err(|error| {
         let text = error.source().map_or(error.to_string(), error_chain);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 mod backoff;
 pub mod http;
 mod http_error;
+mod informational;
 pub mod kv;
 pub mod retry_after;
 pub mod vm;
@@ -11,6 +12,7 @@
 
 pub use self::backoff::Backoff;
 pub use self::http_error::HttpError;
+pub use self::informational::Informational;
 
 /// Boxed future of a call, for object-safe traits.
 pub type Call<'a, T, E> = Pin<Box<dyn Future<Output = Result<T, E>> + Send + 'a>>;
