How streams start is counted and logged, new ones and resumptions by callers

Cause: no line and no metric told, of resumptions by callers and of new streams by version, how many went on, were refused and why, waited, or were turned away by servers; so three hypotheses on resumptions that fail beside new streams could not be told apart.

Change: stream_starts_total, stream_waits_total and stream_attempts_not_run_total with bounded labels, and event 1051 with the request's id, the version and the outcome. Only routes whose streams may be resumed record any of it.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -140,6 +140,8 @@
     VersionsMixed = 1046, Info, "pools with several versions changed";
     /// A gateway that may know the version that began a stream could not be asked.
     OriginCallFailed = 1047, Warning, "gateway not asked for stream";
+    /// A stream that callers can resume started, or did not.
+    StreamStart = 1051, Info, "stream start";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,5 +1,6 @@
 //! Validated request of a caller.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, OnceLock};
 
 use hyper::http::uri::PathAndQuery;
@@ -42,6 +43,8 @@
     pub(crate) account: Option<Arc<Account>>,
     /// Computed on first use, since bodies may be large.
     pub(crate) digest: OnceLock<Digest>,
+    /// Whether it is recorded how the stream started.
+    pub(crate) is_start_recorded: AtomicBool,
 }
 
 impl Call {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::quarantine;
 use crate::refusal::Refusal;
 use crate::response_body::ResponseBody;
+use crate::streams::start::{self, Start};
 use crate::{streams, waiting};
 
 /// Maximum number of servers tried that did not run the request.
@@ -147,6 +148,7 @@
             Outcome::Rejected | Outcome::WrongServer | Outcome::NotSent | Outcome::Withheld => {
                 // A withheld request was not sent, so it doesn't count as an attempt.
                 self.not_run += u32::from(!matches!(outcome, Outcome::Withheld));
+                start::record_not_run(call, &outcome);
                 // The customer is not charged again for a request that may have run elsewhere.
                 if self.possible_runs == 0 {
                     balance::refund(core, call);
@@ -240,8 +242,25 @@
     call: &Arc<Call>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     core.retry_budgets.deposit(call.pool);
+    let mut start = Start::observe(core, call);
+    let result = run_observed(core, call, start.as_mut()).await;
+    if let Some(start) = start {
+        start.end(result.as_ref().map_err(|refusal| *refusal));
+    }
+    result
+}
+
+async fn run_observed(
+    core: &Arc<Core>,
+    call: &Arc<Call>,
+    start: Option<&mut Start>,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let version = streams::required_version(core, call).await?;
+    if let Some(start) = start {
+        start.require(version);
+    }
     let mut attempts = Attempts {
-        version: streams::required_version(core, call).await?,
+        version,
         ..Attempts::default()
     };
     attempts.run(core, call, Refusal::NO_SERVER).await
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -1,6 +1,7 @@
 //! Receiving a caller's request: route, customer, limits and body.
 
 use std::str::FromStr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -136,6 +137,7 @@
             body,
             account,
             digest: OnceLock::new(),
+            is_start_recorded: AtomicBool::new(false),
             route,
         })
     }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -1,5 +1,7 @@
 //! Relays an event stream to the caller and resumes it on another server when it is truncated.
 
+mod end;
+
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 
@@ -10,6 +12,7 @@
 use mulberryyoke_wire::sse::{self, EventBuffer};
 use tokio::time::Instant;
 
+use self::end::End;
 use crate::backend::InFlight;
 use crate::buffers::{Inlet, Outlet};
 use crate::call::Call;
@@ -18,41 +21,13 @@
 use crate::dispatch::Attempts;
 use crate::protocol::ResponseHead;
 use crate::response_body::{BodyError, ResponseBody};
+use crate::streams::start;
 use crate::{clock, failure, quarantine, streams};
 
 /// Pause after which a stream is resumed on another server, as a multiple of the route's maximum
 /// gap between events. A server restarts a preempted request within this time.
 const STALL_GAPS: u64 = 3;
 
-/// Why a stream ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
-    Complete,
-    Truncated,
-    /// No events until the stall deadline; another server is tried.
-    Stalled,
-    TimedOut,
-    /// The caller closed the connection.
-    CallerClosed,
-    /// The gateway closed the caller's connection, because the caller reads too slowly.
-    CallerCut,
-    Stopping,
-}
-
-impl End {
-    const fn label(self) -> &'static str {
-        match self {
-            Self::Complete => "whole",
-            Self::Truncated => "broken",
-            Self::Stalled => "stalled",
-            Self::TimedOut => "late",
-            Self::CallerClosed => "hung_up",
-            Self::CallerCut => "cut",
-            Self::Stopping => "stopping",
-        }
-    }
-}
-
 /// A stream that is relayed from a server to the caller.
 struct StreamRelay {
     core: Arc<Core>,
@@ -114,6 +89,7 @@
             End::Stopping => Some(BodyError::Stopping),
         };
         self.log_end(end);
+        self.record_start(end.label());
         if let Some(error) = error {
             self.chunks.fail(error).await;
         }
@@ -158,6 +134,7 @@
             "after" => self.last_event,
             "outcome" => resumed.as_ref().map_or_else(|refusal| refusal.code(), |_| "answered"));
         let Ok(response) = resumed else {
+            self.record_start(End::Truncated.label());
             self.chunks.fail(BodyError::Truncated).await;
             return;
         };
@@ -241,6 +218,7 @@
             self.in_flight.record_first_token();
             if self.relayed == 0 {
                 self.record_origin();
+                self.record_start(start::BEGUN);
             }
             self.record_relayed();
             self.last_event = sse::last_id(&events).or(self.last_event);
@@ -266,6 +244,12 @@
         streams::record_origin(&self.core, &self.call, server);
     }
 
+    /// Records how the stream started, if it did not start before.
+    fn record_start(&self, outcome: &'static str) {
+        let version = self.in_flight.backend.server.version;
+        start::record(&self.core, &self.call, outcome, Some(version));
+    }
+
     fn record_relayed(&mut self) {
         let now = Instant::now();
         if self.relayed > 0 {
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -6,6 +6,7 @@
 //! asked about a pool of one version.
 
 mod ask;
+pub(crate) mod start;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/gateway/src/waiting/place.rs
+++ b/crates/gateway/src/waiting/place.rs
@@ -10,6 +10,7 @@
 use super::Ending;
 use crate::call::Call;
 use crate::core::Core;
+use crate::streams::start;
 use crate::{balance, clock};
 
 /// A place in a queue, given up when it is dropped: hyper drops the task's future when the caller
@@ -71,6 +72,7 @@
         let waited = Instant::now() - self.entered_at;
         metrics::histogram!("waited_seconds", "outcome" => self.outcome)
             .record(waited.as_secs_f64());
+        start::record_wait(&self.call, self.outcome);
         log!(self.core.logger, Event::WaitEnded,
             "request" => &self.call.id,
             "outcome" => self.outcome,
