Failing tests: streams that callers resume fail while new ones begin

What callers saw: few of the streams that they took up again went on, though servers of the version were there, while new ones began.

The check is the rule's, half of the share of new streams that begin.

--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -26,6 +26,12 @@
 /// Prefix of a public route with the same objective.
 pub(crate) const PATIENT_PREFIX: &str = "/patient/";
 
+/// Prefix of a route for customers whose streams callers resume, each in one attempt of a gateway.
+pub(crate) const RESUMABLE_PREFIX: &str = "/customers/";
+
+/// Latency objective of that route, in milliseconds.
+const RESUMABLE_OBJECTIVE_MS: u64 = 1_000;
+
 /// Latency objective of these two routes, in milliseconds. Prompts wait for up to an eighth of it.
 pub(crate) const LONG_OBJECTIVE_MS: u64 = 4_000;
 
@@ -189,6 +195,7 @@
             ("/keyed/", RequestKind::Idempotent, 2),
             (WAITING_PREFIX, RequestKind::Stream, 1),
             (PATIENT_PREFIX, RequestKind::Stream, 1),
+            (RESUMABLE_PREFIX, RequestKind::Resumable, 1),
         ];
         let routes = routes.map(|(prefix, kind, attempts)| Route {
             timeout_ms: timeout_ms.unwrap_or(TIMEOUT_MS),
@@ -259,12 +266,12 @@
         host: "host.example".to_owned(),
         prefix: prefix.to_owned(),
         kind,
-        is_public: !["/keyed/", WAITING_PREFIX].contains(&prefix),
+        is_public: !["/keyed/", WAITING_PREFIX, RESUMABLE_PREFIX].contains(&prefix),
         timeout_ms: TIMEOUT_MS,
-        objective_ms: if [WAITING_PREFIX, PATIENT_PREFIX].contains(&prefix) {
-            LONG_OBJECTIVE_MS
-        } else {
-            OBJECTIVE_MS
+        objective_ms: match prefix {
+            WAITING_PREFIX | PATIENT_PREFIX => LONG_OBJECTIVE_MS,
+            RESUMABLE_PREFIX => RESUMABLE_OBJECTIVE_MS,
+            _ => OBJECTIVE_MS,
         },
         max_gap_ms: kind.is_stream().then_some(100),
         max_attempts: attempts,
--- /dev/null
+++ b/crates/gateway/tests/gateway/resumptions.rs
@@ -0,0 +1,169 @@
+//! Streams that callers resume go on at least half as often as new ones begin.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use googletest::prelude::*;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::feed::Service;
+use crate::fleet::Node;
+use crate::slot_server::SlotServer;
+use crate::stream_caller::{self, Stream};
+
+/// Versions of the servers at first. Of the first version two are left when some of them end.
+const VERSIONS: [&str; 13] = [
+    "1", "2", "1", "2", "1", "2", "1", "2", "1", "2", "2", "2", "2",
+];
+
+/// Number of servers of the first version that end.
+const ENDING: usize = 3;
+
+/// Number of resumptions from which their share counts.
+const MIN_RESUMPTIONS: usize = 12;
+
+/// Pause between two new streams: about one and a half times what the servers run that are left.
+const NEW_STREAM_PAUSE: Duration = Duration::from_millis(7);
+
+/// Time in which the servers become full.
+const FILL: Duration = Duration::from_millis(2_500);
+
+/// Time for which new streams begin after the servers ended.
+const OBSERVED: Duration = Duration::from_millis(2_500);
+
+/// Gateways before servers of two versions, all of them full.
+struct Fleet {
+    service: Arc<Service>,
+    nodes: Vec<Node>,
+    servers: Vec<SlotServer>,
+}
+
+impl Fleet {
+    async fn spawn() -> Self {
+        let service = Service::new();
+        service.set("config", Some("5 tokens=10000 timeout=4000 secret"));
+        let servers = join_all(VERSIONS.map(|_| SlotServer::spawn())).await;
+        for (index, (server, version)) in servers.iter().zip(VERSIONS).enumerate() {
+            let value = format!("model {} ready version={version}", server.address);
+            service.set(&format!("servers/model-{index}"), Some(&value));
+        }
+        let mut nodes = Vec::new();
+        for index in 0..3 {
+            nodes.push(Node::spawn(&service, &format!("g{index}")).await);
+        }
+        for node in &nodes {
+            node.wait_ready().await;
+        }
+        sleep(Duration::from_secs(1)).await;
+        Self {
+            service,
+            nodes,
+            servers,
+        }
+    }
+
+    fn gateways(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.callers).collect()
+    }
+
+    /// Ends servers of the first version. Their registrations lapse later.
+    fn end_servers(&self) {
+        for index in (0..ENDING).map(|index| 2 * index) {
+            self.servers[index].kill();
+        }
+        let service = Arc::clone(&self.service);
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(700)).await;
+            for index in (0..ENDING).map(|index| 2 * index) {
+                service.set(&format!("servers/model-{index}"), None);
+            }
+        });
+    }
+}
+
+/// How a caller's stream went.
+struct Outcome {
+    began_at: Instant,
+    new: stream_caller::Result,
+    resumed: Option<stream_caller::Result>,
+}
+
+/// Begins a stream, and resumes it at another gateway if it breaks off.
+fn spawn_caller(gateways: &[SocketAddr], index: usize) -> JoinHandle<Outcome> {
+    let gateways = gateways.to_vec();
+    tokio::spawn(async move {
+        let began_at = Instant::now();
+        let new = stream_caller::run(&gateways, index, Stream::new(format!("s{index}"))).await;
+        let broken = new.stream.clone().filter(|_| !new.is_complete);
+        let resumed = match broken {
+            Some(stream) => Some(stream_caller::run(&gateways, index + 1, stream).await),
+            None => None,
+        };
+        Outcome {
+            began_at,
+            new,
+            resumed,
+        }
+    })
+}
+
+/// Runs new streams at twice the capacity, and ends servers of one version meanwhile. Returns how
+/// the streams went, and when the servers ended.
+async fn run() -> (Vec<Outcome>, Instant) {
+    let fleet = Fleet::spawn().await;
+    let gateways = fleet.gateways();
+    let (start, mut callers) = (Instant::now(), Vec::new());
+    let end = start + FILL;
+    let mut has_ended = false;
+    while Instant::now() < end + OBSERVED {
+        if !has_ended && Instant::now() >= end {
+            fleet.end_servers();
+            has_ended = true;
+        }
+        callers.push(spawn_caller(&gateways, callers.len()));
+        let next = u32::try_from(callers.len()).expect("a few hundred");
+        sleep_until(start + NEW_STREAM_PAUSE * next).await;
+    }
+    let outcomes = join_all(callers).await;
+    let outcomes = outcomes.into_iter().map(|end| end.expect("no panic"));
+    (outcomes.collect(), end)
+}
+
+/// The streams that their callers resumed.
+fn resumed(outcomes: &[Outcome]) -> Vec<&stream_caller::Result> {
+    let resumed = outcomes.iter();
+    let resumed = resumed.filter_map(|outcome| outcome.resumed.as_ref());
+    resumed.collect()
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn resumed_streams_go_on_half_as_often_as_new_ones_begin() {
+    let (outcomes, end) = run().await;
+    let new = outcomes.iter().filter(|outcome| outcome.began_at >= end);
+    let new: Vec<bool> = new.map(|outcome| outcome.new.is_begun).collect();
+    let begun = new.iter().filter(|is_begun| **is_begun).count();
+    let resumed = resumed(&outcomes);
+    let went_on = resumed.iter().filter(|resumed| resumed.is_begun).count();
+    let refusals: Vec<_> = resumed.iter().map(|resumed| &resumed.refusals).collect();
+    let (resumed, new) = (resumed.len(), new.len());
+    let seen = format!("{went_on} of {resumed} went on, {begun} of {new} began; {refusals:?}");
+    expect_that!(resumed, ge(MIN_RESUMPTIONS), "{seen}");
+    // At least half of the share, without a division.
+    expect_that!(2 * went_on * new, ge(begun * resumed), "{seen}");
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_refused_copy_of_a_suspect_does_not_exclude_the_next() {
+    // Each caller has one copy under way at a time.
+    let (outcomes, _) = run().await;
+    let resumed = resumed(&outcomes);
+    let refusals = resumed.iter().flat_map(|resumed| &resumed.refusals);
+    let withheld = refusals.filter(|refusal| refusal.contains("quarantined"));
+    expect_that!(resumed.len(), ge(MIN_RESUMPTIONS));
+    expect_that!(withheld.count(), eq(0));
+}
--- a/crates/gateway/tests/gateway/version_fleet.rs
+++ b/crates/gateway/tests/gateway/version_fleet.rs
@@ -7,8 +7,9 @@
 
 use futures::future::join_all;
 use googletest::prelude::*;
+use mulberryyoke_decide::stream::Origin;
 use mulberryyoke_wire::stream::is_marked;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::runtime::Runtime;
 use tokio::time::{sleep, timeout};
@@ -195,6 +196,30 @@
         format!("{} 1000 a", self.address)
     }
 
+    /// Spawns a peer that answers questions after a delay, with the same origin each time.
+    pub(crate) async fn spawn_answering(origin: Option<Origin>, delay: Duration) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let body = postcard::to_stdvec(&origin).expect("it is encoded");
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let body = body.clone();
+                tokio::spawn(async move {
+                    while read_request(&mut stream).await.is_some() {
+                        sleep(delay).await;
+                        let head =
+                            format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+                        let response = [head.as_bytes(), &body].concat();
+                        if stream.write_all(&response).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        address
+    }
+
     /// Number of packets with origins, and of questions.
     pub(crate) fn counts(&self) -> (u32, u32) {
         let counters = [&self.told, &self.asked];
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -1,7 +1,11 @@
 //! Streams go on only on servers of the software version that began them.
 
+use std::time::Duration;
+
 use futures::future::join_all;
 use googletest::prelude::*;
+use mulberryyoke_decide::stream::Origin;
+use mulberryyoke_model::{PoolId, VersionId};
 use tokio::time::sleep;
 
 use crate::backend::{Backend, Behavior};
@@ -217,3 +221,45 @@
     expect_that!(response.status, eq(503));
     expect_that!(fleet.version_of("g1"), none());
 }
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_that_takes_long_is_waited_for() {
+    let fleet = Fleet::spawn(1, &MIXED).await;
+    let origin = Origin {
+        pool: PoolId::of("model"),
+        version: VersionId::of("1"),
+    };
+    let peer = Peer::spawn_answering(Some(origin), Duration::from_millis(250)).await;
+    let registration = format!("{peer} 1000 a");
+    fleet
+        .service
+        .set("mulberryyoke/gateways/peer", Some(&registration));
+    sleep(PROPAGATION).await;
+    let response = fleet.resume(0, "l1", Some("l0")).await;
+    expect_that!(response.status, eq(200), "{}", response.body);
+    expect_that!(fleet.version_of("l1"), some(eq("1")));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stream_is_refused_for_good_only_once_all_that_may_know_it_have_answered() {
+    for answers in [true, false] {
+        let fleet = Fleet::spawn(1, &MIXED).await;
+        let registration = if answers {
+            let peer = Peer::spawn_answering(None, Duration::ZERO).await;
+            format!("{peer} 1000 a")
+        } else {
+            Peer::spawn().await.registration()
+        };
+        fleet
+            .service
+            .set("mulberryyoke/gateways/peer", Some(&registration));
+        sleep(PROPAGATION).await;
+        let response = fleet.resume(0, "f1", Some("f0")).await;
+        expect_that!(response.status, eq(503), "{answers}");
+        let has_time = response.head.contains("retry-after: ");
+        expect_that!(has_time, eq(!answers), "{}", response.body);
+        expect_that!(fleet.version_of("f1"), none());
+    }
+}
--- a/crates/gateway/tests/gateway/waiting.rs
+++ b/crates/gateway/tests/gateway/waiting.rs
@@ -12,7 +12,7 @@
 use crate::caller;
 use crate::feed::Service;
 use crate::fleet::{Node, ready};
-use crate::protocol::{LONG_OBJECTIVE_MS, PATIENT_PREFIX, WAITING_PREFIX};
+use crate::protocol::{LONG_OBJECTIVE_MS, PATIENT_PREFIX, RESUMABLE_PREFIX, WAITING_PREFIX};
 
 /// Number of running streams at which a prompt of [`TOKENS`] misses the objective by a little: the
 /// server has 8 slots, and each request above them adds 250 ms.
@@ -48,8 +48,8 @@
 
     /// Runs streams that do not end before their deadline, without a customer that they would be
     /// charged to. Later ones end at once.
-    async fn occupy(&mut self) {
-        for running in 1..=STREAMS {
+    async fn occupy(&mut self, streams: usize) {
+        for running in 1..=streams {
             let request = caller::request(PATIENT_PREFIX, "x-tokens: 10\r\n");
             let stream = caller::open(self.node.callers, &request).await;
             self.streams.push(stream);
@@ -77,7 +77,7 @@
 /// A full server, and shares that no customer exceeds.
 async fn full() -> Setup {
     let mut setup = Setup::new("6 tokens=1000000 secret").await;
-    setup.occupy().await;
+    setup.occupy(STREAMS).await;
     setup
 }
 
@@ -139,7 +139,7 @@
 #[tokio::test]
 async fn a_prompt_does_not_wait_without_shares() {
     let mut setup = Setup::new("6 secret").await;
-    setup.occupy().await;
+    setup.occupy(STREAMS).await;
     let (response, elapsed) = send(&setup, "").await;
     expect_that!(response.status, eq(503));
     expect_that!(elapsed, lt(Duration::from_millis(100)));
@@ -201,7 +201,7 @@
     let start = Instant::now();
     // The streams have a deadline of 1.5 s. Requests are refused after 2.5 s.
     sleep(Duration::from_millis(1_300)).await;
-    setup.occupy().await;
+    setup.occupy(STREAMS).await;
     sleep(Duration::from_millis(2_250).saturating_sub(start.elapsed())).await;
     let (response, elapsed) = send(&setup, "").await;
     expect_that!(response.status, eq(503));
@@ -212,3 +212,29 @@
     drop(setup.streams);
     shutdown.await.expect("shutdown does not panic");
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_resumption_waits_for_room_as_a_new_prompt_does() {
+    for header_lines in ["", "x-after: 2\r\n"] {
+        let mut setup = Setup::new("6 tokens=1000000 secret").await;
+        // The objective is a quarter of that of the other tests.
+        setup.occupy(10).await;
+        let header_lines =
+            format!("Authorization: Bearer secret\r\nx-tokens: {TOKENS}\r\n{header_lines}");
+        let request = caller::request(RESUMABLE_PREFIX, &header_lines);
+        let stream = setup.streams.pop();
+        let room = async {
+            sleep(Duration::from_millis(50)).await;
+            drop(stream);
+        };
+        let (response, ()) = tokio::join!(caller::send(setup.node.callers, &request), room);
+        expect_that!(
+            response.status,
+            eq(200),
+            "{header_lines}: {}",
+            response.body
+        );
+        expect_that!(setup.requests(), eq(11), "{header_lines}");
+    }
+}
