A suspect that is refused for load no longer excludes its next copy

What callers saw: 502 quarantined for a stream that they resumed, though no other copy of it ran.

Cause: a suspect asked for its admission, which excludes other copies for a second, before a server was chosen. Refused for load, it never ran, and the caller that came back at the time it was told met its own admission. All streams of a server that crashed are suspects, so the whole crash met it.

Change: a server is chosen first, and only a copy that has one asks for the admission; a convicted request is refused before, as it was.

Why it holds: what excludes others is now followed by sending alone. A suspect that servers then reject still holds it for up to a second.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,19 +1,18 @@
 //! Dispatch of a validated request: server selection, sending and retries.
 
+mod routed;
 mod send;
 
 use std::sync::Arc;
 
 use hyper::Response;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{ServerId, VersionId, saturating_u32};
+use mulberryyoke_model::{ServerId, VersionId};
 use smallvec::SmallVec;
-use tokio::time::Instant;
 
 use crate::backend::InFlight;
 use crate::balance;
 use crate::call::Call;
-use crate::clock;
 use crate::core::Core;
 use crate::denial::Denial;
 use crate::eligibility::Eligibility;
@@ -126,7 +125,7 @@
         core: &Arc<Core>,
         call: &Arc<Call>,
     ) -> Result<(Outcome, ServerId), Refusal> {
-        let is_isolated = self.admit(core, call).await?;
+        let is_isolated = self.check(core, call)?;
         if self.tried.is_empty() {
             waiting::serve_if_changed(core);
         }
@@ -140,9 +139,20 @@
             Ok(in_flight) => in_flight,
             Err(denial) => self.wait(core, call, denial).await?,
         };
+        // Only a copy that is about to be sent asks for an admission, which excludes other copies.
+        let in_flight = match self.admit(core, call).await {
+            Ok(true) if !is_isolated => in_flight.isolate(),
+            Ok(_) => in_flight,
+            Err(refusal) => {
+                if !may_have_run {
+                    balance::refund(core, call);
+                }
+                return Err(refusal);
+            }
+        };
         let server = in_flight.backend.server.id;
         self.tried.push(server);
-        log_routed(core, call, &in_flight, self.possible_runs + self.not_run);
+        routed::record(core, call, &in_flight, self.possible_runs + self.not_run);
         let outcome = send::send(core, call, in_flight, self).await;
         match outcome {
             Outcome::Rejected | Outcome::WrongServer | Outcome::NotSent | Outcome::Withheld => {
@@ -162,6 +172,13 @@
         Ok((outcome, server))
     }
 
+    /// Checks what is known here of the request; `true` if it is to be isolated from other suspects.
+    fn check(&mut self, core: &Core, call: &Call) -> Result<bool, Refusal> {
+        let verdict = quarantine::check(core, call)?;
+        self.is_suspect = verdict.crashes() > 0;
+        Ok(verdict.crashes() >= ISOLATION_CRASHES)
+    }
+
     /// Admits the request to the quarantine's rules; `true` if it is to be isolated from other
     /// suspects.
     async fn admit(&mut self, core: &Arc<Core>, call: &Arc<Call>) -> Result<bool, Refusal> {
@@ -182,16 +199,7 @@
         if !self.tried.is_empty() || self.is_suspect {
             return Err(balance::refuse(core, call, denial));
         }
-        let in_flight = waiting::wait(core, call, denial).await?;
-        // Another copy of the request may have crashed a server in the meantime.
-        match self.admit(core, call).await {
-            Ok(true) => Ok(in_flight.isolate()),
-            Ok(false) => Ok(in_flight),
-            Err(refusal) => {
-                balance::refund(core, call);
-                Err(refusal)
-            }
-        }
+        waiting::wait(core, call, denial).await
     }
 
     /// Returns the attempts with the last server counted as having run the request.
@@ -265,28 +273,3 @@
     };
     attempts.run(core, call, Refusal::NO_SERVER).await
 }
-
-fn log_routed(core: &Core, call: &Call, in_flight: &InFlight, attempt: u32) {
-    let (fetch_from, fetched) = in_flight.fetch().unzip();
-    if let Some(fetched) = fetched {
-        metrics::counter!("fetches_total").increment(1);
-        metrics::counter!("fetched_tokens_total").increment(u64::from(fetched));
-    }
-    let speed = in_flight.backend.engine().speed;
-    let (now_ms, percent) = (clock::now_ms(), 100.0);
-    log!(core.logger, Event::Routed,
-        "request" => &call.id,
-        "attempt" => attempt,
-        "customer" => call.customer_name(),
-        "route" => &call.route.name,
-        "server" => &in_flight.backend.server.name,
-        "unread" => in_flight.queued_tokens(),
-        "uncached" => in_flight.prompt_tokens(),
-        "fetched" => fetched.unwrap_or(0),
-        "fetch_from" => fetch_from.map(|source| &*source.server.name),
-        "expected_ms" => saturating_u32(in_flight.expected_ms()),
-        "learned_speed" => saturating_u32(speed.learned(now_ms) * percent),
-        "slowdown" => saturating_u32(speed.slowdown(now_ms) * percent),
-        "view_age_ms" => core.view.age_ms(),
-        "elapsed_ms" => clock::between_ms(call.received_at, Instant::now()));
-}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -16,7 +16,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-pub(crate) use self::admit::{PATH, admit, handle_admit};
+pub(crate) use self::admit::{PATH, admit, check, handle_admit};
 pub(crate) use self::conviction::{digest_of, parse, rewrite};
 pub(crate) use self::probe::{record_failure, record_lapse};
 pub(crate) use self::silence::{Watch, check_silence, record_abandoned, spawn_silence_check};
--- a/crates/gateway/src/quarantine/admit.rs
+++ b/crates/gateway/src/quarantine/admit.rs
@@ -29,6 +29,19 @@
 /// have been caused by another request on the same server.
 const MAX_UNARBITRATED_CRASHES: u32 = 1;
 
+/// Returns the verdict that this gateway knows. Refuses a convicted request.
+pub(crate) fn check(core: &Core, call: &Call) -> Result<Verdict, Refusal> {
+    if core.quarantine.is_empty() {
+        return Ok(Verdict::Clear);
+    }
+    let digest = call.digest();
+    let verdict = core.quarantine.verdict(digest);
+    if matches!(verdict, Verdict::Convicted { .. }) {
+        return Err(withhold(core, call, digest, verdict));
+    }
+    Ok(verdict)
+}
+
 /// Decides whether a request may be sent to a server, and returns the verdict on it. At most one
 /// copy of a suspect runs in the fleet at a time, which one gateway, the arbiter, enforces. If
 /// `is_admitted`, the request was admitted before and has not run since.
@@ -57,13 +70,18 @@
     if is_allowed {
         return Ok(verdict);
     }
+    Err(withhold(core, call, digest, verdict))
+}
+
+/// Records that a request is not sent, and returns the refusal.
+fn withhold(core: &Core, call: &Call, digest: Digest, verdict: Verdict) -> Refusal {
     log!(core.logger, Event::Withheld,
         "request" => &call.id,
         "digest" => digest.to_string(),
         "verdict" => verdict.as_str(),
         "ended" => verdict.crashes());
     metrics::counter!("quarantine_withheld_total", "verdict" => verdict.as_str()).increment(1);
-    Err(Refusal::Quarantined)
+    Refusal::Quarantined
 }
 
 fn admit_locally(core: &Core, digest: Digest) -> bool {
