--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -24,6 +24,7 @@
 use crate::framing::Framing;
 use crate::protocol::ResponseHead;
 use crate::response_body::{BodyError, ResponseBody};
+use crate::streams::start;
 use crate::{clock, failure, quarantine, streams};
 
 /// Pause after which a stream is resumed on another server, as a multiple of the route's maximum
@@ -93,6 +94,7 @@
             End::Stopping => Some(BodyError::Stopping),
         };
         self.log_end(end);
+        self.record_start(end.label());
         if let Some(error) = error {
             self.chunks.fail(error).await;
         }
@@ -140,6 +142,7 @@
             "after" => self.last_event,
             "outcome" => resumed.as_ref().map_or_else(|refusal| refusal.code(), |_| "answered"));
         let Ok(response) = resumed else {
+            self.record_start(End::Truncated.label());
             self.chunks.fail(BodyError::Truncated).await;
             return;
         };
@@ -235,6 +238,7 @@
         self.in_flight.record_first_token();
         if self.relayed == 0 {
             self.record_origin();
+            self.record_start(start::BEGUN);
         }
         self.record_relayed();
         self.events.record_event();
@@ -267,6 +271,12 @@
         streams::record_origin(&self.core, &self.call, server);
     }
 
+    /// Records how the stream started, if it did not start before.
+    fn record_start(&self, outcome: &'static str) {
+        let version = self.in_flight.backend.server.version;
+        start::record(&self.core, &self.call, outcome, Some(version));
+    }
+
     fn record_relayed(&mut self) {
         let now = Instant::now();
         if self.relayed > 0 {
