Resumptions wait for room at servers of their version, before new prompts of their customer

What callers saw: few of the streams that they took up again went on while new ones began, though servers of the version were there.

Cause: a resumption can go to the servers of its version alone, yet it had fewer rights than a new prompt that can go anywhere. Only new prompts waited, and took each place that became free; a resumption that found its version full was refused at once, each time, and suspects, as all streams of a server that crashed are, had no right to wait at all. It was measured by the objective of a first event that its caller had already got.

Change: resumptions wait like new prompts, suspects of one crash too. The queue knows the version that a prompt needs: one that finds it full holds up those of the same version only, and those that come after it in the order get servers of other versions while there are any; so do prompts that arrive. Customers keep their order by usage over both kinds; within a customer what has begun goes first. A new prompt that finds no room anywhere ends the pass for resumptions too. The acceptable time to the next event is twice the objective, half of what callers wait.

The tests of waiting pass, in the gateway and in decide, with new ones for the order.

--- a/crates/decide/src/waiting.rs
+++ b/crates/decide/src/waiting.rs
@@ -7,8 +7,10 @@
 mod limits;
 mod obstacle;
 mod queue;
+mod skipped;
 
-use mulberryyoke_model::Millis;
+use mulberryyoke_model::{Millis, VersionId};
+use smallvec::SmallVec;
 
 pub use self::entry::Entry;
 pub use self::limits::Limits;
@@ -16,6 +18,9 @@
 pub use self::queue::Queue;
 use crate::shed::{Objective, Rejection};
 
+/// Versions whose servers others wait for.
+pub type Reserved = SmallVec<[VersionId; 2]>;
+
 /// Longest wait, as a fraction of the latency objective. Callers that are refused after it have
 /// most of the objective left for a retry.
 const MAX_WAIT_FRACTION: f64 = 0.125;
--- a/crates/decide/src/waiting/queue.rs
+++ b/crates/decide/src/waiting/queue.rs
@@ -5,19 +5,15 @@
 
 use mulberryyoke_model::{CustomerId, Millis};
 use slotmap::SlotMap;
-use smallvec::SmallVec;
 
-use super::{Entry, Limits, Obstacle};
+use super::skipped::Skipped;
+use super::{Entry, Limits, Obstacle, Reserved};
 use crate::queue::EntryKey;
 
-/// Number of prompts of a customer above its share that are attempted in one pass. A smaller one or
-/// one with a cached prefix may be admitted where the first is not.
-const MAX_ATTEMPTS: usize = 4;
-
 /// Prompts of one pool that wait in one gateway.
 ///
-/// Customers with the lowest usage of their share come first. Among the prompts of a customer, the
-/// order is that of priority, deadline, size and arrival. Usage changes all the time, so the order
+/// Customers with the lowest usage of their share come first. Among the prompts of a customer,
+/// resumptions come first, then the order is that of priority, deadline, size and arrival. Usage changes all the time, so the order
 /// is not stored: it is determined when a prompt is to be chosen, by a closure that returns a
 /// customer's usage. The queue is short enough to be searched from end to end.
 #[derive(Debug)]
@@ -90,27 +86,58 @@
     }
 
     /// Attempts to send the waiting prompts in their order, and returns those that are done, with
-    /// the results. Stops at the first that has to wait for room; those of customers above their
-    /// share are passed over, and so are a customer's others after a few of them.
+    /// the results. Stops at the first that has to wait for room at any server; one that has to wait
+    /// for room at servers of its version holds up only those that need the same version. Those of
+    /// customers above their share are passed over, and so are a customer's others after a few of
+    /// them. `attempt` is also told the versions for which prompts wait that come before: servers of
+    /// other versions are to be preferred.
     pub fn serve<A>(
         &mut self,
         usage: impl Fn(CustomerId) -> f64,
-        mut attempt: impl FnMut(&Entry<T>) -> Result<A, Obstacle>,
+        mut attempt: impl FnMut(&Entry<T>, &Reserved) -> Result<A, Obstacle>,
     ) -> Vec<(Entry<T>, A)> {
         let mut done = Vec::new();
-        let mut passed_over: HashMap<CustomerId, SmallVec<[EntryKey; MAX_ATTEMPTS]>> =
-            HashMap::new();
-        while let Some(key) = self.first(&usage, &passed_over) {
+        let mut skipped = Skipped::default();
+        let mut reserved = Reserved::new();
+        while let Some(key) = self.first(&usage, &skipped) {
             let (_, entry) = &self.entries[key];
-            match attempt(entry) {
-                Ok(result) => done.extend(self.remove(key).map(|entry| (entry, result))),
-                Err(Obstacle::Share) => passed_over.entry(entry.customer).or_default().push(key),
-                Err(Obstacle::Room) => break,
+            let (customer, version) = (entry.customer, entry.version);
+            match (attempt(entry, &reserved), version) {
+                (Ok(result), _) => {
+                    done.extend(self.remove(key).map(|entry| (entry, result)));
+                    continue;
+                }
+                (Err(Obstacle::Share), _) => {
+                    skipped.by_customer.entry(customer).or_default().push(key);
+                }
+                (Err(Obstacle::Room), Some(version)) => skipped.versions.push(version),
+                (Err(Obstacle::Room), None) => break,
             }
+            reserved.extend(version.filter(|version| !reserved.contains(version)));
         }
         done
     }
 
+    /// Returns the versions for which prompts wait that come before a new prompt of a customer.
+    pub fn reserved(&self, customer: CustomerId, usage: impl Fn(CustomerId) -> f64) -> Reserved {
+        let own_usage = usage(customer);
+        let mut reserved = Reserved::new();
+        for (_, entry) in self.entries.values() {
+            let version = entry.version.filter(|version| !reserved.contains(version));
+            if version.is_some() && usage(entry.customer) <= own_usage {
+                reserved.extend(version);
+            }
+        }
+        reserved
+    }
+
+    /// Number of waiting prompts that need a version.
+    #[must_use]
+    pub fn bound_to_version(&self) -> usize {
+        let entries = self.entries.values();
+        entries.filter(|(_, entry)| entry.version.is_some()).count()
+    }
+
     /// Removes and returns the prompts whose time is up, in the order of that time. Each is to be
     /// sent if it is admitted now, and refused otherwise.
     pub fn expire(&mut self, now: Millis) -> Vec<Entry<T>> {
@@ -130,16 +157,10 @@
         self.entries.values().map(|(_, entry)| entry.until).min()
     }
 
-    /// The first prompt in the order that is not passed over.
-    fn first(
-        &self,
-        usage: &impl Fn(CustomerId) -> f64,
-        passed_over: &HashMap<CustomerId, SmallVec<[EntryKey; MAX_ATTEMPTS]>>,
-    ) -> Option<EntryKey> {
-        let entries = self.entries.iter().filter(|(key, (_, entry))| {
-            let keys = passed_over.get(&entry.customer);
-            keys.is_none_or(|keys| keys.len() < MAX_ATTEMPTS && !keys.contains(key))
-        });
+    /// The first prompt in the order that is not skipped.
+    fn first(&self, usage: &impl Fn(CustomerId) -> f64, skipped: &Skipped) -> Option<EntryKey> {
+        let entries = self.entries.iter();
+        let entries = entries.filter(|(key, (_, entry))| !skipped.contains(*key, entry));
         let first = entries.min_by(|(_, a), (_, b)| compare(a, b, usage));
         first.map(|(key, _)| key)
     }
@@ -174,7 +195,16 @@
     (b_arrival, b): &(u64, Entry<T>),
     usage: &impl Fn(CustomerId) -> f64,
 ) -> Ordering {
-    let order = |arrival, entry: &Entry<T>| (entry.priority, entry.deadline, entry.tokens, arrival);
+    let order = |arrival, entry: &Entry<T>| {
+        let is_new = !entry.is_resumption;
+        (
+            is_new,
+            entry.priority,
+            entry.deadline,
+            entry.tokens,
+            arrival,
+        )
+    };
     let by_usage = usage(a.customer).total_cmp(&usage(b.customer));
     by_usage.then_with(|| order(*a_arrival, a).cmp(&order(*b_arrival, b)))
 }
--- a/crates/decide/tests/replay/gateway.rs
+++ b/crates/decide/tests/replay/gateway.rs
@@ -146,6 +146,8 @@
         let entry = Entry {
             customer: CustomerId(request.customer),
             priority: 1,
+            is_resumption: false,
+            version: None,
             deadline: now + PATIENCE_MS,
             until,
             tokens: request.prompt.tokens,
@@ -173,7 +175,7 @@
         let gateway = std::cell::RefCell::new(&mut *self);
         let served = queue.serve(
             |customer| gateway.borrow().shares.usage(customer).of_portion,
-            |entry| {
+            |entry, _| {
                 let request = &entry.payload;
                 let mut gateway = gateway.borrow_mut();
                 let rejection = match gateway.admit(request, is_down, now) {
--- a/crates/decide/tests/waiting.rs
+++ b/crates/decide/tests/waiting.rs
@@ -4,7 +4,7 @@
 use mulberryyoke_decide::engine::Choice;
 use mulberryyoke_decide::shed::{Objective, Rejection};
 use mulberryyoke_decide::waiting::{self, Entry, Limits, Obstacle, Queue};
-use mulberryyoke_model::{CustomerId, ServerId};
+use mulberryyoke_model::{CustomerId, ServerId, VersionId};
 
 const OBJECTIVE: Objective = Objective {
     first_token_ms: 800.0,
@@ -20,6 +20,8 @@
     Entry {
         customer: CustomerId(customer),
         priority: 1,
+        is_resumption: false,
+        version: None,
         deadline: 6_000,
         until: 100,
         tokens: 1_000,
@@ -112,7 +114,7 @@
     for entry in entries {
         queue.push(entry, UNLIMITED, usage);
     }
-    let served = queue.serve(usage, |_| Ok(()));
+    let served = queue.serve(usage, |_, _| Ok(()));
     let served = served.into_iter().map(|(entry, ())| entry);
     expect_that!(names(served), eq(&vec![3, 4, 5, 6, 7, 8, 9]));
     expect_that!((queue.len(), queue.bytes()), eq((0, 0)));
@@ -129,7 +131,7 @@
     let sent = std::cell::Cell::new([0.0; 3]);
     let served = queue.serve(
         |customer| sent.get()[customer.0 as usize],
-        |entry| {
+        |entry, _| {
             let mut counts = sent.get();
             counts[entry.customer.0 as usize] += 1.0;
             sent.set(counts);
@@ -147,7 +149,7 @@
         queue.push(entry(name / 10, name), UNLIMITED, usage);
     }
     let mut attempts = Vec::new();
-    let served = queue.serve(usage, |entry| {
+    let served = queue.serve(usage, |entry, _| {
         attempts.push(entry.payload);
         match entry.customer.0 {
             1 if entry.payload != 11 => Err(Obstacle::Share),
@@ -273,3 +275,76 @@
     expect_that!(until(allowed), some(gt(1_000)));
     expect_that!(until(exhausted), none());
 }
+
+/// A resumption that needs a version.
+fn resumption(customer: u32, name: u32, version: u32) -> Entry<u32> {
+    Entry {
+        is_resumption: true,
+        version: Some(VersionId(version)),
+        ..entry(customer, name)
+    }
+}
+
+#[gtest]
+fn a_resumption_comes_first_among_its_customers_prompts_only() {
+    let mut queue = Queue::default();
+    let urgent = Entry {
+        priority: 0,
+        ..entry(2, 20)
+    };
+    for entry in [urgent, resumption(2, 21, 7), entry(1, 10), entry(3, 30)] {
+        queue.push(entry, UNLIMITED, usage);
+    }
+    let served = queue.serve(usage, |_, _| Ok(()));
+    let served = served.into_iter().map(|(entry, ())| entry);
+    expect_that!(names(served), eq(&vec![10, 21, 20, 30]));
+}
+
+#[gtest]
+fn a_resumption_without_room_holds_up_its_version_only() {
+    let mut queue = Queue::default();
+    let resumptions = [(1, 10, 7), (1, 11, 7), (1, 12, 8)];
+    for (customer, name, version) in resumptions {
+        queue.push(resumption(customer, name, version), UNLIMITED, usage);
+    }
+    queue.push(entry(2, 20), UNLIMITED, usage);
+    let mut attempts = Vec::new();
+    let served = queue.serve(usage, |entry, reserved| {
+        attempts.push((entry.payload, reserved.to_vec()));
+        match entry.version {
+            Some(VersionId(7)) => Err(Obstacle::Room),
+            _ => Ok(()),
+        }
+    });
+    let served = served.into_iter().map(|(entry, ())| entry);
+    expect_that!(names(served), eq(&vec![12, 20]));
+    let seven = vec![VersionId(7)];
+    let expected = vec![(10, vec![]), (12, seven.clone()), (20, seven)];
+    expect_that!(attempts, eq(&expected));
+    expect_that!(queue.bound_to_version(), eq(2));
+}
+
+#[gtest]
+fn a_new_prompt_without_room_anywhere_ends_a_pass_for_resumptions_too() {
+    // A customer does not come before others by resuming its own streams.
+    let mut queue = Queue::default();
+    queue.push(resumption(2, 20, 7), UNLIMITED, usage);
+    queue.push(entry(1, 10), UNLIMITED, usage);
+    let mut attempts = Vec::new();
+    queue.serve(usage, |entry, _| {
+        attempts.push(entry.payload);
+        Err::<(), _>(Obstacle::Room)
+    });
+    expect_that!(attempts, eq(&vec![10]));
+}
+
+#[gtest]
+fn versions_are_reserved_against_customers_of_the_same_or_a_higher_usage() {
+    let mut queue = Queue::default();
+    queue.push(resumption(2, 20, 7), UNLIMITED, usage);
+    for (customer, is_reserved) in [(1, false), (2, true), (3, true)] {
+        let reserved = queue.reserved(CustomerId(customer), usage);
+        let expected = is_reserved.then_some(VersionId(7));
+        expect_that!(reserved.first().copied(), eq(expected), "{customer}");
+    }
+}
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -23,6 +23,10 @@
 use crate::eligibility::Eligibility;
 use crate::refusal::Refusal;
 
+/// Time to the next event of a resumed stream that is acceptable, as a multiple of the objective for
+/// the first: half of the time after which callers give up.
+const RESUMPTION_OBJECTIVE: f64 = 2.0;
+
 /// Selects one of the eligible servers and counts the request there. A request that
 /// `may_have_run` is not refused because of load: such a refusal states that the request has not
 /// run. One that `is_isolated` gets a server without other isolated suspects if there is one.
@@ -39,8 +43,12 @@
 
 /// As [`assign`], for a request that was rejected in its first attempt and has waited since. It is
 /// not recorded as requested again.
-pub(crate) fn assign_waiting(core: &Core, call: &Call) -> Result<InFlight, Denial> {
-    select(core, call, Eligibility::default(), false, false, false)
+pub(crate) fn assign_waiting(
+    core: &Core,
+    call: &Call,
+    eligible: Eligibility<'_>,
+) -> Result<InFlight, Denial> {
+    select(core, call, eligible, false, false, false)
 }
 
 fn select(
@@ -72,6 +80,12 @@
         }
         // Announcements relayed by peers may be wrong, so they only lower a server's priority.
         prefer(&mut open, |backend| !backend.instance.is_avoided(now_ms));
+        if !eligible.reserved.is_empty() {
+            let reserved = eligible.reserved;
+            prefer(&mut open, |backend| {
+                !reserved.contains(&backend.server.version)
+            });
+        }
         if is_isolated {
             // A crash then implicates a single suspect.
             prefer(&mut open, |backend| {
@@ -228,8 +242,14 @@
 
 /// Latency objective of a request.
 pub(crate) fn objective(call: &Call) -> Objective {
+    // The caller of a stream that has begun waits for its next event instead of the first.
+    let factor = if call.resume_after.is_some() {
+        RESUMPTION_OBJECTIVE
+    } else {
+        1.0
+    };
     Objective {
-        first_token_ms: as_f64(call.route.objective_ms),
+        first_token_ms: as_f64(call.route.objective_ms) * factor,
         max_pause_ms: call.route.max_gap_ms.map_or(f64::INFINITY, as_f64),
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -129,15 +129,18 @@
         if self.tried.is_empty() {
             waiting::serve_if_changed(core);
         }
+        let may_have_run = self.possible_runs > 0;
+        let is_bound = self.version.is_some() || may_have_run;
+        let reserved = (!is_bound).then(|| waiting::reserved(core, call));
         let eligible = Eligibility {
             tried: &self.tried,
             version: self.version,
+            reserved: reserved.as_deref().unwrap_or_default(),
         };
-        let may_have_run = self.possible_runs > 0;
         let assigned = balance::assign(core, call, eligible, may_have_run, is_isolated);
         let in_flight = match assigned {
             Ok(in_flight) => in_flight,
-            Err(denial) => self.wait(core, call, denial).await?,
+            Err(denial) => self.wait(core, call, denial, is_isolated).await?,
         };
         // Only a copy that is about to be sent asks for an admission, which excludes other copies.
         let in_flight = match self.admit(core, call).await {
@@ -195,11 +198,12 @@
         core: &Arc<Core>,
         call: &Arc<Call>,
         denial: Denial,
+        is_isolated: bool,
     ) -> Result<InFlight, Refusal> {
-        if !self.tried.is_empty() || self.is_suspect {
+        if !self.tried.is_empty() || is_isolated {
             return Err(balance::refuse(core, call, denial));
         }
-        waiting::wait(core, call, denial).await
+        waiting::wait(core, call, denial, self.version).await
     }
 
     /// Returns the attempts with the last server counted as having run the request.
--- a/crates/gateway/src/eligibility.rs
+++ b/crates/gateway/src/eligibility.rs
@@ -11,6 +11,8 @@
     pub(crate) tried: &'a [ServerId],
     /// The version that a stream has begun on, on which alone it may go on.
     pub(crate) version: Option<VersionId>,
+    /// Versions for which others wait; servers of other versions are preferred.
+    pub(crate) reserved: &'a [VersionId],
 }
 
 impl Eligibility<'_> {
--- a/crates/gateway/src/streams/start.rs
+++ b/crates/gateway/src/streams/start.rs
@@ -82,7 +82,7 @@
         "request" => &call.id,
         "stream" => label(call),
         "outcome" => outcome,
-        "version" => version.map(|version| format!("{:016x}", version.0)),
+        "version" => version.map(|version| format!("{:08x}", version.0)),
         "after" => call.resume_after,
         "elapsed_ms" => clock::between_ms(call.received_at, Instant::now()));
 }
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -4,19 +4,21 @@
 //! admission, in the order of [`mulberryyoke_decide::waiting`], and hands the result to the task of
 //! the caller's connection.
 
+mod attempt;
 mod ending;
 mod place;
 mod queues;
 mod waiter;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use mulberryyoke_decide::share::Usage;
 use mulberryyoke_decide::shed::Rejection;
-use mulberryyoke_decide::waiting::{self, Entry, Obstacle, Queue};
+use mulberryyoke_decide::waiting::{self, Entry, Queue, Reserved};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{CustomerId, PoolId, saturating_u32};
+use mulberryyoke_model::{CustomerId, PoolId, VersionId, saturating_u32};
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -55,12 +57,25 @@
 
 /// Waiting requests.
 #[derive(Debug, Default)]
-pub(crate) struct Waiting(Mutex<Queues>);
+pub(crate) struct Waiting {
+    queues: Mutex<Queues>,
+    /// Number of waiting requests that need a version. Without any, requests that arrive take no
+    /// lock.
+    bound_to_version: AtomicUsize,
+}
 
 impl Waiting {
+    /// Publishes the lengths of the queues after a change.
+    fn publish(&self, core: &Core, queues: &Queues) {
+        core.registry.room.set_waiting(queues.len());
+        let bound_to_version = queues.bound_to_version();
+        self.bound_to_version
+            .store(bound_to_version, Ordering::Relaxed);
+    }
+
     /// Returns the number of waiting requests of each pool that has had any.
     pub(crate) fn counts(&self) -> Vec<(PoolId, usize)> {
-        let queues = self.0.lock();
+        let queues = self.queues.lock();
         let by_pool = queues.by_pool.iter();
         by_pool.map(|(&pool, queue)| (pool, queue.len())).collect()
     }
@@ -72,8 +87,9 @@
     core: &Arc<Core>,
     call: &Arc<Call>,
     denial: Denial,
+    version: Option<VersionId>,
 ) -> Result<InFlight, Refusal> {
-    let Some(mut place) = enter(core, call, denial) else {
+    let Some(mut place) = enter(core, call, denial, version) else {
         return Err(balance::refuse(core, call, denial));
     };
     let overdue = clock::wait_until(place.until + OVERDUE_MS);
@@ -93,8 +109,26 @@
     }
 }
 
+/// Returns the versions whose servers are not to be taken from waiting requests that come before a
+/// new one of the caller's customer.
+pub(crate) fn reserved(core: &Core, call: &Call) -> Reserved {
+    if core.waiting.bound_to_version.load(Ordering::Relaxed) == 0 {
+        return Reserved::new();
+    }
+    let queues = core.waiting.queues.lock();
+    let (Some(customer), Some(queue)) = (&call.customer, queues.by_pool.get(&call.pool)) else {
+        return Reserved::new();
+    };
+    queue.reserved(customer.id, |customer| standing(core, customer))
+}
+
 /// Puts a rejected request into the queue of its pool; `None` if it may not wait.
-fn enter(core: &Arc<Core>, call: &Arc<Call>, denial: Denial) -> Option<Place> {
+fn enter(
+    core: &Arc<Core>,
+    call: &Arc<Call>,
+    denial: Denial,
+    version: Option<VersionId>,
+) -> Option<Place> {
     let Denial::Rejected { rejection, usage } = denial else {
         return None;
     };
@@ -111,13 +145,15 @@
     let entry = Entry {
         customer: customer.id,
         priority: customer.priority.unwrap_or(call.route.priority),
+        is_resumption: call.resume_after.is_some(),
+        version,
         deadline: call.deadline_ms,
         until,
         tokens: call.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
         bytes: call.body.bytes().len() + HEAD_BYTES,
         payload: Waiter::new(call, denial, sender),
     };
-    let mut queues = core.waiting.0.lock();
+    let mut queues = core.waiting.queues.lock();
     let limits = queues.limits(call.pool);
     let queue = queues.by_pool.entry(call.pool).or_default();
     let (key, removed) = queue.push(entry, limits, |customer| standing(core, customer));
@@ -126,7 +162,7 @@
         let denial = entry.payload.denial;
         entry.payload.end(core, Ending::Displaced(denial));
     }
-    core.registry.room.set_waiting(queues.len());
+    core.waiting.publish(core, &queues);
     drop(queues);
     log_start(core, call, &rejection, usage, (until - now_ms, length));
     // Wakes the task that serves the queues, which also ends the wait in time.
@@ -134,9 +170,8 @@
     Some(Place::new(core, call, (key, until), receiver))
 }
 
-/// Whether the request may wait: a new prompt of a customer with a share, for a model.
+/// Whether the request may wait: a prompt of a customer with a share, for a model.
 fn is_enabled(core: &Core, call: &Call) -> bool {
-    let is_new_prompt = call.prompt.is_some() && call.resume_after.is_none();
     let config = core.view.config();
     let is_configured = config.is_some_and(|config| {
         let is_model = config
@@ -144,7 +179,7 @@
             .is_some_and(|pool| pool.model.is_some());
         is_model && config.limits().tokens_per_s.is_some()
     });
-    is_new_prompt && is_configured && call.route.objective_ms > 0
+    call.prompt.is_some() && is_configured && call.route.objective_ms > 0
 }
 
 fn log_start(
@@ -183,7 +218,7 @@
             () = wait_until_opt(due_ms) => {}
             () = core.registry.room.changed() => {}
         }
-        let next_pass = core.waiting.0.lock().next_pass;
+        let next_pass = core.waiting.queues.lock().next_pass;
         clock::sleep_until_opt(Some(next_pass.unwrap_or_else(Instant::now))).await;
     }
 }
@@ -200,7 +235,7 @@
 pub(crate) fn serve_if_changed(core: &Core) {
     let room = &core.registry.room;
     let is_due = || {
-        let next_pass = core.waiting.0.lock().next_pass;
+        let next_pass = core.waiting.queues.lock().next_pass;
         next_pass.is_none_or(|next_pass| next_pass <= Instant::now())
     };
     if room.has_changed() && is_due() {
@@ -211,23 +246,23 @@
 /// Sends or refuses the waiting requests for which that is possible now. Returns when to do so
 /// again; `None` if no request waits.
 fn serve(core: &Core) -> Option<u64> {
-    let mut queues = core.waiting.0.lock();
+    let mut queues = core.waiting.queues.lock();
     let (started_at, now_ms) = (Instant::now(), clock::now_ms());
     core.registry.room.clear_change();
     for queue in queues.by_pool.values_mut() {
         for entry in queue.expire(now_ms) {
-            let ending = last_attempt(core, &entry.payload);
+            let ending = attempt::run_last(core, &entry);
             entry.payload.end(core, ending);
         }
         let served = queue.serve(
             |customer| standing(core, customer),
-            |entry| attempt(core, &entry.payload),
+            |entry, reserved| attempt::run(core, entry, reserved),
         );
         for (entry, ending) in served {
             entry.payload.end(core, ending);
         }
     }
-    core.registry.room.set_waiting(queues.len());
+    core.waiting.publish(core, &queues);
     let ended_at = Instant::now();
     let rest = (ended_at - started_at) * REST_FACTOR;
     queues.next_pass = Some(ended_at + rest.clamp(MIN_INTERVAL, MAX_INTERVAL));
@@ -235,36 +270,6 @@
     Some(expiries.min()?.min(now_ms + TICK_MS))
 }
 
-/// Attempts to send a waiting request.
-fn attempt(core: &Core, waiter: &Waiter) -> Result<Ending, Obstacle> {
-    let call = &waiter.call;
-    let denial = match balance::assign_waiting(core, call) {
-        Ok(in_flight) => return Ok(Ending::Sent(in_flight)),
-        Err(denial) => denial,
-    };
-    match denial {
-        Denial::Refused(_) => Ok(Ending::Refused(denial)),
-        Denial::Rejected { rejection, .. }
-            if !waiting::is_in_time(&rejection, balance::objective(call), elapsed_ms(call)) =>
-        {
-            Ok(Ending::Late(denial))
-        }
-        Denial::Rejected { usage, .. } if usage.is_over_share() => Err(Obstacle::Share),
-        Denial::Rejected { .. } => Err(Obstacle::Room),
-    }
-}
-
-/// Attempts to send a request whose time is up.
-fn last_attempt(core: &Core, waiter: &Waiter) -> Ending {
-    if waiter.call.remaining_ms() == 0 {
-        return Ending::Refused(waiter.denial);
-    }
-    match balance::assign_waiting(core, &waiter.call) {
-        Ok(in_flight) => Ending::Sent(in_flight),
-        Err(denial) => Ending::Refused(denial),
-    }
-}
-
 /// The customer's usage of its share.
 fn standing(core: &Core, customer: CustomerId) -> f64 {
     core.shares.lock().usage(customer).of_portion
--- a/crates/gateway/src/waiting/place.rs
+++ b/crates/gateway/src/waiting/place.rs
@@ -59,11 +59,11 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let mut queues = self.core.waiting.0.lock();
+        let mut queues = self.core.waiting.queues.lock();
         if let Some(queue) = queues.by_pool.get_mut(&self.call.pool) {
             queue.remove(self.key);
         }
-        self.core.registry.room.set_waiting(queues.len());
+        self.core.waiting.publish(&self.core, &queues);
         drop(queues);
         // The request may have been assigned to a server just before.
         if let Ok(Ending::Sent(_)) = self.receiver.try_recv() {
--- a/crates/gateway/src/waiting/queues.rs
+++ b/crates/gateway/src/waiting/queues.rs
@@ -28,6 +28,11 @@
         self.by_pool.values().map(Queue::len).sum()
     }
 
+    /// Number of waiting requests that need a version.
+    pub(super) fn bound_to_version(&self) -> usize {
+        self.by_pool.values().map(Queue::bound_to_version).sum()
+    }
+
     /// Limits of a pool's queue: what the other queues leave of the node's limits.
     pub(super) fn limits(&self, pool: PoolId) -> Limits {
         let others = self.by_pool.iter().filter(|(other, _)| **other != pool);
