Quarantine: evidence by part of a prompt

Callers saw one server after the other crash on requests with one part in their prompts. Evidence was held against whole requests, and no two of these are alike, so it never added up.

Crashes now count against each part of each prompt whose answer had just begun on the server, or could have, by version; an answer that is written clears its parts. Three crashes apart without one convict. Not yet used by the gateway.

--- a/crates/decide/src/engine/prompt.rs
+++ b/crates/decide/src/engine/prompt.rs
@@ -1,5 +1,7 @@
 //! Prompts as sequences of cacheable parts.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
@@ -14,7 +16,8 @@
 }
 
 /// Identity of a prompt part regardless of its position: a hash of model and part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct PartId(u64);
 
 impl PartId {
@@ -23,6 +26,26 @@
     pub fn new(model: &str, part: u64) -> Self {
         Self(hash_pair(xxh3_64(model.as_bytes()), part))
     }
+
+    /// The identity as a number.
+    #[must_use]
+    pub const fn as_u64(self) -> u64 {
+        self.0
+    }
+
+    /// Parses the hexadecimal form that [`Display`](fmt::Display) writes.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let is_valid = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let digits = is_valid.then(|| u64::from_str_radix(text, 16).ok())?;
+        digits.map(Self)
+    }
+}
+
+impl fmt::Display for PartId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
 }
 
 fn hash_pair(first: u64, second: u64) -> u64 {
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -12,6 +12,7 @@
 
 mod crashes;
 mod failure;
+pub mod parts;
 mod record;
 mod successes;
 mod suspect;
