Gateway: a line names how a run ended with its connection

Cause: on a crash the log told that a server was gone (1025) and which streams ended whole or broken (1014), but not whether a whole answer had a length or chunks, or was taken for whole because the connection ended; nor how long the run had written, nor that a run broke off at a server that was then found alive.

Change: event 1050, for each run that ends with the connection to its server: no answer, broken off, or ended with a connection without a length, the time since the head and since the sending, and whether the server was found crashed. No decision changes.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -140,6 +140,8 @@
     VersionsMixed = 1046, Info, "pools with several versions changed";
     /// A gateway that may know the version that began a stream could not be asked.
     OriginCallFailed = 1047, Warning, "gateway not asked for stream";
+    /// A run of a request ended with the connection to its server.
+    RunEnded = 1050, Info, "run ended with its connection";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,5 +1,6 @@
 //! Per-server state of the gateway.
 
+mod answer;
 mod cold_limiter;
 mod fetch;
 mod health;
@@ -14,6 +15,7 @@
 use mulberryyoke_decide::server_load::Queue;
 use parking_lot::{Mutex, MutexGuard};
 
+pub(crate) use self::answer::Answer;
 pub(crate) use self::cold_limiter::ColdLimiter;
 pub(crate) use self::fetch::Fetch;
 pub(crate) use self::health::Health;
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -7,9 +7,10 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::{Backend, Fetch};
+use super::{Answer, Backend, Fetch};
 use crate::clock;
 use crate::connection_pool::Connection;
+use crate::framing::Framing;
 use crate::protocol::ResponseHead;
 
 /// A request in flight, counted in the estimated load of its server until it is dropped.
@@ -41,6 +42,8 @@
     slowdown: f64,
     pub(crate) sent_at: Instant,
     first_token_at: Option<Instant>,
+    /// Answer that the server has begun to write.
+    answer: Option<Answer>,
     /// Whether it is a suspect request that is kept apart from other suspects.
     is_isolated: bool,
 }
@@ -96,6 +99,7 @@
             slowdown,
             sent_at: Instant::now(),
             first_token_at: None,
+            answer: None,
             is_isolated: false,
         }
     }
@@ -148,6 +152,19 @@
         Some(clock::between_ms(self.sent_at, first_token_at))
     }
 
+    /// Records the head of the answer.
+    pub(crate) fn record_head(&mut self, framing: Framing) {
+        self.answer = Some(Answer {
+            began_at: Instant::now(),
+            framing,
+        });
+    }
+
+    /// Answer that the server has begun to write; `None` before its head was received.
+    pub(crate) const fn answer(&self) -> Option<Answer> {
+        self.answer
+    }
+
     /// Records a complete response and returns its connection to the pool.
     pub(crate) fn complete(mut self, conn: Connection, response_head: ResponseHead) {
         self.record_response_start();
--- a/crates/gateway/src/body_relay.rs
+++ b/crates/gateway/src/body_relay.rs
@@ -35,6 +35,7 @@
         };
         match relayed {
             Ok(()) => {
+                failure::log_connection_end(&core, &call, &in_flight);
                 quarantine::record_success(&core, &call, &in_flight.backend);
                 in_flight.complete(conn, response_head);
             }
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -16,6 +16,7 @@
 use crate::connection_pool::Connection;
 use crate::core::Core;
 use crate::dispatch::Attempts;
+use crate::framing::Framing;
 use crate::outcome::Outcome;
 use crate::protocol::{Forwarding, ResponseHead, Verification};
 use crate::quarantine::Watch;
@@ -140,12 +141,13 @@
 async fn read_response(
     core: &Arc<Core>,
     call: &Arc<Call>,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
     attempts: &Attempts,
     conn: Connection,
     response: Response<Incoming>,
 ) -> Outcome {
     let (mut head, body) = response.into_parts();
+    in_flight.record_head(Framing::of(&head.headers, &body));
     in_flight.backend.record_heard();
     let response_head = core.protocol.parse_response(&head, &call.id);
     if let Some(left_ms) = response_head.cold_left_ms.filter(|left_ms| *left_ms > 0) {
@@ -222,6 +224,7 @@
     };
     let body = match collected {
         Ok(Collected::Complete(chunk)) => {
+            failure::log_connection_end(core, call, &in_flight);
             quarantine::record_success(core, call, &in_flight.backend);
             in_flight.complete(conn, response_head);
             if let Some(account) = &call.account {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod exchange;
 mod failure;
 mod follow;
+mod framing;
 mod gateway;
 mod handoff;
 mod header;
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -13,6 +13,7 @@
 use crate::call::Call;
 use crate::clock;
 use crate::core::Core;
+use crate::failure::log_broken_run;
 
 /// Timeout of a probe. A crashed server refuses connections within milliseconds. If the machine
 /// does not respond, its registration lapses later.
@@ -36,6 +37,7 @@
         || probe(core, backend, &mut liveness, ALIVE_TTL_MS).await == Reply::Refused;
     let instance = liveness.instance_id(backend.server.id, !has_crashed);
     drop(liveness);
+    log_broken_run(core, call, in_flight, has_crashed);
     let failure = Failure {
         digest,
         at: clock::now_ms(),
