--- a/crates/gateway/tests/gateway/crashing_server.rs
+++ b/crates/gateway/tests/gateway/crashing_server.rs
@@ -294,7 +294,7 @@
 }
 
 /// Runs a connection until the crash, after which it is open and silent until it is dropped.
-async fn run_until_crash(handled: impl Future<Output = ()>, crash: CancellationToken) {
+pub(crate) async fn run_until_crash(handled: impl Future<Output = ()>, crash: CancellationToken) {
     let mut handled = pin!(handled);
     tokio::select! {
         () = &mut handled => return,
@@ -304,7 +304,7 @@
 }
 
 /// Listens with a short queue, which can be filled.
-fn listen(address: SocketAddr) -> TcpListener {
+pub(crate) fn listen(address: SocketAddr) -> TcpListener {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.set_reuseaddr(true).expect("addresses are reusable");
     socket.bind(address).expect("its port");
@@ -313,7 +313,7 @@
 
 /// Fills the queue of a listener that accepts nothing, so that further attempts to connect get no
 /// response.
-async fn fill_accept_queue(address: SocketAddr) -> Vec<TcpStream> {
+pub(crate) async fn fill_accept_queue(address: SocketAddr) -> Vec<TcpStream> {
     let mut streams = Vec::new();
     while let Ok(Ok(stream)) = timeout(FILL_TIMEOUT, TcpStream::connect(address)).await {
         streams.push(stream);
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -72,6 +72,16 @@
     }))
 }
 
+/// Prompt in a header `x-parts: ID:TOKENS ...`.
+fn prompt_of_parts(text: Option<&str>) -> Option<Prompt> {
+    let parts = text?.split(' ').map(|part| {
+        let (id, tokens) = part.split_once(':')?;
+        Some((id.parse().ok()?, tokens.parse().ok()?))
+    });
+    let parts: Option<Vec<(u64, u32)>> = parts.collect();
+    Some(Prompt::from_parts("m", parts?, 10))
+}
+
 impl Protocol for TestProtocol {
     fn parse_request(&self, head: &request::Parts) -> Result<RequestHead, ParseError> {
         let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
@@ -87,9 +97,10 @@
             id: id.to_owned(),
             timeout_ms: text("x-patience-ms").and_then(|ms| ms.parse().ok()),
             key: key.map(str::to_owned),
-            prompt: tokens.map(|tokens| {
+            prompt: prompt_of_parts(text("x-parts")).or_else(|| {
                 let shared = shared.map(|part: u64| (part, SHARED_TOKENS));
-                Prompt::from_parts("m", shared.into_iter().chain([(1, tokens)]), 10)
+                let parts = shared.into_iter().chain([(1, tokens?)]);
+                Some(Prompt::from_parts("m", parts, 10))
             }),
             resume_after: text("x-after").and_then(|event| event.parse().ok()),
             first_attempt: text("x-resumes").map(str::to_owned),
