Tests: an answer without a length that ends at once clears no request

Cause: an answer with neither a length nor chunks ends with its connection, and the end that a crash brings about counts as that of a whole answer. The run that crashed the server then counts as a good one and clears the request.

Change: a test that copies of one request, whose servers write the head of such an answer and crash, crash at most three servers; for streams that are resumed, idempotent and other requests.

--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -15,6 +15,8 @@
 use crate::crashing_server::{
     CRASH_BODY, CRASH_NEW_VERSION_BODY, CrashingServer, RestartName, crash_count, crash_times_body,
 };
+use crate::ending::Ending;
+use crate::prompt_fleet;
 use crate::protocol::PANIC_HEADER;
 
 /// Time after its start for a gateway to learn the fleet membership, without which it sends
@@ -73,6 +75,21 @@
     join_all(cases).await;
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_request_whose_answer_without_a_length_ends_at_once_crashes_at_most_three_servers() {
+    let cases = ["/resumable/", "/idempotent/", "/once/"].map(async |path| {
+        let fleet = prompt_fleet::Fleet::spawn(2, 8, Ending::BareHead).await;
+        for _ in 0..8 {
+            fleet.send(path, CRASH_BODY).await;
+            sleep(RETRY_PAUSE).await;
+        }
+        let crashes = fleet.servers.crashes().len();
+        expect_that!(crashes, le(MAX_CRASHES as usize), "{path}");
+    });
+    join_all(cases).await;
+}
+
 #[gtest]
 #[tokio::test]
 async fn concurrent_copies_at_several_gateways_crash_at_most_four_servers() {
--- a/crates/gateway/tests/gateway/prompt_fleet.rs
+++ b/crates/gateway/tests/gateway/prompt_fleet.rs
@@ -11,7 +11,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
-use crate::caller;
+use crate::caller::{self, Response};
+use crate::crash_fleet::PROMPT;
 use crate::ending::Ending;
 use crate::feed::Service;
 use crate::fleet::Node;
@@ -156,6 +157,14 @@
         gateways[turn % gateways.len()].node.callers
     }
 
+    /// Sends a request without shared parts to the gateway whose turn it is.
+    pub(crate) async fn send(&self, path: &str, body: &str) -> Response {
+        let number = self.number.fetch_add(1, Ordering::Relaxed);
+        let turn = usize::try_from(number).expect("it fits");
+        let callers = self.callers(turn);
+        caller::send(callers, &caller::request_with_body(path, PROMPT, body)).await
+    }
+
     /// Prepares a request with one of these prompts for the gateway whose turn it is. The call
     /// returns whether an answer began.
     fn call(
