--- a/crates/wire/src/aggregate.rs
+++ b/crates/wire/src/aggregate.rs
@@ -6,6 +6,7 @@
 use mulberryyoke_decide::aggregate::{MessageId, State, Sum};
 use mulberryyoke_decide::engine::{Load, Part};
 use mulberryyoke_decide::quarantine::Suspect;
+use mulberryyoke_decide::quarantine::parts::Report;
 use mulberryyoke_decide::share::Flow;
 use mulberryyoke_model::{CustomerId, Incarnation, PoolId, ServerId, VersionId, saturating_u32};
 use serde::{Deserialize, Serialize};
@@ -67,6 +68,9 @@
     /// Versions of pools that recently had several. Encoded after the speeds for the same reason.
     #[serde(skip)]
     pub versions: Vec<Sighting>,
+    /// Prompt parts that recently crashed servers. Encoded after the versions for the same reason.
+    #[serde(skip)]
+    pub parts: Vec<Report>,
 }
 
 /// A version of the servers' software that a gateway saw in a pool.
@@ -160,6 +164,7 @@
             leaving: Vec::new(),
             speeds: Vec::new(),
             versions: Vec::new(),
+            parts: Vec::new(),
         }
     }
 
@@ -212,14 +217,16 @@
         let rest = decode_trailing(rest, &mut message.suspects)?;
         let rest = decode_trailing(rest, &mut message.leaving)?;
         let rest = decode_trailing(rest, &mut message.speeds)?;
-        decode_trailing(rest, &mut message.versions)?;
+        let rest = decode_trailing(rest, &mut message.versions)?;
+        decode_trailing(rest, &mut message.parts)?;
         Ok(message)
     }
 
     fn to_bytes(&self) -> Vec<u8> {
         let mut bytes = postcard::to_stdvec(self).unwrap_or_default();
         // A field can be decoded only after those before it.
-        let has_versions = !self.versions.is_empty();
+        let has_parts = !self.parts.is_empty();
+        let has_versions = has_parts || !self.versions.is_empty();
         let has_speeds = has_versions || !self.speeds.is_empty();
         let has_leaving = has_speeds || !self.leaving.is_empty();
         if has_leaving || !self.suspects.is_empty() {
@@ -234,6 +241,9 @@
         if has_versions {
             bytes.extend(postcard::to_stdvec(&self.versions).unwrap_or_default());
         }
+        if has_parts {
+            bytes.extend(postcard::to_stdvec(&self.parts).unwrap_or_default());
+        }
         bytes
     }
 }
--- a/crates/wire/tests/aggregate.rs
+++ b/crates/wire/tests/aggregate.rs
@@ -2,7 +2,8 @@
 
 use googletest::prelude::*;
 use mulberryyoke_decide::aggregate::{MessageId, State, Sum};
-use mulberryyoke_decide::engine::{Load, Part};
+use mulberryyoke_decide::engine::{Load, Part, PartId};
+use mulberryyoke_decide::quarantine::parts::{Report, Subject};
 use mulberryyoke_decide::quarantine::{Crash, Suspect};
 use mulberryyoke_decide::share::Flow;
 use mulberryyoke_model::{CustomerId, Digest, Incarnation, PoolId, ServerId, VersionId};
@@ -309,3 +310,49 @@
         expect_that!(received.speeds, eq(&sent.speeds));
     }
 }
+
+/// What a gateway tells of a prompt part with one crash.
+fn part(id: u64) -> Report {
+    Report {
+        subject: Subject {
+            part: PartId::new("model", id),
+            version: VersionId(u32::MAX),
+        },
+        crashes: vec![Crash {
+            server: ServerId(u32::MAX),
+            age_ms: 1_500,
+        }],
+        run_age_ms: Some(40),
+    }
+}
+
+#[gtest]
+fn prompt_parts_round_trip_after_an_unchanged_message() {
+    for version_count in [0, 2] {
+        let mut plain = message(7, 12, 16, 4);
+        let sighting = |version| Sighting {
+            pool: PoolId(9),
+            version: VersionId(version),
+            age_ms: 250,
+        };
+        plain.versions = (0..version_count).map(sighting).collect();
+        let mut sent = plain.clone();
+        sent.parts = (0..96).map(part).collect();
+        let (prefix, packets) = (plain.encode(), sent.encode());
+        // Releases before this field decode only this prefix.
+        let length = prefix[0].len();
+        expect_that!(
+            packets[0][HEADER_BYTES..length] == prefix[0][HEADER_BYTES..],
+            eq(true)
+        );
+        let bytes: usize = packets.iter().map(Vec::len).sum();
+        expect_that!(bytes - length, le(3_000), "bytes of 96 parts");
+        let mut assembler = Assembler::default();
+        let received = packets
+            .iter()
+            .filter_map(|packet| assembler.receive(packet).expect("the packet is valid"));
+        let received = sorted(received.last().expect("the message is complete"));
+        expect_that!(received.parts, eq(&sent.parts));
+        expect_that!(received.versions, eq(&sent.versions));
+    }
+}
