--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -1,4 +1,4 @@
-//! How the end of a response body is known.
+//! How the end of a response body is known (RFC 9112, section 6.3).
 
 use hyper::HeaderMap;
 use hyper::body::{Body, Incoming};
@@ -21,7 +21,10 @@
         if body.size_hint().exact().is_some() {
             return Self::Length;
         }
-        if headers.contains_key(TRANSFER_ENCODING) {
+        let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        let last = last.and_then(|value| value.to_str().ok());
+        let coding = last.and_then(|codings| codings.rsplit(',').next());
+        if coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked")) {
             return Self::Chunks;
         }
         Self::Connection
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -1,5 +1,8 @@
 //! Relays an event stream to the caller and resumes it on another server when it is truncated.
 
+mod end;
+mod events;
+
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 
@@ -7,15 +10,18 @@
 use hyper::body::Incoming;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::saturating_u32;
-use mulberryyoke_wire::sse::{self, EventBuffer};
+use mulberryyoke_wire::sse;
 use tokio::time::Instant;
 
+use self::end::End;
+use self::events::Events;
 use crate::backend::InFlight;
 use crate::buffers::{Inlet, Outlet};
 use crate::call::Call;
 use crate::connection_pool::Connection;
 use crate::core::Core;
 use crate::dispatch::Attempts;
+use crate::framing::Framing;
 use crate::protocol::ResponseHead;
 use crate::response_body::{BodyError, ResponseBody};
 use crate::{clock, failure, quarantine, streams};
@@ -24,42 +30,14 @@
 /// gap between events. A server restarts a preempted request within this time.
 const STALL_GAPS: u64 = 3;
 
-/// Why a stream ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
-    Complete,
-    Truncated,
-    /// No events until the stall deadline; another server is tried.
-    Stalled,
-    TimedOut,
-    /// The caller closed the connection.
-    CallerClosed,
-    /// The gateway closed the caller's connection, because the caller reads too slowly.
-    CallerCut,
-    Stopping,
-}
-
-impl End {
-    const fn label(self) -> &'static str {
-        match self {
-            Self::Complete => "whole",
-            Self::Truncated => "broken",
-            Self::Stalled => "stalled",
-            Self::TimedOut => "late",
-            Self::CallerClosed => "hung_up",
-            Self::CallerCut => "cut",
-            Self::Stopping => "stopping",
-        }
-    }
-}
-
 /// A stream that is relayed from a server to the caller.
 struct StreamRelay {
     core: Arc<Core>,
     call: Arc<Call>,
     in_flight: InFlight,
     body: Incoming,
-    events: EventBuffer,
+    framing: Framing,
+    events: Events,
     chunks: Outlet,
     relayed: u32,
     relayed_at: Instant,
@@ -77,7 +55,7 @@
     in_flight: InFlight,
     attempts: Attempts,
     (conn, response_head): (Connection, ResponseHead),
-    body: Incoming,
+    (body, framing): (Incoming, Framing),
 ) -> Inlet {
     let (chunks, inlet) = Outlet::new(call.account.as_ref());
     let relay = StreamRelay {
@@ -85,7 +63,8 @@
         call: Arc::clone(call),
         in_flight,
         body,
-        events: EventBuffer::default(),
+        framing,
+        events: Events::default(),
         chunks,
         relayed: 0,
         relayed_at: Instant::now(),
@@ -102,14 +81,14 @@
         let end = self.relay().await;
         let is_stalled = end == End::Stalled;
         if is_stalled
-            || (end == End::Truncated && self.attempts.try_reserve_retry(&self.core, &self.call))
+            || (end.is_broken() && self.attempts.try_reserve_retry(&self.core, &self.call))
         {
             drop(conn);
             return self.resume(end).await;
         }
         let error = match end {
             End::Complete | End::CallerClosed | End::CallerCut => None,
-            End::Truncated | End::Stalled => Some(BodyError::Truncated),
+            End::Truncated | End::Garbled | End::Stalled => Some(BodyError::Truncated),
             End::TimedOut => Some(BodyError::TimedOut),
             End::Stopping => Some(BodyError::Stopping),
         };
@@ -128,9 +107,10 @@
                 }
                 self.in_flight.complete(conn, response_head);
             }
-            End::Truncated | End::Stalled => {
+            End::Truncated | End::Garbled | End::Stalled => {
+                drop(conn);
                 let (core, call) = (&self.core, &self.call);
-                failure::record(core, call, &self.in_flight, "stream truncated", "");
+                failure::record(core, call, &self.in_flight, end.failure(), "");
                 quarantine::record_failure(core, call, &self.in_flight).await;
             }
             End::TimedOut | End::CallerClosed | End::CallerCut => {
@@ -145,8 +125,10 @@
     async fn resume(mut self, end: End) {
         self.log_end(end);
         let (core, call) = (&Arc::clone(&self.core), &Arc::clone(&self.call));
-        failure::record(core, call, &self.in_flight, "stream truncated", "resuming");
-        if end == End::Truncated {
+        failure::record(core, call, &self.in_flight, end.failure(), "resuming");
+        // What was received of an event is of no use, and the relay waits for the other server's end.
+        self.events = Events::default();
+        if end.is_broken() {
             quarantine::record_failure(core, call, &self.in_flight).await;
         } else {
             quarantine::check_silence(core, call, &self.in_flight).await;
@@ -226,31 +208,50 @@
             };
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                None if self.events.flush().is_empty() => return End::Complete,
-                None | Some(Err(_)) => return End::Truncated,
+                None => return self.end_of_body(),
+                Some(Err(_)) => return End::Truncated,
             };
             self.in_flight.backend.record_heard();
-            let is_timer_set = stall_deadline.is_some();
-            stall_deadline = self.stall_deadline();
-            if !is_timer_set {
-                stalled.set(clock::sleep_until_opt(stall_deadline));
-            }
-            let events = self.events.push(data);
+            let Some(events) = self.events.push(data) else {
+                return End::Garbled;
+            };
             if events.is_empty() {
                 continue;
             }
-            self.in_flight.record_first_token();
-            if self.relayed == 0 {
-                self.record_origin();
+            if sse::has_event(&events) {
+                let is_timer_set = stall_deadline.is_some();
+                stall_deadline = self.stall_deadline();
+                if !is_timer_set {
+                    stalled.set(clock::sleep_until_opt(stall_deadline));
+                }
+                self.record_events(&events);
             }
-            self.record_relayed();
-            self.last_event = sse::last_id(&events).or(self.last_event);
             if self.chunks.send(events).await.is_err() {
                 return self.caller_end();
             }
         }
     }
 
+    fn record_events(&mut self, events: &[u8]) {
+        self.in_flight.record_first_token();
+        if self.relayed == 0 {
+            self.record_origin();
+        }
+        self.record_relayed();
+        self.events.record_event();
+        self.last_event = sse::last_id(events).or(self.last_event);
+    }
+
+    /// Returns how a stream ended whose body has ended without an error. A connection that closes
+    /// before the first event proves nothing.
+    fn end_of_body(&self) -> End {
+        let is_begun = self.relayed > 0 || self.framing != Framing::Connection;
+        if is_begun && self.events.is_empty() {
+            return End::Complete;
+        }
+        End::Truncated
+    }
+
     /// Returns why the caller's connection closed.
     fn caller_end(&self) -> End {
         let account = self.call.account.as_ref();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of gateways against simulated callers, backend servers, peers and key-value service.
 
 mod admission;
+mod answer_shapes;
 mod backend;
 mod bodies;
 mod cache_report;
@@ -12,6 +13,7 @@
 mod crashes;
 mod crashing_server;
 mod ending;
+mod endless_answers;
 mod evacuation;
 mod exchange;
 mod feed;
@@ -32,6 +34,7 @@
 mod restore;
 mod retries;
 mod server_load;
+mod shaped_server;
 mod shutdown;
 mod silent_crashes;
 mod slow;
