Mend: an answer that ends with its connection cleared the request that crashed its server

Callers saw requests whose servers write the head of an answer without length or chunks and crash go on crashing servers. The end of the connection was taken for the end of the answer, which cleared the request of all earlier crashes, and the crash itself was never looked for.

Such an answer counts as a good run only once its server has been heard 50 ms later or has an idle connection open after 100 ms, else if it accepts a connection. If it refuses one, the run is evidence.

--- a/crates/gateway/src/body_relay.rs
+++ b/crates/gateway/src/body_relay.rs
@@ -36,7 +36,7 @@
         match relayed {
             Ok(()) => {
                 failure::log_connection_end(&core, &call, &in_flight);
-                quarantine::record_success(&core, &call, &in_flight.backend);
+                quarantine::record_success(&core, &call, &in_flight);
                 in_flight.complete(conn, response_head);
             }
             Err(error) => {
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -227,7 +227,7 @@
     let body = match collected {
         Ok(Collected::Complete(chunk)) => {
             failure::log_connection_end(core, call, &in_flight);
-            quarantine::record_success(core, call, &in_flight.backend);
+            quarantine::record_success(core, call, &in_flight);
             in_flight.complete(conn, response_head);
             if let Some(account) = &call.account {
                 account.offer();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -3,7 +3,9 @@
 mod admit;
 mod conviction;
 mod probe;
+mod run;
 mod silence;
+mod success;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -20,8 +22,8 @@
 pub(crate) use self::conviction::{digest_of, parse, rewrite};
 pub(crate) use self::probe::{record_failure, record_lapse};
 pub(crate) use self::silence::{Watch, check_silence, record_abandoned, spawn_silence_check};
+pub(crate) use self::success::record_success;
 use crate::backend::Backend;
-use crate::call::Call;
 use crate::clock;
 use crate::core::Core;
 
@@ -187,25 +189,6 @@
     }
 }
 
-/// Records that a request ran on a server without a crash.
-pub(crate) fn record_success(core: &Arc<Core>, call: &Call, backend: &Backend) {
-    if core.quarantine.is_empty() {
-        return;
-    }
-    let digest = call.digest();
-    let (version, now) = (backend.server.version, clock::now_ms());
-    let crashes_before = core
-        .quarantine
-        .update(|records| records.record_success(digest, version, now));
-    if crashes_before == 0 {
-        return;
-    }
-    log_cleared(core, digest, crashes_before, "ended well");
-    if crashes_before >= mulberryyoke_decide::quarantine::CONVICTION_THRESHOLD {
-        conviction::write(core, digest);
-    }
-}
-
 /// Records that a conviction is no longer in the key-value service.
 pub(crate) fn forget_written(core: &Core, digest: Digest) {
     core.quarantine.written.lock().remove(&digest);
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mulberryyoke_decide::quarantine::Failure;
 use mulberryyoke_event::{Event, log};
+use mulberryyoke_model::ServerId;
 use tokio::time::{Instant, timeout};
 
 use super::record_crash;
+use super::run::Run;
 use crate::backend::{Backend, InFlight, Liveness};
 use crate::call::Call;
 use crate::clock;
@@ -25,28 +26,52 @@
 /// Records that a request failed at a server, and probes whether the server crashed. Failures at a
 /// server that is leaving are ignored, as it may exit with requests in flight.
 pub(crate) async fn record_failure(core: &Arc<Core>, call: &Call, in_flight: &InFlight) {
-    let backend = &in_flight.backend;
-    let digest = call.digest();
-    if backend.is_closed() {
+    let run = Run::new(call, in_flight);
+    if run.backend.is_closed() {
         log!(core.logger, Event::CrashNotCounted,
-            "server" => &backend.server.name, "why" => "leaving", "digest" => digest.to_string());
+            "server" => &run.backend.server.name,
+            "why" => "leaving",
+            "digest" => run.digest.to_string());
         return;
     }
-    let mut liveness = backend.liveness.lock().await;
-    let has_crashed = liveness.has_crashed_since(in_flight.sent_at)
-        || probe(core, backend, &mut liveness, ALIVE_TTL_MS).await == Reply::Refused;
-    let instance = liveness.instance_id(backend.server.id, !has_crashed);
-    drop(liveness);
-    log_broken_run(core, call, in_flight, has_crashed);
-    let failure = Failure {
-        digest,
-        at: clock::now_ms(),
-        is_silence: false,
+    let (instance, reply) = probe_after(core, &run).await;
+    log_broken_run(core, call, in_flight, reply == Reply::Refused);
+    record(core, &run, (instance, reply), clock::now_ms());
+}
+
+/// Probes the server of a run whose answer ended with its connection at `at`; returns whether it
+/// accepts connections. If it does not, the run may have failed.
+pub(super) async fn is_alive_after(core: &Arc<Core>, run: &Run, at: u64) -> bool {
+    if run.backend.is_closed() {
+        return false;
+    }
+    let (instance, reply) = probe_after(core, run).await;
+    if reply == Reply::Accepted {
+        return true;
+    }
+    record(core, run, (instance, reply), at);
+    false
+}
+
+/// Probes the server of a run that has ended. Returns the ID of the instance that ran it.
+async fn probe_after(core: &Core, run: &Run) -> (ServerId, Reply) {
+    let mut liveness = run.backend.liveness.lock().await;
+    let reply = if liveness.has_crashed_since(run.sent_at) {
+        Reply::Refused
+    } else {
+        probe(core, &run.backend, &mut liveness, ALIVE_TTL_MS).await
     };
+    let is_next = reply != Reply::Refused;
+    (liveness.instance_id(run.backend.server.id, is_next), reply)
+}
+
+/// Records a run that failed at `at`.
+fn record(core: &Arc<Core>, run: &Run, (instance, reply): (ServerId, Reply), at: u64) {
+    let failure = run.failure(at, false);
     core.quarantine
         .update(|records| records.record_failure(instance, failure));
-    if has_crashed {
-        record_crash(core, instance, backend);
+    if reply == Reply::Refused {
+        record_crash(core, instance, &run.backend);
     }
 }
 
--- a/crates/gateway/src/quarantine/silence.rs
+++ b/crates/gateway/src/quarantine/silence.rs
@@ -6,14 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mulberryyoke_decide::quarantine::Failure;
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::Digest;
 use tokio::runtime::Handle;
 use tokio::time::{Instant, sleep};
 
 use super::probe::{Reply, probe};
 use super::record_crash;
+use super::run::Run;
 use crate::backend::{Backend, InFlight, Liveness};
 use crate::call::Call;
 use crate::clock;
@@ -33,30 +32,6 @@
 /// long prompts are silent again and again.
 const ALIVE_TTL_MS: u64 = 500;
 
-/// A request that got no response from a silent server, without the resources that it held.
-#[derive(Debug)]
-struct Run {
-    digest: Digest,
-    backend: Arc<Backend>,
-    sent_at: Instant,
-}
-
-impl Run {
-    /// Returns the run of a request; `None` if its server responded recently.
-    fn new(call: &Call, backend: &Arc<Backend>, sent_at: Instant) -> Option<Self> {
-        Silence::of(backend, sent_at)?;
-        Some(Self {
-            digest: call.digest(),
-            backend: Arc::clone(backend),
-            sent_at,
-        })
-    }
-
-    fn silence(&self) -> Option<Silence> {
-        Silence::of(&self.backend, self.sent_at)
-    }
-}
-
 /// Time in which a server has sent nothing although it runs a request.
 #[derive(Clone, Copy, Debug)]
 struct Silence {
@@ -80,25 +55,30 @@
     }
 }
 
+/// Whether the server of a request is silent.
+fn is_silent(in_flight: &InFlight) -> bool {
+    Silence::of(&in_flight.backend, in_flight.sent_at).is_some()
+}
+
 /// Checks whether the server of a request crashed, if it is silent.
 pub(crate) async fn check_silence(core: &Arc<Core>, call: &Call, in_flight: &InFlight) {
-    if let Some(run) = Run::new(call, &in_flight.backend, in_flight.sent_at) {
-        check(core, &run).await;
+    if is_silent(in_flight) {
+        check(core, &Run::new(call, in_flight)).await;
     }
 }
 
 /// As [`check_silence`], in the background.
 pub(crate) fn spawn_silence_check(core: &Arc<Core>, call: &Call, in_flight: &InFlight) {
-    if let Some(run) = Run::new(call, &in_flight.backend, in_flight.sent_at) {
-        let core = Arc::clone(core);
+    if is_silent(in_flight) {
+        let (core, run) = (Arc::clone(core), Run::new(call, in_flight));
         tokio::spawn(async move { check(&core, &run).await });
     }
 }
 
 /// As [`check_silence`], some time after a request was abandoned.
 pub(crate) fn record_abandoned(core: &Arc<Core>, call: &Call, in_flight: &InFlight) {
-    if let Some(run) = Run::new(call, &in_flight.backend, in_flight.sent_at) {
-        spawn_delayed_check(core, run);
+    if is_silent(in_flight) {
+        spawn_delayed_check(core, Run::new(call, in_flight));
     }
 }
 
@@ -116,7 +96,7 @@
 
 async fn check(core: &Arc<Core>, run: &Run) {
     let backend = &run.backend;
-    let Some(Silence { since_ms, .. }) = run.silence() else {
+    let Some(Silence { since_ms, .. }) = Silence::of(backend, run.sent_at) else {
         return;
     };
     // One that is leaving may end at any time.
@@ -132,11 +112,7 @@
     let has_crashed = has_crashed || is_unreachable(core, run, &mut liveness).await;
     let instance = liveness.instance_id(backend.server.id, !has_crashed);
     drop(liveness);
-    let failure = Failure {
-        digest: run.digest,
-        at: since_ms,
-        is_silence: true,
-    };
+    let failure = run.failure(since_ms, true);
     core.quarantine
         .update(|records| records.record_failure(instance, failure));
     if has_crashed {
@@ -157,7 +133,7 @@
     log!(core.logger, Event::ServerSilent,
         "server" => &run.backend.server.name,
         "digest" => run.digest.to_string(),
-        "silent_ms" => run.silence().map(|silence| silence.length_ms));
+        "silent_ms" => Silence::of(&run.backend, run.sent_at).map(|silence| silence.length_ms));
     true
 }
 
@@ -194,7 +170,8 @@
         if self.is_resolved {
             return;
         }
-        if let Some(run) = Run::new(&self.call, &self.backend, self.sent_at) {
+        if Silence::of(&self.backend, self.sent_at).is_some() {
+            let run = Run::sent(&self.call, &self.backend, self.sent_at);
             spawn_delayed_check(&self.core, run);
         }
     }
--- /dev/null
+++ b/crates/gateway/src/quarantine/success.rs
@@ -0,0 +1,62 @@
+//! Requests that ran without a crash.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mulberryyoke_decide::quarantine::CONVICTION_THRESHOLD;
+use tokio::time::sleep;
+
+use super::run::Run;
+use super::{conviction, log_cleared, probe};
+use crate::backend::{Backend, InFlight};
+use crate::call::Call;
+use crate::clock;
+use crate::core::Core;
+
+/// Delay after which a server must have been heard again whose answer ended with its connection.
+const CONFIRMATION_DELAY: Duration = Duration::from_millis(100);
+
+/// Time after the end of an answer within which something received may have been sent before it, in
+/// milliseconds.
+const TRANSIT_MS: u64 = 50;
+
+/// Records that a request got a complete answer. One that ends with its connection looks complete as
+/// well if its server has crashed, so the server must be seen to live on first.
+pub(crate) fn record_success(core: &Arc<Core>, call: &Arc<Call>, in_flight: &InFlight) {
+    let answer = in_flight.answer();
+    if !answer.is_some_and(|answer| answer.ends_with_connection()) {
+        return clear(core, call, &in_flight.backend, clock::now_ms());
+    }
+    let (core, call, at) = (Arc::clone(core), Arc::clone(call), clock::now_ms());
+    let (backend, sent_at) = (Arc::clone(&in_flight.backend), in_flight.sent_at);
+    tokio::spawn(async move {
+        sleep(CONFIRMATION_DELAY).await;
+        let was_heard = backend.heard_ms() > at + TRANSIT_MS;
+        let is_alive = was_heard || backend.conns.has_idle() || {
+            let run = Run::sent(&call, &backend, sent_at);
+            probe::is_alive_after(&core, &run, at).await
+        };
+        if is_alive {
+            clear(&core, &call, &backend, at);
+        }
+    });
+}
+
+/// Clears a request that ran on a server without a crash until `at`.
+fn clear(core: &Arc<Core>, call: &Call, backend: &Backend, at: u64) {
+    if core.quarantine.is_empty() {
+        return;
+    }
+    let digest = call.digest();
+    let version = backend.server.version;
+    let crashes_before = core
+        .quarantine
+        .update(|records| records.record_success(digest, version, at));
+    if crashes_before == 0 {
+        return;
+    }
+    log_cleared(core, digest, crashes_before, "ended well");
+    if crashes_before >= CONVICTION_THRESHOLD {
+        conviction::write(core, digest);
+    }
+}
