Mend: requests with one part in their prompts crashed one server after the other

Callers saw servers crash in turn under requests of which no two are alike and which share one part of their prompts; sound ones share all the rest.

Cause: crashes were held against whole requests, a name that the fault does not keep. Class: evidence bound to the wrong identity.

Crashes now also count against the parts of the prompts that had just begun on the server, by version, and answers clear the parts that they are written on. A convicted part bars servers of its version in selection, also after a wait, on a retry and within an answer; where no other version is left the caller gets 503 part_quarantined. One gateway permits one trial in the fleet. Beats carry the evidence, and the next one is sent at once after a second crash or a conviction.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -142,6 +142,12 @@
     OriginCallFailed = 1047, Warning, "gateway not asked for stream";
     /// A run of a request ended with the connection to its server.
     RunEnded = 1050, Info, "run ended with its connection";
+    /// Servers crashed on a part of prompts, which is no longer sent to them.
+    PartConvicted = 1055, Error, "prompt part quarantined";
+    /// A part of prompts is no longer quarantined.
+    PartCleared = 1056, Info, "prompt part cleared";
+    /// A request was not sent because a part of its prompt is quarantined.
+    PartWithheld = 1057, Info, "request withheld for prompt part";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
@@ -215,6 +221,7 @@
                 | Self::WaitEnded
                 | Self::Malformed
                 | Self::Withheld
+                | Self::PartWithheld
         )
     }
 }
--- a/crates/gateway/src/backend/answer.rs
+++ b/crates/gateway/src/backend/answer.rs
@@ -10,6 +10,8 @@
     /// When its head was received.
     pub(crate) began_at: Instant,
     pub(crate) framing: Framing,
+    /// Whether its status is a success.
+    pub(crate) is_success: bool,
 }
 
 impl Answer {
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use mulberryyoke_decide::engine::{Part, Position, Prompt, Reservation};
+use mulberryyoke_decide::quarantine::parts::SETTLING_MS;
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -44,6 +45,8 @@
     first_token_at: Option<Instant>,
     /// Answer that the server has begun to write.
     answer: Option<Answer>,
+    /// Epoch of the quarantine's records of prompt parts that the answer has cleared.
+    cleared_epoch: u64,
     /// Whether it is a suspect request that is kept apart from other suspects.
     is_isolated: bool,
 }
@@ -100,6 +103,7 @@
             sent_at: Instant::now(),
             first_token_at: None,
             answer: None,
+            cleared_epoch: 0,
             is_isolated: false,
         }
     }
@@ -152,11 +156,32 @@
         Some(clock::between_ms(self.sent_at, first_token_at))
     }
 
+    /// When the first event was received, in milliseconds of the boot clock.
+    pub(crate) fn began_ms(&self) -> Option<u64> {
+        let elapsed_ms = clock::between_ms(self.first_token_at?, Instant::now());
+        Some(clock::now_ms().saturating_sub(elapsed_ms))
+    }
+
+    /// Whether the answer no longer counts as just begun, unless that was returned for this epoch.
+    pub(crate) fn is_settled_since(&mut self, epoch: u64) -> bool {
+        if self.cleared_epoch == epoch {
+            return false;
+        }
+        let began_at = self.first_token_at;
+        let is_settled =
+            began_at.is_some_and(|at| clock::between_ms(at, Instant::now()) >= SETTLING_MS);
+        if is_settled {
+            self.cleared_epoch = epoch;
+        }
+        is_settled
+    }
+
     /// Records the head of the answer.
-    pub(crate) fn record_head(&mut self, framing: Framing) {
+    pub(crate) fn record_head(&mut self, framing: Framing, is_success: bool) {
         self.answer = Some(Answer {
             began_at: Instant::now(),
             framing,
+            is_success,
         });
     }
 
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -21,6 +21,7 @@
 use crate::core::Core;
 use crate::denial::Denial;
 use crate::eligibility::Eligibility;
+use crate::quarantine;
 use crate::refusal::Refusal;
 
 /// Selects one of the eligible servers and counts the request there. A request that
@@ -40,7 +41,12 @@
 /// As [`assign`], for a request that was rejected in its first attempt and has waited since. It is
 /// not recorded as requested again.
 pub(crate) fn assign_waiting(core: &Core, call: &Call) -> Result<InFlight, Denial> {
-    select(core, call, Eligibility::default(), false, false, false)
+    let barred = quarantine::barred(core, call);
+    let eligible = Eligibility {
+        barred: &barred,
+        ..Eligibility::default()
+    };
+    select(core, call, eligible, false, false, false)
 }
 
 fn select(
@@ -62,8 +68,8 @@
         let is_left = |backend: &Arc<Backend>| {
             !backend.is_closed() && eligible.allows_version_of(&backend.server)
         };
-        if eligible.version.is_some() && !servers.iter().any(is_left) {
-            return Err(Denial::Refused(Refusal::VersionGone));
+        if !servers.iter().any(is_left) {
+            check_versions(core, call, eligible, servers)?;
         }
         if open.is_empty() {
             let refusal = pushback(servers, now_ms);
@@ -113,6 +119,25 @@
     Ok(in_flight)
 }
 
+/// Returns the refusal of a request that no version among the servers may run.
+fn check_versions(
+    core: &Core,
+    call: &Call,
+    eligible: Eligibility<'_>,
+    servers: &[Arc<Backend>],
+) -> Result<(), Refusal> {
+    let is_barred =
+        |backend: &Arc<Backend>| !backend.is_closed() && eligible.has_version_of(&backend.server);
+    if !eligible.barred.is_empty() && servers.iter().any(is_barred) {
+        quarantine::log_withheld(core, call);
+        return Err(Refusal::PartQuarantined);
+    }
+    if eligible.version.is_some() {
+        return Err(Refusal::VersionGone);
+    }
+    Ok(())
+}
+
 /// Calls a function with the servers of a pool that this gateway uses: its subset, or, for a version
 /// that the subset lacks, all servers of that version.
 fn with_servers<T>(
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -35,6 +35,7 @@
         METRICS => Response::new(Full::new(Bytes::from(readiness::render_metrics(&core)))),
         LIST => relay_response(core.mirror.list(core.view.confirmed_since_ms(received_ms))),
         quarantine::PATH => quarantine::handle_admit(&core, request).await,
+        quarantine::PART_PATH => quarantine::handle_admit_part(&core, request).await,
         stream::PATH => streams::handle_ask(&core, request).await,
         CHANGES => changes(&core, uri.query().unwrap_or(""), received_ms).await,
         _ => status_response(StatusCode::NOT_FOUND),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Dispatch of a validated request: server selection, sending and retries.
 
 mod send;
+mod trial;
 
 use std::sync::Arc;
 
@@ -10,6 +11,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use self::trial::Trial;
 use crate::backend::InFlight;
 use crate::balance;
 use crate::call::Call;
@@ -18,7 +20,7 @@
 use crate::denial::Denial;
 use crate::eligibility::Eligibility;
 use crate::outcome::Outcome;
-use crate::quarantine;
+use crate::quarantine::{self, Barred};
 use crate::refusal::Refusal;
 use crate::response_body::ResponseBody;
 use crate::{streams, waiting};
@@ -48,6 +50,7 @@
     /// Whether the quarantine admitted this copy and it has not run since. Servers that are
     /// unreachable or reject the request don't use up the admission.
     is_admitted: bool,
+    trial: Trial,
 }
 
 impl Attempts {
@@ -125,13 +128,14 @@
         core: &Arc<Core>,
         call: &Arc<Call>,
     ) -> Result<(Outcome, ServerId), Refusal> {
-        let is_isolated = self.admit(core, call).await?;
+        let (is_isolated, barred) = self.admit(core, call).await?;
         if self.tried.is_empty() {
             waiting::serve_if_changed(core);
         }
         let eligible = Eligibility {
             tried: &self.tried,
             version: self.version,
+            barred: &barred,
         };
         let may_have_run = self.possible_runs > 0;
         let assigned = balance::assign(core, call, eligible, may_have_run, is_isolated);
@@ -155,18 +159,27 @@
             _ => {
                 self.possible_runs += 1;
                 self.is_admitted = false;
+                self.trial = self.trial.after_run();
             }
         }
         Ok((outcome, server))
     }
 
-    /// Admits the request to the quarantine's rules; `true` if it is to be isolated from other
-    /// suspects.
-    async fn admit(&mut self, core: &Arc<Core>, call: &Arc<Call>) -> Result<bool, Refusal> {
+    /// Admits the request to the quarantine's rules. Returns whether it is to be isolated from other
+    /// suspects, and the versions whose servers may not run it.
+    async fn admit(
+        &mut self,
+        core: &Arc<Core>,
+        call: &Arc<Call>,
+    ) -> Result<(bool, Barred), Refusal> {
         let verdict = quarantine::admit(core, call, self.is_admitted).await?;
         self.is_suspect = verdict.crashes() > 0;
         self.is_admitted = self.is_suspect;
-        Ok(verdict.crashes() >= ISOLATION_CRASHES)
+        let is_admitted = self.trial == Trial::Admitted;
+        let admission = quarantine::admit_parts(core, call, is_admitted).await;
+        self.trial = Trial::new(admission.is_trial);
+        let is_isolated = verdict.crashes() >= ISOLATION_CRASHES || admission.is_trial;
+        Ok((is_isolated, admission.barred))
     }
 
     /// Waits for a server after the first attempt was rejected because of load, or returns the
@@ -183,8 +196,13 @@
         let in_flight = waiting::wait(core, call, denial).await?;
         // Another copy of the request may have crashed a server in the meantime.
         match self.admit(core, call).await {
-            Ok(true) => Ok(in_flight.isolate()),
-            Ok(false) => Ok(in_flight),
+            Ok((_, barred)) if barred.contains(&in_flight.backend.server.version) => {
+                quarantine::log_withheld(core, call);
+                balance::refund(core, call);
+                Err(Refusal::PartQuarantined)
+            }
+            Ok((true, _)) => Ok(in_flight.isolate()),
+            Ok((false, _)) => Ok(in_flight),
             Err(refusal) => {
                 balance::refund(core, call);
                 Err(refusal)
@@ -197,6 +215,7 @@
         Self {
             possible_runs: self.possible_runs + 1,
             is_admitted: false,
+            trial: self.trial.after_run(),
             ..self.clone()
         }
     }
@@ -216,14 +235,19 @@
     /// Whether a stalled server may be given up for another. A suspect must not run twice at the
     /// same time.
     pub(crate) fn may_abandon(&self, call: &Call) -> bool {
-        self.has_attempts_left(call) && !self.is_suspect
+        self.has_attempts_left(call) && self.may_run_twice()
+    }
+
+    /// Whether the request may run on two servers at the same time.
+    fn may_run_twice(&self) -> bool {
+        !self.is_suspect && self.trial == Trial::None
     }
 
     /// Whether the current server, which must not be counted yet, may be given up for another.
     fn may_give_up(&self, call: &Call) -> bool {
         let is_last =
             !call.route.kind.is_retryable() || self.possible_runs + 1 >= call.route.max_attempts;
-        !is_last && !self.is_suspect
+        !is_last && self.may_run_twice()
     }
 
     /// Reserves another attempt after a server that did not run the request; `false` if none is
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -147,7 +147,8 @@
     response: Response<Incoming>,
 ) -> Outcome {
     let (mut head, body) = response.into_parts();
-    in_flight.record_head(Framing::of(&head.headers, &body));
+    let framing = Framing::of(&head.headers, &body);
+    in_flight.record_head(framing, head.status.is_success());
     in_flight.backend.record_heard();
     let response_head = core.protocol.parse_response(&head, &call.id);
     if let Some(left_ms) = response_head.cold_left_ms.filter(|left_ms| *left_ms > 0) {
@@ -197,7 +198,6 @@
         call.release_body();
     }
     let is_success = head.status.is_success();
-    let framing = Framing::of(&head.headers, &body);
     header::strip_hop_by_hop(&mut head.headers);
     if call.route.kind.is_stream() && is_success {
         let body = (body, framing);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -135,6 +135,7 @@
             core.registry.instances.announcements(),
         );
         let versions = core.streams.versions_for_peers();
+        let parts = core.quarantine.parts.updates();
         let own_speeds = speeds::for_peers(core, false);
         let all_speeds = if messages.iter().all(|(message, _)| is_own(message)) {
             Vec::new()
@@ -151,6 +152,7 @@
             message.suspects.clone_from(&suspects);
             message.leaving.clone_from(&leaving);
             message.versions.clone_from(&versions);
+            message.parts.clone_from(&parts);
         }
         messages
     }
@@ -161,6 +163,7 @@
             return;
         }
         quarantine::receive(core, &message.suspects);
+        quarantine::receive_parts(core, &message.parts);
         notice::receive(core, &message.leaving);
         speeds::receive(core, &message.speeds);
         core.streams.receive_versions(&message.versions);
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -16,13 +16,16 @@
 /// Timer resolution, and the minimum interval between two rounds, in milliseconds.
 const TICK_MS: u64 = 20;
 
+/// Minimum interval before a round that is sent early, in milliseconds.
+const MIN_URGENT_MS: u64 = 100;
+
 /// Sends and receives messages until the gateway terminates.
 pub(crate) async fn run(core: Arc<Core>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; 2 * aggregate::MAX_BYTES];
     let mut assembler = Assembler::default();
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut due = Instant::now();
+    let (mut due, mut earliest) = (Instant::now(), Instant::now());
     loop {
         tokio::select! {
             () = core.shutdown.terminate.cancelled() => return,
@@ -35,10 +38,12 @@
                 balance::end_outages(&core);
                 rebalance(&core);
                 let now = Instant::now();
-                if now >= due {
+                let is_urgent = now >= earliest && core.quarantine.parts.take_urgent();
+                if now >= due || is_urgent {
                     let packets = send_round(&core, &socket).await;
                     // Timers fire at least one millisecond late.
                     due = clock::after(now, core.exchange.interval_ms(packets) - 1);
+                    earliest = clock::after(now, MIN_URGENT_MS);
                 }
             }
             received = socket.recv_from(&mut buffer) => {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -2,6 +2,8 @@
 
 mod admit;
 mod conviction;
+mod part_admission;
+mod parts;
 mod probe;
 mod run;
 mod silence;
@@ -20,6 +22,11 @@
 
 pub(crate) use self::admit::{PATH, admit, handle_admit};
 pub(crate) use self::conviction::{digest_of, parse, rewrite};
+pub(crate) use self::part_admission::{
+    Barred, PATH as PART_PATH, admit as admit_parts, barred, handle_admit as handle_admit_part,
+    log_withheld,
+};
+pub(crate) use self::parts::{Parts, receive as receive_parts, record_progress};
 pub(crate) use self::probe::{record_failure, record_lapse};
 pub(crate) use self::silence::{Watch, check_silence, record_abandoned, spawn_silence_check};
 pub(crate) use self::success::record_success;
@@ -37,6 +44,8 @@
 #[derive(Debug)]
 pub(crate) struct Quarantine {
     records: Mutex<Records>,
+    /// Records of prompt parts.
+    pub(crate) parts: Parts,
     /// Number of records. While it is zero, the hot path takes no lock and computes no digest.
     record_count: AtomicUsize,
     last_expiry_ms: AtomicU64,
@@ -51,6 +60,7 @@
     pub(crate) fn new() -> Self {
         Self {
             records: Mutex::default(),
+            parts: Parts::default(),
             record_count: AtomicUsize::new(0),
             last_expiry_ms: AtomicU64::new(0),
             http: Http::new(CONNECT_TIMEOUT_MS),
@@ -97,6 +107,7 @@
         if !self.is_empty() {
             self.records.lock().tell_again(clock::now_ms());
         }
+        self.parts.tell_again();
     }
 
     /// Removes expired records.
@@ -108,6 +119,7 @@
         }
         self.last_expiry_ms.store(now, Ordering::Relaxed);
         self.update(|records| records.expire(now));
+        self.parts.expire(now);
         #[expect(clippy::cast_precision_loss, reason = "gauges are floating-point")]
         metrics::gauge!("quarantine_requests")
             .set(self.record_count.load(Ordering::Relaxed) as f64);
@@ -168,6 +180,7 @@
 
 /// Records a crash, which makes suspects of the requests that failed there.
 fn record_crash(core: &Arc<Core>, server: ServerId, backend: &Backend) {
+    parts::record_crash(core, server, backend);
     let now = clock::now_ms();
     let (suspects, is_mass_crash) = core.quarantine.update(|records| {
         let crashed = (server, backend.server.version);
--- a/crates/gateway/src/quarantine/admit.rs
+++ b/crates/gateway/src/quarantine/admit.rs
@@ -23,7 +23,7 @@
 pub(crate) const PATH: &str = "/quarantine/admit";
 
 /// Timeout of a call to that endpoint.
-const CALL_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Maximum crashes with which a request may run if the arbiter does not answer. A single crash may
 /// have been caused by another request on the same server.
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -67,9 +67,7 @@
 
 /// Records a run that failed at `at`.
 fn record(core: &Arc<Core>, run: &Run, (instance, reply): (ServerId, Reply), at: u64) {
-    let failure = run.failure(at, false);
-    core.quarantine
-        .update(|records| records.record_failure(instance, failure));
+    run.record_failure(core, instance, at, false);
     if reply == Reply::Refused {
         record_crash(core, instance, &run.backend);
     }
--- a/crates/gateway/src/quarantine/silence.rs
+++ b/crates/gateway/src/quarantine/silence.rs
@@ -112,9 +112,7 @@
     let has_crashed = has_crashed || is_unreachable(core, run, &mut liveness).await;
     let instance = liveness.instance_id(backend.server.id, !has_crashed);
     drop(liveness);
-    let failure = run.failure(since_ms, true);
-    core.quarantine
-        .update(|records| records.record_failure(instance, failure));
+    run.record_failure(core, instance, since_ms, true);
     if has_crashed {
         record_crash(core, instance, backend);
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -45,6 +45,8 @@
     Stopping,
     /// The request crashes servers, or is suspected of it while another copy runs.
     Quarantined,
+    /// Servers crash on a part of the prompt.
+    PartQuarantined,
     /// The request was sent and may have run.
     OutcomeUnknown,
     /// A server's response doesn't belong to this request.
@@ -77,6 +79,7 @@
             | Self::MemoryShort(_)
             | Self::VersionUnknown
             | Self::VersionGone
+            | Self::PartQuarantined
             | Self::Rejected
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             // A quarantined request has run under an earlier ID, which rules out 503.
@@ -108,6 +111,7 @@
             Self::Rejected => "turned_away",
             Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
+            Self::PartQuarantined => "part_quarantined",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::InvalidResponse => "garbled_answer",
             Self::TimedOut => "timed_out",
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -234,6 +234,7 @@
 
     fn record_events(&mut self, events: &[u8]) {
         self.in_flight.record_first_token();
+        quarantine::record_progress(&self.core, &self.call, &mut self.in_flight);
         if self.relayed == 0 {
             self.record_origin();
         }
