Convictions of prompt parts are kept in the key-value service

Gateways that start while no other one runs let a part crash three more servers. Convictions of parts are now written beside those of requests, with the times between the crashes, and lifted there by the part's arbiter once an answer is written on it, or by an operator who deletes the key.

--- a/crates/decide/src/quarantine/parts.rs
+++ b/crates/decide/src/quarantine/parts.rs
@@ -19,7 +19,7 @@
 use self::history::History;
 pub use self::report::Report;
 pub use self::subject::Subject;
-use super::{DETECTION_MS, GOSSIP_MS, MAX_FAILURES, Verdict};
+use super::{Crash, DETECTION_MS, GOSSIP_MS, MAX_FAILURES, Verdict};
 use crate::engine::PartId;
 
 /// Time after the first event at which an answer no longer counts as just begun, in milliseconds.
@@ -194,6 +194,13 @@
         )
     }
 
+    /// Returns the crashes that count against a part.
+    #[must_use]
+    pub fn counted(&self, subject: Subject, now: Millis) -> Vec<Crash> {
+        let history = self.get(subject);
+        history.map_or_else(Vec::new, |history| history.counted_crashes(now))
+    }
+
     /// Merges a report from another gateway; returns `true` if that changed the record.
     pub fn merge(&mut self, report: &Report, now: Millis) -> bool {
         if report.crashes.is_empty() {
--- a/crates/decide/src/quarantine/parts/history.rs
+++ b/crates/decide/src/quarantine/parts/history.rs
@@ -141,6 +141,15 @@
         true
     }
 
+    /// Crashes that count against the part.
+    pub(super) fn counted_crashes(&self, now: Millis) -> Vec<Crash> {
+        let crash = |(server, at)| Crash {
+            server,
+            age_ms: now.saturating_sub(at),
+        };
+        self.counted().map(crash).collect()
+    }
+
     pub(super) fn report(&self, subject: Subject, now: Millis) -> Report {
         let crashes = self.crashes.iter().map(|(server, at)| Crash {
             server: *server,
--- a/crates/gateway/src/follow/applier.rs
+++ b/crates/gateway/src/follow/applier.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::Digest;
 use mulberryyoke_platform::kv::{Position, Revision};
 use mulberryyoke_wire::relay::Write;
 use tokio::time::Instant;
@@ -17,7 +16,7 @@
 use crate::core::Core;
 use crate::exchange::{self, Peer};
 use crate::protocol::ParseError;
-use crate::quarantine;
+use crate::quarantine::{self, Culprit};
 
 /// Time for which a key stays in force that a restored backup lacks, in milliseconds: gateways
 /// register again within two seconds, and operators repeat their lost writes.
@@ -114,9 +113,9 @@
         for key in keys {
             if is_restored {
                 self.missing.insert(key.clone(), expires_at);
-                if let Some(digest) = quarantine::digest_of(key) {
-                    quarantine::forget_written(&self.core, digest);
-                    quarantine::rewrite(&self.core, digest);
+                if let Some(culprit) = Culprit::parse_key(key) {
+                    quarantine::forget_written(&self.core, culprit);
+                    quarantine::rewrite(&self.core, culprit);
                 }
             } else if !self.missing.contains_key(key) {
                 self.apply_delete(key);
@@ -165,8 +164,8 @@
             self.apply_config(value, revision);
         } else if let Some(zone) = key.strip_prefix(protocol.evacuations_prefix()) {
             self.zones.evacuate(zone);
-        } else if let Some(digest) = quarantine::digest_of(key) {
-            self.apply_conviction(digest, value, revision);
+        } else if let Some(culprit) = Culprit::parse_key(key) {
+            self.apply_conviction(culprit, value, revision);
         } else if let Some(name) = key.strip_prefix(exchange::PEERS_PREFIX) {
             self.set_peer(name, Peer::parse(value));
         } else if let Some(name) = key.strip_prefix(exchange::HANDOFFS_PREFIX) {
@@ -183,12 +182,12 @@
         let prefix = self.core.protocol.evacuations_prefix();
         if let Some(zone) = key.strip_prefix(prefix) {
             self.zones.restore(zone);
-        } else if let Some(digest) = quarantine::digest_of(key) {
+        } else if let Some(culprit) = Culprit::parse_key(key) {
             // A conviction expires by itself; its loss in a restore does not clear it.
             if was_missing {
-                quarantine::forget_written(&self.core, digest);
+                quarantine::forget_written(&self.core, culprit);
             } else {
-                quarantine::release(&self.core, digest);
+                quarantine::release(&self.core, culprit);
             }
         } else if let Some(name) = key.strip_prefix(exchange::PEERS_PREFIX) {
             self.set_peer(name, None);
@@ -197,19 +196,14 @@
         }
     }
 
-    /// Merges the crashes that gateways recorded for a request. A value without any means that an
-    /// operator or a successful run cleared it.
-    fn apply_conviction(&self, digest: Digest, value: &[u8], revision: Revision) {
-        match quarantine::parse(digest, value) {
-            Some(suspect) if suspect.crashes.is_empty() => quarantine::release(&self.core, digest),
-            Some(suspect) => quarantine::receive_conviction(&self.core, &suspect),
-            None => {
-                let error = ParseError {
-                    subject: "crashes under a request".to_owned(),
-                    reason: "server ids are not numbers".to_owned(),
-                };
-                self.log_unreadable(&digest.to_string(), revision, &error);
-            }
+    /// Merges a conviction that a gateway wrote.
+    fn apply_conviction(&self, culprit: Culprit, value: &[u8], revision: Revision) {
+        if !quarantine::receive_written(&self.core, culprit, value) {
+            let error = ParseError {
+                subject: "crashes under a request or prompt part".to_owned(),
+                reason: "server ids or ages are not numbers".to_owned(),
+            };
+            self.log_unreadable(&culprit.to_string(), revision, &error);
         }
     }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -2,12 +2,14 @@
 
 mod admit;
 mod conviction;
+mod culprit;
 mod part_admission;
 mod parts;
 mod probe;
 mod run;
 mod silence;
 mod success;
+mod written;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -21,7 +23,8 @@
 use tokio::time::Instant;
 
 pub(crate) use self::admit::{PATH, admit, handle_admit};
-pub(crate) use self::conviction::{digest_of, parse, rewrite};
+pub(crate) use self::conviction::rewrite;
+pub(crate) use self::culprit::Culprit;
 pub(crate) use self::part_admission::{
     Barred, PATH as PART_PATH, admit as admit_parts, barred, handle_admit as handle_admit_part,
     log_withheld,
@@ -53,7 +56,7 @@
     /// Convictions being written to the key-value service.
     pending_writes: AtomicUsize,
     /// Convictions known to be in the key-value service.
-    written: Mutex<HashSet<Digest>>,
+    written: Mutex<HashSet<Culprit>>,
 }
 
 impl Quarantine {
@@ -131,15 +134,39 @@
 pub(crate) fn receive(core: &Arc<Core>, suspects: &[Suspect]) {
     for suspect in suspects {
         if merge(core, suspect) {
-            conviction::ensure_written(core, suspect.digest);
+            conviction::ensure_written(core, Culprit::Request(suspect.digest));
         }
     }
 }
 
-/// Merges a conviction of the key-value service.
-pub(crate) fn receive_conviction(core: &Core, suspect: &Suspect) {
-    core.quarantine.written.lock().insert(suspect.digest);
-    merge(core, suspect);
+/// Merges a conviction of the key-value service; returns `false` if it cannot be read. A value
+/// without crashes means that an operator or a successful run lifted it.
+pub(crate) fn receive_written(core: &Arc<Core>, culprit: Culprit, value: &[u8]) -> bool {
+    match culprit {
+        Culprit::Request(digest) => {
+            let Some(suspect) = written::parse_request(digest, value) else {
+                return false;
+            };
+            if suspect.crashes.is_empty() {
+                release(core, culprit);
+            } else {
+                core.quarantine.written.lock().insert(culprit);
+                merge(core, &suspect);
+            }
+        }
+        Culprit::Part(subject) => {
+            let Some(report) = written::parse_part(subject, value) else {
+                return false;
+            };
+            if report.crashes.is_empty() {
+                release(core, culprit);
+            } else {
+                core.quarantine.written.lock().insert(culprit);
+                parts::receive(core, &[report]);
+            }
+        }
+    }
+    true
 }
 
 /// Merges a record of another gateway; `true` if that convicts the request.
@@ -197,23 +224,28 @@
             "ended" => verdict.crashes());
         if matches!(verdict, Verdict::Convicted { .. }) {
             log_conviction(core, digest, Verdict::Clear, verdict);
-            conviction::write(core, digest);
+            conviction::write(core, Culprit::Request(digest));
         }
     }
 }
 
 /// Records that a conviction is no longer in the key-value service.
-pub(crate) fn forget_written(core: &Core, digest: Digest) {
-    core.quarantine.written.lock().remove(&digest);
+pub(crate) fn forget_written(core: &Core, culprit: Culprit) {
+    core.quarantine.written.lock().remove(&culprit);
 }
 
-/// Clears a request on behalf of an operator.
-pub(crate) fn release(core: &Core, digest: Digest) {
-    forget_written(core, digest);
+/// Lifts a conviction on behalf of an operator.
+pub(crate) fn release(core: &Core, culprit: Culprit) {
+    forget_written(core, culprit);
     let now = clock::now_ms();
-    let crashes_before = core.quarantine.update(|records| records.clear(digest, now));
-    if crashes_before > 0 {
-        log_cleared(core, digest, crashes_before, "released");
+    match culprit {
+        Culprit::Request(digest) => {
+            let crashes_before = core.quarantine.update(|records| records.clear(digest, now));
+            if crashes_before > 0 {
+                log_cleared(core, digest, crashes_before, "released");
+            }
+        }
+        Culprit::Part(subject) => parts::release(core, subject, now),
     }
 }
 
--- a/crates/gateway/src/quarantine/conviction.rs
+++ b/crates/gateway/src/quarantine/conviction.rs
@@ -5,18 +5,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use mulberryyoke_decide::quarantine::{Crash, Suspect};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{Digest, ServerId};
 use mulberryyoke_platform::kv::Error;
 use rand::RngExt;
 use tokio::time::sleep;
 
+use super::{Culprit, written};
 use crate::core::Core;
 
-/// Prefix of the keys, followed by the digest of the request in hexadecimal.
-const KEY_PREFIX: &str = "mulberryyoke/quarantine/";
-
 /// Lease of a conviction, in milliseconds. Equal to the lifetime of its evidence.
 const LEASE_MS: u64 = 600_000;
 
@@ -40,38 +36,13 @@
 /// Maximum concurrent writes. Convictions beyond it spread only by messages between gateways.
 const MAX_PENDING_WRITES: usize = 16;
 
-/// Digest of the request in a key; `None` for other keys.
-pub(crate) fn digest_of(key: &str) -> Option<Digest> {
-    Digest::parse(key.strip_prefix(KEY_PREFIX)?)
-}
-
-/// Parses a conviction: the instances that crashed while running the request, or none if it was
-/// cleared.
-pub(crate) fn parse(digest: Digest, value: &[u8]) -> Option<Suspect> {
-    let text = std::str::from_utf8(value).ok()?;
-    let instances = text
-        .split_whitespace()
-        .map(|instance| instance.parse().ok());
-    let crashes = instances.map(|instance| {
-        Some(Crash {
-            server: ServerId(instance?),
-            age_ms: 0,
-        })
-    });
-    Some(Suspect {
-        digest,
-        crashes: crashes.collect::<Option<_>>()?,
-        success_age_ms: None,
-    })
-}
-
-/// Writes the record of a request to the key-value service in the background.
-pub(super) fn write(core: &Arc<Core>, digest: Digest) {
+/// Writes a conviction, or that it was lifted, to the key-value service in the background.
+pub(super) fn write(core: &Arc<Core>, culprit: Culprit) {
     let writes = &core.quarantine.pending_writes;
     if writes.fetch_add(1, Ordering::Relaxed) >= MAX_PENDING_WRITES {
         writes.fetch_sub(1, Ordering::Relaxed);
         log!(core.logger, Event::ConvictionWriteFailed,
-            "digest" => digest.to_string(), "error" => "too many pending writes");
+            "digest" => culprit.to_string(), "error" => "too many pending writes");
         return;
     }
     let core = Arc::clone(core);
@@ -79,7 +50,7 @@
         let terminate = core.shutdown.terminate.clone();
         tokio::select! {
             () = terminate.cancelled() => {}
-            () = put_with_retries(&core, digest) => {}
+            () = put_with_retries(&core, culprit) => {}
         }
         core.quarantine
             .pending_writes
@@ -88,10 +59,9 @@
 }
 
 /// Rewrites a conviction that was lost when the key-value service was restored from a backup.
-/// Without it, restarted gateways would let the request crash more servers. Done by the arbiter of
-/// the request only.
-pub(crate) fn rewrite(core: &Arc<Core>, digest: Digest) {
-    if core.exchange.arbiter(digest).is_some() {
+/// Without it, restarted gateways would let it crash more servers. Done by its arbiter only.
+pub(crate) fn rewrite(core: &Arc<Core>, culprit: Culprit) {
+    if core.exchange.arbiter(culprit.digest()).is_some() {
         return;
     }
     let core = Arc::clone(core);
@@ -99,52 +69,55 @@
         // Spreads the load, as all gateways register again at the same time.
         let delay_ms = rand::rng().random_range(0..REWRITE_JITTER_MS);
         sleep(Duration::from_millis(delay_ms)).await;
-        write(&core, digest);
+        write(&core, culprit);
     });
 }
 
-/// Writes a conviction that several gateways learn at the same time: the arbiter of the request at
+/// Writes a conviction that several gateways learn at the same time: its arbiter at
 /// once, the others if it has not been written some time later.
-pub(super) fn ensure_written(core: &Arc<Core>, digest: Digest) {
+pub(super) fn ensure_written(core: &Arc<Core>, culprit: Culprit) {
     let core = Arc::clone(core);
     tokio::spawn(async move {
-        if core.exchange.arbiter(digest).is_some() {
+        if core.exchange.arbiter(culprit.digest()).is_some() {
             let gateways = u64::try_from(core.exchange.gateway_count()).unwrap_or(u64::MAX);
             let spread_ms = gateways.saturating_mul(SPREAD_PER_GATEWAY_MS).max(1);
             let delay_ms = ARBITER_TIME_MS + rand::rng().random_range(0..spread_ms);
             sleep(Duration::from_millis(delay_ms)).await;
         }
-        let is_written = core.quarantine.written.lock().contains(&digest);
+        let is_written = core.quarantine.written.lock().contains(&culprit);
         if !is_written {
-            write(&core, digest);
+            write(&core, culprit);
         }
     });
 }
 
-async fn put_with_retries(core: &Core, digest: Digest) {
+async fn put_with_retries(core: &Core, culprit: Culprit) {
     for _ in 0..MAX_ATTEMPTS {
-        match put(core, digest).await {
+        match put(core, culprit).await {
             Ok(()) => return,
             Err(error) => {
                 log!(core.logger, Event::ConvictionWriteFailed,
-                    "digest" => digest.to_string(), "error" => error.to_string());
+                    "digest" => culprit.to_string(), "error" => error.to_string());
             }
         }
         sleep(RETRY_DELAY).await;
     }
 }
 
-async fn put(core: &Core, digest: Digest) -> Result<(), Error> {
+async fn put(core: &Core, culprit: Culprit) -> Result<(), Error> {
     let lease = core.feed.grant(LEASE_MS).await?.id;
-    let key = format!("{KEY_PREFIX}{digest}");
+    let key = culprit.key();
     core.feed
-        .put(&key, encode(core, digest).as_bytes(), lease)
+        .put(&key, encode(core, culprit).as_bytes(), lease)
         .await
 }
 
-/// Instances whose crashes count against the request; empty if it was cleared.
-fn encode(core: &Core, digest: Digest) -> String {
-    let servers = core.quarantine.counted_servers(digest).into_iter();
-    let instances: Vec<String> = servers.map(|server| server.0.to_string()).collect();
-    instances.join(" ")
+/// The crashes that convict; empty if it was cleared.
+fn encode(core: &Core, culprit: Culprit) -> String {
+    match culprit {
+        Culprit::Request(digest) => {
+            written::encode_request(core.quarantine.counted_servers(digest))
+        }
+        Culprit::Part(subject) => written::encode_part(&core.quarantine.parts.counted(subject)),
+    }
 }
--- a/crates/gateway/src/quarantine/parts.rs
+++ b/crates/gateway/src/quarantine/parts.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
-use mulberryyoke_decide::quarantine::Verdict;
 use mulberryyoke_decide::quarantine::parts::{Failure, Parts as Table, Report, Subject};
+use mulberryyoke_decide::quarantine::{Crash, Verdict};
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::ServerId;
 use parking_lot::Mutex;
 
+use super::{Culprit, conviction};
 use crate::backend::{Backend, InFlight};
 use crate::call::Call;
 use crate::clock;
@@ -59,6 +60,11 @@
         self.table.lock().report(subject, clock::now_ms())
     }
 
+    /// Crashes that count against a part.
+    pub(super) fn counted(&self, subject: Subject) -> Vec<Crash> {
+        self.table.lock().counted(subject, clock::now_ms())
+    }
+
     /// Records to send to other gateways.
     pub(crate) fn updates(&self) -> Vec<Report> {
         if self.is_empty() {
@@ -103,7 +109,9 @@
     let suspected = parts.update(|table| table.record_crash(crashed, backend.heard_ms(), now));
     parts.record_change(!suspected.is_empty());
     for subject in suspected {
-        log_conviction(core, subject);
+        if log_conviction(core, subject) {
+            conviction::ensure_written(core, Culprit::Part(subject));
+        }
     }
 }
 
@@ -112,9 +120,22 @@
     let parts = &core.quarantine.parts;
     let now = clock::now_ms();
     for report in reports {
-        if parts.update(|table| table.merge(report, now)) {
-            let is_new = log_conviction(core, report.subject);
-            parts.record_change(is_new);
+        if !parts.update(|table| table.merge(report, now)) {
+            continue;
+        }
+        let subject = report.subject;
+        let is_new = log_conviction(core, subject);
+        parts.record_change(is_new);
+        if is_new {
+            conviction::ensure_written(core, Culprit::Part(subject));
+        }
+        if parts.counted(subject).is_empty() {
+            lift(
+                core,
+                subject,
+                report.crashes.len() as u64,
+                "ended well elsewhere",
+            );
         }
     }
 }
@@ -140,10 +161,28 @@
     let (version, now) = (backend.server.version, clock::now_ms());
     let cleared = parts.update(|table| table.record_run(&prompt.part_ids, version, at, now));
     for (subject, crashes) in cleared {
-        log_cleared(core, subject, crashes, "ended well");
+        lift(core, subject, crashes.into(), "ended well");
     }
 }
 
+/// Lifts the conviction of a part that has been cleared; the arbiter does so in the key-value
+/// service.
+fn lift(core: &Arc<Core>, subject: Subject, crashes_before: u64, reason: &str) {
+    let culprit = Culprit::Part(subject);
+    if log_cleared(core, subject, crashes_before, reason)
+        && core.exchange.arbiter(culprit.digest()).is_none()
+    {
+        conviction::write(core, culprit);
+    }
+}
+
+/// Clears a part on behalf of an operator.
+pub(super) fn release(core: &Core, subject: Subject, now: u64) {
+    let parts = &core.quarantine.parts;
+    let crashes_before = parts.update(|table| table.clear(subject, now));
+    log_cleared(core, subject, crashes_before.into(), "released");
+}
+
 /// Logs a conviction that is new to this gateway; `false` if there is none.
 fn log_conviction(core: &Core, subject: Subject) -> bool {
     let parts = &core.quarantine.parts;
@@ -164,7 +203,7 @@
 }
 
 /// Logs that a part is no longer held, if it was logged as convicted; `true` if so.
-fn log_cleared(core: &Core, subject: Subject, crashes_before: u32, reason: &str) -> bool {
+fn log_cleared(core: &Core, subject: Subject, crashes_before: u64, reason: &str) -> bool {
     let parts = &core.quarantine.parts;
     if !parts.convicted.lock().remove(&subject) {
         return false;
--- a/crates/gateway/src/quarantine/success.rs
+++ b/crates/gateway/src/quarantine/success.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use super::run::Run;
-use super::{conviction, log_cleared, parts, probe};
+use super::{Culprit, conviction, log_cleared, parts, probe};
 use crate::backend::{Backend, InFlight};
 use crate::call::Call;
 use crate::clock;
@@ -63,6 +63,6 @@
     }
     log_cleared(core, digest, crashes_before, "ended well");
     if crashes_before >= CONVICTION_THRESHOLD {
-        conviction::write(core, digest);
+        conviction::write(core, Culprit::Request(digest));
     }
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod notices;
 mod outages;
 mod overload;
+mod part_convictions;
 mod part_server;
 mod peers;
 mod prompt_fleet;
--- a/crates/gateway/tests/gateway/prompt_fleet.rs
+++ b/crates/gateway/tests/gateway/prompt_fleet.rs
@@ -165,6 +165,13 @@
         caller::send(callers, &caller::request_with_body(path, PROMPT, body)).await
     }
 
+    /// Sends a request with these parts, and one of its own, to the gateway whose turn it is.
+    pub(crate) async fn send_parts(&self, path: &str, parts: &[u64]) -> Response {
+        let number = self.number.fetch_add(1, Ordering::Relaxed);
+        let turn = usize::try_from(number).expect("it fits");
+        caller::send(self.callers(turn), &request(path, number, parts)).await
+    }
+
     /// Prepares a request with one of these prompts for the gateway whose turn it is. The call
     /// returns whether an answer began.
     fn call(
