Tests: a stream from a server that speaks HTTP/1.0 shows whether it is whole

Cause: the response to the caller takes over the version of the server's protocol. An answer of HTTP/1.0 has no chunks, so its end shows the caller nothing: one that was broken off inside an event looks whole.

Change: a test with a server that speaks HTTP/1.0, a whole stream and one that ends inside an event.

--- a/crates/gateway/tests/gateway/responses.rs
+++ b/crates/gateway/tests/gateway/responses.rs
@@ -1,11 +1,14 @@
 //! Responses to callers: status, forwarded headers, timeouts and large bodies.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use googletest::prelude::*;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
-use crate::backend::{Backend, Behavior, LARGE_BODY_BYTES, field};
+use crate::backend::{Backend, Behavior, LARGE_BODY_BYTES, State, field, read_request};
 use crate::caller;
 use crate::fleet::ready;
 use crate::protocol::TIMEOUT_MS;
@@ -184,3 +187,38 @@
     }
     expect_that!(backend.state.heads().len(), eq(2));
 }
+
+/// Starts a server that speaks HTTP/1.0, in which no answer has chunks, and answers with this body.
+async fn spawn_http_1_0(body: &'static str) -> Backend {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let text = format!("HTTP/1.0 200 OK\r\nx-id: q1\r\nx-seal: s\r\n\r\n{body}");
+            if read_request(&mut stream).await.is_some() {
+                // The gateway may have closed the connection.
+                let _ = stream.write_all(text.as_bytes()).await;
+            }
+        }
+    });
+    let state = Arc::new(State::new(Behavior::Answer));
+    Backend { address, state }
+}
+
+#[gtest]
+#[tokio::test]
+async fn the_end_of_a_stream_from_an_http_1_0_server_shows_whether_it_is_whole() {
+    let table = [
+        ("id: 1\ndata: a\n\n", true),
+        ("id: 1\ndata: a\n\nid: 2\nda", false),
+    ];
+    for (body, is_whole) in table {
+        let backend = spawn_http_1_0(body).await;
+        let (_service, node) = ready(&[&backend]).await;
+        let response = node.send("/stream/", "x-tokens: 100\r\n").await;
+        expect_that!(response.status, eq(200));
+        expect_that!(response.body, contains_substring("id: 1"));
+        expect_that!(response.head, starts_with("http/1.1"), "{body:?}");
+        expect_that!(response.is_complete, eq(is_whole), "{body:?}");
+    }
+}
