Mend: the version of a server's protocol was passed on to callers

What callers saw: a stream from a server that speaks HTTP/1.0, broken off inside an event, ended like a whole one; and their connections ended with each answer.

Cause: the head of the response was passed on with the version of the server's protocol, so that the answer to the caller had no chunks either.

Change: the response is one of HTTP/1.1; its connection lowers that where the caller speaks HTTP/1.0.

--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -7,7 +7,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use tokio::time::Instant;
 
 use crate::backend::InFlight;
@@ -198,6 +198,8 @@
     }
     let is_success = head.status.is_success();
     header::strip_hop_by_hop(&mut head.headers);
+    // The caller's connection has a version of its own.
+    head.version = Version::HTTP_11;
     if call.route.kind.is_stream() && is_success {
         let chunks = stream_relay::spawn(core, call, in_flight, run, (conn, response_head), body);
         return Outcome::Completed(Response::from_parts(head, ResponseBody::Stream(chunks)));
