Soak: servers that crash on a part of a prompt, resumptions, bare answers

Change: two more tests of the fault soak. One in which a part of prompts crashes model servers, which come back as new instances, beside faults of gateways and the store; it checks that at most three requests with the part reach servers later than 3 s after the fifth crash, sent by gateways in touch, and that sound prompts begin half as often as before (20 of each). One in which callers leave streams and resume them at other gateways, and answers have neither a length nor chunks, whole and broken off inside an event; it checks that streams go on half as often as new ones begin (12 of each, two servers of the version). The tests take turns, so that not more runs at once.

Checks of before: they hold as they were for answers with a length or chunks. A bare stream that a fault of server connections ends between two events looks whole to anyone, so it may end early then; what a server breaks off inside an event may be lost; a caller that leaves and a stream that its server breaks off do not count against the recovery after all gateways were killed.

--- a/crates/daemon/tests/soak/audit/version.rs
+++ b/crates/daemon/tests/soak/audit/version.rs
@@ -5,6 +5,7 @@
 use super::Audit;
 use crate::backend::RecordedRequest;
 use crate::load::Call;
+use crate::run::Run;
 use crate::store_values::version_of;
 
 /// All runs of a stream, over the attempts of its caller, are on servers of one version once it has
@@ -42,3 +43,37 @@
         }
     }
 }
+
+/// Minimum number of streams of a sample.
+const MIN_SAMPLE: usize = 12;
+
+/// Minimum number of servers of its version at which a resumed stream counts.
+const MIN_SERVING: usize = 2;
+
+/// Streams that callers resume go on half as often at least as new ones begin.
+pub(super) fn check_share(audit: &mut Audit, run: &Run, calls: &[Call]) {
+    let is_in_touch = |call: &&Call| {
+        let (from, to) = (call.sent_at, call.ended_at);
+        call.kind == "resume" && run.fault_log.has_current_config(call.gateway, from, to)
+    };
+    let in_touch = calls.iter().filter(is_in_touch);
+    let (resumed, new): (Vec<&Call>, Vec<&Call>) = in_touch.partition(|call| call.first.is_some());
+    let resumed = resumed
+        .into_iter()
+        .filter(|call| call.serving >= MIN_SERVING);
+    let resumed: Vec<&Call> = resumed.collect();
+    if resumed.len() < MIN_SAMPLE || new.len() < MIN_SAMPLE {
+        return;
+    }
+    let begun = |calls: &[&Call]| calls.iter().filter(|call| call.has_begun()).count();
+    let (continued, started) = (begun(&resumed), begun(&new));
+    // Half of the share, as products, which are exact.
+    let holds = 2 * continued * new.len() >= started * resumed.len();
+    audit.check("share of resumptions", holds, || {
+        format!(
+            "{continued} of {} go on, {started} of {} new ones begin",
+            resumed.len(),
+            new.len()
+        )
+    });
+}
