--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -4,12 +4,14 @@
 use std::sync::atomic::Ordering;
 
 use mulberryyoke_decide::engine::{Part, Position, Prompt, Reservation};
+use mulberryyoke_decide::quarantine::parts::SETTLING_MS;
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::{Backend, Fetch};
+use super::{Answer, Backend, Fetch};
 use crate::clock;
 use crate::connection_pool::Connection;
+use crate::framing::Framing;
 use crate::protocol::ResponseHead;
 
 /// A request in flight, counted in the estimated load of its server until it is dropped.
@@ -41,6 +43,10 @@
     slowdown: f64,
     pub(crate) sent_at: Instant,
     first_token_at: Option<Instant>,
+    /// Answer that the server has begun to write.
+    answer: Option<Answer>,
+    /// Epoch of the quarantine's records of prompt parts that the answer has cleared.
+    cleared_epoch: u64,
     /// Whether it is a suspect request that is kept apart from other suspects.
     is_isolated: bool,
 }
@@ -96,6 +102,8 @@
             slowdown,
             sent_at: Instant::now(),
             first_token_at: None,
+            answer: None,
+            cleared_epoch: 0,
             is_isolated: false,
         }
     }
@@ -148,6 +156,40 @@
         Some(clock::between_ms(self.sent_at, first_token_at))
     }
 
+    /// When the first event was received, in milliseconds of the boot clock.
+    pub(crate) fn began_ms(&self) -> Option<u64> {
+        let elapsed_ms = clock::between_ms(self.first_token_at?, Instant::now());
+        Some(clock::now_ms().saturating_sub(elapsed_ms))
+    }
+
+    /// Whether the answer no longer counts as just begun, unless that was returned for this epoch.
+    pub(crate) fn is_settled_since(&mut self, epoch: u64) -> bool {
+        if self.cleared_epoch == epoch {
+            return false;
+        }
+        let began_at = self.first_token_at;
+        let is_settled =
+            began_at.is_some_and(|at| clock::between_ms(at, Instant::now()) >= SETTLING_MS);
+        if is_settled {
+            self.cleared_epoch = epoch;
+        }
+        is_settled
+    }
+
+    /// Records the head of the answer.
+    pub(crate) fn record_head(&mut self, framing: Framing, is_success: bool) {
+        self.answer = Some(Answer {
+            began_at: Instant::now(),
+            framing,
+            is_success,
+        });
+    }
+
+    /// Answer that the server has begun to write; `None` before its head was received.
+    pub(crate) const fn answer(&self) -> Option<Answer> {
+        self.answer
+    }
+
     /// Records a complete response and returns its connection to the pool.
     pub(crate) fn complete(mut self, conn: Connection, response_head: ResponseHead) {
         self.record_response_start();
--- a/crates/gateway/src/body_relay.rs
+++ b/crates/gateway/src/body_relay.rs
@@ -35,7 +35,8 @@
         };
         match relayed {
             Ok(()) => {
-                quarantine::record_success(&core, &call, &in_flight.backend);
+                failure::log_connection_end(&core, &call, &in_flight);
+                quarantine::record_success(&core, &call, &in_flight);
                 in_flight.complete(conn, response_head);
             }
             Err(error) => {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,6 +3,7 @@
 mod collected;
 mod routed;
 mod send;
+mod trial;
 
 use std::sync::Arc;
 
@@ -12,6 +13,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use self::trial::Trial;
 use crate::backend::InFlight;
 use crate::balance;
 use crate::call::Call;
@@ -19,7 +21,7 @@
 use crate::denial::Denial;
 use crate::eligibility::Eligibility;
 use crate::outcome::Outcome;
-use crate::quarantine;
+use crate::quarantine::{self, Barred};
 use crate::refusal::Refusal;
 use crate::response_body::ResponseBody;
 use crate::streams::start::{self, Start};
@@ -50,6 +52,9 @@
     /// When this copy asked the quarantine for its admission, if it has not run since. Servers that
     /// are unreachable or reject the request don't use up the admission.
     admitted_at: Option<Instant>,
+    trial: Trial,
+    /// Versions that may not run the request because of its prompt's parts.
+    barred: Barred,
 }
 
 impl Attempts {
@@ -141,34 +146,7 @@
         core: &Arc<Core>,
         call: &Arc<Call>,
     ) -> Result<(Outcome, ServerId), Refusal> {
-        let is_isolated = self.check(core, call)?;
-        if self.tried.is_empty() {
-            waiting::serve_if_changed(core);
-        }
-        let may_have_run = self.possible_runs > 0;
-        let is_bound = self.version.is_some() || may_have_run;
-        let reserved = (!is_bound).then(|| waiting::reserved(core, call));
-        let eligible = Eligibility {
-            tried: &self.tried,
-            version: self.version,
-            reserved: reserved.as_deref().unwrap_or_default(),
-        };
-        let assigned = balance::assign(core, call, eligible, may_have_run, is_isolated);
-        let in_flight = match assigned {
-            Ok(in_flight) => in_flight,
-            Err(denial) => self.wait(core, call, denial, is_isolated).await?,
-        };
-        // Only a copy that is about to be sent asks for an admission, which excludes other copies.
-        let in_flight = match self.admit(core, call).await {
-            Ok(true) if !is_isolated => in_flight.isolate(),
-            Ok(_) => in_flight,
-            Err(refusal) => {
-                if !may_have_run {
-                    balance::refund(core, call);
-                }
-                return Err(refusal);
-            }
-        };
+        let in_flight = self.assign(core, call).await?;
         let server = in_flight.backend.server.id;
         self.tried.push(server);
         routed::record(core, call, &in_flight, self.possible_runs + self.not_run);
@@ -186,15 +164,70 @@
             _ => {
                 self.possible_runs += 1;
                 self.admitted_at = None;
+                self.trial = self.trial.after_run();
             }
         }
         Ok((outcome, server))
     }
 
+    /// Selects a server that may run the request, or waits for one.
+    async fn assign(&mut self, core: &Arc<Core>, call: &Arc<Call>) -> Result<InFlight, Refusal> {
+        loop {
+            let in_flight = self.select(core, call).await?;
+            // Only a copy that is about to be sent asks for an admission, which excludes other copies.
+            let admitted = self.admit(core, call).await;
+            let version = in_flight.backend.server.version;
+            match admitted {
+                Ok(is_isolated) if !self.barred.contains(&version) => {
+                    return Ok(if is_isolated {
+                        in_flight.isolate()
+                    } else {
+                        in_flight
+                    });
+                }
+                // A server of another version is selected next, as this one is barred.
+                Ok(_) => self.refund(core, call),
+                Err(refusal) => {
+                    self.refund(core, call);
+                    return Err(refusal);
+                }
+            }
+        }
+    }
+
+    /// Selects a server by what is known here.
+    async fn select(&mut self, core: &Arc<Core>, call: &Arc<Call>) -> Result<InFlight, Refusal> {
+        let is_isolated = self.check(core, call)?;
+        if self.tried.is_empty() {
+            waiting::serve_if_changed(core);
+        }
+        let may_have_run = self.possible_runs > 0;
+        let is_bound = self.version.is_some() || may_have_run;
+        let reserved = (!is_bound).then(|| waiting::reserved(core, call));
+        let eligible = Eligibility {
+            tried: &self.tried,
+            version: self.version,
+            reserved: reserved.as_deref().unwrap_or_default(),
+            barred: &self.barred,
+        };
+        match balance::assign(core, call, eligible, may_have_run, is_isolated) {
+            Ok(in_flight) => Ok(in_flight),
+            Err(denial) => self.wait(core, call, denial, is_isolated).await,
+        }
+    }
+
+    /// Refunds the customer, unless the request may have run elsewhere.
+    fn refund(&self, core: &Core, call: &Call) {
+        if self.possible_runs == 0 {
+            balance::refund(core, call);
+        }
+    }
+
     /// Checks what is known here of the request; `true` if it is to be isolated from other suspects.
     fn check(&mut self, core: &Core, call: &Call) -> Result<bool, Refusal> {
         let verdict = quarantine::check(core, call)?;
         self.is_suspect = verdict.crashes() > 0;
+        self.bar(quarantine::barred(core, call));
         Ok(verdict.crashes() >= ISOLATION_CRASHES)
     }
 
@@ -206,7 +239,20 @@
         self.is_suspect = verdict.crashes() > 0;
         let admitted_at = self.admitted_at.unwrap_or(asked_at);
         self.admitted_at = self.is_suspect.then_some(admitted_at);
-        Ok(verdict.crashes() >= ISOLATION_CRASHES)
+        let is_trial = self.trial == Trial::Admitted;
+        let admission = quarantine::admit_parts(core, call, is_trial).await;
+        self.trial = Trial::new(admission.is_trial);
+        self.bar(admission.barred);
+        Ok(verdict.crashes() >= ISOLATION_CRASHES || admission.is_trial)
+    }
+
+    /// Adds versions that may not run the request. None is taken off while it is dispatched.
+    fn bar(&mut self, versions: Barred) {
+        let new = versions.into_iter();
+        let new: Barred = new
+            .filter(|version| !self.barred.contains(version))
+            .collect();
+        self.barred.extend(new);
     }
 
     /// Waits for a server after the first attempt was rejected because of load, or returns the
@@ -229,6 +275,7 @@
         Self {
             possible_runs: self.possible_runs + 1,
             admitted_at: None,
+            trial: self.trial.after_run(),
             ..self.clone()
         }
     }
@@ -248,14 +295,19 @@
     /// Whether a stalled server may be given up for another. A suspect must not run twice at the
     /// same time.
     pub(crate) fn may_abandon(&self, call: &Call) -> bool {
-        self.has_attempts_left(call) && !self.is_suspect
+        self.has_attempts_left(call) && self.may_run_twice()
+    }
+
+    /// Whether the request may run on two servers at the same time.
+    fn may_run_twice(&self) -> bool {
+        !self.is_suspect && self.trial == Trial::None
     }
 
     /// Whether the current server, which must not be counted yet, may be given up for another.
     fn may_give_up(&self, call: &Call) -> bool {
         let is_last =
             !call.route.kind.is_retryable() || self.possible_runs + 1 >= call.route.max_attempts;
-        !is_last && !self.is_suspect
+        !is_last && self.may_run_twice()
     }
 
     /// Reserves another attempt after a server that did not run the request; `false` if none is
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -2,9 +2,15 @@
 
 mod admit;
 mod conviction;
+mod culprit;
+mod part_admission;
+mod parts;
 mod probe;
+mod run;
 mod silence;
+mod success;
 mod withdraw;
+mod written;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -18,12 +24,18 @@
 use tokio::time::Instant;
 
 pub(crate) use self::admit::{PATH, admit, check, handle_admit};
-pub(crate) use self::conviction::{digest_of, parse, rewrite};
+pub(crate) use self::conviction::rewrite;
+pub(crate) use self::culprit::Culprit;
+pub(crate) use self::part_admission::{
+    Barred, PATH as PART_PATH, admit as admit_parts, barred, handle_admit as handle_admit_part,
+    log_withheld,
+};
+pub(crate) use self::parts::{Parts, receive as receive_parts, record_progress};
 pub(crate) use self::probe::{record_failure, record_lapse};
 pub(crate) use self::silence::{Watch, check_silence, record_abandoned, spawn_silence_check};
+pub(crate) use self::success::record_success;
 pub(crate) use self::withdraw::{PATH as WITHDRAW_PATH, handle_withdraw, withdraw};
 use crate::backend::Backend;
-use crate::call::Call;
 use crate::clock;
 use crate::core::Core;
 
@@ -37,6 +49,8 @@
 #[derive(Debug)]
 pub(crate) struct Quarantine {
     records: Mutex<Records>,
+    /// Records of prompt parts.
+    pub(crate) parts: Parts,
     /// Number of records. While it is zero, the hot path takes no lock and computes no digest.
     record_count: AtomicUsize,
     last_expiry_ms: AtomicU64,
@@ -44,13 +58,14 @@
     /// Convictions being written to the key-value service.
     pending_writes: AtomicUsize,
     /// Convictions known to be in the key-value service.
-    written: Mutex<HashSet<Digest>>,
+    written: Mutex<HashSet<Culprit>>,
 }
 
 impl Quarantine {
     pub(crate) fn new() -> Self {
         Self {
             records: Mutex::default(),
+            parts: Parts::default(),
             record_count: AtomicUsize::new(0),
             last_expiry_ms: AtomicU64::new(0),
             http: Http::new(CONNECT_TIMEOUT_MS),
@@ -97,6 +112,7 @@
         if !self.is_empty() {
             self.records.lock().tell_again(clock::now_ms());
         }
+        self.parts.tell_again();
     }
 
     /// Removes expired records.
@@ -108,6 +124,7 @@
         }
         self.last_expiry_ms.store(now, Ordering::Relaxed);
         self.update(|records| records.expire(now));
+        self.parts.expire(now);
         #[expect(clippy::cast_precision_loss, reason = "gauges are floating-point")]
         metrics::gauge!("quarantine_requests")
             .set(self.record_count.load(Ordering::Relaxed) as f64);
@@ -119,15 +136,39 @@
 pub(crate) fn receive(core: &Arc<Core>, suspects: &[Suspect]) {
     for suspect in suspects {
         if merge(core, suspect) {
-            conviction::ensure_written(core, suspect.digest);
+            conviction::ensure_written(core, Culprit::Request(suspect.digest));
         }
     }
 }
 
-/// Merges a conviction of the key-value service.
-pub(crate) fn receive_conviction(core: &Core, suspect: &Suspect) {
-    core.quarantine.written.lock().insert(suspect.digest);
-    merge(core, suspect);
+/// Merges a conviction of the key-value service; returns `false` if it cannot be read. A value
+/// without crashes means that an operator or a successful run lifted it.
+pub(crate) fn receive_written(core: &Arc<Core>, culprit: Culprit, value: &[u8]) -> bool {
+    match culprit {
+        Culprit::Request(digest) => {
+            let Some(suspect) = written::parse_request(digest, value) else {
+                return false;
+            };
+            if suspect.crashes.is_empty() {
+                release(core, culprit);
+            } else {
+                core.quarantine.written.lock().insert(culprit);
+                merge(core, &suspect);
+            }
+        }
+        Culprit::Part(subject) => {
+            let Some(report) = written::parse_part(subject, value) else {
+                return false;
+            };
+            if report.crashes.is_empty() {
+                release(core, culprit);
+            } else {
+                core.quarantine.written.lock().insert(culprit);
+                parts::receive(core, &[report]);
+            }
+        }
+    }
+    true
 }
 
 /// Merges a record of another gateway; `true` if that convicts the request.
@@ -168,6 +209,7 @@
 
 /// Records a crash, which makes suspects of the requests that failed there.
 fn record_crash(core: &Arc<Core>, server: ServerId, backend: &Backend) {
+    parts::record_crash(core, server, backend);
     let now = clock::now_ms();
     let (suspects, is_mass_crash) = core.quarantine.update(|records| {
         let crashed = (server, backend.server.version);
@@ -184,42 +226,28 @@
             "ended" => verdict.crashes());
         if matches!(verdict, Verdict::Convicted { .. }) {
             log_conviction(core, digest, Verdict::Clear, verdict);
-            conviction::write(core, digest);
+            conviction::write(core, Culprit::Request(digest));
         }
     }
 }
 
-/// Records that a request ran on a server without a crash.
-pub(crate) fn record_success(core: &Arc<Core>, call: &Call, backend: &Backend) {
-    if core.quarantine.is_empty() {
-        return;
-    }
-    let digest = call.digest();
-    let (version, now) = (backend.server.version, clock::now_ms());
-    let crashes_before = core
-        .quarantine
-        .update(|records| records.record_success(digest, version, now));
-    if crashes_before == 0 {
-        return;
-    }
-    log_cleared(core, digest, crashes_before, "ended well");
-    if crashes_before >= mulberryyoke_decide::quarantine::CONVICTION_THRESHOLD {
-        conviction::write(core, digest);
-    }
-}
-
 /// Records that a conviction is no longer in the key-value service.
-pub(crate) fn forget_written(core: &Core, digest: Digest) {
-    core.quarantine.written.lock().remove(&digest);
+pub(crate) fn forget_written(core: &Core, culprit: Culprit) {
+    core.quarantine.written.lock().remove(&culprit);
 }
 
-/// Clears a request on behalf of an operator.
-pub(crate) fn release(core: &Core, digest: Digest) {
-    forget_written(core, digest);
+/// Lifts a conviction on behalf of an operator.
+pub(crate) fn release(core: &Core, culprit: Culprit) {
+    forget_written(core, culprit);
     let now = clock::now_ms();
-    let crashes_before = core.quarantine.update(|records| records.clear(digest, now));
-    if crashes_before > 0 {
-        log_cleared(core, digest, crashes_before, "released");
+    match culprit {
+        Culprit::Request(digest) => {
+            let crashes_before = core.quarantine.update(|records| records.clear(digest, now));
+            if crashes_before > 0 {
+                log_cleared(core, digest, crashes_before, "released");
+            }
+        }
+        Culprit::Part(subject) => parts::release(core, subject, now),
     }
 }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -47,6 +47,8 @@
     Stopping,
     /// The request crashes servers, or is suspected of it while another copy runs.
     Quarantined,
+    /// Servers crash on a part of the prompt.
+    PartQuarantined,
     /// The request was sent and may have run.
     OutcomeUnknown,
     /// A server's response doesn't belong to this request.
@@ -80,6 +82,7 @@
             | Self::VersionUnknown
             | Self::VersionUnanswered
             | Self::VersionGone
+            | Self::PartQuarantined
             | Self::Rejected
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             // A quarantined request has run under an earlier ID, which rules out 503.
@@ -112,6 +115,7 @@
             Self::Rejected => "turned_away",
             Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
+            Self::PartQuarantined => "part_quarantined",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::InvalidResponse => "garbled_answer",
             Self::TimedOut => "timed_out",
