Tests: callers of the fleets with a bad part try to connect again

Cause: a gateway that is overloaded closes its port, and the caller then panicked in a task of its own: the request was lost from the sample instead of counting as one that did not begin.

Change: such a caller tries to connect for 0.5 s; after that the request counts as not begun. Stricter than before for sound requests.

--- a/crates/gateway/tests/gateway/prompt_fleet.rs
+++ b/crates/gateway/tests/gateway/prompt_fleet.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Runtime};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
@@ -24,6 +26,10 @@
 /// Time after which a gateway that is no longer sent requests is killed.
 const LAST_REQUESTS: Duration = Duration::from_millis(150);
 
+/// Time for which a caller tries to connect, and the delay between two attempts.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+const RECONNECT_DELAY: Duration = Duration::from_millis(50);
+
 /// Time for the gateways to learn of each other.
 const SETTLING: Duration = Duration::from_millis(500);
 
@@ -177,11 +183,32 @@
         let request = request(path, number, prompts[turn % prompts.len()]);
         // Prompts and gateways change at different times.
         let callers = self.callers(turn / prompts.len() + turn);
-        let call = async move {
-            let response = caller::send(callers, &request).await;
-            response.status == 200 && response.body.contains("data: ")
-        };
-        (Instant::now(), call)
+        (Instant::now(), begins(callers, request))
+    }
+}
+
+/// Sends a request; whether an answer begins.
+async fn begins(callers: SocketAddr, request: String) -> bool {
+    let Some(mut stream) = connect(callers).await else {
+        return false;
+    };
+    if stream.write_all(request.as_bytes()).await.is_err() {
+        return false;
+    }
+    let response = caller::read_to_end(&mut stream).await;
+    response.status == 200 && response.body.contains("data: ")
+}
+
+/// Opens a connection. A gateway resets or refuses it while the machine is so busy that the gateway
+/// counts as overloaded, or when it was killed.
+async fn connect(callers: SocketAddr) -> Option<TcpStream> {
+    let until = Instant::now() + CONNECT_TIME;
+    loop {
+        match TcpStream::connect(callers).await {
+            Ok(stream) => return Some(stream),
+            Err(_) if Instant::now() < until => sleep(RECONNECT_DELAY).await,
+            Err(_) => return None,
+        }
     }
 }
 
