A request that a server did not run waits for another as it would have at first

What callers saw: 503 busy or 429 over_share at once, after a server that rejected the request, or was gone and still registered, though an attempt that began elsewhere waits for room.

Cause: only the first attempt was allowed to wait; the same class as resumptions that were not. After a crash the first server tried is often the one that is gone, as it looks idle.

Change: a request waits as long as no server may have run it, and not for the servers that it has tried.

Evidence: the new test failed before with 503 in three of three runs, for a server that rejects and for one that is another, and passes in three of three now, with the other tests of waiting and retries (14).

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -41,7 +41,7 @@
     select(core, call, eligible, is_new, may_have_run, is_isolated)
 }
 
-/// As [`assign`], for a request that was rejected in its first attempt and has waited since. It is
+/// As [`assign`], for a request that was rejected because of load and has waited since. It is
 /// not recorded as requested again.
 pub(crate) fn assign_waiting(
     core: &Core,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -208,8 +208,8 @@
         Ok(verdict.crashes() >= ISOLATION_CRASHES)
     }
 
-    /// Waits for a server after the first attempt was rejected because of load, or returns the
-    /// refusal.
+    /// Waits for a server after a request that has not run was rejected because of load, or returns
+    /// the refusal.
     async fn wait(
         &mut self,
         core: &Arc<Core>,
@@ -217,10 +217,10 @@
         denial: Denial,
         is_isolated: bool,
     ) -> Result<InFlight, Refusal> {
-        if !self.tried.is_empty() || is_isolated {
+        if self.possible_runs > 0 || is_isolated {
             return Err(balance::refuse(core, call, denial));
         }
-        waiting::wait(core, call, denial, self.version).await
+        waiting::wait(core, call, denial, self.version, &self.tried).await
     }
 
     /// Returns the attempts with the last server counted as having run the request.
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -18,7 +18,7 @@
 use mulberryyoke_decide::shed::Rejection;
 use mulberryyoke_decide::waiting::{self, Entry, Queue, Reserved};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{CustomerId, PoolId, VersionId, saturating_u32};
+use mulberryyoke_model::{CustomerId, PoolId, ServerId, VersionId, saturating_u32};
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -88,8 +88,9 @@
     call: &Arc<Call>,
     denial: Denial,
     version: Option<VersionId>,
+    tried: &[ServerId],
 ) -> Result<InFlight, Refusal> {
-    let Some(mut place) = enter(core, call, denial, version) else {
+    let Some(mut place) = enter(core, call, denial, version, tried) else {
         return Err(balance::refuse(core, call, denial));
     };
     let overdue = clock::wait_until(place.until + OVERDUE_MS);
@@ -128,6 +129,7 @@
     call: &Arc<Call>,
     denial: Denial,
     version: Option<VersionId>,
+    tried: &[ServerId],
 ) -> Option<Place> {
     let Denial::Rejected { rejection, usage } = denial else {
         return None;
@@ -151,7 +153,7 @@
         until,
         tokens: call.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
         bytes: call.body.bytes().len() + HEAD_BYTES,
-        payload: Waiter::new(call, denial, sender),
+        payload: Waiter::new(call, denial, tried, sender),
     };
     let mut queues = core.waiting.queues.lock();
     let limits = queues.limits(call.pool);
--- a/crates/gateway/src/waiting/attempt.rs
+++ b/crates/gateway/src/waiting/attempt.rs
@@ -19,9 +19,9 @@
 ) -> Result<Ending, Obstacle> {
     let call = &entry.payload.call;
     let eligible = Eligibility {
+        tried: &entry.payload.tried,
         version: entry.version,
         reserved,
-        ..Eligibility::default()
     };
     let denial = match balance::assign_waiting(core, call, eligible) {
         Ok(in_flight) => return Ok(Ending::Sent(in_flight)),
@@ -46,8 +46,9 @@
         return Ending::Refused(waiter.denial);
     }
     let eligible = Eligibility {
+        tried: &waiter.tried,
         version: entry.version,
-        ..Eligibility::default()
+        reserved: &[],
     };
     match balance::assign_waiting(core, &waiter.call, eligible) {
         Ok(in_flight) => Ending::Sent(in_flight),
--- a/crates/gateway/src/waiting/waiter.rs
+++ b/crates/gateway/src/waiting/waiter.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use mulberryyoke_model::ServerId;
+use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
 use super::Ending;
@@ -16,14 +18,22 @@
     pub(super) call: Arc<Call>,
     /// Why it was rejected on arrival.
     pub(super) denial: Denial,
+    /// Servers that did not run it.
+    pub(super) tried: SmallVec<[ServerId; 4]>,
     sender: oneshot::Sender<Ending>,
 }
 
 impl Waiter {
-    pub(super) fn new(call: &Arc<Call>, denial: Denial, sender: oneshot::Sender<Ending>) -> Self {
+    pub(super) fn new(
+        call: &Arc<Call>,
+        denial: Denial,
+        tried: &[ServerId],
+        sender: oneshot::Sender<Ending>,
+    ) -> Self {
         Self {
             call: Arc::clone(call),
             denial,
+            tried: SmallVec::from_slice(tried),
             sender,
         }
     }
--- a/crates/gateway/tests/gateway/waiting.rs
+++ b/crates/gateway/tests/gateway/waiting.rs
@@ -11,7 +11,7 @@
 use crate::backend::{Backend, Behavior};
 use crate::caller;
 use crate::feed::Service;
-use crate::fleet::{Node, ready};
+use crate::fleet::{Node, ready, register};
 use crate::protocol::{LONG_OBJECTIVE_MS, PATIENT_PREFIX, RESUMABLE_PREFIX, WAITING_PREFIX};
 
 /// Number of running streams at which a prompt of [`TOKENS`] misses the objective by a little: the
@@ -30,7 +30,7 @@
 /// A gateway with a server that runs all its slots and more.
 struct Setup {
     backend: Backend,
-    _service: Arc<Service>,
+    service: Arc<Service>,
     node: Node,
     streams: Vec<TcpStream>,
 }
@@ -43,7 +43,7 @@
         sleep(Duration::from_millis(600)).await;
         Self {
             backend,
-            _service: service,
+            service,
             node,
             streams: Vec::new(),
         }
@@ -244,3 +244,26 @@
         expect_that!(setup.requests(), eq(streams + 1), "{header_lines}");
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_resumption_that_a_server_did_not_run_waits_for_another() {
+    // The other server is idle, so it is asked first.
+    for behavior in [Behavior::Reject, Behavior::WrongServer] {
+        let mut setup = Setup::new("6 tokens=1000000 secret").await;
+        setup.occupy(14).await;
+        let other = Backend::spawn(behavior).await;
+        register(&setup.service, 1, &other, "ready");
+        sleep(Duration::from_millis(300)).await;
+        let header_lines = "Authorization: Bearer secret\r\nx-tokens: 9000\r\nx-after: 2\r\n";
+        let request = caller::request(RESUMABLE_PREFIX, header_lines);
+        let stream = setup.streams.pop();
+        let room = async {
+            sleep(ROOM_DELAY).await;
+            drop(stream);
+        };
+        let (response, ()) = tokio::join!(caller::send(setup.node.callers, &request), room);
+        expect_that!(other.state.heads().len(), eq(1), "{behavior:?}");
+        expect_that!(response.status, eq(200), "{behavior:?}: {}", response.body);
+    }
+}
