Mend: a call to the control port whose message does not end was kept for good

Cause: the messages of other gateways had a limit of size and none of time, and the heads of requests at the control and health ports neither, as their server had no timer. Who sends half a message held a task and a connection; nothing told so.

A message is given one second, its callers wait 150 ms; a head one minute, twice the time after which pooled connections are closed. What can't be read is answered 400 and logged (1060 with path and error).

a_message_that_does_not_end_is_refused_in_time fails on the code before (nothing within 3 s, at both paths) and passes, with the 26 other tests of calls, convictions, versions and streams. A message without end at full speed was refused before and is. The limit on heads is by reading, without a test: it would take a minute.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -140,6 +140,8 @@
     VersionsMixed = 1046, Info, "pools with several versions changed";
     /// A gateway that may know the version that began a stream could not be asked.
     OriginCallFailed = 1047, Warning, "gateway not asked for stream";
+    /// The message of a call by another gateway could not be read.
+    MessageUnreadable = 1060, Warning, "message unreadable";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/peer_call.rs
+++ b/crates/gateway/src/peer_call.rs
@@ -1,19 +1,26 @@
 //! Calls between gateways whose messages are encoded with postcard.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use mulberryyoke_event::{Event, log};
 use mulberryyoke_platform::http::{self, Failure, Http};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::core::Core;
 
 /// Maximum size of a message, in bytes. The record of a suspect request takes a few hundred.
 const MAX_MESSAGE_BYTES: usize = 4 << 10;
 
+/// Time limit for receiving a message. Callers wait for less.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Sends a message and returns the status and body of the response.
 pub(crate) async fn send(
     client: &Http,
@@ -30,11 +37,31 @@
     Ok((status, body))
 }
 
-/// Reads the message of a call; `None` if it is malformed or too large.
-pub(crate) async fn read<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
+/// Reads the message of a call; `None` if it is malformed, too large or late.
+pub(crate) async fn read<T: DeserializeOwned>(
+    core: &Core,
+    request: Request<Incoming>,
+) -> Option<T> {
+    let path = request.uri().path().to_owned();
+    let message = receive(request).await;
+    let error = match message {
+        Ok(message) => match postcard::from_bytes(&message) {
+            Ok(message) => return Some(message),
+            Err(error) => error.to_string(),
+        },
+        Err(error) => error,
+    };
+    log!(core.logger, Event::MessageUnreadable, "path" => path, "error" => error);
+    None
+}
+
+async fn receive(request: Request<Incoming>) -> Result<Bytes, String> {
     let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
-    let body = body.await.ok()?;
-    postcard::from_bytes(&body.to_bytes()).ok()
+    match timeout(READ_TIMEOUT, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) => Err(error.to_string()),
+        Err(_) => Err("message timed out".to_owned()),
+    }
 }
 
 /// Returns a response that carries a message.
--- a/crates/gateway/src/quarantine/admit.rs
+++ b/crates/gateway/src/quarantine/admit.rs
@@ -102,7 +102,7 @@
     core: &Arc<Core>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let Some(suspect) = peer_call::read::<Suspect>(request).await else {
+    let Some(suspect) = peer_call::read::<Suspect>(core, request).await else {
         return peer_call::bad_request();
     };
     let digest = suspect.digest;
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -11,7 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use mulberryyoke_event::{Event, log};
 use tokio::net::TcpListener;
@@ -28,6 +28,10 @@
 /// milliseconds: two renewals of its lease have failed.
 const MAX_CONTACT_AGE_MS: u64 = 3_600;
 
+/// Time limit for a request head, which an idle connection reaches as well. Clients close theirs after
+/// half of it.
+const HEAD_TIMEOUT: Duration = Duration::from_mins(1);
+
 /// Upper bounds of the latency histograms' buckets, in seconds.
 const BUCKETS_S: [f64; 10] = [0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 1.5, 5.0, 15.0];
 
@@ -130,7 +134,10 @@
         };
         let core = Arc::clone(&core);
         let service = service_fn(move |request| handle(Arc::clone(&core), request));
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
         // Clients may disconnect at any time.
         tokio::spawn(async move { drop(connection.await) });
     }
--- a/crates/gateway/src/streams/ask.rs
+++ b/crates/gateway/src/streams/ask.rs
@@ -64,7 +64,7 @@
     core: &Arc<Core>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    match peer_call::read(request).await {
+    match peer_call::read(core, request).await {
         Some(stream) => peer_call::response(StatusCode::OK, &core.streams.get(stream)),
         None => peer_call::bad_request(),
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod crashes;
 mod crashing_server;
 mod endless_answers;
+mod endless_calls;
 mod evacuation;
 mod exchange;
 mod feed;
