Mend: a stream was resumed after an event without an ID, which came twice

Callers of a route that may be resumed got the same piece twice: events 1 and one without an ID, then, from another server, all after 1.

Cause: the last ID was taken for the last event that the caller has, whatever came after it.

A stream whose last event carries no ID is not resumed, neither where it breaks off nor where it stalls; its caller sees it broken off. After the next event with an ID it can be resumed again. Servers number their events, so nothing is lost there.

--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use http_body_util::BodyExt;
+use hyper::Response;
 use hyper::body::Incoming;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::saturating_u32;
@@ -79,10 +80,7 @@
 impl StreamRelay {
     async fn run(mut self, conn: Connection, response_head: ResponseHead) {
         let end = self.relay().await;
-        let is_stalled = end == End::Stalled;
-        if is_stalled
-            || (end.is_broken() && self.attempts.try_reserve_retry(&self.core, &self.call))
-        {
+        if end == End::Stalled || (end.is_broken() && self.try_reserve_resumption()) {
             drop(conn);
             return self.resume(end).await;
         }
@@ -120,6 +118,11 @@
         }
     }
 
+    /// Reserves an attempt to resume the stream; `false` if it can't be resumed or none is allowed.
+    fn try_reserve_resumption(&self) -> bool {
+        self.events.are_resumable() && self.attempts.try_reserve_retry(&self.core, &self.call)
+    }
+
     /// Resumes the stream on another server after the last event that the caller received.
     async fn resume(mut self, end: End) {
         self.log_end(end);
@@ -139,11 +142,8 @@
             "request" => &call.id,
             "after" => self.last_event,
             "outcome" => resumed.as_ref().map_or_else(|refusal| refusal.code(), |_| "answered"));
-        let Ok(response) = resumed else {
-            self.chunks.fail(BodyError::Truncated).await;
-            return;
-        };
-        let ResponseBody::Stream(mut remaining) = response.into_body() else {
+        let body = resumed.map(Response::into_body);
+        let Ok(ResponseBody::Stream(mut remaining)) = body else {
             self.chunks.fail(BodyError::Truncated).await;
             return;
         };
@@ -192,7 +192,7 @@
                 () = &mut stalled => {
                     if stall_deadline.is_some_and(|at| at <= Instant::now()) {
                         let may_abandon = self.attempts.may_abandon(&self.call);
-                        if may_abandon && self.attempts.try_reserve_retry(&core, &self.call) {
+                        if may_abandon && self.try_reserve_resumption() {
                             return End::Stalled;
                         }
                         quarantine::spawn_silence_check(&core, &self.call, &self.in_flight);
@@ -237,7 +237,7 @@
             self.record_origin();
         }
         self.record_relayed();
-        self.events.record_event();
+        self.events.record(events);
         self.last_event = sse::last_id(events).or(self.last_event);
     }
 
--- a/crates/gateway/src/stream_relay/events.rs
+++ b/crates/gateway/src/stream_relay/events.rs
@@ -1,7 +1,7 @@
 //! Events received from a server.
 
 use bytes::Bytes;
-use mulberryyoke_wire::sse::EventBuffer;
+use mulberryyoke_wire::sse::{self, EventBuffer};
 
 /// Maximum number of bytes without an event, such as comments. Twice the size of an event.
 const MAX_EVENTLESS_BYTES: usize = 256 << 10;
@@ -12,6 +12,8 @@
     buffer: EventBuffer,
     /// Number of bytes received since the last event.
     eventless_bytes: usize,
+    /// Whether the last event has no ID.
+    is_unnumbered: bool,
 }
 
 impl Events {
@@ -25,9 +27,15 @@
         self.buffer.push_whole(data)
     }
 
-    /// Records that the completed part contains an event.
-    pub(super) const fn record_event(&mut self) {
+    /// Records a completed part that contains an event.
+    pub(super) fn record(&mut self, events: &[u8]) {
         self.eventless_bytes = 0;
+        self.is_unnumbered = sse::ends_without_id(events);
+    }
+
+    /// Whether another server can go on after the last event.
+    pub(super) const fn are_resumable(&self) -> bool {
+        !self.is_unnumbered
     }
 
     /// Whether there is no data after the last complete event.
--- a/crates/gateway/tests/gateway/answer_shapes.rs
+++ b/crates/gateway/tests/gateway/answer_shapes.rs
@@ -227,6 +227,27 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_stream_is_not_resumed_after_an_event_without_an_id() {
+    for (text, last) in [
+        ("data: t0\n\n", 0),
+        ("id: 1\ndata: t1\n\ndata: t0\n\n", 1),
+        ("id: 1\ndata: t1\n\ndata: t0\n\nid: 2\ndata: t2\n\n", 4),
+        ("id: 1\ndata: t1\n\ndata: t0\n\n: comment\n\n", 1),
+    ] {
+        let whole = text.to_owned() + &events(4);
+        for end in [End::Close, End::Keep] {
+            let script = script(Framing::Chunks, whole.as_bytes(), text.len(), end);
+            let response = send_beside_sound(script, "/resumable/").await;
+            let ids: Vec<u64> = (1..=last).collect();
+            expect_that!(event_ids(&response), eq(&ids), "{text:?}");
+            expect_that!(response.body.matches("t0").count(), eq(1), "{text:?}");
+            expect_that!(response.is_complete, eq(last == 4), "{text:?}");
+        }
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn plain_answers_are_whole_unless_their_framing_or_a_reset_says_otherwise() {
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -88,6 +88,25 @@
     lines.any(|line| line.starts_with(b"data:") || line.starts_with(b"id:"))
 }
 
+/// Whether the last event in a chunk of a stream has data and no ID of its own, so that the stream
+/// can't be resumed after it.
+#[must_use]
+pub fn ends_without_id(events: &[u8]) -> bool {
+    let lines = events.rsplit(|byte| *byte == b'\n');
+    let mut has_data = false;
+    for line in lines {
+        let is_end = matches!(line, b"" | b"\r");
+        if is_end && has_data {
+            return true;
+        }
+        if line.starts_with(b"id:") {
+            return false;
+        }
+        has_data |= line.starts_with(b"data:");
+    }
+    has_data
+}
+
 /// Values of the `data` fields in a chunk of a stream.
 pub fn data(events: &[u8]) -> impl Iterator<Item = &[u8]> {
     let lines = events.split(|byte| *byte == b'\n');
--- a/crates/wire/tests/sse.rs
+++ b/crates/wire/tests/sse.rs
@@ -59,3 +59,23 @@
         expect_that!(sse::has_event(text.as_bytes()), eq(has_event), "{text:?}");
     }
 }
+
+#[gtest]
+fn an_event_without_an_id_is_noticed_if_it_is_the_last() {
+    for (text, is_noticed) in [
+        ("id: 1\ndata: a\n\n", false),
+        ("data: a\nid: 1\n\n", false),
+        ("data: a\n\nid: 2\ndata: b\n\n", false),
+        ("id: 1\ndata: a\n\ndata: b\n\n", true),
+        ("id: 1\r\ndata: a\r\n\r\ndata: b\r\n\r\n", true),
+        ("data: b\n\n: comment\n\n", true),
+        ("id: 1\ndata: a\n\n: comment\n\n", false),
+        (": comment\n\n", false),
+    ] {
+        expect_that!(
+            sse::ends_without_id(text.as_bytes()),
+            eq(is_noticed),
+            "{text:?}"
+        );
+    }
+}
