Mend: a change of protocol was passed on to a caller that had not asked for one

Callers saw status 101 with the seal of a server that answers 101 and sends whatever it likes; their connection was of no more use, and the request was not sent elsewhere.

Cause: 101 is the one informational status that ends a head, and any sealed head counted as an answer.

An informational status is now treated like an answer without a seal: 502, or another server where that is allowed, and the connection is closed. No request for a change of protocol is passed on, so none can be answered.

--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -159,7 +159,7 @@
     }
     notice::apply(core, &in_flight.backend, response_head, &call.id);
     match response_head.verification {
-        Verification::Sealed if !head.headers.contains_key(CONTENT_ENCODING) => {}
+        Verification::Sealed if is_unencoded_response(&head) => {}
         Verification::Sealed | Verification::Unverified => {
             failure::record(
                 core,
@@ -211,6 +211,12 @@
     read_body(core, call, in_flight, (conn, response_head), head, body).await
 }
 
+/// Whether a response is final and not encoded. Callers request neither a change of protocol nor an
+/// encoding.
+fn is_unencoded_response(head: &Parts) -> bool {
+    !head.status.is_informational() && !head.headers.contains_key(CONTENT_ENCODING)
+}
+
 /// Reads the body of a verified response that is not a stream.
 async fn read_body(
     core: &Arc<Core>,
--- a/crates/gateway/tests/gateway/endless_answers.rs
+++ b/crates/gateway/tests/gateway/endless_answers.rs
@@ -124,6 +124,22 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_change_of_protocol_is_no_answer() {
+    for upgrade in ["", "connection: upgrade\r\nupgrade: any\r\n"] {
+        let head = format!("HTTP/1.1 101 Any\r\nx-id: q1\r\nx-seal: s\r\n{upgrade}\r\n");
+        let server = ShapedServer::spawn(endless(&head, "x")).await;
+        let (_service, node) = ready_at(&[server.address], None).await;
+        for path in ["/once/", "/stream/"] {
+            let response = node.send(path, PROMPT).await;
+            expect_that!(response.status, eq(502), "{path} {upgrade}");
+            expect_that!(response.is_complete, eq(true), "{path} {upgrade}");
+        }
+        expect_closed(&server, upgrade).await;
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn endless_plain_bodies_are_broken_off_at_the_deadline() {
