Mend: to callers without chunks an answer that was broken off looked complete

Callers that speak HTTP/1.0 saw a stream that its server broke off, or a large answer that was cut, end like a whole one: the connection was closed, and nothing else marks an end there.

The connection of such a caller is now reset when an answer ends with an error, its caller is cut or the gateway ends. What is still on its way to the caller may be lost with it. Callers with chunks see no change.

a_caller_without_chunks_notices_that_an_answer_is_broken_off fails on the code before (a stream cut after two of four events and a body without its last byte read to a proper end) and passes, with 58 others of shapes, responses, streams, handoff, slow callers and shutdown. Through a handoff to another gateway the reset is not passed on; that is open.

--- a/crates/gateway/src/listen/connection.rs
+++ b/crates/gateway/src/listen/connection.rs
@@ -1,15 +1,16 @@
 //! Serving a caller's connection, and closing it after a response.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::Watcher;
 use mulberryyoke_event::{Event, log};
@@ -46,26 +47,39 @@
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.max_head_bytes);
     let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |limits| limits.idle_timeout_ms);
     let cut = Arc::new(Notify::new());
+    let has_old_caller = Arc::new(AtomicBool::new(false));
+    let is_reset = Arc::new(AtomicBool::new(false));
     let service = {
         let (core, cut) = (Arc::clone(core), Arc::clone(&cut));
-        service_fn(move |request| handle(Arc::clone(&core), request, origin, Arc::clone(&cut)))
+        let has_old_caller = Arc::clone(&has_old_caller);
+        service_fn(move |request| {
+            // Without chunks only a reset tells that a response is incomplete.
+            if request.version() < Version::HTTP_11 {
+                has_old_caller.store(true, Ordering::Relaxed);
+            }
+            handle(Arc::clone(&core), request, origin, Arc::clone(&cut))
+        })
     };
+    let stream = ShortRead::new(stream, Arc::clone(&is_reset));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(ShortRead::new(stream)), service);
+        .serve_connection(TokioIo::new(stream), service);
     let connection = watcher.watch(connection);
     let terminate = core.shutdown.terminate.clone();
     core.connections.fetch_add(1, Ordering::Relaxed);
     let core = Arc::clone(core);
     tokio::spawn(async move {
-        tokio::select! {
+        let mut connection = pin!(connection);
+        let is_complete = tokio::select! {
             // Errors are reported by the connection's requests.
-            _ = connection => {}
-            () = cut.notified() => {}
-            () = terminate.cancelled() => {}
-        }
+            result = &mut connection => result.is_ok(),
+            () = cut.notified() => false,
+            () = terminate.cancelled() => false,
+        };
+        let is_unmarked = !is_complete && has_old_caller.load(Ordering::Relaxed);
+        is_reset.store(is_unmarked, Ordering::Relaxed);
         core.connections.fetch_sub(1, Ordering::Relaxed);
     });
 }
--- a/crates/gateway/src/short_read.rs
+++ b/crates/gateway/src/short_read.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
@@ -15,12 +17,25 @@
 #[derive(Debug)]
 pub(crate) struct ShortRead {
     stream: Take<TcpStream>,
+    /// Whether the connection is to be reset rather than closed.
+    is_reset: Arc<AtomicBool>,
+}
+
+impl Drop for ShortRead {
+    fn drop(&mut self) {
+        if self.is_reset.load(Ordering::Relaxed) {
+            // Fails only if the connection is closed already.
+            let _ = self.stream.get_ref().set_zero_linger();
+        }
+    }
 }
 
 impl ShortRead {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    /// `is_reset` tells, when the stream is dropped, whether the connection is to be reset.
+    pub(crate) fn new(stream: TcpStream, is_reset: Arc<AtomicBool>) -> Self {
         Self {
             stream: stream.take(MAX_READ_BYTES),
+            is_reset,
         }
     }
 
--- a/crates/gateway/tests/gateway/answer_shapes.rs
+++ b/crates/gateway/tests/gateway/answer_shapes.rs
@@ -1,11 +1,12 @@
 //! Answers with a length, with chunks and with neither, whole and broken off.
 
 use googletest::prelude::*;
+use tokio::io::AsyncReadExt;
 
 use crate::backend::{Backend, Behavior};
-use crate::caller::Response;
+use crate::caller::{self, Response};
 use crate::fleet::{Node, ready_at};
-use crate::shaped_server::{End, Script, ShapedServer};
+use crate::shaped_server::{End, FRAMINGS, Framing, Script, ShapedServer, script};
 
 const PROMPT: &str = "x-tokens: 100\r\n";
 
@@ -18,41 +19,6 @@
 /// Length of a body that is relayed as it arrives, in bytes.
 const LARGE_BODY_BYTES: usize = 400_000;
 
-/// How the end of a body is recognized.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    Length,
-    Chunks,
-    Neither,
-}
-
-const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Neither];
-
-/// Returns the script of an answer of `whole`, of which only `sent` bytes are sent.
-fn script(framing: Framing, whole: &[u8], sent: usize, end: End) -> Script {
-    let part = &whole[..sent];
-    let is_whole = sent == whole.len();
-    let header = match framing {
-        Framing::Length => format!("content-length: {}\r\n", whole.len()),
-        Framing::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
-        Framing::Neither => String::new(),
-    };
-    let head = format!("HTTP/1.1 200 OK\r\nx-id: q1\r\nx-seal: s\r\n{header}\r\n");
-    let mut parts = vec![head.into_bytes()];
-    if framing == Framing::Chunks {
-        if !part.is_empty() {
-            let chunk = [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat();
-            parts.push(chunk);
-        }
-        if is_whole {
-            parts.push(b"0\r\n\r\n".to_vec());
-        }
-    } else {
-        parts.push(part.to_vec());
-    }
-    Script { parts, end }
-}
-
 fn events(last: u64) -> String {
     let events = (1..=last).map(|event| format!("id: {event}\ndata: t{event}\n\n"));
     events.collect::<Vec<String>>().concat()
@@ -287,3 +253,25 @@
         expect_that!(response.is_complete, eq(is_whole), "{name}");
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_caller_without_chunks_notices_that_an_answer_is_broken_off() {
+    let large = "x".repeat(LARGE_BODY_BYTES);
+    let (four, two) = (events(4), events(2));
+    for (path, whole, sent) in [
+        ("/stream/", &four, two.len()),
+        ("/stream/", &four, four.len()),
+        ("/once/", &large, large.len() - 1),
+        ("/once/", &large, large.len()),
+    ] {
+        let script = script(Framing::Chunks, whole.as_bytes(), sent, End::Close);
+        let server = ShapedServer::spawn(script).await;
+        let (_service, node) = ready_at(&[server.address], None).await;
+        let request = caller::request(path, PROMPT).replace("HTTP/1.1", "HTTP/1.0");
+        let mut stream = caller::open(node.callers, &request).await;
+        let mut bytes = Vec::new();
+        let read = stream.read_to_end(&mut bytes).await;
+        expect_that!(read.is_ok(), eq(sent == whole.len()), "{path} {sent}");
+    }
+}
--- a/crates/gateway/tests/gateway/shaped_server.rs
+++ b/crates/gateway/tests/gateway/shaped_server.rs
@@ -30,6 +30,41 @@
     Endless(Vec<u8>),
 }
 
+/// How the end of a body is recognized.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    Length,
+    Chunks,
+    Neither,
+}
+
+pub(crate) const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Neither];
+
+/// Returns the script of an answer of `whole`, of which only `sent` bytes are sent.
+pub(crate) fn script(framing: Framing, whole: &[u8], sent: usize, end: End) -> Script {
+    let part = &whole[..sent];
+    let is_whole = sent == whole.len();
+    let header = match framing {
+        Framing::Length => format!("content-length: {}\r\n", whole.len()),
+        Framing::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
+        Framing::Neither => String::new(),
+    };
+    let head = format!("HTTP/1.1 200 OK\r\nx-id: q1\r\nx-seal: s\r\n{header}\r\n");
+    let mut parts = vec![head.into_bytes()];
+    if framing == Framing::Chunks {
+        if !part.is_empty() {
+            let chunk = [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat();
+            parts.push(chunk);
+        }
+        if is_whole {
+            parts.push(b"0\r\n\r\n".to_vec());
+        }
+    } else {
+        parts.push(part.to_vec());
+    }
+    Script { parts, end }
+}
+
 /// Bytes that a server sends for a request.
 #[derive(Clone, Debug)]
 pub(crate) struct Script {
