Mend: routers and sidecars were not told writes with lower revisions after a restore

Seen by restored_older_contents_are_ignored_until_their_revision_catches_up, once in three runs of the whole script: a second router had the pool that made the revision catch up after a restore, and not one that was written before it.

Cause: a router asks another for what is new since its own revision. After a restore writes have revisions that it already exceeds; a router that has caught up with the service holds them, but does not name them. The other goes without until both compare digests or it lists the service itself. A sidecar does neither, and by reading goes without until its next start.

A router now marks writes that came with a lower revision than it had, with the revision that it had afterwards, and names them to each that is not beyond that. So whoever learns of the later write learns of the earlier one in the same message. What a sidecar tells a router in an outage is as it was.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -189,6 +189,11 @@
         self.store.config()
     }
 
+    /// Writes that a process with this revision may lack, in revision order.
+    pub(crate) fn changes_since(&self, revision: Revision) -> Vec<Change> {
+        self.store.since(revision)
+    }
+
     /// Subscribes to the highest applied revision.
     #[must_use]
     pub fn watch(&self) -> watch::Receiver<Revision> {
--- a/crates/daemon/src/fleet/service.rs
+++ b/crates/daemon/src/fleet/service.rs
@@ -54,7 +54,7 @@
     }
 
     async fn changes(self, _: Context, since: Revision) -> Vec<Change> {
-        self.0.store.config().since(since)
+        self.0.changes_since(since)
     }
 
     async fn outcome(self, _: Context, attempt: Attempt) -> Outcome {
--- a/crates/daemon/src/fleet/store.rs
+++ b/crates/daemon/src/fleet/store.rs
@@ -1,5 +1,6 @@
 //! The accepted configuration, published by read-copy-update.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
@@ -15,6 +16,9 @@
     config: Arc<Config>,
     view: Arc<View>,
     digest: u64,
+    /// Keys whose latest write has a lower revision than others that were applied before it, as after
+    /// a restore of the service; and the revision of the configuration once it was applied.
+    late: HashMap<String, Revision>,
 }
 
 /// Store of the accepted configuration.
@@ -47,6 +51,18 @@
         (accepted.config.revision, accepted.digest)
     }
 
+    /// Writes that a router with this revision may lack, in revision order.
+    pub(super) fn since(&self, revision: Revision) -> Vec<Change> {
+        let accepted = self.accepted.load();
+        let mut changes = accepted.config.since(revision);
+        let late = accepted.late.iter().filter(|(_, at)| **at >= revision);
+        let late = late.filter_map(|(key, _)| accepted.config.changes.get(key));
+        let late = late.filter(|change| change.revision <= revision);
+        changes.extend(late.cloned());
+        changes.sort_by_key(|change| change.revision);
+        changes
+    }
+
     pub(super) fn watch(&self) -> watch::Receiver<Revision> {
         self.revision.subscribe()
     }
@@ -66,14 +82,22 @@
             return None;
         }
         let mut config = Config::clone(&current);
+        let mut late = self.accepted.load().late.clone();
+        let latest = changes.iter().map(|change| change.revision).max();
+        let revision = current.revision.max(latest.unwrap_or(0));
         for change in changes {
+            if change.revision <= current.revision {
+                late.insert(change.key.clone(), revision);
+            } else {
+                late.remove(&change.key);
+            }
             config.apply(change);
         }
-        let revision = config.revision;
         self.accepted.store(Arc::new(Accepted {
             view: Arc::new(View::build(&config)),
             digest: digest(&config),
             config: Arc::new(config),
+            late,
         }));
         self.revision.send_replace(revision);
         Some(revision)
--- a/crates/daemon/src/router/link/config_sync.rs
+++ b/crates/daemon/src/router/link/config_sync.rs
@@ -98,7 +98,7 @@
 
     fn send(&mut self, since: Revision, current: Revision) {
         self.sent = Some((current, Instant::now()));
-        let changes = self.core.fleet.config().since(since);
+        let changes = self.core.fleet.changes_since(since);
         let client = self.client.clone();
         let timeout = self.link.heartbeat * MAX_MISSED_HEARTBEATS;
         tokio::spawn(async move {
--- a/crates/standin/tests/fleet/configuration.rs
+++ b/crates/standin/tests/fleet/configuration.rs
@@ -121,6 +121,31 @@
     second.fleet.stop().await;
 }
 
+#[tokio::test]
+async fn writes_after_a_restore_reach_routers_that_are_cut_off_in_order() {
+    let environment = Environment::spawn().await;
+    environment.put_pool("one").await;
+    environment.execute_kv_action(Action::Snapshot);
+    environment.put_pool("two").await;
+    let newest = environment.put_pool("three").await;
+    let first = environment.spawn_router("r1", "a").await;
+    let second = environment.spawn_cut_off_router("r2", "a").await;
+    first.wait_for_revision(newest).await;
+    second.wait_for_revision(newest).await;
+    environment.execute_kv_action(Action::Restore);
+    with_timeout(first.log.wait_for(Event::KvBehind, 1)).await;
+    let mut revision = environment.put_pool("four").await;
+    assert_that!(revision, lt(newest));
+    while revision <= newest {
+        revision = environment.put_pool("five").await;
+    }
+    second.wait_for_revision(revision).await;
+    let expected = ["five", "four", "one", "three", "two"];
+    assert_that!(second.pools(), container_eq(expected));
+    first.fleet.stop().await;
+    second.fleet.stop().await;
+}
+
 #[tokio::test]
 async fn no_change_is_missed_after_a_disconnect() {
     let environment = Environment::spawn().await;
--- a/crates/standin/tests/fleet/environment.rs
+++ b/crates/standin/tests/fleet/environment.rs
@@ -50,9 +50,19 @@
 
     /// Starts a router and adds it to the VM list.
     pub async fn spawn_router(&self, name: &str, zone: &str) -> Router {
+        let kv = self.kv.address().to_string();
+        self.spawn_router_with_kv(name, zone, &kv).await
+    }
+
+    /// As [`Environment::spawn_router`], cut off from the key-value service.
+    pub async fn spawn_cut_off_router(&self, name: &str, zone: &str) -> Router {
+        self.spawn_router_with_kv(name, zone, UNREACHABLE).await
+    }
+
+    async fn spawn_router_with_kv(&self, name: &str, zone: &str, kv: &str) -> Router {
         let settings = json!({
             "name": name, "zone": zone, "callers": UNREACHABLE, "operators": UNREACHABLE,
-            "control": LOOPBACK, "kv": [self.kv.address()], "vms": self.vms.address(),
+            "control": LOOPBACK, "kv": [kv], "vms": self.vms.address(),
             "prefix": "/test/", "exchange_ms": 20,
         });
         let settings = Arc::new(serde_json::from_value(settings).unwrap());
