--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -142,6 +142,8 @@
     OriginCallFailed = 1047, Warning, "gateway not asked for stream";
     /// A stream that callers can resume started, or did not.
     StreamStart = 1051, Info, "stream start";
+    /// The message of a call by another gateway could not be read.
+    MessageUnreadable = 1060, Warning, "message unreadable";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/quarantine/withdraw.rs
+++ b/crates/gateway/src/quarantine/withdraw.rs
@@ -55,7 +55,7 @@
     core: &Arc<Core>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let Some(digest) = peer_call::read::<Digest>(request).await else {
+    let Some(digest) = peer_call::read::<Digest>(core, request).await else {
         return peer_call::bad_request();
     };
     core.quarantine.update(|records| records.withdraw(digest));
