--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -150,6 +150,8 @@
     PartCleared = 1056, Info, "prompt part cleared";
     /// A request was not sent because a part of its prompt is quarantined.
     PartWithheld = 1057, Info, "request withheld for prompt part";
+    /// The message of a call by another gateway could not be read.
+    MessageUnreadable = 1060, Warning, "message unreadable";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod crashing_server;
 mod ending;
 mod endless_answers;
+mod endless_calls;
 mod evacuation;
 mod exchange;
 mod feed;
