--- a/crates/gateway/src/quarantine/parts.rs
+++ b/crates/gateway/src/quarantine/parts.rs
@@ -109,7 +109,10 @@
     let suspected = parts.update(|table| table.record_crash(crashed, backend.heard_ms(), now));
     parts.record_change(!suspected.is_empty());
     for subject in suspected {
-        if log_conviction(core, subject) {
+        let is_new = log_conviction(core, subject);
+        if is_new || parts.convicted.lock().contains(&subject) {
+            // A crash in a trial prolongs the conviction, also for gateways that start later.
+            super::forget_written(core, Culprit::Part(subject));
             conviction::ensure_written(core, Culprit::Part(subject));
         }
     }
