--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -49,11 +49,6 @@
     call: &Call,
     eligible: Eligibility<'_>,
 ) -> Result<InFlight, Denial> {
-    let barred = quarantine::barred(core, call);
-    let eligible = Eligibility {
-        barred: &barred,
-        ..eligible
-    };
     select(core, call, eligible, false, false, false)
 }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -204,18 +204,23 @@
         let may_have_run = self.possible_runs > 0;
         let is_bound = self.version.is_some() || may_have_run;
         let reserved = (!is_bound).then(|| waiting::reserved(core, call));
-        let eligible = Eligibility {
-            tried: &self.tried,
-            version: self.version,
-            reserved: reserved.as_deref().unwrap_or_default(),
-            barred: &self.barred,
-        };
+        let eligible = self.eligible(reserved.as_deref().unwrap_or_default());
         match balance::assign(core, call, eligible, may_have_run, is_isolated) {
             Ok(in_flight) => Ok(in_flight),
             Err(denial) => self.wait(core, call, denial, is_isolated).await,
         }
     }
 
+    /// Returns which servers may run the request.
+    fn eligible<'a>(&'a self, reserved: &'a [VersionId]) -> Eligibility<'a> {
+        Eligibility {
+            tried: &self.tried,
+            version: self.version,
+            reserved,
+            barred: &self.barred,
+        }
+    }
+
     /// Refunds the customer, unless the request may have run elsewhere.
     fn refund(&self, core: &Core, call: &Call) {
         if self.possible_runs == 0 {
@@ -267,7 +272,7 @@
         if self.possible_runs > 0 || is_isolated {
             return Err(balance::refuse(core, call, denial));
         }
-        waiting::wait(core, call, denial, self.version, &self.tried).await
+        waiting::wait(core, call, denial, self.eligible(&[])).await
     }
 
     /// Returns the attempts with the last server counted as having run the request.
--- a/crates/gateway/src/quarantine/part_admission.rs
+++ b/crates/gateway/src/quarantine/part_admission.rs
@@ -113,7 +113,7 @@
     core: &Arc<Core>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let Some(report) = peer_call::read::<Report>(request).await else {
+    let Some(report) = peer_call::read::<Report>(core, request).await else {
         return peer_call::bad_request();
     };
     let subject = report.subject;
--- a/crates/gateway/src/waiting/attempt.rs
+++ b/crates/gateway/src/waiting/attempt.rs
@@ -18,10 +18,12 @@
     reserved: &[VersionId],
 ) -> Result<Ending, Obstacle> {
     let call = &entry.payload.call;
+    let barred = entry.payload.barred(core);
     let eligible = Eligibility {
         tried: &entry.payload.tried,
         version: entry.version,
         reserved,
+        barred: &barred,
     };
     let denial = match balance::assign_waiting(core, call, eligible) {
         Ok(in_flight) => return Ok(Ending::Sent(in_flight)),
@@ -45,10 +47,12 @@
     if waiter.call.remaining_ms() == 0 {
         return Ending::Refused(waiter.denial);
     }
+    let barred = waiter.barred(core);
     let eligible = Eligibility {
         tried: &waiter.tried,
         version: entry.version,
         reserved: &[],
+        barred: &barred,
     };
     match balance::assign_waiting(core, &waiter.call, eligible) {
         Ok(in_flight) => Ending::Sent(in_flight),
