A question for a stream's version does not outlast its caller

What callers saw: the refusal of a stream that nobody answered for came after the time that the caller waits: 412 ms with 150 ms left.

Cause: a question lasts up to 500 ms, whatever is left of the request's time.

Change: it ends with the caller's deadline if that is earlier.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -169,7 +169,7 @@
     let is_mixed = core.streams.is_mixed(call.pool);
     let answer = match (known, call.resumed_stream) {
         (Some(origin), _) => Answer::Known(origin),
-        (None, Some(stream)) if is_mixed => ask::ask(core, stream).await,
+        (None, Some(stream)) if is_mixed => ask::ask(core, stream, call.remaining_ms()).await,
         (None, _) => Answer::Unknown,
     };
     let (refusal, outcome) = match answer {
--- a/crates/gateway/src/streams/ask.rs
+++ b/crates/gateway/src/streams/ask.rs
@@ -39,9 +39,10 @@
     Unanswered,
 }
 
-/// Asks the gateways that keep the origin of a stream, again if one of them could not be asked.
-pub(super) async fn ask(core: &Core, stream: StreamId) -> Answer {
-    let deadline = Instant::now() + LONGEST;
+/// Asks the gateways that keep the origin of a stream, again if one of them could not be asked and
+/// the caller still waits.
+pub(super) async fn ask(core: &Core, stream: StreamId, remaining_ms: u64) -> Answer {
+    let deadline = Instant::now() + LONGEST.min(Duration::from_millis(remaining_ms));
     loop {
         let answer = ask_all(core, stream, deadline).await;
         let next = Instant::now() + PAUSE;
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 use mulberryyoke_decide::stream::Origin;
 use mulberryyoke_model::{PoolId, VersionId};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::backend::{Backend, Behavior};
 use crate::caller::{self, Response};
@@ -263,3 +263,20 @@
         expect_that!(fleet.version_of("f1"), none());
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_question_does_not_outlast_its_caller() {
+    let fleet = Fleet::spawn(1, &MIXED).await;
+    let registration = Peer::spawn().await.registration();
+    fleet
+        .service
+        .set("mulberryyoke/gateways/peer", Some(&registration));
+    sleep(PROPAGATION).await;
+    let lines = "x-after: 2\r\nx-resumes: d0\r\nx-patience-ms: 150\r\n";
+    let start = Instant::now();
+    let response = caller::send(fleet.nodes[0].callers, &request("d1", lines)).await;
+    expect_that!(start.elapsed(), lt(Duration::from_millis(300)));
+    expect_that!(response.status, eq(503), "{}", response.body);
+    expect_that!(fleet.version_of("d1"), none());
+}
