Only requests of resumable routes have the rights of resumptions

What callers saw: a prompt of a route whose streams cannot be resumed was admitted although it could not meet its objective, if its head named an event to go on from; 200 where the same prompt without it is refused with 503.

Cause: the objective and the place in the queue looked at the header alone, which callers may send on any route.

Change: a request is a resumption if its route knows them, as for the version that it needs.

Evidence: waiting::a_prompt_that_cannot_be_resumed_gains_nothing_by_an_event_to_go_on_from failed before (200, sent to the full server) and passes now, with the other eight of waiting and the thirteen of versions.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -243,7 +243,7 @@
 /// Latency objective of a request.
 pub(crate) fn objective(call: &Call) -> Objective {
     // The caller of a stream that has begun waits for its next event instead of the first.
-    let factor = if call.resume_after.is_some() {
+    let factor = if call.is_resumption() {
         RESUMPTION_OBJECTIVE
     } else {
         1.0
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -11,7 +11,7 @@
 
 use crate::buffers::Account;
 use crate::clock;
-use crate::config::{Customer, Route};
+use crate::config::{Customer, RequestKind, Route};
 use crate::request_body::RequestBody;
 
 /// A request that was read completely, routed and authorized.
@@ -65,6 +65,12 @@
         self.body.release();
     }
 
+    /// Whether it resumes a stream that has begun. Other routes know no such requests, whatever
+    /// their callers state.
+    pub(crate) fn is_resumption(&self) -> bool {
+        self.resume_after.is_some() && self.route.kind == RequestKind::Resumable
+    }
+
     /// Identifies the stream that this attempt of the caller begins.
     pub(crate) fn stream(&self) -> StreamId {
         StreamId::of(self.customer_name().unwrap_or_default(), &self.id)
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -158,7 +158,7 @@
     core: &Arc<Core>,
     call: &Call,
 ) -> Result<Option<VersionId>, Refusal> {
-    if call.resume_after.is_none() || call.route.kind != RequestKind::Resumable {
+    if !call.is_resumption() {
         return Ok(None);
     }
     // Servers may have been registered since the last update.
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -145,7 +145,7 @@
     let entry = Entry {
         customer: customer.id,
         priority: customer.priority.unwrap_or(call.route.priority),
-        is_resumption: call.resume_after.is_some(),
+        is_resumption: call.is_resumption(),
         version,
         deadline: call.deadline_ms,
         until,
--- a/crates/gateway/tests/gateway/waiting.rs
+++ b/crates/gateway/tests/gateway/waiting.rs
@@ -244,3 +244,14 @@
         expect_that!(setup.requests(), eq(streams + 1), "{header_lines}");
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_prompt_that_cannot_be_resumed_gains_nothing_by_an_event_to_go_on_from() {
+    // Its time to first token would be 3.72 s, which leaves 0.28 s.
+    let setup = full().await;
+    let (response, elapsed) = send(&setup, "x-after: 2\r\n").await;
+    expect_that!(response.status, eq(503));
+    expect_that!(elapsed, lt(LONGEST + Duration::from_millis(100)));
+    expect_that!(setup.requests(), eq(STREAMS));
+}
