A stream goes on outside the subset if its servers there leave

What callers saw: 503 version_gone, without a time to come back, for a stream at whose version servers were ready.

Cause: of a pool of more than 256 servers a gateway uses a part, and all of the version only if its part has none of it. A server that leaves counted as one, though no stream may go on there.

Change: it counts only if it stays.

Evidence: versions::a_stream_goes_on_outside_the_subset_if_its_servers_there_leave failed before (503 version_gone) and passes now, with the other thirteen of versions.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -128,7 +128,7 @@
 }
 
 /// Calls a function with the servers of a pool that this gateway uses: its subset, or, for a version
-/// that the subset lacks, all servers of that version.
+/// of which the subset has no server that stays, all servers of that version.
 fn with_servers<T>(
     core: &Core,
     pool: PoolId,
@@ -137,7 +137,8 @@
 ) -> T {
     let registry = &core.registry;
     let is_allowed = |backend: &Arc<Backend>| eligible.allows_version_of(&backend.server);
-    if registry.with_pool(pool, |servers| servers.iter().any(is_allowed)) {
+    let is_left = |backend: &Arc<Backend>| is_allowed(backend) && !backend.is_closed();
+    if registry.with_pool(pool, |servers| servers.iter().any(is_left)) {
         return registry.with_pool(pool, read);
     }
     match eligible.version {
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -4,8 +4,10 @@
 
 use futures::future::join_all;
 use googletest::prelude::*;
+use mulberryyoke_decide::aggregate::name_hash;
+use mulberryyoke_decide::sample::is_sampled;
 use mulberryyoke_decide::stream::Origin;
-use mulberryyoke_model::{PoolId, VersionId};
+use mulberryyoke_model::{PoolId, ServerId, VersionId};
 use tokio::time::{Instant, sleep};
 
 use crate::backend::{Backend, Behavior};
@@ -13,6 +15,12 @@
 use crate::fleet::Node;
 use crate::version_fleet::{Fleet, PROPAGATION, Peer, read_until, register, request};
 
+/// Approximate number of servers of a pool that a gateway uses.
+const SUBSET_SIZE: usize = 256;
+
+/// Number of servers of the other version in a pool of which a gateway uses a part.
+const OTHERS: usize = 600;
+
 /// Two servers of each of two versions, whose streams pause after the second event.
 const MIXED: [(Behavior, &str); 4] = [
     (Behavior::SlowStream, "1"),
@@ -280,3 +288,52 @@
     expect_that!(response.status, eq(503), "{}", response.body);
     expect_that!(fleet.version_of("d1"), none());
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_stream_goes_on_outside_the_subset_if_its_servers_there_leave() {
+    let node = name_hash("g0");
+    let is_used = |name: &str| {
+        let server = ServerId::of(&format!("{name} "));
+        is_sampled(node, server, OTHERS + 2, SUBSET_SIZE)
+    };
+    let names: Vec<String> = (0..100).map(|index| format!("first-{index}")).collect();
+    let leaving = names.iter().find(|name| is_used(name)).expect("one");
+    let open = names.iter().find(|name| !is_used(name)).expect("one");
+    let fleet = Fleet::spawn(1, &[(Behavior::Stream, "1"), (Behavior::Stream, "2")]).await;
+    let [first, second] = [0, 1].map(|index| fleet.servers[index].0.address);
+    fleet.service.set("servers/model-0", None);
+    let leaving_value = format!("model {first} leaving version=1");
+    let open_value = format!("model {first} ready version=1");
+    fleet
+        .service
+        .set(&format!("servers/{leaving}"), Some(&leaving_value));
+    fleet
+        .service
+        .set(&format!("servers/{open}"), Some(&open_value));
+    let other_value = format!("model {second} ready version=2");
+    for index in 1..=OTHERS {
+        fleet
+            .service
+            .set(&format!("servers/model-{index}"), Some(&other_value));
+    }
+    let origin = Origin {
+        pool: PoolId::of("model"),
+        version: VersionId::of("1"),
+    };
+    let peer = Peer::spawn_answering(Some(origin), Duration::ZERO).await;
+    let registration = format!("{peer} 1000 a");
+    fleet
+        .service
+        .set("mulberryyoke/gateways/peer", Some(&registration));
+    sleep(2 * PROPAGATION).await;
+    let response = fleet.resume(0, "o1", Some("o0")).await;
+    expect_that!(
+        response.status,
+        eq(200),
+        "{}{}",
+        response.head,
+        response.body
+    );
+    expect_that!(fleet.version_of("o1"), some(eq("1")));
+}
