--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -57,7 +57,7 @@
 const SHARED_TOKENS: u32 = 4_000;
 
 /// Protocol with space-separated values: `VERSION [tokens=PER_S] [link=MBPS] [body=BYTES] [timeout=MS] KEY...`
-/// for a configuration and
+/// for a configuration, with `CUSTOMER:KEY` for the keys of further customers, and
 /// `POOL ADDRESS STATE [STARTED [COLD_MS [ZONE]]] [version=VERSION]` for a server.
 #[derive(Debug)]
 pub(crate) struct TestProtocol {
@@ -173,12 +173,13 @@
         let link_mbps = number("link=").and_then(|mbps| mbps.parse().ok());
         let max_body_bytes = number("body=").and_then(|bytes| bytes.parse().ok());
         let timeout_ms = number("timeout=").and_then(|ms| ms.parse().ok());
-        let customer = Customer {
-            id: CustomerId::of("noor"),
-            name: "noor".to_owned(),
-            keys: keys.into_iter().map(str::to_owned).collect(),
-            priority: None,
-        };
+        let (named, own): (Vec<&str>, Vec<&str>) =
+            keys.into_iter().partition(|key| key.contains(':'));
+        let mut customers = vec![customer("noor", &own)];
+        customers.extend(named.iter().filter_map(|field| {
+            let (name, key) = field.split_once(':')?;
+            Some(customer(name, &[key]))
+        }));
         let limits = Limits {
             max_head_bytes: 16_384,
             max_body_bytes: max_body_bytes.unwrap_or(MAX_BODY_BYTES),
@@ -206,7 +207,7 @@
             version,
             limits,
             routes.into(),
-            Some(vec![customer]),
+            Some(customers),
             pools,
         ))
     }
@@ -252,6 +253,15 @@
     }
 }
 
+fn customer(name: &str, keys: &[&str]) -> Customer {
+    Customer {
+        id: CustomerId::of(name),
+        name: name.to_owned(),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        priority: None,
+    }
+}
+
 fn parse_error(subject: &str) -> ParseError {
     ParseError {
         subject: subject.to_owned(),
--- a/crates/gateway/tests/gateway/stream_caller.rs
+++ b/crates/gateway/tests/gateway/stream_caller.rs
@@ -25,6 +25,8 @@
 /// A stream that a caller wants, from an event on.
 #[derive(Clone, Debug)]
 pub(crate) struct Stream {
+    /// Key of its customer.
+    pub(crate) key: &'static str,
     /// ID without the number of the attempt, and body of all attempts.
     pub(crate) name: String,
     /// The attempt that brought the first event.
@@ -35,8 +37,9 @@
 
 impl Stream {
     /// A new stream.
-    pub(crate) fn new(name: String) -> Self {
+    pub(crate) fn new(name: String, key: &'static str) -> Self {
         Self {
+            key,
             name,
             first: None,
             after: 0,
@@ -49,8 +52,9 @@
         });
         format!(
             "POST {RESUMABLE_PREFIX} HTTP/1.1\r\nHost: host.example\r\nx-id: {id}\r\n\
-             Authorization: Bearer secret\r\nx-tokens: {TOKENS}\r\nx-patience-ms: {}\r\n\
+             Authorization: Bearer {}\r\nx-tokens: {TOKENS}\r\nx-patience-ms: {}\r\n\
              Connection: close\r\n{resumes}Content-Length: {}\r\n\r\n{}",
+            self.key,
             patience.as_millis(),
             self.name.len(),
             self.name
@@ -87,6 +91,7 @@
             result.is_begun = true;
             result.is_complete = response.is_complete;
             result.stream = Some(Stream {
+                key: stream.key,
                 first: stream.first.clone().or(Some(id)),
                 after: last,
                 name: stream.name,
