--- a/crates/gateway/tests/gateway/waiting.rs
+++ b/crates/gateway/tests/gateway/waiting.rs
@@ -13,6 +13,7 @@
 use crate::feed::Service;
 use crate::fleet::{Node, ready};
 use crate::protocol::{LONG_OBJECTIVE_MS, PATIENT_PREFIX, RESUMABLE_PREFIX, WAITING_PREFIX};
+use crate::version_fleet::{PROPAGATION, read_until};
 
 /// Number of running streams at which a prompt of [`TOKENS`] misses the objective by a little: the
 /// server has 8 slots, and each request above them adds 250 ms.
@@ -30,7 +31,7 @@
 /// A gateway with a server that runs all its slots and more.
 struct Setup {
     backend: Backend,
-    _service: Arc<Service>,
+    service: Arc<Service>,
     node: Node,
     streams: Vec<TcpStream>,
 }
@@ -43,7 +44,7 @@
         sleep(Duration::from_millis(600)).await;
         Self {
             backend,
-            _service: service,
+            service,
             node,
             streams: Vec::new(),
         }
@@ -255,3 +256,32 @@
     expect_that!(elapsed, lt(LONGEST + Duration::from_millis(100)));
     expect_that!(setup.requests(), eq(STREAMS));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_resumption_that_waits_goes_to_no_other_version() {
+    let mut setup = Setup::new("6 tokens=1000000 timeout=4000 secret").await;
+    let customer = "Authorization: Bearer secret\r\n";
+    let first = format!("{customer}x-tokens: 10\r\n");
+    let first = caller::request(RESUMABLE_PREFIX, &first);
+    let mut stream = caller::open(setup.node.callers, &first).await;
+    read_until(&mut stream, "id: 2").await;
+    setup.streams.push(stream);
+    setup.occupy(13).await;
+    let other = Backend::spawn(Behavior::Stream).await;
+    let value = format!("model {} ready version=2", other.address);
+    setup.service.set("servers/other", Some(&value));
+    sleep(PROPAGATION).await;
+    let lines = format!("{customer}x-tokens: 9000\r\nx-after: 2\r\nx-resumes: q1\r\n");
+    let request = caller::request(RESUMABLE_PREFIX, &lines);
+    let running = setup.streams.split_off(8);
+    let room = async {
+        sleep(ROOM_DELAY).await;
+        expect_that!(setup.requests(), eq(14), "it waits");
+        drop(running);
+    };
+    let (response, ()) = tokio::join!(caller::send(setup.node.callers, &request), room);
+    expect_that!(response.status, eq(200), "{}", response.body);
+    expect_that!(setup.requests(), eq(15));
+    expect_that!(other.state.heads().len(), eq(0));
+}
