--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -148,7 +148,7 @@
 }
 
 /// Calls a function with the servers of a pool that this gateway uses: its subset, or, for a version
-/// that the subset lacks, all servers of that version.
+/// of which the subset has no server that stays, all servers of that version.
 fn with_servers<T>(
     core: &Core,
     pool: PoolId,
@@ -157,7 +157,8 @@
 ) -> T {
     let registry = &core.registry;
     let is_allowed = |backend: &Arc<Backend>| eligible.allows_version_of(&backend.server);
-    if registry.with_pool(pool, |servers| servers.iter().any(is_allowed)) {
+    let is_left = |backend: &Arc<Backend>| is_allowed(backend) && !backend.is_closed();
+    if registry.with_pool(pool, |servers| servers.iter().any(is_left)) {
         return registry.with_pool(pool, read);
     }
     match eligible.version {
@@ -263,7 +264,7 @@
 /// Latency objective of a request.
 pub(crate) fn objective(call: &Call) -> Objective {
     // The caller of a stream that has begun waits for its next event instead of the first.
-    let factor = if call.resume_after.is_some() {
+    let factor = if call.is_resumption() {
         RESUMPTION_OBJECTIVE
     } else {
         1.0
--- a/crates/gateway/tests/gateway/stream_caller.rs
+++ b/crates/gateway/tests/gateway/stream_caller.rs
@@ -30,6 +30,8 @@
 /// A stream that a caller wants, from an event on.
 #[derive(Clone, Debug)]
 pub(crate) struct Stream {
+    /// Key of its customer.
+    pub(crate) key: &'static str,
     /// ID without the number of the attempt, and body of all attempts.
     pub(crate) name: String,
     /// The attempt that brought the first event.
@@ -40,8 +42,9 @@
 
 impl Stream {
     /// A new stream.
-    pub(crate) fn new(name: String) -> Self {
+    pub(crate) fn new(name: String, key: &'static str) -> Self {
         Self {
+            key,
             name,
             first: None,
             after: 0,
@@ -54,8 +57,9 @@
         });
         format!(
             "POST {RESUMABLE_PREFIX} HTTP/1.1\r\nHost: host.example\r\nx-id: {id}\r\n\
-             Authorization: Bearer secret\r\nx-tokens: {TOKENS}\r\nx-patience-ms: {DEADLINE_MS}\r\n\
+             Authorization: Bearer {}\r\nx-tokens: {TOKENS}\r\nx-patience-ms: {DEADLINE_MS}\r\n\
              Connection: close\r\n{resumes}Content-Length: {}\r\n\r\n{}",
+            self.key,
             self.name.len(),
             self.name
         )
@@ -90,6 +94,7 @@
             result.is_begun = true;
             result.is_complete = response.is_complete;
             result.stream = Some(Stream {
+                key: stream.key,
                 first: stream.first.clone().or(Some(id)),
                 after: last,
                 name: stream.name,
