A resumption has the rights of one only if its stream is known to have begun

Cause: the longer objective of a resumption and its place in the queue followed from what the caller states alone; in a pool of one version a stream that nobody knows goes on anywhere, and was then kept under the name that its caller had given it.

Change: these rights need the origin of the stream, known here or by another gateway; a name that only the caller vouches for is not kept.

Left: a customer may name one stream that it has begun in many requests; a stream that went on elsewhere while nobody knew it is not known under its first name.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -6,7 +6,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method};
 use mulberryyoke_decide::engine::Prompt;
-use mulberryyoke_model::{Digest, PoolId, StreamId};
+use mulberryyoke_model::{Digest, PoolId, StreamId, VersionId};
 use tokio::time::Instant;
 
 use crate::buffers::Account;
@@ -30,6 +30,8 @@
     pub(crate) resume_after: Option<u64>,
     /// The stream to be resumed, if the caller names it.
     pub(crate) resumed_stream: Option<StreamId>,
+    /// Version that began the stream to be resumed, once it is known.
+    pub(crate) origin: OnceLock<VersionId>,
     /// When the head was received.
     pub(crate) received_at: Instant,
     /// Earlier of the caller's and the route's timeout, in milliseconds of the boot clock.
@@ -65,12 +67,18 @@
         self.body.release();
     }
 
-    /// Whether it resumes a stream that has begun. Other routes know no such requests, whatever
-    /// their callers state.
-    pub(crate) fn is_resumption(&self) -> bool {
+    /// Whether its caller asks to resume a stream. Other routes know no such requests, whatever their
+    /// callers state.
+    pub(crate) fn asks_to_resume(&self) -> bool {
         self.resume_after.is_some() && self.route.kind == RequestKind::Resumable
     }
 
+    /// Whether it resumes a stream that is known to have begun. What a caller states alone gives it
+    /// no place before others.
+    pub(crate) fn is_resumption(&self) -> bool {
+        self.origin.get().is_some()
+    }
+
     /// Identifies the stream that this attempt of the caller begins.
     pub(crate) fn stream(&self) -> StreamId {
         StreamId::of(self.customer_name().unwrap_or_default(), &self.id)
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -126,6 +126,7 @@
             id: self.head.id,
             pool,
             resumed_stream,
+            origin: OnceLock::new(),
             customer,
             prompt: self.head.prompt,
             resume_after: self.head.resume_after,
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -137,7 +137,8 @@
         version: server.version,
     };
     let until_ms = call.deadline_ms.saturating_add(LINGER_MS);
-    let resumed = call.resumed_stream.filter(|_| call.resume_after.is_some());
+    // A name that only the caller vouches for may be that of no stream.
+    let resumed = call.resumed_stream.filter(|_| call.is_resumption());
     let streams: Vec<StreamId> = [Some(call.stream()), resumed]
         .into_iter()
         .flatten()
@@ -158,7 +159,7 @@
     core: &Arc<Core>,
     call: &Call,
 ) -> Result<Option<VersionId>, Refusal> {
-    if !call.is_resumption() {
+    if !call.asks_to_resume() {
         return Ok(None);
     }
     // Servers may have been registered since the last update.
@@ -175,7 +176,7 @@
     let (refusal, outcome) = match answer {
         Answer::Known(origin) if origin.pool == call.pool => {
             count_resume(if known.is_some() { "known" } else { "asked" });
-            return Ok(Some(origin.version));
+            return Ok(Some(*call.origin.get_or_init(|| origin.version)));
         }
         // The route has been moved to another pool.
         Answer::Known(_) => (Refusal::VersionGone, "moved"),
--- a/crates/gateway/tests/gateway/waiting.rs
+++ b/crates/gateway/tests/gateway/waiting.rs
@@ -28,6 +28,12 @@
 /// Time after which there is room for a prompt that waits.
 const ROOM_DELAY: Duration = Duration::from_millis(30);
 
+/// Header of a request of a customer.
+const CUSTOMER: &str = "Authorization: Bearer secret\r\n";
+
+/// Headers by which a caller resumes a stream that it began.
+const RESUMES: &str = "x-after: 2\r\nx-resumes: q1\r\n";
+
 /// A gateway with a server that runs all its slots and more.
 struct Setup {
     backend: Backend,
@@ -64,6 +70,15 @@
         self.backend.state.set_behavior(Behavior::Stream, "");
     }
 
+    /// Begins a stream that can be resumed as `q1`.
+    async fn begin(&mut self) {
+        let header_lines = format!("{CUSTOMER}x-tokens: 10\r\n");
+        let request = caller::request(RESUMABLE_PREFIX, &header_lines);
+        let mut stream = caller::open(self.node.callers, &request).await;
+        read_until(&mut stream, "id: 2").await;
+        self.streams.push(stream);
+    }
+
     async fn wait_for_requests(&self, count: usize) {
         let until = Instant::now() + Duration::from_secs(1);
         while self.requests() < count {
@@ -221,18 +236,21 @@
 #[tokio::test]
 async fn a_resumption_waits_for_room_as_a_new_prompt_does() {
     // Each misses its objective by a little. The objective of a resumption is twice as long.
-    for (streams, tokens, header_lines) in [(10, 10_200, ""), (14, 9_000, "x-after: 2\r\n")] {
-        let mut setup = Setup::new("6 tokens=1000000 secret").await;
-        setup.occupy(streams).await;
-        let header_lines =
-            format!("Authorization: Bearer secret\r\nx-tokens: {tokens}\r\n{header_lines}");
+    for (streams, tokens, header_lines) in [(10, 10_200, ""), (14, 9_000, RESUMES)] {
+        let mut setup = Setup::new("6 tokens=1000000 timeout=4000 secret").await;
+        let is_resumption = !header_lines.is_empty();
+        if is_resumption {
+            setup.begin().await;
+        }
+        setup.occupy(streams - usize::from(is_resumption)).await;
+        let header_lines = format!("{CUSTOMER}x-tokens: {tokens}\r\n{header_lines}");
         let request = caller::request(RESUMABLE_PREFIX, &header_lines);
         let start = Instant::now();
-        let stream = setup.streams.pop();
+        let ending = setup.streams.split_off(9);
         let room = async {
             sleep(ROOM_DELAY).await;
             expect_that!(setup.requests(), eq(streams), "{header_lines}");
-            drop(stream);
+            drop(ending);
         };
         let (response, ()) = tokio::join!(caller::send(setup.node.callers, &request), room);
         expect_that!(
@@ -251,17 +269,18 @@
 async fn a_resumption_that_a_server_did_not_run_waits_for_another() {
     // The other server is idle, so it is asked first.
     for behavior in [Behavior::Reject, Behavior::WrongServer] {
-        let mut setup = Setup::new("6 tokens=1000000 secret").await;
-        setup.occupy(14).await;
+        let mut setup = Setup::new("6 tokens=1000000 timeout=4000 secret").await;
+        setup.begin().await;
+        setup.occupy(13).await;
         let other = Backend::spawn(behavior).await;
         register(&setup.service, 1, &other, "ready");
         sleep(Duration::from_millis(300)).await;
-        let header_lines = "Authorization: Bearer secret\r\nx-tokens: 9000\r\nx-after: 2\r\n";
-        let request = caller::request(RESUMABLE_PREFIX, header_lines);
-        let stream = setup.streams.pop();
+        let header_lines = format!("{CUSTOMER}x-tokens: 9000\r\n{RESUMES}");
+        let request = caller::request(RESUMABLE_PREFIX, &header_lines);
+        let ending = setup.streams.split_off(8);
         let room = async {
             sleep(ROOM_DELAY).await;
-            drop(stream);
+            drop(ending);
         };
         let (response, ()) = tokio::join!(caller::send(setup.node.callers, &request), room);
         expect_that!(other.state.heads().len(), eq(1), "{behavior:?}");
@@ -284,18 +303,13 @@
 #[tokio::test]
 async fn a_resumption_that_waits_goes_to_no_other_version() {
     let mut setup = Setup::new("6 tokens=1000000 timeout=4000 secret").await;
-    let customer = "Authorization: Bearer secret\r\n";
-    let first = format!("{customer}x-tokens: 10\r\n");
-    let first = caller::request(RESUMABLE_PREFIX, &first);
-    let mut stream = caller::open(setup.node.callers, &first).await;
-    read_until(&mut stream, "id: 2").await;
-    setup.streams.push(stream);
+    setup.begin().await;
     setup.occupy(13).await;
     let other = Backend::spawn(Behavior::Stream).await;
     let value = format!("model {} ready version=2", other.address);
     setup.service.set("servers/other", Some(&value));
     sleep(PROPAGATION).await;
-    let lines = format!("{customer}x-tokens: 9000\r\nx-after: 2\r\nx-resumes: q1\r\n");
+    let lines = format!("{CUSTOMER}x-tokens: 9000\r\n{RESUMES}");
     let request = caller::request(RESUMABLE_PREFIX, &lines);
     let running = setup.streams.split_off(8);
     let room = async {
