--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -140,8 +140,16 @@
     VersionsMixed = 1046, Info, "pools with several versions changed";
     /// A gateway that may know the version that began a stream could not be asked.
     OriginCallFailed = 1047, Warning, "gateway not asked for stream";
+    /// A run of a request ended with the connection to its server.
+    RunEnded = 1050, Info, "run ended with its connection";
     /// A stream that callers can resume started, or did not.
     StreamStart = 1051, Info, "stream start";
+    /// Servers crashed on a part of prompts, which is no longer sent to them.
+    PartConvicted = 1055, Error, "prompt part quarantined";
+    /// A part of prompts is no longer quarantined.
+    PartCleared = 1056, Info, "prompt part cleared";
+    /// A request was not sent because a part of its prompt is quarantined.
+    PartWithheld = 1057, Info, "request withheld for prompt part";
     /// The message of a call by another gateway could not be read.
     MessageUnreadable = 1060, Warning, "message unreadable";
     /// A sidecar granted a router a slot for a customer's request.
@@ -217,6 +225,7 @@
                 | Self::WaitEnded
                 | Self::Malformed
                 | Self::Withheld
+                | Self::PartWithheld
         )
     }
 }
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use mulberryyoke_platform::Informational;
 use tokio::time::Instant;
 
@@ -146,12 +146,14 @@
 async fn read_response(
     core: &Arc<Core>,
     call: &Arc<Call>,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
     attempts: &Attempts,
     conn: Connection,
     response: Response<Incoming>,
 ) -> Outcome {
     let (mut head, body) = response.into_parts();
+    let framing = Framing::of(&head.headers, &body);
+    in_flight.record_head(framing, head.status.is_success());
     in_flight.backend.record_heard();
     let response_head = core.protocol.parse_response(&head, &call.id);
     if let Some(left_ms) = response_head.cold_left_ms.filter(|left_ms| *left_ms > 0) {
@@ -201,8 +203,9 @@
         call.release_body();
     }
     let is_success = head.status.is_success();
-    let framing = Framing::of(&head.headers);
     header::strip_hop_by_hop(&mut head.headers);
+    // The caller's connection has a version of its own.
+    head.version = Version::HTTP_11;
     if call.route.kind.is_stream() && is_success {
         let body = (body, framing);
         let chunks = stream_relay::spawn(core, call, in_flight, run, (conn, response_head), body);
@@ -236,7 +239,8 @@
     };
     let body = match collected {
         Ok(Collected::Complete(chunk)) => {
-            quarantine::record_success(core, call, &in_flight.backend);
+            failure::log_connection_end(core, call, &in_flight);
+            quarantine::record_success(core, call, &in_flight);
             in_flight.complete(conn, response_head);
             if let Some(account) = &call.account {
                 account.offer();
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -1,27 +1,32 @@
-//! How the end of a response body is recognized (RFC 9112, section 6.3).
+//! How the end of a response body is known (RFC 9112, section 6.3).
 
 use hyper::HeaderMap;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::body::{Body, Incoming};
+use hyper::header::TRANSFER_ENCODING;
 
-/// How the end of a response body is recognized.
+/// How the end of a response body is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Framing {
-    /// By its length or its last chunk.
-    Delimited,
-    /// By the end of the connection.
-    UntilClose,
+    /// By the length in the head.
+    Length,
+    /// By the last chunk.
+    Chunks,
+    /// By the end of the connection, which a crash of the server also brings about.
+    Connection,
 }
 
 impl Framing {
-    /// Returns the framing of a response with these headers.
-    pub(crate) fn of(headers: &HeaderMap) -> Self {
+    /// Framing of a body, by the headers that it came with.
+    pub(crate) fn of(headers: &HeaderMap, body: &Incoming) -> Self {
+        if body.size_hint().exact().is_some() {
+            return Self::Length;
+        }
         let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
         let last = last.and_then(|value| value.to_str().ok());
         let coding = last.and_then(|codings| codings.rsplit(',').next());
-        let is_chunked = coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
-        if is_chunked || headers.contains_key(CONTENT_LENGTH) {
-            return Self::Delimited;
+        if coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked")) {
+            return Self::Chunks;
         }
-        Self::UntilClose
+        Self::Connection
     }
 }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -98,7 +98,8 @@
         }
         match end {
             End::Complete => {
-                quarantine::record_success(&self.core, &self.call, &self.in_flight.backend);
+                failure::log_connection_end(&self.core, &self.call, &self.in_flight);
+                quarantine::record_success(&self.core, &self.call, &self.in_flight);
                 // Events are numbered and carry about a token each.
                 if let Some(events) = self.last_event {
                     let tokens = u32::try_from(events).unwrap_or(u32::MAX);
@@ -236,6 +237,7 @@
 
     fn record_events(&mut self, events: &[u8]) {
         self.in_flight.record_first_token();
+        quarantine::record_progress(&self.core, &self.call, &mut self.in_flight);
         if self.relayed == 0 {
             self.record_origin();
             self.record_start(start::BEGUN);
@@ -248,7 +250,7 @@
     /// Returns how a stream ended whose body has ended without an error. A connection that closes
     /// before the first event proves nothing.
     fn end_of_body(&self) -> End {
-        let is_begun = self.relayed > 0 || self.framing == Framing::Delimited;
+        let is_begun = self.relayed > 0 || self.framing != Framing::Connection;
         if is_begun && self.events.is_empty() {
             return End::Complete;
         }
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -18,7 +18,7 @@
 use mulberryyoke_decide::shed::Rejection;
 use mulberryyoke_decide::waiting::{self, Entry, Queue, Reserved};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{CustomerId, PoolId, ServerId, VersionId, saturating_u32};
+use mulberryyoke_model::{CustomerId, PoolId, saturating_u32};
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -31,6 +31,7 @@
 use crate::call::Call;
 use crate::core::Core;
 use crate::denial::Denial;
+use crate::eligibility::Eligibility;
 use crate::refusal::Refusal;
 use crate::{balance, clock};
 
@@ -87,10 +88,9 @@
     core: &Arc<Core>,
     call: &Arc<Call>,
     denial: Denial,
-    version: Option<VersionId>,
-    tried: &[ServerId],
+    eligible: Eligibility<'_>,
 ) -> Result<InFlight, Refusal> {
-    let Some(mut place) = enter(core, call, denial, version, tried) else {
+    let Some(mut place) = enter(core, call, denial, eligible) else {
         return Err(balance::refuse(core, call, denial));
     };
     let overdue = clock::wait_until(place.until + OVERDUE_MS);
@@ -128,8 +128,7 @@
     core: &Arc<Core>,
     call: &Arc<Call>,
     denial: Denial,
-    version: Option<VersionId>,
-    tried: &[ServerId],
+    eligible: Eligibility<'_>,
 ) -> Option<Place> {
     let Denial::Rejected { rejection, usage } = denial else {
         return None;
@@ -148,12 +147,12 @@
         customer: customer.id,
         priority: customer.priority.unwrap_or(call.route.priority),
         is_resumption: call.is_resumption(),
-        version,
+        version: eligible.version,
         deadline: call.deadline_ms,
         until,
         tokens: call.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
         bytes: call.body.bytes().len() + HEAD_BYTES,
-        payload: Waiter::new(call, denial, tried, sender),
+        payload: Waiter::new(call, denial, eligible, sender),
     };
     let mut queues = core.waiting.queues.lock();
     let limits = queues.limits(call.pool);
