--- a/crates/gateway/tests/gateway/resumptions.rs
+++ b/crates/gateway/tests/gateway/resumptions.rs
@@ -6,6 +6,7 @@
 
 use futures::future::join_all;
 use googletest::prelude::*;
+use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -52,6 +53,9 @@
 /// Time for which new streams begin after the servers ended.
 const OBSERVED: Duration = Duration::from_millis(2_500);
 
+/// Held while a day runs: several at a time would overload the gateways of each other.
+static DAY: Mutex<()> = Mutex::const_new(());
+
 /// Gateways before servers of two versions, all of them full.
 struct Fleet {
     service: Arc<Service>,
@@ -135,6 +139,7 @@
 /// Runs new streams at twice the capacity, and ends servers of one version meanwhile. Returns how
 /// the streams went, and when the servers ended.
 async fn run(keys: Keys) -> (Vec<Outcome>, Instant) {
+    let _day = DAY.lock().await;
     let fleet = Fleet::spawn(VERSIONS).await;
     let gateways = fleet.gateways();
     let (start, mut callers) = (Instant::now(), Vec::new());
@@ -214,6 +219,7 @@
 /// Number of streams of each of two customers that begin while the servers are full. The streams
 /// of the first state an event to go on from if `claims`.
 async fn begun(claims: bool) -> [usize; 2] {
+    let _day = DAY.lock().await;
     let fleet = Fleet::spawn(["1"; 13]).await;
     let gateways = fleet.gateways();
     let (start, mut callers) = (Instant::now(), Vec::new());
