--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,9 +7,10 @@
 fi
 folder=$(mktemp -d) || exit 2
 finish() {
-    while read -r pid; do
-        kill -KILL "$pid" 2>/dev/null
-    done <"$folder/pids" 2>/dev/null
+    # Left only if the case broke off.
+    if [ -e "$folder/pids" ]; then
+        while read -r pid; do kill -KILL "$pid" 2>/dev/null; done <"$folder/pids"
+    fi
     rm -rf "$folder"
 }
 trap finish EXIT
