Metrics: resident memory, the copied contents and configurations in memory

Nothing told what a gateway's memory holds. New gauges: memory_resident_bytes, contents_bytes{of=latest,history} and configurations_held.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod header;
 mod inbound;
 mod listen;
+mod memory;
 mod mirror;
 mod notice;
 mod outages;
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -71,6 +71,19 @@
         self.position.send_replace(position);
     }
 
+    /// Updates the gauges.
+    pub(crate) fn record_metrics(&self) {
+        let inner = self.inner.lock();
+        let latest: usize = inner.keys.values().map(size).sum();
+        let history: usize = inner.writes.iter().map(size).sum();
+        drop(inner);
+        #[expect(clippy::cast_precision_loss, reason = "gauges are floating-point")]
+        {
+            metrics::gauge!("contents_bytes", "of" => "latest").set(latest as f64);
+            metrics::gauge!("contents_bytes", "of" => "history").set(history as f64);
+        }
+    }
+
     /// Lists every key; `None` before the first listing.
     pub(crate) fn list(&self, known_ms: i64) -> Option<Batch> {
         let inner = self.inner.lock();
@@ -105,3 +118,8 @@
         })
     }
 }
+
+/// Bytes that the key and value of a write take.
+fn size(write: &Write) -> usize {
+    write.key.len() + write.value.as_ref().map_or(0, Vec::len)
+}
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -18,7 +18,7 @@
 use tokio::time::sleep;
 
 use crate::core::Core;
-use crate::listen;
+use crate::{listen, memory};
 
 /// Configuration age from which a node is not ready, in milliseconds: a call to the key-value
 /// service and its retry have failed.
@@ -50,6 +50,10 @@
     metrics::gauge!("kv_reached_age_seconds").set(contact_age_s);
     metrics::gauge!("callers_connections").set(core.connections.load(Ordering::Relaxed));
     core.buffers.record_metrics();
+    core.mirror.record_metrics();
+    memory::record_metrics();
+    #[expect(clippy::cast_precision_loss, reason = "gauges are floating-point")]
+    metrics::gauge!("configurations_held").set(core.view.configs_held() as f64);
     let config = core.view.config();
     for (pool, count) in core.waiting.counts() {
         let pool = config.as_ref().and_then(|config| config.pool(pool));
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,9 +1,10 @@
 //! The configuration in force on this gateway, and its age.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Weak};
 
 use arc_swap::ArcSwapOption;
+use parking_lot::Mutex;
 
 use crate::clock;
 use crate::config::Config;
@@ -16,6 +17,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct View {
     config: ArcSwapOption<Config>,
+    /// Configurations that were in force, this one included, and may still be in use.
+    applied: Mutex<Vec<Weak<Config>>>,
     /// Latest version with which another gateway served connections handed off from this one.
     peer_version: AtomicU64,
     confirmed_ms: AtomicU64,
@@ -34,10 +37,22 @@
         if current.is_some_and(|current| current >= config.version()) {
             return false;
         }
-        self.config.store(Some(Arc::new(config)));
+        let config = Arc::new(config);
+        let mut applied = self.applied.lock();
+        applied.retain(|earlier| earlier.strong_count() > 0);
+        applied.push(Arc::downgrade(&config));
+        drop(applied);
+        self.config.store(Some(config));
         true
     }
 
+    /// Number of configurations in memory: the one in force, and earlier ones still in use.
+    pub(crate) fn configs_held(&self) -> usize {
+        let applied = self.applied.lock();
+        let held = applied.iter().filter(|config| config.strong_count() > 0);
+        held.count()
+    }
+
     /// The latest version with which callers of this gateway were served, here or by another
     /// gateway; 0 before the first.
     pub(crate) fn latest_version(&self) -> u64 {
