Copied contents are bounded in bytes: the latest write of a key, shared with answers

Cause: the copy of the store's history kept 512 writes, each with its whole value and a second copy of it in the list of keys.

Change: the copy is a compacted log, the latest write of each key and the deletions, with an index by revision; a peer skips to the latest write. Values are shared with answers to peers (a chunk of the body each) and applier, and counted until their last user is gone. Contents take a tenth of the process's memory at most, deletions an eighth of that; what outgrows it is dropped with event 3008, and peers ask the service. Answers that peers are slow to take may hold as much again, then peers are refused with 429; a connection whose peer takes nothing fails after 3 s. Peers that list at the same position share one encoded answer. A configuration is no longer held while a body is received.

New: three of relay::. The soak checks the memory of each process against its limit of 110 MB.

--- a/crates/daemon/tests/soak/gateway.rs
+++ b/crates/daemon/tests/soak/gateway.rs
@@ -21,11 +21,18 @@
 pub(crate) const RETRY_RATIO: f64 = 0.2;
 pub(crate) const RETRY_SLACK: u32 = 20;
 
+/// Memory of a gateway's VM, in megabytes, as in the smaller deployments.
+pub(crate) const MEMORY_MB: u64 = 110;
+
+const KIB_PER_MB: u64 = 1 << 10;
+
 /// A gateway process that is killed on drop.
 #[derive(Debug)]
 pub(crate) struct Gateway {
     pub(crate) callers: SocketAddr,
     pub(crate) health: SocketAddr,
+    #[allow(dead_code, reason = "only some tests call it")]
+    pub(crate) control: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     child: Mutex<Option<Child>>,
@@ -41,11 +48,13 @@
             "name": name, "zone": "a", "callers": callers, "health": health, "control": control,
             "store": store, "keys_fresh_ms": KEYS_FRESH_MS, "grace_ms": GRACE_MS,
             "retry_ratio": RETRY_RATIO, "retry_slack": RETRY_SLACK,
+            "memory_mb": MEMORY_MB,
         });
         fs::write(&settings, text.to_string()).expect("the settings file is written");
         Self {
             callers,
             health,
+            control,
             settings,
             log: directory.join(format!("{name}.log")),
             child: Mutex::new(None),
@@ -80,6 +89,18 @@
         }
     }
 
+    /// Resident memory of the process in megabytes, rounded down; `None` if it does not run.
+    pub(crate) fn resident_mb(&self) -> Option<u64> {
+        let child = self.child.lock();
+        let status = format!("/proc/{}/status", child.as_ref()?.id());
+        let status = fs::read_to_string(status).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kib: u64 = line.split_whitespace().next()?.parse().ok()?;
+        Some(kib / KIB_PER_MB)
+    }
+
     /// Waits for the process and returns its exit code, or `None` after the timeout.
     pub(crate) async fn wait_for_exit(&self, limit: Duration) -> Option<i32> {
         let deadline = Instant::now() + limit;
--- a/crates/daemon/tests/soak/run.rs
+++ b/crates/daemon/tests/soak/run.rs
@@ -2,6 +2,7 @@
 
 mod crash;
 mod inject;
+mod memory;
 mod probe;
 mod serving;
 
@@ -72,6 +73,8 @@
     probes_left: Vec<AtomicU64>,
     /// When requests crashed servers.
     crashes: Mutex<Vec<Instant>>,
+    /// Largest resident memory of each gateway, in megabytes.
+    peaks_mb: Vec<AtomicU64>,
     is_finished: AtomicBool,
     next_server: AtomicU64,
 }
@@ -118,6 +121,7 @@
             sleep(PROBE_INTERVAL).await;
         }
     }));
+    tasks.push(tokio::spawn(Arc::clone(&run).watch_memory()));
     if subject == Subject::Part {
         tasks.push(tokio::spawn(load::run_bad_caller(Arc::clone(&run))));
         run.watch_servers();
@@ -144,6 +148,8 @@
             "recovery after killing all gateways: served {served_fraction:.2}"
         ));
     }
+    audit.checked.insert("memory", gateways as u64);
+    audit.findings.extend(run.memory_findings());
     let calls = run.calls.lock();
     Summary {
         audit,
@@ -190,6 +196,7 @@
         }
         Self {
             probes_left: gateways.iter().map(|_| AtomicU64::new(0)).collect(),
+            peaks_mb: gateways.iter().map(|_| AtomicU64::new(0)).collect(),
             gateways,
             operator,
             calls: Mutex::default(),
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -192,6 +192,8 @@
     ConfigUnreadable = 3006, Error, "configuration value unreadable";
     /// The key-value service was restored from a backup and lost its latest writes.
     KvRestored = 3007, Error, "key-value service restored from a backup";
+    /// The contents of the key-value service outgrew the copy for other gateways, which is dropped.
+    ContentsDropped = 3008, Warning, "copy of contents dropped";
     /// An operator command was executed or refused.
     Commanded = 4001, Info, "operator command";
     /// An operator presented an invalid key.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use mulberryyoke_platform::kv::Position;
-use mulberryyoke_wire::relay::{Batch, CHANGES, LIST};
+use mulberryyoke_wire::relay::{CHANGES, LIST};
 use mulberryyoke_wire::stream;
 
 use crate::core::Core;
+use crate::mirror::Answer;
+use crate::relay_body::RelayBody;
 use crate::{clock, quarantine, readiness, streams};
 
 const METRICS: &str = "/metrics";
@@ -24,27 +26,32 @@
 /// Upper bound of the wait time that a peer may request, in milliseconds.
 const MAX_WAIT_MS: u64 = 10_000;
 
+/// Body of a response: of a peer's call for contents, or another.
+pub(crate) type ControlBody = Either<Full<Bytes>, RelayBody>;
+
 /// Handles a request.
 pub(crate) async fn handle(
     core: Arc<Core>,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Result<Response<ControlBody>, Infallible> {
     let received_ms = clock::now_ms();
     let uri = request.uri().clone();
     let response = match uri.path() {
-        METRICS => Response::new(Full::new(Bytes::from(readiness::render_metrics(&core)))),
-        LIST => relay_response(core.mirror.list(core.view.confirmed_since_ms(received_ms))),
-        quarantine::PATH => quarantine::handle_admit(&core, request).await,
-        quarantine::WITHDRAW_PATH => quarantine::handle_withdraw(&core, request).await,
-        quarantine::PART_PATH => quarantine::handle_admit_part(&core, request).await,
-        stream::PATH => streams::handle_ask(&core, request).await,
+        METRICS => full(Response::new(Full::new(Bytes::from(
+            readiness::render_metrics(&core),
+        )))),
+        LIST => relay_response(&core, core.mirror.list(), received_ms),
+        quarantine::PATH => full(quarantine::handle_admit(&core, request).await),
+        quarantine::WITHDRAW_PATH => full(quarantine::handle_withdraw(&core, request).await),
+        quarantine::PART_PATH => full(quarantine::handle_admit_part(&core, request).await),
+        stream::PATH => full(streams::handle_ask(&core, request).await),
         CHANGES => changes(&core, uri.query().unwrap_or(""), received_ms).await,
         _ => status_response(StatusCode::NOT_FOUND),
     };
     Ok(response)
 }
 
-async fn changes(core: &Core, query: &str, received_ms: u64) -> Response<Full<Bytes>> {
+async fn changes(core: &Core, query: &str, received_ms: u64) -> Response<ControlBody> {
     let (Some(revision), Some(wait_ms)) = (parameter(query, "after"), parameter(query, "wait_ms"))
     else {
         return status_response(StatusCode::BAD_REQUEST);
@@ -57,10 +64,7 @@
     }
     let wait = Duration::from_millis(wait_ms.min(MAX_WAIT_MS));
     core.mirror.wait(after, wait).await;
-    relay_response(
-        core.mirror
-            .changes(after, core.view.confirmed_since_ms(received_ms)),
-    )
+    relay_response(core, core.mirror.changes(after), received_ms)
 }
 
 fn parameter(query: &str, name: &str) -> Option<u64> {
@@ -69,15 +73,22 @@
     matching.next()?.1.parse().ok()
 }
 
-fn relay_response(relayed: Option<Batch>) -> Response<Full<Bytes>> {
-    match relayed {
-        Some(relayed) => Response::new(Full::new(Bytes::from(relayed.encode()))),
-        None => status_response(StatusCode::GONE),
-    }
+fn relay_response(core: &Core, answer: Answer, received_ms: u64) -> Response<ControlBody> {
+    let message = match answer {
+        Answer::Message(message) => message,
+        Answer::Compacted => return status_response(StatusCode::GONE),
+        Answer::Busy => return status_response(StatusCode::TOO_MANY_REQUESTS),
+    };
+    let known_ms = core.view.confirmed_since_ms(received_ms);
+    Response::new(Either::Right(RelayBody::new(known_ms, message)))
 }
 
-fn status_response(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+fn status_response(status: StatusCode) -> Response<ControlBody> {
+    let mut response = full(Response::default());
     *response.status_mut() = status;
     response
 }
+
+fn full(response: Response<Full<Bytes>>) -> Response<ControlBody> {
+    response.map(Either::Left)
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -62,8 +62,7 @@
                     backoff.reset();
                     let position = position(&listing);
                     self.record_success(source);
-                    let writes = listing.writes.iter().cloned();
-                    self.core.mirror.reset(writes, position);
+                    self.core.mirror.reset(listing.writes.clone(), position);
                     let applier = &mut self.applier;
                     self.core
                         .registry
@@ -91,7 +90,7 @@
                     backoff.reset();
                     self.record_success(source);
                     known = known.max(position(&changes));
-                    self.core.mirror.apply(&changes.writes, known);
+                    self.core.mirror.apply(changes.writes.clone(), known);
                     let known_ms = changes.known_ms;
                     let applier = &mut self.applier;
                     self.core
--- a/crates/gateway/src/follow/source.rs
+++ b/crates/gateway/src/follow/source.rs
@@ -135,7 +135,7 @@
                 let listing = self.feed.list(ALL_KEYS).await?;
                 let writes = listing.entries.into_iter().map(|pair| Write {
                     key: pair.key,
-                    value: Some(pair.value),
+                    value: Some(pair.value.into()),
                     revision: pair.revision,
                 });
                 Ok(Batch {
@@ -161,7 +161,7 @@
                 }
                 let writes = changes.events.into_iter().map(|event| Write {
                     key: event.key,
-                    value: event.value,
+                    value: event.value.map(Bytes::from),
                     revision: event.revision,
                 });
                 Ok(Batch {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,7 +31,7 @@
 use crate::streams::Streams;
 use crate::view::View;
 use crate::waiting::{self, Waiting};
-use crate::{control, follow, listen, overload, readiness};
+use crate::{control, follow, listen, overload, readiness, socket};
 
 /// Time after the start of a shutdown in which requests are still accepted: the balancer keeps
 /// sending callers until two readiness probes, a second apart, have failed.
@@ -65,11 +65,13 @@
         let callers = bind(settings.callers).await?;
         let health = bind(settings.health).await?;
         let control = bind(settings.control).await?;
+        // An answer that a peer does not take ends with its connection.
+        let address = settings.control;
+        socket::configure(&control).map_err(|source| Error::Bind { address, source })?;
         let handoff = match settings.handoff {
             Some(address) => Some(bind(address).await?),
             None => None,
         };
-        let address = settings.control;
         let exchange_socket = UdpSocket::bind(address).await;
         let exchange_socket = exchange_socket.map_err(|source| Error::Bind { address, source })?;
         let exchange_socket = Arc::new(exchange_socket);
@@ -77,6 +79,7 @@
         let exchange = Exchange::new(&settings.name, placement);
         let registry = Registry::new(&settings.name);
         let buffers = Arc::new(Buffers::new(logger.clone(), settings.memory_mb));
+        let mirror = Mirror::new(logger.clone(), settings.memory_mb);
         let core = Arc::new(Core {
             retry_budgets: RetryBudgets::default(),
             settings: ArcSwap::from_pointee(settings),
@@ -85,7 +88,7 @@
             logger,
             view: View::default(),
             registry,
-            mirror: Mirror::new(),
+            mirror,
             exchange,
             outages: Outages::default(),
             waiting: Waiting::default(),
@@ -132,6 +135,7 @@
         log!(core.logger, Event::Reloaded, "needs_restart" => needs_restart);
         let settings = settings.with_identity_of(&previous);
         core.buffers.set_memory(settings.memory_mb);
+        core.mirror.set_memory(settings.memory_mb);
         core.settings.store(Arc::new(settings));
     }
 
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -111,6 +111,8 @@
         let path = path(&uri);
         // Nothing else keeps the read buffer of the head, which the body is read into next.
         drop(uri);
+        // A body may arrive slowly, and newer configurations meanwhile.
+        drop(config);
         header::strip_hop_by_hop(&mut headers);
         header::compact(&mut headers);
         let account = core.buffers.open(&self.head.id, payer, &self.connection);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod readiness;
 mod refusal;
 mod registry;
+mod relay_body;
 mod request_body;
 mod response_body;
 mod retry_budgets;
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -1,4 +1,5 @@
-//! Memory of the process as the kernel counts it.
+//! Memory of the process: how much the parts may take that grow with what others send, and how
+//! much is resident.
 
 use std::fs;
 
@@ -10,6 +11,22 @@
 
 const BYTES_PER_KIB: u64 = 1 << 10;
 
+/// Divisor of the memory of the process that gives the maximum size of the copied contents of the
+/// key-value service. A listing and the superseded values that answers hold take as much each.
+const CONTENTS_DIVISOR: usize = 10;
+
+/// Memory of a process without the setting, in megabytes.
+const DEFAULT_MEMORY_MB: u64 = 128;
+
+/// Maximum size of the copied contents of the key-value service, in bytes, in a process with this
+/// much memory, in megabytes.
+pub(crate) fn max_contents_bytes(memory_mb: Option<u64>) -> usize {
+    let bytes = memory_mb
+        .unwrap_or(DEFAULT_MEMORY_MB)
+        .saturating_mul(1 << 20);
+    usize::try_from(bytes).unwrap_or(usize::MAX) / CONTENTS_DIVISOR
+}
+
 /// Resident memory of the process, in bytes; `None` if the kernel does not tell it.
 pub(crate) fn resident_bytes() -> Option<u64> {
     let status = fs::read_to_string(STATUS).ok()?;
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -1,13 +1,14 @@
 //! Readiness probes and metrics.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -116,12 +117,13 @@
 }
 
 /// Serves HTTP on a listener until the gateway terminates.
-pub(crate) async fn serve<F>(
+pub(crate) async fn serve<F, B>(
     core: Arc<Core>,
     listener: TcpListener,
     handle: impl Fn(Arc<Core>, Request<Incoming>) -> F + Copy + Send + 'static,
 ) where
-    F: Future<Output = Result<Response<Full<Bytes>>, Infallible>> + Send + 'static,
+    F: Future<Output = Result<Response<B>, Infallible>> + Send + 'static,
+    B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + Send + 'static,
 {
     loop {
         let accepted = tokio::select! {
--- a/crates/gateway/tests/gateway/lagging.rs
+++ b/crates/gateway/tests/gateway/lagging.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use googletest::prelude::*;
 use mulberryyoke_wire::relay::{Batch, Write};
 use tokio::io::AsyncWriteExt;
@@ -50,7 +51,7 @@
         revision,
         writes: vec![Write {
             key: "config".to_owned(),
-            value: Some(b"5 secret".to_vec()),
+            value: Some(Bytes::from("5 secret")),
             revision,
         }],
         era: 0,
@@ -60,7 +61,9 @@
         let address = listener.local_addr().expect("an address");
         let peer = format!("{address} 9000 a");
         service.set(&format!("mulberryyoke/gateways/s{index}"), Some(&peer));
-        tokio::spawn(serve(listener, listing.encode()));
+        let known = Batch::encode_known_ms(listing.known_ms);
+        let encoded = [known, listing.encode().chunks.concat().into()].concat();
+        tokio::spawn(serve(listener, encoded));
     }
     register(&service, 0, &backend, "ready");
     let node = Node::spawn(&service, "g0").await;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -32,6 +32,7 @@
 mod prompt_fleet;
 mod prompt_parts;
 mod protocol;
+mod relay;
 mod responses;
 mod restore;
 mod resumptions;
