Answers of the store are read within a share of the memory, each value once

What a gateway read was bounded by 8 MB for each response, whatever its memory, and not at all for a listing of 128 pages; one answer stood four times in memory for a moment (chunks, whole body, decoded JSON strings, decoded values), and each superseded value of a burst was decoded too.

Change: the reader states how much it takes. A listing may take a fifth of the process's memory and is applied even if it exceeds the tenth that is kept for peers; a response above the limit is HttpError::TooLarge, before its body is read where the length tells it. A response that begins and does not end in time is now told apart (HttpError::Incomplete).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,6 +19,7 @@
 use self::source::{Source, Sources};
 use crate::clock;
 use crate::core::Core;
+use crate::memory;
 
 /// Minimum interval between two calls for changes, in milliseconds: calls are billed, and one
 /// call returns a whole burst of changes.
@@ -56,7 +57,8 @@
         loop {
             let started_ms = clock::now_ms();
             let source = self.sources.select(&self.core);
-            let listing = self.sources.list(source).await;
+            let max_bytes = self.max_bytes();
+            let listing = self.sources.list(source, max_bytes).await;
             match listing.and_then(|listing| self.reject_stale(source, listing)) {
                 Ok(listing) => {
                     backoff.reset();
@@ -82,7 +84,8 @@
         loop {
             let (started, started_ms) = (Instant::now(), clock::now_ms());
             let source = self.sources.select(&self.core);
-            let changes = self.sources.changes(source, known).await;
+            let max_bytes = self.max_bytes();
+            let changes = self.sources.changes(source, known, max_bytes).await;
             match changes.and_then(|changes| self.reject_stale(source, changes)) {
                 // Revisions of different eras are not comparable.
                 Ok(changes) if changes.era > known.era => return,
@@ -106,6 +109,11 @@
         }
     }
 
+    /// Maximum size of a response, in bytes.
+    fn max_bytes(&self) -> usize {
+        memory::max_listing_bytes(self.core.settings.load().memory_mb)
+    }
+
     /// Rejects a response that is older than the state applied here: a peer may lag. The service
     /// itself is never behind within an era.
     fn reject_stale(&self, source: Source, relayed: Batch) -> Result<Batch, Error> {
--- a/crates/gateway/src/follow/source.rs
+++ b/crates/gateway/src/follow/source.rs
@@ -30,8 +30,9 @@
 /// Timeout of a call to a peer beyond the time that it waits for changes, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 300;
 
-/// Maximum size of a peer's response, in bytes: a configuration of a megabyte and the servers.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Maximum size of the service's response to a call for changes, in bytes. A listing carries each
+/// key once, and costs less than a longer response.
+const MAX_CHANGES_BYTES: usize = 8 << 20;
 
 /// Time for which a failed peer is not called again while there is another source, in
 /// milliseconds.
@@ -128,11 +129,11 @@
         self.is_store_down &= source != Source::Store;
     }
 
-    /// Lists every key.
-    pub(super) async fn list(&self, source: Source) -> Result<Batch, Error> {
+    /// Lists every key, at most `max_bytes`.
+    pub(super) async fn list(&self, source: Source, max_bytes: usize) -> Result<Batch, Error> {
         match source {
             Source::Store => {
-                let listing = self.feed.list(ALL_KEYS).await?;
+                let listing = self.feed.list(ALL_KEYS, max_bytes).await?;
                 let writes = listing.entries.into_iter().map(|pair| Write {
                     key: pair.key,
                     value: Some(pair.value.into()),
@@ -145,16 +146,26 @@
                     era: listing.position.era,
                 })
             }
-            Source::Peer(address) => self.fetch(address, LIST, 0).await,
+            Source::Peer(address) => self.fetch(address, LIST, 0, max_bytes).await,
         }
     }
 
-    /// Reads the writes after a position. If the era changed, only the result's position counts.
-    pub(super) async fn changes(&self, source: Source, after: Position) -> Result<Batch, Error> {
+    /// Reads the writes after a position, at most `max_bytes`. If the era changed, only the result's
+    /// position counts.
+    pub(super) async fn changes(
+        &self,
+        source: Source,
+        after: Position,
+        max_bytes: usize,
+    ) -> Result<Batch, Error> {
         match source {
             Source::Store => {
                 let wait_ms = if self.is_store_down { 0 } else { STORE_WAIT_MS };
-                let changes = self.feed.changes(ALL_KEYS, after.revision, wait_ms).await?;
+                let max_bytes = max_bytes.min(MAX_CHANGES_BYTES);
+                let changes = self
+                    .feed
+                    .changes(ALL_KEYS, after.revision, wait_ms, max_bytes);
+                let changes = changes.await?;
                 let Position { era, revision } = changes.position;
                 if changes.events.is_empty() && changes.position > after {
                     return Err(Error::Compacted(revision));
@@ -179,12 +190,18 @@
                 };
                 let Position { era, revision } = after;
                 let path = format!("{CHANGES}?era={era}&after={revision}&wait_ms={wait_ms}");
-                self.fetch(address, &path, wait_ms).await
+                self.fetch(address, &path, wait_ms, max_bytes).await
             }
         }
     }
 
-    async fn fetch(&self, peer: SocketAddr, path: &str, wait_ms: u64) -> Result<Batch, Error> {
+    async fn fetch(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        wait_ms: u64,
+        max_bytes: usize,
+    ) -> Result<Batch, Error> {
         let started_ms = clock::now_ms();
         let deadline = std::time::Instant::now() + Duration::from_millis(wait_ms + CALL_TIMEOUT_MS);
         let request = http::request(Method::GET, peer, path, Bytes::new());
@@ -193,7 +210,7 @@
         if response.status() == StatusCode::GONE {
             return Err(Error::Compacted(0));
         }
-        let body = http::read_body(response, MAX_RESPONSE_BYTES, deadline).await;
+        let body = http::read_body(response, max_bytes, deadline).await;
         let body = body.map_err(|failure| Error::Unknown(failure.cause))?;
         let relayed = Batch::decode(&body);
         let now_ms = clock::now_ms();
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -12,19 +12,33 @@
 const BYTES_PER_KIB: u64 = 1 << 10;
 
 /// Divisor of the memory of the process that gives the maximum size of the copied contents of the
-/// key-value service. A listing and the superseded values that answers hold take as much each.
+/// key-value service. The superseded values that answers hold take as much.
 const CONTENTS_DIVISOR: usize = 10;
 
+/// Divisor of the memory of the process that gives the maximum size of a listing. One that is not
+/// kept can still be applied.
+const LISTING_DIVISOR: usize = 5;
+
 /// Memory of a process without the setting, in megabytes.
 const DEFAULT_MEMORY_MB: u64 = 128;
 
 /// Maximum size of the copied contents of the key-value service, in bytes, in a process with this
 /// much memory, in megabytes.
 pub(crate) fn max_contents_bytes(memory_mb: Option<u64>) -> usize {
+    memory_bytes(memory_mb) / CONTENTS_DIVISOR
+}
+
+/// Maximum size of a listing that is read, in bytes, in a process with this much memory, in
+/// megabytes.
+pub(crate) fn max_listing_bytes(memory_mb: Option<u64>) -> usize {
+    memory_bytes(memory_mb) / LISTING_DIVISOR
+}
+
+fn memory_bytes(memory_mb: Option<u64>) -> usize {
     let bytes = memory_mb
         .unwrap_or(DEFAULT_MEMORY_MB)
         .saturating_mul(1 << 20);
-    usize::try_from(bytes).unwrap_or(usize::MAX) / CONTENTS_DIVISOR
+    usize::try_from(bytes).unwrap_or(usize::MAX)
 }
 
 /// Resident memory of the process, in bytes; `None` if the kernel does not tell it.
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -75,7 +75,7 @@
     }
 
     /// Maximum size of the contents, in bytes.
-    pub(crate) fn max_bytes(&self) -> usize {
+    fn max_bytes(&self) -> usize {
         self.max_bytes.load(Ordering::Relaxed)
     }
 
--- a/crates/gateway/tests/gateway/feed.rs
+++ b/crates/gateway/tests/gateway/feed.rs
@@ -196,8 +196,16 @@
     }
 }
 
+/// Rejects a response that exceeds the limit of its reader.
+fn check_size(bytes: usize, limit: usize) -> Result<(), Error> {
+    if bytes > limit {
+        return Err(Error::Unknown(HttpError::TooLarge { limit }));
+    }
+    Ok(())
+}
+
 impl Feed for Client {
-    fn list<'a>(&'a self, prefix: &'a str) -> Call<'a, Contents> {
+    fn list<'a>(&'a self, prefix: &'a str, max_bytes: usize) -> Call<'a, Contents> {
         Box::pin(async move {
             self.start_call(0).await?;
             let state = self.service.state.lock();
@@ -208,14 +216,23 @@
                 revision: *revision,
                 lease: None,
             });
+            let entries: Vec<Pair> = entries.collect();
+            let bytes = entries.iter().map(|pair| pair.key.len() + pair.value.len());
+            check_size(bytes.sum(), max_bytes)?;
             Ok(Contents {
                 position: state.position(),
-                entries: entries.collect(),
+                entries,
             })
         })
     }
 
-    fn changes<'a>(&'a self, _: &'a str, after: Revision, wait_ms: u64) -> Call<'a, Changes> {
+    fn changes<'a>(
+        &'a self,
+        _: &'a str,
+        after: Revision,
+        wait_ms: u64,
+        max_bytes: usize,
+    ) -> Call<'a, Changes> {
         Box::pin(async move {
             self.start_call(wait_ms).await?;
             self.service.wait(after, wait_ms).await;
@@ -225,9 +242,15 @@
                 return Err(Error::Compacted(state.compacted));
             }
             let newer = state.events.iter().filter(|event| event.revision > after);
+            let events: Vec<Event> = newer.cloned().collect();
+            let sizes = events.iter().map(|event| {
+                let value = event.value.as_ref();
+                event.key.len() + value.map_or(0, Vec::len)
+            });
+            check_size(sizes.sum(), max_bytes)?;
             Ok(Changes {
                 position: state.position(),
-                events: newer.cloned().collect(),
+                events,
             })
         })
     }
--- a/crates/gateway/tests/gateway/relay.rs
+++ b/crates/gateway/tests/gateway/relay.rs
@@ -19,6 +19,13 @@
 /// Size of a large value, in bytes.
 const LARGE_BYTES: usize = 400_000;
 
+/// Memory of a gateway whose contents exceed the buffers of a connection, in megabytes.
+const LARGE_MEMORY_MB: u64 = 60;
+
+/// Number of large values of these contents, and of peers that do not take them.
+const LARGE_VALUES: usize = 12;
+const STALLED_PEERS: usize = 4;
+
 /// Timeout for a gateway to relay a write.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -47,11 +54,11 @@
 async fn caught_up(node: &Node, service: &Service, after: u64) -> (u16, Vec<Write>) {
     let until = Instant::now() + RELAY_TIMEOUT;
     loop {
-        let latest = service.revision();
-        let (_, batch) = changes(node, latest).await;
-        if batch.is_some_and(|batch| batch.revision >= latest) || Instant::now() > until {
-            let (status, batch) = changes(node, after).await;
-            return (status, batch.map(|batch| batch.writes).unwrap_or_default());
+        assert!(Instant::now() < until, "the latest write is not relayed");
+        let (status, batch) = changes(node, after).await;
+        let batch = batch.unwrap_or_default();
+        if status != 200 || batch.revision >= service.revision() {
+            return (status, batch.writes);
         }
         sleep(Duration::from_millis(20)).await;
     }
@@ -128,3 +135,35 @@
     let response = node.send("/once/", "").await;
     expect_that!(response.status, eq(200));
 }
+
+/// Changes all large values and waits until the gateway has them.
+async fn write_large_values(node: &Node, service: &Service, fill: &str) {
+    let before = service.revision();
+    let large = fill.repeat(LARGE_BYTES);
+    for index in 0..LARGE_VALUES {
+        service.set(&format!("notes/{index}"), Some(&large));
+    }
+    caught_up(node, service, before).await;
+}
+
+/// Guards against answers that peers do not take, each with superseded values of its own.
+#[gtest]
+#[tokio::test]
+async fn peers_are_refused_while_others_hold_too_many_superseded_values() {
+    let backend = Backend::spawn(Behavior::Answer).await;
+    let (service, node) = ready_with(&[&backend], Some(LARGE_MEMORY_MB)).await;
+    let request = "GET /relay/list HTTP/1.1\r\nHost: h\r\n\r\n";
+    let mut stalled = Vec::new();
+    for index in 0..STALLED_PEERS {
+        write_large_values(&node, &service, &index.to_string()).await;
+        stalled.push(caller::open_slow(node.control, request).await);
+    }
+    write_large_values(&node, &service, "x").await;
+    expect_that!(call(&node, "/relay/list").await.0, eq(429));
+    drop(stalled);
+    let until = Instant::now() + RELAY_TIMEOUT;
+    while call(&node, "/relay/list").await.0 != 200 {
+        assert!(Instant::now() < until, "the memory is not given back");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
@@ -187,16 +187,30 @@
     limit: usize,
     deadline: Instant,
 ) -> Result<Bytes, Failure> {
-    let body = Limited::new(response.into_body(), limit);
-    let Ok(collected) = timeout_at(deadline.into(), body.collect()).await else {
-        return Err(Failure::after_sending(HttpError::TimedOut));
-    };
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) => Err(Failure::after_sending(HttpError::Disconnected(
-            error_chain(error.as_ref()),
-        ))),
+    let collected = timeout_at(deadline.into(), collect(response.into_body(), limit)).await;
+    let collected = collected.unwrap_or(Err(HttpError::Incomplete));
+    collected.map_err(Failure::after_sending)
+}
+
+/// Collects a body into one buffer, without a second copy of its chunks.
+async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, HttpError> {
+    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if expected > limit {
+        return Err(HttpError::TooLarge { limit });
+    }
+    let mut collected = BytesMut::with_capacity(expected);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| HttpError::Disconnected(error_chain(&error)))?;
+        // Trailers carry no content.
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
+        if collected.len() + chunk.len() > limit {
+            return Err(HttpError::TooLarge { limit });
+        }
+        collected.extend_from_slice(&chunk);
     }
+    Ok(collected.freeze())
 }
 
 /// Builds the error for a response that is not a success.
--- a/crates/platform/src/http_error.rs
+++ b/crates/platform/src/http_error.rs
@@ -18,6 +18,13 @@
         /// Start of the response body.
         message: String,
     },
+    /// response began, but did not end before the deadline
+    Incomplete,
+    /// response exceeds the limit of {limit} bytes
+    TooLarge {
+        /// Maximum size of the body, in bytes.
+        limit: usize,
+    },
     /// unreadable response: {0}
     Malformed(String),
 }
--- a/crates/platform/src/kv/feed.rs
+++ b/crates/platform/src/kv/feed.rs
@@ -2,7 +2,7 @@
 
 use crate::kv::{Call, Era, Event, Lease, LeaseId, Pair, Position, Revision};
 
-/// Writes after a given revision.
+/// The latest writes of keys after a given revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
     /// Position after these writes, from which the next call continues. If its era differs
@@ -24,13 +24,19 @@
 /// Client of the key-value service for gateways: lists keys, long-polls their changes and
 /// maintains keys that are attached to a lease.
 pub trait Feed: Send + Sync {
-    /// Reads all keys that start with `prefix`. Pages of a long listing may be of different
-    /// revisions; the returned position is that of the first page.
-    fn list<'a>(&'a self, prefix: &'a str) -> Call<'a, Contents>;
-
-    /// Returns the writes after a revision as soon as there are any, or none after `wait_ms`
-    /// milliseconds.
-    fn changes<'a>(&'a self, prefix: &'a str, after: Revision, wait_ms: u64) -> Call<'a, Changes>;
+    /// Reads all keys that start with `prefix`, at most `max_bytes` of keys and values. Pages of a
+    /// long listing may be of different revisions; the returned position is that of the first page.
+    fn list<'a>(&'a self, prefix: &'a str, max_bytes: usize) -> Call<'a, Contents>;
+
+    /// Returns the latest write of each key that was written after a revision as soon as there
+    /// are any, or none after `wait_ms` milliseconds. The response may have `max_bytes`.
+    fn changes<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Revision,
+        wait_ms: u64,
+        max_bytes: usize,
+    ) -> Call<'a, Changes>;
 
     /// Grants a lease of at least `ttl_ms` milliseconds.
     fn grant(&self, ttl_ms: u64) -> Call<'_, Lease>;
