Changes too large to take are replaced by a listing: each failure of a source has a class

Cause: the answer with the changes since the freeze exceeded the limit of 8 MB. The failure was handled as an outage: the same call was made again and again, which cannot succeed while the service keeps the history; only 410 led to a listing, which would have fit.

Change: follow::failure says what a failed call leads to. Changes that are compacted, too large or not complete in time are replaced by a listing (event 3009); anything else leads to another source. Of peers, 503 (its own source is lost), 429 (busy), an outdated answer, one behind what is applied and an unreadable one are told apart, and counted in source_failures_total. A listing that exceeds what the gateway may take is logged as an error once (event 3010); the gateway keeps what it has applied until it is too old, leaves rotation then, and goes on once the contents fit.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -194,6 +194,10 @@
     KvRestored = 3007, Error, "key-value service restored from a backup";
     /// The contents of the key-value service outgrew the copy for other gateways, which is dropped.
     ContentsDropped = 3008, Warning, "copy of contents dropped";
+    /// Changes of the key-value service cannot be taken, so that every key is listed again.
+    Relisting = 3009, Info, "contents listed again";
+    /// The contents of the key-value service are larger than this node can take.
+    ContentsTooLarge = 3010, Error, "contents too large";
     /// An operator command was executed or refused.
     Commanded = 4001, Info, "operator command";
     /// An operator presented an invalid key.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -2,6 +2,7 @@
 
 mod applier;
 mod cold_shares;
+mod failure;
 mod servers;
 mod source;
 mod zones;
@@ -10,12 +11,13 @@
 use std::time::Duration;
 
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_platform::kv::{Error, Position};
-use mulberryyoke_platform::{Backoff, HttpError};
+use mulberryyoke_platform::Backoff;
+use mulberryyoke_platform::kv::Position;
 use mulberryyoke_wire::relay::Batch;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use self::applier::Applier;
+use self::failure::{Failure, Next};
 use self::source::{Source, Sources};
 use crate::clock;
 use crate::core::Core;
@@ -36,6 +38,7 @@
         sources: Sources::new(Arc::clone(&core.feed)),
         core,
         is_down: false,
+        is_too_large: false,
     };
     tokio::select! {
         () = terminate.cancelled() => {}
@@ -49,6 +52,8 @@
     applier: Applier,
     /// Whether the last call failed.
     is_down: bool,
+    /// Whether it is logged that listings exceed what this gateway can take.
+    is_too_large: bool,
 }
 
 impl Follower {
@@ -64,6 +69,7 @@
                     backoff.reset();
                     let position = position(&listing);
                     self.record_success(source);
+                    self.is_too_large = false;
                     self.core.mirror.reset(listing.writes.clone(), position);
                     let applier = &mut self.applier;
                     self.core
@@ -73,13 +79,28 @@
                     self.confirm(source, started_ms, listing.known_ms);
                     self.watch(position, &mut backoff).await;
                 }
-                Err(error) => self.back_off(source, &error, &mut backoff).await,
+                Err(failure) => {
+                    self.report_listing(source, &failure, max_bytes);
+                    self.back_off(source, &failure, &mut backoff).await;
+                }
             }
         }
     }
 
-    /// Applies changes until a new listing is needed: the history was compacted, or the service
-    /// was restored from a backup.
+    /// Logs a listing that exceeds what this gateway can take: it stays with what is applied until
+    /// keys are removed or it gets more memory.
+    fn report_listing(&mut self, source: Source, failure: &Failure, max_bytes: usize) {
+        let is_too_large = matches!(failure, Failure::TooLarge(_));
+        if is_too_large && !self.is_too_large {
+            log!(self.core.logger, Event::ContentsTooLarge,
+                "source" => source.name(), "error" => failure.to_string(), "max_bytes" => max_bytes,
+                "view_age_ms" => self.core.view.age_ms());
+        }
+        self.is_too_large |= is_too_large;
+    }
+
+    /// Applies changes until a new listing is needed: the history was compacted, the changes are too
+    /// large, or the service was restored from a backup.
     async fn watch(&mut self, mut known: Position, backoff: &mut Backoff) {
         loop {
             let (started, started_ms) = (Instant::now(), clock::now_ms());
@@ -101,8 +122,13 @@
                         .batch(|| applier.apply_changes(changes.writes, known));
                     self.confirm(source, started_ms, known_ms);
                 }
-                Err(Error::Compacted(_)) => return,
-                Err(error) => self.back_off(source, &error, backoff).await,
+                Err(failure) => match failure.next() {
+                    Next::List => {
+                        self.report_relisting(source, &failure, known);
+                        return;
+                    }
+                    Next::AskAnother => self.back_off(source, &failure, backoff).await,
+                },
             }
             self.applier.expire();
             sleep_until(clock::after(started, MIN_POLL_INTERVAL_MS)).await;
@@ -116,15 +142,14 @@
 
     /// Rejects a response that is older than the state applied here: a peer may lag. The service
     /// itself is never behind within an era.
-    fn reject_stale(&self, source: Source, relayed: Batch) -> Result<Batch, Error> {
+    fn reject_stale(&self, source: Source, relayed: Batch) -> Result<Batch, Failure> {
         let (received, known) = (position(&relayed), self.applier.position());
         let is_stale = match source {
             Source::Store => received.era < known.era,
             Source::Peer(_) => received < known,
         };
         if is_stale {
-            let reason = format!("response at {received} is older than the known {known}");
-            return Err(Error::Unknown(HttpError::Malformed(reason)));
+            return Err(Failure::Behind { received, known });
         }
         Ok(relayed)
     }
@@ -140,16 +165,24 @@
         }
     }
 
-    async fn back_off(&mut self, source: Source, error: &Error, backoff: &mut Backoff) {
+    fn report_relisting(&self, source: Source, failure: &Failure, known: Position) {
+        count_failure(source, failure);
+        log!(self.core.logger, Event::Relisting,
+            "source" => source.name(), "error" => failure.to_string(),
+            "revision" => known.revision, "view_age_ms" => self.core.view.age_ms());
+    }
+
+    async fn back_off(&mut self, source: Source, failure: &Failure, backoff: &mut Backoff) {
         let now = Instant::now();
-        self.sources.record_failure(source, error);
+        count_failure(source, failure);
+        self.sources.record_failure(source, failure);
         if source == Source::Store {
             self.applier.record_failure(now);
         }
         if !self.is_down {
             self.is_down = true;
             log!(self.core.logger, Event::KvDown,
-                "source" => source.name(), "error" => error.to_string());
+                "source" => source.name(), "error" => failure.to_string());
         }
         self.applier.expire();
         let std_now = now.into_std();
@@ -172,6 +205,11 @@
     }
 }
 
+fn count_failure(source: Source, failure: &Failure) {
+    metrics::counter!("source_failures_total", "source" => source.kind(), "kind" => failure.kind())
+        .increment(1);
+}
+
 const fn position(relayed: &Batch) -> Position {
     Position {
         era: relayed.era,
--- a/crates/gateway/src/follow/source.rs
+++ b/crates/gateway/src/follow/source.rs
@@ -6,12 +6,12 @@
 
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
-use mulberryyoke_platform::HttpError;
 use mulberryyoke_platform::http::{self, Http};
-use mulberryyoke_platform::kv::{Error, Feed, Position};
+use mulberryyoke_platform::kv::{Feed, Position};
 use mulberryyoke_wire::relay::{Batch, CHANGES, LIST, Write};
 use tokio::time::Instant;
 
+use super::failure::Failure;
 use crate::clock;
 use crate::core::Core;
 
@@ -60,6 +60,14 @@
 }
 
 impl Source {
+    /// Value of the metric label `source`.
+    pub(super) const fn kind(self) -> &'static str {
+        match self {
+            Self::Store => "service",
+            Self::Peer(_) => "peer",
+        }
+    }
+
     /// Name in logs.
     pub(super) fn name(self) -> String {
         match self {
@@ -111,10 +119,12 @@
     }
 
     /// Records that a call to a source failed.
-    pub(super) fn record_failure(&mut self, source: Source, error: &Error) {
+    pub(super) fn record_failure(&mut self, source: Source, failure: &Failure) {
         self.is_store_down |= source == Source::Store;
-        let is_stale = matches!(error, Error::Unknown(HttpError::Malformed(_)));
-        let is_short = source == Source::Store || (self.is_store_down && is_stale);
+        let is_short = match source {
+            Source::Store => true,
+            Source::Peer(_) => self.is_store_down && failure.is_stale(),
+        };
         let backoff_ms = if is_short {
             SHORT_BACKOFF_MS
         } else {
@@ -130,7 +140,7 @@
     }
 
     /// Lists every key, at most `max_bytes`.
-    pub(super) async fn list(&self, source: Source, max_bytes: usize) -> Result<Batch, Error> {
+    pub(super) async fn list(&self, source: Source, max_bytes: usize) -> Result<Batch, Failure> {
         match source {
             Source::Store => {
                 let listing = self.feed.list(ALL_KEYS, max_bytes).await?;
@@ -157,7 +167,7 @@
         source: Source,
         after: Position,
         max_bytes: usize,
-    ) -> Result<Batch, Error> {
+    ) -> Result<Batch, Failure> {
         match source {
             Source::Store => {
                 let wait_ms = if self.is_store_down { 0 } else { STORE_WAIT_MS };
@@ -168,7 +178,7 @@
                 let changes = changes.await?;
                 let Position { era, revision } = changes.position;
                 if changes.events.is_empty() && changes.position > after {
-                    return Err(Error::Compacted(revision));
+                    return Err(Failure::Compacted);
                 }
                 let writes = changes.events.into_iter().map(|event| Write {
                     key: event.key,
@@ -201,27 +211,29 @@
         path: &str,
         wait_ms: u64,
         max_bytes: usize,
-    ) -> Result<Batch, Error> {
+    ) -> Result<Batch, Failure> {
         let started_ms = clock::now_ms();
         let deadline = std::time::Instant::now() + Duration::from_millis(wait_ms + CALL_TIMEOUT_MS);
         let request = http::request(Method::GET, peer, path, Bytes::new());
         let response = self.http.send(request, deadline).await;
-        let response = response.map_err(|failure| Error::Unknown(failure.cause))?;
-        if response.status() == StatusCode::GONE {
-            return Err(Error::Compacted(0));
-        }
+        let response = response.map_err(|failure| failure.cause)?;
+        let status = response.status();
         let body = http::read_body(response, max_bytes, deadline).await;
-        let body = body.map_err(|failure| Error::Unknown(failure.cause))?;
+        let body = body.map_err(|failure| failure.cause)?;
+        match status {
+            StatusCode::OK => {}
+            StatusCode::GONE => return Err(Failure::Compacted),
+            StatusCode::TOO_MANY_REQUESTS => return Err(Failure::Busy),
+            StatusCode::SERVICE_UNAVAILABLE => return Err(Failure::Uninformed),
+            status => return Err(http::status_error(status, &body).into()),
+        }
         let relayed = Batch::decode(&body);
-        let now_ms = clock::now_ms();
-        let relayed = relayed.filter(|relayed| {
-            let known_ms = started_ms.saturating_add_signed(relayed.known_ms);
-            now_ms.saturating_sub(known_ms) < STALE_MS
-        });
-        relayed.ok_or_else(|| {
-            Error::Unknown(HttpError::Malformed(
-                "peer's data is stale or malformed".to_owned(),
-            ))
-        })
+        let relayed = relayed.ok_or_else(|| Failure::Unreadable("not a batch".to_owned()))?;
+        let known_ms = started_ms.saturating_add_signed(relayed.known_ms);
+        let age_ms = clock::now_ms().saturating_sub(known_ms);
+        if age_ms >= STALE_MS {
+            return Err(Failure::Outdated { age: age_ms });
+        }
+        Ok(relayed)
     }
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod fleet;
 mod handoff;
 mod lagging;
+mod large_changes;
 mod leaving;
 mod notices;
 mod outages;
