Every source gets its turn: gateways go back to a service that is back

Cause: a follower asks the three watchers first and the service last. Watchers that answer with stale data back off for 500 ms while the service is down, but the delays after failed calls have grown to 200 to 400 ms by then, so that the first watcher is due again when the third has failed. The service's turn never comes, and only a call to it ends that state.

Change: decide::failover. The preferred source is asked while it answers; from a failure until the next success, the due source that was asked longest ago. From the end of its backoff on, a source is asked after at most one call to each other, for any number of sources and any delays. Followers back off from the service for 0.25 to 1.5 s at random, so that they don't call it all at once.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod declare;
 pub mod engine;
 pub mod exchange;
+pub mod failover;
 pub mod handoff;
 pub mod home;
 pub mod key;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,6 +5,7 @@
 mod failure;
 mod servers;
 mod source;
+mod sources;
 mod zones;
 
 use std::sync::Arc;
@@ -18,7 +19,8 @@
 
 use self::applier::Applier;
 use self::failure::{Failure, Next};
-use self::source::{Source, Sources};
+use self::source::Source;
+use self::sources::Sources;
 use crate::clock;
 use crate::core::Core;
 use crate::memory;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -44,6 +44,7 @@
 mod silent_crashes;
 mod slot_server;
 mod slow;
+mod stale_peers;
 mod stream_caller;
 mod streams;
 mod version_fleet;
