A process near the limit of its memory gives up what it can and refuses new requests

Change: the daemon reads its resident memory twice a second. Above seven eighths of memory_mb the copy of the contents is dropped, which peers can list elsewhere. If it is above three quarters and would reach the limit within 2 s at the growth of the last 2 s, new requests are refused with memory_short, which is true (they have not run), and the node leaves rotation, until the growth has ended. Memory that is high and level refuses nobody. Event 1061 tells each change.

Tests: decide/tests/pressure.rs; memory_pressure::new_requests_are_refused_while_memory_grows_towards_the_limit (a running stream ends whole meanwhile).

--- a/crates/daemon/src/cmd/gateway.rs
+++ b/crates/daemon/src/cmd/gateway.rs
@@ -20,6 +20,9 @@
 /// Polling interval of the settings file, which may change without a signal.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Interval between two readings of the resident memory.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Runs a gateway until a graceful shutdown is complete. Uses one thread, since entry
 /// VMs have one core.
 pub(crate) fn run(options: &args::Gateway) -> Result<(), Error> {
@@ -37,12 +40,24 @@
         tokio::select! {
             stopped = signal::stop() => stopped?,
             watched = watch(&gateway, &options.settings, &logger) => watched?,
+            () = follow_memory(&gateway) => {}
         }
         gateway.stop().await;
         Ok(())
     })
 }
 
+/// Tells the gateway how much memory the process has.
+async fn follow_memory(gateway: &Gateway) {
+    let mut interval = interval(MEMORY_INTERVAL);
+    loop {
+        interval.tick().await;
+        if let Some(bytes) = mulberryyoke_gateway::resident_bytes() {
+            gateway.record_resident(bytes);
+        }
+    }
+}
+
 /// Reloads the settings on SIGHUP and when the file changes.
 async fn watch(gateway: &Gateway, path: &Path, logger: &Logger) -> Result<(), Error> {
     let mut hangup = subscribe(SignalKind::hangup()).map_err(Error::Signal)?;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod overload;
 pub mod placement;
 pub mod plain;
+pub mod pressure;
 pub mod pushback;
 pub mod quarantine;
 pub mod queue;
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -152,6 +152,8 @@
     PartWithheld = 1057, Info, "request withheld for prompt part";
     /// The message of a call by another gateway could not be read.
     MessageUnreadable = 1060, Warning, "message unreadable";
+    /// The resident memory of a process nears its limit, or has fallen again.
+    MemoryPressure = 1061, Warning, "memory pressure changed";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -14,6 +14,7 @@
 
 use crate::buffers::Buffers;
 use crate::exchange::Exchange;
+use crate::memory;
 use crate::mirror::Mirror;
 use crate::outages::Outages;
 use crate::overload::Overload;
@@ -35,6 +36,7 @@
     pub(crate) view: View,
     pub(crate) registry: Registry,
     pub(crate) mirror: Mirror,
+    pub(crate) memory: memory::Guard,
     pub(crate) exchange: Exchange,
     pub(crate) shares: Mutex<Shares>,
     pub(crate) quarantine: Quarantine,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,7 +31,7 @@
 use crate::streams::Streams;
 use crate::view::View;
 use crate::waiting::{self, Waiting};
-use crate::{control, follow, listen, overload, readiness, socket};
+use crate::{control, follow, listen, memory, overload, readiness, socket};
 
 /// Time after the start of a shutdown in which requests are still accepted: the balancer keeps
 /// sending callers until two readiness probes, a second apart, have failed.
@@ -89,6 +89,7 @@
             view: View::default(),
             registry,
             mirror,
+            memory: memory::Guard::default(),
             exchange,
             outages: Outages::default(),
             waiting: Waiting::default(),
@@ -109,8 +110,8 @@
         tokio::spawn(exchange::register(Arc::clone(&core)));
         tokio::spawn(overload::monitor(Arc::clone(&core)));
         tokio::spawn(buffers::monitor(Arc::clone(&core)));
-        tokio::spawn(exchange::run(Arc::clone(&core), exchange_socket));
         tokio::spawn(readiness::maintain_metrics(Arc::clone(&core)));
+        tokio::spawn(exchange::run(Arc::clone(&core), exchange_socket));
         tokio::spawn(waiting::run(Arc::clone(&core)));
         tokio::spawn(follow::run(Arc::clone(&core)));
         tokio::spawn(readiness::serve(
@@ -140,6 +141,12 @@
         core.settings.store(Arc::new(settings));
     }
 
+    /// Records the resident memory of the process, in bytes, so that the gateway gives up what it
+    /// can, and refuses new requests, before it exceeds its memory.
+    pub fn record_resident(&self, bytes: u64) {
+        self.core.memory.record(&self.core, bytes);
+    }
+
     /// Shuts down gracefully: fails readiness probes, then refuses requests, and terminates once
     /// running requests have completed or the grace period is over.
     pub async fn stop(self) {
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -95,7 +95,9 @@
         let body = Limited::new(self.body, max_bytes);
         // A body above the limit is refused for its length, which no retry changes.
         let is_too_large = bytes > max_bytes as u64;
-        if !is_too_large && !core.buffers.admits_request(payer.map(|(id, _)| id), bytes) {
+        let has_room = !core.memory.is_critical()
+            && core.buffers.admits_request(payer.map(|(id, _)| id), bytes);
+        if !is_too_large && !has_room {
             // A caller that asks first has not sent its body.
             if !self.parts.headers.contains_key(EXPECT) {
                 discard(body).await;
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -1,8 +1,12 @@
 //! Memory of the process: how much the parts may take that grow with what others send, and how
 //! much is resident.
 
+mod guard;
+
 use std::fs;
 
+pub(crate) use self::guard::Guard;
+
 /// Status of the process in the format of proc(5).
 const STATUS: &str = "/proc/self/status";
 
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -120,14 +120,28 @@
         }
         let bytes = inner.log.value_bytes() + inner.log.deletion_bytes();
         if bytes > max_bytes {
-            inner.log = Log::default();
-            inner.is_complete = false;
-            log!(self.logger, Event::ContentsDropped,
-                "bytes" => bytes, "max_bytes" => max_bytes, "revision" => inner.position.revision);
-            metrics::counter!("contents_dropped_total").increment(1);
+            self.drop_log(inner);
         }
     }
 
+    /// Drops the contents, as the memory of the process is short. They are kept again from the next
+    /// listing on.
+    pub(crate) fn drop_contents(&self) {
+        let mut inner = self.inner.lock();
+        if inner.is_complete {
+            self.drop_log(&mut inner);
+        }
+    }
+
+    fn drop_log(&self, inner: &mut Inner) {
+        let bytes = inner.log.value_bytes() + inner.log.deletion_bytes();
+        inner.log = Log::default();
+        inner.is_complete = false;
+        log!(self.logger, Event::ContentsDropped,
+            "bytes" => bytes, "max_bytes" => self.max_bytes(), "revision" => inner.position.revision);
+        metrics::counter!("contents_dropped_total").increment(1);
+    }
+
     /// Updates the gauges.
     pub(crate) fn record_metrics(&self) {
         let inner = self.inner.lock();
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -118,7 +118,8 @@
     let is_fresh =
         core.view.age_ms() < MAX_AGE_MS && core.view.kv_contact_age_ms() < MAX_CONTACT_AGE_MS;
     let is_fresh = is_fresh && !core.view.predates_suspension();
-    has_config && is_fresh && !core.overload.is_backing_off() && !core.shutdown.drain.is_cancelled()
+    let has_room = !core.overload.is_backing_off() && !core.memory.is_critical();
+    has_config && is_fresh && has_room && !core.shutdown.drain.is_cancelled()
 }
 
 /// Handles a readiness probe.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod lagging;
 mod large_changes;
 mod leaving;
+mod memory_pressure;
 mod notices;
 mod outages;
 mod overload;
