A cut watch is asked once more before it counts as an outage

Cause: any failed call to the service counts as an outage, for 500 ms of which the end of a registration counts as a lapse, with a grace of 1.5 s.

Change: a call for changes whose connection ends, after one that succeeded, is made once more at once, with no state changed. An outage begins with the second failure, or with any other: a refusal, a timeout, a connection that can't be made.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -107,8 +107,7 @@
         loop {
             let (started, started_ms) = (Instant::now(), clock::now_ms());
             let source = self.sources.select(&self.core);
-            let max_bytes = self.max_bytes();
-            let changes = self.sources.changes(source, known, max_bytes).await;
+            let changes = self.changes(source, known).await;
             match changes.and_then(|changes| self.reject_stale(source, changes)) {
                 // Revisions of different eras are not comparable.
                 Ok(changes) if changes.era > known.era => return,
@@ -137,6 +136,19 @@
         }
     }
 
+    /// Reads changes, once more if the connection is cut after a call that succeeded.
+    async fn changes(&self, source: Source, known: Position) -> Result<Batch, Failure> {
+        let max_bytes = self.max_bytes();
+        let changes = self.sources.changes(source, known, max_bytes).await;
+        match changes {
+            Err(failure) if failure.is_cut() && !self.is_down => {
+                count_failure(source, &failure);
+                self.sources.changes(source, known, max_bytes).await
+            }
+            changes => changes,
+        }
+    }
+
     /// Maximum size of a response, in bytes.
     fn max_bytes(&self) -> usize {
         memory::max_listing_bytes(self.core.settings.load().memory_mb)
--- a/crates/gateway/src/follow/failure.rs
+++ b/crates/gateway/src/follow/failure.rs
@@ -56,6 +56,15 @@
         }
     }
 
+    /// Whether the connection ended. That alone does not mean that the source is lost: a call that
+    /// waits for changes may be cut.
+    pub(super) const fn is_cut(&self) -> bool {
+        matches!(
+            self,
+            Self::Unanswered(Error::Unknown(HttpError::Disconnected(_)))
+        )
+    }
+
     /// Whether the source answered that its data is too old, or with such data.
     pub(super) const fn is_stale(&self) -> bool {
         matches!(
--- a/crates/gateway/tests/gateway/feed.rs
+++ b/crates/gateway/tests/gateway/feed.rs
@@ -148,6 +148,8 @@
     pub(crate) service: Arc<Service>,
     is_failing: AtomicBool,
     is_hanging: AtomicBool,
+    /// Number of times that the waiting calls were cut.
+    cuts: watch::Sender<u64>,
 }
 
 impl Client {
@@ -156,6 +158,7 @@
             service: Arc::clone(service),
             is_failing: AtomicBool::new(false),
             is_hanging: AtomicBool::new(false),
+            cuts: watch::Sender::new(0),
         })
     }
 
@@ -164,6 +167,11 @@
         self.is_failing.store(is_failing, Ordering::Relaxed);
     }
 
+    /// Cuts the connections of calls that wait for changes.
+    pub(crate) fn cut(&self) {
+        self.cuts.send_modify(|cuts| *cuts += 1);
+    }
+
     /// Sets whether calls hang.
     pub(crate) fn set_hanging(&self, is_hanging: bool) {
         self.is_hanging.store(is_hanging, Ordering::Relaxed);
@@ -235,7 +243,14 @@
     ) -> Call<'a, Changes> {
         Box::pin(async move {
             self.start_call(wait_ms).await?;
-            self.service.wait(after, wait_ms).await;
+            let mut cuts = self.cuts.subscribe();
+            tokio::select! {
+                () = self.service.wait(after, wait_ms) => {}
+                _ = cuts.changed() => {
+                    let cause = "injected cut".to_owned();
+                    return Err(Error::Unknown(HttpError::Disconnected(cause)));
+                }
+            }
             self.start_call(0).await?;
             let state = self.service.state.lock();
             if after < state.compacted || after > state.revision {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod crash_fleet;
 mod crashes;
 mod crashing_server;
+mod cut_watches;
 mod ending;
 mod endless_answers;
 mod endless_calls;
