A resumption ends when its caller leaves

Cause: from the end of the first server's stream until the second begins to answer, the relay waited for the attempt alone; nothing looked at the caller. Before a response begins the HTTP server drops the request's future when its caller leaves, which covers placement, waiting and refusals, by reading; a stream is relayed by a task of its own.

Change: the wait for the attempt ends when the receiver of the body is dropped, as relaying does. Event 2012 then has the outcome hung_up or cut.

Test: leaving_callers::a_resumption_ends_when_its_caller_leaves, seen failing without the change (the second server learns nothing within 500 ms).

--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -140,11 +140,22 @@
         }
         let resumed = self.attempts.resume(core, call, self.last_event);
         let resumed: Pin<Box<dyn Future<Output = _> + Send + '_>> = Box::pin(resumed);
-        let resumed = resumed.await;
+        let resumed = tokio::select! {
+            biased;
+            // A server that was asked meanwhile is told by the end of its connection.
+            () = self.chunks.closed() => None,
+            resumed = resumed => Some(resumed),
+        };
+        let outcome = match &resumed {
+            Some(Ok(_)) => "answered",
+            Some(Err(refusal)) => refusal.code(),
+            None => self.caller_end().label(),
+        };
         log!(core.logger, Event::Resumed,
-            "request" => &call.id,
-            "after" => self.last_event,
-            "outcome" => resumed.as_ref().map_or_else(|refusal| refusal.code(), |_| "answered"));
+            "request" => &call.id, "after" => self.last_event, "outcome" => outcome);
+        let Some(resumed) = resumed else {
+            return self.record_start(outcome);
+        };
         let body = resumed.map(Response::into_body);
         let Ok(ResponseBody::Stream(mut remaining)) = body else {
             self.record_start(End::Truncated.label());
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod lagging;
 mod large_changes;
 mod leaving;
+mod leaving_callers;
 mod memory_pressure;
 mod notices;
 mod outages;
