--- a/crates/daemon/tests/soak/fault_log.rs
+++ b/crates/daemon/tests/soak/fault_log.rs
@@ -6,7 +6,7 @@
 
 /// Time after a fault in which its effects may still be visible. Within it, dead connections
 /// are closed and gateways have received the current configuration.
-const RECOVERY_TIME: Duration = Duration::from_millis(4_500);
+pub(crate) const RECOVERY_TIME: Duration = Duration::from_millis(4_500);
 
 /// Part of the system that a fault affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -55,8 +55,7 @@
     ),
 ];
 
-/// Default numbers of gateways, callers and concurrent runs.
-const DEFAULT_GATEWAYS: usize = 3;
+/// Default numbers of callers and concurrent runs.
 const DEFAULT_CALLERS: usize = 16;
 const DEFAULT_JOBS: usize = 4;
 
@@ -71,12 +70,16 @@
 /// Default seeds of runs in which callers resume streams and answers have no length.
 const STREAM_SEEDS: [u64; 2] = [7001, 7002];
 
+/// Default seeds of runs with a large configuration.
+const CONTENTS_SEEDS: [u64; 2] = [9001, 9002];
+
 fn seeds(subject: Subject) -> Vec<u64> {
     let Ok(text) = std::env::var("SOAK_SEEDS") else {
         return match subject {
             Subject::Faults => SEEDS.iter().map(|(seed, _)| *seed).collect(),
             Subject::Part => PART_SEEDS.into(),
             Subject::Streams => STREAM_SEEDS.into(),
+            Subject::Contents => CONTENTS_SEEDS.into(),
         };
     };
     let (first, last) = text.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
@@ -99,6 +102,11 @@
     check(Subject::Streams);
 }
 
+#[test]
+fn guarantees_hold_while_a_large_configuration_changes_quickly() {
+    check(Subject::Contents);
+}
+
 /// Held by the test that runs, so that the number of concurrent runs stays the same.
 static TURN: Mutex<()> = Mutex::new(());
 
@@ -106,7 +114,7 @@
     // Another test may have failed.
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let (gateways, callers) = (
-        number_from_env("SOAK_GATES", DEFAULT_GATEWAYS),
+        number_from_env("SOAK_GATES", subject.gateways()),
         number_from_env("SOAK_CALLERS", DEFAULT_CALLERS),
     );
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/crates/daemon/tests/soak/operator.rs
+++ b/crates/daemon/tests/soak/operator.rs
@@ -32,17 +32,25 @@
     route_changes: Vec<Instant>,
 }
 
+/// Length of the keys that make a configuration large.
+const FILLER_BYTES: usize = 1_000;
+
 /// The operator of a run.
 pub(crate) struct Operator {
     store: Store,
+    /// Keys that make the configuration large and that no caller has.
+    fillers: Vec<String>,
     state: Mutex<State>,
 }
 
 impl Operator {
-    /// Writes the initial configuration.
-    pub(crate) fn new(store: Store) -> Self {
+    /// Writes the initial configuration, with this size besides.
+    pub(crate) fn new(store: Store, bytes: usize) -> Self {
+        let filler = "f".repeat(FILLER_BYTES);
+        let fillers = (0..bytes / FILLER_BYTES).map(|index| format!("{filler}{index}"));
         let operator = Self {
             store,
+            fillers: fillers.collect(),
             state: Mutex::default(),
         };
         operator.rotate_keys();
@@ -75,10 +83,16 @@
         state.route_changes[last] = Instant::now();
     }
 
+    /// Writes the configuration as it is, with a new version.
+    pub(crate) fn rewrite(&self) {
+        self.write(&mut self.state.lock());
+    }
+
     fn write(&self, state: &mut State) {
         state.version += 3;
         let has_extra = state.route_changes.len() % 2 == 1;
-        let value = configuration(state.version, has_extra, &state.keys);
+        let keys = [state.keys.as_slice(), &self.fillers].concat();
+        let value = configuration(state.version, has_extra, &keys);
         self.store.put(CONFIG_KEY, &value);
     }
 
--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -21,6 +21,10 @@
 /// Maximum number of faults of a run in which servers crash.
 const FAULTS_BESIDE_CRASHES: usize = 4;
 
+/// Maximum number of drawn faults of a run with a large configuration, and number of its storms.
+const FAULTS_BESIDE_STORMS: usize = 5;
+const STORMS: usize = 6;
+
 /// Probability that a run restores the store from a backup.
 const RESTORE_PROBABILITY: f64 = 0.5;
 
@@ -63,6 +67,13 @@
     ToggleRoute,
     /// Replaces the oldest key of the configuration.
     RotateKeys,
+    /// Writes the configuration many times in quick succession.
+    ConfigurationStorm,
+    /// Cuts all gateways but one off the store while it is unavailable; it is back long before they
+    /// are.
+    LosePeers,
+    /// Cuts the connections to the store and removes a server that does not announce it.
+    CutBeforeRemoval,
 }
 
 impl Fault {
@@ -76,6 +87,7 @@
                 | Self::AnnounceLeaving
                 | Self::Pushback
                 | Self::PoolPushback
+                | Self::CutBeforeRemoval
         )
     }
 
@@ -122,10 +134,29 @@
         // With more, no gateway is in touch for long.
         steps.truncate(FAULTS_BESIDE_CRASHES);
     }
+    if subject == Subject::Contents {
+        steps.truncate(FAULTS_BESIDE_STORMS);
+        steps.extend(contents_steps(&mut rng));
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// The steps that are about the contents of the store.
+fn contents_steps(rng: &mut ChaCha8Rng) -> Vec<Step> {
+    let mut steps: Vec<Step> = (0..STORMS)
+        .map(|_| Step {
+            fault: Fault::ConfigurationStorm,
+            ..draw_step(rng)
+        })
+        .collect();
+    for fault in [Fault::CutBeforeRemoval, Fault::LosePeers] {
+        let step = draw_step(rng);
+        steps.push(Step { fault, ..step });
+    }
+    steps
+}
+
 fn draw_step(rng: &mut ChaCha8Rng) -> Step {
     let window_ms = u64::try_from(FAULT_WINDOW.as_millis()).unwrap_or(0);
     let mode = match rng.random_range(0..5) {
--- a/crates/daemon/tests/soak/run.rs
+++ b/crates/daemon/tests/soak/run.rs
@@ -186,7 +186,7 @@
         }
         let mut store_proxies = Vec::new();
         let mut gateways = Vec::new();
-        let operator = Operator::new(store.clone());
+        let operator = Operator::new(store.clone(), subject.configuration_bytes());
         for index in 0..gateway_count {
             let proxy = Proxy::spawn(store.address).await;
             let gateway = Gateway::new(directory, index, proxy.address);
--- a/crates/daemon/tests/soak/run/inject.rs
+++ b/crates/daemon/tests/soak/run/inject.rs
@@ -8,12 +8,22 @@
 use tokio::time::sleep;
 
 use super::{Run, Server};
-use crate::fault_log::Scope;
+use crate::fault_log::{RECOVERY_TIME, Scope};
 use crate::gateway::GRACE_MS;
 use crate::plan::{Fault, Step};
 use crate::proxy::Mode;
 use crate::store_values::{ServerState, registration, server_key};
 
+/// Changes of a storm, and the interval between them.
+const STORM_CHANGES: u32 = 25;
+const STORM_INTERVAL: Duration = Duration::from_millis(80);
+
+/// Outage in which the delays between calls to the store grow to their maximum.
+const OUTAGE: Duration = Duration::from_secs(4);
+
+/// Time between a cut of the connections to the store and the removal of a server.
+const REMOVAL_DELAY: Duration = Duration::from_millis(10);
+
 /// Pushback in each rejection.
 const PUSHBACK: Duration = Duration::from_secs(2);
 
@@ -103,22 +113,78 @@
                 sleep(step.duration).await;
                 server.backend.set_pushback(None);
             }
-            Fault::PoolPushback => {
-                let of_pool = self
-                    .servers
-                    .iter()
-                    .filter(|other| other.pool == server.pool);
-                of_pool
-                    .clone()
-                    .for_each(|server| server.backend.set_pushback(Some(PUSHBACK)));
-                sleep(step.duration).await;
-                of_pool.for_each(|server| server.backend.set_pushback(None));
-            }
+            Fault::PoolPushback => self.push_back(server.pool, step.duration).await,
             Fault::ToggleRoute => self.operator.toggle_route(),
             Fault::RotateKeys => self.operator.rotate_keys(),
+            Fault::ConfigurationStorm => self.storm().await,
+            Fault::LosePeers => self.lose_peers(gateway).await,
+            Fault::CutBeforeRemoval => self.cut_before_removal(server).await,
+        }
+    }
+
+    async fn storm(&self) {
+        for _ in 0..STORM_CHANGES {
+            self.operator.rewrite();
+            sleep(STORM_INTERVAL).await;
         }
     }
 
+    /// Makes all servers of a pool reject all requests with pushback.
+    async fn push_back(&self, pool: &str, duration: Duration) {
+        let of_pool = self.servers.iter().filter(|server| server.pool == pool);
+        for server in of_pool.clone() {
+            server.backend.set_pushback(Some(PUSHBACK));
+        }
+        sleep(duration).await;
+        for server in of_pool {
+            server.backend.set_pushback(None);
+        }
+    }
+
+    /// Makes the store unavailable, then available again for one gateway alone, whose peers answer
+    /// without current data. Changes then have to reach it all the same.
+    async fn lose_peers(&self, gateway: usize) {
+        let fault = self.fault_log.begin(Scope::Store);
+        self.store.set_unavailable(true);
+        sleep(OUTAGE).await;
+        let others = (0..self.gateways.len()).filter(|other| *other != gateway);
+        let others: Vec<(usize, usize)> = others
+            .map(|other| {
+                self.store_proxies[other].set_mode(Mode::Stall);
+                (other, self.fault_log.begin(Scope::StoreConnection(other)))
+            })
+            .collect();
+        self.store.set_unavailable(false);
+        self.fault_log.end(fault);
+        sleep(RECOVERY_TIME + OUTAGE).await;
+        self.operator.toggle_route();
+        self.operator.rotate_keys();
+        sleep(OUTAGE).await;
+        for (other, fault) in others {
+            self.store_proxies[other].set_mode(Mode::Forward);
+            self.fault_log.end(fault);
+        }
+    }
+
+    /// Cuts the connections to the store once, and removes a server just after. It goes on serving
+    /// for some seconds.
+    async fn cut_before_removal(&self, server: &Server) {
+        let name = server.backend.name();
+        if self.draining_since.lock().contains_key(&name) {
+            return;
+        }
+        for mode in [Mode::Reset, Mode::Forward] {
+            for proxy in &self.store_proxies {
+                proxy.set_mode(mode);
+            }
+            sleep(REMOVAL_DELAY).await;
+        }
+        self.store.delete(&server_key(&name));
+        self.draining_since.lock().insert(name, Instant::now());
+        sleep(Duration::from_secs(4)).await;
+        self.start_next(server);
+    }
+
     /// Terminates and restarts a gateway. A graceful shutdown counts as a fault only from the exit
     /// of the process on.
     async fn restart(&self, gateway: usize, signal: Signal) {
@@ -158,6 +224,11 @@
         sleep(Duration::from_secs(3)).await;
         self.store.delete(&server_key(&name));
         sleep(Duration::from_secs(1)).await;
+        self.start_next(server);
+    }
+
+    /// Starts and registers the next server at the address of one that has left.
+    fn start_next(&self, server: &Server) {
         let next = format!("n-{}", self.next_server.fetch_add(1, Ordering::Relaxed));
         server.backend.replace(&next);
         let value = registration(server.pool, &next, server.proxy.address, ServerState::Ready);
--- a/crates/daemon/tests/soak/subject.rs
+++ b/crates/daemon/tests/soak/subject.rs
@@ -11,13 +11,32 @@
     /// As `Faults`. Besides, callers leave streams and resume them, and answers have neither a length
     /// nor chunks.
     Streams,
+    /// The configuration is large and changes quickly, and gateways that follow others find these
+    /// without current data. Gateways and the store have faults besides.
+    Contents,
 }
 
 impl Subject {
+    /// Default number of gateways. Three watch the store, the others follow them.
+    pub(crate) const fn gateways(self) -> usize {
+        match self {
+            Self::Faults | Self::Part | Self::Streams => 3,
+            Self::Contents => 5,
+        }
+    }
+
+    /// Size of the configuration, in bytes, beside what the other subjects have.
+    pub(crate) const fn configuration_bytes(self) -> usize {
+        match self {
+            Self::Faults | Self::Part | Self::Streams => 0,
+            Self::Contents => 350_000,
+        }
+    }
+
     /// Number of model servers.
     pub(crate) const fn model_servers(self) -> usize {
         match self {
-            Self::Faults => 4,
+            Self::Faults | Self::Contents => 4,
             Self::Part | Self::Streams => 12,
         }
     }
