Soak: outages after which all gateways that watch the store are cut off

A play in wall time with real gateway processes: the store is away for 4.5 s (busy, reset or silent); from 0.5 s before its return two of the three gateways that watch it hang and one is turned away; servers leave one after the other, and callers send without a pause. Checked is the rule for gateways in touch; printed are the distributions of when gateways learned of a change, of the age of their data at each request, and calls of the store a second. SOAK_SHARE limits the processors.

Findings are printed when a run ends, past the test harness's capture, so that a run that is ended loses none.

--- a/crates/daemon/tests/soak/audit.rs
+++ b/crates/daemon/tests/soak/audit.rs
@@ -1,10 +1,11 @@
 //! Checks of the observations of callers and servers against the guarantees of the gateways.
 
 mod notice;
+mod outage;
 mod part;
 mod version;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use crate::answer::{EVENTS_PER_STREAM, Framing};
@@ -33,6 +34,8 @@
 pub(crate) struct Audit {
     pub(crate) checked: HashMap<&'static str, u64>,
     pub(crate) findings: Vec<String>,
+    /// Measured times and rates, in milliseconds or calls.
+    pub(crate) figures: BTreeMap<&'static str, Vec<u128>>,
 }
 
 impl Audit {
@@ -42,6 +45,10 @@
             self.findings.push(format!("{guarantee}: {}", details()));
         }
     }
+
+    fn record(&mut self, figure: &'static str, value: u128) {
+        self.figures.entry(figure).or_default().push(value);
+    }
 }
 
 /// Checks all observations of a run.
@@ -79,6 +86,7 @@
     version::check_share(&mut audit, run, &calls);
     notice::check_leaving(&mut audit, run, &calls_by_id, &recorded);
     notice::check_pushback(&mut audit, run, &calls_by_id, &recorded);
+    outage::check(&mut audit, run, &calls_by_id, &recorded);
     audit
 }
 
--- a/crates/daemon/tests/soak/fault_log.rs
+++ b/crates/daemon/tests/soak/fault_log.rs
@@ -8,6 +8,9 @@
 /// are closed and gateways have received the current configuration.
 pub(crate) const RECOVERY_TIME: Duration = Duration::from_millis(4_500);
 
+/// Time without faults after which the platform counts a gateway as in touch.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
 /// Part of the system that a fault affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Scope {
@@ -53,18 +56,31 @@
 
     /// Whether no fault affects a scope during a period or within the recovery time before it.
     pub(crate) fn is_undisturbed(&self, scope: Scope, from: Instant, to: Instant) -> bool {
-        let intervals = self.intervals.lock();
-        !intervals.iter().any(|interval| {
-            let is_over = interval.end.is_some_and(|end| end + RECOVERY_TIME < from);
-            interval.scope == scope && interval.begin <= to && !is_over
-        })
+        self.is_free(scope, (from, to), RECOVERY_TIME)
     }
 
     /// Whether no fault affects a scope during a period.
     pub(crate) fn is_fault_free(&self, scope: Scope, from: Instant, to: Instant) -> bool {
+        self.is_free(scope, (from, to), Duration::ZERO)
+    }
+
+    /// Whether a gateway is in touch during a period, as the platform's rules define it.
+    pub(crate) fn is_in_touch(&self, gateway: usize, from: Instant, to: Instant) -> bool {
+        let scopes = [
+            Scope::Gateway(gateway),
+            Scope::StoreConnection(gateway),
+            Scope::Store,
+        ];
+        scopes
+            .iter()
+            .all(|scope| self.is_free(*scope, (from, to), CONTACT_TIME))
+    }
+
+    /// Whether no fault affects a scope during a period or within a time before it.
+    fn is_free(&self, scope: Scope, (from, to): (Instant, Instant), before: Duration) -> bool {
         let intervals = self.intervals.lock();
         !intervals.iter().any(|interval| {
-            let is_over = interval.end.is_some_and(|end| end < from);
+            let is_over = interval.end.is_some_and(|end| end + before < from);
             interval.scope == scope && interval.begin <= to && !is_over
         })
     }
--- a/crates/daemon/tests/soak/gateway.rs
+++ b/crates/daemon/tests/soak/gateway.rs
@@ -34,13 +34,14 @@
     #[allow(dead_code, reason = "only some tests call it")]
     pub(crate) control: SocketAddr,
     settings: PathBuf,
-    log: PathBuf,
+    pub(crate) log: PathBuf,
     child: Mutex<Option<Child>>,
 }
 
 impl Gateway {
     /// Writes the settings of a gateway that reaches the store at the address `store`.
-    pub(crate) fn new(directory: &Path, index: usize, store: SocketAddr) -> Self {
+    /// Gateways with more processors watch the store for the others.
+    pub(crate) fn new(directory: &Path, index: usize, store: SocketAddr, processors: f64) -> Self {
         let name = format!("gate-{index}");
         let [callers, health, control] = free_addresses();
         let settings = directory.join(format!("{name}.json"));
@@ -48,7 +49,7 @@
             "name": name, "zone": "a", "callers": callers, "health": health, "control": control,
             "store": store, "keys_fresh_ms": KEYS_FRESH_MS, "grace_ms": GRACE_MS,
             "retry_ratio": RETRY_RATIO, "retry_slack": RETRY_SLACK,
-            "memory_mb": MEMORY_MB,
+            "memory_mb": MEMORY_MB, "processors": processors,
         });
         fs::write(&settings, text.to_string()).expect("the settings file is written");
         Self {
@@ -101,6 +102,17 @@
         Some(kib / KIB_PER_MB)
     }
 
+    /// Processor time of the process so far; `None` if it does not run.
+    pub(crate) fn processor_time(&self) -> Option<Duration> {
+        let child = self.child.lock();
+        let threads = fs::read_dir(format!("/proc/{}/task", child.as_ref()?.id())).ok()?;
+        let times = threads.filter_map(|thread| {
+            let text = fs::read_to_string(thread.ok()?.path().join("schedstat")).ok()?;
+            text.split_whitespace().next()?.parse::<u64>().ok()
+        });
+        Some(Duration::from_nanos(times.sum()))
+    }
+
     /// Waits for the process and returns its exit code, or `None` after the timeout.
     pub(crate) async fn wait_for_exit(&self, limit: Duration) -> Option<i32> {
         let deadline = Instant::now() + limit;
--- a/crates/daemon/tests/soak/load.rs
+++ b/crates/daemon/tests/soak/load.rs
@@ -125,7 +125,10 @@
     let mut connection: Option<(usize, SendRequest<Full<Bytes>>)> = None;
     let mut resumption: Option<(String, u64)> = None;
     while !run.is_finished() {
-        sleep(Duration::from_millis(rng.random_range(1..MAX_PAUSE_MS))).await;
+        let pause_ms = rng.random_range(1..MAX_PAUSE_MS);
+        if run.subject != Subject::Outages {
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
         connection =
             connection.filter(|(_, sender)| !sender.is_closed() && rng.random_range(0..12) > 0);
         if connection.is_none() {
@@ -134,6 +137,7 @@
             connection = sender.map(|sender| (gateway, sender));
         }
         let Some((gateway, sender)) = &mut connection else {
+            sleep(Duration::from_millis(1)).await;
             continue;
         };
         let kind = match resumption {
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -30,11 +30,13 @@
 mod subject;
 
 use std::collections::BTreeMap;
+use std::io::Write as _;
 use std::sync::{Mutex, PoisonError};
 
 use futures::StreamExt;
 use futures::stream::iter;
 
+use crate::run::Summary;
 use crate::subject::Subject;
 
 /// Default seeds, each with defects that it has detected.
@@ -55,8 +57,7 @@
     ),
 ];
 
-/// Default numbers of callers and concurrent runs.
-const DEFAULT_CALLERS: usize = 16;
+/// Default number of concurrent runs.
 const DEFAULT_JOBS: usize = 4;
 
 fn number_from_env(name: &str, default: usize) -> usize {
@@ -79,6 +80,10 @@
     (9007, "superseded values are kept"),
 ];
 
+/// Default seeds of runs in which the store is back for gateways whose peers are cut off, each with
+/// another failure of the store.
+const OUTAGE_SEEDS: [u64; 3] = [10_000, 10_001, 10_002];
+
 fn seeds(subject: Subject) -> Vec<u64> {
     let Ok(text) = std::env::var("SOAK_SEEDS") else {
         return match subject {
@@ -86,6 +91,7 @@
             Subject::Part => PART_SEEDS.into(),
             Subject::Streams => STREAM_SEEDS.into(),
             Subject::Contents => CONTENTS_SEEDS.iter().map(|(seed, _)| *seed).collect(),
+            Subject::Outages => OUTAGE_SEEDS.into(),
         };
     };
     let (first, last) = text.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
@@ -113,6 +119,11 @@
     check(Subject::Contents);
 }
 
+#[test]
+fn gateways_are_back_at_the_store_although_all_that_watch_it_are_cut_off() {
+    check(Subject::Outages);
+}
+
 /// Held by the test that runs, so that the number of concurrent runs stays the same.
 static TURN: Mutex<()> = Mutex::new(());
 
@@ -121,7 +132,7 @@
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let (gateways, callers) = (
         number_from_env("SOAK_GATES", subject.gateways()),
-        number_from_env("SOAK_CALLERS", DEFAULT_CALLERS),
+        number_from_env("SOAK_CALLERS", subject.callers()),
     );
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -129,12 +140,7 @@
     let summaries = runtime.expect("the runtime starts").block_on(async {
         let runs = iter(seeds(subject)).map(|seed| async move {
             let summary = run::execute(seed, gateways, callers, subject).await;
-            println!(
-                "seed {seed}: {} requests, {} served, {} findings",
-                summary.requests,
-                summary.served,
-                summary.audit.findings.len()
-            );
+            report(seed, &summary);
             (seed, summary)
         });
         runs.buffer_unordered(number_from_env("SOAK_JOBS", DEFAULT_JOBS))
@@ -157,16 +163,53 @@
             continue;
         }
         failed.push(*seed);
-        println!(
-            "seed {seed}, logs in {}; run again with SOAK_SEEDS={seed}..{}",
-            summary.logs.display(),
-            seed + 1
-        );
-        for finding in summary.audit.findings.iter().take(8) {
-            println!("  {finding}");
-        }
+        println!("seed {seed}, logs in {}", summary.logs.display());
     }
+    print_figures(summaries.iter().map(|(_, summary)| summary));
     println!("faults {faults:?}");
     println!("checks {checked:?}");
     assert!(failed.is_empty(), "seeds that failed: {failed:?}");
 }
+
+/// Prints the result of a run past the capture of the test harness, so that it is not lost if later
+/// runs are ended.
+fn report(seed: u64, summary: &Summary) {
+    let Summary {
+        audit,
+        requests,
+        served,
+        ..
+    } = summary;
+    let findings = audit.findings.len();
+    let mut text =
+        format!("seed {seed}: {requests} requests, {served} served, {findings} findings\n");
+    if findings > 0 {
+        let again = seed + 1;
+        text += &format!("run again with SOAK_SEEDS={seed}..{again}\n");
+    }
+    for finding in &audit.findings {
+        text += &format!("  seed {seed}: {finding}\n");
+    }
+    // Without standard error there is nobody to read it.
+    let _ = std::io::stderr().write_all(text.as_bytes());
+}
+
+/// Prints the distribution of each figure over all runs.
+fn print_figures<'a>(summaries: impl Iterator<Item = &'a Summary>) {
+    let mut figures: BTreeMap<&str, Vec<u128>> = BTreeMap::new();
+    for (name, values) in summaries.flat_map(|summary| &summary.audit.figures) {
+        figures.entry(name).or_default().extend(values);
+    }
+    for (name, mut values) in figures {
+        values.sort_unstable();
+        let at = |percent: usize| values[(values.len() - 1) * percent / 100];
+        println!(
+            "{name}: {} values, median {}, 90% {}, 99% {}, greatest {}",
+            values.len(),
+            at(50),
+            at(90),
+            at(99),
+            at(100)
+        );
+    }
+}
--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -111,6 +111,9 @@
 
 /// Returns the steps of a seed in chronological order.
 pub(crate) fn steps(seed: u64, gateways: usize, subject: Subject) -> Vec<Step> {
+    if !subject.has_drawn_faults() {
+        return Vec::new();
+    }
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let count = rng.random_range(FAULTS_PER_GATEWAY.0..=FAULTS_PER_GATEWAY.1) * gateways;
     let mut steps: Vec<Step> = (0..count).map(|_| draw_step(&mut rng)).collect();
--- a/crates/daemon/tests/soak/proxy.rs
+++ b/crates/daemon/tests/soak/proxy.rs
@@ -1,11 +1,12 @@
 //! A loopback proxy with injectable network faults.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -21,12 +22,19 @@
     StallResponses,
     /// Forwards requests and closes the connection on a response.
     CloseOnResponse,
+    /// Loses all responses, also those after the mode changes on the connections of before.
+    Silence,
     /// Closes all connections, including new ones.
     Reset,
+    /// Closes the connections of before, and rejects each request on new ones.
+    Busy,
     /// Closes all connections and refuses new ones, as if no process listened.
     Refuse,
 }
 
+/// Response to each request in the mode [`Mode::Busy`].
+const BUSY_RESPONSE: &[u8] = b"HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\n{}";
+
 /// A running proxy.
 #[derive(Clone, Debug)]
 pub(crate) struct Proxy {
@@ -44,6 +52,16 @@
         Self { address, mode }
     }
 
+    /// Starts a proxy that also forwards datagrams.
+    pub(crate) async fn spawn_with_datagrams(upstream: SocketAddr) -> Self {
+        let proxy = Self::spawn(upstream).await;
+        let socket = UdpSocket::bind(proxy.address).await;
+        let modes = proxy.mode.subscribe();
+        let socket = socket.expect("the port is free for datagrams");
+        tokio::spawn(forward_datagrams(socket, upstream, modes));
+        proxy
+    }
+
     pub(crate) fn set_mode(&self, mode: Mode) {
         self.mode.send_replace(mode);
     }
@@ -82,9 +100,43 @@
     }
 }
 
+/// Forwards datagrams in the mode [`Mode::Forward`] and loses them in others.
+async fn forward_datagrams(socket: UdpSocket, to: SocketAddr, modes: watch::Receiver<Mode>) {
+    let mut bytes = vec![0; 64 << 10];
+    // An error means that the run has ended.
+    while modes.has_changed().is_ok() {
+        // The receiver of an earlier datagram may have exited, which is reported here.
+        let Ok((length, _)) = socket.recv_from(&mut bytes).await else {
+            continue;
+        };
+        if *modes.borrow() == Mode::Forward {
+            let _ = socket.send_to(&bytes[..length], to).await;
+        }
+    }
+}
+
+/// Rejects the requests of a connection until the mode changes. Each is read at once.
+async fn reject(mut downstream: TcpStream, mut modes: watch::Receiver<Mode>) {
+    let mut bytes = vec![0; 16 << 10];
+    let requests = async {
+        while downstream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
+            if downstream.write_all(BUSY_RESPONSE).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = requests => {}
+        _ = modes.wait_for(|mode| *mode != Mode::Busy) => {}
+    }
+}
+
 async fn forward(downstream: TcpStream, upstream: SocketAddr, mut modes: watch::Receiver<Mode>) {
     // An error means that the run has ended.
     let _ = modes.wait_for(|mode| *mode != Mode::Stall).await;
+    if *modes.borrow() == Mode::Busy {
+        return reject(downstream, modes).await;
+    }
     let Ok(upstream) = TcpStream::connect(upstream).await else {
         return;
     };
@@ -95,7 +147,7 @@
     tokio::select! {
         () = copy(downstream_read, upstream_write, modes.clone(), false) => {}
         () = copy(upstream_read, downstream_write, modes, true) => {}
-        _ = resets.wait_for(|mode| matches!(mode, Mode::Reset | Mode::Refuse)) => {}
+        _ = resets.wait_for(|mode| matches!(mode, Mode::Reset | Mode::Refuse | Mode::Busy)) => {}
     }
 }
 
@@ -119,6 +171,10 @@
         if is_response && mode == Mode::CloseOnResponse {
             return;
         }
+        if mode == Mode::Silence {
+            // The connection stays open.
+            return pending().await;
+        }
         if let Mode::Delay(ms) = mode {
             sleep(Duration::from_millis(ms)).await;
         }
--- a/crates/daemon/tests/soak/run.rs
+++ b/crates/daemon/tests/soak/run.rs
@@ -3,7 +3,9 @@
 mod crash;
 mod inject;
 mod memory;
+mod outage;
 mod probe;
+mod quota;
 mod serving;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -30,12 +32,11 @@
 use crate::store_values::{ServerState, registration, server_key};
 use crate::subject::Subject;
 
+pub(crate) use self::outage::WATCHERS;
+
 /// Pool of the model servers.
 const MODEL_POOL: &str = "llm";
 
-/// Number of plain servers.
-const PLAIN_SERVERS: usize = 4;
-
 /// Interval and timeout of readiness probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -65,6 +66,10 @@
     pub(crate) fault_log: FaultLog,
     store: Store,
     store_proxies: Vec<Proxy>,
+    /// Proxies in front of the addresses at which gateways serve their peers.
+    peer_proxies: Vec<Proxy>,
+    /// When the store was back after an outage.
+    pub(crate) returns: Mutex<Vec<Instant>>,
     servers: Vec<Server>,
     /// Times at which servers were registered as draining.
     draining_since: Mutex<HashMap<String, Instant>>,
@@ -126,7 +131,13 @@
         tasks.push(tokio::spawn(load::run_bad_caller(Arc::clone(&run))));
         run.watch_servers();
     }
+    if let Some(share) = processor_share() {
+        tasks.push(tokio::spawn(Arc::clone(&run).limit_processors(share)));
+    }
     let started_at = Instant::now();
+    if subject == Subject::Outages {
+        run.play_outages(seed).await;
+    }
     let injected: Vec<_> = steps
         .into_iter()
         .map(|step| tokio::spawn(Arc::clone(&run).inject(step, started_at)))
@@ -160,13 +171,18 @@
     }
 }
 
+/// Share of a processor that each gateway gets, if it is limited.
+fn processor_share() -> Option<f64> {
+    std::env::var("SOAK_SHARE").ok()?.parse().ok()
+}
+
 impl Run {
     async fn start(directory: &std::path::Path, gateway_count: usize, subject: Subject) -> Self {
         let store = Store::spawn().await;
         let recorded = Arc::default();
         let mut servers = Vec::new();
-        for index in 0..PLAIN_SERVERS + subject.model_servers() {
-            let pool = if index < PLAIN_SERVERS {
+        for index in 0..subject.plain_servers() + subject.model_servers() {
+            let pool = if index < subject.plain_servers() {
                 "desk"
             } else {
                 MODEL_POOL
@@ -185,11 +201,18 @@
             });
         }
         let mut store_proxies = Vec::new();
+        let mut peer_proxies = Vec::new();
         let mut gateways = Vec::new();
         let operator = Operator::new(store.clone(), subject.configuration_bytes());
         for index in 0..gateway_count {
             let proxy = Proxy::spawn(store.address).await;
-            let gateway = Gateway::new(directory, index, proxy.address);
+            let processors = subject.processors(index);
+            let gateway = Gateway::new(directory, index, proxy.address, processors);
+            if subject == Subject::Outages {
+                let proxy = Proxy::spawn_with_datagrams(gateway.control).await;
+                store.substitute(gateway.control, proxy.address);
+                peer_proxies.push(proxy);
+            }
             gateway.start();
             store_proxies.push(proxy);
             gateways.push(gateway);
@@ -204,6 +227,8 @@
             fault_log: FaultLog::default(),
             store,
             store_proxies,
+            peer_proxies,
+            returns: Mutex::default(),
             servers,
             draining_since: Mutex::default(),
             subject,
@@ -235,6 +260,28 @@
         self.draining_since.lock().get(server).copied()
     }
 
+    /// Servers that were registered as draining, and when.
+    pub(crate) fn leaving_servers(&self) -> Vec<(String, Instant)> {
+        let draining = self.draining_since.lock();
+        draining
+            .iter()
+            .map(|(name, at)| (name.clone(), *at))
+            .collect()
+    }
+
+    /// When the contents of the store were read.
+    pub(crate) fn store_reads(&self) -> Vec<Instant> {
+        self.store.reads()
+    }
+
+    /// Whether a change is the first one after an outage, for a gateway that is not cut off.
+    pub(crate) fn is_first_change(&self, gateway: usize, at: Instant, within: Duration) -> bool {
+        let returns = self.returns.lock();
+        let mut returns = returns.iter();
+        returns.any(|returned_at| at >= *returned_at && at < *returned_at + within)
+            && gateway >= outage::WATCHERS
+    }
+
     /// Kills all gateways at once and restarts them. Returns the fraction of requests that is
     /// served after the recovery time.
     async fn restart_all(&self, started_at: Instant) -> f64 {
--- a/crates/daemon/tests/soak/run/inject.rs
+++ b/crates/daemon/tests/soak/run/inject.rs
@@ -27,6 +27,9 @@
 /// Time between a cut of the connections to the store and the removal of a server.
 const REMOVAL_DELAY: Duration = Duration::from_millis(10);
 
+/// How long a server reports that it leaves, and serves on after it is gone.
+const LEAVING: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(1));
+
 /// Pushback in each rejection.
 const PUSHBACK: Duration = Duration::from_secs(2);
 
@@ -105,10 +108,10 @@
                     self.fault_log.end(fault);
                 }
             }
-            Fault::ReplaceServer => self.replace(server, Duration::ZERO).await,
+            Fault::ReplaceServer => self.replace(server, Duration::ZERO, LEAVING).await,
             Fault::AnnounceLeaving => {
                 server.backend.announce_leaving();
-                self.replace(server, ANNOUNCEMENT_LEAD + step.duration)
+                self.replace(server, ANNOUNCEMENT_LEAD + step.duration, LEAVING)
                     .await;
             }
             Fault::Pushback => {
@@ -207,8 +210,13 @@
     }
 
     /// Registers a server as draining after `delay`, then replaces it by another one at the same
-    /// address.
-    async fn replace(&self, server: &Server, delay: Duration) {
+    /// address. It reports that it leaves for the first time, and serves on for the second.
+    pub(super) async fn replace(
+        &self,
+        server: &Server,
+        delay: Duration,
+        (draining, serves_on): (Duration, Duration),
+    ) {
         let name = server.backend.name();
         sleep(delay).await;
         if self.draining_since.lock().contains_key(&name) {
@@ -224,9 +232,9 @@
         self.draining_since
             .lock()
             .insert(name.clone(), Instant::now());
-        sleep(Duration::from_secs(3)).await;
+        sleep(draining).await;
         self.store.delete(&server_key(&name));
-        sleep(Duration::from_secs(1)).await;
+        sleep(serves_on).await;
         self.start_next(server);
     }
 
--- a/crates/daemon/tests/soak/subject.rs
+++ b/crates/daemon/tests/soak/subject.rs
@@ -1,5 +1,7 @@
 //! What a run is about.
 
+use crate::run::WATCHERS;
+
 /// Size of a large configuration, in bytes. Gateways without optimization take too long to parse the
 /// size that the platform allows.
 const LARGE_CONFIGURATION_BYTES: usize = if cfg!(debug_assertions) {
@@ -22,21 +24,27 @@
     /// The configuration is large and changes quickly, and gateways that follow others find these
     /// without current data. Gateways and the store have faults besides.
     Contents,
+    /// When the store is back after an outage, all gateways that watch it are cut off from it and
+    /// from the others, while servers leave.
+    Outages,
 }
 
+/// Number of processors of a gateway that watches the store, and of another one.
+const PROCESSORS: (f64, f64) = (2.0, 0.5);
+
 impl Subject {
     /// Default number of gateways. Three watch the store, the others follow them.
     pub(crate) const fn gateways(self) -> usize {
         match self {
             Self::Faults | Self::Part | Self::Streams => 3,
-            Self::Contents => 5,
+            Self::Contents | Self::Outages => 5,
         }
     }
 
     /// Size of the configuration, in bytes, beside what the other subjects have.
     pub(crate) const fn configuration_bytes(self) -> usize {
         match self {
-            Self::Faults | Self::Part | Self::Streams => 0,
+            Self::Faults | Self::Part | Self::Streams | Self::Outages => 0,
             Self::Contents => LARGE_CONFIGURATION_BYTES,
         }
     }
@@ -44,8 +52,38 @@
     /// Number of model servers.
     pub(crate) const fn model_servers(self) -> usize {
         match self {
-            Self::Faults | Self::Contents => 4,
+            Self::Faults | Self::Contents | Self::Outages => 4,
             Self::Part | Self::Streams => 12,
         }
     }
+
+    /// Default number of callers. Those of an outage send requests without a pause.
+    pub(crate) const fn callers(self) -> usize {
+        match self {
+            Self::Outages => 40,
+            Self::Faults | Self::Contents | Self::Part | Self::Streams => 16,
+        }
+    }
+
+    /// Number of plain servers.
+    pub(crate) const fn plain_servers(self) -> usize {
+        match self {
+            Self::Outages => 12,
+            Self::Faults | Self::Contents | Self::Part | Self::Streams => 4,
+        }
+    }
+
+    /// Number of processors that a gateway reports. Those with the most watch the store.
+    pub(crate) const fn processors(self, gateway: usize) -> f64 {
+        match self {
+            Self::Outages if gateway >= WATCHERS => PROCESSORS.1,
+            Self::Outages => PROCESSORS.0,
+            Self::Faults | Self::Contents | Self::Part | Self::Streams => 1.0,
+        }
+    }
+
+    /// Whether faults are drawn.
+    pub(crate) const fn has_drawn_faults(self) -> bool {
+        !matches!(self, Self::Outages)
+    }
 }
