Sources are asked beside each other, within bounds in time

What callers saw: after an outage of the key-value service, and every three seconds while peers hung, a gateway with a way to the service learned of changes up to 2.5 s late, and sent requests to servers that had left for as long.

Cause: one call at a time. The order of the sources bounded the number of calls before the service's turn, not the time: a peer that hangs took 0.5 s and a delay of up to 0.4 s, three of them some 1.9 s, and the service's own backoff and a hanging call of it came before. Each success then made the hanging peers preferred again, so that they were asked in place of the service. A peer that had just lost the service kept those that wait at it waiting.

Change: `decide::failover` tells which calls to make now, any number at a time. One source is followed; when it fails, tells that it is not current, or is overdue by 0.1 s, the others are asked beside it within 0.15 s. Preferred sources are retried beside the followed one, and a lost service every 0.5 to 0.75 s, whatever else hangs. A gateway tells with its answers for how long its source counts as current, and ends waits of peers when that is over. Calls of the service wait as before.

Bounds: 0.75 s from the return of the service to a call, 0.95 s between two current answers while any one source works, plus the latency of the source (property tests on simulated time, any number of sources that are late, stale, silent or trickle).

--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -48,7 +48,7 @@
     std::fs::create_dir_all(&directory).expect("the directory is created");
     let store = Store::spawn().await;
     store.put(CONFIG_KEY, &large_configuration(1));
-    let gateway = Gateway::new(&directory, 0, store.address);
+    let gateway = Gateway::new(&directory, 0, store.address, 1.0);
     gateway.start();
     let deadline = Instant::now() + START_TIMEOUT;
     while TcpStream::connect(gateway.control).await.is_err() {
--- a/crates/daemon/tests/soak/audit/outage.rs
+++ b/crates/daemon/tests/soak/audit/outage.rs
@@ -112,7 +112,10 @@
         counted.count() as u128 / u128::from(COUNTED.as_secs())
     };
     for returned_at in run.returns.lock().iter() {
-        audit.record("calls/s in the outage", count(*returned_at - COUNTED));
+        audit.record(
+            "calls/s in the outage",
+            count(returned_at.checked_sub(COUNTED).expect("since the start")),
+        );
         audit.record("calls/s at the return", count(*returned_at));
         audit.record(
             "calls/s after the return",
--- a/crates/daemon/tests/soak/gateway.rs
+++ b/crates/daemon/tests/soak/gateway.rs
@@ -34,6 +34,7 @@
     #[allow(dead_code, reason = "only some tests call it")]
     pub(crate) control: SocketAddr,
     settings: PathBuf,
+    #[allow(dead_code, reason = "only some tests read it")]
     pub(crate) log: PathBuf,
     child: Mutex<Option<Child>>,
 }
@@ -102,6 +103,7 @@
         Some(kib / KIB_PER_MB)
     }
 
+    #[allow(dead_code, reason = "only some tests limit it")]
     /// Processor time of the process so far; `None` if it does not run.
     pub(crate) fn processor_time(&self) -> Option<Duration> {
         let child = self.child.lock();
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -181,15 +181,15 @@
         ..
     } = summary;
     let findings = audit.findings.len();
-    let mut text =
-        format!("seed {seed}: {requests} requests, {served} served, {findings} findings\n");
+    let mut lines = vec![format!(
+        "seed {seed}: {requests} requests, {served} served, {findings} findings"
+    )];
     if findings > 0 {
-        let again = seed + 1;
-        text += &format!("run again with SOAK_SEEDS={seed}..{again}\n");
-    }
-    for finding in &audit.findings {
-        text += &format!("  seed {seed}: {finding}\n");
+        lines.push(format!("run again with SOAK_SEEDS={seed}..{}", seed + 1));
     }
+    let findings = audit.findings.iter();
+    lines.extend(findings.map(|finding| format!("  seed {seed}: {finding}")));
+    let text = lines.join("\n") + "\n";
     // Without standard error there is nobody to read it.
     let _ = std::io::stderr().write_all(text.as_bytes());
 }
--- a/crates/daemon/tests/soak/run/outage.rs
+++ b/crates/daemon/tests/soak/run/outage.rs
@@ -47,14 +47,17 @@
         let draw = usize::try_from(seed).unwrap_or(0);
         let mode = OUTAGE_MODES[draw % OUTAGE_MODES.len()];
         for round in 0..ROUNDS {
-            let turned_away = (draw / OUTAGE_MODES.len() + round) % WATCHERS;
+            let choice = draw / OUTAGE_MODES.len();
+            let turned_away = (choice + round) % WATCHERS;
+            // In half of the seeds all are cut off.
+            let turned_away = (choice / WATCHERS).is_multiple_of(2).then_some(turned_away);
             sleep(CALM).await;
             self.play_outage(mode, turned_away).await;
         }
         sleep(CALM).await;
     }
 
-    async fn play_outage(self: &Arc<Self>, mode: Mode, turned_away: usize) {
+    async fn play_outage(self: &Arc<Self>, mode: Mode, turned_away: Option<usize>) {
         let outage = self.fault_log.begin(Scope::Store);
         self.store.set_unavailable(true);
         // A store that is busy rejects calls itself.
@@ -63,7 +66,7 @@
         }
         sleep(AWAY.saturating_sub(LEAD)).await;
         let watchers = 0..WATCHERS;
-        let isolated = watchers.map(|watcher| self.isolate(watcher, watcher == turned_away));
+        let isolated = watchers.map(|watcher| self.isolate(watcher, Some(watcher) == turned_away));
         let isolated = join_all(isolated);
         let followed = async {
             sleep(LEAD).await;
--- a/crates/daemon/tests/soak/run/quota.rs
+++ b/crates/daemon/tests/soak/run/quota.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 
 use super::Run;
+use crate::gateway::Gateway;
 
 /// Period of a quota, and interval between two readings of the processor time.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -19,8 +20,7 @@
         while !self.is_finished() {
             let until = Instant::now() + PERIOD;
             let gateways = self.gateways.iter();
-            let begun: Vec<Option<Duration>> =
-                gateways.map(|gateway| gateway.processor_time()).collect();
+            let begun: Vec<Option<Duration>> = gateways.map(Gateway::processor_time).collect();
             let mut suspended = vec![false; begun.len()];
             while Instant::now() < until {
                 for (index, gateway) in self.gateways.iter().enumerate() {
--- a/crates/decide/src/failover.rs
+++ b/crates/decide/src/failover.rs
@@ -1,98 +1,296 @@
-//! Order in which sources of the same data are asked.
+//! Which sources of the same data are asked, and when.
 //!
-//! While the preferred source answers, it alone is asked. From a failure until the next success,
-//! every source gets its turn: of those whose backoff is over, the one that was asked longest ago. Between the end of
-//! a source's backoff and its turn, each other source is asked at most once, whatever they answer
-//! and however long calls and pauses take.
+//! The data comes from a service, or from peers that have it from the service. One source is
+//! followed: it is asked with calls that wait for changes. When it fails, answers without current
+//! data, or does not answer in time, the others are asked beside it, the preferred ones first, and the first with current data is followed. While a source is
+//! followed, those preferred to it are asked beside it now and then, and followed again once they have
+//! current data: a source that works is never left for one that may not.
+//!
+//! No call waits for the end of another one, so that the bounds are times, whatever other sources
+//! do: [`MAX_SEARCH_MS`] from the failure of a source to calls of all others, and
+//! [`MAX_PROBE_INTERVAL_MS`] between two calls of a service that was lost.
+
+mod record;
+mod source;
 
 use mulberryyoke_model::Millis;
+use rand::{Rng, RngExt};
 
-/// Selects among sources of type `S`.
-#[derive(Clone, Debug)]
-pub struct Failover<S> {
-    records: Vec<Record<S>>,
-    /// Number of selections so far.
-    selections: u64,
-    /// Whether the last call failed.
-    is_failing: bool,
+use self::record::Record;
+pub use self::source::Source;
+
+/// Interval at which the sources are asked one after the other in a search, in milliseconds. Most
+/// answer within it, so that the next one is not asked.
+const STEP_INTERVAL_MS: Millis = 75;
+
+/// Number of sources that are asked one after the other. The rest are asked with the last of these.
+const SEARCH_STEPS: u64 = 3;
+
+/// Longest time from the begin of a search until each source has been asked, in milliseconds.
+pub const MAX_SEARCH_MS: Millis = STEP_INTERVAL_MS * (SEARCH_STEPS - 1);
+
+/// Bounds of the interval between two calls of the service while it is lost, in milliseconds. It is
+/// drawn, so that gateways do not call at the same time.
+const PROBE_INTERVAL_MS: (Millis, Millis) = (500, MAX_PROBE_INTERVAL_MS);
+
+/// Longest interval between two calls of the service while it is lost, in milliseconds.
+pub const MAX_PROBE_INTERVAL_MS: Millis = 750;
+
+/// Interval between two calls of a peer while no source has current data, in milliseconds.
+const PEER_PROBE_INTERVAL_MS: Millis = 1_000;
+
+/// Interval between two calls of a preferred peer while another source is followed, in milliseconds.
+const PEER_RETURN_INTERVAL_MS: Millis = 3_000;
+
+/// Minimum interval between two calls of the followed source, in milliseconds: calls are billed,
+/// and one returns a whole burst of changes.
+const MIN_FOLLOW_INTERVAL_MS: Millis = 200;
+
+/// Calls of one source at a time. One that hangs does not keep others from being made.
+const MAX_CALLS: u32 = 3;
+
+/// Purpose of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// Waits for changes.
+    Follow,
+    /// Returns at once.
+    Probe,
+}
+
+/// A call to make.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Call<P> {
+    /// The source to call.
+    pub source: Source<P>,
+    /// Whether the call waits for changes.
+    pub purpose: Purpose,
+    /// Number of the call.
+    number: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Record<S> {
-    source: S,
-    /// Number of the selection in which it was last asked; 0 if it was not since the last success.
-    asked: u64,
-    /// When its backoff is over.
-    retry_at: Millis,
+/// Selects among the service and peers of type `P`.
+#[derive(Clone, Debug)]
+pub struct Failover<P> {
+    /// The sources, the preferred ones first.
+    records: Vec<Record<P>>,
+    /// The source that is followed.
+    followed: Option<Source<P>>,
+    /// By when the call that waits for changes is to be answered, and its number; `None` if there is
+    /// none.
+    awaited: Option<(Millis, u64)>,
+    /// Earliest time of the next call that waits for changes.
+    follow_at: Millis,
+    /// Calls of the search so far, and the earliest time of the next one.
+    steps: u64,
+    step_at: Millis,
+    /// Number of calls so far.
+    calls: u64,
 }
 
-impl<S> Default for Failover<S> {
+impl<P> Default for Failover<P> {
     fn default() -> Self {
         Self {
             records: Vec::new(),
-            selections: 0,
-            is_failing: false,
+            followed: None,
+            awaited: None,
+            follow_at: 0,
+            steps: 0,
+            step_at: 0,
+            calls: 0,
         }
     }
 }
 
-impl<S: Copy + Eq> Failover<S> {
-    /// Selects the source of the next call among these, the preferred one first. If all are backing
-    /// off, the one whose backoff ends first. `None` if there are no sources.
-    pub fn select(&mut self, sources: &[S], now: Millis) -> Option<S> {
-        self.update(sources);
-        let is_due = |record: &&mut Record<S>| record.retry_at <= now;
-        let due = self.records.iter_mut().filter(is_due);
-        let selected = if self.is_failing {
-            due.min_by_key(|record| record.asked)
-        } else {
-            due.into_iter().next()
-        };
-        let selected = match selected {
-            Some(selected) => selected,
-            None => self
-                .records
-                .iter_mut()
-                .min_by_key(|record| record.retry_at)?,
-        };
-        self.selections += 1;
-        selected.asked = self.selections;
-        Some(selected.source)
-    }
-
-    /// Takes over the order of these sources and forgets others.
-    fn update(&mut self, sources: &[S]) {
+impl<P: Copy + Eq> Failover<P> {
+    /// Takes over the order of these sources, the preferred one first, and forgets others.
+    pub fn update(&mut self, sources: &[Source<P>]) {
+        let known = std::mem::take(&mut self.records);
         let records = sources.iter().map(|source| {
-            let known = self.records.iter().find(|known| known.source == *source);
-            known.copied().unwrap_or(Record {
-                source: *source,
-                asked: 0,
-                retry_at: 0,
-            })
+            let known = known.iter().find(|known| known.source == *source);
+            known.copied().unwrap_or(Record::new(*source))
         });
         self.records = records.collect();
+        if self
+            .followed
+            .is_some_and(|source| self.rank(source).is_none())
+        {
+            self.lose();
+        }
     }
 
-    /// Records that a call to a source failed, which is to be asked again at `retry_at`.
-    pub fn record_failure(&mut self, source: S, retry_at: Millis) {
-        self.is_failing = true;
-        let mut records = self.records.iter_mut();
-        if let Some(record) = records.find(|record| record.source == source) {
-            record.retry_at = retry_at;
+    /// Selects a call to make now. To be repeated until it is `None`.
+    pub fn select(&mut self, now: Millis, rng: &mut impl Rng) -> Option<Call<P>> {
+        let (index, purpose) = self.next(now)?;
+        self.calls += 1;
+        let number = self.calls;
+        match purpose {
+            // Until the caller tells when the answer is due.
+            Purpose::Follow => {
+                self.awaited = Some((Millis::MAX, number));
+                self.follow_at = now + MIN_FOLLOW_INTERVAL_MS;
+            }
+            Purpose::Probe if self.is_searching(now) => {
+                self.steps += 1;
+                self.step_at = now + STEP_INTERVAL_MS;
+            }
+            Purpose::Probe => {}
         }
+        let record = &mut self.records[index];
+        let service_at = now + rng.random_range(PROBE_INTERVAL_MS.0..=PROBE_INTERVAL_MS.1);
+        (record.probe_at, record.return_at) = match record.source {
+            Source::Service => (service_at, service_at),
+            Source::Peer(_) => (now + PEER_PROBE_INTERVAL_MS, now + PEER_RETURN_INTERVAL_MS),
+        };
+        record.calls += 1;
+        record.asked = number;
+        let source = record.source;
+        Some(Call {
+            source,
+            purpose,
+            number,
+        })
     }
 
-    /// Records that a call succeeded, so that the next failure begins with the preferred sources.
-    pub fn record_success(&mut self) {
-        self.is_failing = false;
+    /// Tells by when the call that waits for changes is to be answered.
+    pub const fn expect_by(&mut self, overdue_at: Millis) {
+        if let Some((awaited_until, _)) = &mut self.awaited {
+            *awaited_until = overdue_at;
+        }
+    }
+
+    /// Time at which [`Failover::select`] has another call, unless a call ends before.
+    #[must_use]
+    pub fn next_at(&self, now: Millis) -> Option<Millis> {
+        let follow_at = match (self.followed, self.awaited) {
+            (Some(_), None) => Some(self.follow_at),
+            (Some(_), Some((overdue_at, _))) if overdue_at > now => Some(overdue_at),
+            _ => None,
+        };
+        let step_at = if self.steps < SEARCH_STEPS {
+            self.step_at
+        } else {
+            0
+        };
+        let probe_at = if self.is_searching(now) {
+            let due = self.free().map(|record| record.probe_at);
+            due.min().map(|at| at.max(step_at))
+        } else {
+            self.preferred().map(|record| record.return_at).min()
+        };
+        follow_at.into_iter().chain(probe_at).min()
+    }
+
+    /// Records an answer, and whether its data was current. Returns whether its source is now
+    /// followed and was not before.
+    pub fn record_answer(&mut self, call: Call<P>, now: Millis, is_current: bool) -> bool {
+        if !is_current {
+            self.record_failure(call);
+            return false;
+        }
+        let is_searching = self.is_searching(now);
+        let followed = self.followed.and_then(|source| self.rank(source));
+        let Some(rank) = self.end(call) else {
+            return false;
+        };
+        let record = &mut self.records[rank];
+        record.succeeded = record.succeeded.max(call.number);
         for record in &mut self.records {
             record.asked = 0;
         }
+        (self.steps, self.step_at) = (0, 0);
+        if self.followed == Some(call.source) {
+            // A call that was overdue may end after a later one was made.
+            let is_awaited = self
+                .awaited
+                .is_some_and(|(_, number)| number == call.number);
+            if is_awaited || is_searching {
+                self.awaited = None;
+            }
+            return false;
+        }
+        if is_searching || followed.is_none_or(|followed| rank < followed) {
+            self.followed = Some(call.source);
+            self.awaited = None;
+            self.follow_at = now;
+            return true;
+        }
+        false
     }
 
-    /// Whether any source is backing off.
+    /// Records that a call failed, or that its answer had no current data.
+    pub fn record_failure(&mut self, call: Call<P>) {
+        let Some(rank) = self.end(call) else {
+            return;
+        };
+        // A later call of the same source may have succeeded meanwhile.
+        let is_overtaken = call.number < self.records[rank].succeeded;
+        if self.followed == Some(call.source) && !is_overtaken {
+            self.lose();
+        }
+    }
+
+    /// The source that is followed.
     #[must_use]
-    pub fn is_degraded(&self, now: Millis) -> bool {
-        self.records.iter().any(|record| record.retry_at > now)
+    pub const fn followed(&self) -> Option<Source<P>> {
+        self.followed
+    }
+
+    fn lose(&mut self) {
+        self.followed = None;
+        self.awaited = None;
+    }
+
+    /// Ends a call and returns the rank of its source.
+    fn end(&mut self, call: Call<P>) -> Option<usize> {
+        let rank = self.rank(call.source)?;
+        let record = &mut self.records[rank];
+        record.calls = record.calls.saturating_sub(1);
+        Some(rank)
+    }
+
+    fn rank(&self, source: Source<P>) -> Option<usize> {
+        let mut records = self.records.iter();
+        records.position(|record| record.source == source)
+    }
+
+    /// Whether no source is followed, or the followed one does not answer in time.
+    fn is_searching(&self, now: Millis) -> bool {
+        let is_overdue = |(overdue_at, _)| overdue_at <= now;
+        self.followed.is_none() || self.awaited.is_some_and(is_overdue)
+    }
+
+    /// Index and purpose of the next call.
+    fn next(&self, now: Millis) -> Option<(usize, Purpose)> {
+        if let Some(followed) = self.followed
+            && self.awaited.is_none()
+            && self.follow_at <= now
+        {
+            return Some((self.rank(followed)?, Purpose::Follow));
+        }
+        let next = if self.is_searching(now) {
+            if self.steps < SEARCH_STEPS && self.step_at > now {
+                return None;
+            }
+            let due = self.free().filter(|record| record.probe_at <= now);
+            due.min_by_key(|record| record.asked)
+        } else {
+            self.preferred().find(|record| record.return_at <= now)
+        };
+        Some((self.rank(next?.source)?, Purpose::Probe))
+    }
+
+    /// Sources of which another call may be made.
+    fn free(&self) -> impl Iterator<Item = &Record<P>> {
+        self.records
+            .iter()
+            .filter(|record| record.calls < MAX_CALLS)
+    }
+
+    /// Sources that are preferred to the followed one.
+    fn preferred(&self) -> impl Iterator<Item = &Record<P>> {
+        let before = self.followed.and_then(|followed| self.rank(followed));
+        let preferred = self.records.iter().take(before.unwrap_or(0));
+        preferred.filter(|record| record.calls < MAX_CALLS)
     }
 }
--- a/crates/decide/tests/failover.rs
+++ b/crates/decide/tests/failover.rs
@@ -1,112 +1,279 @@
-//! Turns of the sources of the same data.
+//! Times within which sources of the same data are asked, on simulated time.
 
 use googletest::prelude::*;
-use mulberryyoke_decide::failover::Failover;
+use mulberryyoke_decide::failover::{
+    Call, Failover, MAX_PROBE_INTERVAL_MS, MAX_SEARCH_MS, Purpose, Source,
+};
 use mulberryyoke_model::Millis;
 use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
-/// Largest backoff of a source, in milliseconds.
-const MAX_BACKOFF_MS: Millis = 3_000;
+/// Time that a call waits for changes, and after which its answer is overdue.
+const WAIT_MS: Millis = 700;
+const SLACK_MS: Millis = 100;
 
-/// Longest call and pause after it, in milliseconds.
-const MAX_CALL_MS: Millis = 1_000;
+/// Time after the wait at which a call is given up.
+const TIMEOUT_MS: Millis = 900;
 
-/// A failed call: how long it and the pause after it took, and the backoff of its source.
+/// Longest latency of a source that works.
+const MAX_LATENCY_MS: Millis = 50;
+
+/// Half of the time in which gateways have to stop using a server that leaves.
+const BOUND_MS: Millis = 1_000;
+
+/// How a source answers.
 #[derive(Clone, Copy, Debug)]
-struct Step {
-    call_ms: Millis,
-    backoff_ms: Millis,
+enum Behavior {
+    /// With current data, this long after the wait.
+    Works(Millis),
+    /// Without current data, this long after the call, which does not wait.
+    Stale(Millis),
+    /// With an error, this long after the call.
+    Fails(Millis),
+    /// Never, or too slowly to be complete in time.
+    Hangs,
+    /// With current data, but later than it is expected.
+    Late(Millis),
+}
+
+impl Behavior {
+    /// When a call ends, and with which result: whether data was current, or `None` for an error.
+    fn end(self, now: Millis, wait: Millis) -> (Millis, Option<bool>) {
+        match self {
+            Self::Works(latency) => (now + wait + latency, Some(true)),
+            Self::Stale(latency) => (now + latency, Some(false)),
+            Self::Fails(latency) => (now + latency, None),
+            Self::Hangs => (now + wait + TIMEOUT_MS, None),
+            Self::Late(delay) => (now + wait + SLACK_MS + delay, Some(true)),
+        }
+    }
+}
+
+fn bad() -> impl Strategy<Value = Behavior> {
+    prop_oneof![
+        (1..300_u64).prop_map(Behavior::Stale),
+        (1..300_u64).prop_map(Behavior::Fails),
+        Just(Behavior::Hangs),
+    ]
+}
+
+fn any_behavior() -> impl Strategy<Value = Behavior> {
+    prop_oneof![
+        bad(),
+        (1..500_u64).prop_map(Behavior::Late),
+        (1..MAX_LATENCY_MS).prop_map(Behavior::Works),
+    ]
 }
 
-fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let step = (1..=MAX_CALL_MS, 0..=MAX_BACKOFF_MS);
-    let step = step.prop_map(|(call_ms, backoff_ms)| Step {
-        call_ms,
-        backoff_ms,
+/// Behaviors of each source, one after the other, with the times at which they begin.
+type Schedule = Vec<Vec<(Millis, Behavior)>>;
+
+/// Sources that change their behavior every few hundred milliseconds.
+fn schedule(
+    sources: std::ops::Range<usize>,
+    behavior: impl Strategy<Value = Behavior>,
+) -> impl Strategy<Value = Schedule> {
+    let phases = prop::collection::vec((100..1_500_u64, behavior), 1..12);
+    let phases = phases.prop_map(|phases| {
+        let mut at = 0;
+        let begins = phases.into_iter().map(|(length, behavior)| {
+            let begin = at;
+            at += length;
+            (begin, behavior)
+        });
+        begins.collect()
     });
-    prop::collection::vec(step, 1..200)
+    prop::collection::vec(phases, sources)
 }
 
-proptest! {
-    /// Guards against sources that answer uselessly again and again, and thereby keep another from
-    /// being asked: it is, after at most one call to each other source from the end of its backoff.
-    #[test]
-    fn every_source_gets_its_turn(count in 1_usize..12, steps in steps()) {
-        let sources: Vec<usize> = (0..count).collect();
-        let mut failover = Failover::default();
-        let mut due_at = vec![0; count];
-        let mut calls_while_due = vec![0; count];
-        let mut now = 0;
-        for step in steps {
-            let asked = failover.select(&sources, now).expect("there are sources");
-            for source in &sources {
-                let is_passed_over = due_at[*source] <= now && *source != asked;
-                calls_while_due[*source] += usize::from(is_passed_over);
-                prop_assert!(calls_while_due[*source] < count, "source {source} starves");
+/// A simulated gateway.
+struct Simulation {
+    failover: Failover<usize>,
+    rng: ChaCha8Rng,
+    now: Millis,
+    /// Calls in flight, with their ends and results.
+    calls: Vec<(Millis, Option<bool>, Call<usize>)>,
+    /// When current data was received.
+    current: Vec<Millis>,
+    /// When the service was called.
+    service_calls: Vec<Millis>,
+}
+
+impl Simulation {
+    fn new(seed: u64) -> Self {
+        Self {
+            failover: Failover::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: 0,
+            calls: Vec::new(),
+            current: Vec::new(),
+            service_calls: Vec::new(),
+        }
+    }
+
+    /// Runs until a time, with sources in the order of preference that behave as scheduled.
+    fn run(&mut self, sources: &[Source<usize>], schedule: &Schedule, until: Millis) {
+        self.failover.update(sources);
+        while self.now < until {
+            while let Some(call) = self.failover.select(self.now, &mut self.rng) {
+                self.start(sources, schedule, call);
             }
-            calls_while_due[asked] = 0;
-            now += step.call_ms;
-            due_at[asked] = now + step.backoff_ms;
-            failover.record_failure(asked, now + step.backoff_ms);
+            let ends = self.calls.iter().map(|(end, ..)| *end);
+            let next = ends.chain(self.failover.next_at(self.now)).min();
+            let next = next.expect("a call is in flight or planned");
+            assert!(next > self.now || self.calls.iter().any(|(end, ..)| *end <= next));
+            self.now = next.max(self.now);
+            self.end_calls();
         }
     }
 
-    /// The preferred source is asked alone while it answers, also after others had to be.
-    #[test]
-    fn the_preferred_source_is_asked_once_it_answers(count in 2_usize..12, steps in steps()) {
-        let sources: Vec<usize> = (0..count).collect();
-        let mut failover = Failover::default();
-        let mut now = 0;
-        for step in steps {
-            let asked = failover.select(&sources, now).expect("there are sources");
-            now += step.call_ms;
-            failover.record_failure(asked, now + step.backoff_ms);
+    fn start(&mut self, sources: &[Source<usize>], schedule: &Schedule, call: Call<usize>) {
+        let index = sources.iter().position(|source| *source == call.source);
+        let phases = &schedule[index.expect("a source")];
+        let current = phases.iter().rfind(|(begin, _)| *begin <= self.now);
+        let behavior = current.expect("the first phase begins at once").1;
+        let wait = match call.purpose {
+            Purpose::Follow => {
+                self.failover.expect_by(self.now + WAIT_MS + SLACK_MS);
+                WAIT_MS
+            }
+            Purpose::Probe => 0,
+        };
+        let (end, result) = behavior.end(self.now, wait);
+        self.calls.push((end, result, call));
+        if call.source == Source::Service {
+            self.service_calls.push(self.now);
         }
-        failover.record_success();
-        now += MAX_BACKOFF_MS;
-        for _ in 0..count {
-            prop_assert_eq!(failover.select(&sources, now), Some(0));
-            failover.record_success();
+    }
+
+    fn end_calls(&mut self) {
+        let now = self.now;
+        let (ended, calls): (Vec<_>, Vec<_>) =
+            self.calls.drain(..).partition(|(end, ..)| *end <= now);
+        self.calls = calls;
+        for (_, result, call) in ended {
+            match result {
+                Some(is_current) => {
+                    self.failover.record_answer(call, now, is_current);
+                    self.current.extend(is_current.then_some(now));
+                }
+                None => self.failover.record_failure(call),
+            }
         }
     }
+
+    /// Longest time without current data between two times.
+    fn longest_gap(&self, from: Millis, until: Millis) -> Millis {
+        let within = self
+            .current
+            .iter()
+            .filter(|at| **at >= from && **at < until);
+        let times: Vec<Millis> = [from].into_iter().chain(within.copied()).collect();
+        let ends = times.iter().skip(1).copied().chain([until]);
+        let gaps = times.iter().zip(ends).map(|(begin, end)| end - begin);
+        gaps.max().unwrap_or(0)
+    }
 }
 
-#[gtest]
-fn the_earliest_backoff_ends_first_if_all_back_off() {
-    let mut failover = Failover::default();
-    let sources = ["a", "b", "c"];
-    for (retry_at, source) in [(900, "a"), (300, "b"), (600, "c")] {
-        expect_that!(failover.select(&sources, 0), some(eq(source)));
-        failover.record_failure(source, retry_at);
+/// Sources of a gateway: peers, and the service first or last.
+fn sources(count: usize, is_watcher: bool) -> Vec<Source<usize>> {
+    let mut sources: Vec<Source<usize>> = (1..count).map(Source::Peer).collect();
+    let rank = if is_watcher { 0 } else { sources.len() };
+    sources.insert(rank, Source::Service);
+    sources
+}
+
+proptest! {
+    /// Guards against peers that keep a gateway from a service that is back: it sent requests to
+    /// servers that had left until one of the peers was back.
+    #[test]
+    fn data_is_current_soon_after_the_return_of_the_service(
+        schedule in schedule(1..12, bad()), is_watcher: bool, latency in 1..MAX_LATENCY_MS, seed: u64,
+    ) {
+        let sources = sources(schedule.len(), is_watcher);
+        let mut simulation = Simulation::new(seed);
+        simulation.run(&sources, &schedule, 5_000);
+        let mut schedule = schedule;
+        let service = sources.iter().position(|source| *source == Source::Service).expect("it is there");
+        let returned_at = simulation.now;
+        schedule[service] = vec![(0, Behavior::Works(latency))];
+        simulation.run(&sources, &schedule, returned_at + 5_000);
+        let first = simulation.current.iter().find(|at| **at >= returned_at);
+        let delay = first.expect("data is current") - returned_at;
+        prop_assert!(delay <= MAX_PROBE_INTERVAL_MS + latency, "{delay}");
+        prop_assert!(delay <= BOUND_MS);
+    }
+
+    /// Guards against sources that hang, are stale or trickle and thereby keep another from being
+    /// asked: while any one works, there is current data at all times.
+    #[test]
+    fn data_stays_current_while_any_one_source_works(
+        schedule in schedule(1..12, any_behavior()), is_watcher: bool, good: prop::sample::Index,
+        latency in 1..MAX_LATENCY_MS, seed: u64,
+    ) {
+        let sources = sources(schedule.len(), is_watcher);
+        let mut schedule = schedule;
+        let good = good.index(schedule.len());
+        schedule[good] = vec![(0, Behavior::Works(latency))];
+        let mut simulation = Simulation::new(seed);
+        simulation.run(&sources, &schedule, 15_000);
+        let gap = simulation.longest_gap(1_000, simulation.now);
+        let bound = WAIT_MS + SLACK_MS + MAX_SEARCH_MS + latency;
+        prop_assert!(gap <= bound, "{gap} > {bound}: {:?}", simulation.current);
+        prop_assert!(gap <= BOUND_MS);
+    }
+
+    /// Guards against gateways that load the service while it is lost.
+    #[test]
+    fn a_lost_service_is_called_twice_a_second_at_most(
+        schedule in schedule(1..12, bad()), is_watcher: bool, seed: u64,
+    ) {
+        let sources = sources(schedule.len(), is_watcher);
+        let mut simulation = Simulation::new(seed);
+        simulation.run(&sources, &schedule, 20_000);
+        prop_assert!(simulation.service_calls.len() <= 41, "{}", simulation.service_calls.len());
+    }
+
+    /// Guards against calls of the service by gateways that others serve.
+    #[test]
+    fn a_follower_does_not_call_the_service_while_a_peer_works(
+        schedule in schedule(3..4, bad()), latency in 1..MAX_LATENCY_MS, seed: u64,
+    ) {
+        let sources = sources(schedule.len(), false);
+        let mut schedule = schedule;
+        schedule[0] = vec![(0, Behavior::Works(latency))];
+        let mut simulation = Simulation::new(seed);
+        simulation.run(&sources, &schedule, 20_000);
+        prop_assert!(simulation.service_calls.is_empty());
     }
-    expect_that!(failover.select(&sources, 100), some(eq("b")));
-    expect_that!(failover.is_degraded(100), eq(true));
-    expect_that!(failover.is_degraded(900), eq(false));
 }
 
-/// Each failure after a success is followed by the next preferred source, not by the one that was
-/// asked longest ago, which is the key-value service of many gateways.
+/// A source that works is not left for a preferred one that is only probed.
 #[gtest]
-fn turns_begin_anew_after_a_success() {
-    let mut failover = Failover::default();
-    let sources = ["a", "b", "service"];
-    for start in [0, 10_000, 20_000] {
-        expect_that!(failover.select(&sources, start), some(eq("a")));
-        failover.record_failure("a", start + 3_000);
-        expect_that!(failover.select(&sources, start), some(eq("b")));
-        failover.record_success();
-    }
+fn a_preferred_source_is_followed_once_it_has_current_data() {
+    let sources = sources(3, true);
+    let hangs_until_8_s = vec![(0, Behavior::Hangs), (8_000, Behavior::Works(5))];
+    let works = vec![(0, Behavior::Works(5))];
+    let schedule = vec![hangs_until_8_s, works.clone(), works];
+    let mut simulation = Simulation::new(1);
+    simulation.run(&sources, &schedule, 7_900);
+    expect_that!(simulation.failover.followed(), some(eq(Source::Peer(1))));
+    expect_that!(simulation.longest_gap(200, 7_900), le(WAIT_MS + SLACK_MS));
+    simulation.run(&sources, &schedule, 10_000);
+    expect_that!(simulation.failover.followed(), some(eq(Source::Service)));
 }
 
 #[gtest]
 fn sources_may_come_and_go() {
-    let mut failover: Failover<&str> = Failover::default();
-    expect_that!(failover.select(&[], 0), none());
-    expect_that!(failover.select(&["a", "b"], 0), some(eq("a")));
-    failover.record_failure("a", 500);
-    expect_that!(failover.select(&["a", "b"], 0), some(eq("b")));
-    failover.record_failure("b", 500);
-    expect_that!(failover.select(&["a", "b", "c"], 100), some(eq("c")));
-    failover.record_failure("c", 500);
-    expect_that!(failover.select(&["b"], 100), some(eq("b")));
+    let works = vec![(0, Behavior::Works(5))];
+    let schedule = vec![works.clone(), works.clone(), works];
+    let mut simulation = Simulation::new(1);
+    simulation.run(&[Source::Service], &schedule, 1_000);
+    expect_that!(simulation.failover.followed(), some(eq(Source::Service)));
+    simulation.run(&[Source::Peer(1), Source::Service], &schedule, 2_000);
+    expect_that!(simulation.failover.followed(), some(eq(Source::Peer(1))));
+    simulation.run(&[Source::Peer(2), Source::Service], &schedule, 3_000);
+    expect_that!(simulation.failover.followed(), some(eq(Source::Peer(2))));
+    expect_that!(simulation.longest_gap(1_000, 3_000), le(BOUND_MS));
 }
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -200,6 +200,8 @@
     Relisting = 3009, Info, "contents listed again";
     /// The contents of the key-value service are larger than this node can take.
     ContentsTooLarge = 3010, Error, "contents too large";
+    /// A gateway gets the contents of the key-value service from another source than before.
+    SourceChanged = 3011, Info, "source of the contents changed";
     /// An operator command was executed or refused.
     Commanded = 4001, Info, "operator command";
     /// An operator presented an invalid key.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use mulberryyoke_platform::kv::Position;
-use mulberryyoke_wire::relay::{CHANGES, LIST};
+use mulberryyoke_wire::relay::{CHANGES, CURRENT_FOR, LIST};
 use mulberryyoke_wire::stream;
 
 use crate::core::Core;
@@ -62,11 +62,23 @@
     if core.view.age_ms() > MAX_AGE_MS {
         return status_response(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let wait = Duration::from_millis(wait_ms.min(MAX_WAIT_MS));
-    core.mirror.wait(after, wait).await;
+    wait_for_changes(core, after, received_ms + wait_ms.min(MAX_WAIT_MS)).await;
     relay_response(core, core.mirror.changes(after), received_ms)
 }
 
+/// Waits until there are writes after a position, at most until a time, and only as long as the source
+/// of this gateway counts as having current data: the peer then asks another one.
+async fn wait_for_changes(core: &Core, after: Position, until_ms: u64) {
+    loop {
+        let left_ms = until_ms.saturating_sub(clock::now_ms());
+        let wait_ms = left_ms.min(core.view.current_for_ms());
+        let wait = Duration::from_millis(wait_ms);
+        if wait_ms == 0 || core.mirror.wait(after, wait).await {
+            return;
+        }
+    }
+}
+
 fn parameter(query: &str, name: &str) -> Option<u64> {
     let parameters = query.split('&').filter_map(|pair| pair.split_once('='));
     let mut matching = parameters.filter(|(key, _)| *key == name);
@@ -80,7 +92,10 @@
         Answer::Busy => return status_response(StatusCode::TOO_MANY_REQUESTS),
     };
     let known_ms = core.view.confirmed_since_ms(received_ms);
-    Response::new(Either::Right(RelayBody::new(known_ms, message)))
+    let mut response = Response::new(Either::Right(RelayBody::new(known_ms, message)));
+    let current_for = core.view.current_for_ms().into();
+    response.headers_mut().insert(CURRENT_FOR, current_for);
+    response
 }
 
 fn status_response(status: StatusCode) -> Response<ControlBody> {
--- a/crates/gateway/src/follow/applier.rs
+++ b/crates/gateway/src/follow/applier.rs
@@ -143,6 +143,11 @@
         self.cold_shares.update();
     }
 
+    /// When the next grace period of a server is over, in milliseconds of [`clock::now_ms`].
+    pub(super) fn next_expiry(&self) -> Option<u64> {
+        self.servers.next_expiry()
+    }
+
     /// Removes servers and keys whose grace period is over.
     pub(super) fn expire(&mut self) {
         self.servers.expire();
--- a/crates/gateway/src/follow/failure.rs
+++ b/crates/gateway/src/follow/failure.rs
@@ -65,12 +65,9 @@
         )
     }
 
-    /// Whether the source answered that its data is too old, or with such data.
-    pub(super) const fn is_stale(&self) -> bool {
-        matches!(
-            self,
-            Self::Uninformed | Self::Outdated { .. } | Self::Behind { .. }
-        )
+    /// Whether an answer began and was not complete in time.
+    pub(super) const fn is_incomplete(&self) -> bool {
+        matches!(self, Self::TooLarge(HttpError::Incomplete))
     }
 
     /// Value of the metric label `kind`.
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -186,6 +186,14 @@
         self.remove_server(name, reason);
     }
 
+    /// When the next grace period is over, in milliseconds of [`clock::now_ms`].
+    pub(super) fn next_expiry(&self) -> Option<u64> {
+        let next = self.lapsing.values().min()?;
+        // Rounded up.
+        let left_ms = clock::between_ms(Instant::now(), *next) + 1;
+        Some(clock::now_ms() + left_ms)
+    }
+
     /// Removes servers that have not registered again within the grace period.
     pub(super) fn expire(&mut self) {
         let now = Instant::now();
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -177,11 +177,11 @@
         Answer::Message(listing)
     }
 
-    /// Waits until there are writes after a position, at most for `wait`.
-    pub(crate) async fn wait(&self, after: Position, wait: Duration) {
+    /// Waits until there are writes after a position, at most for `wait`. Returns whether there are.
+    pub(crate) async fn wait(&self, after: Position, wait: Duration) -> bool {
         let mut positions = self.position.subscribe();
-        // After the timeout the response has no writes.
-        let _ = timeout(wait, positions.wait_for(|position| *position > after)).await;
+        let waited = timeout(wait, positions.wait_for(|position| *position > after)).await;
+        waited.is_ok()
     }
 
     /// The latest writes of the keys that were written or deleted after a position.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -23,6 +23,8 @@
     peer_version: AtomicU64,
     confirmed_ms: AtomicU64,
     kv_contact_ms: AtomicU64,
+    /// Until when the source of this gateway counts as having current data.
+    current_until_ms: AtomicU64,
 }
 
 impl View {
@@ -112,6 +114,19 @@
         clock::now_ms().saturating_sub(self.kv_contact_ms.load(Ordering::Relaxed))
     }
 
+    /// Records until when the source of this gateway counts as having current data, in milliseconds of
+    /// this process's clock.
+    pub(crate) fn set_current_until(&self, until_ms: u64) {
+        self.current_until_ms.store(until_ms, Ordering::Relaxed);
+    }
+
+    /// For how long the source of this gateway still counts as having current data, in milliseconds;
+    /// 0 if it does not.
+    pub(crate) fn current_for_ms(&self) -> u64 {
+        let until_ms = self.current_until_ms.load(Ordering::Relaxed);
+        until_ms.saturating_sub(clock::now_ms())
+    }
+
     /// Whether the servers and gateways known here are up to date.
     pub(crate) fn is_fresh(&self) -> bool {
         self.age_ms() <= FRESH_MS && !self.predates_suspension()
