Sources whose answers are late get more time; listings are asked for one at a time

Cause: a search makes several calls at a time. Beside load, sources that work answer late, and answers of a megabyte took so long that the search read them several times over.

Searches for a listing ask one source after the other. A source that could not complete an answer in time is left alone for 1.5 to 3 s.

--- a/crates/daemon/tests/soak/audit.rs
+++ b/crates/daemon/tests/soak/audit.rs
@@ -86,6 +86,10 @@
     version::check_share(&mut audit, run, &calls);
     notice::check_leaving(&mut audit, run, &calls_by_id, &recorded);
     notice::check_pushback(&mut audit, run, &calls_by_id, &recorded);
+    audit.record(
+        "reads of the store in a run",
+        run.store_reads().len() as u128,
+    );
     outage::check(&mut audit, run, &calls_by_id, &recorded);
     audit
 }
--- a/crates/daemon/tests/soak/audit/outage.rs
+++ b/crates/daemon/tests/soak/audit/outage.rs
@@ -55,6 +55,9 @@
         }
     }
     record_logs(audit, run, &leaving);
+    for count in run.long_intervals.lock().iter() {
+        audit.record("intervals over 1 s between current data", (*count).into());
+    }
     record_calls(audit, run);
 }
 
--- a/crates/daemon/tests/soak/gateway.rs
+++ b/crates/daemon/tests/soak/gateway.rs
@@ -9,6 +9,8 @@
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// Configuration age from which requests with a key are refused, in milliseconds.
@@ -91,6 +93,18 @@
         }
     }
 
+    /// Metrics of the process; empty if it does not answer.
+    #[allow(dead_code, reason = "only some tests read them")]
+    pub(crate) async fn fetch_metrics(&self) -> String {
+        let mut text = String::new();
+        if let Ok(mut stream) = TcpStream::connect(self.control).await {
+            let request = b"GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+            let _ = stream.write_all(request).await;
+            let _ = stream.read_to_string(&mut text).await;
+        }
+        text
+    }
+
     /// Resident memory of the process in megabytes, rounded down; `None` if it does not run.
     pub(crate) fn resident_mb(&self) -> Option<u64> {
         let child = self.child.lock();
--- a/crates/daemon/tests/soak/proxy.rs
+++ b/crates/daemon/tests/soak/proxy.rs
@@ -32,6 +32,10 @@
     Refuse,
 }
 
+/// Bytes that are copied at a time. Each copy waits for a processor, which beside load takes several
+/// milliseconds.
+const COPY_BYTES: usize = 256 << 10;
+
 /// Response to each request in the mode [`Mode::Busy`].
 const BUSY_RESPONSE: &[u8] = b"HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\n{}";
 
@@ -157,7 +161,7 @@
     mut modes: watch::Receiver<Mode>,
     is_response: bool,
 ) {
-    let mut bytes = vec![0; 16 << 10];
+    let mut bytes = vec![0; COPY_BYTES];
     loop {
         let Ok(read) = from.read(&mut bytes).await else {
             return;
--- a/crates/daemon/tests/soak/run.rs
+++ b/crates/daemon/tests/soak/run.rs
@@ -70,6 +70,8 @@
     peer_proxies: Vec<Proxy>,
     /// When the store was back after an outage.
     pub(crate) returns: Mutex<Vec<Instant>>,
+    /// Number of long times between two answers with current data, of each undisturbed gateway.
+    pub(crate) long_intervals: Mutex<Vec<u64>>,
     servers: Vec<Server>,
     /// Times at which servers were registered as draining.
     draining_since: Mutex<HashMap<String, Instant>>,
@@ -229,6 +231,7 @@
             store_proxies,
             peer_proxies,
             returns: Mutex::default(),
+            long_intervals: Mutex::default(),
             servers,
             draining_since: Mutex::default(),
             subject,
--- a/crates/daemon/tests/soak/run/outage.rs
+++ b/crates/daemon/tests/soak/run/outage.rs
@@ -41,6 +41,20 @@
 /// How the store fails in an outage.
 const OUTAGE_MODES: [Mode; 3] = [Mode::Busy, Mode::Reset, Mode::Silence];
 
+/// Histogram of the times between two answers with current data, and its bucket up to a second.
+const INTERVALS: &str = "contents_current_interval_seconds_count";
+const SHORT_INTERVALS: &str = "contents_current_interval_seconds_bucket{le=\"1\"}";
+
+/// Number of times of over a second between two answers with current data.
+fn long_intervals(metrics: &str) -> u64 {
+    let value = |name: &str| {
+        let mut lines = metrics.lines();
+        let value = lines.find_map(|line| line.strip_prefix(name))?;
+        value.trim().parse::<u64>().ok()
+    };
+    value(INTERVALS).unwrap_or(0) - value(SHORT_INTERVALS).unwrap_or(0)
+}
+
 impl Run {
     /// Plays the rounds of a seed, which decides how the store fails and who is turned away first.
     pub(super) async fn play_outages(self: &Arc<Self>, seed: u64) {
@@ -55,6 +69,10 @@
             self.play_outage(mode, turned_away).await;
         }
         sleep(CALM).await;
+        for gateway in &self.gateways[WATCHERS..] {
+            let metrics = gateway.fetch_metrics().await;
+            self.long_intervals.lock().push(long_intervals(&metrics));
+        }
     }
 
     async fn play_outage(self: &Arc<Self>, mode: Mode, turned_away: Option<usize>) {
--- a/crates/decide/src/failover.rs
+++ b/crates/decide/src/failover.rs
@@ -46,8 +46,16 @@
 /// and one returns a whole burst of changes.
 const MIN_FOLLOW_INTERVAL_MS: Millis = 200;
 
-/// Calls of one source at a time. One that hangs does not keep others from being made.
-const MAX_CALLS: u32 = 3;
+/// Calls of one source at a time: one that waits for changes and hangs, and one beside it.
+const MAX_CALLS: u32 = 2;
+
+/// Interval between the calls of a search for sources of a listing, in milliseconds. Listings may
+/// be large, and several at a time would slow each other down.
+const LIST_STEP_INTERVAL_MS: Millis = 400;
+
+/// Time for which a source is not asked that could not complete its answer in time, in milliseconds:
+/// it works, and more calls would slow it down.
+const SLOW_BACKOFF_MS: (Millis, Millis) = (1_500, 3_000);
 
 /// Purpose of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,6 +92,10 @@
     /// Calls of the search so far, and the earliest time of the next one.
     steps: u64,
     step_at: Millis,
+    /// Whether calls are for listings.
+    is_listing: bool,
+    /// How late sources answer, in milliseconds.
+    lateness: Millis,
     /// Number of calls so far.
     calls: u64,
 }
@@ -97,6 +109,8 @@
             follow_at: 0,
             steps: 0,
             step_at: 0,
+            is_listing: false,
+            lateness: 0,
             calls: 0,
         }
     }
@@ -132,7 +146,7 @@
             }
             Purpose::Probe if self.is_searching(now) => {
                 self.steps += 1;
-                self.step_at = now + STEP_INTERVAL_MS;
+                self.step_at = now + self.step_interval_ms();
             }
             Purpose::Probe => {}
         }
@@ -152,6 +166,29 @@
         })
     }
 
+    /// Tells whether the next calls are for listings.
+    pub const fn set_listing(&mut self, is_listing: bool) {
+        self.is_listing = is_listing;
+    }
+
+    /// Tells how late sources answer, in milliseconds. A search then gives them as much longer.
+    pub const fn set_lateness(&mut self, lateness: Millis) {
+        self.lateness = lateness;
+    }
+
+    const fn step_interval_ms(&self) -> Millis {
+        if self.is_listing {
+            LIST_STEP_INTERVAL_MS + self.lateness
+        } else {
+            STEP_INTERVAL_MS + self.lateness
+        }
+    }
+
+    /// Whether the sources are asked one after the other.
+    const fn is_paced(&self) -> bool {
+        self.is_listing || self.steps < SEARCH_STEPS
+    }
+
     /// Tells by when the call that waits for changes is to be answered.
     pub const fn expect_by(&mut self, overdue_at: Millis) {
         if let Some((awaited_until, _)) = &mut self.awaited {
@@ -167,11 +204,7 @@
             (Some(_), Some((overdue_at, _))) if overdue_at > now => Some(overdue_at),
             _ => None,
         };
-        let step_at = if self.steps < SEARCH_STEPS {
-            self.step_at
-        } else {
-            0
-        };
+        let step_at = if self.is_paced() { self.step_at } else { 0 };
         let probe_at = if self.is_searching(now) {
             let due = self.free().map(|record| record.probe_at);
             due.min().map(|at| at.max(step_at))
@@ -230,6 +263,17 @@
         }
     }
 
+    /// Records that an answer was not complete in time.
+    pub fn record_slow(&mut self, call: Call<P>, now: Millis, rng: &mut impl Rng) {
+        self.record_failure(call);
+        let retry_at = now + rng.random_range(SLOW_BACKOFF_MS.0..=SLOW_BACKOFF_MS.1);
+        if let Some(rank) = self.rank(call.source) {
+            let record = &mut self.records[rank];
+            record.probe_at = record.probe_at.max(retry_at);
+            record.return_at = record.return_at.max(retry_at);
+        }
+    }
+
     /// The source that is followed.
     #[must_use]
     pub const fn followed(&self) -> Option<Source<P>> {
@@ -269,7 +313,7 @@
             return Some((self.rank(followed)?, Purpose::Follow));
         }
         let next = if self.is_searching(now) {
-            if self.steps < SEARCH_STEPS && self.step_at > now {
+            if self.is_paced() && self.step_at > now {
                 return None;
             }
             let due = self.free().filter(|record| record.probe_at <= now);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -37,7 +37,7 @@
         applier: Applier::new(&core),
         sources: Arc::new(Sources::new(Arc::clone(&core.feed))),
         failover: Failover::default(),
-        patience: Patience::new(),
+        patience: Patience::default(),
         calls: FuturesUnordered::new(),
         listings: 0,
         must_list: true,
@@ -92,6 +92,9 @@
     fn start_calls(&mut self) {
         let sources = self.ranked_sources();
         self.failover.update(&sources);
+        self.patience.retain(&sources);
+        self.failover.set_listing(self.must_list);
+        self.failover.set_lateness(self.patience.lateness_ms());
         while let Some(selected) = self.failover.select(clock::now_ms(), &mut rand::rng()) {
             let request = if self.must_list {
                 Request::List
@@ -183,7 +186,7 @@
     fn take(&mut self, call: &Call, answer: Answer) {
         let now_ms = clock::now_ms();
         let is_current = answer.is_current();
-        self.patience.learn(call, &answer, now_ms);
+        self.patience.learn(call, now_ms);
         if is_current {
             let source = call.source();
             let until_ms = self.patience.current_until(source, &answer, now_ms);
@@ -298,7 +301,14 @@
                 }
             }
         }
-        self.failover.record_failure(call.selected);
+        if failure.is_incomplete() {
+            let now_ms = clock::now_ms();
+            self.patience.learn_incomplete(call);
+            self.failover
+                .record_slow(call.selected, now_ms, &mut rand::rng());
+        } else {
+            self.failover.record_failure(call.selected);
+        }
         if self.failover.followed().is_none() {
             self.record_loss(call, failure);
         }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -37,7 +37,7 @@
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Upper bounds of the latency histograms' buckets, in seconds.
-const BUCKETS_S: [f64; 10] = [0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 1.5, 5.0, 15.0];
+const BUCKETS_S: [f64; 11] = [0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 1.0, 1.5, 5.0, 15.0];
 
 static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
