--- a/crates/decide/src/failover.rs
+++ b/crates/decide/src/failover.rs
@@ -2,13 +2,15 @@
 //!
 //! The data comes from a service, or from peers that have it from the service. One source is
 //! followed: it is asked with calls that wait for changes. When it fails, answers without current
-//! data, or does not answer in time, the others are asked beside it, the preferred ones first, and the first with current data is followed. While a source is
-//! followed, those preferred to it are asked beside it now and then, and followed again once they have
-//! current data: a source that works is never left for one that may not.
+//! data, or does not answer in time, a search begins: the others are asked beside it, the preferred
+//! ones first, and the first with current data is followed. While a source is followed, those
+//! preferred to it are probed beside it now and then, and followed again once they have current
+//! data: a source that works is never left for one that may not.
 //!
 //! No call waits for the end of another one, so that the bounds are times, whatever other sources
 //! do: [`MAX_SEARCH_MS`] from the failure of a source to calls of all others, and
-//! [`MAX_PROBE_INTERVAL_MS`] between two calls of a service that was lost.
+//! [`MAX_PROBE_INTERVAL_MS`] between two calls of a service that was lost. Sources that answer late
+//! stretch the first, and listings, which may be large, are asked for one at a time.
 
 mod record;
 mod source;
