A peer that trickles does not slow a search; answers read beside each other share the memory

Cause: seen in stale_peers::the_service_is_not_left_for_peers_that_trickle beside load, twice (1.03 s of 1 s): an answer that began and was not complete in time taught that sources are late, which made each step of a search longer, and asked for a listing, whose search asks one source every 0.4 s. Neither is known of a peer that trickles. By reading, the calls beside each other could take the memory of a listing each.

Change: only the service gets more time, at most 0.5 s; a peer's incomplete answer is followed by another source, not by a listing; a search for a listing asks every 0.2 s. Each answer may take half of what the one before it may, 4 MB at least.

The bound of the memory has no test of its own beyond the soak's promise.

--- a/crates/decide/src/failover.rs
+++ b/crates/decide/src/failover.rs
@@ -9,8 +9,8 @@
 //!
 //! No call waits for the end of another one, so that the bounds are times, whatever other sources
 //! do: [`MAX_SEARCH_MS`] from the failure of a source to calls of all others, and
-//! [`MAX_PROBE_INTERVAL_MS`] between two calls of a service that was lost. Sources that answer late
-//! stretch the first, and listings, which may be large, are asked for one at a time.
+//! [`MAX_PROBE_INTERVAL_MS`] between two calls of a service that was lost. Listings, which may be
+//! large, are asked for one at a time.
 
 mod record;
 mod source;
@@ -53,7 +53,7 @@
 
 /// Interval between the calls of a search for sources of a listing, in milliseconds. Listings may
 /// be large, and several at a time would slow each other down.
-const LIST_STEP_INTERVAL_MS: Millis = 400;
+const LIST_STEP_INTERVAL_MS: Millis = 200;
 
 /// Time for which a source is not asked that could not complete its answer in time, in milliseconds:
 /// it works, and more calls would slow it down.
@@ -96,8 +96,6 @@
     step_at: Millis,
     /// Whether calls are for listings.
     is_listing: bool,
-    /// How late sources answer, in milliseconds.
-    lateness: Millis,
     /// Number of calls so far.
     calls: u64,
 }
@@ -112,7 +110,6 @@
             steps: 0,
             step_at: 0,
             is_listing: false,
-            lateness: 0,
             calls: 0,
         }
     }
@@ -173,16 +170,11 @@
         self.is_listing = is_listing;
     }
 
-    /// Tells how late sources answer, in milliseconds. A search then gives them as much longer.
-    pub const fn set_lateness(&mut self, lateness: Millis) {
-        self.lateness = lateness;
-    }
-
     const fn step_interval_ms(&self) -> Millis {
         if self.is_listing {
-            LIST_STEP_INTERVAL_MS + self.lateness
+            LIST_STEP_INTERVAL_MS
         } else {
-            STEP_INTERVAL_MS + self.lateness
+            STEP_INTERVAL_MS
         }
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -30,6 +30,9 @@
 use crate::core::Core;
 use crate::memory;
 
+/// Minimum size that an answer may have beside others, in bytes: of a page of the service's listing.
+const MIN_SHARED_BYTES: usize = 4 << 20;
+
 /// Follows the key-value service until the gateway stops.
 pub(crate) async fn run(core: Arc<Core>) {
     let terminate = core.shutdown.terminate.clone();
@@ -37,9 +40,8 @@
         applier: Applier::new(&core),
         sources: Arc::new(Sources::new(Arc::clone(&core.feed))),
         failover: Failover::default(),
-        patience: Patience::default(),
+        patience: Patience::new(),
         calls: FuturesUnordered::new(),
-        listings: 0,
         must_list: true,
         current_ms: 0,
         core,
@@ -59,8 +61,6 @@
     patience: Patience,
     applier: Applier,
     calls: FuturesUnordered<BoxFuture<'static, Outcome>>,
-    /// Number of calls in flight that list every key.
-    listings: usize,
     /// Whether changes cannot be taken until every key is listed: there was no listing yet, the
     /// history was compacted, the changes are too large, or the service was restored from a backup.
     must_list: bool,
@@ -92,9 +92,7 @@
     fn start_calls(&mut self) {
         let sources = self.ranked_sources();
         self.failover.update(&sources);
-        self.patience.retain(&sources);
         self.failover.set_listing(self.must_list);
-        self.failover.set_lateness(self.patience.lateness_ms());
         while let Some(selected) = self.failover.select(clock::now_ms(), &mut rand::rng()) {
             let request = if self.must_list {
                 Request::List
@@ -109,7 +107,7 @@
             let call = Call {
                 selected,
                 request,
-                max_bytes: self.max_bytes(request),
+                max_bytes: self.max_bytes(),
                 started_ms: clock::now_ms(),
             };
             if selected.purpose == Purpose::Follow {
@@ -120,7 +118,6 @@
     }
 
     fn start(&mut self, call: Call) {
-        self.listings += usize::from(call.request == Request::List);
         let sources = Arc::clone(&self.sources);
         self.calls.push(Box::pin(async move {
             let result = sources.call(call).await;
@@ -145,18 +142,21 @@
         Patience::wait_ms(source).saturating_sub(waited_ms)
     }
 
-    /// Maximum size of an answer, in bytes. Listings at the same time share the memory.
-    fn max_bytes(&self, request: Request) -> usize {
-        let max_bytes = memory::max_listing_bytes(self.core.settings.load().memory_mb);
-        match request {
-            Request::List => max_bytes / (self.listings + 1),
-            Request::Changes { .. } => max_bytes,
-        }
+    /// Maximum size of an answer, in bytes, if it is the only one that is read.
+    fn max_answer_bytes(&self) -> usize {
+        memory::max_listing_bytes(self.core.settings.load().memory_mb)
+    }
+
+    /// Maximum size of the answer to another call, in bytes: half of that to the call before it, down
+    /// to a minimum, so that calls beside each other do not multiply the memory.
+    fn max_bytes(&self) -> usize {
+        let max_bytes = self.max_answer_bytes();
+        let shared = max_bytes >> self.calls.len();
+        shared.max(MIN_SHARED_BYTES).min(max_bytes)
     }
 
     fn handle(&mut self, outcome: Outcome) {
         let Outcome { call, result } = outcome;
-        self.listings -= usize::from(call.request == Request::List);
         let checked = result.and_then(|answer| self.check(&call, answer));
         match checked {
             Ok(answer) => self.take(&call, answer),
@@ -303,7 +303,6 @@
         }
         if failure.is_incomplete() {
             let now_ms = clock::now_ms();
-            self.patience.learn_incomplete(call);
             self.failover
                 .record_slow(call.selected, now_ms, &mut rand::rng());
         } else {
@@ -318,7 +317,9 @@
     fn needs_listing(&self, call: &Call, failure: &Failure) -> bool {
         let followed = self.failover.followed();
         let is_alone = followed.is_none_or(|followed| followed == call.source());
-        failure.next() == Next::List && is_alone
+        // A peer that is slow to answer says nothing of the changes' size.
+        let is_slow_peer = failure.is_incomplete() && call.source() != Source::Service;
+        failure.next() == Next::List && is_alone && !is_slow_peer
     }
 
     fn list_next(&mut self, call: &Call, failure: &Failure, after: Position) {
@@ -331,7 +332,9 @@
     /// Logs a listing that exceeds what this gateway can take: it stays with what is applied until
     /// keys are removed or it gets more memory.
     fn report_listing(&mut self, call: &Call, failure: &Failure) {
-        let is_too_large = matches!(failure, Failure::TooLarge(_));
+        // One that shares the memory with others may fit alone.
+        let is_too_large =
+            matches!(failure, Failure::TooLarge(_)) && call.max_bytes == self.max_answer_bytes();
         if is_too_large && !self.is_too_large {
             log!(self.core.logger, Event::ContentsTooLarge,
                 "source" => call.source().to_string(), "error" => failure.to_string(),
--- a/crates/gateway/src/follow/patience.rs
+++ b/crates/gateway/src/follow/patience.rs
@@ -12,23 +12,29 @@
 /// Time after which an answer is overdue, beyond the time that the source waits, in milliseconds.
 const SLACK_MS: u64 = 100;
 
-/// As [`SLACK_MS`], for a source whose answers were late.
-const MAX_SLACK_MS: u64 = 800;
+/// As [`SLACK_MS`], for a service whose answers were late.
+const MAX_SERVICE_SLACK_MS: u64 = 500;
 
-/// Time after which a listing is overdue, in milliseconds, beyond the slack.
-const LIST_MS: u64 = 400;
+/// Time after which a listing is overdue, in milliseconds.
+const LIST_MS: u64 = 500;
 
-/// Waits and deadlines of calls. A source whose answers are late gets more time: it works, and calls
-/// of others in its place would add to the load that makes it slow. One that does not answer gets
-/// none.
-#[derive(Debug, Default)]
+/// Waits and deadlines of calls. A service that answers late gets more time: all gateways find it
+/// slow, and if each asked others in its place, all would call it. A peer gets none, since others
+/// have the same.
+#[derive(Debug)]
 pub(super) struct Patience {
-    /// Time after which answers of slow sources are overdue, beyond the time that they wait, in
+    /// Time after which an answer of the service is overdue, beyond the time that it waits, in
     /// milliseconds.
-    slack_ms: Vec<(Source, u64)>,
+    service_slack_ms: u64,
 }
 
 impl Patience {
+    pub(super) const fn new() -> Self {
+        Self {
+            service_slack_ms: SLACK_MS,
+        }
+    }
+
     /// Longest time that the followed source waits for changes, in milliseconds.
     pub(super) const fn wait_ms(source: Source) -> u64 {
         match source {
@@ -38,62 +44,37 @@
     }
 
     /// When the answer to a call is overdue, in milliseconds of [`crate::clock::now_ms`].
-    pub(super) fn overdue_at(&self, call: &Call) -> u64 {
-        let wait_ms = match call.request {
-            Request::List => LIST_MS,
-            Request::Changes { wait_ms, .. } => wait_ms,
+    pub(super) const fn overdue_at(&self, call: &Call) -> u64 {
+        let slack_ms = match call.source() {
+            Source::Service => self.service_slack_ms,
+            Source::Peer(_) => SLACK_MS,
         };
-        call.started_ms + wait_ms + self.slack_ms(call.source())
-    }
-
-    fn slack_ms(&self, source: Source) -> u64 {
-        let mut known = self.slack_ms.iter();
-        let known = known.find(|(known, _)| *known == source);
-        known.map_or(SLACK_MS, |(_, slack_ms)| *slack_ms)
+        match call.request {
+            Request::List => call.started_ms + LIST_MS,
+            Request::Changes { wait_ms, .. } => call.started_ms + wait_ms + slack_ms,
+        }
     }
 
-    /// Learns from an answer how late it was.
+    /// Learns from an answer of the service how late it was.
     pub(super) fn learn(&mut self, call: &Call, now_ms: u64) {
-        let wait_ms = match call.request {
-            Request::List => LIST_MS,
-            Request::Changes { wait_ms, .. } => wait_ms,
+        let Request::Changes { wait_ms, .. } = call.request else {
+            return;
         };
-        self.learn_lateness(call, now_ms.saturating_sub(call.started_ms + wait_ms));
-    }
-
-    /// Learns that an answer was not complete in time.
-    pub(super) fn learn_incomplete(&mut self, call: &Call) {
-        self.learn_lateness(call, MAX_SLACK_MS);
-    }
-
-    fn learn_lateness(&mut self, call: &Call, late_ms: u64) {
-        let before_ms = self.slack_ms(call.source());
-        // One that is late now and then is slow all the same.
-        let slack_ms = (2 * late_ms).max(before_ms * 3 / 4);
-        let slack_ms = slack_ms.clamp(SLACK_MS, MAX_SLACK_MS);
-        self.slack_ms.retain(|(known, _)| *known != call.source());
-        if slack_ms > SLACK_MS {
-            self.slack_ms.push((call.source(), slack_ms));
+        if call.source() != Source::Service {
+            return;
         }
-    }
-
-    /// How late the slowest source answers, in milliseconds.
-    pub(super) fn lateness_ms(&self) -> u64 {
-        let slack_ms = self.slack_ms.iter().map(|(_, slack_ms)| *slack_ms);
-        (slack_ms.max().unwrap_or(SLACK_MS) - SLACK_MS) / 2
+        let late_ms = now_ms.saturating_sub(call.started_ms + wait_ms);
+        // One that is late now and then is slow all the same.
+        let slack_ms = (2 * late_ms).max(self.service_slack_ms * 3 / 4);
+        self.service_slack_ms = slack_ms.clamp(SLACK_MS, MAX_SERVICE_SLACK_MS);
     }
 
     /// Until when a source that answered now counts as having current data, in milliseconds of
     /// [`crate::clock::now_ms`].
     pub(super) fn current_until(&self, source: Source, answer: &Answer, now_ms: u64) -> u64 {
         match source {
-            Source::Service => now_ms + SERVICE_WAIT_MS + self.slack_ms(source),
+            Source::Service => now_ms + SERVICE_WAIT_MS + self.service_slack_ms,
             Source::Peer(_) => now_ms + answer.current_for_ms.unwrap_or(0),
         }
     }
-
-    /// Forgets sources that are not among these.
-    pub(super) fn retain(&mut self, sources: &[Source]) {
-        self.slack_ms.retain(|(known, _)| sources.contains(known));
-    }
 }
