--- a/crates/daemon/tests/soak/audit/outage.rs
+++ b/crates/daemon/tests/soak/audit/outage.rs
@@ -8,7 +8,7 @@
 use super::{Audit, DRAIN_DELAY};
 use crate::backend::RecordedRequest;
 use crate::load::Call;
-use crate::run::{Run, WATCHERS};
+use crate::run::{AWAY, Run, WATCHERS};
 use crate::subject::Subject;
 
 /// Time after the return of the store in which a change counts as the first one.
@@ -125,8 +125,8 @@
             count(*returned_at + 2 * COUNTED),
         );
     }
-    let begun = reads.first().copied();
-    if let Some(begun) = begun {
-        audit.record("calls/s in calm", count(begun + COUNTED / 2));
+    if let Some(returned_at) = run.returns.lock().first() {
+        let calm = returned_at.checked_sub(AWAY + COUNTED);
+        audit.record("calls/s in calm", count(calm.expect("since the start")));
     }
 }
--- a/crates/daemon/tests/soak/run.rs
+++ b/crates/daemon/tests/soak/run.rs
@@ -33,7 +33,7 @@
 use crate::store_values::{ServerState, registration, server_key};
 use crate::subject::Subject;
 
-pub(crate) use self::outage::WATCHERS;
+pub(crate) use self::outage::{AWAY, WATCHERS};
 
 /// Pool of the model servers.
 const MODEL_POOL: &str = "llm";
--- a/crates/daemon/tests/soak/run/outage.rs
+++ b/crates/daemon/tests/soak/run/outage.rs
@@ -21,7 +21,7 @@
 const CALM: Duration = Duration::from_secs(2);
 
 /// Duration of an outage, and how long before its end the watchers are cut off or turned away.
-const AWAY: Duration = Duration::from_millis(4_500);
+pub(crate) const AWAY: Duration = Duration::from_millis(4_500);
 const LEAD: Duration = Duration::from_millis(500);
 
 /// How long watchers are cut off, and turned away.
