--- a/crates/daemon/tests/proof/common/backend.rs
+++ b/crates/daemon/tests/proof/common/backend.rs
@@ -30,6 +30,7 @@
         let settings = engine::Settings {
             batch_size: setup.slots as usize,
             token_time: setup.token_time,
+            resume_timeout: setup.resume_timeout,
             ..engine::Settings::default()
         };
         let engine = Engine::bind(any_port(), settings).await.unwrap();
--- a/crates/daemon/tests/proof/common/setup.rs
+++ b/crates/daemon/tests/proof/common/setup.rs
@@ -18,6 +18,8 @@
     pub(crate) slots: u32,
     /// Time an engine takes to generate a token.
     pub(crate) token_time: Duration,
+    /// Time after which an engine cancels a stream that nobody reads.
+    pub(crate) resume_timeout: Duration,
     /// Time a service call takes.
     pub(crate) latency: Duration,
     /// Whether routers connect to sidecars through relays.
@@ -39,6 +41,7 @@
             unconfigured: 0,
             slots: 2,
             token_time: Duration::from_millis(10),
+            resume_timeout: Duration::from_secs(1),
             latency: Duration::from_millis(10),
             with_sidecar_relays: false,
             block_backends: false,
