A resumption after the last event is whole if its server lives on

Where answers have neither a length nor chunks the resumption brings no event and ends with its connection.

Cause: an end before any event counted as broken off, as it does for a new stream, which has events.

With a sign the answer is whole, without one the stream goes on elsewhere as before. A process that crashes closes its connections as well, but is not heard and takes none afterwards.

--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -53,6 +53,11 @@
     false
 }
 
+/// Probes the server of a run that has ended; returns whether it accepts connections.
+pub(super) async fn is_alive(core: &Core, run: &Run) -> bool {
+    probe_after(core, run).await.1 == Reply::Accepted
+}
+
 /// Probes the server of a run that has ended. Returns the ID of the instance that ran it.
 async fn probe_after(core: &Core, run: &Run) -> (ServerId, Reply) {
     let mut liveness = run.backend.liveness.lock().await;
--- a/crates/gateway/src/quarantine/success.rs
+++ b/crates/gateway/src/quarantine/success.rs
@@ -29,21 +29,29 @@
         return clear(core, call, &in_flight.backend, clock::now_ms(), is_written);
     }
     let (core, call, at) = (Arc::clone(core), Arc::clone(call), clock::now_ms());
-    let (backend, sent_at) = (Arc::clone(&in_flight.backend), in_flight.sent_at);
-    let began_at = in_flight.began_ms();
+    let run = Run::new(&call, in_flight);
     tokio::spawn(async move {
-        sleep(CONFIRMATION_DELAY).await;
-        let was_heard = backend.heard_ms() > at + TRANSIT_MS;
-        let is_alive = was_heard || backend.conns.has_idle() || {
-            let run = Run::sent(&call, &backend, sent_at).begun(began_at);
-            probe::is_alive_after(&core, &run, at).await
-        };
+        let is_alive =
+            is_seen_after(&run.backend, at).await || probe::is_alive_after(&core, &run, at).await;
         if is_alive {
-            clear(&core, &call, &backend, at, is_written);
+            clear(&core, &call, &run.backend, at, is_written);
         }
     });
 }
 
+/// Whether the server of a request lives on after an answer that has just ended with its connection.
+/// One that is leaving may exit at any time, which is no crash.
+pub(crate) async fn has_survived(core: &Core, call: &Call, in_flight: &InFlight) -> bool {
+    let run = Run::new(call, in_flight);
+    is_seen_after(&run.backend, clock::now_ms()).await || probe::is_alive(core, &run).await
+}
+
+/// Whether a server is heard, or keeps its connections, for a short time after `at`.
+async fn is_seen_after(backend: &Backend, at: u64) -> bool {
+    sleep(CONFIRMATION_DELAY).await;
+    backend.heard_ms() > at + TRANSIT_MS || backend.conns.has_idle()
+}
+
 /// Clears a request that ran on a server without a crash until `at`, and, if its answer
 /// `is_written`, its prompt's parts: a server that fails for another reason has not begun on them.
 fn clear(core: &Arc<Core>, call: &Call, backend: &Backend, at: u64, is_written: bool) {
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -222,7 +222,7 @@
             };
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                None => return self.end_of_body(),
+                None => return self.end_of_body().await,
                 Some(Err(_)) => return End::Truncated,
             };
             self.in_flight.backend.record_heard();
@@ -259,13 +259,30 @@
     }
 
     /// Returns how a stream ended whose body has ended without an error. A connection that closes
-    /// before the first event proves nothing.
-    fn end_of_body(&self) -> End {
-        let is_begun = self.relayed > 0 || self.framing != Framing::Connection;
-        if is_begun && self.events.is_empty() {
+    /// before the first event of a new stream proves nothing.
+    async fn end_of_body(&self) -> End {
+        if !self.events.is_empty() {
+            return End::Truncated;
+        }
+        if self.relayed > 0 || self.framing != Framing::Connection {
             return End::Complete;
         }
-        End::Truncated
+        if self.last_event.is_none() {
+            return End::Truncated;
+        }
+        self.end_of_empty_rest().await
+    }
+
+    /// Returns how a resumed stream ended of which a server sent no more events before it closed the
+    /// connection. The caller may have had them all, or the server may have crashed.
+    async fn end_of_empty_rest(&self) -> End {
+        tokio::select! {
+            biased;
+            () = self.chunks.closed() => self.caller_end(),
+            is_whole = quarantine::has_survived(&self.core, &self.call, &self.in_flight) => {
+                if is_whole { End::Complete } else { End::Truncated }
+            }
+        }
     }
 
     /// Returns why the caller's connection closed.
--- a/crates/gateway/tests/gateway/answer_shapes.rs
+++ b/crates/gateway/tests/gateway/answer_shapes.rs
@@ -19,6 +19,11 @@
 /// Length of a body that is relayed as it arrives, in bytes.
 const LARGE_BODY_BYTES: usize = 400_000;
 
+/// Header lines of a caller that resumes a stream after this event.
+fn after(event: u64) -> String {
+    format!("{PROMPT}x-after: {event}\r\n")
+}
+
 fn events(last: u64) -> String {
     let events = (1..=last).map(|event| format!("id: {event}\ndata: t{event}\n\n"));
     events.collect::<Vec<String>>().concat()
@@ -154,6 +159,47 @@
     }
 }
 
+// A caller that resumes a stream of which it has all events got a broken answer each time.
+#[gtest]
+#[tokio::test]
+async fn resumptions_without_an_event_are_whole_if_their_server_lives_on() {
+    for text in ["", ": comment\n\n"] {
+        let script = script(Framing::Neither, text.as_bytes(), text.len(), End::Close);
+        let servers = [
+            ShapedServer::spawn(script.clone()).await,
+            ShapedServer::spawn(script).await,
+        ];
+        let addresses = servers.each_ref().map(|server| server.address);
+        let (_service, node) = ready_at(&addresses, None).await;
+        let response = node.send("/resumable/", &after(4)).await;
+        expect_that!(response.status, eq(200), "{text}");
+        expect_that!(event_ids(&response), is_empty(), "{text}");
+        expect_that!(response.is_complete, eq(true), "{text}");
+        let runs: u64 = servers.iter().map(ShapedServer::requests).sum();
+        expect_that!(runs, eq(1), "{text}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn resumptions_without_an_event_are_broken_off_if_their_server_crashes() {
+    let crash = || script(Framing::Neither, b"", 0, End::Crash);
+    let server = ShapedServer::spawn(crash()).await;
+    let (_service, node) = ready_at(&[server.address], None).await;
+    let response = node.send("/resumable/", &after(2)).await;
+    expect_that!(server.requests(), eq(1));
+    expect_that!(response.is_complete, eq(false));
+
+    let server = ShapedServer::spawn(crash()).await;
+    let sound = Backend::spawn(Behavior::Stream).await;
+    let (_service, node) = ready_at(&[server.address, sound.address], None).await;
+    while server.requests() == 0 {
+        let response = node.send("/resumable/", &after(2)).await;
+        expect_that!(event_ids(&response), eq(&[3, 4]));
+        expect_that!(response.is_complete, eq(true));
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn empty_streams_whose_end_is_marked_are_whole() {
--- a/crates/gateway/tests/gateway/shaped_server.rs
+++ b/crates/gateway/tests/gateway/shaped_server.rs
@@ -1,5 +1,6 @@
 //! Servers that send scripted bytes, whole or without end.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -7,6 +8,8 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::backend::read_request;
@@ -26,6 +29,8 @@
     Reset,
     /// Keeps the connection open.
     Keep,
+    /// Crashes: closes all connections and accepts no more.
+    Crash,
     /// Repeats these bytes until the connection is closed.
     Endless(Vec<u8>),
 }
@@ -88,6 +93,7 @@
     requests: AtomicU64,
     bytes: AtomicU64,
     closed: AtomicU64,
+    crashed: Notify,
 }
 
 /// A running server that sends a [`Script`] for each request.
@@ -110,9 +116,16 @@
         let counters = Arc::new(Counters::default());
         let shared = Arc::clone(&counters);
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            // All connections end with this task.
+            let mut connections = JoinSet::new();
+            loop {
+                let stream = tokio::select! {
+                    biased;
+                    () = shared.crashed.notified() => return,
+                    accepted = listener.accept() => accepted.expect("a connection").0,
+                };
                 let scripts = (script.clone(), list.clone());
-                tokio::spawn(serve(stream, scripts, Arc::clone(&shared)));
+                connections.spawn(serve(stream, scripts, Arc::clone(&shared)));
             }
         });
         Self { address, counters }
@@ -155,6 +168,10 @@
                 return;
             }
             End::Keep => {}
+            End::Crash => {
+                counters.crashed.notify_one();
+                return pending().await;
+            }
             End::Endless(bytes) => return repeat(&mut stream, bytes, &counters).await,
         }
     }
