Gateways whose collectors are silent come back to the same replacements after a pause

Cause: a gateway that hears no sum for 0.7 s while its registered collectors are silent asks the next two gateways, and came back to earlier ones only when a registered collector answered. After a pause some had gone on and others had not. A replacement that collects told and asked the silent collectors alone, so the groups never heard of each other.

Change: gateways go on telling and asking those before, and come back to the first that answers. Replacements tell and ask them as any gateway does. Nothing changes while a registered collector answers.

--- a/crates/gateway/src/exchange/fleet_source.rs
+++ b/crates/gateway/src/exchange/fleet_source.rs
@@ -24,10 +24,14 @@
 }
 
 impl FleetSource {
-    /// Records a fleet sum from one of the zone's collectors or from a replacement.
-    pub(super) fn receive(&mut self, from: SocketAddr, is_collector: bool, now: u64) {
-        if is_collector && self.skipped > 0 {
-            self.skipped = 0;
+    /// Records a fleet sum from one of the zone's collectors or from a replacement, before which
+    /// `skipped` gateways are asked. All gateways return to the first ones that respond, so that they
+    /// hear of each other's load.
+    pub(super) fn receive(&mut self, from: SocketAddr, skipped: Option<usize>, now: u64) {
+        if let Some(skipped) = skipped
+            && skipped < self.skipped
+        {
+            self.skipped = skipped;
             self.selected = None;
         }
         if self.selected.is_none() || self.is_silent(now) {
--- a/crates/gateway/src/exchange/inner.rs
+++ b/crates/gateway/src/exchange/inner.rs
@@ -108,7 +108,8 @@
         now: u64,
     ) -> Vec<Outgoing> {
         let prefixes = self.prefixes.take_own();
-        let is_collector = self.is_collector();
+        let own = (self.name.as_str(), &self.placement);
+        let is_collector = self.peers.is_collector(own);
         let sum = Sum {
             gateways: 1,
             members: Vec::new(),
@@ -187,8 +188,9 @@
                 self.aggregate.receive_zone(zone, message.id(), sum, now)
             }
             Scope::Fleet => {
-                let is_collector = self.zone_collectors(0).contains(&from);
-                self.fleet_source.receive(from, is_collector, now);
+                let own = (self.name.as_str(), &self.placement);
+                let skipped = self.peers.skipped_before(own, from);
+                self.fleet_source.receive(from, skipped, now);
                 self.aggregate.receive_fleet(message.id(), sum, now)
             }
         }
--- a/crates/gateway/src/exchange/peers.rs
+++ b/crates/gateway/src/exchange/peers.rs
@@ -111,19 +111,29 @@
     /// `skipped` gateways did not respond, the next ones are included.
     pub(super) fn collectors(&self, own: (&str, &Placement), skipped: usize) -> Vec<SocketAddr> {
         let ranked = self.ranked(own);
-        let first = ranked.iter().take(COLLECTORS_PER_ZONE);
-        let replacements = match skipped % ranked.len() {
-            0 => &[],
-            skipped => &ranked[skipped..ranked.len().min(skipped + COLLECTORS_PER_ZONE)],
-        };
-        let peers = first
-            .chain(replacements)
-            .filter_map(|name| self.by_name.get(*name));
+        let count = skipped % ranked.len() + COLLECTORS_PER_ZONE;
+        let names = ranked.iter().take(count);
+        let peers = names.filter_map(|name| self.by_name.get(*name));
         let mut addresses: Vec<SocketAddr> = peers.map(|peer| peer.address).collect();
         addresses.dedup();
         addresses
     }
 
+    /// Returns the number of gateways of the zone that are asked to collect before the one at this
+    /// address is.
+    pub(super) fn skipped_before(
+        &self,
+        own: (&str, &Placement),
+        address: SocketAddr,
+    ) -> Option<usize> {
+        let has_address = |name: &&str| {
+            let peer = self.by_name.get(*name);
+            peer.is_some_and(|peer| peer.address == address)
+        };
+        let rank = self.ranked(own).iter().position(has_address)?;
+        Some(rank - rank % COLLECTORS_PER_ZONE)
+    }
+
     /// Returns the addresses of the collectors of all zones other than `zone`.
     pub(super) fn remote_collectors(&self, zone: &str) -> Vec<SocketAddr> {
         let zones = self.zones.iter().filter(|(name, _)| *name != zone);
--- a/crates/gateway/tests/gateway/exchange.rs
+++ b/crates/gateway/tests/gateway/exchange.rs
@@ -21,6 +21,11 @@
 /// Time until the failover from silent collectors is complete.
 const FAILOVER: Duration = Duration::from_secs(3);
 
+/// Time in which no gateway runs, longer than that after which others are asked to collect, and the
+/// time between two pauses.
+const PAUSE: Duration = Duration::from_millis(900);
+const BETWEEN_PAUSES: Duration = Duration::from_millis(300);
+
 /// Spawns gateways of one zone and a model server that never responds.
 async fn spawn_zone(service: &Arc<Service>, nodes: usize) -> (Vec<Node>, Backend) {
     let backend = Backend::spawn(Behavior::Hang).await;
@@ -66,10 +71,10 @@
     }
 }
 
-#[gtest]
-#[tokio::test]
-async fn load_propagates_although_registered_collectors_are_silent() {
-    let service = Service::new();
+/// Registers two collectors that never answer, and starts the other gateways of their zone.
+async fn spawn_zone_with_silent_collectors(
+    service: &Arc<Service>,
+) -> (Vec<UdpSocket>, Vec<Node>, Backend) {
     let mut silent = Vec::new();
     for index in 0..2 {
         let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
@@ -78,7 +83,34 @@
         service.set(&format!("mulberryyoke/gateways/s{index}"), Some(&value));
         silent.push(socket);
     }
-    let (zone, _backend) = spawn_zone(&service, 6).await;
+    let (zone, backend) = spawn_zone(service, 6).await;
+    sleep(FAILOVER).await;
+    (silent, zone, backend)
+}
+
+#[gtest]
+#[tokio::test]
+async fn load_propagates_although_registered_collectors_are_silent() {
+    let service = Service::new();
+    let (_silent, zone, _backend) = spawn_zone_with_silent_collectors(&service).await;
+    let _long = open_long_prompt(&zone[5]).await;
+    sleep(PROPAGATION).await;
+    for node in &zone[..5] {
+        expect_that!(refuses_prompt(node).await, eq(true));
+    }
+}
+
+// Gateways that a pause made ask other replacements of silent collectors never heard of each other.
+#[gtest]
+#[tokio::test]
+async fn load_propagates_after_pauses_although_registered_collectors_are_silent() {
+    let service = Service::new();
+    let (_silent, zone, _backend) = spawn_zone_with_silent_collectors(&service).await;
+    for _ in 0..3 {
+        // All gateways run on this thread.
+        std::thread::sleep(PAUSE);
+        sleep(BETWEEN_PAUSES).await;
+    }
     sleep(FAILOVER).await;
     let _long = open_long_prompt(&zone[5]).await;
     sleep(PROPAGATION).await;
