Tests: silent collectors hold their ports for TCP as well

Seen: one of 120 plays of the soak's outages had findings, a server that got calls of /relay/changes. They came in groups of five and a second apart, from the gateways of the exchange's tests that ran beside it: these call the registered address of a silent collector, of which only the UDP port was bound, and a server of the play had got the TCP port.

Change: the silent collector binds both ports and listens on neither.

--- a/crates/gateway/tests/gateway/exchange.rs
+++ b/crates/gateway/tests/gateway/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use tokio::net::{TcpStream, UdpSocket};
+use tokio::net::{TcpSocket, TcpStream, UdpSocket};
 use tokio::time::{sleep, timeout};
 
 use crate::backend::{Backend, Behavior};
@@ -71,17 +71,31 @@
     }
 }
 
+/// A collector that never answers and refuses connections. No other process can take its ports.
+type SilentCollector = (TcpSocket, UdpSocket);
+
+async fn bind_silent_collector() -> SilentCollector {
+    loop {
+        let tcp = TcpSocket::new_v4().expect("a socket");
+        tcp.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+        let address = tcp.local_addr().expect("an address");
+        if let Ok(udp) = UdpSocket::bind(address).await {
+            return (tcp, udp);
+        }
+    }
+}
+
 /// Registers two collectors that never answer, and starts the other gateways of their zone.
 async fn spawn_zone_with_silent_collectors(
     service: &Arc<Service>,
-) -> (Vec<UdpSocket>, Vec<Node>, Backend) {
+) -> (Vec<SilentCollector>, Vec<Node>, Backend) {
     let mut silent = Vec::new();
     for index in 0..2 {
-        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
-        let address = socket.local_addr().expect("an address");
+        let collector = bind_silent_collector().await;
+        let address = collector.1.local_addr().expect("an address");
         let value = format!("{address} 9000 a");
         service.set(&format!("mulberryyoke/gateways/s{index}"), Some(&value));
-        silent.push(socket);
+        silent.push(collector);
     }
     let (zone, backend) = spawn_zone(service, 6).await;
     sleep(FAILOVER).await;
