--- a/crates/daemon/tests/soak/audit/outage.rs
+++ b/crates/daemon/tests/soak/audit/outage.rs
@@ -21,6 +21,9 @@
 /// Time for which the calls of the store are counted, before an outage and after it.
 const COUNTED: Duration = Duration::from_secs(2);
 
+/// Time in which calls count as made at once.
+const INSTANT: Duration = Duration::from_millis(100);
+
 /// Servers that leave get no request later than the rule allows from gateways in touch.
 pub(super) fn check(
     audit: &mut Audit,
@@ -104,6 +107,20 @@
     Instant::now().checked_sub(ago).expect("since the start")
 }
 
+/// Number of calls in the busiest [`INSTANT`] of the time that is counted from `from`.
+fn busiest(reads: &[Instant], from: Instant) -> u128 {
+    let counted = reads
+        .iter()
+        .filter(|at| **at >= from && **at < from + COUNTED);
+    let counts = counted.map(|begin| {
+        let within = reads
+            .iter()
+            .filter(|at| *at >= begin && **at < *begin + INSTANT);
+        within.count() as u128
+    });
+    counts.max().unwrap_or(0)
+}
+
 /// Counts the calls of the store for its contents: before outages, in their last seconds, and
 /// after the return.
 fn record_calls(audit: &mut Audit, run: &Run) {
@@ -120,6 +137,10 @@
             count(returned_at.checked_sub(COUNTED).expect("since the start")),
         );
         audit.record("calls/s at the return", count(*returned_at));
+        audit.record(
+            "calls in the busiest 0.1 s after the return",
+            busiest(&reads, *returned_at),
+        );
         audit.record(
             "calls/s after the return",
             count(*returned_at + 2 * COUNTED),
