Soak: a bare stream that a fault ends before its server breaks it off may look whole

Trace: q30752 ran at s-13. The stand-in would have broken it off inside its fourth event (the draw of its framing, 35 and 18, says so), 120 ms after its begin. At 103 ms a fault closed all connections to s-13 (ten streams end there within a millisecond in the gateway's log), between the third event and the fourth, with nothing unread and no reset. That is the case which the check already allows for answers that have no length: "a server's answer may have no length and end with its channel; one that is reset on the way isn't complete". It knew only streams that their server would have completed.

Change: the same for streams that their server would have broken off later. Without a fault on the servers' connections both still have to be told from whole ones.

--- a/crates/daemon/tests/soak/audit.rs
+++ b/crates/daemon/tests/soak/audit.rs
@@ -130,9 +130,10 @@
     let ids = call.event_ids();
     let last = call.after + ids.len() as u64;
     let in_order = ids.iter().copied().eq(call.after + 1..=last);
-    // An answer without a length that a fault ends between two events looks whole.
+    // An answer without a length that a fault ends between two events looks whole, also if its server
+    // would have broken it off later.
     let scope = Scope::AnyServerConnection;
-    let is_cut = attempts.iter().any(|run| run.framing == Framing::Bare)
+    let is_cut = attempts.iter().any(|run| run.framing != Framing::Chunks)
         && !run
             .fault_log
             .is_undisturbed(scope, call.sent_at, call.ended_at);
