Soak: memory of a process that has not begun to run is not a gateway's; logs of equal seeds are kept apart

Trace: a reading that was printed in full had the name of the test's thread and exactly the resident memory of the test itself (582,216 kB): a process that is started has its parent's memory for a moment after the parent goes on. The name is now read with the memory, and only the memory of a process with the gateway's name counts.

--- a/crates/daemon/tests/soak/gateway.rs
+++ b/crates/daemon/tests/soak/gateway.rs
@@ -28,6 +28,9 @@
 
 const KIB_PER_MB: u64 = 1 << 10;
 
+/// Name of the processes.
+const EXECUTABLE: &str = "mulberryyoked";
+
 /// A gateway process that is killed on drop.
 #[derive(Debug)]
 pub(crate) struct Gateway {
@@ -110,10 +113,16 @@
         let child = self.child.lock();
         let status = format!("/proc/{}/status", child.as_ref()?.id());
         let status = fs::read_to_string(status).ok()?;
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmRSS:"))?;
-        let kib: u64 = line.split_whitespace().next()?.parse().ok()?;
+        let value = |name: &str| {
+            let mut lines = status.lines();
+            let value = lines.find_map(|line| line.strip_prefix(name))?;
+            value.split_whitespace().next()
+        };
+        // A new process has the name and the memory of its parent until it runs the executable.
+        if value("Name:")? != EXECUTABLE {
+            return None;
+        }
+        let kib: u64 = value("VmRSS:")?.parse().ok()?;
         Some(kib / KIB_PER_MB)
     }
 
--- a/crates/daemon/tests/soak/run.rs
+++ b/crates/daemon/tests/soak/run.rs
@@ -103,7 +103,9 @@
     callers: usize,
     subject: Subject,
 ) -> Summary {
-    let directory = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+    // Runs of different subjects may have the same seed.
+    let name = format!("soak-{}-{subject:?}-{seed}", std::process::id());
+    let directory = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&directory).expect("the log directory is created");
     let run = Arc::new(Run::start(&directory, gateways, subject).await);
     let deadline = Instant::now() + START_TIMEOUT;
