A peer asked just before the last answer is asked again within the search

Seen: with 20,000 cases the property of the bound between two current answers failed (961 ms, bound 955 with a latency of 5 ms): 256 cases a run seldom meet it.

Cause: a peer is asked once a second in a search. One that was asked just before the last answer was due again later than the search ends, 0.95 s after it, and it was the only one that worked.

Change: 750 ms, as for the service. The properties run 2,000 cases.

--- a/crates/decide/src/failover.rs
+++ b/crates/decide/src/failover.rs
@@ -38,8 +38,9 @@
 /// Longest interval between two calls of the service while it is lost, in milliseconds.
 pub const MAX_PROBE_INTERVAL_MS: Millis = 750;
 
-/// Interval between two calls of a peer while no source has current data, in milliseconds.
-const PEER_PROBE_INTERVAL_MS: Millis = 1_000;
+/// Interval between two calls of a peer while no source has current data, in milliseconds. One that
+/// was asked just before the last answer is due again when the search for the next one ends.
+const PEER_PROBE_INTERVAL_MS: Millis = 750;
 
 /// Interval between two calls of a preferred peer while another source is followed, in milliseconds.
 const PEER_RETURN_INTERVAL_MS: Millis = 3_000;
--- a/crates/decide/tests/failover.rs
+++ b/crates/decide/tests/failover.rs
@@ -66,6 +66,9 @@
     ]
 }
 
+/// Number of cases of each property.
+const CASES: u32 = 2_000;
+
 /// Behaviors of each source, one after the other, with the times at which they begin.
 type Schedule = Vec<Vec<(Millis, Behavior)>>;
 
@@ -185,6 +188,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig::with_cases(CASES))]
+
     /// Guards against peers that keep a gateway from a service that is back: it sent requests to
     /// servers that had left until one of the peers was back.
     #[test]
