Gateways that others do not serve spread their calls of the service after a change

Cause: each change answers all calls that wait, and all gateways called again at once.

Change: a gateway that prefers others pauses for up to 0.4 s after each answer of the service, drawn each time. The next call waits that much less, so that the time between two answers stays the same.

Test: of 300 pauses after a change no 0.1 s has more than half.

--- a/crates/decide/src/failover.rs
+++ b/crates/decide/src/failover.rs
@@ -49,6 +49,11 @@
 /// and one returns a whole burst of changes.
 const MIN_FOLLOW_INTERVAL_MS: Millis = 200;
 
+/// Bounds of the pause between an answer of the service and the next call that follows it, if others
+/// are preferred, in milliseconds. It is drawn: one change answers all gateways, which would all call
+/// again at once when none of the preferred ones can be followed.
+const SERVICE_PAUSE_MS: (Millis, Millis) = (0, 400);
+
 /// Calls of one source at a time: one that waits for changes and hangs, and one beside it.
 const MAX_CALLS: u32 = 2;
 
@@ -211,7 +216,13 @@
 
     /// Records an answer, and whether its data was current. Returns whether its source is now
     /// followed and was not before.
-    pub fn record_answer(&mut self, call: Call<P>, now: Millis, is_current: bool) -> bool {
+    pub fn record_answer(
+        &mut self,
+        call: Call<P>,
+        now: Millis,
+        is_current: bool,
+        rng: &mut impl Rng,
+    ) -> bool {
         if !is_current {
             self.record_failure(call);
             return false;
@@ -227,11 +238,20 @@
             record.asked = 0;
         }
         (self.steps, self.step_at) = (0, 0);
+        let pause_ms = match call.source {
+            Source::Service if rank > 0 => {
+                rng.random_range(SERVICE_PAUSE_MS.0..=SERVICE_PAUSE_MS.1)
+            }
+            _ => 0,
+        };
         if self.followed == Some(call.source) {
             // A call that was overdue may end after a later one was made.
             let is_awaited = self
                 .awaited
                 .is_some_and(|(_, number)| number == call.number);
+            if is_awaited {
+                self.follow_at = self.follow_at.max(now) + pause_ms;
+            }
             if is_awaited || is_searching {
                 self.awaited = None;
             }
@@ -240,7 +260,7 @@
         if is_searching || followed.is_none_or(|followed| rank < followed) {
             self.followed = Some(call.source);
             self.awaited = None;
-            self.follow_at = now;
+            self.follow_at = now + pause_ms;
             return true;
         }
         false
--- a/crates/decide/tests/failover.rs
+++ b/crates/decide/tests/failover.rs
@@ -138,8 +138,11 @@
         let behavior = current.expect("the first phase begins at once").1;
         let wait = match call.purpose {
             Purpose::Follow => {
-                self.failover.expect_by(self.now + WAIT_MS + SLACK_MS);
-                WAIT_MS
+                // It ends as long after the last answer as if it had been made at once.
+                let last = self.current.last().copied().unwrap_or(0);
+                let wait = WAIT_MS.saturating_sub(self.now - last);
+                self.failover.expect_by(self.now + wait + SLACK_MS);
+                wait
             }
             Purpose::Probe => 0,
         };
@@ -158,7 +161,8 @@
         for (_, result, call) in ended {
             match result {
                 Some(is_current) => {
-                    self.failover.record_answer(call, now, is_current);
+                    self.failover
+                        .record_answer(call, now, is_current, &mut self.rng);
                     self.current.extend(is_current.then_some(now));
                 }
                 None => self.failover.record_failure(call),
@@ -282,3 +286,42 @@
     expect_that!(simulation.failover.followed(), some(eq(Source::Peer(2))));
     expect_that!(simulation.longest_gap(1_000, 3_000), le(BOUND_MS));
 }
+
+/// Time from a change, which answers the call of a gateway that follows the service although it
+/// prefers a peer, to its next call.
+fn pause_after_change(seed: u64) -> Millis {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut failover = Failover::default();
+    failover.update(&[Source::Peer(1), Source::Service]);
+    let mut now = 0;
+    let mut next_call = |failover: &mut Failover<usize>, rng: &mut ChaCha8Rng, purpose| loop {
+        let call = failover.select(now, rng);
+        match call {
+            Some(call) if call.purpose == purpose && call.source == Source::Service => {
+                return (now, call);
+            }
+            Some(_) => {}
+            None => now += 1,
+        }
+    };
+    let (at, probe) = next_call(&mut failover, &mut rng, Purpose::Probe);
+    failover.record_answer(probe, at, true, &mut rng);
+    let (at, awaited) = next_call(&mut failover, &mut rng, Purpose::Follow);
+    failover.expect_by(at + WAIT_MS + SLACK_MS);
+    failover.record_answer(awaited, at, true, &mut rng);
+    let (next_at, _) = next_call(&mut failover, &mut rng, Purpose::Follow);
+    next_at - at
+}
+
+/// Guards against all gateways calling the service at once after a change, while those that they
+/// prefer are cut off.
+#[gtest]
+fn gateways_that_others_do_not_serve_spread_their_calls_after_a_change() {
+    let pauses: Vec<Millis> = (0..300).map(pause_after_change).collect();
+    for begin in 0..1_000 {
+        let within = pauses
+            .iter()
+            .filter(|pause| (begin..begin + 100).contains(*pause));
+        expect_that!(within.count(), le(150), "{begin}");
+    }
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -225,7 +225,7 @@
         let now_ms = clock::now_ms();
         if self
             .failover
-            .record_answer(call.selected, now_ms, is_current)
+            .record_answer(call.selected, now_ms, is_current, &mut rand::rng())
         {
             log!(self.core.logger, Event::SourceChanged,
                 "source" => call.source().to_string(),
