--- a/crates/daemon/tests/soak/load.rs
+++ b/crates/daemon/tests/soak/load.rs
@@ -55,7 +55,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
     pub(crate) id: String,
-    /// Attempt that brought the first event of the stream, if this one resumes it.
+    /// Attempt that brought the first event of the stream, if this one goes on with it.
     pub(crate) first: Option<String>,
     /// Last event that the caller had before.
     pub(crate) after: u64,
@@ -92,7 +92,7 @@
         ids.filter_map(|id| id.parse().ok()).collect()
     }
 
-    /// The stream that the caller resumes after this attempt, if it may and has received a part.
+    /// The stream with which the caller goes on after this attempt, if it may and has received a part.
     fn resumption(&self) -> Option<(String, u64)> {
         let is_broken = self.kind == "resume" && self.status == 200 && !self.is_served();
         let last = self.event_ids().last().copied().filter(|_| is_broken)?;
--- a/crates/daemon/tests/soak/run/control.rs
+++ b/crates/daemon/tests/soak/run/control.rs
@@ -9,6 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::Run;
+use crate::backend::CONTROL_REQUEST;
 use crate::fault_log::Scope;
 
 /// Interval between two control calls.
@@ -21,9 +22,6 @@
 /// Longest latency that is waited for.
 const MAX_LATENCY: Duration = Duration::from_secs(5);
 
-const REQUEST: &[u8] =
-    b"GET /mulberryyoke/kv-list HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
-
 impl Run {
     /// Records when the stand-ins are starved, until the run is finished.
     pub(super) async fn watch_stand_ins(self: Arc<Self>) {
@@ -44,7 +42,7 @@
 
 async fn call(address: SocketAddr) -> std::io::Result<()> {
     let mut stream = TcpStream::connect(address).await?;
-    stream.write_all(REQUEST).await?;
+    stream.write_all(CONTROL_REQUEST).await?;
     let mut answer = Vec::new();
     stream.read_to_end(&mut answer).await?;
     Ok(())
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -109,7 +109,7 @@
                 Some(Prompt::from_parts("m", parts, 10))
             }),
             resume_after: text("x-after").and_then(|event| event.parse().ok()),
-            first_attempt: text("x-resumes").map(str::to_owned),
+            first_attempt: text("x-first-attempt").map(str::to_owned),
         })
     }
 
--- a/crates/gateway/tests/gateway/stream_caller.rs
+++ b/crates/gateway/tests/gateway/stream_caller.rs
@@ -53,7 +53,7 @@
 
     fn request(&self, id: &str) -> String {
         let resumes = self.first.as_ref().map_or(String::new(), |first| {
-            format!("x-after: {}\r\nx-resumes: {first}\r\n", self.after)
+            format!("x-after: {}\r\nx-first-attempt: {first}\r\n", self.after)
         });
         format!(
             "POST {RESUMABLE_PREFIX} HTTP/1.1\r\nHost: host.example\r\nx-id: {id}\r\n\
--- a/crates/gateway/tests/gateway/version_fleet.rs
+++ b/crates/gateway/tests/gateway/version_fleet.rs
@@ -92,7 +92,9 @@
 
     /// Resumes a stream after its second event.
     pub(crate) async fn resume(&self, node: usize, id: &str, first: Option<&str>) -> Response {
-        let resumes = first.map_or(String::new(), |first| format!("x-resumes: {first}\r\n"));
+        let resumes = first.map_or(String::new(), |first| {
+            format!("x-first-attempt: {first}\r\n")
+        });
         let text = request(id, &format!("x-after: 2\r\n{resumes}"));
         caller::send(self.nodes[node].callers, &text).await
     }
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -136,11 +136,11 @@
     fleet.kill_first();
     for id in &ids {
         let [first, next, last] = ["a", "b", "c"].map(|attempt| format!("{attempt}{id}"));
-        let lines = format!("x-after: 2\r\nx-resumes: {first}\r\n");
+        let lines = format!("x-after: 2\r\nx-first-attempt: {first}\r\n");
         let mut stream = caller::open(fleet.nodes[1].callers, &request(&next, &lines)).await;
         read_until(&mut stream, "id: 3").await;
         drop(stream);
-        let lines = format!("x-after: 3\r\nx-resumes: {first}\r\n");
+        let lines = format!("x-after: 3\r\nx-first-attempt: {first}\r\n");
         let response = caller::send(fleet.nodes[2].callers, &request(&last, &lines)).await;
         expect_that!(response.status, eq(200), "{}", response.body);
         let versions = [&first, &next, &last].map(|id| fleet.version_of(id));
@@ -202,7 +202,7 @@
         for attempt in 0..200 {
             let text = request(
                 &format!("s{round}-{attempt}"),
-                "x-after: 2\r\nx-resumes: a\r\n",
+                "x-after: 2\r\nx-first-attempt: a\r\n",
             );
             let response = caller::send(node.callers, &text).await;
             expect_that!(response.status, eq(503), "{attempt}");
@@ -281,7 +281,7 @@
         .service
         .set("mulberryyoke/gateways/peer", Some(&registration));
     sleep(PROPAGATION).await;
-    let lines = "x-after: 2\r\nx-resumes: d0\r\nx-patience-ms: 150\r\n";
+    let lines = "x-after: 2\r\nx-first-attempt: d0\r\nx-patience-ms: 150\r\n";
     let start = Instant::now();
     let response = caller::send(fleet.nodes[0].callers, &request("d1", lines)).await;
     expect_that!(start.elapsed(), lt(Duration::from_millis(300)));
--- a/crates/gateway/tests/gateway/waiting.rs
+++ b/crates/gateway/tests/gateway/waiting.rs
@@ -32,7 +32,7 @@
 const CUSTOMER: &str = "Authorization: Bearer secret\r\n";
 
 /// Headers by which a caller resumes a stream that it began.
-const RESUMES: &str = "x-after: 2\r\nx-resumes: q1\r\n";
+const RESUMES: &str = "x-after: 2\r\nx-first-attempt: q1\r\n";
 
 /// A gateway with a server that runs all its slots and more.
 struct Setup {
