Each resumption and a gateway's first contents are logged with what was known of versions

No line told why a resumption went where it did, nor what a gateway that had started knew of its pools' versions. Event 1048 tells the outcome, the version and the numbers of versions registered, observed and told; 1049 the versions known with the first contents. No decision changes; the decision itself moves to a file of its own.

--- a/crates/decide/src/stream.rs
+++ b/crates/decide/src/stream.rs
@@ -12,7 +12,7 @@
 
 pub use self::origin::Origin;
 pub use self::origins::Origins;
-pub use self::versions::{Sighting, Versions};
+pub use self::versions::{Sighting, Summary, Versions};
 use crate::aggregate::name_hash;
 use crate::rendezvous::weight;
 
--- a/crates/decide/src/stream/versions.rs
+++ b/crates/decide/src/stream/versions.rs
@@ -23,6 +23,17 @@
     pub at: Millis,
 }
 
+/// How the versions of a pool are known that have recently served it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Number of versions that this gateway saw itself.
+    pub observed: usize,
+    /// Number of versions that only other gateways told of.
+    pub told: usize,
+    /// When the version was last seen that was seen longest ago.
+    pub oldest: Option<Millis>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Seen {
     version: VersionId,
@@ -82,6 +93,28 @@
         seen.iter().filter(|seen| seen.is_recent(now)).count() > 1
     }
 
+    /// Returns how the versions of a pool are known that have recently served it.
+    #[must_use]
+    pub fn summary(&self, pool: PoolId, now: Millis) -> Summary {
+        let seen = self.pools.get(&pool).map_or(&[][..], SmallVec::as_slice);
+        let recent = seen.iter().filter(|seen| seen.is_recent(now));
+        let observed = recent.clone().filter(|seen| seen.is_observed).count();
+        Summary {
+            observed,
+            told: recent.clone().count() - observed,
+            oldest: recent.map(|seen| seen.at).min(),
+        }
+    }
+
+    /// Returns the versions that only other gateways told of.
+    #[must_use]
+    pub fn told(&self, now: Millis) -> Vec<(PoolId, VersionId)> {
+        let pools = self.pools.iter();
+        let seen = pools.flat_map(|(pool, seen)| seen.iter().map(|seen| (*pool, *seen)));
+        let told = seen.filter(|(_, seen)| !seen.is_observed && seen.is_recent(now));
+        told.map(|(pool, seen)| (pool, seen.version)).collect()
+    }
+
     /// Returns the pools that have recently had several versions.
     #[must_use]
     pub fn mixed(&self, now: Millis) -> Vec<PoolId> {
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -140,6 +140,10 @@
     VersionsMixed = 1046, Info, "pools with several versions changed";
     /// A gateway that may know the version that began a stream could not be asked.
     OriginCallFailed = 1047, Warning, "gateway not asked for stream";
+    /// Where a caller's resumption goes and why, and what the gateway knew of its pool's versions.
+    ResumeDecided = 1048, Info, "resumption decided";
+    /// A gateway that has started applied its first contents of the key-value service.
+    FirstContents = 1049, Info, "first contents applied";
     /// A run of a request ended with the connection to its server.
     RunEnded = 1050, Info, "run ended with its connection";
     /// A stream that callers can resume started, or did not.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -29,6 +29,7 @@
 use crate::clock;
 use crate::core::Core;
 use crate::memory;
+use crate::streams;
 
 /// Minimum size that an answer may have beside others, in bytes: of a page of the service's listing.
 const MIN_SHARED_BYTES: usize = 4 << 20;
@@ -242,12 +243,16 @@
         self.must_list = false;
         self.is_too_large = false;
         let position = position(&listing);
+        let is_first = self.applier.position() == Position::default();
         self.core.mirror.reset(listing.writes.clone(), position);
         let applier = &mut self.applier;
         self.core
             .registry
             .batch(|| applier.apply_listing(listing.writes, position));
         applier.update_cold_shares();
+        if is_first {
+            streams::log_first_contents(&self.core, position.revision);
+        }
     }
 
     fn apply_changes(&mut self, mut changes: Batch) {
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -6,6 +6,8 @@
 //! asked about a pool of one version.
 
 mod ask;
+mod knowledge;
+mod resume;
 pub(crate) mod start;
 
 use std::collections::HashMap;
@@ -14,20 +16,20 @@
 
 use mulberryyoke_decide::stream::{Origin, Origins, Sighting, Versions};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{PoolId, StreamId, VersionId};
+use mulberryyoke_model::{PoolId, StreamId};
 use mulberryyoke_platform::http::Http;
 use mulberryyoke_wire::aggregate;
 use mulberryyoke_wire::stream::{self, Entry};
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
 
-use self::ask::Answer;
 pub(crate) use self::ask::handle_ask;
+pub(crate) use self::knowledge::log_first_contents;
+pub(crate) use self::resume::required_version;
 use crate::call::Call;
 use crate::clock;
 use crate::config::RequestKind;
 use crate::core::Core;
-use crate::refusal::Refusal;
 use crate::server::Server;
 
 /// Number of gateways that are told the origin of a stream, beside the one that relays it.
@@ -154,52 +156,6 @@
     }
 }
 
-/// Returns the version on which the request must run, if it resumes a stream.
-pub(crate) async fn required_version(
-    core: &Arc<Core>,
-    call: &Call,
-) -> Result<Option<VersionId>, Refusal> {
-    if !call.asks_to_resume() {
-        return Ok(None);
-    }
-    // Servers may have been registered since the last update.
-    update(core);
-    let known = call
-        .resumed_stream
-        .and_then(|stream| core.streams.get(stream));
-    let is_mixed = core.streams.is_mixed(call.pool);
-    let answer = match (known, call.resumed_stream) {
-        (Some(origin), _) => Answer::Known(origin),
-        (None, Some(stream)) if is_mixed => ask::ask(core, stream, call.remaining_ms()).await,
-        (None, _) => Answer::Unknown,
-    };
-    let (refusal, outcome) = match answer {
-        Answer::Known(origin) if origin.pool == call.pool => {
-            count_resume(if known.is_some() { "known" } else { "asked" });
-            return Ok(Some(*call.origin.get_or_init(|| origin.version)));
-        }
-        // The route has been moved to another pool.
-        Answer::Known(_) => (Refusal::VersionGone, "moved"),
-        _ if !is_mixed => {
-            count_resume("one_version");
-            return Ok(None);
-        }
-        Answer::Unknown => (Refusal::VersionUnknown, "unknown"),
-        Answer::Unanswered => (Refusal::VersionUnanswered, "unanswered"),
-    };
-    count_resume(outcome);
-    log!(core.logger, Event::ResumeRefused,
-        "request" => &call.id,
-        "code" => refusal.code(),
-        "after" => call.resume_after,
-        "named" => call.resumed_stream.is_some());
-    Err(refusal)
-}
-
-fn count_resume(outcome: &'static str) {
-    metrics::counter!("stream_resumes_total", "outcome" => outcome).increment(1);
-}
-
 /// Observes the versions of all registered servers. Once a pool has several, other gateways are
 /// told the origins of the streams that began before.
 pub(crate) fn update(core: &Core) {
