Versions of pools as recorded in the key-value service: what they tell, and when they are written

A gateway that has just started takes the registered versions for all there were, so that streams of a version that has left go on at another one. The set of records, what a resumption may conclude from it, and when records are written, written again after a restore and removed, without input, output or clock. Not used yet.

--- a/crates/decide/src/stream.rs
+++ b/crates/decide/src/stream.rs
@@ -6,12 +6,16 @@
 
 mod origin;
 mod origins;
+mod recorder;
+mod records;
 mod versions;
 
 use mulberryyoke_model::StreamId;
 
 pub use self::origin::Origin;
 pub use self::origins::Origins;
+pub use self::recorder::{Recorder, Situation, Write};
+pub use self::records::{Conclusion, Listed, PoolVersion, Record, Records};
 pub use self::versions::{Sighting, Summary, Versions};
 use crate::aggregate::name_hash;
 use crate::rendezvous::weight;
--- a/crates/decide/src/stream/versions.rs
+++ b/crates/decide/src/stream/versions.rs
@@ -7,7 +7,7 @@
 
 /// Time for which a version counts after its last server was registered, in milliseconds. Streams
 /// that it began may be resumed for as long as their callers wait.
-const RETENTION_MS: Millis = 300_000;
+pub(super) const RETENTION_MS: Millis = 300_000;
 
 /// Maximum number of versions of a pool; the one seen longest ago is evicted first.
 const MAX_VERSIONS: usize = 16;
