Key-value clients of gateways write and delete keys on a condition, without a lease

For records that outlive all gateways: compared on the revision, so that of two writers one wins and a late deletion does not take what was written again. A condition that does not hold is a result, not an error.

--- a/crates/gateway/tests/gateway/feed.rs
+++ b/crates/gateway/tests/gateway/feed.rs
@@ -8,7 +8,8 @@
 
 use mulberryyoke_platform::HttpError;
 use mulberryyoke_platform::kv::{
-    Call, Changes, Contents, Era, Error, Event, Feed, Lease, LeaseId, Pair, Position, Revision,
+    Call, Changes, Contents, Era, Error, Event, Expect, Feed, Lease, LeaseId, Pair, Position,
+    Revision,
 };
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -294,6 +295,31 @@
         })
     }
 
+    fn write_if<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Expect,
+        value: Option<&'a [u8]>,
+    ) -> Call<'a, bool> {
+        Box::pin(async move {
+            self.start_call(0).await?;
+            let current = {
+                let state = self.service.state.lock();
+                state.keys.get(key).map(|(_, revision)| *revision)
+            };
+            let holds = match expected {
+                Expect::Absent => current.is_none(),
+                Expect::Revision(revision) => current == Some(revision),
+                Expect::Any => true,
+            };
+            if holds {
+                let value = value.and_then(|value| std::str::from_utf8(value).ok());
+                self.service.set(key, value);
+            }
+            Ok(holds)
+        })
+    }
+
     fn era(&self) -> Era {
         self.service.state.lock().era
     }
--- a/crates/platform/src/kv/feed.rs
+++ b/crates/platform/src/kv/feed.rs
@@ -1,6 +1,6 @@
 //! Long polling of the key-value service.
 
-use crate::kv::{Call, Era, Event, Lease, LeaseId, Pair, Position, Revision};
+use crate::kv::{Call, Era, Event, Expect, Lease, LeaseId, Pair, Position, Revision};
 
 /// The latest writes of keys after a given revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -47,6 +47,15 @@
     /// Writes a key that is deleted when the lease ends.
     fn put<'a>(&'a self, key: &'a str, value: &'a [u8], lease: LeaseId) -> Call<'a, ()>;
 
+    /// Writes a key that no lease ends, or deletes it if there is no value, if a condition holds;
+    /// `false` if it does not.
+    fn write_if<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Expect,
+        value: Option<&'a [u8]>,
+    ) -> Call<'a, bool>;
+
     /// Latest era in any response. Leases of earlier eras are gone, and their IDs may have been
     /// reused.
     fn era(&self) -> Era;
