Streams that callers can resume begin only on versions recorded in the key-value service

After the loss of all gateways those that started took the registered versions for all there were: a stream of a version that had left went on at another one. Now the three gateways that watch the service record each version they see, others if it stays missing; until then its servers get no resumable requests. A resumption that nobody knows is bound to the only recorded version, and refused if several are; with none it is told to come back. A gateway that has started is ready once the versions of its servers are recorded, after 2 s at the latest. Records that a restore lost are written again before they count as complete.

--- a/crates/decide/src/stream/records.rs
+++ b/crates/decide/src/stream/records.rs
@@ -47,7 +47,7 @@
     /// Era of the copy, increased by each restore of the service; `None` before the first listing.
     era: Option<u64>,
     marked: Option<u64>,
-    records: BTreeMap<PoolVersion, Record>,
+    present: BTreeMap<PoolVersion, Record>,
     /// Versions whose records a restore lost, until they are written again.
     lost: BTreeSet<PoolVersion>,
     /// Whether this copy and what it lost are all records, whether or not they are marked so.
@@ -65,23 +65,23 @@
             self.knows_all = listed.records.is_empty() && listed.marked.is_none();
         } else if is_restored {
             self.knows_all = is_recent && self.is_complete_in(before);
-            self.lost.extend(self.records.keys());
+            self.lost.extend(self.present.keys());
         }
         self.marked = listed.marked;
-        self.records = listed.records;
+        self.present = listed.records;
         self.lost
-            .retain(|version| !self.records.contains_key(version));
+            .retain(|version| !self.present.contains_key(version));
     }
 
     /// Applies the write of a record.
     pub fn put(&mut self, version: PoolVersion, record: Record) {
         self.lost.remove(&version);
-        self.records.insert(version, record);
+        self.present.insert(version, record);
     }
 
     /// Applies the removal of a record.
     pub fn remove(&mut self, version: PoolVersion) {
-        self.records.remove(&version);
+        self.present.remove(&version);
     }
 
     /// Applies the mark that the records were complete in an era.
@@ -100,7 +100,7 @@
     pub fn is_usable(&self, version: PoolVersion) -> bool {
         let is_active = |record: &Record| !record.is_retiring;
         // The mark is not written before what was lost is recorded again.
-        self.records.get(&version).is_some_and(is_active) || self.lost.contains(&version)
+        self.present.get(&version).is_some_and(is_active) || self.lost.contains(&version)
     }
 
     /// Versions on which streams may begin, in order.
@@ -110,7 +110,7 @@
 
     /// Versions on which streams may have begun.
     pub fn all(&self) -> impl Iterator<Item = PoolVersion> {
-        let all: BTreeSet<PoolVersion> = self.records.keys().chain(&self.lost).copied().collect();
+        let all: BTreeSet<PoolVersion> = self.present.keys().chain(&self.lost).copied().collect();
         all.into_iter()
     }
 
@@ -139,19 +139,19 @@
 
     /// The record of a version.
     pub(super) fn get(&self, version: PoolVersion) -> Option<Record> {
-        self.records.get(&version).copied()
+        self.present.get(&version).copied()
     }
 
     /// The records.
     pub(super) fn iter(&self) -> impl Iterator<Item = (PoolVersion, Record)> {
-        self.records
+        self.present
             .iter()
             .map(|(version, record)| (*version, *record))
     }
 
     /// Number of records.
     pub(super) fn len(&self) -> usize {
-        self.records.len()
+        self.present.len()
     }
 
     /// Versions whose records a restore lost.
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -148,6 +148,10 @@
     RunEnded = 1050, Info, "run ended with its connection";
     /// A stream that callers can resume started, or did not.
     StreamStart = 1051, Info, "stream start";
+    /// The record of a version in the key-value service changed.
+    VersionRecorded = 1052, Info, "record of version changed";
+    /// A version, or that the records are complete, could not be written to the key-value service.
+    VersionWriteFailed = 1053, Warning, "version not recorded";
     /// Servers crashed on a part of prompts, which is no longer sent to them.
     PartConvicted = 1055, Error, "prompt part quarantined";
     /// A part of prompts is no longer quarantined.
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -63,9 +63,15 @@
     let in_flight = with_servers(core, call.pool, eligible, |servers| {
         let now = Instant::now();
         let (now_ms, is_view_fresh) = (clock::now_ms(), core.view.is_fresh());
+        let usable = core.streams.usable(call);
+        let may_begin_at = |version| {
+            let usable = usable.as_ref();
+            usable.is_none_or(|versions| versions.contains(version))
+        };
         let mut open: Vec<&Arc<Backend>> = servers
             .iter()
             .filter(|backend| eligible.allows(&backend.server))
+            .filter(|backend| may_begin_at(&backend.server.version))
             .filter(|backend| is_usable(backend, now_ms, is_view_fresh))
             .collect();
         let is_left = |backend: &Arc<Backend>| {
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -35,6 +35,7 @@
                 core.exchange.expire(&core);
                 core.quarantine.expire();
                 streams::update(&core);
+                streams::write_due(&core);
                 balance::end_outages(&core);
                 rebalance(&core);
                 let now = Instant::now();
--- a/crates/gateway/src/follow/applier.rs
+++ b/crates/gateway/src/follow/applier.rs
@@ -17,6 +17,7 @@
 use crate::exchange::{self, Peer};
 use crate::protocol::ParseError;
 use crate::quarantine::{self, Culprit};
+use crate::streams;
 
 /// Time for which a key stays in force that a restored backup lacks, in milliseconds: gateways
 /// register again within two seconds, and operators repeat their lost writes.
@@ -76,6 +77,7 @@
         let prefix = self.core.protocol.servers_prefix();
         let mut absent_servers: HashSet<String> = self.servers.names().cloned().collect();
         let mut absent_keys: HashSet<String> = self.keys.clone();
+        let mut records = streams::Listing::default();
         for write in writes {
             if let Some(name) = write.key.strip_prefix(prefix) {
                 absent_servers.remove(name);
@@ -85,11 +87,15 @@
                 } else {
                     self.servers.apply(name, &value, write.revision);
                 }
-            } else {
+                continue;
+            }
+            let value = write.value.as_deref().unwrap_or_default();
+            if !records.add(&write.key, value, write.revision) {
                 absent_keys.remove(&write.key);
                 self.apply_put(write);
             }
         }
+        records.apply(&self.core, position.era);
         self.remove_absent(&absent_servers, &absent_keys, is_restored);
         self.cold_shares.members.start(clock::now_ms());
     }
@@ -128,6 +134,10 @@
         self.position = Some(position);
         let prefix = self.core.protocol.servers_prefix();
         for write in writes {
+            let value = write.value.as_deref();
+            if streams::apply_record(&self.core, &write.key, value, write.revision) {
+                continue;
+            }
             let name = write.key.strip_prefix(prefix);
             match (&write.value, name) {
                 (Some(value), Some(name)) => self.servers.apply(name, value, write.revision),
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -19,7 +19,7 @@
 use tokio::time::sleep;
 
 use crate::core::Core;
-use crate::{listen, memory};
+use crate::{listen, memory, streams};
 
 /// Configuration age from which a node is not ready, in milliseconds: a call to the key-value
 /// service and its retry have failed.
@@ -118,6 +118,7 @@
     let is_fresh =
         core.view.age_ms() < MAX_AGE_MS && core.view.kv_contact_age_ms() < MAX_CONTACT_AGE_MS;
     let is_fresh = is_fresh && !core.view.predates_suspension();
+    let is_fresh = is_fresh && streams::is_settled(core);
     let has_room = !core.overload.is_backing_off() && !core.memory.is_critical();
     has_config && is_fresh && has_room && !core.shutdown.drain.is_cancelled()
 }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -5,8 +5,11 @@
 //! relayed, and a gateway that is to resume a stream of another one asks three. Nothing is told or
 //! asked about a pool of one version.
 
+mod archive;
 mod ask;
 mod knowledge;
+mod record_key;
+mod records;
 mod resume;
 pub(crate) mod start;
 
@@ -16,15 +19,18 @@
 
 use mulberryyoke_decide::stream::{Origin, Origins, Sighting, Versions};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{PoolId, StreamId};
+use mulberryyoke_model::{PoolId, StreamId, VersionId};
 use mulberryyoke_platform::http::Http;
 use mulberryyoke_wire::aggregate;
 use mulberryyoke_wire::stream::{self, Entry};
 use parking_lot::Mutex;
+use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 
 pub(crate) use self::ask::handle_ask;
 pub(crate) use self::knowledge::log_first_contents;
+use self::records::Recorded;
+pub(crate) use self::records::{Listing, apply as apply_record, is_settled, write_due};
 pub(crate) use self::resume::required_version;
 use crate::call::Call;
 use crate::clock;
@@ -49,6 +55,7 @@
 #[derive(Debug)]
 pub(crate) struct Streams {
     inner: Mutex<Inner>,
+    recorded: Recorded,
     /// Socket from which origins are sent to other gateways.
     socket: Arc<UdpSocket>,
     http: Http,
@@ -67,6 +74,7 @@
     pub(crate) fn new(socket: &Arc<UdpSocket>) -> Self {
         Self {
             inner: Mutex::default(),
+            recorded: Recorded::default(),
             socket: Arc::clone(socket),
             http: Http::new(CONNECT_TIMEOUT_MS),
         }
@@ -104,6 +112,12 @@
         }
     }
 
+    /// Versions on which a request may run, if it begins a stream that callers can resume.
+    pub(crate) fn usable(&self, call: &Call) -> Option<SmallVec<[VersionId; 4]>> {
+        let is_resumable = call.route.kind == RequestKind::Resumable;
+        is_resumable.then(|| self.recorded.usable(call.pool))
+    }
+
     fn get(&self, stream: StreamId) -> Option<Origin> {
         self.inner.lock().origins.get(stream, clock::now_ms())
     }
@@ -161,10 +175,15 @@
 pub(crate) fn update(core: &Core) {
     let now_ms = clock::now_ms();
     let registered = core.registry.versions();
+    let recorded = core.streams.recorded.all();
     let mut inner = core.streams.inner.lock();
     for (pool, version) in registered {
         inner.versions.observe(pool, version, now_ms);
     }
+    for (pool, version) in recorded {
+        let at = now_ms;
+        inner.versions.merge(Sighting { pool, version, at });
+    }
     if now_ms >= inner.expires_ms {
         inner.expires_ms = now_ms + EXPIRY_INTERVAL_MS;
         inner.origins.expire(now_ms);
--- a/crates/gateway/src/streams/knowledge.rs
+++ b/crates/gateway/src/streams/knowledge.rs
@@ -15,9 +15,11 @@
 pub(super) struct Knowledge {
     /// Number of versions of registered servers.
     pub(super) registered: usize,
+    /// Number of versions that are recorded in the key-value service.
+    pub(super) recorded: usize,
     /// Number of versions that this gateway recently saw itself.
     pub(super) observed: usize,
-    /// Number of versions that only other gateways told of.
+    /// Number of versions that only other gateways or the records tell of.
     pub(super) told: usize,
     /// Time since the version was seen that was seen longest ago, in milliseconds.
     pub(super) age_ms: Option<u64>,
@@ -32,6 +34,7 @@
         let seen = self.inner.lock().versions.summary(pool, now_ms);
         Knowledge {
             registered,
+            recorded: self.recorded.count(pool),
             observed: seen.observed,
             told: seen.told,
             age_ms: seen.oldest.map(|at| now_ms.saturating_sub(at)),
@@ -46,6 +49,7 @@
     log!(core.logger, Event::FirstContents,
         "revision" => revision,
         "registered" => describe(core.registry.versions()),
+        "recorded" => describe(core.streams.recorded.all()),
         "told" => describe(told));
 }
 
--- a/crates/gateway/src/streams/resume.rs
+++ b/crates/gateway/src/streams/resume.rs
@@ -2,16 +2,30 @@
 
 use std::sync::Arc;
 
-use mulberryyoke_decide::stream::Origin;
+use mulberryyoke_decide::stream::Conclusion;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::VersionId;
 
 use super::ask::{self, Answer};
-use super::update;
+use super::{archive, update};
 use crate::call::Call;
 use crate::core::Core;
 use crate::refusal::Refusal;
 
+/// What was found out about a resumption.
+#[derive(Clone, Copy, Debug)]
+struct Finding {
+    answer: Answer,
+    /// Whether the origin was known here.
+    is_known: bool,
+    /// The only version on which a stream of the pool can have begun.
+    only: Option<VersionId>,
+    /// Whether no version of the pool is recorded.
+    is_unrecorded: bool,
+    /// Whether versions beside the recorded one are about to be recorded, or were.
+    is_unsettled: bool,
+}
+
 /// Returns the version on which the request must run, if it resumes a stream.
 pub(crate) async fn required_version(
     core: &Arc<Core>,
@@ -22,58 +36,94 @@
     }
     // Servers may have been registered since the last update.
     update(core);
+    let finding = find(core, call).await;
+    let (result, outcome) = decide(core, call, finding);
+    record(core, call, result, outcome);
+    // What only the records tell does not show that the stream has begun.
+    if let Answer::Known(_) = finding.answer
+        && let Ok(version) = result
+    {
+        return Ok(Some(*call.origin.get_or_init(|| version)));
+    }
+    result.map(Some)
+}
+
+async fn find(core: &Arc<Core>, call: &Call) -> Finding {
     let known = call
         .resumed_stream
         .and_then(|stream| core.streams.get(stream));
+    let conclusion = core.streams.recorded.conclude(call.pool);
     let is_mixed = core.streams.is_mixed(call.pool);
+    let only = match conclusion {
+        Conclusion::Only(version) if !is_mixed => Some(version),
+        _ => None,
+    };
+    // A version may have been recorded since.
+    let must_ask = only.is_none() || !core.view.is_fresh();
     let answer = match (known, call.resumed_stream) {
         (Some(origin), _) => Answer::Known(origin),
-        (None, Some(stream)) if is_mixed => ask::ask(core, stream, call.remaining_ms()).await,
+        (None, Some(stream)) if must_ask => ask::ask(core, stream, call.remaining_ms()).await,
         (None, _) => Answer::Unknown,
     };
-    let (result, outcome) = decide(call, answer, known, is_mixed);
-    record(core, call, result, outcome);
-    if let Ok(Some(version)) = result {
-        return Ok(Some(*call.origin.get_or_init(|| version)));
+    Finding {
+        answer,
+        is_known: known.is_some(),
+        only,
+        is_unrecorded: conclusion == Conclusion::None,
+        is_unsettled: matches!(conclusion, Conclusion::Only(_)) && is_mixed,
     }
-    result
 }
 
 /// Returns the version, or why the request is refused, and the outcome as a label.
 fn decide(
+    core: &Arc<Core>,
     call: &Call,
-    answer: Answer,
-    known: Option<Origin>,
-    is_mixed: bool,
-) -> (Result<Option<VersionId>, Refusal>, &'static str) {
-    match answer {
-        Answer::Known(origin) if origin.pool == call.pool => {
-            let outcome = if known.is_some() { "known" } else { "asked" };
-            (Ok(Some(origin.version)), outcome)
+    finding: Finding,
+) -> (Result<VersionId, Refusal>, &'static str) {
+    match (finding.answer, finding.only) {
+        (Answer::Known(origin), _) if origin.pool == call.pool => {
+            let outcome = if finding.is_known { "known" } else { "asked" };
+            (Ok(origin.version), outcome)
         }
         // The route has been moved to another pool.
-        Answer::Known(_) => (Err(Refusal::VersionGone), "moved"),
-        _ if !is_mixed => (Ok(None), "one_version"),
-        Answer::Unknown => (Err(Refusal::VersionUnknown), "unknown"),
-        Answer::Unanswered => (Err(Refusal::VersionUnanswered), "unanswered"),
+        (Answer::Known(_), _) => (Err(Refusal::VersionGone), "moved"),
+        (_, Some(version)) if !has_server(core, call, version) => {
+            (Err(Refusal::NO_SERVER), "no_server")
+        }
+        (_, Some(version)) => (Ok(version), "one_version"),
+        (Answer::Unanswered, None) => (Err(Refusal::VersionUnanswered), "unanswered"),
+        (Answer::Unknown, None) if finding.is_unrecorded || finding.is_unsettled => {
+            (Err(Refusal::VersionUnanswered), "unrecorded")
+        }
+        (Answer::Unknown, None) if may_know_more(core, call) => {
+            (Err(Refusal::VersionUnanswered), "archive_pending")
+        }
+        (Answer::Unknown, None) => (Err(Refusal::VersionUnknown), "unknown"),
     }
 }
 
+/// Whether a server of the version stays. The only version of a pool returns if it has none.
+fn has_server(core: &Core, call: &Call, version: VersionId) -> bool {
+    let servers = core.registry.of_version(call.pool, version);
+    servers.iter().any(|backend| !backend.is_closed())
+}
+
+/// Whether the stream, if the caller names it, may be known later.
+fn may_know_more(core: &Arc<Core>, call: &Call) -> bool {
+    call.resumed_stream.is_some() && archive::may_know_more(core)
+}
+
 /// Records where a resumption goes and why, and what this gateway knew of its pool's versions.
-fn record(
-    core: &Core,
-    call: &Call,
-    result: Result<Option<VersionId>, Refusal>,
-    outcome: &'static str,
-) {
+fn record(core: &Core, call: &Call, result: Result<VersionId, Refusal>, outcome: &'static str) {
     metrics::counter!("stream_resumes_total", "outcome" => outcome).increment(1);
     let known = core.streams.knowledge(core, call.pool);
     log!(core.logger, Event::ResumeDecided,
         "request" => &call.id,
         "pool" => call.pool.0,
         "outcome" => outcome,
-        "version" => result.ok().flatten().map(|version| format!("{:08x}", version.0)),
+        "version" => result.ok().map(|version| format!("{:08x}", version.0)),
         "registered" => known.registered,
+        "recorded" => known.recorded,
         "observed" => known.observed,
         "told" => known.told,
         "seen_age_ms" => known.age_ms,
