Decide: the archive of origins, what of it is written when, by which gateways and how much

Entries fill slots of 512; the open slot is written again with each new entry, so that few values are kept. All gateways together take at most a tenth of the service's writes; in a fleet in which each would wait for more than a second, only some write for the others.

--- a/crates/decide/src/stream.rs
+++ b/crates/decide/src/stream.rs
@@ -4,14 +4,20 @@
 //! several versions, a gateway tells a few others what its streams began on, so that a caller can
 //! resume a stream at any gateway.
 
+mod archive;
 mod origin;
 mod origins;
+mod pace;
+mod reads;
 mod versions;
 
 use mulberryyoke_model::StreamId;
 
+pub use self::archive::{Archive, Batch, Kept, SLOT_ENTRIES};
 pub use self::origin::Origin;
 pub use self::origins::Origins;
+pub use self::pace::{Pace, writer};
+pub use self::reads::Reads;
 pub use self::versions::{Sighting, Versions};
 use crate::aggregate::name_hash;
 use crate::rendezvous::weight;
