--- a/crates/decide/src/stream.rs
+++ b/crates/decide/src/stream.rs
@@ -18,7 +18,7 @@
 pub use self::origins::Origins;
 pub use self::pace::{Pace, writer};
 pub use self::reads::Reads;
-pub use self::versions::{Sighting, Versions};
+pub use self::versions::{Sighting, Summary, Versions};
 use crate::aggregate::name_hash;
 use crate::rendezvous::weight;
 
