--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -85,6 +85,7 @@
             processors: cpus,
             descriptors: 1_024,
             memory_mb,
+            kv_writes_per_s: Some(400.0),
         };
         let logger = Logger::root(Discard, o!());
         let feed = Arc::clone(&kv);
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -76,6 +76,9 @@
     if gateway.cold_slack < 0.0 {
         return Err(InvalidField::new("cold_slack", "must not be negative"));
     }
+    if gateway.kv_writes_per_s.is_some_and(|rate| rate <= 0.0) {
+        return Err(InvalidField::new("kv_writes_per_s", "must be more than 0"));
+    }
     if gateway.processors <= 0.0 {
         return Err(InvalidField::new("processors", "must be more than 0"));
     }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -55,6 +55,9 @@
     /// held for callers. Without it, each response holds a fixed number of chunks.
     #[serde(default, deserialize_with = "number::optional_truncated")]
     pub memory_mb: Option<u64>,
+    /// Writes per second that the key-value service takes from all gateways together. When absent, a
+    /// low rate is assumed.
+    pub kv_writes_per_s: Option<f64>,
 }
 
 impl Gateway {
--- a/crates/settings/tests/check/gateway.rs
+++ b/crates/settings/tests/check/gateway.rs
@@ -51,6 +51,11 @@
             "retry_ratio: must be from 0 to 1",
         ),
         ("/retry_slack", json!(-1), "retry_slack"),
+        (
+            "/kv_writes_per_s",
+            json!(0),
+            "kv_writes_per_s: must be more than 0",
+        ),
         ("/unknown", json!(1), "unknown field `unknown`"),
     ];
     for (index, (pointer, value, reason)) in table.into_iter().enumerate() {
@@ -71,6 +76,7 @@
         "processors": 0.09,
         "descriptors": 4_100.0,
         "memory_mb": 119.5,
+        "kv_writes_per_s": 400.5,
     });
     let mut settings = gateway();
     for (field, value) in fractional.as_object().expect("an object") {
@@ -83,6 +89,7 @@
     expect_that!(gateway.retry_slack, near(36.176, 0.001));
     expect_that!(gateway.descriptors, eq(4_100));
     expect_that!(gateway.memory_mb, some(eq(119)));
+    expect_that!(gateway.kv_writes_per_s, some(eq(400.5)));
 }
 
 #[gtest]
@@ -91,6 +98,7 @@
     let file = File::new("memory", &gateway().to_string());
     let gateway = read_gateway(&file.0).expect("the settings are valid");
     expect_that!(gateway.memory_mb, none());
+    expect_that!(gateway.kv_writes_per_s, none());
 }
 
 #[gtest]
