Origins of streams are kept in the key-value service while a pool has several versions

Callers whose streams broke off as all gateways were lost got version_unknown for each resumption while servers of both versions served: the origins were kept in gateways' memory alone. Each gateway now writes those of its own streams in the background, in slots under a lease of a minute; a gateway reads them after its start, and again when none of those asked knows a stream. Until such a read has ended, the refusal has a time to come back. The keys are neither relayed to other gateways nor kept in their copies, and peers that wait for changes are not woken for them.

Tests: five of the six new ones failed on the code before (no origins were written); that a stream that was not written is refused held before.

--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -158,6 +158,12 @@
     MessageUnreadable = 1060, Warning, "message unreadable";
     /// The resident memory of a process nears its limit, or has fallen again.
     MemoryPressure = 1061, Warning, "memory pressure changed";
+    /// The origins of streams were read from the key-value service.
+    OriginsRead = 1066, Info, "versions of streams read";
+    /// The origins of streams could not be read from the key-value service.
+    OriginsNotRead = 1067, Warning, "versions of streams not read";
+    /// The origins of streams could not be written to the key-value service.
+    OriginsNotWritten = 1068, Warning, "versions of streams not written";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -88,6 +88,13 @@
         self.inner.lock().peers.replicas(stream, count)
     }
 
+    /// Returns the address of the gateway that writes the origins of this one's streams to the
+    /// archive, if `count` gateways write; `None` if it is this one.
+    pub(crate) fn archive_writer(&self, count: usize) -> Option<SocketAddr> {
+        let inner = self.inner.lock();
+        inner.peers.archive_writer(&inner.name, count)
+    }
+
     /// Returns the number of known gateways, including this one.
     pub(crate) fn gateway_count(&self) -> usize {
         self.inner.lock().peers.len() + 1
--- a/crates/gateway/src/exchange/peers.rs
+++ b/crates/gateway/src/exchange/peers.rs
@@ -6,7 +6,7 @@
 use mulberryyoke_decide::aggregate::{COLLECTORS_PER_ZONE, Placement, name_hash, rank_by_cpu};
 use mulberryyoke_decide::handoff::targets;
 use mulberryyoke_decide::quarantine::arbiter;
-use mulberryyoke_decide::stream::replicas;
+use mulberryyoke_decide::stream::{replicas, writer};
 use mulberryyoke_model::{Digest, StreamId};
 
 /// Number of gateways that watch the key-value service; tolerates the failure of any two.
@@ -174,6 +174,17 @@
         peers.map(|peer| peer.address).collect()
     }
 
+    /// Returns the address of the peer that writes the origins of this gateway's streams to the
+    /// archive; `None` if it is this gateway.
+    pub(super) fn archive_writer(&self, own: &str, count: usize) -> Option<SocketAddr> {
+        if count > self.by_name.len() {
+            return None;
+        }
+        let names = self.by_name.keys().map(String::as_str);
+        let writer = writer(own, names, count);
+        self.by_name.get(writer).map(|peer| peer.address)
+    }
+
     /// Returns the names of the gateways of this one's zone, itself included, collectors first.
     fn ranked<'a>(&'a self, (name, placement): (&'a str, &'a Placement)) -> Vec<&'a str> {
         let names = self.zones.get(&placement.zone);
--- a/crates/gateway/src/follow/sources.rs
+++ b/crates/gateway/src/follow/sources.rs
@@ -9,6 +9,7 @@
 use mulberryyoke_platform::http::{self, Http};
 use mulberryyoke_platform::kv::{Feed, Position};
 use mulberryyoke_wire::relay::{Batch, CHANGES, CURRENT_FOR, LIST, Write};
+use mulberryyoke_wire::stream;
 
 use super::call::{Answer, Call, Request, Source};
 use super::failure::Failure;
@@ -143,8 +144,10 @@
     }
 }
 
-/// An answer of the service, which has current data.
-fn service_answer(position: Position, writes: Vec<Write>) -> Answer {
+/// An answer of the service, which has current data. The archive of streams is read when it is
+/// needed, and not kept for other gateways.
+fn service_answer(position: Position, mut writes: Vec<Write>) -> Answer {
+    writes.retain(|write| !write.key.starts_with(stream::KEYS));
     let batch = Batch {
         known_ms: 0,
         revision: position.revision,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,7 +28,7 @@
 use crate::registry::Registry;
 use crate::retry_budgets::RetryBudgets;
 use crate::shutdown::Shutdown;
-use crate::streams::Streams;
+use crate::streams::{self, Streams};
 use crate::view::View;
 use crate::waiting::{self, Waiting};
 use crate::{control, follow, listen, memory, overload, readiness, socket};
@@ -114,6 +114,7 @@
         tokio::spawn(exchange::run(Arc::clone(&core), exchange_socket));
         tokio::spawn(waiting::run(Arc::clone(&core)));
         tokio::spawn(follow::run(Arc::clone(&core)));
+        tokio::spawn(streams::archive::run(Arc::clone(&core)));
         tokio::spawn(readiness::serve(
             Arc::clone(&core),
             health,
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -95,15 +95,18 @@
         self.position.send_replace(position);
     }
 
-    /// Applies all writes up to a position.
+    /// Applies all writes up to a position. Peers that wait are not woken for the position alone.
     pub(crate) fn apply(&self, mut writes: Vec<Write>, position: Position) {
+        let has_writes = !writes.is_empty();
         self.held.count(&mut writes);
         let mut inner = self.inner.lock();
         inner.position = inner.position.max(position);
         let position = inner.position;
         self.record(&mut inner, writes);
         drop(inner);
-        self.position.send_replace(position);
+        if has_writes {
+            self.position.send_replace(position);
+        }
     }
 
     fn record(&self, inner: &mut Inner, writes: Vec<Write>) {
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -5,6 +5,7 @@
 //! relayed, and a gateway that is to resume a stream of another one asks three. Nothing is told or
 //! asked about a pool of one version.
 
+pub(crate) mod archive;
 mod ask;
 mod knowledge;
 mod resume;
@@ -16,13 +17,14 @@
 
 use mulberryyoke_decide::stream::{Origin, Origins, Sighting, Versions};
 use mulberryyoke_event::{Event, log};
-use mulberryyoke_model::{PoolId, StreamId};
+use mulberryyoke_model::{Incarnation, PoolId, StreamId};
 use mulberryyoke_platform::http::Http;
 use mulberryyoke_wire::aggregate;
-use mulberryyoke_wire::stream::{self, Entry};
+use mulberryyoke_wire::stream::{self, Entry, Purpose};
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
 
+use self::archive::Archive;
 pub(crate) use self::ask::handle_ask;
 pub(crate) use self::knowledge::log_first_contents;
 pub(crate) use self::resume::required_version;
@@ -52,6 +54,7 @@
     /// Socket from which origins are sent to other gateways.
     socket: Arc<UdpSocket>,
     http: Http,
+    archive: Archive,
 }
 
 #[derive(Debug, Default)]
@@ -69,6 +72,7 @@
             inner: Mutex::default(),
             socket: Arc::clone(socket),
             http: Http::new(CONNECT_TIMEOUT_MS),
+            archive: Archive::new(Incarnation(rand::random())),
         }
     }
 
@@ -189,35 +193,49 @@
     send(core, entries.into_iter());
 }
 
-/// Sends origins to the gateways that keep them.
+/// Sends origins to the gateways that keep them, and has them archived.
 fn send(core: &Core, entries: impl Iterator<Item = Entry>) {
+    let entries: Vec<Entry> = entries.collect();
     let mut by_address: HashMap<SocketAddr, Vec<Entry>> = HashMap::new();
-    for entry in entries {
+    for entry in &entries {
         for address in core.exchange.replicas(entry.stream, REPLICAS) {
-            by_address.entry(address).or_default().push(entry);
+            by_address.entry(address).or_default().push(*entry);
         }
     }
     for (address, entries) in by_address {
-        for packet in stream::encode(&entries) {
-            if let Err(error) = core.streams.socket.try_send_to(&packet, address) {
-                let kind = error.kind().to_string();
-                metrics::counter!("stream_origins_unsent_total", "kind" => kind).increment(1);
-            }
+        for packet in stream::encode(&entries, Purpose::Keep) {
+            send_packet(core, &packet, address);
         }
     }
+    archive::record(core, &entries);
+}
+
+fn send_packet(core: &Core, packet: &[u8], address: SocketAddr) {
+    if let Err(error) = core.streams.socket.try_send_to(packet, address) {
+        let kind = error.kind().to_string();
+        metrics::counter!("stream_origins_unsent_total", "kind" => kind).increment(1);
+    }
 }
 
 /// Keeps the origins that another gateway sent.
 pub(crate) fn receive(core: &Core, packet: &[u8]) {
-    let Some(entries) = stream::decode(packet) else {
+    let Some((purpose, entries)) = stream::decode(packet) else {
         metrics::counter!("beats_unreadable_total", "why" => "stream").increment(1);
         return;
     };
+    keep(core, &entries);
+    if purpose == Purpose::Archive {
+        archive::keep(core, &entries);
+    }
+}
+
+/// Keeps the origins of other gateways' streams.
+fn keep(core: &Core, entries: &[Entry]) {
     let now_ms = clock::now_ms();
     let mut inner = core.streams.inner.lock();
     for entry in entries {
         let until_ms = now_ms.saturating_add(entry.left_ms);
-        let Entry { stream, origin, .. } = entry;
+        let Entry { stream, origin, .. } = *entry;
         inner
             .origins
             .record(stream, origin, until_ms, false, now_ms);
--- a/crates/gateway/src/streams/resume.rs
+++ b/crates/gateway/src/streams/resume.rs
@@ -6,6 +6,7 @@
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_model::VersionId;
 
+use super::archive;
 use super::ask::{self, Answer};
 use super::update;
 use crate::call::Call;
@@ -31,6 +32,14 @@
         (None, Some(stream)) if is_mixed => ask::ask(core, stream, call.remaining_ms()).await,
         (None, _) => Answer::Unknown,
     };
+    let answer = match answer {
+        Answer::Unknown
+            if is_mixed && call.resumed_stream.is_some() && archive::may_know_more(core) =>
+        {
+            Answer::Unanswered
+        }
+        answer => answer,
+    };
     let (result, outcome) = decide(call, answer, known, is_mixed);
     record(core, call, result, outcome);
     if let Ok(Some(version)) = result {
--- a/crates/gateway/tests/gateway/feed.rs
+++ b/crates/gateway/tests/gateway/feed.rs
@@ -42,6 +42,10 @@
     backup: Mutex<State>,
     /// Number of granted leases.
     grants: AtomicU64,
+    /// Leases up to this one have ended.
+    ended: AtomicU64,
+    /// Keys with a lease.
+    leased: Mutex<BTreeMap<String, LeaseId>>,
     changed: watch::Sender<Revision>,
     /// Number of calls.
     calls: AtomicU64,
@@ -55,6 +59,8 @@
             state: Mutex::default(),
             backup: Mutex::default(),
             grants: AtomicU64::new(0),
+            ended: AtomicU64::new(0),
+            leased: Mutex::default(),
             changed: watch::Sender::new(0),
             calls: AtomicU64::new(0),
             renewals: AtomicU64::new(0),
@@ -63,10 +69,14 @@
 
     /// Writes a key, or deletes it.
     pub(crate) fn set(&self, key: &str, value: Option<&str>) {
+        self.write(key, value.map(|value| value.as_bytes().to_vec()));
+    }
+
+    /// As [`Service::set`], with a value that is not text.
+    pub(crate) fn write(&self, key: &str, value: Option<Vec<u8>>) {
         let mut state = self.state.lock();
         state.revision += 1;
         let revision = state.revision;
-        let value = value.map(|value| value.as_bytes().to_vec());
         match &value {
             Some(value) => state.keys.insert(key.to_owned(), (value.clone(), revision)),
             None => state.keys.remove(key),
@@ -110,6 +120,24 @@
         self.changed.send_replace(revision);
     }
 
+    /// Ends all leases.
+    #[allow(dead_code, reason = "not used by all tests of gateways")]
+    pub(crate) fn end_leases(&self) {
+        self.ended.store(self.grants(), Ordering::Relaxed);
+        let keys = std::mem::take(&mut *self.leased.lock());
+        for key in keys.keys() {
+            self.set(key, None);
+        }
+    }
+
+    /// Rejects a lease that has ended.
+    fn check_lease(&self, lease: LeaseId) -> Result<(), Error> {
+        if lease.0 <= self.ended.load(Ordering::Relaxed) {
+            return Err(Error::LeaseExpired);
+        }
+        Ok(())
+    }
+
     /// The revision of the latest write.
     pub(crate) fn revision(&self) -> Revision {
         self.state.lock().revision
@@ -273,8 +301,8 @@
     fn grant(&self, _: u64) -> Call<'_, Lease> {
         Box::pin(async move {
             self.start_call(0).await?;
-            self.service.grants.fetch_add(1, Ordering::Relaxed);
-            Ok(Self::lease(LeaseId(1)))
+            let grants = self.service.grants.fetch_add(1, Ordering::Relaxed);
+            Ok(Self::lease(LeaseId(grants + 1)))
         })
     }
 
@@ -282,14 +310,17 @@
         Box::pin(async move {
             self.start_call(0).await?;
             self.service.renewals.fetch_add(1, Ordering::Relaxed);
+            self.service.check_lease(id)?;
             Ok(Self::lease(id))
         })
     }
 
-    fn put<'a>(&'a self, key: &'a str, value: &'a [u8], _: LeaseId) -> Call<'a, ()> {
+    fn put<'a>(&'a self, key: &'a str, value: &'a [u8], lease: LeaseId) -> Call<'a, ()> {
         Box::pin(async move {
             self.start_call(0).await?;
-            self.service.set(key, std::str::from_utf8(value).ok());
+            self.service.check_lease(lease)?;
+            self.service.leased.lock().insert(key.to_owned(), lease);
+            self.service.write(key, Some(value.to_vec()));
             Ok(())
         })
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answer_shapes;
+mod archive;
 mod backend;
 mod bodies;
 mod cache_report;
