--- a/crates/gateway/src/streams/resume.rs
+++ b/crates/gateway/src/streams/resume.rs
@@ -87,11 +87,12 @@
         }
         // The route has been moved to another pool.
         (Answer::Known(_), _) => (Err(Refusal::VersionGone), "moved"),
+        // A version may have been recorded since.
+        (Answer::Unanswered, _) => (Err(Refusal::VersionUnanswered), "unanswered"),
         (_, Some(version)) if !has_server(core, call, version) => {
             (Err(Refusal::NO_SERVER), "no_server")
         }
         (_, Some(version)) => (Ok(version), "one_version"),
-        (Answer::Unanswered, None) => (Err(Refusal::VersionUnanswered), "unanswered"),
         (Answer::Unknown, None) if finding.is_unrecorded || finding.is_unsettled => {
             (Err(Refusal::VersionUnanswered), "unrecorded")
         }
