--- a/crates/gateway/examples/cost.rs
+++ b/crates/gateway/examples/cost.rs
@@ -139,6 +139,7 @@
         processors: 1.0,
         descriptors: 4_096,
         memory_mb: None,
+        kv_writes_per_s: None,
     };
     let logger = mulberryyoke_event::open_stdout("g0");
     let runtime = Builder::new_current_thread().enable_all().build();
--- a/crates/gateway/examples/memory.rs
+++ b/crates/gateway/examples/memory.rs
@@ -114,6 +114,7 @@
         processors: 1.0,
         descriptors: 8_192,
         memory_mb,
+        kv_writes_per_s: None,
     };
     let logger = mulberryyoke_event::slog::Logger::root(
         mulberryyoke_event::slog::Discard,
