--- a/crates/gateway/src/streams/archive/reader.rs
+++ b/crates/gateway/src/streams/archive/reader.rs
@@ -12,7 +12,7 @@
 
 use crate::clock;
 use crate::core::Core;
-use crate::memory;
+use crate::{memory, streams};
 
 /// Maximum size of the archive that is read, in bytes: several times that of a full one, since what
 /// earlier processes wrote stays for a while.
@@ -76,15 +76,13 @@
     let own = &core.streams.archive.keys;
     let others = contents.entries.iter();
     let others = others.filter(|pair| !pair.key.starts_with(own));
-    let streams = others.map(|pair| match decode_value(&pair.value) {
-        Some(entries) => {
-            super::super::keep(core, &entries);
-            entries.len()
-        }
-        None => {
+    let streams = others.map(|pair| {
+        let Some(entries) = decode_value(&pair.value) else {
             metrics::counter!("stream_archive_unreadable_total").increment(1);
-            0
-        }
+            return 0;
+        };
+        streams::keep(core, &entries);
+        entries.len()
     });
     streams.sum()
 }
--- a/crates/gateway/tests/gateway/archive.rs
+++ b/crates/gateway/tests/gateway/archive.rs
@@ -158,7 +158,7 @@
             sleep(Duration::from_millis(20)).await;
         }
         // Entries that came meanwhile follow in the next write.
-        sleep(Duration::from_millis(1_000)).await;
+        sleep(Duration::from_secs(1)).await;
     }
 }
 
