Tests: streams resumed after all gateways were lost

Callers saw streams go on at another version, or not at all, after every gateway was lost. Twelve cases with three gateways, each in a runtime of its own that ends with it, servers of two versions and callers that resume at gateways that have just started; the key-value service keeps its contents, and can be away for all.

--- a/crates/gateway/tests/gateway/feed.rs
+++ b/crates/gateway/tests/gateway/feed.rs
@@ -40,6 +40,8 @@
     state: Mutex<State>,
     /// State to which the service can be restored.
     backup: Mutex<State>,
+    /// Whether it is away for all gateways.
+    is_away: AtomicBool,
     /// Number of granted leases.
     grants: AtomicU64,
     changed: watch::Sender<Revision>,
@@ -54,6 +56,7 @@
         Arc::new(Self {
             state: Mutex::default(),
             backup: Mutex::default(),
+            is_away: AtomicBool::new(false),
             grants: AtomicU64::new(0),
             changed: watch::Sender::new(0),
             calls: AtomicU64::new(0),
@@ -87,6 +90,12 @@
         keys.cloned().collect()
     }
 
+    /// Sets whether calls of all gateways fail.
+    #[allow(dead_code, reason = "not used by every test binary")]
+    pub(crate) fn set_away(&self, is_away: bool) {
+        self.is_away.store(is_away, Ordering::Relaxed);
+    }
+
     /// Compacts the whole history.
     pub(crate) fn compact(&self) {
         let mut state = self.state.lock();
@@ -188,7 +197,8 @@
             .await;
             return Err(Error::Unknown(HttpError::TimedOut));
         }
-        if self.is_failing.load(Ordering::Relaxed) {
+        let is_away = self.service.is_away.load(Ordering::Relaxed);
+        if is_away || self.is_failing.load(Ordering::Relaxed) {
             return Err(Error::Unsent(HttpError::Connect(
                 "injected failure".to_owned(),
             )));
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -26,6 +26,8 @@
 mod large_changes;
 mod leaving;
 mod leaving_callers;
+mod lost_fleet;
+mod lost_gateways;
 mod memory_pressure;
 mod notices;
 mod outages;
--- a/crates/gateway/tests/gateway/version_fleet.rs
+++ b/crates/gateway/tests/gateway/version_fleet.rs
@@ -1,6 +1,7 @@
 //! Gateways before model servers of several versions, and a peer that counts messages.
 
 use std::collections::HashSet;
+use std::mem;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -12,7 +13,7 @@
 use mulberryyoke_wire::stream::is_marked;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::runtime::Runtime;
+use tokio::runtime::{Builder, Runtime};
 use tokio::time::{sleep, timeout};
 
 use crate::backend::{Backend, Behavior, field, read_request};
@@ -26,12 +27,15 @@
 /// Time for a change to reach every gateway.
 pub(crate) const PROPAGATION: Duration = Duration::from_millis(600);
 
+/// Number of threads of a gateway.
+const WORKERS: usize = 2;
+
 /// Gateways, and model servers of several versions.
 pub(crate) struct Fleet {
     pub(crate) service: Arc<Service>,
     pub(crate) nodes: Vec<Node>,
-    /// Runtime of the first gateway, which ends with it.
-    runtime: Option<Runtime>,
+    /// Runtime of each gateway, which ends with it.
+    runtimes: Vec<Runtime>,
     pub(crate) servers: Vec<(Backend, &'static str)>,
 }
 
@@ -47,32 +51,70 @@
         for (index, (backend, version)) in servers.iter().enumerate() {
             register(&service, index, backend, version);
         }
-        let runtime = Runtime::new().expect("a runtime");
-        let first = {
-            let service = Arc::clone(&service);
-            runtime.spawn(async move { Node::spawn(&service, "g0").await })
-        };
         let mut fleet = Self {
-            nodes: vec![first.await.expect("no panic")],
             service,
-            runtime: Some(runtime),
+            nodes: Vec::new(),
+            runtimes: Vec::new(),
             servers,
         };
-        for index in 1..nodes {
-            let node = Node::spawn(&fleet.service, &format!("g{index}")).await;
+        for index in 0..nodes {
+            let (runtime, node) = start(&fleet.service, index).await;
+            fleet.runtimes.push(runtime);
             fleet.nodes.push(node);
         }
-        for node in &fleet.nodes {
-            node.wait_ready().await;
-        }
+        fleet.wait_ready().await;
         sleep(PROPAGATION).await;
         fleet
     }
 
+    /// Waits until all gateways are ready.
+    pub(crate) async fn wait_ready(&self) {
+        for node in &self.nodes {
+            node.wait_ready().await;
+        }
+    }
+
     /// Kills the first gateway.
     pub(crate) fn kill_first(&mut self) {
-        let runtime = self.runtime.take().expect("it runs");
-        runtime.shutdown_background();
+        self.kill(0);
+    }
+
+    /// Kills a gateway.
+    pub(crate) fn kill(&mut self, node: usize) {
+        let ended = mem::replace(&mut self.runtimes[node], runtime());
+        ended.shutdown_background();
+    }
+
+    /// Starts a killed gateway again, without waiting until it is ready.
+    pub(crate) async fn start(&mut self, node: usize) {
+        let (runtime, started) = start(&self.service, node).await;
+        mem::replace(&mut self.runtimes[node], runtime).shutdown_background();
+        self.nodes[node] = started;
+    }
+
+    /// Starts a server of a version, and registers it.
+    pub(crate) async fn add_server(&mut self, behavior: Behavior, version: &'static str) {
+        let backend = Backend::spawn(behavior).await;
+        register(&self.service, self.servers.len(), &backend, version);
+        self.servers.push((backend, version));
+    }
+
+    /// Removes the registrations of the servers of a version.
+    pub(crate) fn remove_servers(&self, version: &str) {
+        for (index, (_, other)) in self.servers.iter().enumerate() {
+            if *other == version {
+                self.service.set(&format!("servers/model-{index}"), None);
+            }
+        }
+    }
+
+    /// Registers the servers of a version again.
+    pub(crate) fn return_servers(&self, version: &str) {
+        for (index, (backend, other)) in self.servers.iter().enumerate() {
+            if *other == version {
+                register(&self.service, index, backend, version);
+            }
+        }
     }
 
     /// Version of the server that ran the request with an ID; `None` if none did.
@@ -123,6 +165,19 @@
     }
 }
 
+fn runtime() -> Runtime {
+    let mut builder = Builder::new_multi_thread();
+    builder.worker_threads(WORKERS).enable_all();
+    builder.build().expect("a runtime")
+}
+
+/// Starts a gateway in a runtime of its own.
+async fn start(service: &Arc<Service>, node: usize) -> (Runtime, Node) {
+    let (service, runtime) = (Arc::clone(service), runtime());
+    let node = runtime.spawn(async move { Node::spawn(&service, &format!("g{node}")).await });
+    (runtime, node.await.expect("no panic"))
+}
+
 pub(crate) fn register(service: &Service, index: usize, backend: &Backend, version: &str) {
     let value = format!("model {} ready version={version}", backend.address);
     service.set(&format!("servers/model-{index}"), Some(&value));
@@ -150,7 +205,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
+        for runtime in self.runtimes.drain(..) {
             runtime.shutdown_background();
         }
     }
