Soak: all gateways are lost during releases of the model servers

Callers saw streams go on at the version of a release after all gateways were lost, and none go on at their own. Servers of a release have its version; callers leave half of the streams that they may resume and keep them for up to 9 s. A check after each loss: streams left before it and resumed at gateways in touch while two servers of their version serve go on half as often at least as new ones begin, from 12 on.

The draws of the other subjects are as before.

--- a/crates/daemon/tests/soak/audit.rs
+++ b/crates/daemon/tests/soak/audit.rs
@@ -84,6 +84,7 @@
     part::check(&mut audit, run, &calls, &calls_by_id, &recorded);
     version::check(&mut audit, &calls, &by_id);
     version::check_share(&mut audit, run, &calls);
+    version::check_lost(&mut audit, run, &calls, &calls_by_id);
     notice::check_leaving(&mut audit, run, &calls_by_id, &recorded);
     notice::check_pushback(&mut audit, run, &calls_by_id, &recorded);
     let starved = run.fault_log.total(Scope::StandIns).as_millis();
--- a/crates/daemon/tests/soak/audit/version.rs
+++ b/crates/daemon/tests/soak/audit/version.rs
@@ -62,14 +62,44 @@
         .into_iter()
         .filter(|call| call.serving >= MIN_SERVING);
     let resumed: Vec<&Call> = resumed.collect();
+    compare(audit, "share of resumptions", &resumed, &new);
+}
+
+/// The same, after each loss of all gateways, of the streams that their callers left before it.
+pub(super) fn check_lost(
+    audit: &mut Audit,
+    run: &Run,
+    calls: &[Call],
+    calls_by_id: &HashMap<&str, &Call>,
+) {
+    let losses = run.losses.lock().clone();
+    for (index, (begin, end)) in losses.iter().enumerate() {
+        let next = losses.get(index + 1).map(|(next, _)| *next);
+        let is_after = |call: &&Call| {
+            let (from, to) = (call.sent_at, call.ended_at);
+            let is_between = from > *end && next.is_none_or(|next| to < next);
+            call.kind == "resume" && is_between && run.fault_log.is_in_touch(call.gateway, from, to)
+        };
+        let after = calls.iter().filter(is_after);
+        let (resumed, new): (Vec<&Call>, Vec<&Call>) = after.partition(|call| call.first.is_some());
+        let was_begun = |call: &&Call| {
+            let first = call.first.as_ref().and_then(|id| calls_by_id.get(&**id));
+            first.is_some_and(|first| first.ended_at < *begin) && call.serving >= MIN_SERVING
+        };
+        let resumed: Vec<&Call> = resumed.into_iter().filter(was_begun).collect();
+        compare(audit, "share of resumptions after a loss", &resumed, &new);
+    }
+}
+
+fn compare(audit: &mut Audit, guarantee: &'static str, resumed: &[&Call], new: &[&Call]) {
     if resumed.len() < MIN_SAMPLE || new.len() < MIN_SAMPLE {
         return;
     }
     let begun = |calls: &[&Call]| calls.iter().filter(|call| call.has_begun()).count();
-    let (continued, started) = (begun(&resumed), begun(&new));
+    let (continued, started) = (begun(resumed), begun(new));
     // Half of the share, as products, which are exact.
     let holds = 2 * continued * new.len() >= started * resumed.len();
-    audit.check("share of resumptions", holds, || {
+    audit.check(guarantee, holds, || {
         format!(
             "{continued} of {} go on, {started} of {} new ones begin",
             resumed.len(),
--- a/crates/daemon/tests/soak/load.rs
+++ b/crates/daemon/tests/soak/load.rs
@@ -33,6 +33,13 @@
 const BAD_START: Duration = Duration::from_millis(1_500);
 const BAD_PAUSE: Duration = Duration::from_millis(300);
 
+/// Time for which callers keep streams that they left before they resume them at gateways that may
+/// have been lost meanwhile, in milliseconds.
+const MAX_KEPT_MS: u64 = 9_000;
+
+/// Probability that such a caller begins a stream that it may resume rather than any request.
+const STREAM_PROBABILITY: f64 = 0.5;
+
 /// Kinds of requests, each with a route of the same name.
 pub(crate) const KINDS: [&str; 6] = ["once", "any", "keyed", "extra", "stream", "resume"];
 
@@ -123,7 +130,7 @@
 pub(crate) async fn run_caller(run: Arc<Run>, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut connection: Option<(usize, SendRequest<Full<Bytes>>)> = None;
-    let mut resumption: Option<(String, u64)> = None;
+    let mut kept: Vec<(Instant, (String, u64))> = Vec::new();
     while !run.is_finished() {
         let pause_ms = rng.random_range(1..MAX_PAUSE_MS);
         if run.subject != Subject::Outages {
@@ -140,13 +147,16 @@
             sleep(Duration::from_millis(1)).await;
             continue;
         };
-        let kind = match resumption {
+        let due = kept.iter().position(|(due, _)| *due <= Instant::now());
+        let resumed = due.map(|index| kept.swap_remove(index).1);
+        let has_losses = run.subject == Subject::Losses;
+        let kind = match resumed {
             Some(_) => "resume",
+            None if has_losses && rng.random_bool(STREAM_PROBABILITY) => "resume",
             None => KINDS[rng.random_range(0..KINDS.len())],
         };
         let key = (kind == "keyed").then(|| run.operator.pick_key(rng.random_range(0..64)));
-        let resumed = resumption.take();
-        let leaves = run.subject == Subject::Streams && kind == "resume" && rng.random_bool(0.5);
+        let leaves = run.subject.has_leaving_callers() && kind == "resume" && rng.random_bool(0.5);
         let wish = Wish {
             kind,
             key,
@@ -156,7 +166,15 @@
         };
         let (mut call, is_reusable) = send(sender, *gateway, wish).await;
         call.serving = run.serving_for(&call);
-        resumption = call.resumption();
+        if let Some(resumption) = call.resumption() {
+            let kept_ms = if has_losses {
+                rng.random_range(0..MAX_KEPT_MS)
+            } else {
+                0
+            };
+            let due = call.ended_at + Duration::from_millis(kept_ms);
+            kept.push((due, resumption));
+        }
         run.calls.lock().push(call);
         if !is_reusable {
             connection = None;
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -84,6 +84,9 @@
 /// another failure of the store.
 const OUTAGE_SEEDS: [u64; 3] = [10_000, 10_001, 10_002];
 
+/// Default seeds of runs in which all gateways are lost during releases.
+const LOSS_SEEDS: [u64; 2] = [12_001, 12_002];
+
 fn seeds(subject: Subject) -> Vec<u64> {
     let Ok(text) = std::env::var("SOAK_SEEDS") else {
         return match subject {
@@ -92,6 +95,7 @@
             Subject::Streams => STREAM_SEEDS.into(),
             Subject::Contents => CONTENTS_SEEDS.iter().map(|(seed, _)| *seed).collect(),
             Subject::Outages => OUTAGE_SEEDS.into(),
+            Subject::Losses => LOSS_SEEDS.into(),
         };
     };
     let (first, last) = text.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
@@ -124,6 +128,11 @@
     check(Subject::Outages);
 }
 
+#[test]
+fn streams_go_on_at_their_version_while_all_gateways_are_lost_during_releases() {
+    check(Subject::Losses);
+}
+
 /// Held by the test that runs, so that the number of concurrent runs stays the same.
 static TURN: Mutex<()> = Mutex::new(());
 
--- a/crates/daemon/tests/soak/run.rs
+++ b/crates/daemon/tests/soak/run.rs
@@ -3,6 +3,7 @@
 mod control;
 mod crash;
 mod inject;
+mod loss;
 mod memory;
 mod outage;
 mod probe;
@@ -17,7 +18,6 @@
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
-use rustix::process::Signal;
 use tokio::time::sleep;
 
 use crate::answer::Framing;
@@ -30,7 +30,7 @@
 use crate::plan::{self, FAULT_WINDOW};
 use crate::proxy::Proxy;
 use crate::store::Store;
-use crate::store_values::{ServerState, registration, server_key};
+use crate::store_values::{ServerState, name_in_release, registration, server_key};
 use crate::subject::Subject;
 
 pub(crate) use self::outage::{AWAY, WATCHERS};
@@ -85,6 +85,10 @@
     peaks_mb: Vec<AtomicU64>,
     is_finished: AtomicBool,
     next_server: AtomicU64,
+    /// Release of the model servers that start, if there are releases.
+    release: AtomicU64,
+    /// Begin and end of each loss of all gateways.
+    pub(crate) losses: Mutex<Vec<(Instant, Instant)>>,
 }
 
 /// Results of a run.
@@ -141,8 +145,10 @@
         tasks.push(tokio::spawn(Arc::clone(&run).limit_processors(share)));
     }
     let started_at = Instant::now();
-    if subject == Subject::Outages {
-        run.play_outages(seed).await;
+    match subject {
+        Subject::Outages => run.play_outages(seed).await,
+        Subject::Losses => run.play_losses(seed).await,
+        _ => {}
     }
     let injected: Vec<_> = steps
         .into_iter()
@@ -199,7 +205,11 @@
             } else {
                 MODEL_POOL
             };
-            let backend = Backend::spawn(&format!("s-{index}"), Arc::clone(&recorded)).await;
+            let name = match (subject, pool) {
+                (Subject::Losses, MODEL_POOL) => name_in_release(0, index as u64),
+                _ => format!("s-{index}"),
+            };
+            let backend = Backend::spawn(&name, Arc::clone(&recorded)).await;
             if subject == Subject::Streams {
                 backend.set_bare_answers();
             }
@@ -248,6 +258,8 @@
             crashes: Mutex::default(),
             is_finished: AtomicBool::new(false),
             next_server: AtomicU64::new(0),
+            release: AtomicU64::new(0),
+            losses: Mutex::default(),
         }
     }
 
@@ -298,17 +310,7 @@
     /// Kills all gateways at once and restarts them. Returns the fraction of requests that is
     /// served after the recovery time.
     async fn restart_all(&self) -> f64 {
-        let faults: Vec<usize> = (0..self.gateways.len())
-            .map(|gateway| self.fault_log.begin(Scope::Gateway(gateway)))
-            .collect();
-        for gateway in &self.gateways {
-            gateway.signal(Signal::KILL);
-        }
-        for (gateway, fault) in self.gateways.iter().zip(faults) {
-            gateway.wait_for_exit(Duration::from_secs(2)).await;
-            gateway.start();
-            self.fault_log.end(fault);
-        }
+        self.kill_all(Duration::ZERO).await;
         sleep(RECOVERY_TIME).await;
         let from = Instant::now();
         sleep(SAMPLE_TIME).await;
@@ -319,7 +321,10 @@
         let broken: HashSet<&str> = broken.map(|run| &*run.id).collect();
         let calls = self.calls.lock();
         let sampled = calls.iter().filter(|call| {
-            let is_lost_anyway = call.is_bad || broken.contains(&*call.id);
+            // The version of a stream may have left with a release.
+            let is_gone = self.subject == Subject::Losses && call.first.is_some();
+            let is_gone = is_gone && call.serving == 0;
+            let is_lost_anyway = call.is_bad || is_gone || broken.contains(&*call.id);
             call.sent_at >= from && !is_lost_anyway && !matches!(call.kind, "keyed" | "extra")
         });
         let (mut count, mut served) = (0.0_f64, 0.0);
--- a/crates/daemon/tests/soak/run/inject.rs
+++ b/crates/daemon/tests/soak/run/inject.rs
@@ -193,7 +193,7 @@
 
     /// Terminates and restarts a gateway. A graceful shutdown counts as a fault only from the exit
     /// of the process on.
-    async fn restart(&self, gateway: usize, signal: Signal) {
+    pub(super) async fn restart(&self, gateway: usize, signal: Signal) {
         let is_graceful = signal == Signal::TERM;
         let fault = (!is_graceful).then(|| self.fault_log.begin(Scope::Gateway(gateway)));
         self.gateways[gateway].signal(signal);
@@ -240,7 +240,8 @@
 
     /// Starts and registers the next server at the address of one that has left.
     fn start_next(&self, server: &Server) {
-        let next = format!("n-{}", self.next_server.fetch_add(1, Ordering::Relaxed));
+        let number = self.next_server.fetch_add(1, Ordering::Relaxed);
+        let next = self.server_name(server.pool, number);
         server.backend.replace(&next);
         let value = registration(server.pool, &next, server.proxy.address, ServerState::Ready);
         self.store.put(&server_key(&next), &value);
--- a/crates/daemon/tests/soak/run/serving.rs
+++ b/crates/daemon/tests/soak/run/serving.rs
@@ -19,7 +19,7 @@
         let Some(begun) = runs.find(|run| run.id == *first) else {
             return 0;
         };
-        let version = version_of(&begun.server);
+        let version = version_of(&begun.server).to_owned();
         drop(recorded);
         let now = Instant::now();
         let serving = self.servers.iter().enumerate().filter(|(index, server)| {
--- a/crates/daemon/tests/soak/subject.rs
+++ b/crates/daemon/tests/soak/subject.rs
@@ -27,6 +27,9 @@
     /// When the store is back after an outage, all gateways that watch it are cut off from it and
     /// from the others, while servers leave.
     Outages,
+    /// Releases replace model servers by those of another version, and all gateways are lost
+    /// meanwhile. Callers leave streams and resume them up to seconds later.
+    Losses,
 }
 
 /// Number of processors of a gateway that watches the store, and of another one.
@@ -36,7 +39,7 @@
     /// Default number of gateways. Three watch the store, the others follow them.
     pub(crate) const fn gateways(self) -> usize {
         match self {
-            Self::Faults | Self::Part | Self::Streams => 3,
+            Self::Faults | Self::Part | Self::Streams | Self::Losses => 3,
             Self::Contents | Self::Outages => 5,
         }
     }
@@ -44,7 +47,7 @@
     /// Size of the configuration, in bytes, beside what the other subjects have.
     pub(crate) const fn configuration_bytes(self) -> usize {
         match self {
-            Self::Faults | Self::Part | Self::Streams | Self::Outages => 0,
+            Self::Faults | Self::Part | Self::Streams | Self::Outages | Self::Losses => 0,
             Self::Contents => LARGE_CONFIGURATION_BYTES,
         }
     }
@@ -53,7 +56,7 @@
     pub(crate) const fn model_servers(self) -> usize {
         match self {
             Self::Faults | Self::Contents | Self::Outages => 4,
-            Self::Part | Self::Streams => 12,
+            Self::Part | Self::Streams | Self::Losses => 12,
         }
     }
 
@@ -61,7 +64,7 @@
     pub(crate) const fn callers(self) -> usize {
         match self {
             Self::Outages => 40,
-            Self::Faults | Self::Contents | Self::Part | Self::Streams => 16,
+            Self::Faults | Self::Contents | Self::Part | Self::Streams | Self::Losses => 16,
         }
     }
 
@@ -69,7 +72,7 @@
     pub(crate) const fn plain_servers(self) -> usize {
         match self {
             Self::Outages => 12,
-            Self::Faults | Self::Contents | Self::Part | Self::Streams => 4,
+            Self::Faults | Self::Contents | Self::Part | Self::Streams | Self::Losses => 4,
         }
     }
 
@@ -78,12 +81,17 @@
         match self {
             Self::Outages if gateway >= WATCHERS => PROCESSORS.1,
             Self::Outages => PROCESSORS.0,
-            Self::Faults | Self::Contents | Self::Part | Self::Streams => 1.0,
+            Self::Faults | Self::Contents | Self::Part | Self::Streams | Self::Losses => 1.0,
         }
     }
 
+    /// Whether callers leave streams to resume them.
+    pub(crate) const fn has_leaving_callers(self) -> bool {
+        matches!(self, Self::Streams | Self::Losses)
+    }
+
     /// Whether faults are drawn.
     pub(crate) const fn has_drawn_faults(self) -> bool {
-        !matches!(self, Self::Outages)
+        !matches!(self, Self::Outages | Self::Losses)
     }
 }
