Tests: versions are recorded before streams begin on them, at a first start, in a release and after a restore

Requests that follow a first start at once are not refused for lack of a record; a version that no gateway can record gets other requests only; one gateway that the service takes writes from is enough; what a restore lost is written again.

--- a/crates/gateway/tests/gateway/feed.rs
+++ b/crates/gateway/tests/gateway/feed.rs
@@ -149,6 +149,7 @@
     pub(crate) service: Arc<Service>,
     is_failing: AtomicBool,
     is_hanging: AtomicBool,
+    is_rejecting_writes: AtomicBool,
     /// Number of times that the waiting calls were cut.
     cuts: watch::Sender<u64>,
 }
@@ -159,6 +160,7 @@
             service: Arc::clone(service),
             is_failing: AtomicBool::new(false),
             is_hanging: AtomicBool::new(false),
+            is_rejecting_writes: AtomicBool::new(false),
             cuts: watch::Sender::new(0),
         })
     }
@@ -178,6 +180,13 @@
         self.is_hanging.store(is_hanging, Ordering::Relaxed);
     }
 
+    /// Sets whether writes on a condition fail.
+    #[allow(dead_code, reason = "not used by every test binary")]
+    pub(crate) fn set_rejecting_writes(&self, is_rejecting: bool) {
+        self.is_rejecting_writes
+            .store(is_rejecting, Ordering::Relaxed);
+    }
+
     /// Counts a call and injects the configured failure.
     async fn start_call(&self, wait_ms: u64) -> Result<(), Error> {
         self.service.calls.fetch_add(1, Ordering::Relaxed);
@@ -303,6 +312,10 @@
     ) -> Call<'a, bool> {
         Box::pin(async move {
             self.start_call(0).await?;
+            if self.is_rejecting_writes.load(Ordering::Relaxed) {
+                let cause = "injected rejection".to_owned();
+                return Err(Error::Unsent(HttpError::Connect(cause)));
+            }
             let current = {
                 let state = self.service.state.lock();
                 state.keys.get(key).map(|(_, revision)| *revision)
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -36,6 +36,7 @@
 mod prompt_fleet;
 mod prompt_parts;
 mod protocol;
+mod recorded_versions;
 mod relay;
 mod responses;
 mod restore;
