--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -140,10 +140,18 @@
     VersionsMixed = 1046, Info, "pools with several versions changed";
     /// A gateway that may know the version that began a stream could not be asked.
     OriginCallFailed = 1047, Warning, "gateway not asked for stream";
+    /// Where a caller's resumption goes and why, and what the gateway knew of its pool's versions.
+    ResumeDecided = 1048, Info, "resumption decided";
+    /// A gateway that has started applied its first contents of the key-value service.
+    FirstContents = 1049, Info, "first contents applied";
     /// A run of a request ended with the connection to its server.
     RunEnded = 1050, Info, "run ended with its connection";
     /// A stream that callers can resume started, or did not.
     StreamStart = 1051, Info, "stream start";
+    /// The record of a version in the key-value service changed.
+    VersionRecorded = 1052, Info, "record of version changed";
+    /// A version, or that the records are complete, could not be written to the key-value service.
+    VersionWriteFailed = 1053, Warning, "version not recorded";
     /// Servers crashed on a part of prompts, which is no longer sent to them.
     PartConvicted = 1055, Error, "prompt part quarantined";
     /// A part of prompts is no longer quarantined.
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -5,7 +5,12 @@
 //! relayed, and a gateway that is to resume a stream of another one asks three. Nothing is told or
 //! asked about a pool of one version.
 
+mod archive;
 mod ask;
+mod knowledge;
+mod record_key;
+mod records;
+mod resume;
 pub(crate) mod start;
 
 use std::collections::HashMap;
@@ -19,15 +24,18 @@
 use mulberryyoke_wire::aggregate;
 use mulberryyoke_wire::stream::{self, Entry};
 use parking_lot::Mutex;
+use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 
-use self::ask::Answer;
 pub(crate) use self::ask::handle_ask;
+pub(crate) use self::knowledge::log_first_contents;
+use self::records::Recorded;
+pub(crate) use self::records::{Listing, apply as apply_record, is_settled, write_due};
+pub(crate) use self::resume::required_version;
 use crate::call::Call;
 use crate::clock;
 use crate::config::RequestKind;
 use crate::core::Core;
-use crate::refusal::Refusal;
 use crate::server::Server;
 
 /// Number of gateways that are told the origin of a stream, beside the one that relays it.
@@ -47,6 +55,7 @@
 #[derive(Debug)]
 pub(crate) struct Streams {
     inner: Mutex<Inner>,
+    recorded: Recorded,
     /// Socket from which origins are sent to other gateways.
     socket: Arc<UdpSocket>,
     http: Http,
@@ -65,6 +74,7 @@
     pub(crate) fn new(socket: &Arc<UdpSocket>) -> Self {
         Self {
             inner: Mutex::default(),
+            recorded: Recorded::default(),
             socket: Arc::clone(socket),
             http: Http::new(CONNECT_TIMEOUT_MS),
         }
@@ -102,6 +112,12 @@
         }
     }
 
+    /// Versions on which a request may run, if it begins a stream that callers can resume.
+    pub(crate) fn usable(&self, call: &Call) -> Option<SmallVec<[VersionId; 4]>> {
+        let is_resumable = call.route.kind == RequestKind::Resumable;
+        is_resumable.then(|| self.recorded.usable(call.pool))
+    }
+
     fn get(&self, stream: StreamId) -> Option<Origin> {
         self.inner.lock().origins.get(stream, clock::now_ms())
     }
@@ -154,61 +170,20 @@
     }
 }
 
-/// Returns the version on which the request must run, if it resumes a stream.
-pub(crate) async fn required_version(
-    core: &Arc<Core>,
-    call: &Call,
-) -> Result<Option<VersionId>, Refusal> {
-    if !call.asks_to_resume() {
-        return Ok(None);
-    }
-    // Servers may have been registered since the last update.
-    update(core);
-    let known = call
-        .resumed_stream
-        .and_then(|stream| core.streams.get(stream));
-    let is_mixed = core.streams.is_mixed(call.pool);
-    let answer = match (known, call.resumed_stream) {
-        (Some(origin), _) => Answer::Known(origin),
-        (None, Some(stream)) if is_mixed => ask::ask(core, stream, call.remaining_ms()).await,
-        (None, _) => Answer::Unknown,
-    };
-    let (refusal, outcome) = match answer {
-        Answer::Known(origin) if origin.pool == call.pool => {
-            count_resume(if known.is_some() { "known" } else { "asked" });
-            return Ok(Some(*call.origin.get_or_init(|| origin.version)));
-        }
-        // The route has been moved to another pool.
-        Answer::Known(_) => (Refusal::VersionGone, "moved"),
-        _ if !is_mixed => {
-            count_resume("one_version");
-            return Ok(None);
-        }
-        Answer::Unknown => (Refusal::VersionUnknown, "unknown"),
-        Answer::Unanswered => (Refusal::VersionUnanswered, "unanswered"),
-    };
-    count_resume(outcome);
-    log!(core.logger, Event::ResumeRefused,
-        "request" => &call.id,
-        "code" => refusal.code(),
-        "after" => call.resume_after,
-        "named" => call.resumed_stream.is_some());
-    Err(refusal)
-}
-
-fn count_resume(outcome: &'static str) {
-    metrics::counter!("stream_resumes_total", "outcome" => outcome).increment(1);
-}
-
 /// Observes the versions of all registered servers. Once a pool has several, other gateways are
 /// told the origins of the streams that began before.
 pub(crate) fn update(core: &Core) {
     let now_ms = clock::now_ms();
     let registered = core.registry.versions();
+    let recorded = core.streams.recorded.all();
     let mut inner = core.streams.inner.lock();
     for (pool, version) in registered {
         inner.versions.observe(pool, version, now_ms);
     }
+    for (pool, version) in recorded {
+        let at = now_ms;
+        inner.versions.merge(Sighting { pool, version, at });
+    }
     if now_ms >= inner.expires_ms {
         inner.expires_ms = now_ms + EXPIRY_INTERVAL_MS;
         inner.origins.expire(now_ms);
--- a/crates/gateway/tests/gateway/feed.rs
+++ b/crates/gateway/tests/gateway/feed.rs
@@ -8,7 +8,8 @@
 
 use mulberryyoke_platform::HttpError;
 use mulberryyoke_platform::kv::{
-    Call, Changes, Contents, Era, Error, Event, Feed, Lease, LeaseId, Pair, Position, Revision,
+    Call, Changes, Contents, Era, Error, Event, Expect, Feed, Lease, LeaseId, Pair, Position,
+    Revision,
 };
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -157,6 +158,7 @@
     pub(crate) service: Arc<Service>,
     is_failing: AtomicBool,
     is_hanging: AtomicBool,
+    is_rejecting_writes: AtomicBool,
     /// Number of times that the waiting calls were cut.
     cuts: watch::Sender<u64>,
 }
@@ -167,6 +169,7 @@
             service: Arc::clone(service),
             is_failing: AtomicBool::new(false),
             is_hanging: AtomicBool::new(false),
+            is_rejecting_writes: AtomicBool::new(false),
             cuts: watch::Sender::new(0),
         })
     }
@@ -186,6 +189,13 @@
         self.is_hanging.store(is_hanging, Ordering::Relaxed);
     }
 
+    /// Sets whether writes on a condition fail.
+    #[allow(dead_code, reason = "not used by every test binary")]
+    pub(crate) fn set_rejecting_writes(&self, is_rejecting: bool) {
+        self.is_rejecting_writes
+            .store(is_rejecting, Ordering::Relaxed);
+    }
+
     /// Counts a call and injects the configured failure.
     async fn start_call(&self, wait_ms: u64) -> Result<(), Error> {
         self.service.calls.fetch_add(1, Ordering::Relaxed);
@@ -304,6 +314,35 @@
         })
     }
 
+    fn write_if<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Expect,
+        value: Option<&'a [u8]>,
+    ) -> Call<'a, bool> {
+        Box::pin(async move {
+            self.start_call(0).await?;
+            if self.is_rejecting_writes.load(Ordering::Relaxed) {
+                let cause = "injected rejection".to_owned();
+                return Err(Error::Unsent(HttpError::Connect(cause)));
+            }
+            let current = {
+                let state = self.service.state.lock();
+                state.keys.get(key).map(|(_, revision)| *revision)
+            };
+            let holds = match expected {
+                Expect::Absent => current.is_none(),
+                Expect::Revision(revision) => current == Some(revision),
+                Expect::Any => true,
+            };
+            if holds {
+                let value = value.and_then(|value| std::str::from_utf8(value).ok());
+                self.service.set(key, value);
+            }
+            Ok(holds)
+        })
+    }
+
     fn era(&self) -> Era {
         self.service.state.lock().era
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -38,6 +38,7 @@
 mod prompt_fleet;
 mod prompt_parts;
 mod protocol;
+mod recorded_versions;
 mod relay;
 mod responses;
 mod restore;
