--- a/crates/gateway/tests/gateway/feed.rs
+++ b/crates/gateway/tests/gateway/feed.rs
@@ -41,6 +41,8 @@
     state: Mutex<State>,
     /// State to which the service can be restored.
     backup: Mutex<State>,
+    /// Whether it is away for all gateways.
+    is_away: AtomicBool,
     /// Number of granted leases.
     grants: AtomicU64,
     /// Leases up to this one have ended.
@@ -59,6 +61,7 @@
         Arc::new(Self {
             state: Mutex::default(),
             backup: Mutex::default(),
+            is_away: AtomicBool::new(false),
             grants: AtomicU64::new(0),
             ended: AtomicU64::new(0),
             leased: Mutex::default(),
@@ -98,6 +101,12 @@
         keys.cloned().collect()
     }
 
+    /// Sets whether calls of all gateways fail.
+    #[allow(dead_code, reason = "not used by every test binary")]
+    pub(crate) fn set_away(&self, is_away: bool) {
+        self.is_away.store(is_away, Ordering::Relaxed);
+    }
+
     /// Compacts the whole history.
     pub(crate) fn compact(&self) {
         let mut state = self.state.lock();
@@ -177,6 +186,7 @@
     pub(crate) service: Arc<Service>,
     is_failing: AtomicBool,
     is_hanging: AtomicBool,
+    is_rejecting_writes: AtomicBool,
     /// Number of times that the waiting calls were cut.
     cuts: watch::Sender<u64>,
 }
@@ -187,6 +197,7 @@
             service: Arc::clone(service),
             is_failing: AtomicBool::new(false),
             is_hanging: AtomicBool::new(false),
+            is_rejecting_writes: AtomicBool::new(false),
             cuts: watch::Sender::new(0),
         })
     }
@@ -206,6 +217,13 @@
         self.is_hanging.store(is_hanging, Ordering::Relaxed);
     }
 
+    /// Sets whether writes on a condition fail.
+    #[allow(dead_code, reason = "not used by every test binary")]
+    pub(crate) fn set_rejecting_writes(&self, is_rejecting: bool) {
+        self.is_rejecting_writes
+            .store(is_rejecting, Ordering::Relaxed);
+    }
+
     /// Counts a call and injects the configured failure.
     async fn start_call(&self, wait_ms: u64) -> Result<(), Error> {
         self.service.calls.fetch_add(1, Ordering::Relaxed);
@@ -217,7 +235,8 @@
             .await;
             return Err(Error::Unknown(HttpError::TimedOut));
         }
-        if self.is_failing.load(Ordering::Relaxed) {
+        let is_away = self.service.is_away.load(Ordering::Relaxed);
+        if is_away || self.is_failing.load(Ordering::Relaxed) {
             return Err(Error::Unsent(HttpError::Connect(
                 "injected failure".to_owned(),
             )));
@@ -334,6 +353,10 @@
     ) -> Call<'a, bool> {
         Box::pin(async move {
             self.start_call(0).await?;
+            if self.is_rejecting_writes.load(Ordering::Relaxed) {
+                let cause = "injected rejection".to_owned();
+                return Err(Error::Unsent(HttpError::Connect(cause)));
+            }
             let current = {
                 let state = self.service.state.lock();
                 state.keys.get(key).map(|(_, revision)| *revision)
