--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -236,9 +236,12 @@
     for entry in entries {
         let until_ms = now_ms.saturating_add(entry.left_ms);
         let Entry { stream, origin, .. } = *entry;
-        inner
+        let is_kept = inner
             .origins
             .record(stream, origin, until_ms, false, now_ms);
+        if !is_kept {
+            metrics::counter!("stream_origins_dropped_total").increment(1);
+        }
         inner.versions.merge(Sighting {
             pool: origin.pool,
             version: origin.version,
--- a/crates/gateway/src/streams/archive/reader.rs
+++ b/crates/gateway/src/streams/archive/reader.rs
@@ -22,7 +22,7 @@
 const START_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Random delay before a read, per gateway, in milliseconds: all may read at the same time.
-const SPREAD_PER_GATEWAY_MS: u64 = 2;
+const SPREAD_PER_GATEWAY_MS: u64 = 5;
 
 /// Bounds of the delay after a failed read, in milliseconds.
 const RETRY_MS: (u64, u64) = (1_000, 10_000);
