A resumption is not refused for good beside the read that brings its origin

Callers whose origin had been archived were refused version_unknown, all those that one gateway had relayed: the origin was looked up, others were asked, and a read of the archive that ended meanwhile was taken for one that had not brought it. The origin is looked up again after the archive was asked.

--- a/crates/gateway/src/streams/resume.rs
+++ b/crates/gateway/src/streams/resume.rs
@@ -12,6 +12,16 @@
 use crate::core::Core;
 use crate::refusal::Refusal;
 
+/// What may still tell on which version a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// The records of the pool's versions.
+    Records,
+    /// The archive of origins.
+    Archive,
+    None,
+}
+
 /// What was found out about a resumption.
 #[derive(Clone, Copy, Debug)]
 struct Finding {
@@ -20,10 +30,8 @@
     is_known: bool,
     /// The only version on which a stream of the pool can have begun.
     only: Option<VersionId>,
-    /// Whether no version of the pool is recorded.
-    is_unrecorded: bool,
-    /// Whether versions beside the recorded one are about to be recorded, or were.
-    is_unsettled: bool,
+    /// What may still tell a stream that nobody knows.
+    source: Source,
 }
 
 /// Returns the version on which the request must run, if it resumes a stream.
@@ -60,23 +68,37 @@
     };
     // A version may have been recorded since.
     let must_ask = only.is_none() || !core.view.is_fresh();
-    let answer = match (known, call.resumed_stream) {
+    let mut answer = match (known, call.resumed_stream) {
         (Some(origin), _) => Answer::Known(origin),
         (None, Some(stream)) if must_ask => ask::ask(core, stream, call.remaining_ms()).await,
         (None, _) => Answer::Unknown,
     };
+    let mut source = Source::None;
+    // Versions are about to be recorded.
+    if conclusion == Conclusion::None || (matches!(conclusion, Conclusion::Only(_)) && is_mixed) {
+        source = Source::Records;
+    }
+    if only.is_none()
+        && answer == Answer::Unknown
+        && let Some(stream) = call.resumed_stream
+    {
+        if archive::may_know_more(core) {
+            source = Source::Archive;
+        }
+        // A read may have ended while others were asked.
+        answer = core.streams.get(stream).map_or(answer, Answer::Known);
+    }
     Finding {
         answer,
         is_known: known.is_some(),
         only,
-        is_unrecorded: conclusion == Conclusion::None,
-        is_unsettled: matches!(conclusion, Conclusion::Only(_)) && is_mixed,
+        source,
     }
 }
 
 /// Returns the version, or why the request is refused, and the outcome as a label.
 fn decide(
-    core: &Arc<Core>,
+    core: &Core,
     call: &Call,
     finding: Finding,
 ) -> (Result<VersionId, Refusal>, &'static str) {
@@ -93,13 +115,11 @@
             (Err(Refusal::NO_SERVER), "no_server")
         }
         (_, Some(version)) => (Ok(version), "one_version"),
-        (Answer::Unknown, None) if finding.is_unrecorded || finding.is_unsettled => {
-            (Err(Refusal::VersionUnanswered), "unrecorded")
-        }
-        (Answer::Unknown, None) if may_know_more(core, call) => {
-            (Err(Refusal::VersionUnanswered), "archive_pending")
-        }
-        (Answer::Unknown, None) => (Err(Refusal::VersionUnknown), "unknown"),
+        (Answer::Unknown, None) => match finding.source {
+            Source::Records => (Err(Refusal::VersionUnanswered), "unrecorded"),
+            Source::Archive => (Err(Refusal::VersionUnanswered), "archive_pending"),
+            Source::None => (Err(Refusal::VersionUnknown), "unknown"),
+        },
     }
 }
 
@@ -109,11 +129,6 @@
     servers.iter().any(|backend| !backend.is_closed())
 }
 
-/// Whether the stream, if the caller names it, may be known later.
-fn may_know_more(core: &Arc<Core>, call: &Call) -> bool {
-    call.resumed_stream.is_some() && archive::may_know_more(core)
-}
-
 /// Records where a resumption goes and why, and what this gateway knew of its pool's versions.
 fn record(core: &Core, call: &Call, result: Result<VersionId, Refusal>, outcome: &'static str) {
     metrics::counter!("stream_resumes_total", "outcome" => outcome).increment(1);
