A resumption is not refused for good beside the read that brings its origin

Callers that resumed at a gateway that had just started got version_unknown for streams that the archive knew: the read ended while other gateways were asked, after this one had looked and before it asked whether a read was pending.

--- a/crates/gateway/src/streams/resume.rs
+++ b/crates/gateway/src/streams/resume.rs
@@ -20,6 +20,8 @@
     is_known: bool,
     /// The only version on which a stream of the pool can have begun.
     only: Option<VersionId>,
+    /// Whether the origin may be known later.
+    may_know_more: bool,
     /// Whether no version of the pool is recorded.
     is_unrecorded: bool,
     /// Whether versions beside the recorded one are about to be recorded, or were.
@@ -65,10 +67,12 @@
         (None, Some(stream)) if must_ask => ask::ask(core, stream, call.remaining_ms()).await,
         (None, _) => Answer::Unknown,
     };
+    let may_know_more = only.is_none() && may_know_more(core, call, answer);
     Finding {
-        answer,
+        answer: look_again(core, call, answer),
         is_known: known.is_some(),
         only,
+        may_know_more,
         is_unrecorded: conclusion == Conclusion::None,
         is_unsettled: matches!(conclusion, Conclusion::Only(_)) && is_mixed,
     }
@@ -95,7 +99,7 @@
         (Answer::Unknown, None) if finding.is_unrecorded || finding.is_unsettled => {
             (Err(Refusal::VersionUnanswered), "unrecorded")
         }
-        (Answer::Unknown, None) if may_know_more(core, call) => {
+        (Answer::Unknown, None) if finding.may_know_more => {
             (Err(Refusal::VersionUnanswered), "archive_pending")
         }
         (Answer::Unknown, None) => (Err(Refusal::VersionUnknown), "unknown"),
@@ -109,8 +113,20 @@
 }
 
 /// Whether the stream, if the caller names it, may be known later.
-fn may_know_more(core: &Arc<Core>, call: &Call) -> bool {
-    call.resumed_stream.is_some() && archive::may_know_more(core)
+fn may_know_more(core: &Arc<Core>, call: &Call, answer: Answer) -> bool {
+    let is_unknown = answer == Answer::Unknown && call.resumed_stream.is_some();
+    is_unknown && archive::may_know_more(core)
+}
+
+/// Looks for an origin that a read of the archive has brought while others were asked.
+fn look_again(core: &Core, call: &Call, answer: Answer) -> Answer {
+    if let Answer::Known(_) = answer {
+        return answer;
+    }
+    let known = call
+        .resumed_stream
+        .and_then(|stream| core.streams.get(stream));
+    known.map_or(answer, Answer::Known)
 }
 
 /// Records where a resumption goes and why, and what this gateway knew of its pool's versions.
