--- a/crates/decide/src/stream.rs
+++ b/crates/decide/src/stream.rs
@@ -4,16 +4,22 @@
 //! several versions, a gateway tells a few others what its streams began on, so that a caller can
 //! resume a stream at any gateway.
 
+mod archive;
 mod origin;
 mod origins;
+mod pace;
+mod reads;
 mod recorder;
 mod records;
 mod versions;
 
 use mulberryyoke_model::StreamId;
 
+pub use self::archive::{Archive, Batch, Kept, SLOT_ENTRIES};
 pub use self::origin::Origin;
 pub use self::origins::Origins;
+pub use self::pace::{Pace, writer};
+pub use self::reads::Reads;
 pub use self::recorder::{Recorder, Situation, Write};
 pub use self::records::{Conclusion, Listed, PoolVersion, Record, Records};
 pub use self::versions::{Sighting, Summary, Versions};
