Tests: a release begins while no gateway runs

Callers saw none of their streams go on though servers of their version serve: the gateways that start see two versions at once, and the origins of streams that began while the pool had one version were written nowhere.

--- a/crates/gateway/tests/gateway/lost_gateways.rs
+++ b/crates/gateway/tests/gateway/lost_gateways.rs
@@ -89,6 +89,21 @@
     fleet.expect_goes_on("at-once", &streams).await;
 }
 
+#[gtest]
+#[tokio::test]
+async fn streams_stop_if_a_release_begins_while_no_gateway_runs() {
+    let mut fleet = old_fleet().await;
+    let streams = fleet.begin_on("a", OLD, STREAMS).await;
+    sleep(WRITTEN).await;
+    fleet.kill_all();
+    for _ in 0..2 {
+        fleet.add_server(Behavior::SlowStream, NEW).await;
+    }
+    fleet.start_all().await;
+    fleet.expect_goes_on("at-once", &streams).await;
+    fleet.expect_begins().await;
+}
+
 #[gtest]
 #[tokio::test]
 async fn streams_of_a_version_that_comes_back_stop_after_all_gateways_were_lost() {
