--- a/crates/decide/src/stream/recorder.rs
+++ b/crates/decide/src/stream/recorder.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use mulberryyoke_model::Millis;
+use mulberryyoke_model::{Millis, PoolId};
 
-use super::records::{PoolVersion, Records};
+use super::records::{Conclusion, PoolVersion, Records};
 use super::versions::RETENTION_MS;
 
 /// Time for the watchers to write a record, after which other gateways do, in milliseconds.
@@ -21,6 +21,10 @@
 /// whose copy lags by less begins no stream on the version meanwhile.
 const RETIREMENT_MS: Millis = 60_000;
 
+/// Time after a gateway's first copy in which callers resume streams that began before it, in
+/// milliseconds.
+const RESUMPTION_MS: Millis = 10_000;
+
 /// Maximum number of records, about 100 KB of keys and values.
 const MAX_RECORDS: usize = 2_048;
 
@@ -29,6 +33,8 @@
 pub struct Situation<'a> {
     /// Versions of the registered servers.
     pub registered: &'a [PoolVersion],
+    /// Pools at least half of whose servers are of versions on which streams may begin.
+    pub served: &'a [PoolId],
     /// Whether this gateway is one of those that watch the key-value service.
     pub is_watcher: bool,
     /// Number of gateways.
@@ -73,6 +79,8 @@
     absent: BTreeMap<PoolVersion, Absence>,
     /// The era, and since when this gateway has known it.
     era: Option<(u64, Millis)>,
+    /// Until when callers may resume streams that began before this gateway's first copy.
+    resumed_until: Option<Millis>,
 }
 
 impl Recorder {
@@ -86,6 +94,11 @@
         let Some(era) = records.era() else {
             return Vec::new();
         };
+        self.resumed_until.get_or_insert_with(|| {
+            let has_earlier = !records.knows_all();
+            let resumption_ms = if has_earlier { RESUMPTION_MS } else { 0 };
+            situation.now.saturating_add(resumption_ms)
+        });
         if self.era.is_none_or(|(known, _)| known != era) {
             self.era = Some((era, situation.now));
             self.absent.clear();
@@ -103,7 +116,9 @@
         random: &mut impl FnMut(u64) -> u64,
     ) -> Vec<Write> {
         let registered = situation.registered.iter().copied();
-        let missing = registered.filter(|version| !records.is_usable(*version));
+        let missing = registered.filter(|version| {
+            !records.is_usable(*version) && !self.may_wait(*version, records, situation)
+        });
         let mut missing: Vec<PoolVersion> = missing.chain(records.lost().iter().copied()).collect();
         missing.sort_unstable();
         missing.dedup();
@@ -128,6 +143,20 @@
         writes
     }
 
+    /// Whether a version may be recorded later: as long as one version of its pool is recorded, a stream
+    /// whose origin was lost with all gateways can have begun on no other.
+    fn may_wait(
+        &self,
+        (pool, _): PoolVersion,
+        records: &Records,
+        situation: &Situation<'_>,
+    ) -> bool {
+        self.resumed_until
+            .is_some_and(|until| situation.now < until)
+            && situation.served.contains(&pool)
+            && matches!(records.conclude(pool), Conclusion::Only(_))
+    }
+
     /// Marks the records as complete after a restore: by a gateway that has all of them again, or
     /// once all streams that it does not know of have ended.
     fn plan_mark(
--- a/crates/decide/tests/records/losses.rs
+++ b/crates/decide/tests/records/losses.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::service::{Gateway, Service};
+use crate::service::{Gateway, POOL, Service};
 
 /// Number of sequences.
 const SEEDS: u64 = 50;
@@ -109,6 +109,8 @@
             *copied_at = now;
         }
         let is_fresh = *copied_at == now;
+        let is_served = self.random.random_bool(0.5);
+        gateway.served = is_served.then_some(POOL).into_iter().collect();
         for write in gateway.plan(index < 2, GATEWAYS, now) {
             // Some are rejected, some take effect late.
             if self.random.random_bool(0.8) {
--- a/crates/decide/tests/records/main.rs
+++ b/crates/decide/tests/records/main.rs
@@ -84,6 +84,36 @@
     expect_that!(later.offers(), container_eq([NEW]));
 }
 
+#[gtest]
+fn a_release_that_began_while_no_gateway_ran_is_recorded_once_streams_are_resumed() {
+    let (mut service, _) = recorded(&[OLD]);
+    service.registered.insert(NEW);
+    let mut later = Gateway::default();
+    later.served = vec![POOL];
+    let writes = run(&mut service, &mut later, 5_000, 14_000);
+    expect_that!(writes, is_empty());
+    expect_that!(later.offers(), container_eq([OLD]));
+    expect_that!(later.conclude(), eq(Conclusion::Only(OLD)));
+    let writes = run(&mut service, &mut later, 14_000, 16_000);
+    expect_that!(
+        writes,
+        container_eq([(15_000, Write::Record((POOL, NEW), 0))])
+    );
+    expect_that!(later.offers(), container_eq([OLD, NEW]));
+}
+
+#[gtest]
+fn a_release_is_recorded_at_once_if_few_servers_of_the_recorded_version_are_left() {
+    let (mut service, _) = recorded(&[OLD]);
+    service.registered.insert(NEW);
+    let mut later = Gateway::default();
+    let writes = run(&mut service, &mut later, 5_000, 6_000);
+    expect_that!(
+        writes,
+        container_eq([(5_000, Write::Record((POOL, NEW), 0))])
+    );
+}
+
 #[gtest]
 fn a_record_is_removed_only_after_retention_and_an_announcement() {
     let (mut service, mut gateway) = recorded(&[OLD, NEW]);
--- a/crates/decide/tests/records/service.rs
+++ b/crates/decide/tests/records/service.rs
@@ -62,6 +62,8 @@
     pub(crate) records: Records,
     recorder: Recorder,
     registered: Vec<VersionId>,
+    /// Pools that are served by recorded versions.
+    pub(crate) served: Vec<PoolId>,
     /// When the contents were last copied.
     copied_at: u64,
 }
@@ -81,6 +83,7 @@
         let registered: Vec<_> = registered.collect();
         let situation = Situation {
             registered: &registered,
+            served: &self.served,
             is_watcher,
             gateways,
             is_fresh: now.saturating_sub(self.copied_at) <= 2_000,
--- a/crates/gateway/src/streams/records.rs
+++ b/crates/gateway/src/streams/records.rs
@@ -1,5 +1,6 @@
 //! The versions of pools in the key-value service, one key each, without a lease.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
@@ -159,8 +160,7 @@
     std::str::from_utf8(value).ok()?.parse().ok()
 }
 
-/// Whether the versions of all registered servers are recorded, or were not for too long after the
-/// start.
+/// Whether a version of each pool with servers is recorded, or was not for too long after the start.
 pub(crate) fn is_settled(core: &Core) -> bool {
     let loaded_ms = core.streams.recorded.loaded_ms.load(Ordering::Relaxed);
     if loaded_ms == 0 {
@@ -170,17 +170,18 @@
         return true;
     }
     let usable = core.streams.recorded.usable.load();
+    let is_served = |pool: PoolId| usable.iter().any(|(of, _)| *of == pool);
     let registered = core.registry.versions();
-    registered
-        .iter()
-        .all(|version| usable.binary_search(version).is_ok())
+    registered.iter().all(|(pool, _)| is_served(*pool))
 }
 
 /// Writes and removes records in the background as far as it is this gateway's turn.
 pub(crate) fn write_due(core: &Arc<Core>) {
     let registered = core.registry.versions();
+    let served = served_pools(core, &registered);
     let situation = Situation {
         registered: &registered,
+        served: &served,
         is_watcher: core.exchange.watchers().0,
         gateways: core.exchange.gateway_count(),
         is_fresh: core.view.is_fresh(),
@@ -197,6 +198,28 @@
     }
 }
 
+/// Pools at least half of whose servers are of versions on which streams may begin; none if all
+/// versions are recorded.
+fn served_pools(core: &Core, registered: &[PoolVersion]) -> Vec<PoolId> {
+    let usable = core.streams.recorded.usable.load();
+    let is_usable = |version: &PoolVersion| usable.binary_search(version).is_ok();
+    if registered.iter().all(is_usable) {
+        return Vec::new();
+    }
+    let mut servers: BTreeMap<PoolId, (usize, usize)> = BTreeMap::new();
+    for version in registered {
+        let count = core.registry.of_version(version.0, version.1).len();
+        let (usable_count, total) = servers.entry(version.0).or_default();
+        *total += count;
+        if is_usable(version) {
+            *usable_count += count;
+        }
+    }
+    let served = servers.into_iter();
+    let served = served.filter(|(_, (usable_count, total))| 2 * usable_count >= *total);
+    served.map(|(pool, _)| pool).collect()
+}
+
 /// Makes a write in the background. One that is not made is due again.
 fn spawn_write(core: &Arc<Core>, write: Write) {
     let pending = &core.streams.recorded.pending_writes;
--- a/crates/gateway/src/streams/resume.rs
+++ b/crates/gateway/src/streams/resume.rs
@@ -60,42 +60,50 @@
     let known = call
         .resumed_stream
         .and_then(|stream| core.streams.get(stream));
-    let conclusion = core.streams.recorded.conclude(call.pool);
     let is_mixed = core.streams.is_mixed(call.pool);
-    let only = match conclusion {
-        Conclusion::Only(version) if !is_mixed => Some(version),
-        _ => None,
-    };
+    let is_single = !is_mixed && only_version(core, call).is_some();
     // A version may have been recorded since.
-    let must_ask = only.is_none() || !core.view.is_fresh();
-    let mut answer = match (known, call.resumed_stream) {
+    let must_ask = !is_single || !core.view.is_fresh();
+    let answer = match (known, call.resumed_stream) {
         (Some(origin), _) => Answer::Known(origin),
         (None, Some(stream)) if must_ask => ask::ask(core, stream, call.remaining_ms()).await,
         (None, _) => Answer::Unknown,
     };
-    let mut source = Source::None;
-    // Versions are about to be recorded.
-    if conclusion == Conclusion::None || (matches!(conclusion, Conclusion::Only(_)) && is_mixed) {
-        source = Source::Records;
-    }
-    if only.is_none()
-        && answer == Answer::Unknown
-        && let Some(stream) = call.resumed_stream
-    {
-        if archive::may_know_more(core) {
-            source = Source::Archive;
+    // Nothing is asked about a stream that the caller does not name.
+    let is_asked = !is_mixed || call.resumed_stream.is_some();
+    let only = only_version(core, call).filter(|_| is_asked);
+    let source = match core.streams.recorded.conclude(call.pool) {
+        Conclusion::None => Source::Records,
+        _ if only.is_some() || answer != Answer::Unknown || call.resumed_stream.is_none() => {
+            Source::None
         }
-        // A read may have ended while others were asked.
-        answer = core.streams.get(stream).map_or(answer, Answer::Known);
-    }
+        _ if archive::may_know_more(core) => Source::Archive,
+        _ => Source::None,
+    };
     Finding {
-        answer,
+        answer: look_again(core, call, answer),
         is_known: known.is_some(),
         only,
         source,
     }
 }
 
+/// The only version of the pool that is recorded, on which alone its streams can have begun.
+fn only_version(core: &Core, call: &Call) -> Option<VersionId> {
+    match core.streams.recorded.conclude(call.pool) {
+        Conclusion::Only(version) => Some(version),
+        Conclusion::Several | Conclusion::None => None,
+    }
+}
+
+/// Looks for an origin that a read of the archive has brought while others were asked.
+fn look_again(core: &Core, call: &Call, answer: Answer) -> Answer {
+    let known = call
+        .resumed_stream
+        .and_then(|stream| core.streams.get(stream));
+    known.map_or(answer, Answer::Known)
+}
+
 /// Returns the version, or why the request is refused, and the outcome as a label.
 fn decide(
     core: &Core,
