A stream does not go on with the body of a failure

Callers saw: a resumable stream that broke off went on with the body of another server's failure, if that was longer than 256 KiB and no further attempt was left; the whole was framed as complete, under the head and seal of the first server.

Cause: the relay took every answer to the resumption whose body is relayed as it arrives for the rest of the stream, and did not look at its status. Shorter failures are held as a whole and were told apart by that alone.

Change: only a success goes on; after another status the stream is broken off as before, and the log names the outcome `failed`.

Evidence: cut_heads::a_stream_does_not_go_on_with_the_body_of_a_failure failed on the code before (1 of 1 with 400,000 bytes; a body of a few bytes passed) and passes now.

--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -147,7 +147,8 @@
             resumed = resumed => Some(resumed),
         };
         let outcome = match &resumed {
-            Some(Ok(_)) => "answered",
+            Some(Ok(response)) if response.status().is_success() => "answered",
+            Some(Ok(_)) => "failed",
             Some(Err(refusal)) => refusal.code(),
             None => self.caller_end().label(),
         };
@@ -156,8 +157,12 @@
         let Some(resumed) = resumed else {
             return self.record_start(outcome);
         };
+        // The body of a failure is no part of the stream.
+        let resumed = resumed
+            .ok()
+            .filter(|response| response.status().is_success());
         let body = resumed.map(Response::into_body);
-        let Ok(ResponseBody::Stream(mut remaining)) = body else {
+        let Some(ResponseBody::Stream(mut remaining)) = body else {
             self.record_start(End::Truncated.label());
             self.chunks.fail(BodyError::Truncated).await;
             return;
--- a/crates/gateway/tests/gateway/cut_heads.rs
+++ b/crates/gateway/tests/gateway/cut_heads.rs
@@ -177,3 +177,24 @@
         expect_that!(fleet.runs.by("large"), gt(100), "{dialect:?}");
     }
 }
+
+/// Length of a failure's body that is relayed as it arrives, in bytes.
+const LARGE_FAILURE_BYTES: usize = 400_000;
+
+// The failure's body followed the events of the first server.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_does_not_go_on_with_the_body_of_a_failure() {
+    let _turn = TURN.lock().await;
+    let fleet = Fleet::new().await;
+    for bytes in [1, LARGE_FAILURE_BYTES] {
+        let case = Case {
+            kind: ("/resumable/", PROMPT, Expected::Broken),
+            steps: vec![Step::Broken, Step::Failure(bytes)],
+        };
+        let faults = fleet
+            .check_all(vec![case], Dialect::Close, Reuse::Never)
+            .await;
+        expect_that!(faults.len(), eq(0), "{bytes} bytes");
+    }
+}
