A stream that is broken off over a handed-off connection is reset for callers of HTTP/1.0

Callers saw: a caller of HTTP/1.0, which knows no chunks, whose connection was handed on to a larger gateway, got a stream that had broken off as if it were whole: the connection ended in order after the last event that had come.

Cause: the larger gateway resets such a connection, which alone tells an answer without length or chunks from a whole one. The gateway that forwards the bytes dropped both connections on any error, which closes the caller's in order.

Change: the forwarder closes the caller's connection in order only after the other gateway has closed its own so; after an error, and when it stops with answers under way, it resets it.

Evidence: cut_heads::a_stream_that_is_broken_off_is_not_whole_over_a_handed_off_connection failed on the code before (8 of 8 requests of HTTP/1.0, none of HTTP/1.1) and passes now.

--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -3,11 +3,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_wire::handoff::{self, Greeting};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional_with_sizes};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, copy_buf};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -90,13 +91,40 @@
 }
 
 /// Forwards bytes between a caller and the gateway that serves it until both directions are
-/// closed or one fails.
+/// closed or one fails. The caller's connection is reset unless the gateway has closed its own in
+/// order: without chunks only that tells that a response is incomplete.
 pub(crate) async fn forward(core: Arc<Core>, mut caller: TcpStream, mut gateway: TcpStream) {
-    let (up, down) = BUFFER_BYTES;
-    let copied = copy_bidirectional_with_sizes(&mut caller, &mut gateway, up, down);
+    let is_whole = AtomicBool::new(false);
     tokio::select! {
         // Both ends observe errors themselves.
-        _ = copied => {}
+        _ = copy(&mut caller, &mut gateway, &is_whole) => {}
         () = core.shutdown.terminate.cancelled() => {}
     }
+    if !is_whole.load(Ordering::Relaxed) {
+        // Fails only if the connection is closed already.
+        let _ = caller.set_zero_linger();
+    }
+}
+
+/// Copies both directions, and sets `is_whole` once the gateway has closed its own.
+async fn copy(
+    caller: &mut TcpStream,
+    gateway: &mut TcpStream,
+    is_whole: &AtomicBool,
+) -> io::Result<()> {
+    let (caller_reader, mut caller_writer) = caller.split();
+    let (gateway_reader, mut gateway_writer) = gateway.split();
+    let requests = async {
+        let mut reader = BufReader::with_capacity(BUFFER_BYTES.0, caller_reader);
+        copy_buf(&mut reader, &mut gateway_writer).await?;
+        gateway_writer.shutdown().await
+    };
+    let responses = async {
+        let mut reader = BufReader::with_capacity(BUFFER_BYTES.1, gateway_reader);
+        copy_buf(&mut reader, &mut caller_writer).await?;
+        is_whole.store(true, Ordering::Relaxed);
+        caller_writer.shutdown().await
+    };
+    tokio::try_join!(requests, responses)?;
+    Ok(())
 }
--- a/crates/gateway/tests/gateway/cut_heads.rs
+++ b/crates/gateway/tests/gateway/cut_heads.rs
@@ -178,6 +178,22 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_stream_that_is_broken_off_is_not_whole_over_a_handed_off_connection() {
+    let _turn = TURN.lock().await;
+    for dialect in [Dialect::Close, Dialect::Old] {
+        let (_service, _nodes, fleet) = handing_off().await;
+        let case = Case {
+            kind: ("/stream/", PROMPT, Expected::Broken),
+            steps: vec![Step::Broken],
+        };
+        let faults = fleet.check_all(vec![case; 8], dialect, Reuse::Never).await;
+        expect_that!(faults, is_empty(), "{dialect:?}");
+        expect_that!(fleet.runs.by("large"), ge(8), "{dialect:?}");
+    }
+}
+
 /// Length of a failure's body that is relayed as it arrives, in bytes.
 const LARGE_FAILURE_BYTES: usize = 400_000;
 
