A truncated response of a router is reset for callers of HTTP/1.0

Callers saw: a caller of HTTP/1.0 of a router got a stream that its server or sidecar had broken off as if it were whole.

Cause: an answer without a length is framed to such callers by the end of the connection, which the router closed in order also after an error of the body. The other role, which talks to servers itself, resets it.

Change: as there, the connection is reset if it fails, is stopped or times out after a request of HTTP/1.0.

--- a/crates/daemon/src/router/listener.rs
+++ b/crates/daemon/src/router/listener.rs
@@ -1,11 +1,14 @@
 //! Listener for callers' connections.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use hyper::body::Incoming;
 use hyper::service::service_fn;
+use hyper::{Request, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
@@ -97,29 +100,38 @@
     fn serve(&self, stream: TcpStream, permit: OwnedSemaphorePermit) {
         // A failure only adds latency.
         let _ = stream.set_nodelay(true);
-        let has_request = Arc::new(AtomicBool::new(false));
+        let [has_request, has_old_caller, is_reset] =
+            [(); 3].map(|()| Arc::new(AtomicBool::new(false)));
         let service = {
             let core = Arc::clone(&self.core);
             let has_request = Arc::clone(&has_request);
-            service_fn(move |request| {
+            let has_old_caller = Arc::clone(&has_old_caller);
+            service_fn(move |request: Request<Incoming>| {
                 has_request.store(true, Ordering::Relaxed);
+                // Without chunks only a reset tells that a response is incomplete.
+                if request.version() < Version::HTTP_11 {
+                    has_old_caller.store(true, Ordering::Relaxed);
+                }
                 service::serve(Arc::clone(&core), request)
             })
         };
         let head_timeout = Duration::from_millis(self.core.settings.limits.head_ms);
         let builder = builder(head_timeout);
         let stall_timeout = Duration::from_millis(self.core.settings.limits.stall_ms);
-        let stream = TimeoutStream::new(stream, stall_timeout);
+        let stream = TimeoutStream::new(stream, stall_timeout, Arc::clone(&is_reset));
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let connection = self.shutdown.watch(connection.into_owned());
         let terminate = self.core.shutdown.terminate.clone();
         tokio::spawn(async move {
-            tokio::select! {
+            let mut connection = pin!(connection);
+            let is_complete = tokio::select! {
                 // Connection errors are reported by the requests on it.
-                _ = connection => {}
-                () = idle_timeout(&has_request, head_timeout) => {}
-                () = terminate.cancelled() => {}
-            }
+                result = &mut connection => result.is_ok(),
+                () = idle_timeout(&has_request, head_timeout) => false,
+                () = terminate.cancelled() => false,
+            };
+            let is_unmarked = !is_complete && has_old_caller.load(Ordering::Relaxed);
+            is_reset.store(is_unmarked, Ordering::Relaxed);
             drop(permit);
         });
     }
--- a/crates/daemon/src/router/timeout_stream.rs
+++ b/crates/daemon/src/router/timeout_stream.rs
@@ -1,7 +1,9 @@
-//! Connections with a write timeout.
+//! Connections with a write timeout, which may be reset rather than closed.
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -16,15 +18,32 @@
     stream: TcpStream,
     timeout: Duration,
     timer: Option<Pin<Box<Sleep>>>,
+    /// Whether the connection is to be reset rather than closed.
+    is_reset: Arc<AtomicBool>,
+}
+
+impl Drop for TimeoutStream {
+    fn drop(&mut self) {
+        if self.is_reset.load(Ordering::Relaxed) {
+            // Fails only if the connection is closed already.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
 }
 
 impl TimeoutStream {
-    /// Wraps `stream`, whose writes may then be pending for at most `timeout`.
-    pub(crate) const fn new(stream: TcpStream, timeout: Duration) -> Self {
+    /// Wraps `stream`, whose writes may then be pending for at most `timeout`. `is_reset` tells, when
+    /// it is dropped, whether the connection is to be reset.
+    pub(crate) const fn new(
+        stream: TcpStream,
+        timeout: Duration,
+        is_reset: Arc<AtomicBool>,
+    ) -> Self {
         Self {
             stream,
             timeout,
             timer: None,
+            is_reset,
         }
     }
 
--- a/crates/daemon/tests/router/main.rs
+++ b/crates/daemon/tests/router/main.rs
@@ -4,6 +4,7 @@
 mod fake_sidecar;
 mod fleet;
 mod key;
+mod old_caller;
 mod outcome;
 mod queue_limit;
 mod queueing;
