Tests: chunk sizes, chunk ends and trailers that are cut at any byte

Plain answers and streams whose chunks, last chunk or trailer are cut after each byte, closed and reset: a failure, another run's whole answer, a stream resumed to its end, or one that is seen to be broken off. All passed on the code as it was.

--- a/crates/gateway/tests/heads/cut_fleet.rs
+++ b/crates/gateway/tests/heads/cut_fleet.rs
@@ -212,13 +212,17 @@
             (!is_sound).then_some("a failure that is not the gateway's own")
         }
         // What was under way when the stream was broken off may be lost.
-        (Expected::Broken, 200) if [1, 2].starts_with(&event_ids(response)) => {
+        (Expected::Broken, 200) if is_beginning(&event_ids(response)) => {
             response.is_complete.then_some("a part that looks whole")
         }
         _ => Some("another answer"),
     }
 }
 
+fn is_beginning(ids: &[u64]) -> bool {
+    (1..=LAST_EVENT).zip(ids).all(|(event, id)| event == *id) && ids.len() as u64 <= LAST_EVENT
+}
+
 fn is_whole(response: &Response, path: &str, headers: &str) -> bool {
     let is_sealed = response.head.contains("x-seal: whole");
     if ["/once/", "/idempotent/", "/keyed/"].contains(&path) {
--- a/crates/gateway/tests/heads/cut_heads.rs
+++ b/crates/gateway/tests/heads/cut_heads.rs
@@ -10,7 +10,7 @@
 use crate::cut_fleet::{Case, Dialect, Expected, Fleet, Kind, Reuse, cases};
 use crate::feed::Service;
 use crate::fleet::{Node, register_address};
-use crate::planned_server::{self, Cut, SHAPES, Step};
+use crate::planned_server::{self, Cut, SHAPES, Step, chunks_len};
 
 const PROMPT: &str = "x-tokens: 10\r\n";
 const RESUMED: &str = "x-tokens: 10\r\nx-after: 2\r\n";
@@ -125,6 +125,24 @@
     expect_that!(faults, is_empty());
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn chunks_and_trailers_that_are_cut_at_any_byte_are_not_whole() {
+    let _serial = SERIAL.lock().await;
+    let fleet = Fleet::new().await;
+    let stream = ("/stream/", PROMPT, Expected::Broken);
+    let kinds = [ONCE, IDEMPOTENT, stream, RESUMABLE];
+    let cases = kinds.iter().flat_map(|kind| {
+        let cuts = (0..chunks_len(kind.0))
+            .flat_map(|sent| [Cut::Close, Cut::Reset].map(|cut| vec![Step::Chunks(sent, cut)]));
+        cuts.map(|steps| Case { kind: *kind, steps })
+    });
+    let faults = fleet
+        .check_all(cases.collect(), Dialect::Close, Reuse::Never)
+        .await;
+    expect_that!(faults, is_empty());
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn callers_of_http_1_0_get_no_answer_from_a_head_that_is_cut() {
--- a/crates/gateway/tests/heads/planned_server.rs
+++ b/crates/gateway/tests/heads/planned_server.rs
@@ -22,6 +22,9 @@
 /// Time that a whole answer takes, so that concurrent requests have a connection each.
 const RUN_TIME: Duration = Duration::from_millis(5);
 
+/// Last chunk and trailer of an answer.
+const TRAILER: &str = "0\r\nx-trailer: a\r\n\r\n";
+
 /// Name and head of an answer; `{id}` stands for the ID of the request.
 pub(crate) type Shape = (&'static str, &'static str);
 
@@ -82,6 +85,8 @@
     Broken,
     /// Sends so many bytes of a head.
     Head(Shape, usize, Cut),
+    /// Sends a whole head and so many bytes of chunks and a trailer.
+    Chunks(usize, Cut),
     /// Sends a sealed failure with so many bytes of events as its body.
     Failure(usize),
 }
@@ -93,6 +98,7 @@
             Self::Last => "last".to_owned(),
             Self::Broken => "broken".to_owned(),
             Self::Head((name, _), sent, cut) => format!("head {name} {sent} {}", cut.name()),
+            Self::Chunks(sent, cut) => format!("chunks {sent} {}", cut.name()),
             Self::Failure(bytes) => format!("failure {bytes}"),
         }
     }
@@ -107,6 +113,10 @@
                 let sent = sent.parse().expect("a number of bytes");
                 Self::Head(shape.expect("a known shape"), sent, Cut::parse(cut))
             }
+            ["chunks", sent, cut] => {
+                let sent = sent.parse().expect("a number of bytes");
+                Self::Chunks(sent, Cut::parse(cut))
+            }
             ["failure", bytes] => Self::Failure(bytes.parse().expect("a number of bytes")),
             _ => Self::Whole,
         }
@@ -202,12 +212,17 @@
     let id = field(head, "x-id").unwrap_or("");
     let (bytes, cut) = match step {
         Step::Whole => (whole(head, id), None),
-        Step::Last => (last(whole(head, id)), Some(Cut::Close)),
+        Step::Last => (last(&whole(head, id)), Some(Cut::Close)),
         Step::Broken => (broken(id), Some(Cut::Close)),
         Step::Head((_, shape), sent, cut) => {
             let head = shape.replace("{id}", id);
             (head.as_bytes()[..sent].to_vec(), Some(cut))
         }
+        Step::Chunks(sent, cut) => {
+            let body = chunks(is_plain(head), 1, LAST_EVENT) + TRAILER;
+            let part = &body.as_bytes()[..sent];
+            ([stream_head(id).as_bytes(), part].concat(), Some(cut))
+        }
         Step::Failure(bytes) => (failure(id, bytes), None),
     };
     if matches!(step, Step::Whole | Step::Last) {
@@ -239,43 +254,57 @@
     while matches!(stream.read(&mut byte).await, Ok(read) if read > 0) {}
 }
 
+/// Whether a request is for a plain route.
+fn is_plain(head: &str) -> bool {
+    let paths = ["/once/", "/idempotent/", "/keyed/"];
+    paths.iter().any(|path| head.contains(path))
+}
+
 fn whole(head: &str, id: &str) -> Vec<u8> {
-    let is_plain = ["/once/", "/idempotent/", "/keyed/"];
     if head.starts_with("get ") {
         return b"HTTP/1.1 404 Any\r\ncontent-length: 0\r\n\r\n".to_vec();
     }
-    if is_plain.iter().any(|path| head.contains(path)) {
+    if is_plain(head) {
         let text = format!(
             "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: whole\r\ncontent-length: 4\r\n\r\ndone"
         );
         return text.into_bytes();
     }
     let after = field(head, "x-after").and_then(|event| event.parse().ok());
-    let events = stream(id, after.unwrap_or(0) + 1, LAST_EVENT);
-    (events + "0\r\n\r\n").into_bytes()
+    let events = chunks(false, after.unwrap_or(0) + 1, LAST_EVENT);
+    (stream_head(id) + &events + "0\r\n\r\n").into_bytes()
 }
 
 /// Adds to an answer that it is the last on its connection.
-fn last(answer: Vec<u8>) -> Vec<u8> {
-    let text = String::from_utf8_lossy(&answer);
+fn last(answer: &[u8]) -> Vec<u8> {
+    let text = String::from_utf8_lossy(answer);
     text.replacen("\r\n", "\r\nconnection: close\r\n", 1)
         .into_bytes()
 }
 
 fn broken(id: &str) -> Vec<u8> {
-    stream(id, 1, 2).into_bytes()
+    (stream_head(id) + &chunks(false, 1, 2)).into_bytes()
 }
 
-/// Head and events of a stream, without its end.
-fn stream(id: &str, first: u64, last: u64) -> String {
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: whole\r\ntransfer-encoding: chunked\r\n\r\n"
-    );
+fn stream_head(id: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: whole\r\ntransfer-encoding: chunked\r\n\r\n")
+}
+
+/// Chunks of a plain body or of events, without the last.
+fn chunks(is_plain: bool, first: u64, last: u64) -> String {
+    if is_plain {
+        return "2\r\ndo\r\n2;a=b\r\nne\r\n".to_owned();
+    }
     let events = (first..=last).map(|event| {
         let text = event_text(event);
         format!("{:x}\r\n{text}\r\n", text.len())
     });
-    head + &events.collect::<String>()
+    events.collect()
+}
+
+/// Length of the chunks and the trailer of an answer, in bytes.
+pub(crate) fn chunks_len(path: &str) -> usize {
+    (chunks(is_plain(path), 1, LAST_EVENT) + TRAILER).len()
 }
 
 fn event_text(event: u64) -> String {
