--- a/crates/daemon/tests/proof/main.rs
+++ b/crates/daemon/tests/proof/main.rs
@@ -4,6 +4,7 @@
 
 mod at_most_once;
 mod common;
+mod cuts;
 mod fairness;
 mod leaving;
 mod outcomes;
--- a/crates/standin/src/fleet/relay.rs
+++ b/crates/standin/src/fleet/relay.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::BytesMut;
 use parking_lot::Mutex;
@@ -20,9 +21,35 @@
     /// Closes the connections; stays cancelled while the relay is blocked.
     connections: Arc<Mutex<CancellationToken>>,
     mode: watch::Sender<Mode>,
+    cut: Arc<Cut>,
     _listener: DropGuard,
 }
 
+/// Number of bytes from the target after which one connection is closed.
+#[derive(Debug)]
+struct Cut(AtomicUsize);
+
+impl Default for Cut {
+    fn default() -> Self {
+        Self(AtomicUsize::new(usize::MAX))
+    }
+}
+
+impl Cut {
+    /// Returns how many of these bytes are forwarded before the connection is closed, which happens
+    /// once; `None` if it stays open.
+    fn take(&self, bytes: usize) -> Option<usize> {
+        let left = self.0.load(Ordering::Relaxed);
+        if left == usize::MAX {
+            return None;
+        }
+        let is_cut = bytes >= left;
+        let next = if is_cut { usize::MAX } else { left - bytes };
+        self.0.store(next, Ordering::Relaxed);
+        is_cut.then_some(left)
+    }
+}
+
 /// Handling of data on all connections, in both directions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mode {
@@ -47,13 +74,16 @@
         let address = listener.local_addr()?;
         let connections = Arc::new(Mutex::new(CancellationToken::new()));
         let mode = watch::Sender::new(Mode::Forward);
+        let cut = Arc::new(Cut::default());
         let stop = CancellationToken::new();
-        let accept = accept(listener, target, Arc::clone(&connections), mode.clone());
+        let shared = (mode.clone(), Arc::clone(&cut));
+        let accept = accept(listener, target, Arc::clone(&connections), shared);
         tokio::spawn(stop.clone().run_until_cancelled_owned(accept));
         Ok(Self {
             address,
             connections,
             mode,
+            cut,
             _listener: stop.drop_guard(),
         })
     }
@@ -71,6 +101,11 @@
         }
     }
 
+    /// Closes one connection after so many more bytes from the target, at least one.
+    pub fn cut_after(&self, bytes: usize) {
+        self.cut.0.store(bytes.max(1), Ordering::Relaxed);
+    }
+
     /// Buffers data instead of forwarding it. The connections stay open.
     pub fn buffer(&self) {
         self.mode.send_replace(Mode::Buffer);
@@ -96,14 +131,14 @@
     listener: TcpListener,
     target: SocketAddr,
     connections: Arc<Mutex<CancellationToken>>,
-    mode: watch::Sender<Mode>,
+    (mode, cut): (watch::Sender<Mode>, Arc<Cut>),
 ) {
     loop {
         let Ok((client, _)) = listener.accept().await else {
             continue;
         };
         let cancellation = connections.lock().clone();
-        let relay = relay(client, target, mode.subscribe());
+        let relay = relay(client, target, mode.subscribe(), Arc::clone(&cut));
         tokio::spawn(cancellation.run_until_cancelled_owned(relay));
     }
 }
@@ -112,14 +147,15 @@
     client: TcpStream,
     target: SocketAddr,
     mode: watch::Receiver<Mode>,
+    cut: Arc<Cut>,
 ) -> io::Result<()> {
     let server = TcpStream::connect(target).await?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
-    let requests = copy(client_read, server_write, mode.clone());
-    let responses = copy(server_read, client_write, mode);
+    let requests = copy(client_read, server_write, mode.clone(), None);
+    let responses = copy(server_read, client_write, mode, Some(&cut));
     tokio::try_join!(requests, responses)?;
     Ok(())
 }
@@ -128,12 +164,18 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut mode: watch::Receiver<Mode>,
+    cut: Option<&Cut>,
 ) -> io::Result<()> {
     let mut buffer = BytesMut::new();
     let mut is_eof = false;
     loop {
         let current = *mode.borrow_and_update();
         if matches!(current, Mode::Forward | Mode::Flush) {
+            if let Some(bytes) = cut.and_then(|cut| cut.take(buffer.len())) {
+                to.write_all(&buffer[..bytes]).await?;
+                to.shutdown().await?;
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
             to.write_all_buf(&mut buffer).await?;
         }
         if is_eof && current == Mode::Forward {
