--- a/crates/gateway/tests/heads/cut_fleet.rs
+++ b/crates/gateway/tests/heads/cut_fleet.rs
@@ -11,7 +11,8 @@
 use crate::caller::{self, Response};
 use crate::feed::Service;
 use crate::fleet::{Node, ready_at};
-use crate::planned_server::{self, Cut, LAST_EVENT, Runs, SHAPES, Step, plan};
+use crate::planned_answer::LAST_EVENT;
+use crate::planned_server::{self, Cut, Runs, SHAPES, Step, plan};
 
 /// Number of servers of a gateway.
 const SERVERS: usize = 4;
--- a/crates/gateway/tests/heads/cut_heads.rs
+++ b/crates/gateway/tests/heads/cut_heads.rs
@@ -10,7 +10,8 @@
 use crate::cut_fleet::{Case, Dialect, Expected, Fleet, Kind, Reuse, cases};
 use crate::feed::Service;
 use crate::fleet::{Node, register_address};
-use crate::planned_server::{self, Cut, SHAPES, Step, chunks_len};
+use crate::planned_answer::chunks_len;
+use crate::planned_server::{self, Cut, SHAPES, Step};
 
 const PROMPT: &str = "x-tokens: 10\r\n";
 const RESUMED: &str = "x-tokens: 10\r\nx-after: 2\r\n";
--- a/crates/gateway/tests/heads/main.rs
+++ b/crates/gateway/tests/heads/main.rs
@@ -18,6 +18,7 @@
 mod feed;
 #[path = "../gateway/fleet.rs"]
 mod fleet;
+mod planned_answer;
 mod planned_server;
 #[path = "../gateway/protocol.rs"]
 mod protocol;
--- a/crates/gateway/tests/heads/planned_server.rs
+++ b/crates/gateway/tests/heads/planned_server.rs
@@ -12,9 +12,9 @@
 use tokio::time::sleep;
 
 use crate::backend::{field, read_request};
-
-/// Last event of a whole stream.
-pub(crate) const LAST_EVENT: u64 = 4;
+use crate::planned_answer::{
+    LAST_EVENT, TRAILER, broken, chunks, failure, is_plain, last, stream_head, whole,
+};
 
 /// Time between the last byte and a reset, in which it is read.
 const RESET_DELAY: Duration = Duration::from_millis(10);
@@ -22,9 +22,6 @@
 /// Time that a whole answer takes, so that concurrent requests have a connection each.
 const RUN_TIME: Duration = Duration::from_millis(5);
 
-/// Last chunk and trailer of an answer.
-const TRAILER: &str = "0\r\nx-trailer: a\r\n\r\n";
-
 /// Name and head of an answer; `{id}` stands for the ID of the request.
 pub(crate) type Shape = (&'static str, &'static str);
 
@@ -253,69 +250,3 @@
     let mut byte = [0];
     while matches!(stream.read(&mut byte).await, Ok(read) if read > 0) {}
 }
-
-/// Whether a request is for a plain route.
-fn is_plain(head: &str) -> bool {
-    let paths = ["/once/", "/idempotent/", "/keyed/"];
-    paths.iter().any(|path| head.contains(path))
-}
-
-fn whole(head: &str, id: &str) -> Vec<u8> {
-    if head.starts_with("get ") {
-        return b"HTTP/1.1 404 Any\r\ncontent-length: 0\r\n\r\n".to_vec();
-    }
-    if is_plain(head) {
-        let text = format!(
-            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: whole\r\ncontent-length: 4\r\n\r\ndone"
-        );
-        return text.into_bytes();
-    }
-    let after = field(head, "x-after").and_then(|event| event.parse().ok());
-    let events = chunks(false, after.unwrap_or(0) + 1, LAST_EVENT);
-    (stream_head(id) + &events + "0\r\n\r\n").into_bytes()
-}
-
-/// Adds to an answer that it is the last on its connection.
-fn last(answer: &[u8]) -> Vec<u8> {
-    let text = String::from_utf8_lossy(answer);
-    text.replacen("\r\n", "\r\nconnection: close\r\n", 1)
-        .into_bytes()
-}
-
-fn broken(id: &str) -> Vec<u8> {
-    (stream_head(id) + &chunks(false, 1, 2)).into_bytes()
-}
-
-fn stream_head(id: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: whole\r\ntransfer-encoding: chunked\r\n\r\n")
-}
-
-/// Chunks of a plain body or of events, without the last.
-fn chunks(is_plain: bool, first: u64, last: u64) -> String {
-    if is_plain {
-        return "2\r\ndo\r\n2;a=b\r\nne\r\n".to_owned();
-    }
-    let events = (first..=last).map(|event| {
-        let text = event_text(event);
-        format!("{:x}\r\n{text}\r\n", text.len())
-    });
-    events.collect()
-}
-
-/// Length of the chunks and the trailer of an answer, in bytes.
-pub(crate) fn chunks_len(path: &str) -> usize {
-    (chunks(is_plain(path), 1, LAST_EVENT) + TRAILER).len()
-}
-
-fn event_text(event: u64) -> String {
-    format!("id: {event}\ndata: t{event}\n\n")
-}
-
-fn failure(id: &str, bytes: usize) -> Vec<u8> {
-    let text = event_text(LAST_EVENT).repeat(bytes / event_text(LAST_EVENT).len() + 1);
-    let length = text.len();
-    let head = format!(
-        "HTTP/1.1 500 Any\r\nx-id: {id}\r\nx-seal: cut\r\ncontent-length: {length}\r\n\r\n"
-    );
-    (head + &text).into_bytes()
-}
