Test that fails: a stream without length or chunks whose server crashes between two events looks whole

Callers see a stream of two of four events that ends as complete: its server's process is gone, its connections were closed in order. It fails for a route that can't be resumed, for one that can (the stream ends instead of going on) and for a caller of HTTP/1.0.

--- a/crates/gateway/tests/gateway/answer_shapes.rs
+++ b/crates/gateway/tests/gateway/answer_shapes.rs
@@ -136,6 +136,26 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn streams_that_end_between_events_as_their_server_crashes_are_broken_off_and_resumed() {
+    let (two, four) = (events(2), events(4));
+    let crash = || script(Framing::Neither, four.as_bytes(), two.len(), End::Crash);
+    let response = send_alone(crash(), "/stream/").await;
+    expect_that!(event_ids(&response), eq(&[1, 2]));
+    expect_that!(response.is_complete, eq(false));
+    let response = send_beside_sound(crash(), "/resumable/").await;
+    expect_that!(event_ids(&response), eq(&[1, 2, 3, 4]));
+    expect_that!(response.is_complete, eq(true));
+
+    let server = ShapedServer::spawn(crash()).await;
+    let (_service, node) = ready_at(&[server.address], None).await;
+    let request = caller::request("/stream/", PROMPT).replace("HTTP/1.1", "HTTP/1.0");
+    let mut stream = caller::open(node.callers, &request).await;
+    let read = stream.read_to_end(&mut Vec::new()).await;
+    expect_that!(read.is_ok(), eq(false));
+}
+
 #[gtest]
 #[tokio::test]
 async fn streams_without_an_event_that_end_with_their_connection_are_broken_off() {
