A stream that ends with its connection is whole only if its server lives on

Callers saw a stream without length or chunks end as complete before its last event when its server's process was killed: the kernel closes the connections of a killed process in order, as the server does after its last event. A stream that may be resumed ended there as well, instead of going on at another server; a caller of HTTP/1.0 saw a whole answer.

Cause: once an event was relayed, the end of the connection was taken for the end of the stream. Only a resumption without any event was held back until its server was seen to live on.

Change: both are. With a sign the caller gets the end; without one the stream is broken off, or resumed after its last event. Events don't wait, and the place at the server is free as soon as its answer ends.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -7,6 +7,7 @@
 mod in_flight;
 mod instance;
 mod liveness;
+mod load;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use super::load::Load;
 use super::{Answer, Backend, Fetch};
 use crate::clock;
 use crate::connection_pool::Connection;
@@ -49,6 +50,7 @@
     cleared_epoch: u64,
     /// Whether it is a suspect request that is kept apart from other suspects.
     is_isolated: bool,
+    load: Load,
 }
 
 impl InFlight {
@@ -105,6 +107,7 @@
             answer: None,
             cleared_epoch: 0,
             is_isolated: false,
+            load: Load::Counted,
         }
     }
 
@@ -252,15 +255,13 @@
         self.backend.room.notify();
         Some(now)
     }
-}
 
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        if self.is_isolated {
-            self.backend
-                .isolated_requests
-                .fetch_sub(1, Ordering::Relaxed);
+    /// Takes the request out of the load of its server, which has ended its answer.
+    pub(crate) fn release(&mut self) {
+        if self.load == Load::Released {
+            return;
         }
+        self.load = Load::Released;
         let mut engine = self.backend.engine();
         engine.release(self.reservation, self.first_token_at.is_some());
         // The task that this wakes waits for the lock, and so finds the memory released.
@@ -276,6 +277,17 @@
     }
 }
 
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if self.is_isolated {
+            self.backend
+                .isolated_requests
+                .fetch_sub(1, Ordering::Relaxed);
+        }
+        self.release();
+    }
+}
+
 #[expect(
     clippy::cast_precision_loss,
     reason = "durations of seconds fit exactly"
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -34,7 +34,7 @@
             "digest" => run.digest.to_string());
         return;
     }
-    let (instance, reply) = probe_after(core, &run).await;
+    let (instance, reply) = probe_after(core, &run, ALIVE_TTL_MS).await;
     log_broken_run(core, call, in_flight, reply == Reply::Refused);
     record(core, &run, (instance, reply), clock::now_ms());
 }
@@ -45,7 +45,7 @@
     if run.backend.is_closed() {
         return false;
     }
-    let (instance, reply) = probe_after(core, run).await;
+    let (instance, reply) = probe_after(core, run, ALIVE_TTL_MS).await;
     if reply == Reply::Accepted {
         return true;
     }
@@ -55,16 +55,22 @@
 
 /// Probes the server of a run that has ended; returns whether it accepts connections.
 pub(super) async fn is_alive(core: &Core, run: &Run) -> bool {
-    probe_after(core, run).await.1 == Reply::Accepted
+    probe_after(core, run, ALIVE_TTL_MS).await.1 == Reply::Accepted
 }
 
-/// Probes the server of a run that has ended. Returns the ID of the instance that ran it.
-async fn probe_after(core: &Core, run: &Run) -> (ServerId, Reply) {
+/// As [`is_alive`], but no earlier probe counts.
+pub(super) async fn is_alive_now(core: &Core, run: &Run) -> bool {
+    probe_after(core, run, 0).await.1 == Reply::Accepted
+}
+
+/// Probes the server of a run that has ended. Returns the ID of the instance that ran it. A
+/// successful probe is reused for `alive_ttl_ms`.
+async fn probe_after(core: &Core, run: &Run, alive_ttl_ms: u64) -> (ServerId, Reply) {
     let mut liveness = run.backend.liveness.lock().await;
     let reply = if liveness.has_crashed_since(run.sent_at) {
         Reply::Refused
     } else {
-        probe(core, &run.backend, &mut liveness, ALIVE_TTL_MS).await
+        probe(core, &run.backend, &mut liveness, alive_ttl_ms).await
     };
     let is_next = reply != Reply::Refused;
     (liveness.instance_id(run.backend.server.id, is_next), reply)
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -258,42 +258,6 @@
         self.last_event = sse::last_id(events).or(self.last_event);
     }
 
-    /// Returns how a stream ended whose body has ended without an error. A connection that closes
-    /// before the first event of a new stream proves nothing.
-    async fn end_of_body(&self) -> End {
-        if !self.events.is_empty() {
-            return End::Truncated;
-        }
-        if self.relayed > 0 || self.framing != Framing::Connection {
-            return End::Complete;
-        }
-        if self.last_event.is_none() {
-            return End::Truncated;
-        }
-        self.end_of_empty_rest().await
-    }
-
-    /// Returns how a resumed stream ended of which a server sent no more events before it closed the
-    /// connection. The caller may have had them all, or the server may have crashed.
-    async fn end_of_empty_rest(&self) -> End {
-        tokio::select! {
-            biased;
-            () = self.chunks.closed() => self.caller_end(),
-            is_whole = quarantine::has_survived(&self.core, &self.call, &self.in_flight) => {
-                if is_whole { End::Complete } else { End::Truncated }
-            }
-        }
-    }
-
-    /// Returns why the caller's connection closed.
-    fn caller_end(&self) -> End {
-        let account = self.call.account.as_ref();
-        if account.is_some_and(|account| account.is_cut()) {
-            return End::CallerCut;
-        }
-        End::CallerClosed
-    }
-
     /// Records on which version the stream goes on, which binds all that follows.
     fn record_origin(&mut self) {
         let server = &self.in_flight.backend.server;
--- a/crates/gateway/src/stream_relay/end.rs
+++ b/crates/gateway/src/stream_relay/end.rs
@@ -1,5 +1,9 @@
 //! Why a stream ended.
 
+use super::StreamRelay;
+use crate::framing::Framing;
+use crate::quarantine;
+
 /// Why a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum End {
@@ -45,3 +49,44 @@
         }
     }
 }
+
+impl StreamRelay {
+    /// Returns how a stream ended whose body has ended without an error. A connection that closes
+    /// before the first event of a new stream proves nothing.
+    pub(super) async fn end_of_body(&mut self) -> End {
+        if !self.events.is_empty() {
+            return End::Truncated;
+        }
+        if self.framing != Framing::Connection {
+            return End::Complete;
+        }
+        if self.last_event.is_none() && self.relayed == 0 {
+            return End::Truncated;
+        }
+        self.end_with_connection().await
+    }
+
+    /// Returns how a stream ended between two events with its connection. The caller may have had
+    /// them all, or the server may have crashed.
+    async fn end_with_connection(&mut self) -> End {
+        if self.relayed > 0 {
+            self.in_flight.release();
+        }
+        tokio::select! {
+            biased;
+            () = self.chunks.closed() => self.caller_end(),
+            is_whole = quarantine::has_survived(&self.core, &self.call, &self.in_flight) => {
+                if is_whole { End::Complete } else { End::Truncated }
+            }
+        }
+    }
+
+    /// Returns why the caller's connection closed.
+    pub(super) fn caller_end(&self) -> End {
+        let account = self.call.account.as_ref();
+        if account.is_some_and(|account| account.is_cut()) {
+            return End::CallerCut;
+        }
+        End::CallerClosed
+    }
+}
