Soak: servers as processes that signals stop and kill; streams checked at the caller alone

The soak's servers were tasks behind proxies: nothing in it ended a server's process, and its proxies ended the connections of a reset in order.

Change: a subject with four servers as processes (SIGSTOP, SIGTERM, SIGKILL, another process at the same address) beside four behind proxies, gateways that are killed, stopped, suspended and reloaded, answers with a length, with chunks and with neither, events in one or two writes, callers of HTTP/1.0 and with Connection: close, callers that resume, two versions.

Checked at the caller: ids without a gap or a repeat, one version in an answer and over all attempts (each event names its server), and an end only after the last event. The excuse for bare streams was any fault on any server's connections within 4.5 s; it is now a close in order, at the server that ended the stream, while the stream ran. Proxies in front of servers end a reset as a reset, so it excuses nothing any more. A caller without chunks whose gateway was killed is excused as well: nobody is left to tell it.

--- a/crates/daemon/tests/soak/audit.rs
+++ b/crates/daemon/tests/soak/audit.rs
@@ -3,12 +3,13 @@
 mod notice;
 mod outage;
 mod part;
+mod stream;
 mod version;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use crate::answer::{EVENTS_PER_STREAM, Framing};
+use crate::answer::Framing;
 use crate::backend::RecordedRequest;
 use crate::fault_log::Scope;
 use crate::gateway::{KEYS_FRESH_MS, RETRY_RATIO, RETRY_SLACK};
@@ -64,7 +65,7 @@
         let attempts = by_id.get(&*call.id).map_or(&[][..], Vec::as_slice);
         let executions = count_executions(attempts);
         check_response(&mut audit, call);
-        check_stream(&mut audit, run, call, attempts);
+        stream::check(&mut audit, run, call, attempts);
         check_executions(&mut audit, run, call, attempts);
         check_key(&mut audit, run, call, attempts);
         check_route(&mut audit, run, call, executions);
@@ -83,6 +84,7 @@
     check_retries(&mut audit, &calls, &recorded, &by_id);
     part::check(&mut audit, run, &calls, &calls_by_id, &recorded);
     version::check(&mut audit, &calls, &by_id);
+    version::check_received(&mut audit, &calls);
     version::check_share(&mut audit, run, &calls);
     notice::check_leaving(&mut audit, run, &calls_by_id, &recorded);
     notice::check_pushback(&mut audit, run, &calls_by_id, &recorded);
@@ -122,28 +124,6 @@
     audit.check("response to the request", holds, || format!("{call:?}"));
 }
 
-/// A stream has all events in order, without gaps or duplicates.
-fn check_stream(audit: &mut Audit, run: &Run, call: &Call, attempts: &[&RecordedRequest]) {
-    if call.status != 200 || !matches!(call.kind, "stream" | "resume") {
-        return;
-    }
-    let ids = call.event_ids();
-    let last = call.after + ids.len() as u64;
-    let in_order = ids.iter().copied().eq(call.after + 1..=last);
-    // An answer without a length that a fault ends between two events looks whole, also if its server
-    // would have broken it off later.
-    let scope = Scope::AnyServerConnection;
-    let is_cut = attempts.iter().any(|run| run.framing != Framing::Chunks)
-        && !run
-            .fault_log
-            .is_undisturbed(scope, call.sent_at, call.ended_at);
-    let is_complete =
-        call.completion != Completion::Complete || last == EVENTS_PER_STREAM || is_cut;
-    audit.check("event order", in_order && is_complete, || {
-        format!("{call:?}")
-    });
-}
-
 /// A non-idempotent request runs at most once, and not at all if the status promises so. Without
 /// faults, no request that has run loses its response.
 fn check_executions(audit: &mut Audit, run: &Run, call: &Call, attempts: &[&RecordedRequest]) {
--- a/crates/daemon/tests/soak/audit/version.rs
+++ b/crates/daemon/tests/soak/audit/version.rs
@@ -1,6 +1,6 @@
 //! Checks that streams go on only on servers of the version that began them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use super::Audit;
 use crate::backend::RecordedRequest;
@@ -44,6 +44,22 @@
     }
 }
 
+/// Over all attempts of its caller, the events of a stream are from servers of one version.
+pub(super) fn check_received(audit: &mut Audit, calls: &[Call]) {
+    let mut streams: HashMap<&str, Vec<&Call>> = HashMap::new();
+    for call in calls.iter().filter(|call| call.kind == "resume") {
+        let first = call.first.as_ref().unwrap_or(&call.id);
+        streams.entry(first).or_default().push(call);
+    }
+    for (first, attempts) in streams {
+        let servers = attempts.iter().flat_map(|call| call.event_servers());
+        let versions: BTreeSet<&str> = servers.map(version_of).collect();
+        audit.check("version over all attempts", versions.len() <= 1, || {
+            format!("{first}: {attempts:?}")
+        });
+    }
+}
+
 /// Minimum number of streams of a sample.
 const MIN_SAMPLE: usize = 12;
 
--- a/crates/daemon/tests/soak/fault_log.rs
+++ b/crates/daemon/tests/soak/fault_log.rs
@@ -20,6 +20,8 @@
     /// Connections to a server.
     ServerConnection(usize),
     Store,
+    /// Connections to a server that are closed in order, as the server itself may do.
+    ServerClose(usize),
     /// Connections to any server.
     AnyServerConnection,
     /// The process of the stand-ins and callers, which beside load gets too few processors.
--- a/crates/daemon/tests/soak/gateway.rs
+++ b/crates/daemon/tests/soak/gateway.rs
@@ -75,7 +75,7 @@
             return;
         }
         let log = File::options().create(true).append(true).open(&self.log);
-        let started = Command::new(env!("CARGO_BIN_EXE_mulberryyoked"))
+        let started = Command::new(executable())
             .args(["gateway", "--settings"])
             .arg(&self.settings)
             .stdout(log.expect("the log file is opened"))
@@ -168,9 +168,15 @@
     }
 }
 
-/// Returns free addresses for a gateway. Their ports lie below the ephemeral range, so that no
+/// The executable of the gateways, which `SOAK_GATEWAY` overrides.
+fn executable() -> PathBuf {
+    let overriding = std::env::var_os("SOAK_GATEWAY").map(PathBuf::from);
+    overriding.unwrap_or_else(|| env!("CARGO_BIN_EXE_mulberryyoked").into())
+}
+
+/// Returns free addresses for a process. Their ports lie below the ephemeral range, so that no
 /// outgoing connection takes one of them before the gateway binds it.
-fn free_addresses() -> [SocketAddr; 3] {
+pub(crate) fn free_addresses() -> [SocketAddr; 3] {
     static NEXT: std::sync::atomic::AtomicU16 = std::sync::atomic::AtomicU16::new(0);
     let mut found = Vec::new();
     let begin = 20_000 + u16::try_from(std::process::id() % 8_000).unwrap_or(0);
--- a/crates/daemon/tests/soak/load.rs
+++ b/crates/daemon/tests/soak/load.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::Version;
 use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -33,8 +35,14 @@
 const BAD_START: Duration = Duration::from_millis(1_500);
 const BAD_PAUSE: Duration = Duration::from_millis(300);
 
-/// Kinds of requests, each with a route of the same name.
+/// Kinds of requests, each with a route of the same name. The last two are streams.
 pub(crate) const KINDS: [&str; 6] = ["once", "any", "keyed", "extra", "stream", "resume"];
+const STREAM_KINDS: usize = 2;
+
+/// Probability that a caller speaks HTTP/1.0, or closes its connection after the answer, where some
+/// do.
+const OLD_PROBABILITY: f64 = 0.2;
+const CLOSE_PROBABILITY: f64 = 0.2;
 
 /// How a request ended for its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,6 +74,8 @@
     pub(crate) kind: &'static str,
     pub(crate) key: Option<String>,
     pub(crate) gateway: usize,
+    /// Whether it has no chunks, so that its answer ends with its connection.
+    pub(crate) is_old: bool,
     pub(crate) sent_at: Instant,
     pub(crate) ended_at: Instant,
     pub(crate) status: u16,
@@ -92,6 +102,13 @@
         ids.filter_map(|id| id.parse().ok()).collect()
     }
 
+    /// Names of the servers that sent the complete events of a stream, in order.
+    pub(crate) fn event_servers(&self) -> impl Iterator<Item = &str> {
+        let events = self.body.split_inclusive("\n\n");
+        let events = events.filter(|event| event.ends_with("\n\n"));
+        events.filter_map(|event| event.lines().nth(1)?.strip_prefix("event: "))
+    }
+
     /// The stream with which the caller goes on after this attempt, if it may and has received a part.
     fn resumption(&self) -> Option<(String, u64)> {
         let is_broken = self.kind == "resume" && self.status == 200 && !self.is_served();
@@ -115,6 +132,9 @@
     is_bad: bool,
     /// Number of events after which the caller leaves.
     leaves_after: Option<usize>,
+    /// Whether it is sent without chunks, and whether its connection is closed after the answer.
+    is_old: bool,
+    is_last: bool,
 }
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(0);
@@ -142,17 +162,23 @@
         };
         let kind = match resumption {
             Some(_) => "resume",
+            None if run.subject == Subject::Processes => {
+                KINDS[KINDS.len() - 1 - rng.random_range(0..STREAM_KINDS)]
+            }
             None => KINDS[rng.random_range(0..KINDS.len())],
         };
         let key = (kind == "keyed").then(|| run.operator.pick_key(rng.random_range(0..64)));
         let resumed = resumption.take();
         let leaves = run.subject == Subject::Streams && kind == "resume" && rng.random_bool(0.5);
+        let is_mixed = run.subject == Subject::Processes;
         let wish = Wish {
             kind,
             key,
             resumed,
             is_bad: false,
             leaves_after: leaves.then_some(2),
+            is_old: is_mixed && rng.random_bool(OLD_PROBABILITY),
+            is_last: is_mixed && rng.random_bool(CLOSE_PROBABILITY),
         };
         let (mut call, is_reusable) = send(sender, *gateway, wish).await;
         call.serving = run.serving_for(&call);
@@ -210,6 +236,8 @@
         resumed,
         is_bad,
         leaves_after,
+        is_old,
+        is_last,
     } = wish;
     let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
     let id = format!("q{number}");
@@ -232,6 +260,13 @@
         let headers = request.headers_mut();
         headers.insert("mulberryyoke-prompt-prefix", value);
     }
+    if is_old {
+        *request.version_mut() = Version::HTTP_10;
+    }
+    if is_old || is_last {
+        let close = HeaderValue::from_static("close");
+        request.headers_mut().insert("connection", close);
+    }
     let sent_at = Instant::now();
     let (first, after) = resumed.unzip();
     let mut call = Call {
@@ -243,6 +278,7 @@
         kind,
         key,
         gateway,
+        is_old,
         sent_at,
         ended_at: sent_at,
         status: 0,
@@ -296,5 +332,5 @@
         }
     }
     call.completion = Completion::Complete;
-    !must_close
+    !(must_close || call.is_old)
 }
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -25,6 +25,7 @@
 mod load;
 mod operator;
 mod plan;
+mod process;
 mod proxy;
 mod run;
 mod subject;
@@ -84,6 +85,19 @@
 /// another failure of the store.
 const OUTAGE_SEEDS: [u64; 3] = [10_000, 10_001, 10_002];
 
+/// Default seeds of runs in which servers are processes that signals stop and kill, each with a defect
+/// that it has detected.
+const PROCESS_SEEDS: [(u64, &str); 2] = [
+    (
+        12_001,
+        "a stream looks whole although its server was killed",
+    ),
+    (
+        12_002,
+        "a stream looks whole although its server was killed",
+    ),
+];
+
 fn seeds(subject: Subject) -> Vec<u64> {
     let Ok(text) = std::env::var("SOAK_SEEDS") else {
         return match subject {
@@ -92,6 +106,7 @@
             Subject::Streams => STREAM_SEEDS.into(),
             Subject::Contents => CONTENTS_SEEDS.iter().map(|(seed, _)| *seed).collect(),
             Subject::Outages => OUTAGE_SEEDS.into(),
+            Subject::Processes => PROCESS_SEEDS.iter().map(|(seed, _)| *seed).collect(),
         };
     };
     let (first, last) = text.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
@@ -124,6 +139,11 @@
     check(Subject::Outages);
 }
 
+#[test]
+fn streams_stay_whole_while_processes_of_servers_are_stopped_and_killed() {
+    check(Subject::Processes);
+}
+
 /// Held by the test that runs, so that the number of concurrent runs stays the same.
 static TURN: Mutex<()> = Mutex::new(());
 
--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
 
 use crate::proxy::Mode;
 use crate::subject::Subject;
@@ -25,6 +26,11 @@
 const FAULTS_BESIDE_STORMS: usize = 5;
 const STORMS: usize = 6;
 
+/// Maximum number of drawn faults of a run with servers as processes, and number of the signals that
+/// these get.
+const FAULTS_BESIDE_SIGNALS: usize = 14;
+const SIGNALS: usize = 18;
+
 /// Probability that a run restores the store from a backup.
 const RESTORE_PROBABILITY: f64 = 0.5;
 
@@ -72,6 +78,10 @@
     /// Cuts all gateways but one off the store while it is unavailable; it is back long before they
     /// are.
     LosePeers,
+    /// Suspends the process of a server.
+    SuspendServer,
+    /// Ends the process of a server by a signal, and starts another one at the same address.
+    EndServer(Signal),
     /// Cuts the connections to the store and removes a server that does not announce it.
     CutBeforeRemoval,
 }
@@ -141,10 +151,30 @@
         steps.truncate(FAULTS_BESIDE_STORMS);
         steps.extend(contents_steps(&mut rng));
     }
+    if subject == Subject::Processes {
+        steps.truncate(FAULTS_BESIDE_SIGNALS);
+        steps.extend(signal_steps(&mut rng));
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// The steps that are signals to the processes of servers.
+fn signal_steps(rng: &mut ChaCha8Rng) -> Vec<Step> {
+    let faults = [
+        Fault::EndServer(Signal::KILL),
+        Fault::EndServer(Signal::TERM),
+        Fault::SuspendServer,
+    ];
+    let faults = faults.into_iter().cycle().take(SIGNALS);
+    faults
+        .map(|fault| Step {
+            fault,
+            ..draw_step(rng)
+        })
+        .collect()
+}
+
 /// The steps that are about the contents of the store.
 fn contents_steps(rng: &mut ChaCha8Rng) -> Vec<Step> {
     let mut steps: Vec<Step> = (0..STORMS)
--- a/crates/daemon/tests/soak/proxy.rs
+++ b/crates/daemon/tests/soak/proxy.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -24,7 +24,7 @@
     CloseOnResponse,
     /// Loses all responses, also those after the mode changes on the connections of before.
     Silence,
-    /// Closes all connections, including new ones.
+    /// Closes all connections, including new ones. A proxy in front of a server resets them.
     Reset,
     /// Closes the connections of before, and rejects each request on new ones.
     Busy,
@@ -39,6 +39,13 @@
 /// Response to each request in the mode [`Mode::Busy`].
 const BUSY_RESPONSE: &[u8] = b"HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\n{}";
 
+/// How connections end in the mode [`Mode::Reset`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    Close,
+    Reset,
+}
+
 /// A running proxy.
 #[derive(Clone, Debug)]
 pub(crate) struct Proxy {
@@ -49,10 +56,19 @@
 impl Proxy {
     /// Starts a proxy that forwards to the address `upstream`.
     pub(crate) async fn spawn(upstream: SocketAddr) -> Self {
+        Self::spawn_ending(upstream, Ending::Close).await
+    }
+
+    /// As [`Proxy::spawn`], in front of a server.
+    pub(crate) async fn spawn_for_server(upstream: SocketAddr) -> Self {
+        Self::spawn_ending(upstream, Ending::Reset).await
+    }
+
+    async fn spawn_ending(upstream: SocketAddr, ending: Ending) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("a local address");
         let (mode, modes) = watch::channel(Mode::Forward);
-        tokio::spawn(listen(listener, address, upstream, modes));
+        tokio::spawn(listen(listener, address, (upstream, ending), modes));
         Self { address, mode }
     }
 
@@ -75,7 +91,7 @@
 async fn listen(
     mut listener: TcpListener,
     address: SocketAddr,
-    upstream: SocketAddr,
+    upstream: (SocketAddr, Ending),
     mut modes: watch::Receiver<Mode>,
 ) {
     loop {
@@ -91,7 +107,11 @@
 }
 
 /// Accepts connections until the mode is [`Mode::Refuse`].
-async fn accept(listener: &TcpListener, upstream: SocketAddr, mut modes: watch::Receiver<Mode>) {
+async fn accept(
+    listener: &TcpListener,
+    upstream: (SocketAddr, Ending),
+    mut modes: watch::Receiver<Mode>,
+) {
     let forwarded = modes.clone();
     loop {
         tokio::select! {
@@ -135,29 +155,37 @@
     }
 }
 
-async fn forward(downstream: TcpStream, upstream: SocketAddr, mut modes: watch::Receiver<Mode>) {
+async fn forward(
+    mut downstream: TcpStream,
+    (upstream, ending): (SocketAddr, Ending),
+    mut modes: watch::Receiver<Mode>,
+) {
     // An error means that the run has ended.
     let _ = modes.wait_for(|mode| *mode != Mode::Stall).await;
     if *modes.borrow() == Mode::Busy {
         return reject(downstream, modes).await;
     }
-    let Ok(upstream) = TcpStream::connect(upstream).await else {
+    let Ok(mut upstream) = TcpStream::connect(upstream).await else {
         return;
     };
     let _ = (downstream.set_nodelay(true), upstream.set_nodelay(true));
-    let (downstream_read, downstream_write) = downstream.into_split();
-    let (upstream_read, upstream_write) = upstream.into_split();
+    let (downstream_read, downstream_write) = downstream.split();
+    let (upstream_read, upstream_write) = upstream.split();
     let mut resets = modes.clone();
     tokio::select! {
         () = copy(downstream_read, upstream_write, modes.clone(), false) => {}
         () = copy(upstream_read, downstream_write, modes, true) => {}
         _ = resets.wait_for(|mode| matches!(mode, Mode::Reset | Mode::Refuse | Mode::Busy)) => {}
     }
+    if *resets.borrow() == Mode::Reset && ending == Ending::Reset {
+        // Fails only if the connection is closed already.
+        let _ = downstream.set_zero_linger();
+    }
 }
 
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut modes: watch::Receiver<Mode>,
     is_response: bool,
 ) {
--- a/crates/daemon/tests/soak/run.rs
+++ b/crates/daemon/tests/soak/run.rs
@@ -7,7 +7,9 @@
 mod outage;
 mod probe;
 mod quota;
+mod server;
 mod serving;
+mod signal;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -22,7 +24,6 @@
 
 use crate::answer::Framing;
 use crate::audit::{Audit, audit};
-use crate::backend::{Backend, RecordedRequest};
 use crate::fault_log::{FaultLog, Scope};
 use crate::gateway::Gateway;
 use crate::load::{self, Call, Completion};
@@ -34,6 +35,7 @@
 use crate::subject::Subject;
 
 pub(crate) use self::outage::{AWAY, WATCHERS};
+use self::server::{Recorded, Server};
 
 /// Pool of the model servers.
 const MODEL_POOL: &str = "llm";
@@ -51,19 +53,12 @@
 const MIN_SERVED: f64 = 0.9;
 const SAMPLE_TIME: Duration = Duration::from_millis(1_500);
 
-/// A server, the proxy in front of it and its pool.
-struct Server {
-    backend: Backend,
-    proxy: Proxy,
-    pool: &'static str,
-}
-
 /// State and observations of a run.
 pub(crate) struct Run {
     pub(crate) gateways: Vec<Gateway>,
     pub(crate) operator: Operator,
     pub(crate) calls: Mutex<Vec<Call>>,
-    pub(crate) recorded: Arc<std::sync::Mutex<Vec<RecordedRequest>>>,
+    pub(crate) recorded: Recorded,
     pub(crate) fault_log: FaultLog,
     store: Store,
     store_proxies: Vec<Proxy>,
@@ -85,6 +80,8 @@
     peaks_mb: Vec<AtomicU64>,
     is_finished: AtomicBool,
     next_server: AtomicU64,
+    /// Addresses of the backends of all servers, by name.
+    names: Mutex<HashMap<String, SocketAddr>>,
 }
 
 /// Results of a run.
@@ -191,26 +188,15 @@
 impl Run {
     async fn start(directory: &std::path::Path, gateway_count: usize, subject: Subject) -> Self {
         let store = Store::spawn().await;
-        let recorded = Arc::default();
+        let recorded = Recorded::default();
         let mut servers = Vec::new();
         for index in 0..subject.plain_servers() + subject.model_servers() {
-            let pool = if index < subject.plain_servers() {
-                "desk"
-            } else {
-                MODEL_POOL
+            // What processes receive is not known, so it is not recorded of their neighbours either.
+            let recorded = match subject {
+                Subject::Processes => Recorded::default(),
+                _ => Arc::clone(&recorded),
             };
-            let backend = Backend::spawn(&format!("s-{index}"), Arc::clone(&recorded)).await;
-            if subject == Subject::Streams {
-                backend.set_bare_answers();
-            }
-            let proxy = Proxy::spawn(backend.address).await;
-            let value = registration(pool, &backend.name(), proxy.address, ServerState::Ready);
-            store.put(&server_key(&backend.name()), &value);
-            servers.push(Server {
-                backend,
-                proxy,
-                pool,
-            });
+            servers.push(Server::spawn(index, subject, recorded).await);
         }
         let mut store_proxies = Vec::new();
         let mut peer_proxies = Vec::new();
@@ -229,7 +215,7 @@
             store_proxies.push(proxy);
             gateways.push(gateway);
         }
-        Self {
+        let run = Self {
             probes_left: gateways.iter().map(|_| AtomicU64::new(0)).collect(),
             peaks_mb: gateways.iter().map(|_| AtomicU64::new(0)).collect(),
             gateways,
@@ -248,7 +234,25 @@
             crashes: Mutex::default(),
             is_finished: AtomicBool::new(false),
             next_server: AtomicU64::new(0),
-        }
+            names: Mutex::default(),
+        };
+        run.servers.iter().for_each(|server| run.register(server));
+        run
+    }
+
+    /// Registers a server by its current name.
+    fn register(&self, server: &Server) {
+        let name = server.backend.name();
+        let value = registration(server.pool, &name, server.address, ServerState::Ready);
+        self.store.put(&server_key(&name), &value);
+        self.names.lock().insert(name, server.backend.address);
+    }
+
+    /// Index of the server that has or had a name.
+    pub(crate) fn server_index(&self, name: &str) -> Option<usize> {
+        let address = self.names.lock().get(name).copied()?;
+        let mut servers = self.servers.iter();
+        servers.position(|server| server.backend.address == address)
     }
 
     pub(crate) fn is_finished(&self) -> bool {
--- a/crates/daemon/tests/soak/run/crash.rs
+++ b/crates/daemon/tests/soak/run/crash.rs
@@ -9,7 +9,7 @@
 use super::Run;
 use crate::fault_log::Scope;
 use crate::proxy::Mode;
-use crate::store_values::{ServerState, registration, server_key};
+use crate::store_values::server_key;
 
 /// Time from a crash until the next instance listens.
 const ABSENCE: Duration = Duration::from_secs(1);
@@ -45,8 +45,7 @@
         server.backend.replace(&next);
         server.backend.clear_crash();
         server.proxy.set_mode(Mode::Forward);
-        let value = registration(server.pool, &next, server.proxy.address, ServerState::Ready);
-        self.store.put(&server_key(&next), &value);
+        self.register(server);
         for fault in faults {
             self.fault_log.end(fault);
         }
--- a/crates/daemon/tests/soak/run/inject.rs
+++ b/crates/daemon/tests/soak/run/inject.rs
@@ -78,8 +78,7 @@
                 self.fault_log.end(fault);
             }
             Fault::ServerConnection(mode) => {
-                let faults = [Scope::AnyServerConnection, Scope::ServerConnection(index)];
-                let faults = faults.map(|scope| self.fault_log.begin(scope));
+                let faults = self.begin_server_fault(index, mode);
                 server.proxy.set_mode(mode);
                 sleep(step.duration).await;
                 server.proxy.set_mode(Mode::Forward);
@@ -88,19 +87,18 @@
                 }
             }
             Fault::PoolConnections(mode) => {
-                let mut faults = vec![self.fault_log.begin(Scope::AnyServerConnection)];
                 let of_pool = self
                     .servers
                     .iter()
                     .filter(|other| other.pool == server.pool);
+                let servers = self.servers.iter().enumerate();
+                let servers = servers.filter(|(_, other)| other.pool == server.pool);
+                let faults: Vec<usize> = servers
+                    .flat_map(|(index, _)| self.begin_server_fault(index, mode))
+                    .collect();
                 of_pool
                     .clone()
                     .for_each(|server| server.proxy.set_mode(mode));
-                let servers = self.servers.iter().enumerate();
-                let servers = servers.filter(|(_, other)| other.pool == server.pool);
-                faults.extend(
-                    servers.map(|(index, _)| self.fault_log.begin(Scope::ServerConnection(index))),
-                );
                 // Long enough for retries to exceed the budget if it is not enforced.
                 sleep(2 * step.duration).await;
                 of_pool.for_each(|server| server.proxy.set_mode(Mode::Forward));
@@ -124,10 +122,22 @@
             Fault::RotateKeys => self.operator.rotate_keys(),
             Fault::ConfigurationStorm => self.storm().await,
             Fault::LosePeers => self.lose_peers(gateway).await,
+            Fault::SuspendServer => self.suspend_server(step.target, step.duration).await,
+            Fault::EndServer(signal) => self.end_server(step.target, signal, step.duration).await,
             Fault::CutBeforeRemoval => self.cut_before_removal(server).await,
         }
     }
 
+    /// Records that connections to a server are impaired.
+    fn begin_server_fault(&self, index: usize, mode: Mode) -> Vec<usize> {
+        let mut scopes = vec![Scope::AnyServerConnection, Scope::ServerConnection(index)];
+        if mode == Mode::CloseOnResponse {
+            scopes.push(Scope::ServerClose(index));
+        }
+        let begin = |scope| self.fault_log.begin(scope);
+        scopes.into_iter().map(begin).collect()
+    }
+
     async fn storm(&self) {
         for _ in 0..STORM_CHANGES {
             self.operator.rewrite();
@@ -222,12 +232,7 @@
         if self.draining_since.lock().contains_key(&name) {
             return;
         }
-        let value = registration(
-            server.pool,
-            &name,
-            server.proxy.address,
-            ServerState::Draining,
-        );
+        let value = registration(server.pool, &name, server.address, ServerState::Draining);
         self.store.put(&server_key(&name), &value);
         self.draining_since
             .lock()
@@ -239,10 +244,12 @@
     }
 
     /// Starts and registers the next server at the address of one that has left.
-    fn start_next(&self, server: &Server) {
+    pub(super) fn start_next(&self, server: &Server) {
         let next = format!("n-{}", self.next_server.fetch_add(1, Ordering::Relaxed));
         server.backend.replace(&next);
-        let value = registration(server.pool, &next, server.proxy.address, ServerState::Ready);
-        self.store.put(&server_key(&next), &value);
+        if let Some(process) = &server.process {
+            process.replace(&next);
+        }
+        self.register(server);
     }
 }
--- a/crates/daemon/tests/soak/subject.rs
+++ b/crates/daemon/tests/soak/subject.rs
@@ -27,6 +27,9 @@
     /// When the store is back after an outage, all gateways that watch it are cut off from it and
     /// from the others, while servers leave.
     Outages,
+    /// Callers resume streams of servers whose processes are stopped and killed. Gateways and their
+    /// connections have faults besides.
+    Processes,
 }
 
 /// Number of processors of a gateway that watches the store, and of another one.
@@ -36,7 +39,7 @@
     /// Default number of gateways. Three watch the store, the others follow them.
     pub(crate) const fn gateways(self) -> usize {
         match self {
-            Self::Faults | Self::Part | Self::Streams => 3,
+            Self::Faults | Self::Part | Self::Streams | Self::Processes => 3,
             Self::Contents | Self::Outages => 5,
         }
     }
@@ -44,7 +47,7 @@
     /// Size of the configuration, in bytes, beside what the other subjects have.
     pub(crate) const fn configuration_bytes(self) -> usize {
         match self {
-            Self::Faults | Self::Part | Self::Streams | Self::Outages => 0,
+            Self::Faults | Self::Part | Self::Streams | Self::Outages | Self::Processes => 0,
             Self::Contents => LARGE_CONFIGURATION_BYTES,
         }
     }
@@ -53,6 +56,7 @@
     pub(crate) const fn model_servers(self) -> usize {
         match self {
             Self::Faults | Self::Contents | Self::Outages => 4,
+            Self::Processes => 8,
             Self::Part | Self::Streams => 12,
         }
     }
@@ -61,6 +65,7 @@
     pub(crate) const fn callers(self) -> usize {
         match self {
             Self::Outages => 40,
+            Self::Processes => 24,
             Self::Faults | Self::Contents | Self::Part | Self::Streams => 16,
         }
     }
@@ -69,6 +74,7 @@
     pub(crate) const fn plain_servers(self) -> usize {
         match self {
             Self::Outages => 12,
+            Self::Processes => 1,
             Self::Faults | Self::Contents | Self::Part | Self::Streams => 4,
         }
     }
@@ -78,7 +84,7 @@
         match self {
             Self::Outages if gateway >= WATCHERS => PROCESSORS.1,
             Self::Outages => PROCESSORS.0,
-            Self::Faults | Self::Contents | Self::Part | Self::Streams => 1.0,
+            Self::Faults | Self::Contents | Self::Part | Self::Streams | Self::Processes => 1.0,
         }
     }
 
