A sign of a server's life after a stream's end is not one from the end itself

Trace: the server's streams ended at 25.979 s, this one in order, others reset. Those were probed at once, and the dying process still accepted. The stream's own question, 100 ms later, reused that probe; a connection was refused 6 ms after.

Change: no earlier probe counts.

--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -53,13 +53,9 @@
     false
 }
 
-/// Probes the server of a run that has ended; returns whether it accepts connections.
+/// Probes the server of a run that has ended; returns whether it accepts connections. No earlier
+/// probe counts: a server that crashes may accept connections for a moment after it closed others.
 pub(super) async fn is_alive(core: &Core, run: &Run) -> bool {
-    probe_after(core, run, ALIVE_TTL_MS).await.1 == Reply::Accepted
-}
-
-/// As [`is_alive`], but no earlier probe counts.
-pub(super) async fn is_alive_now(core: &Core, run: &Run) -> bool {
     probe_after(core, run, 0).await.1 == Reply::Accepted
 }
 
--- a/crates/gateway/src/quarantine/success.rs
+++ b/crates/gateway/src/quarantine/success.rs
@@ -40,12 +40,9 @@
 }
 
 /// Whether the server of a request lives on after an answer that has just ended with its connection.
-/// One that is leaving may exit after its last answer, so it is asked at once.
+/// One that is leaving may exit at any time, which is no crash.
 pub(crate) async fn has_survived(core: &Core, call: &Call, in_flight: &InFlight) -> bool {
     let run = Run::new(call, in_flight);
-    if run.backend.is_closed() {
-        return probe::is_alive_now(core, &run).await;
-    }
     is_seen_after(&run.backend, clock::now_ms()).await || probe::is_alive(core, &run).await
 }
 
