--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -25,6 +25,7 @@
 mod load;
 mod operator;
 mod plan;
+mod process;
 mod proxy;
 mod run;
 mod subject;
@@ -87,6 +88,19 @@
 /// Default seeds of runs in which all gateways are lost during releases.
 const LOSS_SEEDS: [u64; 2] = [12_001, 12_002];
 
+/// Default seeds of runs in which servers are processes that signals stop and kill, each with a defect
+/// that it has detected.
+const PROCESS_SEEDS: [(u64, &str); 2] = [
+    (
+        12_001,
+        "a stream looks whole although its server was killed",
+    ),
+    (
+        12_002,
+        "a stream looks whole although its server was killed",
+    ),
+];
+
 fn seeds(subject: Subject) -> Vec<u64> {
     let Ok(text) = std::env::var("SOAK_SEEDS") else {
         return match subject {
@@ -96,6 +110,7 @@
             Subject::Contents => CONTENTS_SEEDS.iter().map(|(seed, _)| *seed).collect(),
             Subject::Outages => OUTAGE_SEEDS.into(),
             Subject::Losses => LOSS_SEEDS.into(),
+            Subject::Processes => PROCESS_SEEDS.iter().map(|(seed, _)| *seed).collect(),
         };
     };
     let (first, last) = text.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
@@ -133,6 +148,11 @@
     check(Subject::Losses);
 }
 
+#[test]
+fn streams_stay_whole_while_processes_of_servers_are_stopped_and_killed() {
+    check(Subject::Processes);
+}
+
 /// Held by the test that runs, so that the number of concurrent runs stays the same.
 static TURN: Mutex<()> = Mutex::new(());
 
--- a/crates/daemon/tests/soak/subject.rs
+++ b/crates/daemon/tests/soak/subject.rs
@@ -30,6 +30,9 @@
     /// Releases replace model servers by those of another version, and all gateways are lost
     /// meanwhile. Callers leave streams and resume them up to seconds later.
     Losses,
+    /// Callers resume streams of servers whose processes are stopped and killed. Gateways and their
+    /// connections have faults besides.
+    Processes,
 }
 
 /// Number of processors of a gateway that watches the store, and of another one.
@@ -39,7 +42,7 @@
     /// Default number of gateways. Three watch the store, the others follow them.
     pub(crate) const fn gateways(self) -> usize {
         match self {
-            Self::Faults | Self::Part | Self::Streams | Self::Losses => 3,
+            Self::Faults | Self::Part | Self::Streams | Self::Losses | Self::Processes => 3,
             Self::Contents | Self::Outages => 5,
         }
     }
@@ -47,7 +50,12 @@
     /// Size of the configuration, in bytes, beside what the other subjects have.
     pub(crate) const fn configuration_bytes(self) -> usize {
         match self {
-            Self::Faults | Self::Part | Self::Streams | Self::Outages | Self::Losses => 0,
+            Self::Faults
+            | Self::Part
+            | Self::Streams
+            | Self::Outages
+            | Self::Losses
+            | Self::Processes => 0,
             Self::Contents => LARGE_CONFIGURATION_BYTES,
         }
     }
@@ -56,6 +64,7 @@
     pub(crate) const fn model_servers(self) -> usize {
         match self {
             Self::Faults | Self::Contents | Self::Outages => 4,
+            Self::Processes => 8,
             Self::Part | Self::Streams | Self::Losses => 12,
         }
     }
@@ -64,6 +73,7 @@
     pub(crate) const fn callers(self) -> usize {
         match self {
             Self::Outages => 40,
+            Self::Processes => 24,
             Self::Faults | Self::Contents | Self::Part | Self::Streams | Self::Losses => 16,
         }
     }
@@ -72,6 +82,7 @@
     pub(crate) const fn plain_servers(self) -> usize {
         match self {
             Self::Outages => 12,
+            Self::Processes => 1,
             Self::Faults | Self::Contents | Self::Part | Self::Streams | Self::Losses => 4,
         }
     }
@@ -81,7 +92,12 @@
         match self {
             Self::Outages if gateway >= WATCHERS => PROCESSORS.1,
             Self::Outages => PROCESSORS.0,
-            Self::Faults | Self::Contents | Self::Part | Self::Streams | Self::Losses => 1.0,
+            Self::Faults
+            | Self::Contents
+            | Self::Part
+            | Self::Streams
+            | Self::Losses
+            | Self::Processes => 1.0,
         }
     }
 
