--- a/crates/gateway/tests/gateway/recorded_versions.rs
+++ b/crates/gateway/tests/gateway/recorded_versions.rs
@@ -103,10 +103,13 @@
     let heads = fleet.servers[2..].iter();
     let heads: usize = heads.map(|(server, _)| server.state.heads().len()).sum();
     expect_that!(heads, gt(0));
-    fleet.nodes[1].kv.set_rejecting_writes(false);
-    sleep(2 * PROPAGATION).await;
     remove_first_servers(&fleet);
     sleep(PROPAGATION).await;
+    let refused = begin_all(&fleet.nodes[0], "none").await;
+    expect_that!(refused, each(contains_substring("no_server")));
+    expect_that!(refused.len(), eq(REQUESTS));
+    fleet.nodes[1].kv.set_rejecting_writes(false);
+    sleep(3 * PROPAGATION).await;
     expect_that!(begin_all(&fleet.nodes[0], "b").await, is_empty());
     expect_that!(run_on(&fleet, "b", "2"), eq(REQUESTS));
 }
