--- a/crates/gateway/src/streams/resume.rs
+++ b/crates/gateway/src/streams/resume.rs
@@ -20,12 +20,8 @@
     is_known: bool,
     /// The only version on which a stream of the pool can have begun.
     only: Option<VersionId>,
-    /// Whether the origin may be known later.
-    may_know_more: bool,
-    /// Whether no version of the pool is recorded.
-    is_unrecorded: bool,
-    /// Whether versions beside the recorded one are about to be recorded, or were.
-    is_unsettled: bool,
+    /// Why the origin may be known later, as a label.
+    pending: Option<&'static str>,
 }
 
 /// Returns the version on which the request must run, if it resumes a stream.
@@ -67,14 +63,23 @@
         (None, Some(stream)) if must_ask => ask::ask(core, stream, call.remaining_ms()).await,
         (None, _) => Answer::Unknown,
     };
-    let may_know_more = only.is_none() && may_know_more(core, call, answer);
+    // No version of the pool is recorded, or versions beside the recorded one are about to be, or were.
+    let is_unrecorded = match conclusion {
+        Conclusion::None => true,
+        Conclusion::Only(_) => is_mixed,
+        Conclusion::Several => false,
+    };
+    let pending = if is_unrecorded {
+        Some("unrecorded")
+    } else {
+        let may_know_more = only.is_none() && may_know_more(core, call, answer);
+        may_know_more.then_some("archive_pending")
+    };
     Finding {
         answer: look_again(core, call, answer),
         is_known: known.is_some(),
         only,
-        may_know_more,
-        is_unrecorded: conclusion == Conclusion::None,
-        is_unsettled: matches!(conclusion, Conclusion::Only(_)) && is_mixed,
+        pending,
     }
 }
 
@@ -96,13 +101,10 @@
         }
         (_, Some(version)) => (Ok(version), "one_version"),
         (Answer::Unanswered, None) => (Err(Refusal::VersionUnanswered), "unanswered"),
-        (Answer::Unknown, None) if finding.is_unrecorded || finding.is_unsettled => {
-            (Err(Refusal::VersionUnanswered), "unrecorded")
-        }
-        (Answer::Unknown, None) if finding.may_know_more => {
-            (Err(Refusal::VersionUnanswered), "archive_pending")
-        }
-        (Answer::Unknown, None) => (Err(Refusal::VersionUnknown), "unknown"),
+        (Answer::Unknown, None) => match finding.pending {
+            Some(outcome) => (Err(Refusal::VersionUnanswered), outcome),
+            None => (Err(Refusal::VersionUnknown), "unknown"),
+        },
     }
 }
 
