A failure of a peer is no answer that it does not know a stream

Callers were refused version_unknown for good if a gateway that may know their stream answered with a failure or with what cannot be decoded: any answer but a decoded origin counted as 'not known'. Only a decoded answer, or the 404 of a gateway of an earlier release, counts so now; else the caller is told when to come back. Test versions::a_failure_of_a_peer_is_taken_for_an_answer_that_it_does_not_know_the_stream: three of three cases failed before.

--- a/crates/gateway/src/streams/ask.rs
+++ b/crates/gateway/src/streams/ask.rs
@@ -73,18 +73,19 @@
 
 async fn ask_one(core: &Core, address: SocketAddr, stream: StreamId, deadline: Instant) -> Answer {
     let client = &core.streams.http;
-    match peer_call::send(client, address, PATH, &stream, deadline).await {
+    let error = match peer_call::send(client, address, PATH, &stream, deadline).await {
         // Gateways of earlier releases do not implement the endpoint and keep nothing.
-        Ok((_, body)) => {
-            let origin = postcard::from_bytes(&body).ok().flatten();
-            origin.map_or(Answer::Unknown, Answer::Known)
-        }
-        Err(failure) => {
-            log!(core.logger, Event::OriginCallFailed,
-                "address" => address.to_string(), "error" => failure.cause.to_string());
-            Answer::Unanswered
-        }
-    }
+        Ok((StatusCode::NOT_FOUND, _)) => return Answer::Unknown,
+        Ok((StatusCode::OK, body)) => match postcard::from_bytes(&body) {
+            Ok(origin) => return Option::map_or(origin, Answer::Unknown, Answer::Known),
+            Err(error) => error.to_string(),
+        },
+        Ok((status, _)) => status.to_string(),
+        Err(failure) => failure.cause.to_string(),
+    };
+    log!(core.logger, Event::OriginCallFailed,
+        "address" => address.to_string(), "error" => error);
+    Answer::Unanswered
 }
 
 /// Handles a call by another gateway: responds with the origin of the stream, if it is known.
--- a/crates/gateway/tests/gateway/version_fleet.rs
+++ b/crates/gateway/tests/gateway/version_fleet.rs
@@ -264,14 +264,27 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let body = postcard::to_stdvec(&origin).expect("it is encoded");
+        Self::answer(listener, "200 OK", body, delay);
+        address
+    }
+
+    /// Spawns a peer that answers questions with this status and body.
+    pub(crate) async fn spawn_failing(status: &'static str, body: &[u8]) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        Self::answer(listener, status, body.to_vec(), Duration::ZERO);
+        address
+    }
+
+    fn answer(listener: TcpListener, status: &'static str, body: Vec<u8>, delay: Duration) {
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
                 let body = body.clone();
                 tokio::spawn(async move {
                     while read_request(&mut stream).await.is_some() {
                         sleep(delay).await;
-                        let head =
-                            format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+                        let length = body.len();
+                        let head = format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n");
                         let response = [head.as_bytes(), &body].concat();
                         if stream.write_all(&response).await.is_err() {
                             return;
@@ -280,7 +293,6 @@
                 });
             }
         });
-        address
     }
 
     /// Number of packets with origins, and of streams asked for.
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -272,6 +272,28 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_failure_of_a_peer_is_taken_for_an_answer_that_it_does_not_know_the_stream() {
+    for (status, body) in [
+        ("400 Bad Request", &b""[..]),
+        ("200 OK", b""),
+        ("200 OK", b"\x02"),
+    ] {
+        let fleet = Fleet::spawn(1, &MIXED).await;
+        let peer = Peer::spawn_failing(status, body).await;
+        let registration = format!("{peer} 1000 a");
+        fleet
+            .service
+            .set("mulberryyoke/gateways/peer", Some(&registration));
+        sleep(PROPAGATION).await;
+        let response = fleet.resume(0, "f1", Some("f0")).await;
+        expect_that!(response.status, eq(503), "{status}");
+        let has_time = response.head.contains("retry-after: ");
+        expect_that!(has_time, eq(true), "{status} {body:?}: {}", response.body);
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_question_does_not_outlast_its_caller() {
