One recorded version is a proof only from a copy that can be one

A review showed ways in which 'one version is recorded' was concluded from a copy that could not tell: from a stale copy for a stream that the caller does not name, or of a pool in which others had been seen, and from the answer of a gateway that had just started and had no contents. Such resumptions are told to come back now, and a gateway without contents answers questions with 503. Where the service is away for all, one answer of those asked is enough again: with a dead gateway among them each resumption of its streams would have been refused until the service's return.

--- a/crates/gateway/src/peer_call.rs
+++ b/crates/gateway/src/peer_call.rs
@@ -72,6 +72,13 @@
     response
 }
 
+/// Returns the response to a call that cannot be answered yet.
+pub(crate) fn unavailable() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
+
 /// Returns the response to a call whose message could not be read.
 pub(crate) fn bad_request() -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
--- a/crates/gateway/src/streams/ask.rs
+++ b/crates/gateway/src/streams/ask.rs
@@ -35,7 +35,9 @@
     Known(Origin),
     /// All that may know it have answered that they do not.
     Unknown,
-    /// One that may know it has not answered.
+    /// Some have answered that they do not, others have not answered.
+    Partial,
+    /// None that may know it has answered.
     Unanswered,
 }
 
@@ -46,7 +48,8 @@
     loop {
         let answer = ask_all(core, stream, deadline).await;
         let next = Instant::now() + PAUSE;
-        if answer != Answer::Unanswered || next >= deadline {
+        let is_complete = matches!(answer, Answer::Known(_) | Answer::Unknown);
+        if is_complete || next >= deadline {
             return answer;
         }
         sleep_until(next.into()).await;
@@ -60,15 +63,19 @@
         .into_iter()
         .map(|address| ask_one(core, address, stream, deadline));
     let mut calls: FuturesUnordered<_> = calls.collect();
-    let mut result = Answer::Unknown;
+    let (mut answered, mut unanswered) = (0, 0);
     while let Some(answer) = calls.next().await {
         match answer {
             Answer::Known(_) => return answer,
-            Answer::Unknown => {}
-            Answer::Unanswered => result = answer,
+            Answer::Unknown => answered += 1,
+            Answer::Partial | Answer::Unanswered => unanswered += 1,
         }
     }
-    result
+    match (answered, unanswered) {
+        (_, 0) => Answer::Unknown,
+        (0, _) => Answer::Unanswered,
+        _ => Answer::Partial,
+    }
 }
 
 async fn ask_one(core: &Core, address: SocketAddr, stream: StreamId, deadline: Instant) -> Answer {
@@ -93,6 +100,10 @@
     core: &Arc<Core>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
+    // One that has just started knows nothing yet, which is no answer.
+    if core.view.config().is_none() {
+        return peer_call::unavailable();
+    }
     match peer_call::read(core, request).await {
         Some(stream) => peer_call::response(StatusCode::OK, &core.streams.get(stream)),
         None => peer_call::bad_request(),
--- a/crates/gateway/src/streams/records.rs
+++ b/crates/gateway/src/streams/records.rs
@@ -33,6 +33,9 @@
 /// in milliseconds.
 const READY_WAIT_MS: u64 = 2_000;
 
+/// Interval at which writes are planned, in milliseconds.
+const PLAN_INTERVAL_MS: u64 = 100;
+
 /// Maximum number of concurrent writes.
 const MAX_PENDING_WRITES: usize = 16;
 
@@ -44,6 +47,8 @@
     usable: ArcSwap<Vec<PoolVersion>>,
     /// When the first listing was applied, in milliseconds of the boot clock; 0 before.
     loaded_ms: AtomicU64,
+    /// When writes are planned next.
+    plan_ms: AtomicU64,
     pending_writes: AtomicUsize,
 }
 
@@ -177,6 +182,12 @@
 
 /// Writes and removes records in the background as far as it is this gateway's turn.
 pub(crate) fn write_due(core: &Arc<Core>) {
+    let now_ms = clock::now_ms();
+    let plan_ms = &core.streams.recorded.plan_ms;
+    if now_ms < plan_ms.load(Ordering::Relaxed) {
+        return;
+    }
+    plan_ms.store(now_ms + PLAN_INTERVAL_MS, Ordering::Relaxed);
     let registered = core.registry.versions();
     let served = served_pools(core, &registered);
     let situation = Situation {
@@ -185,7 +196,7 @@
         is_watcher: core.exchange.watchers().0,
         gateways: core.exchange.gateway_count(),
         is_fresh: core.view.is_fresh(),
-        now: clock::now_ms(),
+        now: now_ms,
     };
     let writes = {
         let mut inner = core.streams.recorded.inner.lock();
@@ -208,7 +219,8 @@
     }
     let mut servers: BTreeMap<PoolId, (usize, usize)> = BTreeMap::new();
     for version in registered {
-        let count = core.registry.of_version(version.0, version.1).len();
+        let backends = core.registry.of_version(version.0, version.1);
+        let count = backends.iter().filter(|backend| backend.is_open()).count();
         let (usable_count, total) = servers.entry(version.0).or_default();
         *total += count;
         if is_usable(version) {
--- a/crates/gateway/src/streams/resume.rs
+++ b/crates/gateway/src/streams/resume.rs
@@ -60,8 +60,7 @@
     let known = call
         .resumed_stream
         .and_then(|stream| core.streams.get(stream));
-    let is_mixed = core.streams.is_mixed(call.pool);
-    let is_single = !is_mixed && only_version(core, call).is_some();
+    let is_single = !core.streams.is_mixed(call.pool) && only_version(core, call).is_some();
     // A version may have been recorded since.
     let must_ask = !is_single || !core.view.is_fresh();
     let answer = match (known, call.resumed_stream) {
@@ -69,11 +68,21 @@
         (None, Some(stream)) if must_ask => ask::ask(core, stream, call.remaining_ms()).await,
         (None, _) => Answer::Unknown,
     };
-    // Nothing is asked about a stream that the caller does not name.
-    let is_asked = !is_mixed || call.resumed_stream.is_some();
-    let only = only_version(core, call).filter(|_| is_asked);
+    let is_mixed = core.streams.is_mixed(call.pool);
+    let only = only_version(core, call).filter(|_| {
+        let is_fresh = core.view.is_fresh();
+        match answer {
+            // Nothing is asked about a stream that the caller does not name.
+            Answer::Unknown if call.resumed_stream.is_none() => !is_mixed && is_fresh,
+            Answer::Unknown => !is_mixed || is_fresh,
+            // A copy that nobody renews is that of a service that is away, where no version is new.
+            Answer::Partial => !is_mixed,
+            Answer::Known(_) | Answer::Unanswered => false,
+        }
+    });
     let source = match core.streams.recorded.conclude(call.pool) {
-        Conclusion::None => Source::Records,
+        // Versions may be recorded that a stale copy lacks.
+        Conclusion::None | Conclusion::Only(_) if only.is_none() => Source::Records,
         _ if only.is_some() || answer != Answer::Unknown || call.resumed_stream.is_none() => {
             Source::None
         }
@@ -117,12 +126,13 @@
         }
         // The route has been moved to another pool.
         (Answer::Known(_), _) => (Err(Refusal::VersionGone), "moved"),
-        // A version may have been recorded since.
-        (Answer::Unanswered, _) => (Err(Refusal::VersionUnanswered), "unanswered"),
         (_, Some(version)) if !has_server(core, call, version) => {
             (Err(Refusal::NO_SERVER), "no_server")
         }
         (_, Some(version)) => (Ok(version), "one_version"),
+        (Answer::Partial | Answer::Unanswered, None) => {
+            (Err(Refusal::VersionUnanswered), "unanswered")
+        }
         (Answer::Unknown, None) => match finding.source {
             Source::Records => (Err(Refusal::VersionUnanswered), "unrecorded"),
             Source::Archive => (Err(Refusal::VersionUnanswered), "archive_pending"),
