--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -2,8 +2,10 @@
 //!
 //! Every gateway keeps the origins of its own recent streams. While a pool has, or recently had,
 //! servers of several versions, it also tells them to two other gateways, before the first event is
-//! relayed, and a gateway that is to resume a stream of another one asks three. Nothing is told or
-//! asked about a pool of one version.
+//! relayed, and has them archived in the key-value service; a gateway that is to resume a stream of
+//! another one asks three. Nothing is told or asked about a pool of one version. So that this also
+//! holds after all gateways were lost, streams begin only on versions that are recorded in the
+//! service.
 
 pub(crate) mod archive;
 mod ask;
