--- a/crates/gateway/tests/gateway/recorded_versions.rs
+++ b/crates/gateway/tests/gateway/recorded_versions.rs
@@ -23,6 +23,9 @@
 /// Time for which a gateway that the service fails keeps servers whose registration ended.
 const LAPSE_GRACE: Duration = Duration::from_millis(1_500);
 
+/// Time after which a copy of the contents counts as stale if nothing renews it.
+const STALE: Duration = Duration::from_secs(3);
+
 /// Key of the record of a version of the pool of model servers.
 fn key(version: &str) -> String {
     let (pool, version) = (PoolId::of("model"), VersionId::of(version));
@@ -170,3 +173,18 @@
     keys.sort_unstable();
     expect_that!(fleet.service.keys(PREFIX), container_eq(keys));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_stale_record_is_taken_for_the_only_one_of_a_stream_that_is_not_named() {
+    let fleet = Fleet::spawn(1, &[(Behavior::Stream, "1"), (Behavior::Stream, "1")]).await;
+    let fresh = fleet.resume(0, "fresh", None).await;
+    expect_that!(fresh.status, eq(200), "{}", fresh.body);
+    fleet.nodes[0].kv.set_failing(true);
+    sleep(STALE).await;
+    let stale = fleet.resume(0, "stale", None).await;
+    expect_that!(stale.status, eq(503));
+    expect_that!(stale.body, contains_substring("version_unanswered"));
+    expect_that!(stale.head, contains_substring("retry-after: "));
+    expect_that!(fleet.version_of("stale"), none());
+}
