--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -151,7 +151,7 @@
     Reader::new(&stream).response()
 }
 
-/// The manifest, as the operator writes it: two public routes of one plain service, as on `lughz-cairo`.
+/// The manifest, as the operator writes it: three public routes of one plain service.
 pub fn manifest(service: &str) -> String {
     let route = |name: &str, prefix: &str, kind: &str, attempts: u32| {
         format!(
@@ -160,10 +160,11 @@
         )
     };
     format!(
-        "{{\"version\":7,\"routes\":[{},{}],\"services\":[{{\"name\":\"{service}\",\"healthPath\":\"/health\",\"maxConns\":96,\
+        "{{\"version\":7,\"routes\":[{},{},{}],\"services\":[{{\"name\":\"{service}\",\"healthPath\":\"/health\",\"maxConns\":96,\
          \"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"headerBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
          \"idleTimeoutMs\":15000,\"tokensPerS\":340000}},\"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"asnmgkcuyj8pjbvk9m68\"],\"priority\":1}}]}}",
         route("r-confirm", "/puxa403/", "non_idempotent", 1),
         route("r-cancel", "/lohu930/", "idempotent", 2),
+        route("r-script", "/sova118/", "streaming", 1),
     )
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod bare;
 mod fleet;
 mod http;
+mod restart;
 mod server;
 mod store;
 
@@ -15,13 +16,17 @@
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words[1..] {
         ["server", id, address, log] => server::run(id, address, Path::new(log)),
-        ["bare", folder, record] => {
+        [case @ ("bare" | "restart"), folder, record] => {
             let record = fleet::Record::create(Path::new(record));
             let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
-            let code = bare::run(Path::new(folder), &record, has_trouble);
+            let folder = Path::new(folder);
+            let code = match case {
+                "bare" => bare::run(folder, &record, has_trouble),
+                _ => restart::run(folder, &record, has_trouble),
+            };
             record.write(&format!("exit     {code}"));
             // All processes have ended.
-            let _ = std::fs::remove_file(Path::new(folder).join("pids"));
+            let _ = std::fs::remove_file(folder.join("pids"));
             exit(code);
         }
         _ => exit(2),
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::http::{self, header, Reader, Request};
+use crate::http::{self, header, Reader};
 
 /// Time from the request to the first byte of the body.
 const WORK: Duration = Duration::from_millis(15);
@@ -17,6 +17,13 @@
 const PART_BYTES: usize = 200;
 const PART_TIME: Duration = Duration::from_millis(3);
 
+/// Events of a stream, and the time between two.
+pub const EVENTS: u32 = 20;
+const EVENT_TIME: Duration = Duration::from_millis(20);
+
+/// Prefix of the routes whose answers are streams.
+const STREAMS: &str = "/sova118/";
+
 /// The whole body of the answer to a request: 800 to 4,800 bytes.
 pub fn body(request: &str) -> Vec<u8> {
     let length = 800 + hash(request.as_bytes()) % 4_001;
@@ -61,7 +68,7 @@
             http::respond(&mut stream, 400, "Mulberryyoke-Not-Executed: 1\r\n", b"")
         } else {
             let _ = log.write_all(format!("{id} runs {request_id} {} {}\n", request.method, request.target).as_bytes());
-            let result = answer(id, &request_id, &request, &mut stream);
+            let result = answer(id, &request_id, &request.target, &mut stream);
             let end = if result.is_ok() { "has ended" } else { "could not end" };
             let _ = log.write_all(format!("{id} {end} {request_id}\n").as_bytes());
             // The answer ends with its channel.
@@ -73,9 +80,21 @@
     }
 }
 
-fn answer(id: &str, request_id: &str, _: &Request, stream: &mut TcpStream) -> std::io::Result<()> {
+fn answer(id: &str, request_id: &str, target: &str, stream: &mut TcpStream) -> std::io::Result<()> {
     let body = body(request_id);
     thread::sleep(WORK);
+    if target.starts_with(STREAMS) {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nMulberryyoke-Request-Id: {request_id}\r\nMulberryyoke-Server-Seal: {id}.{EVENTS}\r\n\
+             Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes())?;
+        for event in 1..=EVENTS {
+            stream.write_all(format!("id: {event}\ndata: {request_id} {event}\n\n").as_bytes())?;
+            thread::sleep(EVENT_TIME);
+        }
+        return Ok(());
+    }
     let head = format!(
         "HTTP/1.1 200 OK\r\nMulberryyoke-Request-Id: {request_id}\r\nMulberryyoke-Server-Seal: {}\r\n\
          Content-Type: text/plain\r\nConnection: close\r\n\r\n",
