--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -121,14 +121,28 @@
 
 impl Server {
     pub fn start(folder: &Path, store: &Store, service: &str, zone: &str, address: SocketAddr, number: u32) -> Self {
+        Self::start_behind(folder, store, service, (zone, address), address, number, || ())
+    }
+
+    /// Starts a server that listens at `own` and is reached at `address`.
+    pub fn start_behind(
+        folder: &Path,
+        store: &Store,
+        service: &str,
+        (zone, address): (&str, SocketAddr),
+        own: SocketAddr,
+        number: u32,
+        when_it_listens: impl FnOnce(),
+    ) -> Self {
         let id = format!("i-{number:010x}");
         let program = std::env::current_exe().expect("the path of this program");
         let log = folder.join("servers.log");
-        let words = ["server", &id, &address.to_string(), log.to_str().unwrap()];
+        let words = ["server", &id, &own.to_string(), log.to_str().unwrap()];
         let child = spawn(folder, &program, &words, "servers.out");
-        while TcpStream::connect(address).is_err() {
+        while TcpStream::connect(own).is_err() {
             thread::sleep(Duration::from_millis(2));
         }
+        when_it_listens();
         let registration = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":6,\
              \"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1}}"
@@ -153,9 +167,15 @@
 
 /// The manifest, as the operator writes it: three public routes of one plain service.
 pub fn manifest(service: &str) -> String {
+    manifest_with(service, 1_000)
+}
+
+/// The same, with this `timeoutMs` of streams.
+pub fn manifest_with(service: &str, stream_ms: u32) -> String {
     let route = |name: &str, prefix: &str, kind: &str, attempts: u32| {
+        let timeout_ms = if kind == "streaming" { stream_ms } else { 1_000 };
         format!(
-            "{{\"name\":\"{name}\",\"host\":\"ficu95.example\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeoutMs\":1000,\"sloMs\":150,\
+            "{{\"name\":\"{name}\",\"host\":\"ficu95.example\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeoutMs\":{timeout_ms},\"sloMs\":150,\
              \"priority\":2,\"service\":\"{service}\",\"attempts\":{attempts},\"public\":true,\"sticky\":false,\"resumable\":false}}"
         )
     };
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod bare;
 mod fleet;
 mod http;
+mod lossy;
 mod restart;
 mod server;
 mod store;
@@ -16,12 +17,13 @@
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words[1..] {
         ["server", id, address, log] => server::run(id, address, Path::new(log)),
-        [case @ ("bare" | "restart"), folder, record] => {
+        [case @ ("bare" | "restart" | "lossy"), folder, record] => {
             let record = fleet::Record::create(Path::new(record));
             let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
             let folder = Path::new(folder);
             let code = match case {
                 "bare" => bare::run(folder, &record, has_trouble),
+                "lossy" => lossy::run(folder, &record, has_trouble),
                 _ => restart::run(folder, &record, has_trouble),
             };
             record.write(&format!("exit     {code}"));
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -21,9 +21,18 @@
 pub const EVENTS: u32 = 20;
 const EVENT_TIME: Duration = Duration::from_millis(20);
 
+/// The same for targets with this part.
+pub const LONG: &str = "/long";
+pub const LONG_EVENTS: u32 = 40;
+const LONG_EVENT_TIME: Duration = Duration::from_millis(50);
+
 /// Prefix of the routes whose answers are streams.
 const STREAMS: &str = "/sova118/";
 
+/// Part of the targets whose answers have a length and leave the channel open, and the time that these take.
+pub const KEPT: &str = "/kept";
+const KEPT_TIME: Duration = Duration::from_millis(30);
+
 /// The whole body of the answer to a request: 800 to 4,800 bytes.
 pub fn body(request: &str) -> Vec<u8> {
     let length = 800 + hash(request.as_bytes()) % 4_001;
@@ -68,9 +77,16 @@
             http::respond(&mut stream, 400, "Mulberryyoke-Not-Executed: 1\r\n", b"")
         } else {
             let _ = log.write_all(format!("{id} runs {request_id} {} {}\n", request.method, request.target).as_bytes());
-            let result = answer(id, &request_id, &request.target, &mut stream);
+            let is_kept = request.target.contains(KEPT);
+            let result = match is_kept {
+                true => answer_with_length(id, &request_id, &mut stream),
+                false => answer(id, &request_id, &request.target, &mut stream),
+            };
             let end = if result.is_ok() { "has ended" } else { "could not end" };
             let _ = log.write_all(format!("{id} {end} {request_id}\n").as_bytes());
+            if is_kept {
+                continue;
+            }
             // The answer ends with its channel.
             return;
         };
@@ -84,14 +100,16 @@
     let body = body(request_id);
     thread::sleep(WORK);
     if target.starts_with(STREAMS) {
+        let is_long = target.contains(LONG);
+        let (events, time) = if is_long { (LONG_EVENTS, LONG_EVENT_TIME) } else { (EVENTS, EVENT_TIME) };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nMulberryyoke-Request-Id: {request_id}\r\nMulberryyoke-Server-Seal: {id}.{EVENTS}\r\n\
+            "HTTP/1.1 200 OK\r\nMulberryyoke-Request-Id: {request_id}\r\nMulberryyoke-Server-Seal: {id}.{events}\r\n\
              Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
         );
         stream.write_all(head.as_bytes())?;
-        for event in 1..=EVENTS {
+        for event in 1..=events {
             stream.write_all(format!("id: {event}\ndata: {request_id} {event}\n\n").as_bytes())?;
-            thread::sleep(EVENT_TIME);
+            thread::sleep(time);
         }
         return Ok(());
     }
@@ -107,3 +125,10 @@
     }
     Ok(())
 }
+
+fn answer_with_length(id: &str, request_id: &str, stream: &mut TcpStream) -> std::io::Result<()> {
+    let body = body(request_id);
+    thread::sleep(KEPT_TIME);
+    let head = format!("Mulberryyoke-Request-Id: {request_id}\r\nMulberryyoke-Server-Seal: {}\r\n", seal(id, &body));
+    http::respond(stream, 200, &head, &body)
+}
