Streams end as complete only if the instance that ran them answers

Cause: an address was taken for an instance. 0.1 s after the end the gateway took an idle connection, or whoever accepted a new one, for the server, and reused that for 100 ms. The next process listened after 0.03 s.

Change: the gateway asks the server's health path, naming the instance, on a connection opened after the end. Only an answer that states the instance's ID proves that it lived on; another ID, a 421 or a refused connection prove that it is gone, and a 429 or 503 proves nothing. One question is under way to a server at a time and counts for each end seen before it was sent, and for none after. Without proof the stream is broken off, or resumed.

Tests: five of survival:: failed on (killed server with a successor, the same resumed, something in front, answers that name no instance, a full server); the property of decide::survival is new code's. The servers of three older tests now answer health checks with their name, as the protocol says. The test that only the end of a stream waits moved to survival:: with a delay of its own: 100 to 500 ms instead of 50 to 400 ms.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -34,5 +34,6 @@
 pub mod shed;
 pub mod stream;
 pub mod subset;
+pub mod survival;
 pub mod view;
 pub mod waiting;
--- a/crates/event/src/catalogue.rs
+++ b/crates/event/src/catalogue.rs
@@ -168,6 +168,8 @@
     OriginsNotRead = 1067, Warning, "versions of streams not read";
     /// The origins of streams could not be written to the key-value service.
     OriginsNotWritten = 1068, Warning, "versions of streams not written";
+    /// A gateway checked whether the instance of a server lives on.
+    InstanceChecked = 1070, Info, "server instance checked";
     /// A sidecar granted a router a slot for a customer's request.
     Granted = 2001, Info, "slot granted";
     /// A sidecar started a request on its server.
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -29,6 +29,7 @@
 use crate::protocol::ResponseHead;
 use crate::room::Room;
 use crate::server::Server;
+use crate::survival::Survival;
 
 /// A backend server: its registration, connections and everything that the choice of a server
 /// depends on.
@@ -47,6 +48,8 @@
     pub(crate) is_model: bool,
     /// Locked while the server is probed, so that concurrent failures share one probe.
     pub(crate) liveness: tokio::sync::Mutex<Liveness>,
+    /// Proof that its instance outlived the ends of connections.
+    pub(crate) survival: Survival,
     /// When the server last sent anything, in milliseconds of the boot clock.
     heard_ms: AtomicU64,
     /// Suspect requests in flight; at most one runs on a server while others are free.
@@ -83,6 +86,7 @@
             health: Mutex::new(Health::default()),
             is_model: model.is_some(),
             liveness: tokio::sync::Mutex::default(),
+            survival: Survival::default(),
             heard_ms: AtomicU64::new(0),
             isolated_requests: AtomicU32::new(0),
             cold: ColdLimiter::default(),
--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -5,6 +5,7 @@
 
 use mulberryyoke_decide::engine::{Part, Position, Prompt, Reservation};
 use mulberryyoke_decide::quarantine::parts::SETTLING_MS;
+use mulberryyoke_decide::survival::Mark;
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -13,7 +14,7 @@
 use crate::clock;
 use crate::connection_pool::Connection;
 use crate::framing::Framing;
-use crate::protocol::ResponseHead;
+use crate::protocol::{Identity, ResponseHead};
 
 /// A request in flight, counted in the estimated load of its server until it is dropped.
 #[derive(Debug)]
@@ -43,6 +44,8 @@
     /// Slowdown that the server had reported when the request was sent, as a factor.
     slowdown: f64,
     pub(crate) sent_at: Instant,
+    /// Mark of its sending; the first one of the server until it is sent.
+    sent: Mark,
     first_token_at: Option<Instant>,
     /// Answer that the server has begun to write.
     answer: Option<Answer>,
@@ -103,6 +106,7 @@
             occupancy,
             slowdown,
             sent_at: Instant::now(),
+            sent: Mark::default(),
             first_token_at: None,
             answer: None,
             cleared_epoch: 0,
@@ -179,6 +183,16 @@
         is_settled
     }
 
+    /// Records that the request is about to be written to a connection.
+    pub(crate) fn record_send(&mut self) {
+        self.sent = self.backend.survival.mark();
+    }
+
+    /// Records which server instance sent the head of the answer.
+    pub(crate) fn record_identity(&self, identity: Identity) {
+        self.backend.survival.record_identity(self.sent, identity);
+    }
+
     /// Records the head of the answer.
     pub(crate) fn record_head(&mut self, framing: Framing, is_success: bool) {
         self.answer = Some(Answer {
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -119,12 +119,6 @@
         self.idle.lock().push(Idle { conn, expires_ms });
     }
 
-    /// Whether an idle connection is open.
-    pub(crate) fn has_idle(&self) -> bool {
-        let idle = self.idle.lock();
-        idle.iter().any(|idle| !idle.conn.sender.is_closed())
-    }
-
     pub(crate) fn close_idle(&self) {
         self.idle.lock().clear();
     }
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -19,7 +19,7 @@
 use crate::dispatch::Attempts;
 use crate::framing::Framing;
 use crate::outcome::Outcome;
-use crate::protocol::{Forwarding, ResponseHead, Verification};
+use crate::protocol::{Forwarding, Identity, ResponseHead, Verification};
 use crate::quarantine::Watch;
 use crate::response_body::ResponseBody;
 use crate::{body_relay, clock, failure, header, notice, quarantine, stream_relay};
@@ -66,6 +66,7 @@
     in_flight.recheck_source(clock::now_ms());
     let mut request = build_request(core, call, &in_flight, attempts.last_event(call));
     let informational = Informational::count(&mut request);
+    in_flight.record_send();
     let mut sent = Box::pin(conn.sender.try_send_request(request));
     let watch = Watch::start(core, call, &in_flight);
     let mut stall = Some(stall_deadline(call));
@@ -156,6 +157,7 @@
     in_flight.record_head(framing, head.status.is_success());
     in_flight.backend.record_heard();
     let response_head = core.protocol.parse_response(&head, &call.id);
+    in_flight.record_identity(identify(core, call, &in_flight, &head));
     if let Some(left_ms) = response_head.cold_left_ms.filter(|left_ms| *left_ms > 0) {
         in_flight.backend.cold.extend(clock::now_ms() + left_ms);
     }
@@ -214,6 +216,12 @@
     read_body(core, call, in_flight, (conn, response_head), head, body).await
 }
 
+/// Returns which server instance sent this response head.
+fn identify(core: &Core, call: &Call, in_flight: &InFlight, head: &Parts) -> Identity {
+    let server = &in_flight.backend.server.name;
+    core.protocol.identify(head, Some(&call.id), server)
+}
+
 /// Whether a response is final and not encoded. Callers request neither a change of protocol nor an
 /// encoding.
 fn is_unencoded_response(head: &Parts) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod socket;
 mod stream_relay;
 mod streams;
+mod survival;
 mod view;
 mod waiting;
 
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -1,6 +1,7 @@
 //! Interface to the adapter that parses the headers and stored values of a platform.
 
 mod forwarding;
+mod identity;
 mod notice;
 mod parse_error;
 mod request_head;
@@ -11,6 +12,7 @@
 use mulberryyoke_decide::engine::PartId;
 
 pub use self::forwarding::Forwarding;
+pub use self::identity::Identity;
 pub use self::notice::Notice;
 pub use self::parse_error::ParseError;
 pub use self::request_head::RequestHead;
@@ -34,6 +36,13 @@
     /// Parses and verifies the head of a server's response to the request with this ID.
     fn parse_response(&self, head: &response::Parts, id: &str) -> ResponseHead;
 
+    /// Returns the headers of a health check that only this server may answer.
+    fn health_check_headers(&self, server: &str) -> HeaderMap;
+
+    /// Returns which instance sent this response to a request that named `server`. `id` is that of
+    /// the request; a health check has none.
+    fn identify(&self, head: &response::Parts, id: Option<&str>, server: &str) -> Identity;
+
     /// Key of the configuration.
     fn config_key(&self) -> &'static str;
 
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -39,24 +39,14 @@
     record(core, &run, (instance, reply), clock::now_ms());
 }
 
-/// Probes the server of a run whose answer ended with its connection at `at`; returns whether it
-/// accepts connections. If it does not, the run may have failed.
-pub(super) async fn is_alive_after(core: &Arc<Core>, run: &Run, at: u64) -> bool {
+/// Records that a run whose answer ended with its connection at `at` may have failed, and probes
+/// whether its server crashed.
+pub(super) async fn record_run_failure(core: &Arc<Core>, run: &Run, at: u64) {
     if run.backend.is_closed() {
-        return false;
-    }
-    let (instance, reply) = probe_after(core, run, ALIVE_TTL_MS).await;
-    if reply == Reply::Accepted {
-        return true;
+        return;
     }
-    record(core, run, (instance, reply), at);
-    false
-}
-
-/// Probes the server of a run that has ended; returns whether it accepts connections. No earlier
-/// probe counts: a server that crashes may accept connections for a moment after it closed others.
-pub(super) async fn is_alive(core: &Core, run: &Run) -> bool {
-    probe_after(core, run, 0).await.1 == Reply::Accepted
+    let probed = probe_after(core, run, ALIVE_TTL_MS).await;
+    record(core, run, probed, at);
 }
 
 /// Probes the server of a run that has ended. Returns the ID of the instance that ran it. A
--- a/crates/gateway/src/stream_relay/end.rs
+++ b/crates/gateway/src/stream_relay/end.rs
@@ -2,7 +2,7 @@
 
 use super::StreamRelay;
 use crate::framing::Framing;
-use crate::quarantine;
+use crate::survival;
 
 /// Why a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,12 +72,17 @@
         if self.relayed > 0 {
             self.in_flight.release();
         }
+        let (core, call) = (&self.core, &self.call);
+        let backend = &self.in_flight.backend;
+        let may_retry = self.attempts.has_attempts_left(call);
+        let retry_at = self.stall_deadline().filter(|_| may_retry);
         tokio::select! {
             biased;
             () = self.chunks.closed() => self.caller_end(),
-            is_whole = quarantine::has_survived(&self.core, &self.call, &self.in_flight) => {
-                if is_whole { End::Complete } else { End::Truncated }
+            is_proven = survival::is_proven(core, call, backend, retry_at) => {
+                if is_proven { End::Complete } else { End::Truncated }
             }
+            () = core.shutdown.terminate.cancelled() => End::Stopping,
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/survival/health_check.rs
@@ -0,0 +1,164 @@
+//! Health checks that only one server instance may answer.
+
+use std::future::pending;
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream::{FuturesUnordered, StreamExt};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::{HOST, HeaderValue};
+use hyper::http::uri::PathAndQuery;
+use mulberryyoke_event::{Event, log};
+use mulberryyoke_platform::Informational;
+use tokio::time::{Instant, timeout};
+
+use crate::backend::Backend;
+use crate::clock;
+use crate::connection_pool::Connection;
+use crate::core::Core;
+use crate::protocol::Identity;
+
+/// Interval after which a health check is sent once more: the first may be held up on its way, or
+/// the server may have no room for it.
+const RESEND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Maximum number of sends of a health check.
+const MAX_SENDS: u32 = 4;
+
+/// Maximum size of the body of a response, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 10;
+
+/// Time for the body of a response, after which its connection isn't reused.
+const BODY_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Request ID of a health check, which belongs to no request of a caller.
+const NO_REQUEST_ID: &str = "";
+
+/// What a health check shows of the server instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reply {
+    /// The instance answered.
+    Alive,
+    /// Another instance answered.
+    Replaced,
+    /// No process listens.
+    Refused,
+    /// Nothing that tells.
+    Nothing,
+}
+
+impl Reply {
+    /// Label in logs and metrics.
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Replaced => "replaced",
+            Self::Refused => "refused",
+            Self::Nothing => "nothing",
+        }
+    }
+}
+
+/// Checks whether the instance lives, and records it. Sends the check until a reply tells, at most
+/// [`MAX_SENDS`] times.
+pub(super) async fn run(core: &Core, backend: &Backend) {
+    let begun_at = Instant::now();
+    let reply = run_until_reply(core, backend).await;
+    metrics::counter!("instance_checks_total", "reply" => reply.label()).increment(1);
+    log!(core.logger, Event::InstanceChecked,
+        "server" => &backend.server.name,
+        "reply" => reply.label(),
+        "elapsed_ms" => clock::between_ms(begun_at, Instant::now()));
+}
+
+async fn run_until_reply(core: &Core, backend: &Backend) -> Reply {
+    let mut sends = FuturesUnordered::new();
+    for _ in 0..MAX_SENDS {
+        sends.push(send(core, backend));
+        let reply = async {
+            while let Some(reply) = sends.next().await {
+                if reply != Reply::Nothing {
+                    return reply;
+                }
+            }
+            pending().await
+        };
+        if let Ok(reply) = timeout(RESEND_INTERVAL, reply).await {
+            return reply;
+        }
+    }
+    Reply::Nothing
+}
+
+/// Sends a health check on a new connection, where no late response to an earlier request arrives,
+/// and records what the reply proves.
+async fn send(core: &Core, backend: &Backend) -> Reply {
+    let Some(request) = build_request(core, backend) else {
+        return Reply::Nothing;
+    };
+    let sent = backend.survival.mark();
+    match backend.conns.connect().await {
+        Ok(conn) => exchange(core, backend, conn, request).await,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            // No process listens, and none comes back with the same name.
+            backend.survival.record_refusal(sent);
+            Reply::Refused
+        }
+        Err(_) => Reply::Nothing,
+    }
+}
+
+/// Sends a health check on this connection and records what the reply proves.
+async fn exchange(
+    core: &Core,
+    backend: &Backend,
+    mut conn: Connection,
+    mut request: Request<Full<Bytes>>,
+) -> Reply {
+    let informational = Informational::count(&mut request);
+    let sent = backend.survival.mark();
+    let response = tokio::select! {
+        response = conn.sender.send_request(request) => response,
+        () = informational.exceeded() => return Reply::Nothing,
+    };
+    let Ok(response) = response else {
+        return Reply::Nothing;
+    };
+    let (head, body) = response.into_parts();
+    let identity = core.protocol.identify(&head, None, &backend.server.name);
+    backend.survival.record_identity(sent, identity);
+    match identity {
+        Identity::Intended => backend.record_heard(),
+        Identity::Other => return Reply::Replaced,
+        Identity::Unknown => return Reply::Nothing,
+    }
+    let response_head = core.protocol.parse_response(&head, NO_REQUEST_ID);
+    if is_read(body).await {
+        backend.release_conn(conn, response_head);
+    }
+    Reply::Alive
+}
+
+/// Reads the body of a response; `false` if it is too long, too slow or broken off.
+async fn is_read(body: Incoming) -> bool {
+    let body = Limited::new(body, MAX_BODY_BYTES).collect();
+    matches!(timeout(BODY_TIMEOUT, body).await, Ok(Ok(_)))
+}
+
+/// Builds a health check of this server; `None` if its pool is no longer configured.
+fn build_request(core: &Core, backend: &Backend) -> Option<Request<Full<Bytes>>> {
+    let config = core.view.config()?;
+    let pool = config.pool(backend.server.pool)?;
+    let path: PathAndQuery = pool.health_path.parse().ok()?;
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = path.into();
+    let mut headers = core.protocol.health_check_headers(&backend.server.name);
+    let address = backend.server.address.to_string();
+    let host = HeaderValue::from_str(&address).expect("an address is a header value");
+    headers.insert(HOST, host);
+    *request.headers_mut() = headers;
+    Some(request)
+}
--- a/crates/gateway/tests/gateway/shaped_server.rs
+++ b/crates/gateway/tests/gateway/shaped_server.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::backend::read_request;
+use crate::backend::{field, read_request};
 
 /// Interval between parts of an answer, and between repeated bytes.
 const PART_INTERVAL: Duration = Duration::from_millis(2);
@@ -150,6 +150,12 @@
 async fn serve(mut stream: TcpStream, (answer, list): (Script, Script), counters: Arc<Counters>) {
     let _ = stream.set_nodelay(true);
     while let Some((head, _)) = read_request(&mut stream).await {
+        if head.starts_with("get /health ") {
+            if stream.write_all(health(&head).as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         let is_list = head.starts_with("get /kept ");
         let script = if is_list { &list } else { &answer };
         let requests = u64::from(!is_list);
@@ -177,6 +183,12 @@
     }
 }
 
+/// Returns the answer to a health check, by the instance that it names.
+fn health(head: &str) -> String {
+    let name = field(head, "x-server").unwrap_or_default();
+    format!("HTTP/1.1 200 Any\r\nx-instance: {name}\r\ncontent-length: 0\r\n\r\n")
+}
+
 /// Sends the bytes again and again until the peer closes the connection.
 async fn repeat(stream: &mut TcpStream, bytes: &[u8], counters: &Counters) {
     let (mut reader, mut writer) = stream.split();
