Plain answers that end with their connection wait for the proof of their server too

Cause: the end of the connection was taken for the end of the answer; whether the server lived on was asked after the answer had left, and only for the quarantine.

Change: such an answer waits for the proof that streams wait for. Without it a small one is a failure, or runs at another server where it may be repeated, and a large one is broken off. The quarantine's own check afterwards is gone: no false sign of life clears a request any more.

--- a/crates/gateway/src/body_relay.rs
+++ b/crates/gateway/src/body_relay.rs
@@ -12,7 +12,7 @@
 use crate::core::Core;
 use crate::protocol::ResponseHead;
 use crate::response_body::BodyError;
-use crate::{clock, failure, quarantine};
+use crate::{clock, failure, quarantine, survival};
 
 /// Spawns a task that relays a response body to its end, or until the receiver is dropped.
 /// `prefix` is the part that has been read already.
@@ -29,7 +29,11 @@
     tokio::spawn(async move {
         let relayed = tokio::select! {
             () = chunks.closed() => return,
-            relayed = relay(&chunks, prefix, remaining) => relayed,
+            relayed = async {
+                relay(&chunks, prefix, remaining).await?;
+                let is_whole = survival::is_whole(&core, &call, &in_flight, None).await;
+                is_whole.then_some(()).ok_or(BodyError::Truncated)
+            } => relayed,
             () = clock::wait_until(call.deadline_ms) => Err(BodyError::TimedOut),
             () = core.shutdown.terminate.cancelled() => Err(BodyError::Stopping),
         };
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -22,7 +22,7 @@
 use crate::protocol::{Forwarding, Identity, ResponseHead, Verification};
 use crate::quarantine::Watch;
 use crate::response_body::ResponseBody;
-use crate::{body_relay, clock, failure, header, notice, quarantine, stream_relay};
+use crate::{body_relay, clock, failure, header, notice, quarantine, stream_relay, survival};
 
 /// Time to the response head after which a request is retried elsewhere, in percent of the
 /// latency objective. It leaves the second server time to meet the objective.
@@ -213,7 +213,8 @@
         let chunks = stream_relay::spawn(core, call, in_flight, run, (conn, response_head), body);
         return Outcome::Completed(Response::from_parts(head, ResponseBody::Stream(chunks)));
     }
-    read_body(core, call, in_flight, (conn, response_head), head, body).await
+    let conn = (conn, response_head);
+    read_body(core, call, in_flight, &run, conn, head, body).await
 }
 
 /// Returns which server instance sent this response head.
@@ -222,6 +223,20 @@
     core.protocol.identify(head, Some(&call.id), server)
 }
 
+/// Whether an answer whose body has ended without an error is whole. If another server may be tried,
+/// half of the time is left to it.
+async fn is_whole(
+    core: &Arc<Core>,
+    call: &Call,
+    in_flight: &InFlight,
+    attempts: &Attempts,
+) -> bool {
+    let retry_ms = call.remaining_ms() / 2;
+    let retry_at = clock::after(Instant::now(), retry_ms);
+    let retry_at = attempts.has_attempts_left(call).then_some(retry_at);
+    survival::is_whole(core, call, in_flight, retry_at).await
+}
+
 /// Whether a response is final and not encoded. Callers request neither a change of protocol nor an
 /// encoding.
 fn is_unencoded_response(head: &Parts) -> bool {
@@ -233,6 +248,7 @@
     core: &Arc<Core>,
     call: &Arc<Call>,
     in_flight: InFlight,
+    attempts: &Attempts,
     (conn, response_head): (Connection, ResponseHead),
     head: Parts,
     body: Incoming,
@@ -246,6 +262,12 @@
         }
     };
     let body = match collected {
+        Ok(Collected::Complete(_)) if !is_whole(core, call, &in_flight, attempts).await => {
+            let text = "the server did not live on";
+            failure::record(core, call, &in_flight, "response truncated", text);
+            quarantine::record_failure(core, call, &in_flight).await;
+            return Outcome::Unknown;
+        }
         Ok(Collected::Complete(chunk)) => {
             failure::log_connection_end(core, call, &in_flight);
             quarantine::record_success(core, call, &in_flight);
--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -32,7 +32,7 @@
 }
 
 /// Logs a run whose answer ended with its connection, as it has neither a length nor chunks. It
-/// counts as complete, whether or not its server crashed.
+/// is complete, as its server was proven to live on.
 pub(crate) fn log_connection_end(core: &Core, call: &Call, in_flight: &InFlight) {
     let answer = in_flight.answer();
     if answer.is_some_and(|answer| answer.ends_with_connection()) {
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -39,16 +39,6 @@
     record(core, &run, (instance, reply), clock::now_ms());
 }
 
-/// Records that a run whose answer ended with its connection at `at` may have failed, and probes
-/// whether its server crashed.
-pub(super) async fn record_run_failure(core: &Arc<Core>, run: &Run, at: u64) {
-    if run.backend.is_closed() {
-        return;
-    }
-    let probed = probe_after(core, run, ALIVE_TTL_MS).await;
-    record(core, run, probed, at);
-}
-
 /// Probes the server of a run that has ended. Returns the ID of the instance that ran it. A
 /// successful probe is reused for `alive_ttl_ms`.
 async fn probe_after(core: &Core, run: &Run, alive_ttl_ms: u64) -> (ServerId, Reply) {
--- a/crates/gateway/src/quarantine/success.rs
+++ b/crates/gateway/src/quarantine/success.rs
@@ -4,34 +4,14 @@
 
 use mulberryyoke_decide::quarantine::CONVICTION_THRESHOLD;
 
-use super::run::Run;
-use super::{Culprit, conviction, log_cleared, parts, probe};
+use super::{Culprit, conviction, log_cleared, parts};
 use crate::backend::{Backend, InFlight};
 use crate::call::Call;
+use crate::clock;
 use crate::core::Core;
-use crate::{clock, survival};
 
-/// Records that a request got a complete answer. One that ends with its connection looks complete as
-/// well if its server has crashed, so the server must be proven to live on first.
-pub(crate) fn record_success(core: &Arc<Core>, call: &Arc<Call>, in_flight: &InFlight) {
-    let answer = in_flight.answer();
-    if !answer.is_some_and(|answer| answer.ends_with_connection()) {
-        return record_proven_success(core, call, in_flight);
-    }
-    let is_written = answer.is_some_and(|answer| answer.is_success);
-    let (core, call, at) = (Arc::clone(core), Arc::clone(call), clock::now_ms());
-    let run = Run::new(&call, in_flight);
-    tokio::spawn(async move {
-        if survival::is_proven(&core, &call, &run.backend, None).await {
-            clear(&core, &call, &run.backend, at, is_written);
-        } else {
-            probe::record_run_failure(&core, &run, at).await;
-        }
-    });
-}
-
-/// As [`record_success`], for an answer that is known to be complete.
-pub(crate) fn record_proven_success(core: &Arc<Core>, call: &Call, in_flight: &InFlight) {
+/// Records that a request got a complete answer.
+pub(crate) fn record_success(core: &Arc<Core>, call: &Call, in_flight: &InFlight) {
     let answer = in_flight.answer();
     let is_written = answer.is_some_and(|answer| answer.is_success);
     clear(core, call, &in_flight.backend, clock::now_ms(), is_written);
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -99,7 +99,7 @@
         match end {
             End::Complete => {
                 failure::log_connection_end(&self.core, &self.call, &self.in_flight);
-                quarantine::record_proven_success(&self.core, &self.call, &self.in_flight);
+                quarantine::record_success(&self.core, &self.call, &self.in_flight);
                 // Events are numbered and carry about a token each.
                 if let Some(events) = self.last_event {
                     let tokens = u32::try_from(events).unwrap_or(u32::MAX);
--- a/crates/gateway/src/survival.rs
+++ b/crates/gateway/src/survival.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
-use crate::backend::Backend;
+use crate::backend::{Backend, InFlight};
 use crate::call::Call;
 use crate::clock;
 use crate::core::Core;
@@ -56,6 +56,19 @@
     }
 }
 
+/// Returns whether an answer whose body has ended without an error is whole. One that ends with its
+/// connection is if its server [is proven](is_proven) to live on.
+pub(crate) async fn is_whole(
+    core: &Arc<Core>,
+    call: &Call,
+    in_flight: &InFlight,
+    retry_at: Option<Instant>,
+) -> bool {
+    let answer = in_flight.answer();
+    !answer.is_some_and(|answer| answer.ends_with_connection())
+        || is_proven(core, call, &in_flight.backend, retry_at).await
+}
+
 /// Returns whether the server of an answer that has just ended with its connection is proven to live
 /// on, before the deadline of the request and before `retry_at`, if another server is tried then.
 pub(crate) async fn is_proven(
--- a/crates/gateway/tests/gateway/instance_server.rs
+++ b/crates/gateway/tests/gateway/instance_server.rs
@@ -31,6 +31,12 @@
 pub(crate) const SHORT: &str = "x-short: 1\r\n";
 pub(crate) const SLOW: &str = "x-slow: 1\r\n";
 
+/// Header line of a request whose answer begins with [`LARGE_BYTES`].
+pub(crate) const LARGE: &str = "x-large: 1\r\n";
+
+/// Number of bytes that the gateway relays rather than buffers.
+pub(crate) const LARGE_BYTES: usize = 400_000;
+
 /// Header line of a request whose stream doesn't halt, and whose events are delayed then.
 pub(crate) const LATE: &str = "x-late: 1\r\n";
 
@@ -286,18 +292,20 @@
         send(link, delays.answers, &with_length(200, &sealed));
         return true;
     }
-    stream(state, &sealed, head.contains("x-late: "), link).await
+    send_event(link, Duration::ZERO, &ok_head(&sealed));
+    if head.contains("x-large: ") {
+        send_event(link, Duration::ZERO, &("x".repeat(LARGE_BYTES) + "\n"));
+    }
+    send_events(state, head.contains("x-late: "), link).await
+}
+
+/// Head of an answer without a length or chunks, which ends with its connection.
+fn ok_head(sealed: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\n{sealed}\r\n")
 }
 
-/// Sends a stream without a length or chunks, which ends with its connection.
-async fn stream(
-    state: &State,
-    sealed: &str,
-    is_late: bool,
-    link: &UnboundedSender<Packet>,
-) -> bool {
-    let head = format!("HTTP/1.1 200 OK\r\n{sealed}\r\n");
-    send_event(link, Duration::ZERO, &head);
+/// Sends the events of a stream and closes the connection.
+async fn send_events(state: &State, is_late: bool, link: &UnboundedSender<Packet>) -> bool {
     for event in 1..=EVENTS {
         let mut delay = Duration::ZERO;
         if is_late {
--- a/crates/gateway/tests/gateway/survival.rs
+++ b/crates/gateway/tests/gateway/survival.rs
@@ -14,7 +14,7 @@
 use crate::feed::Service;
 use crate::fleet::{Node, ready_at};
 use crate::instance_server::{
-    Delays, EVENTS, HALT_AFTER, Health, InstanceServer, LATE, SHORT, SLOW,
+    Delays, EVENTS, HALT_AFTER, Health, InstanceServer, LARGE, LARGE_BYTES, LATE, SHORT, SLOW,
 };
 
 const PROMPT: &str = "x-tokens: 100\r\n";
@@ -140,6 +140,79 @@
     }
 }
 
+// An answer that was broken off by a kill was given a length of its own and sent as whole.
+#[gtest]
+#[tokio::test]
+async fn plain_answers_of_a_killed_server_are_failures_although_its_successor_listens() {
+    let cases = RESTARTS_MS.map(async |restart_ms| {
+        let fixture = Fixture::spawn().await;
+        let replace = async {
+            fixture.server.wait_for_streams(1).await;
+            fixture.server.kill().await;
+            sleep(Duration::from_millis(restart_ms)).await;
+            fixture.server.start_successor().await;
+        };
+        let (response, ()) = tokio::join!(fixture.node.send("/once/", PROMPT), replace);
+        expect_that!(response.status, eq(502), "{restart_ms} ms");
+    });
+    join_all(cases).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn large_plain_answers_of_a_killed_server_are_broken_off() {
+    let fixture = Fixture::spawn().await;
+    let replace = async {
+        fixture.server.wait_for_streams(1).await;
+        fixture.server.kill().await;
+        fixture.server.start_successor().await;
+    };
+    let lines = PROMPT.to_owned() + LARGE;
+    let (response, ()) = tokio::join!(fixture.node.send("/once/", &lines), replace);
+    expect_that!(response.status, eq(200));
+    expect_that!(response.body.len(), ge(LARGE_BYTES));
+    expect_that!(response.is_complete, eq(false));
+}
+
+#[gtest]
+#[tokio::test]
+async fn plain_answers_of_a_killed_server_are_repeated_where_they_may_be() {
+    let server = InstanceServer::spawn().await;
+    let sound = Backend::spawn(Behavior::Answer).await;
+    let (_service, node) = ready_at(&[server.address, sound.address], None).await;
+    let send = async {
+        loop {
+            let response = node.send("/idempotent/", PROMPT).await;
+            expect_that!(response.status, eq(200));
+            expect_that!(response.body, eq("done"));
+            if server.requests() > 0 {
+                return;
+            }
+        }
+    };
+    let replace = async {
+        server.wait_for_streams(1).await;
+        server.kill().await;
+        server.start_successor().await;
+    };
+    tokio::join!(send, replace);
+}
+
+#[gtest]
+#[tokio::test]
+async fn plain_answers_are_whole_if_their_server_lives_on() {
+    for (lines, min_bytes) in [("", 0), (LARGE, LARGE_BYTES)] {
+        let fixture = Fixture::spawn().await;
+        fixture.server.resume_streams();
+        let lines = PROMPT.to_owned() + lines;
+        let response = fixture.node.send("/once/", &lines).await;
+        expect_that!(response.status, eq(200));
+        expect_that!(response.body.len(), ge(min_bytes));
+        expect_that!(event_ids(&response), eq(&ids(EVENTS)));
+        expect_that!(response.is_complete, eq(true));
+    }
+}
+
 // Whatever accepts connections at the address of a killed server was taken for it.
 #[gtest]
 #[tokio::test]
@@ -286,7 +359,7 @@
     for _ in 0..5 {
         let mut stream = caller::open(fixture.node.callers, &request).await;
         let mut text = String::new();
-        while !text.ends_with(&format!("data: t{EVENTS}\n\n")) {
+        while !text.ends_with(format!("data: t{EVENTS}\n\n").as_str()) {
             let mut bytes = [0; 1_024];
             let read = stream.read(&mut bytes).await.expect("an event");
             assert_that!(read, gt(0));
