Crashes count although the server's successor listens

What callers saw: a request that crashes each server on which it runs crashed five instead of three, if the next process of each listened at the same address at once.

Cause: the quarantine took an accepted connection for the server, a 421 of the successor for a server that had left and for a sign of life, and dropped a broken run of a request whose silence at the server it knew.

A 421 from the address of a server that had not left counts as its crash, and isn't heard from the server. A failure takes the place of an earlier silence of the same request.

The crashing servers of the tests compare names now, and the other ones answer health checks.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -94,12 +94,17 @@
         record.map_or(Verdict::Clear, |record| record.verdict(&self.crashes, now))
     }
 
-    /// Records that a request failed while running on a server instance.
+    /// Records that a request failed while running on a server instance. What is known of a request
+    /// counts unless it was silence, which the server may have ended since.
     pub fn record_failure(&mut self, server: ServerId, failure: Failure) {
         let failures = self.failures.entry(server).or_default();
-        let is_known = failures.iter().any(|known| known.digest == failure.digest);
-        if !is_known && failures.len() < MAX_FAILURES {
-            failures.push(failure);
+        let known = failures
+            .iter()
+            .position(|known| known.digest == failure.digest);
+        match known {
+            Some(index) if failures[index].is_silence => failures[index] = failure,
+            None if failures.len() < MAX_FAILURES => failures.push(failure),
+            _ => {}
         }
     }
 
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -384,6 +384,21 @@
     }
 }
 
+#[gtest]
+fn a_response_that_breaks_off_is_evidence_although_the_server_was_silent_before() {
+    let mut quarantine = Quarantine::default();
+    let silence = Failure {
+        digest: POISON,
+        at: 1_000,
+        is_silence: true,
+    };
+    quarantine.record_failure(ServerId(1), silence);
+    quarantine.record_failure(ServerId(1), broken(POISON, 3_000));
+    // The server responded in between.
+    quarantine.record_crash((ServerId(1), OLD), 2_000, 3_000);
+    expect_that!(quarantine.verdict(POISON, 3_000).crashes(), eq(1));
+}
+
 #[gtest]
 fn a_gateway_that_starts_later_is_told_of_crashes_that_count() {
     let (mut quarantine, mut now) = (Quarantine::default(), 1_000);
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -60,6 +60,8 @@
     pub(crate) room: Arc<Room>,
     /// Whether the server is registered as leaving, or no longer registered.
     is_closed: AtomicBool,
+    /// Whether another instance was found at its address although it had not left.
+    is_replaced: AtomicBool,
     /// Whether its availability zone is being evacuated.
     is_evacuated: AtomicBool,
 }
@@ -92,6 +94,7 @@
             cold: ColdLimiter::default(),
             instance,
             room,
+            is_replaced: AtomicBool::new(false),
             is_evacuated: AtomicBool::new(false),
             is_closed: AtomicBool::new(server.is_leaving),
             server,
@@ -155,6 +158,11 @@
         self.is_closed.load(Ordering::Relaxed) || self.instance.is_leaving()
     }
 
+    /// Whether the server may end at any time without having crashed.
+    pub(crate) fn has_left(&self) -> bool {
+        self.is_closed() && !self.is_replaced.load(Ordering::Relaxed)
+    }
+
     /// Sets whether its availability zone is being evacuated.
     pub(crate) fn set_evacuated(&self, is_evacuated: bool) {
         self.is_evacuated.store(is_evacuated, Ordering::Relaxed);
@@ -173,4 +181,15 @@
         self.is_closed.store(true, Ordering::Relaxed);
         self.conns.close_idle();
     }
+
+    /// As [`Self::close`], since another instance was found at its address; `true` if the server had
+    /// not left, and so has crashed.
+    pub(crate) fn close_replaced(&self) -> bool {
+        let has_crashed = !self.is_closed();
+        if has_crashed {
+            self.is_replaced.store(true, Ordering::Relaxed);
+        }
+        self.close();
+        has_crashed
+    }
 }
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -155,9 +155,12 @@
     let (mut head, body) = response.into_parts();
     let framing = Framing::of(&head.headers, &body);
     in_flight.record_head(framing, head.status.is_success());
-    in_flight.backend.record_heard();
     let response_head = core.protocol.parse_response(&head, &call.id);
-    in_flight.record_identity(identify(core, call, &in_flight, &head));
+    let identity = identify(core, call, &in_flight, &head);
+    in_flight.record_identity(identity);
+    if identity != Identity::Other {
+        in_flight.backend.record_heard();
+    }
     if let Some(left_ms) = response_head.cold_left_ms.filter(|left_ms| *left_ms > 0) {
         in_flight.backend.cold.extend(clock::now_ms() + left_ms);
     }
@@ -186,7 +189,7 @@
                 "address belongs to another server",
                 "",
             );
-            in_flight.backend.close();
+            quarantine::record_replacement(core, &in_flight.backend);
             return Outcome::WrongServer;
         }
         Verification::NotExecuted => {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -31,7 +31,7 @@
     log_withheld,
 };
 pub(crate) use self::parts::{Parts, receive as receive_parts, record_progress};
-pub(crate) use self::probe::{record_failure, record_lapse};
+pub(crate) use self::probe::{record_failure, record_lapse, record_replacement};
 pub(crate) use self::silence::{Watch, check_silence, record_abandoned, spawn_silence_check};
 pub(crate) use self::success::record_success;
 pub(crate) use self::withdraw::{PATH as WITHDRAW_PATH, handle_withdraw, withdraw};
--- a/crates/gateway/src/quarantine/silence.rs
+++ b/crates/gateway/src/quarantine/silence.rs
@@ -100,7 +100,7 @@
         return;
     };
     // One that is leaving may end at any time.
-    if backend.is_closed() {
+    if backend.has_left() {
         return;
     }
     let mut liveness = backend.liveness.lock().await;
@@ -122,7 +122,7 @@
 async fn is_unreachable(core: &Core, run: &Run, liveness: &mut Liveness) -> bool {
     for _ in 0..PROBES {
         match probe(core, &run.backend, liveness, ALIVE_TTL_MS).await {
-            Reply::Refused => return true,
+            Reply::Crashed => return true,
             Reply::Accepted | Reply::Unknown => return false,
             Reply::Nothing => {}
         }
--- a/crates/gateway/src/survival.rs
+++ b/crates/gateway/src/survival.rs
@@ -1,6 +1,6 @@
 //! Proof that a server lived on after an answer that ended with its connection.
 
-mod health_check;
+pub(crate) mod health_check;
 
 use std::pin::pin;
 use std::sync::Arc;
--- a/crates/gateway/src/survival/health_check.rs
+++ b/crates/gateway/src/survival/health_check.rs
@@ -96,12 +96,13 @@
 /// Sends a health check on a new connection, where no late response to an earlier request arrives,
 /// and records what the reply proves.
 async fn send(core: &Core, backend: &Backend) -> Reply {
-    let Some(request) = build_request(core, backend) else {
-        return Reply::Nothing;
-    };
     let sent = backend.survival.mark();
     match backend.conns.connect().await {
-        Ok(conn) => exchange(core, backend, conn, request).await,
+        Ok(conn) => match exchange(core, backend, conn).await {
+            Identity::Intended => Reply::Alive,
+            Identity::Other => Reply::Replaced,
+            Identity::Unknown => Reply::Nothing,
+        },
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
             // No process listens, and none comes back with the same name.
             backend.survival.record_refusal(sent);
@@ -111,35 +112,32 @@
     }
 }
 
-/// Sends a health check on this connection and records what the reply proves.
-async fn exchange(
-    core: &Core,
-    backend: &Backend,
-    mut conn: Connection,
-    mut request: Request<Full<Bytes>>,
-) -> Reply {
+/// Sends a health check on a new connection. Records what the response proves and returns which
+/// instance sent it.
+pub(crate) async fn exchange(core: &Core, backend: &Backend, mut conn: Connection) -> Identity {
+    let Some(mut request) = build_request(core, backend) else {
+        return Identity::Unknown;
+    };
     let informational = Informational::count(&mut request);
     let sent = backend.survival.mark();
     let response = tokio::select! {
         response = conn.sender.send_request(request) => response,
-        () = informational.exceeded() => return Reply::Nothing,
+        () = informational.exceeded() => return Identity::Unknown,
     };
     let Ok(response) = response else {
-        return Reply::Nothing;
+        return Identity::Unknown;
     };
     let (head, body) = response.into_parts();
     let identity = core.protocol.identify(&head, None, &backend.server.name);
     backend.survival.record_identity(sent, identity);
-    match identity {
-        Identity::Intended => backend.record_heard(),
-        Identity::Other => return Reply::Replaced,
-        Identity::Unknown => return Reply::Nothing,
-    }
-    let response_head = core.protocol.parse_response(&head, NO_REQUEST_ID);
-    if is_read(body).await {
-        backend.release_conn(conn, response_head);
+    if identity == Identity::Intended {
+        backend.record_heard();
+        let response_head = core.protocol.parse_response(&head, NO_REQUEST_ID);
+        if is_read(body).await {
+            backend.release_conn(conn, response_head);
+        }
     }
-    Reply::Alive
+    identity
 }
 
 /// Reads the body of a response; `false` if it is too long, too slow or broken off.
--- a/crates/gateway/tests/gateway/backend.rs
+++ b/crates/gateway/tests/gateway/backend.rs
@@ -201,8 +201,13 @@
         let text = full_response(200, "x-any: 1", list.len()).replace("done", &list);
         return stream.write_all(text.as_bytes()).await.is_ok();
     }
-    state.heads.lock().push(head.to_owned());
     let behavior = *state.behavior.lock();
+    if head.starts_with("get /health ") && behavior != Behavior::WrongServer {
+        let name = field(head, "x-server").unwrap_or_default();
+        let text = full_response(200, &format!("x-instance: {name}"), 4);
+        return stream.write_all(text.as_bytes()).await.is_ok();
+    }
+    state.heads.lock().push(head.to_owned());
     let id = field(head, "x-id").unwrap_or("");
     let extra_lines = state.header_lines.lock().clone();
     let sealed = format!("{extra_lines}x-id: {id}\r\nx-seal: s");
--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -13,7 +13,8 @@
 use crate::caller;
 use crate::crash_fleet::{Fleet, MAX_CRASHES, PROMPT, RETRY_PAUSE};
 use crate::crashing_server::{
-    CRASH_BODY, CRASH_NEW_VERSION_BODY, CrashingServer, RestartName, crash_count, crash_times_body,
+    CRASH_BODY, CRASH_NEW_VERSION_BODY, Crash, CrashingServer, Mode, RestartName, crash_count,
+    crash_times_body,
 };
 use crate::ending::Ending;
 use crate::prompt_fleet;
@@ -61,6 +62,26 @@
     join_all(cases).await;
 }
 
+// The next process of a crashed server accepted connections, and so was taken for it.
+#[gtest]
+#[tokio::test]
+async fn a_request_crashes_at_most_three_servers_whose_successors_listen_at_once() {
+    let cases = KINDS.map(async |(path, behavior)| {
+        let mode = Mode {
+            crash: Crash::QuickRestart,
+            name: RestartName::New,
+        };
+        let fleet = Fleet::spawn(mode, 3, behavior).await;
+        for round in 0..8 {
+            fleet.send(round, path, CRASH_BODY).await;
+            sleep(RETRY_PAUSE).await;
+        }
+        expect_that!(crash_count(&fleet.servers), le(MAX_CRASHES), "{path}");
+        expect_that!(fleet.send(1, path, "good").await.status, eq(200), "{path}");
+    });
+    join_all(cases).await;
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_request_that_crashes_one_version_only_crashes_at_most_three_servers() {
--- a/crates/gateway/tests/gateway/crashing_server.rs
+++ b/crates/gateway/tests/gateway/crashing_server.rs
@@ -14,7 +14,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::backend::{Behavior, State, read_request, respond};
+use crate::backend::{Behavior, State, field, read_request, respond};
 use crate::feed::Service;
 
 /// Body of a request that crashes every server on which it runs.
@@ -163,6 +163,7 @@
 }
 
 /// One instance of a server.
+#[derive(Clone)]
 struct Instance {
     service: Arc<Service>,
     address: SocketAddr,
@@ -183,6 +184,13 @@
         })
     }
 
+    /// Whether a request names this instance, or a name that all instances share.
+    fn is_addressed(&self, head: &str) -> bool {
+        let mut keys = self.keys().into_iter();
+        let name = field(head, "x-server").unwrap_or_default();
+        keys.any(|(_, key)| key.strip_prefix("servers/") == Some(name))
+    }
+
     /// Whether it runs the new version of the software, as every other server does.
     const fn is_new(&self) -> bool {
         self.index.is_multiple_of(2)
@@ -283,8 +291,7 @@
                 let handled = handle(
                     stream,
                     Arc::clone(state),
-                    instance.is_new(),
-                    Arc::clone(&instance.crash_counts),
+                    instance.clone(),
                     crash.clone(),
                 );
                 conns.spawn(run_until_crash(handled, crash.clone()));
@@ -324,12 +331,18 @@
 async fn handle(
     mut stream: TcpStream,
     state: Arc<State>,
-    is_new: bool,
-    crash_counts: CrashCounts,
+    instance: Instance,
     crash: CancellationToken,
 ) {
     while let Some((head, body)) = read_request(&mut stream).await {
-        if crashes_server(&body, is_new, &crash_counts) {
+        if !instance.is_addressed(&head) {
+            let text = "HTTP/1.1 421 Any\r\ncontent-length: 0\r\n\r\n";
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
+        if crashes_server(&body, instance.is_new(), &instance.crash_counts) {
             let is_stream =
                 head.starts_with("post /stream/") || head.starts_with("post /resumable/");
             if is_stream {
