Instances that share a name are told by their start, removed services by their last path

For a server that registered with a start, answers by its name alone are no proof any more, and a health check that states another start tells that the instance is gone.

A service that a change of the configuration removes while its streams run had no health path, so that whole streams were broken off. The path is kept from the first request on.

--- a/crates/gateway/src/backend/in_flight.rs
+++ b/crates/gateway/src/backend/in_flight.rs
@@ -13,8 +13,10 @@
 use super::{Answer, Backend, Fetch};
 use crate::clock;
 use crate::connection_pool::Connection;
+use crate::core::Core;
 use crate::framing::Framing;
 use crate::protocol::{Identity, ResponseHead};
+use crate::survival::health_check;
 
 /// A request in flight, counted in the estimated load of its server until it is dropped.
 #[derive(Debug)]
@@ -184,12 +186,17 @@
     }
 
     /// Records that the request is about to be written to a connection.
-    pub(crate) fn record_send(&mut self) {
+    pub(crate) fn record_send(&mut self, core: &Core) {
+        health_check::learn_path(core, &self.backend);
         self.sent = self.backend.survival.mark();
     }
 
-    /// Records which server instance sent the head of the answer.
+    /// Records which server instance sent the head of the answer. Instances that share a name, which
+    /// differ by their start, can't be told apart by it.
     pub(crate) fn record_identity(&self, identity: Identity) {
+        if identity == Identity::Intended && self.backend.server.started_ms.is_some() {
+            return;
+        }
         self.backend.survival.record_identity(self.sent, identity);
     }
 
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -66,7 +66,7 @@
     in_flight.recheck_source(clock::now_ms());
     let mut request = build_request(core, call, &in_flight, attempts.last_event(call));
     let informational = Informational::count(&mut request);
-    in_flight.record_send();
+    in_flight.record_send(core);
     let mut sent = Box::pin(conn.sender.try_send_request(request));
     let watch = Watch::start(core, call, &in_flight);
     let mut stall = Some(stall_deadline(call));
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -43,6 +43,10 @@
     /// the request; a health check has none.
     fn identify(&self, head: &response::Parts, id: Option<&str>, server: &str) -> Identity;
 
+    /// Returns the start of the instance that the body of a response to a health check states, in
+    /// milliseconds since the Unix epoch.
+    fn parse_start(&self, body: &[u8]) -> Option<u64>;
+
     /// Key of the configuration.
     fn config_key(&self) -> &'static str;
 
--- a/crates/gateway/src/survival.rs
+++ b/crates/gateway/src/survival.rs
@@ -3,9 +3,10 @@
 pub(crate) mod health_check;
 
 use std::pin::pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 
+use hyper::http::uri::PathAndQuery;
 use mulberryyoke_decide::survival::{Mark, Survival as Marks, Verdict};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -25,6 +26,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Survival {
     marks: Mutex<Marks>,
+    /// Path of the health check, once it is known. A service may be removed while its requests run.
+    health_path: OnceLock<PathAndQuery>,
     /// Whether a health check is under way, which all waiting answers share.
     is_checked: AtomicBool,
     changed: Notify,
--- a/crates/gateway/src/survival/health_check.rs
+++ b/crates/gateway/src/survival/health_check.rs
@@ -10,7 +10,9 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::http::uri::PathAndQuery;
+use mulberryyoke_decide::survival::Mark;
 use mulberryyoke_event::{Event, log};
 use mulberryyoke_platform::Informational;
 use tokio::time::{Instant, timeout};
@@ -128,29 +130,68 @@
         return Identity::Unknown;
     };
     let (head, body) = response.into_parts();
-    let identity = core.protocol.identify(&head, None, &backend.server.name);
-    backend.survival.record_identity(sent, identity);
-    if identity == Identity::Intended {
-        backend.record_heard();
-        let response_head = core.protocol.parse_response(&head, NO_REQUEST_ID);
-        if is_read(body).await {
-            backend.release_conn(conn, response_head);
+    let named = core.protocol.identify(&head, None, &backend.server.name);
+    if named != Identity::Intended {
+        backend.survival.record_identity(sent, named);
+        return named;
+    }
+    let Some(started_ms) = backend.server.started_ms else {
+        record_alive(backend, sent);
+        if read(body).await.is_some() {
+            release(core, backend, conn, &head);
         }
+        return Identity::Intended;
+    };
+    let Some(body) = read(body).await else {
+        return Identity::Unknown;
+    };
+    let start = core.protocol.parse_start(&body);
+    if start.is_some_and(|start| start != started_ms) {
+        backend.survival.record_identity(sent, Identity::Other);
+        return Identity::Other;
     }
-    identity
+    record_alive(backend, sent);
+    release(core, backend, conn, &head);
+    Identity::Intended
+}
+
+fn record_alive(backend: &Backend, sent: Mark) {
+    backend.record_heard();
+    backend.survival.record_identity(sent, Identity::Intended);
+}
+
+fn release(core: &Core, backend: &Backend, conn: Connection, head: &Parts) {
+    let response_head = core.protocol.parse_response(head, NO_REQUEST_ID);
+    backend.release_conn(conn, response_head);
 }
 
-/// Reads the body of a response; `false` if it is too long, too slow or broken off.
-async fn is_read(body: Incoming) -> bool {
+/// Reads the body of a response; `None` if it is too long, too slow or broken off.
+async fn read(body: Incoming) -> Option<Bytes> {
     let body = Limited::new(body, MAX_BODY_BYTES).collect();
-    matches!(timeout(BODY_TIMEOUT, body).await, Ok(Ok(_)))
+    let body = timeout(BODY_TIMEOUT, body).await.ok()?;
+    Some(body.ok()?.to_bytes())
 }
 
-/// Builds a health check of this server; `None` if its pool is no longer configured.
-fn build_request(core: &Core, backend: &Backend) -> Option<Request<Full<Bytes>>> {
+/// Stores the path of the server's health check, unless it is known.
+pub(crate) fn learn_path(core: &Core, backend: &Backend) {
+    let known = &backend.survival.health_path;
+    if known.get().is_none()
+        && let Some(path) = configured_path(core, backend)
+    {
+        // Another request may have stored it meanwhile.
+        let _ = known.set(path);
+    }
+}
+
+fn configured_path(core: &Core, backend: &Backend) -> Option<PathAndQuery> {
     let config = core.view.config()?;
-    let pool = config.pool(backend.server.pool)?;
-    let path: PathAndQuery = pool.health_path.parse().ok()?;
+    config.pool(backend.server.pool)?.health_path.parse().ok()
+}
+
+/// Builds a health check of this server; `None` if it has no valid path.
+fn build_request(core: &Core, backend: &Backend) -> Option<Request<Full<Bytes>>> {
+    let path = configured_path(core, backend);
+    let path = path.or_else(|| backend.survival.health_path.get().cloned())?;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.into();
     let mut headers = core.protocol.health_check_headers(&backend.server.name);
--- a/crates/gateway/tests/gateway/instance_server.rs
+++ b/crates/gateway/tests/gateway/instance_server.rs
@@ -51,6 +51,8 @@
 pub(crate) enum Health {
     /// With its name.
     Named,
+    /// With the name of the first instance, and with its own start, which is its number.
+    Started,
     /// By rejecting them before names are compared, as a full server does.
     Full,
     /// Without anything that names it.
@@ -263,11 +265,13 @@
         let health = *state.health.lock();
         let (status, name_line) = match health {
             Health::Named => (200, format!("x-instance: {name}\r\n")),
+            Health::Started => (200, format!("x-instance: {expected}\r\n")),
             Health::Full => (503, "x-not-run: 1\r\n".to_owned()),
             Health::Unnamed => (200, String::new()),
             Health::Silent => return pending().await,
         };
-        send(link, delays.health, &with_length(status, &name_line));
+        let body = format!("started {instance}");
+        send(link, delays.health, &with_body(status, &name_line, &body));
         return true;
     }
     if head.starts_with("get /kept ") {
@@ -323,7 +327,10 @@
 }
 
 fn with_length(status: u16, header_lines: &str) -> String {
-    let body = "id: 1\ndata: t1\n\n";
+    with_body(status, header_lines, "id: 1\ndata: t1\n\n")
+}
+
+fn with_body(status: u16, header_lines: &str, body: &str) -> String {
     let length = body.len();
     format!("HTTP/1.1 {status} Any\r\n{header_lines}content-length: {length}\r\n\r\n{body}")
 }
--- a/crates/gateway/tests/gateway/protocol.rs
+++ b/crates/gateway/tests/gateway/protocol.rs
@@ -182,6 +182,11 @@
         }
     }
 
+    fn parse_start(&self, body: &[u8]) -> Option<u64> {
+        let text = std::str::from_utf8(body).ok()?;
+        text.strip_prefix("started ")?.trim().parse().ok()
+    }
+
     fn config_key(&self) -> &'static str {
         "config"
     }
@@ -234,7 +239,10 @@
             timeout_ms: timeout_ms.unwrap_or(TIMEOUT_MS),
             ..route(prefix, kind, attempts)
         });
-        let pools = vec![pool("plain", None), pool("model", Some(model(link_mbps)))];
+        let mut pools = vec![pool("plain", None), pool("model", Some(model(link_mbps)))];
+        if number("pools=") == Some("none") {
+            pools.clear();
+        }
         Ok(Config::new(
             version,
             limits,
--- a/crates/gateway/tests/gateway/survival.rs
+++ b/crates/gateway/tests/gateway/survival.rs
@@ -34,6 +34,9 @@
 /// Time from then to a moment shortly before the end of the grace period.
 const UNTIL_TERMINATION: Duration = Duration::from_millis(2_400);
 
+/// Time within which a change is applied.
+const PROPAGATION: Duration = Duration::from_millis(900);
+
 /// Number of streams that end at the same time.
 const MANY: u32 = 6;
 
@@ -213,6 +216,46 @@
     }
 }
 
+// A process that starts again under its name answered for the one before.
+#[gtest]
+#[tokio::test]
+async fn an_instance_of_the_same_name_is_told_by_its_start() {
+    for is_killed in [true, false] {
+        let fixture = Fixture::spawn().await;
+        fixture.server.set_health(Health::Started);
+        for pool in ["plain", "model"] {
+            let value = format!("{pool} {} ready 0", fixture.server.address);
+            fixture
+                .service
+                .set(&format!("servers/{pool}-0"), Some(&value));
+        }
+        sleep(PROPAGATION).await;
+        let mut stream = fixture.begin().await;
+        if is_killed {
+            fixture.server.kill().await;
+            fixture.server.start_successor().await;
+        } else {
+            fixture.server.resume_streams();
+        }
+        let response = caller::read_to_end(&mut stream).await;
+        expect_that!(response.is_complete, eq(!is_killed));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn streams_are_whole_although_their_service_is_removed_meanwhile() {
+    let fixture = Fixture::spawn().await;
+    let mut stream = fixture.begin().await;
+    fixture
+        .service
+        .set("config", Some("6 pools=none timeout=6000 secret"));
+    sleep(PROPAGATION).await;
+    fixture.server.resume_streams();
+    let response = caller::read_to_end(&mut stream).await;
+    expect_whole(&response, "removed");
+}
+
 // Whatever accepts connections at the address of a killed server was taken for it.
 #[gtest]
 #[tokio::test]
