An item of the key-value service that can't be read doesn't hide the others

What callers saw: with one value in the store that is no valid Base64 no gateway became ready, and a running one followed nothing more; each request without a server was refused.

Cause: a page of a listing, or the answer of a watch, was decoded as a whole, on each try. The client of etcd did the same for a key that is no text. A cold time as stated by a server was added to the clock without a bound.

Change: items are decoded one by one. An unreadable value is left empty, which names no server and ends the use of the one it replaced; an item without a readable key or revision is left out. Times that others state are added with saturation.

Tests: seven of the eight in adapter's odd_items failed on (13 odd items, depth, pages, properties over any JSON), so did standin's kv::a_key_that_is_no_text_does_not_hide_the_others and, in a debug build, gateway's odd_entries::a_server_that_is_cold_for_ever_does_not_stop_the_others; the other five there guard. A row of store_client's and one of kv's test of malformed responses asked for the failure of the whole call for such an item. They now ask it for bodies that are cut, of another type or lack a field, and for a key that is not Base64.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod key;
 pub mod leaving;
 pub mod limiter;
+pub mod log_limit;
 pub mod member;
 pub mod overload;
 pub mod placement;
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -56,6 +56,12 @@
     elapsed + SIMULATED_MS.load(Ordering::Relaxed)
 }
 
+/// Returns the time of [`now_ms`] that is `ms` milliseconds from now. A delay may be of any length, as
+/// others state it.
+pub(crate) fn ms_from_now(ms: u64) -> u64 {
+    now_ms().saturating_add(ms)
+}
+
 /// Checks for a suspension and returns when the last resume was detected, in milliseconds of
 /// [`now_ms`]; 0 if there was none.
 pub(crate) fn last_resume_ms() -> u64 {
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -115,7 +115,7 @@
         let idle_ms = idle_ms
             .unwrap_or(DEFAULT_IDLE_MS)
             .saturating_sub(IDLE_MARGIN_MS);
-        let expires_ms = clock::now_ms() + idle_ms;
+        let expires_ms = clock::ms_from_now(idle_ms);
         self.idle.lock().push(Idle { conn, expires_ms });
     }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicU32;
 
 use arc_swap::ArcSwap;
+use mulberryyoke_decide::log_limit::LogLimit;
 use mulberryyoke_decide::share::Shares;
 use mulberryyoke_event::slog::Logger;
 use mulberryyoke_platform::kv::Feed;
@@ -43,6 +44,8 @@
     pub(crate) streams: Streams,
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) outages: Outages,
+    /// Limit on lines about values in the key-value service that can't be parsed.
+    pub(crate) unreadable_log: Mutex<LogLimit>,
     pub(crate) waiting: Waiting,
     /// Number of callers' open connections.
     pub(crate) connections: AtomicU32,
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -162,7 +162,7 @@
         in_flight.backend.record_heard();
     }
     if let Some(left_ms) = response_head.cold_left_ms.filter(|left_ms| *left_ms > 0) {
-        in_flight.backend.cold.extend(clock::now_ms() + left_ms);
+        in_flight.backend.cold.extend(clock::ms_from_now(left_ms));
     }
     notice::apply(core, &in_flight.backend, response_head, &call.id);
     match response_head.verification {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,6 +7,7 @@
 mod patience;
 mod servers;
 mod sources;
+mod unreadable;
 mod zones;
 
 use std::net::SocketAddr;
--- a/crates/gateway/src/follow/applier.rs
+++ b/crates/gateway/src/follow/applier.rs
@@ -11,6 +11,7 @@
 
 use super::cold_shares::ColdShares;
 use super::servers::Servers;
+use super::unreadable;
 use super::zones::Zones;
 use crate::clock;
 use crate::core::Core;
@@ -218,7 +219,7 @@
                 subject: "crashes under a request or prompt part".to_owned(),
                 reason: "server ids or ages are not numbers".to_owned(),
             };
-            self.log_unreadable(&culprit.to_string(), revision, &error);
+            unreadable::report(&self.core, &culprit.to_string(), revision, &error);
         }
     }
 
@@ -243,12 +244,10 @@
                         "revision" => revision, "version" => version, "view_age_ms" => self.core.view.age_ms());
                 }
             }
-            Err(error) => self.log_unreadable(self.core.protocol.config_key(), revision, &error),
+            Err(error) => {
+                let key = self.core.protocol.config_key();
+                unreadable::report(&self.core, key, revision, &error);
+            }
         }
     }
-
-    fn log_unreadable(&self, key: &str, revision: Revision, error: &ParseError) {
-        log!(self.core.logger, Event::ConfigUnreadable,
-            "key" => key, "revision" => revision, "error" => error.to_string());
-    }
 }
--- a/crates/gateway/src/follow/patience.rs
+++ b/crates/gateway/src/follow/patience.rs
@@ -74,7 +74,7 @@
     pub(super) fn current_until(&self, source: Source, answer: &Answer, now_ms: u64) -> u64 {
         match source {
             Source::Service => now_ms + SERVICE_WAIT_MS + self.service_slack_ms,
-            Source::Peer(_) => now_ms + answer.current_for_ms.unwrap_or(0),
+            Source::Peer(_) => now_ms.saturating_add(answer.current_for_ms.unwrap_or(0)),
         }
     }
 }
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -7,10 +7,10 @@
 use mulberryyoke_platform::kv::Revision;
 use tokio::time::Instant;
 
+use super::unreadable;
 use crate::backend::Backend;
 use crate::clock;
 use crate::core::Core;
-use crate::protocol::ParseError;
 use crate::server::Server;
 use crate::{cache_report, quarantine};
 
@@ -110,7 +110,7 @@
         let server = match self.core.protocol.parse_server(name, value) {
             Ok(server) => server,
             Err(error) => {
-                self.log_unreadable(name, revision, &error);
+                unreadable::report(&self.core, name, revision, &error);
                 // An unreadable registration ends the use of the server that it replaced.
                 return self.remove_server(name, "registration unreadable");
             }
@@ -124,7 +124,7 @@
         let is_new = self.core.registry.register(server, config.as_deref());
         let backend = self.core.registry.get(name);
         if let (Some(left_ms), Some(backend)) = (left_ms, &backend) {
-            backend.cold.extend(clock::now_ms() + left_ms);
+            backend.cold.extend(clock::ms_from_now(left_ms));
         }
         if is_new {
             self.end_replaced(name, before);
@@ -213,9 +213,4 @@
             log!(self.core.logger, Event::ServerRemoved, "server" => name, "why" => reason);
         }
     }
-
-    fn log_unreadable(&self, name: &str, revision: Revision, error: &ParseError) {
-        log!(self.core.logger, Event::ConfigUnreadable,
-            "key" => name, "revision" => revision, "error" => error.to_string());
-    }
 }
--- a/crates/gateway/src/follow/zones.rs
+++ b/crates/gateway/src/follow/zones.rs
@@ -48,9 +48,8 @@
                 .as_ref()
                 .and_then(|config| config.pool(backend.server.pool));
             if let Some(cold) = pool.and_then(|pool| pool.cold) {
-                backend
-                    .cold
-                    .extend(clock::now_ms() + cold.duration_ms + COLD_MARGIN_MS);
+                let cold_ms = cold.duration_ms.saturating_add(COLD_MARGIN_MS);
+                backend.cold.extend(clock::ms_from_now(cold_ms));
             }
         }
         self.report(zone, servers.len(), false);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -92,6 +92,7 @@
             memory: memory::Guard::default(),
             exchange,
             outages: Outages::default(),
+            unreadable_log: Mutex::default(),
             waiting: Waiting::default(),
             shares: Mutex::default(),
             quarantine: Quarantine::new(),
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -32,6 +32,7 @@
 mod lost_gateways;
 mod memory_pressure;
 mod notices;
+mod odd_entries;
 mod outages;
 mod overload;
 mod part_convictions;
--- a/crates/platform/src/kv/etcd.rs
+++ b/crates/platform/src/kv/etcd.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use self::method::Method;
+use self::response::KeyValue;
 use self::transport::Transport;
 use crate::HttpError;
 use crate::kv::{
@@ -39,7 +40,7 @@
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
         let deadline = self.transport.deadline();
         let mut listing = Listing::default();
-        let mut first = prefix.to_owned();
+        let mut first = prefix.as_bytes().to_vec();
         loop {
             let limit = self.options.page_size;
             let body = request::range(&first, prefix, listing.revision, limit);
@@ -47,11 +48,14 @@
             if listing.revision == 0 {
                 listing.revision = page.header.revision;
             }
-            listing.entries.extend(page.kvs.into_iter().map(Pair::from));
-            let Some(last) = listing.entries.last().filter(|_| page.more) else {
+            let last = page.kvs.last().map(|kv| kv.key.clone());
+            let pairs = page.kvs.into_iter().filter_map(KeyValue::into_pair);
+            listing.entries.extend(pairs);
+            let Some(last) = last.filter(|_| page.more) else {
                 return Ok(listing);
             };
-            first = format!("{}\0", last.key);
+            first = last;
+            first.push(0);
         }
     }
 
@@ -59,7 +63,7 @@
         let deadline = self.transport.deadline();
         let body = request::get(key);
         let found: response::Range = self.transport.call(Method::Range, body, deadline).await?;
-        Ok(found.kvs.into_iter().next().map(Pair::from))
+        Ok(found.kvs.into_iter().next().and_then(KeyValue::into_pair))
     }
 
     async fn compare_and_swap(
@@ -88,7 +92,9 @@
                 HttpError::Malformed("transaction response lacks the current entry".to_owned());
             return Err(Error::Unknown(cause));
         };
-        Ok(Swap::Conflict(found.kvs.into_iter().next().map(Pair::from)))
+        Ok(Swap::Conflict(
+            found.kvs.into_iter().next().and_then(KeyValue::into_pair),
+        ))
     }
 
     async fn open_watch(&self, prefix: &str, from: Revision) -> Result<Watch, Error> {
--- a/crates/platform/src/kv/etcd/encoding.rs
+++ b/crates/platform/src/kv/etcd/encoding.rs
@@ -24,11 +24,6 @@
     STANDARD.decode(text).map_err(D::Error::custom)
 }
 
-/// Decodes a key.
-pub(crate) fn key<'de, D: Deserializer<'de>>(deserializer: D) -> Result<String, D::Error> {
-    String::from_utf8(bytes(deserializer)?).map_err(D::Error::custom)
-}
-
 /// Decodes a 64-bit integer.
 pub(crate) fn number<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
     match Number::deserialize(deserializer)? {
--- a/crates/platform/src/kv/etcd/request.rs
+++ b/crates/platform/src/kv/etcd/request.rs
@@ -13,7 +13,7 @@
 
 /// Reads at most `limit` keys from `first` to the last key that starts with `prefix`, at a
 /// revision (0 for the latest).
-pub(crate) fn range(first: &str, prefix: &str, revision: Revision, limit: u32) -> Bytes {
+pub(crate) fn range(first: &[u8], prefix: &str, revision: Revision, limit: u32) -> Bytes {
     encode_body(&json!({
         "key": encoding::encode(range_start(first)),
         "range_end": encoding::encode(&range_end(prefix)),
@@ -41,7 +41,7 @@
 pub(crate) fn watch(prefix: &str, from: Revision) -> Bytes {
     encode_body(&json!({
         "create_request": {
-            "key": encoding::encode(range_start(prefix)),
+            "key": encoding::encode(range_start(prefix.as_bytes())),
             "range_end": encoding::encode(&range_end(prefix)),
             "start_revision": from.to_string(),
             "progress_notify": true,
@@ -82,11 +82,11 @@
 }
 
 /// First key of a range. The service rejects an empty key.
-const fn range_start(first: &str) -> &[u8] {
+const fn range_start(first: &[u8]) -> &[u8] {
     if first.is_empty() {
         return &[0];
     }
-    first.as_bytes()
+    first
 }
 
 /// Exclusive end of the keys that start with `prefix`. A single zero byte means no end.
--- a/crates/platform/src/kv/etcd/response.rs
+++ b/crates/platform/src/kv/etcd/response.rs
@@ -22,8 +22,9 @@
 /// Key-value pair.
 #[derive(Debug, Deserialize)]
 pub(crate) struct KeyValue {
-    #[serde(deserialize_with = "encoding::key")]
-    pub key: String,
+    /// Any client may write keys that are no text.
+    #[serde(deserialize_with = "encoding::bytes")]
+    pub key: Vec<u8>,
     #[serde(default, deserialize_with = "encoding::bytes")]
     pub value: Vec<u8>,
     #[serde(deserialize_with = "encoding::number")]
@@ -32,14 +33,19 @@
     pub lease: u64,
 }
 
-impl From<KeyValue> for Pair {
-    fn from(kv: KeyValue) -> Self {
-        Self {
-            key: kv.key,
-            value: kv.value,
-            revision: kv.mod_revision,
-            lease: (kv.lease != 0).then_some(LeaseId(kv.lease)),
-        }
+impl KeyValue {
+    /// Returns the pair; `None`, which is counted, if its key is no text.
+    pub(crate) fn into_pair(self) -> Option<Pair> {
+        let Ok(key) = String::from_utf8(self.key) else {
+            metrics::counter!("kv_items_unreadable_total").increment(1);
+            return None;
+        };
+        Some(Pair {
+            key,
+            value: self.value,
+            revision: self.mod_revision,
+            lease: (self.lease != 0).then_some(LeaseId(self.lease)),
+        })
     }
 }
 
--- a/crates/platform/src/kv/etcd/stream.rs
+++ b/crates/platform/src/kv/etcd/stream.rs
@@ -73,7 +73,8 @@
     }
 
     fn enqueue(&mut self, events: Vec<response::Event>) {
-        self.events.extend(events.into_iter().map(convert_event));
+        self.events
+            .extend(events.into_iter().filter_map(convert_event));
     }
 
     async fn next_message(&mut self, deadline: Instant) -> Result<WatchMessage, Error> {
@@ -118,13 +119,15 @@
     Ok(watched)
 }
 
-fn convert_event(event: response::Event) -> Event {
+/// Returns the event; `None` if its key is no text.
+fn convert_event(event: response::Event) -> Option<Event> {
     let is_put = event.kind == response::EventKind::Put;
-    Event {
-        key: event.kv.key,
-        value: is_put.then_some(event.kv.value),
-        revision: event.kv.mod_revision,
-    }
+    let pair = event.kv.into_pair()?;
+    Some(Event {
+        key: pair.key,
+        value: is_put.then_some(pair.value),
+        revision: pair.revision,
+    })
 }
 
 fn lines(response: Response<Incoming>, limit: usize) -> Lines {
