A status that the protocol doesn't know is no answer

What callers saw: a server's 600 or 999 with its seal came as the answer. 000, 099, 20 and 2000 were failures already.

Cause: only informational statuses were held back.

Change: the status of an answer is from 200 to 599; any other is an invalid response, as a sealed 101 is.

Tests: early_answers::a_status_that_is_none_is_a_failure failed on.

--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -166,7 +166,7 @@
     }
     notice::apply(core, &in_flight.backend, response_head, &call.id);
     match response_head.verification {
-        Verification::Sealed if is_unencoded_response(&head) => {}
+        Verification::Sealed if is_valid_response(&head) => {}
         Verification::Sealed | Verification::Unverified => {
             failure::record(
                 core,
@@ -240,10 +240,10 @@
     survival::is_whole(core, call, in_flight, retry_at).await
 }
 
-/// Whether a response is final and not encoded. Callers request neither a change of protocol nor an
-/// encoding.
-fn is_unencoded_response(head: &Parts) -> bool {
-    !head.status.is_informational() && !head.headers.contains_key(CONTENT_ENCODING)
+/// Whether a response is final, of a known class, and not encoded. Callers request neither a change of
+/// protocol nor an encoding.
+fn is_valid_response(head: &Parts) -> bool {
+    (200..600).contains(&head.status.as_u16()) && !head.headers.contains_key(CONTENT_ENCODING)
 }
 
 /// Reads the body of a verified response that is not a stream.
--- a/crates/gateway/src/survival/health_check.rs
+++ b/crates/gateway/src/survival/health_check.rs
@@ -106,7 +106,7 @@
             Identity::Unknown => Reply::Nothing,
         },
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            // No process listens, and none comes back with the same name.
+            // No process listens, so that the instance has ended.
             backend.survival.record_refusal(sent);
             Reply::Refused
         }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod crashes;
 mod crashing_server;
 mod cut_watches;
+mod early_answers;
 mod ending;
 mod endless_answers;
 mod endless_calls;
