Requests are neither begun late in a planned stop nor cut without an answer at its end

What callers saw (reported by other operators, shown here with tests): a request whose body was whole only after the gateway had begun to refuse requests ran; one that ran at the end of the grace lost its connection without an answer.

Cause: whether requests are still taken was asked before the body was read; all connections were dropped at the end.

Change: it is asked again when the body is read. 0.3 s before the end each request without an answer gets one, 502 if it was sent to a server and 503 if not.

Tests: the two new ones of shutdown:: failed on (200 and a run; no answer). shutdown::, slow::, waiting::, handoff:: and bodies::, 36 passed.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -45,6 +45,8 @@
     pub(crate) account: Option<Arc<Account>>,
     /// Computed on first use, since bodies may be large.
     pub(crate) digest: OnceLock<Digest>,
+    /// Whether it was sent to a server.
+    pub(crate) is_sent: AtomicBool,
     /// Whether it is recorded how the stream started.
     pub(crate) is_start_recorded: AtomicBool,
 }
--- a/crates/gateway/src/dispatch/send.rs
+++ b/crates/gateway/src/dispatch/send.rs
@@ -1,6 +1,7 @@
 //! Sends a request to a server and reads the response.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -67,6 +68,7 @@
     let mut request = build_request(core, call, &in_flight, attempts.last_event(call));
     let informational = Informational::count(&mut request);
     in_flight.record_send(core);
+    call.is_sent.store(true, Ordering::Relaxed);
     let mut sent = Box::pin(conn.sender.try_send_request(request));
     let watch = Watch::start(core, call, &in_flight);
     let mut stall = Some(stall_deadline(call));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -40,6 +40,9 @@
 /// Time after [`DRAIN`] in which connections are still accepted and their requests refused.
 const REFUSE: Duration = Duration::from_secs(1);
 
+/// Time before the end of the process in which requests without an answer get a refusal.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
+
 /// Part of the grace period reserved for terminating the process, in milliseconds.
 const TERMINATION_MS: u64 = 700;
 
@@ -171,7 +174,11 @@
         };
         tokio::select! {
             () = graceful => {}
-            () = sleep(grace) => shutdown.terminate.cancel(),
+            () = async {
+                sleep(grace.saturating_sub(LAST_ANSWERS)).await;
+                shutdown.answer.cancel();
+                sleep(LAST_ANSWERS).await;
+            } => shutdown.terminate.cancel(),
         }
         log!(self.core.logger, Event::Stopped);
     }
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -142,6 +142,7 @@
             body,
             account,
             digest: OnceLock::new(),
+            is_sent: AtomicBool::new(false),
             is_start_recorded: AtomicBool::new(false),
             route,
         })
--- a/crates/gateway/src/listen/connection.rs
+++ b/crates/gateway/src/listen/connection.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use super::origin::Origin;
+use crate::call::Call;
 use crate::core::Core;
 use crate::inbound::Inbound;
 use crate::refusal::Refusal;
@@ -112,8 +113,21 @@
     if core.shutdown.refuse.is_cancelled() {
         return Err(Refusal::Stopping);
     }
-    let call = Arc::new(inbound.into_call(core).await?);
-    let response = dispatch::run(core, &call).await?;
+    let call = tokio::select! {
+        call = inbound.into_call(core) => Arc::new(call?),
+        () = core.shutdown.answer.cancelled() => return Err(Refusal::Stopping),
+    };
+    // The body may have come slowly.
+    if core.shutdown.refuse.is_cancelled() {
+        return Err(Refusal::Stopping);
+    }
+    let response = tokio::select! {
+        response = dispatch::run(core, &call) => Some(response?),
+        () = core.shutdown.answer.cancelled() => None,
+    };
+    let Some(response) = response else {
+        return Err(unanswered(&call));
+    };
     let elapsed = Instant::now() - call.received_at;
     let kind = call.route.kind.as_str();
     metrics::histogram!("first_answer_seconds", "kind" => kind).record(elapsed.as_secs_f64());
@@ -124,6 +138,15 @@
     Ok(response)
 }
 
+/// Returns the refusal of a request that has no answer at the end of the grace period.
+fn unanswered(call: &Call) -> Refusal {
+    if call.is_sent.load(Ordering::Relaxed) {
+        Refusal::OutcomeUnknown
+    } else {
+        Refusal::Stopping
+    }
+}
+
 /// Returns whether to close the connection after this response, so that the caller's next request
 /// reaches another node or is handed off to one.
 fn closes_connection(core: &Core, status: StatusCode) -> bool {
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -11,6 +11,8 @@
     pub(crate) refuse: CancellationToken,
     /// No connections are accepted, and idle ones are closed.
     pub(crate) close: CancellationToken,
+    /// Requests that have no answer yet are answered with a refusal.
+    pub(crate) answer: CancellationToken,
     /// All tasks terminate.
     pub(crate) terminate: CancellationToken,
 }
