Abandoned requests reset their connection, so that nothing held up arrives later

Cause: a request that is given up ended its connection in order, so that what had not been delivered of it was delivered once the partition ended.

Change: a connection to a server that carries a request when it is dropped is reset; an idle one is closed in order.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -1,8 +1,11 @@
 //! Pool of HTTP connections to a backend server.
 
+mod stream;
+
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +17,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use self::stream::Stream;
 use crate::{clock, socket};
 
 /// Connect timeout. Servers are milliseconds away, and callers time out their own connects after
@@ -36,6 +40,8 @@
     task: AbortHandle,
     /// Whether it has carried a request.
     pub(crate) is_used: bool,
+    /// Whether it carries no request now.
+    is_idle: Arc<AtomicBool>,
 }
 
 impl Drop for Connection {
@@ -82,13 +88,17 @@
         let mut idle = self.idle.lock();
         idle.retain(|idle| idle.expires_ms > now && !idle.conn.sender.is_closed());
         let ready = idle.iter().rposition(|idle| idle.conn.sender.is_ready())?;
-        Some(idle.swap_remove(ready).conn)
+        let conn = idle.swap_remove(ready).conn;
+        conn.is_idle.store(false, Ordering::Relaxed);
+        Some(conn)
     }
 
     /// Opens a connection.
     pub(crate) async fn connect(&self) -> io::Result<Connection> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await??;
         socket::configure(&stream)?;
+        let is_idle = Arc::new(AtomicBool::new(false));
+        let stream = Stream::new(stream, Arc::clone(&is_idle));
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -102,6 +112,7 @@
             sender,
             task: task.abort_handle(),
             is_used: false,
+            is_idle,
         })
     }
 
@@ -112,6 +123,7 @@
             return;
         }
         conn.is_used = true;
+        conn.is_idle.store(true, Ordering::Relaxed);
         let idle_ms = idle_ms
             .unwrap_or(DEFAULT_IDLE_MS)
             .saturating_sub(IDLE_MARGIN_MS);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gateways against simulated callers, backend servers, peers and key-value service.
 
+mod abandoned;
 mod admission;
 mod answer_shapes;
 mod archive;
