Tests of uploads begin under the configuration that allows them

The test waited for 0.9 s until its larger limit of bodies was in force, which beside load came later, so that the gateway refused the upload and closed. The gateway starts under that configuration now; the same in the test of abandoned requests.

--- a/crates/gateway/tests/gateway/abandoned.rs
+++ b/crates/gateway/tests/gateway/abandoned.rs
@@ -8,14 +8,11 @@
 use tokio::time::{sleep, timeout};
 
 use crate::caller;
-use crate::fleet::ready_at;
+use crate::fleet::ready_for_uploads;
 
 /// Size of a body that doesn't fit into the buffers of the server's connection, in bytes.
 const BODY_BYTES: usize = 4_000_000;
 
-/// Time within which a change is applied.
-const PROPAGATION: Duration = Duration::from_millis(900);
-
 /// Time after which the caller leaves, and from then until the server reads on.
 const PAUSE: Duration = Duration::from_millis(400);
 
@@ -28,10 +25,7 @@
 async fn the_rest_of_a_request_does_not_reach_its_server_after_its_caller_left() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    let (service, node) = ready_at(&[address], None).await;
-    let config = format!("6 secret body={BODY_BYTES} timeout=6000");
-    service.set("config", Some(&config));
-    sleep(PROPAGATION).await;
+    let (_service, node) = ready_for_uploads(&[address], BODY_BYTES).await;
     // Lists of cached parts and other connections are left unread.
     let body = "x".repeat(BODY_BYTES);
     let request = caller::request_with_body("/once/", "x-tokens: 100\r\n", &body);
--- a/crates/gateway/tests/gateway/early_answers.rs
+++ b/crates/gateway/tests/gateway/early_answers.rs
@@ -11,7 +11,7 @@
 
 use crate::backend::{Backend, Behavior, field};
 use crate::caller::{self, Response};
-use crate::fleet::{Node, ready_at};
+use crate::fleet::{Node, ready_at, ready_for_uploads};
 
 const PROMPT: &str = "x-tokens: 100\r\n";
 
@@ -24,9 +24,6 @@
 /// Pauses between the answer and the reset, in milliseconds.
 const PAUSES_MS: [u64; 6] = [0, 1, 5, 20, 60, 150];
 
-/// Time within which a change is applied.
-const PROPAGATION: Duration = Duration::from_millis(900);
-
 /// How the server ends the connection while it is still sent the request.
 #[derive(Clone, Copy, Debug)]
 enum End {
@@ -67,10 +64,7 @@
 
 /// Starts a gateway that takes such uploads, with these servers.
 async fn spawn_node(servers: &[SocketAddr]) -> Node {
-    let (service, node) = ready_at(servers, None).await;
-    let config = format!("6 secret body={UPLOAD_BYTES} timeout=6000");
-    service.set("config", Some(&config));
-    sleep(PROPAGATION).await;
+    let (_service, node) = ready_for_uploads(servers, UPLOAD_BYTES).await;
     node
 }
 
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -151,9 +151,26 @@
 pub(crate) async fn ready_at(
     addresses: &[SocketAddr],
     memory_mb: Option<u64>,
+) -> (Arc<Service>, Node) {
+    ready_under("5 secret", addresses, memory_mb).await
+}
+
+/// As [`ready_at`], with bodies of up to this size, and time to send them.
+pub(crate) async fn ready_for_uploads(
+    addresses: &[SocketAddr],
+    max_body_bytes: usize,
+) -> (Arc<Service>, Node) {
+    let config = format!("5 secret body={max_body_bytes} timeout=6000");
+    ready_under(&config, addresses, None).await
+}
+
+async fn ready_under(
+    config: &str,
+    addresses: &[SocketAddr],
+    memory_mb: Option<u64>,
 ) -> (Arc<Service>, Node) {
     let service = Service::new();
-    service.set("config", Some("5 secret"));
+    service.set("config", Some(config));
     for (index, address) in addresses.iter().enumerate() {
         register_address(&service, index, *address, "ready");
     }
